Set down the design, the core types, the state charts and replay

Cause: the project starts; its shape has to be there before the first path. Conclusion: the base for the first end-to-end path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Every target does its own set-up: a virtual environment with the locked dependencies.
+PYTHON ?= python3
+SEED ?= 1
+VENV := .venv
+STAMP := $(VENV)/.installed
+RUN := $(VENV)/bin/python
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements.lock
+	$(VENV)/bin/pip install -q --no-deps -e .
+	touch $(STAMP)
+
+.PHONY: setup demo test lint format prove measure
+setup: $(STAMP)
+
+demo: $(STAMP)
+	$(RUN) -m bench.demo --seed $(SEED)
+
+test: $(STAMP)
+	$(RUN) -m pytest
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check --quiet src tests
+	$(VENV)/bin/ruff check src tests
+
+format: $(STAMP)
+	$(VENV)/bin/black --quiet src tests
+	$(VENV)/bin/ruff check --fix --quiet src tests
+
+prove: $(STAMP)
+	$(RUN) -m bench.prove --seed $(SEED)
+
+measure: $(STAMP)
+	$(RUN) -m bench.measure --seed $(SEED)
--- /dev/null
+++ b/src/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, failure runs and measurements with real processes."""
--- /dev/null
+++ b/src/tarragoncart/charts.py
@@ -0,0 +1,114 @@
+"""State charts, read from JSON files and interpreted by table lookup."""
+
+from __future__ import annotations
+
+import functools
+import json
+from importlib import resources
+from typing import Any
+
+from attrs import field, frozen
+
+from .errors import ChartError
+
+
+@frozen
+class Step:
+    """Result of one event: the next state and the names of the actions to carry out."""
+
+    state: str
+    actions: tuple[str, ...]
+
+
+@frozen
+class Chart:
+    """A flat state chart.
+
+    :param states: all states.
+    :param final: states that no transition needs to leave.
+    :param table: maps ``(state, event)`` to the step taken.
+    """
+
+    name: str
+    initial: str
+    states: frozenset[str]
+    final: frozenset[str]
+    table: dict[tuple[str, str], Step] = field(repr=False)
+
+    def step(self, state: str, event: str) -> Step:
+        """Return the step for an event.
+
+        :raises ChartError: if the state does not accept the event.
+        """
+        try:
+            return self.table[state, event]
+        except KeyError:
+            raise ChartError(
+                f"chart {self.name!r}: state {state!r} does not accept event {event!r}",
+                step="chart step",
+            ) from None
+
+    def accepts(self, state: str, event: str) -> bool:
+        """Tell whether the state accepts the event."""
+        return (state, event) in self.table
+
+    def is_final(self, state: str) -> bool:
+        """Tell whether the state ends the chart."""
+        return state in self.final
+
+    @property
+    def actions(self) -> frozenset[str]:
+        """All action names that the chart uses."""
+        return frozenset(action for step in self.table.values() for action in step.actions)
+
+
+def parse_chart(name: str, data: dict[str, Any]) -> Chart:
+    """Build a chart from decoded JSON and check it.
+
+    :param data: ``{initial, final, states: {STATE: {EVENT: {to, actions}}}}``.
+    :raises ChartError: for undeclared or unreachable states, or final states with a wrong name.
+    """
+    states = frozenset(data["states"])
+    table = {
+        (state, event): Step(target["to"], tuple(target.get("actions", ())))
+        for state, events in data["states"].items()
+        for event, target in events.items()
+    }
+    chart = Chart(name, data["initial"], states, frozenset(data.get("final", ())), table)
+    _check(chart)
+    return chart
+
+
+def _check(chart: Chart) -> None:
+    targets = {step.state for step in chart.table.values()}
+    undeclared = (targets | chart.final | {chart.initial}) - chart.states
+    if undeclared:
+        raise ChartError(
+            f"chart {chart.name!r} uses undeclared states {sorted(undeclared)}", step="load chart"
+        )
+    reached = {chart.initial}
+    frontier = [chart.initial]
+    while frontier:
+        state = frontier.pop()
+        following = {s.state for (source, _), s in chart.table.items() if source == state}
+        frontier.extend(following - reached)
+        reached |= following
+    if reached != chart.states:
+        raise ChartError(
+            f"chart {chart.name!r} cannot reach {sorted(chart.states - reached)}",
+            step="load chart",
+        )
+
+
+@functools.cache
+def load_chart(name: str) -> Chart:
+    """Load ``charts/NAME.json`` of this package.
+
+    :raises ChartError: if the file is missing or inconsistent.
+    """
+    source = resources.files(__package__) / "charts" / f"{name}.json"
+    try:
+        data = json.loads(source.read_text(encoding="utf-8"))
+    except FileNotFoundError:
+        raise ChartError(f"there is no chart {name!r}", step="load chart") from None
+    return parse_chart(name, data)
--- /dev/null
+++ b/src/tarragoncart/defaults.py
@@ -0,0 +1,69 @@
+"""Named constants; each name ends in the unit of its value."""
+
+from __future__ import annotations
+
+# Lease of an entry VM at a worker. Three renewals fit in one lease, so that one lost renewal
+# does not expire it.
+LEASE_DURATION_MS = 3_000
+LEASE_RENEWAL_MS = 1_000
+
+# A withdrawn key is refused everywhere at most this long after its withdrawal was accepted.
+KEY_FRESHNESS_MS = 5_000
+
+HEARTBEAT_PERIOD_MS = 500
+HEARTBEAT_FANOUT_COUNT = 2
+PEER_SILENCE_MS = 1_000
+# A member is retired after this silence; it is longer than a lease plus a slow log append.
+MEMBER_RETIRE_MS = 10_000
+PEER_TIMEOUT_MS = 800
+
+# At 20 ms nine entry VMs make at most 450 appends a second, within what the log sustains.
+FLUSH_WINDOW_MS = 20
+FLUSH_WINDOW_SLOW_MS = 50
+FLUSH_RECORD_COUNT = 500
+FLUSH_SIZE_BYTES = 256 * 1024
+APPEND_TIMEOUT_MS = 1_500
+# A batch without an answer is sent again only after a read to the end this much later.
+APPEND_GRACE_MS = 1_000
+LOG_LONG_POLL_MS = 1_000
+LOG_READ_LIMIT_COUNT = 1_000
+LOG_RETRY_MS = 200
+# Without a completed read for this long the log counts as unavailable.
+LOG_UNAVAILABLE_MS = 2_500
+LOG_RETENTION_MS = 24 * 3_600 * 1_000
+SNAPSHOT_PART_BYTES = 64 * 1024
+FINISHED_JOB_COUNT = 10_000
+FINISHED_JOB_MS = 24 * 3_600 * 1_000
+
+VM_LIST_POLL_MS = 1_000
+USAGE_POLL_MS = 1_000
+
+ATTEMPT_TIMEOUT_MS = 30_000
+CONNECT_TIMEOUT_MS = 500
+GUARD_QUERY_FIRST_MS = 50
+GUARD_QUERY_MAX_MS = 1_000
+# Retries may add at most this share of all attempts.
+RETRY_BUDGET_RATIO = 0.1
+RETRY_BUDGET_MIN_COUNT = 10
+
+EJECT_AFTER_FAILURES_COUNT = 3
+EJECT_AFTER_SILENCES_COUNT = 2
+EJECT_DURATION_MS = 5_000
+EJECT_WINDOW_MS = 5_000
+EJECT_MAX_RATIO = 1 / 3
+
+RIGHTS_REBALANCE_MS = 250
+DEADLINE_SWEEP_MS = 20
+DEADLINE_DEFAULT_MS = 10_000
+DEADLINE_MAX_MS = 24 * 3_600 * 1_000
+QUEUE_WAITING_COUNT = 2_000
+BODY_SIZE_BYTES = 256 * 1024
+REQUEST_ID_BLOCK_COUNT = 1_000
+REQUEST_ID_LENGTH = 128
+RESULT_RETENTION_MS = 15 * 60 * 1_000
+RESULT_RETENTION_COUNT = 20_000
+
+SHUTDOWN_TIMEOUT_MS = 30_000
+WAVE_FAILURE_LIMIT_COUNT = 2
+INBOX_COUNT = 50_000
+AUDIT_ENTRY_COUNT = 20_000
--- /dev/null
+++ b/src/tarragoncart/mailbox.py
@@ -0,0 +1,136 @@
+"""Actors: tasks that own their state and sockets and talk by messages."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any, ClassVar
+
+import reactivex
+
+from . import defaults
+from .errors import InboxFullError
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[Any, Any], Any]
+
+
+def receives(message_type: type) -> Callable[[Handler], Handler]:
+    """Mark a method as the handler of a message type; it may be a coroutine function."""
+
+    def decorate(handler: Handler) -> Handler:
+        handler.message_type = message_type  # type: ignore[attr-defined]
+        return handler
+
+    return decorate
+
+
+class Actor:
+    """A task with a bounded inbox.
+
+    Handlers run one at a time. Work that waits for a socket goes into :meth:`spawn`, and its
+    result comes back as a message.
+
+    :param inbox_limit_count: most messages that may wait.
+    """
+
+    _handlers: ClassVar[dict[type, Handler]] = {}
+
+    def __init_subclass__(cls) -> None:
+        super().__init_subclass__()
+        handlers = dict(cls._handlers)
+        for value in vars(cls).values():
+            if hasattr(value, "message_type"):
+                handlers[value.message_type] = value
+        cls._handlers = handlers
+
+    def __init__(self, name: str, inbox_limit_count: int = defaults.INBOX_COUNT) -> None:
+        self.name = name
+        self._inbox: asyncio.Queue[Any] = asyncio.Queue(inbox_limit_count)
+        self._children: set[asyncio.Task[Any]] = set()
+        self._subscriptions: list[Any] = []
+        self._runner: asyncio.Task[None] | None = None
+
+    def tell(self, message: Any) -> None:
+        """Put a message into the inbox.
+
+        :raises InboxFullError: if the inbox has reached its bound.
+        """
+        try:
+            self._inbox.put_nowait(message)
+        except asyncio.QueueFull:
+            raise InboxFullError("inbox is full", step="tell", peer=self.name) from None
+
+    def subscribe(self, observable: reactivex.Observable[Any], message: Any) -> None:
+        """Send ``message`` to this actor whenever the observable emits."""
+
+        def forward(_: Any) -> None:
+            # A tick that finds the inbox full is dropped: the next one does its work.
+            if not self._inbox.full():
+                self._inbox.put_nowait(message)
+
+        self._subscriptions.append(observable.subscribe(forward))
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine that belongs to this actor; it is cancelled when the actor stops."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._children.add(task)
+        task.add_done_callback(self._child_done)
+        return task
+
+    def _child_done(self, task: asyncio.Task[Any]) -> None:
+        self._children.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            logger.error("task failed", extra={"actor": self.name}, exc_info=error)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._runner = asyncio.get_running_loop().create_task(self._run(), name=self.name)
+
+    async def _run(self) -> None:
+        await self.opened()
+        while True:
+            message = await self._inbox.get()
+            try:
+                result = self.handle(message)
+                if result is not None:
+                    await result
+            except Exception:
+                # One bad message must not stop the actor and all jobs it owns.
+                logger.exception(
+                    "message handler failed",
+                    extra={"actor": self.name, "message_type": type(message).__name__},
+                )
+
+    def handle(self, message: Any) -> Any:
+        """Call the handler of a message; returns an awaitable if the handler is a coroutine."""
+        return self._handlers[type(message)](self, message)
+
+    async def opened(self) -> None:
+        """Open sockets; runs before the first message."""
+
+    async def closed(self) -> None:
+        """Close sockets; runs after the last message."""
+
+    async def stop(self) -> None:
+        """Stop the task, its subscriptions and its children, then close its sockets."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        tasks = [*self._children, *([self._runner] if self._runner else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.closed()
+
+
+def new_reply() -> asyncio.Future[Any]:
+    """Return a future to put into a message that wants an answer."""
+    return asyncio.get_running_loop().create_future()
+
+
+def resolve(reply: asyncio.Future[Any] | None, value: Any) -> None:
+    """Answer a message; does nothing if the asker has given up."""
+    if reply is not None and not reply.done():
+        reply.set_result(value)
--- /dev/null
+++ b/src/tarragoncart/model.py
@@ -0,0 +1,232 @@
+"""Core types: the fleet that operators configure, and the jobs that callers submit."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import Any
+
+from attrs import field, frozen
+
+from . import defaults
+
+
+class Mode(StrEnum):
+    """How a queue's jobs are answered."""
+
+    INTERACTIVE = "interactive"
+    DEFERRED = "deferred"
+
+
+class Outcome(StrEnum):
+    """What a caller is told about a job."""
+
+    ANSWERED = "answered"
+    ACCEPTED = "accepted"
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+
+
+class Verdict(StrEnum):
+    """What one attempt or probe says about an upstream."""
+
+    RESULT = "result"
+    ERROR_ANSWER = "error_answer"
+    NO_ANSWER = "no_answer"
+
+
+@frozen
+class QueueSpec:
+    """A queue: where its jobs run and how they are answered.
+
+    :param guarded: jobs are not idempotent and run at most once.
+    :param open_to_all: jobs need no key and count for no team.
+    """
+
+    name: str
+    pool: str
+    mode: Mode = Mode.INTERACTIVE
+    guarded: bool = False
+    open_to_all: bool = False
+    waiting_limit_count: int = defaults.QUEUE_WAITING_COUNT
+
+
+@frozen
+class TeamSpec:
+    """A team: its share when the fleet is saturated, and its upper limit.
+
+    :param upper_limit_count: most jobs of the team that may run at once across the fleet.
+    """
+
+    name: str
+    share_weight: float
+    upper_limit_count: int
+
+
+@frozen
+class PoolSpec:
+    """A pool of VMs that serves one service.
+
+    Together the two counts are the availability budget.
+
+    :param max_unavailable_count: most VMs of the pool out of service at once.
+    :param min_available_count: fewest VMs in service, after moves to other pools too.
+    :param spare: VMs may be borrowed from this pool first.
+    """
+
+    name: str
+    max_unavailable_count: int
+    min_available_count: int = 1
+    spare: bool = False
+
+
+@frozen
+class VmSpec:
+    """An upstream VM. ``pool`` is its first pool; later moves are log records."""
+
+    name: str
+    pool: str
+    data_centre: str
+    rack: str
+    address: str
+    slot_count: int = 8
+    connection_count: int = 64
+    processor_count: int = 16
+    memory_gb: int = 64
+    accelerator_count: int = 0
+
+
+@frozen
+class PolicySpec:
+    """Names of the registered policies in use."""
+
+    routing: str = "two_choices"
+    ejection: str = "three_valued"
+    queue_order: str = "weighted_fair"
+    capacity: str = "forecast"
+    wave: str = "budgeted"
+
+
+@frozen
+class FleetConfig:
+    """What operators publish."""
+
+    queues: tuple[QueueSpec, ...] = ()
+    teams: tuple[TeamSpec, ...] = ()
+    pools: tuple[PoolSpec, ...] = ()
+    vms: tuple[VmSpec, ...] = ()
+    policies: PolicySpec = PolicySpec()
+
+    def queue(self, name: str) -> QueueSpec | None:
+        """Return the queue of that name."""
+        return next((queue for queue in self.queues if queue.name == name), None)
+
+
+@frozen
+class KeyGrant:
+    """A granted key; only its digest is kept.
+
+    :param cutoff_grace_s: how much longer a partitioned entry VM honours the key.
+    """
+
+    key_id: str
+    team: str
+    cutoff_grace_s: float = 0.0
+
+
+@frozen
+class Member:
+    """An entry VM that has joined."""
+
+    name: str
+    incarnation: str
+    data_centre: str
+    peer_address: str
+    client_address: str
+
+
+@frozen
+class Job:
+    """A submission after decoding.
+
+    :param deadline_ms: on the entry VM's monotonic clock.
+    :param issued_by: incarnation that issued the request ID, empty if the caller made it.
+    """
+
+    request_id: str
+    queue: str
+    team: str
+    payload: Any
+    body_digest: str
+    declared_run_ms: float
+    deadline_ms: float
+    guarded: bool
+    mode: Mode
+    pool: str
+    issued_by: str = ""
+
+
+@frozen
+class Answer:
+    """A worker's whole answer.
+
+    :param succeeded: False if the job itself reported a failure.
+    """
+
+    body: Any
+    succeeded: bool = True
+    worker: str = ""
+
+
+@frozen
+class Reply:
+    """What the caller gets."""
+
+    request_id: str
+    outcome: Outcome
+    answer: Answer | None = None
+    code: str = ""
+    message: str = ""
+    step: str = ""
+    peer: str = ""
+    limit: str = ""
+    status: int = 200
+
+
+@frozen
+class Attempt:
+    """One try of a job at one upstream."""
+
+    attempt_id: str
+    request_id: str
+    worker: str
+    payload: Any = field(repr=False, default=None)
+    guarded: bool = False
+    team: str = ""
+    declared_run_ms: float = 0.0
+    deadline_ms: float = 0.0
+    number: int = 1
+
+
+def digest_key(key: str) -> str:
+    """Return the ID under which a key is stored: its SHA-256 digest in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def digest_body(body: bytes) -> str:
+    """Return the SHA-256 digest of a body in hexadecimal."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def issuer_of(request_id: str) -> tuple[str, str] | None:
+    """Return ``(entry, incarnation)`` of an issued request ID, None for any other ID."""
+    parts = request_id.split(".")
+    if len(parts) != 3 or not parts[2].isdigit() or len(parts[1]) != 16:
+        return None
+    return parts[0], parts[1]
+
+
+def by_name(items: tuple[Any, ...]) -> Mapping[str, Any]:
+    """Index items by their ``name``."""
+    return {item.name: item for item in items}
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,118 @@
+"""Rules that replay applies to records."""
+
+from __future__ import annotations
+
+from attrs import evolve
+
+from tarragoncart import records, replay
+from tarragoncart.model import KeyGrant, Outcome, TeamSpec
+
+
+def test_second_publish_on_the_same_base_is_rejected(fleet, submit, config):
+    """Guards against two operators overwriting each other."""
+    assert submit(records.Publish(1, config)).accepted
+    entry = submit(records.Publish(1, evolve(config, teams=())))
+    assert not entry.accepted
+    assert "version 2" in entry.reason
+    assert fleet.config.teams
+
+
+def test_a_copy_of_a_batch_counts_once(fleet):
+    """Guards against a batch that was sent again taking rights twice."""
+    take = records.Envelope("b-1", 0, "a", 0, records.TakeRights("shop", "a", 4))
+    assert replay.apply(fleet, 10, take) is not None
+    assert replay.apply(fleet, 11, take) is None
+    assert fleet.rights["shop"].holders == {"a": 4}
+
+
+def test_take_never_exceeds_the_limit(fleet, submit):
+    """Guards against two holders using the same rights."""
+    submit(records.TakeRights("shop", "a", 7))
+    submit(records.TakeRights("shop", "b", 7))
+    assert fleet.rights["shop"].holders == {"a": 7, "b": 3}
+    assert not submit(records.TakeRights("shop", "b", 1)).accepted
+
+
+def test_rights_of_a_retired_incarnation_stay_counted(fleet, submit):
+    """Guards against running tasks of a dead entry VM being forgotten."""
+    submit(records.TakeRights("shop", "a", 7))
+    submit(records.Retire("a", "silent"))
+    assert not submit(records.TakeRights("shop", "a", 1)).accepted
+    submit(records.TakeRights("shop", "b", 9))
+    assert fleet.rights["shop"].holders == {"b": 3}
+    submit(records.ReleaseRights("a"))
+    assert fleet.rights["shop"].unassigned_count == 7
+
+
+def test_lowered_limit_cuts_holders_but_not_held_rights(fleet, submit, config):
+    """Guards against a lower limit that is exceeded by tasks that still run."""
+    submit(records.TakeRights("shop", "a", 4))
+    submit(records.TakeRights("shop", "b", 6))
+    submit(records.Retire("a", "silent"))
+    submit(records.Publish(1, evolve(config, teams=(TeamSpec("shop", 1.0, 6),))))
+    rights = fleet.rights["shop"]
+    assert (rights.held, rights.holders) == ({"a": 4}, {"b": 2})
+
+
+def test_only_one_claim_wins(fleet, submit):
+    """Guards against two entry VMs running one deferred job."""
+    submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0))
+    assert submit(records.ClaimJob("r", 1, "a", "vm-0")).accepted
+    assert not submit(records.ClaimJob("r", 1, "b", "vm-1")).accepted
+    assert not submit(records.ClaimJob("r", 2, "b", "vm-1")).accepted
+    submit(records.Retire("a", "silent"))
+    assert submit(records.ClaimJob("r", 2, "b", "vm-1")).accepted
+
+
+def test_stale_claimant_cannot_report_not_run(fleet, submit):
+    """Guards against a false "not run" while a later claimant runs the job."""
+    submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0))
+    submit(records.ClaimJob("r", 1, "a", "vm-0"))
+    submit(records.Retire("a", "silent"))
+    submit(records.ClaimJob("r", 2, "b", "vm-1"))
+    assert not submit(records.FinishJob("r", Outcome.NOT_RUN, epoch=1)).accepted
+    assert submit(records.FinishJob("r", Outcome.ANSWERED, epoch=2, body=1)).accepted
+
+
+def test_same_request_id_with_another_body_is_rejected(submit):
+    """Guards against one job's answer being given to another."""
+    submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0))
+    assert submit(records.AcceptJob("r", "holds", "shop", "e", {}, 1.0)).reason == "different_body"
+    assert submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0)).reason == "duplicate"
+
+
+def test_moves_and_stops_share_one_budget(submit):
+    """Guards against a wave and a move that together empty a service."""
+    assert submit(records.MoveVm("vm-0", "holds", "spare", "demand")).accepted
+    assert not submit(records.ReserveStop("vm-1", "", "maintenance")).accepted
+    assert submit(records.VmDrained("vm-0")).accepted
+    assert submit(records.ReserveStop("vm-1", "", "maintenance")).accepted
+
+
+def test_a_failure_cancels_a_reserved_stop(fleet, submit):
+    """Guards against a stop that begins after a failure has used up the budget."""
+    submit(records.ReserveStop("vm-1", "", "maintenance"))
+    submit(records.VmFailed("vm-2", "no heartbeat"))
+    assert "cancelled" in submit(records.BeginStop("vm-1")).reason
+    assert fleet.vms["vm-1"].state == "in_service"
+
+
+def test_a_wave_halts_after_two_failures(fleet, submit):
+    """Guards against a bad image being rolled out to a whole pool."""
+    submit(records.StartWave("w", ("holds",), "kernel"))
+    for name in ("vm-0", "vm-1"):
+        submit(records.ReserveStop(name, "w", "kernel"))
+        submit(records.BeginStop(name))
+        submit(records.VmFailed(name, "did not come back"))
+        submit(records.VmBack(name))
+    assert fleet.waves["w"].state == "halted"
+    assert not submit(records.ReserveStop("vm-2", "w", "kernel")).accepted
+    assert submit(records.ControlWave("w", "resume")).accepted
+
+
+def test_a_withdrawn_key_is_gone(fleet, submit):
+    """Guards against a key that works after its withdrawal."""
+    submit(records.GrantKey(KeyGrant("k", "shop")))
+    submit(records.WithdrawKey("k"))
+    assert "k" not in fleet.keys
+    assert not submit(records.WithdrawKey("k")).accepted
