--- /dev/null
+++ b/src/tarragoncart/admission.py
@@ -0,0 +1,114 @@
+"""Admission: which submissions become jobs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import frozen
+
+from . import defaults
+from .errors import RequestError
+from .model import Job, Mode, QueueSpec, issuer_of
+from .replay import FleetView
+
+STEP = "admission"
+
+
+@frozen
+class Submission:
+    """A decoded submission.
+
+    :param key_id: digest of the key that came with it, empty if there was none.
+    :param deadline_ms: milliseconds from arrival until the caller wants an outcome.
+    """
+
+    request_id: str
+    queue: str
+    key_id: str
+    payload: Any
+    body_digest: str
+    deadline_ms: float
+    declared_run_ms: float
+    forwarded: bool = False
+
+
+@frozen
+class Standing:
+    """What the entry VM knows when it admits.
+
+    :param view_age_ms: age of the view; above the bound, keyed work is refused.
+    :param withdrawn: keys withdrawn through a peer while the log cannot take the record.
+    """
+
+    view: FleetView
+    view_age_ms: float
+    loaded: bool
+    draining: bool
+    now_ms: float
+    key_freshness_ms: float = defaults.KEY_FRESHNESS_MS
+    withdrawn: frozenset[str] = frozenset()
+
+
+def admit(submission: Submission, standing: Standing) -> Job:
+    """Return the job that a submission stands for.
+
+    :raises RequestError: if it is refused; nothing of it has run.
+    """
+    if standing.draining or not standing.loaded:
+        state = "draining" if standing.draining else "starting"
+        raise RequestError(f"entry VM is {state}", code=state, status=503, step=STEP)
+    queue = standing.view.config.queue(submission.queue)
+    if queue is None:
+        raise RequestError(
+            f"unknown queue {submission.queue!r}", code="unknown_queue", status=404, step=STEP
+        )
+    if submission.deadline_ms <= 0:
+        raise RequestError(
+            "deadline is in the past", code="deadline_in_past", status=408, step=STEP
+        )
+    team = "" if queue.open_to_all else _team_of(submission, standing)
+    if team and team not in standing.view.rights:
+        raise RequestError(f"unknown team {team!r}", code="unknown_team", status=401, step=STEP)
+    return _job(submission, queue, team, standing.now_ms)
+
+
+def _team_of(submission: Submission, standing: Standing) -> str:
+    grant = standing.view.keys.get(submission.key_id)
+    if grant is None or submission.key_id in standing.withdrawn:
+        raise RequestError("missing or unknown key", code="key_refused", status=401, step=STEP)
+    bound_ms = standing.key_freshness_ms + grant.cutoff_grace_s * 1_000
+    if standing.view_age_ms > bound_ms:
+        raise RequestError(
+            f"view is {standing.view_age_ms:.0f} ms old; a withdrawal may be missing",
+            code="view_too_old",
+            status=503,
+            step=STEP,
+            limit="key_freshness_ms",
+        )
+    return grant.team
+
+
+def _job(submission: Submission, queue: QueueSpec, team: str, now_ms: float) -> Job:
+    issuer = issuer_of(submission.request_id)
+    return Job(
+        request_id=submission.request_id,
+        queue=queue.name,
+        team=team,
+        payload=submission.payload,
+        body_digest=submission.body_digest,
+        declared_run_ms=submission.declared_run_ms,
+        deadline_ms=now_ms + min(submission.deadline_ms, defaults.DEADLINE_MAX_MS),
+        guarded=queue.guarded,
+        mode=queue.mode,
+        pool=queue.pool,
+        issued_by=issuer[1] if issuer else "",
+    )
+
+
+def needs_claim(job: Job) -> bool:
+    """Tell whether the log must order the attempts of a job.
+
+    A request ID that an entry VM issued can be started by that incarnation only; any other
+    guarded or deferred job could be started by two entry VMs at once.
+    """
+    return job.mode is Mode.DEFERRED or (job.guarded and not job.issued_by)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -60,10 +60,22 @@
 BODY_SIZE_BYTES = 256 * 1024
 REQUEST_ID_BLOCK_COUNT = 1_000
 REQUEST_ID_LENGTH = 128
-RESULT_RETENTION_MS = 15 * 60 * 1_000
-RESULT_RETENTION_COUNT = 20_000
+# An issued request ID can be submitted for this long; an entry VM remembers each job for longer,
+# so that an ID that it does not know has either never run or is too old to be started.
+REQUEST_ID_VALIDITY_MS = 120_000
+RESULT_RETENTION_MS = 300_000
+ATTEMPT_COUNT = 3
 
 SHUTDOWN_TIMEOUT_MS = 30_000
 WAVE_FAILURE_LIMIT_COUNT = 2
 INBOX_COUNT = 50_000
 AUDIT_ENTRY_COUNT = 20_000
+
+LOG_READ_TIMEOUT_MS = 4_000
+APPEND_SLOW_MS = 500
+SNAPSHOT_CHECK_MS = 5_000
+SNAPSHOT_AFTER_COUNT = 20_000
+CONTROL_TIMEOUT_MS = 900
+UPSTREAM_BUSY_MS = 10
+# Evidence from the guard of an idempotent job is waited for this long before it is retried.
+IDEMPOTENT_FENCE_MS = 500
--- /dev/null
+++ b/src/tarragoncart/dispatch.py
@@ -0,0 +1,1062 @@
+"""Owner of jobs, queues and rights in use on one entry VM."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import hashlib
+import heapq
+import logging
+import random
+import secrets
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import Factory, define, evolve, field, frozen
+
+from . import admission, defaults, limits, records
+from .admission import Standing, Submission
+from .attempts import Evidence
+from .charts import load_chart
+from .errors import LogUnavailableError, RequestError
+from .journal import Append, JobChanged, Journal, ViewChanged
+from .mailbox import Actor, carries_out, new_reply, receives, resolve
+from .model import Answer, Attempt, Job, Mode, Outcome, Reply
+from .placement import PoolPlacement, UpstreamFacts
+from .replay import AuditEntry, FleetView, JobState
+from .timer import Timer
+from .upstream import (
+    AttemptEnded,
+    FenceIncarnation,
+    FenceRequest,
+    FindResult,
+    Transmit,
+    Upstream,
+    UpstreamChanged,
+)
+
+logger = logging.getLogger(__name__)
+JOB_CHART = load_chart("job")
+
+
+@frozen
+class Submit:
+    """A decoded submission; the reply is a :class:`Reply`."""
+
+    submission: Submission
+    reply: asyncio.Future[Reply]
+
+
+@frozen
+class Query:
+    """Ask for the outcome of a request; the reply is a :class:`Reply` or None if unknown here."""
+
+    request_id: str
+    reply: asyncio.Future[Reply | None]
+
+
+@frozen
+class Cancel:
+    """A caller no longer wants a job; the reply is a :class:`Reply` or None if unknown here."""
+
+    request_id: str
+    reply: asyncio.Future[Reply | None]
+
+
+@frozen
+class ForwardSubmission:
+    """For the peers' actor: let the incarnation that issued the request ID handle it."""
+
+    submission: Submission
+    incarnation: str
+    reply: asyncio.Future[Reply]
+
+
+@frozen
+class OwnDemand:
+    """For the peers' actor: rights that this entry VM wants."""
+
+    wanted_count: Mapping[str, int]
+
+
+@frozen
+class PeersChanged:
+    """What peers want, and the keys withdrawn through them."""
+
+    wants: list[limits.PeerWants]
+    withdrawn: frozenset[str]
+
+
+@frozen
+class VmsListed:
+    """The platform's list of VMs, which lags: names of the leaving ones."""
+
+    leaving: frozenset[str]
+
+
+@frozen
+class RecordEnded:
+    """A record that this actor appended has been replayed, or was not written."""
+
+    record: Any
+    entry: AuditEntry | LogUnavailableError
+
+
+@frozen
+class FenceDue:
+    """Time to ask a guard again."""
+
+    request_id: str
+    attempt_id: str
+
+
+@frozen
+class SweepDeadlines:
+    """Expire jobs whose deadline has passed."""
+
+
+@frozen
+class Rebalance:
+    """Move rights and adopt jobs of retired incarnations."""
+
+
+@frozen
+class Drain:
+    """Refuse new work; the reply comes when no job is left."""
+
+    reply: asyncio.Future[None]
+
+
+@frozen
+class UseIncarnation:
+    """Start a new incarnation after this one was retired."""
+
+    incarnation: str
+
+
+@frozen
+class CountTasks:
+    """Fence an incarnation at every worker.
+
+    The reply is the number of its tasks that still run, None if a worker did not answer.
+    """
+
+    incarnation: str
+    reply: asyncio.Future[int | None]
+
+
+@frozen
+class ReadUsage:
+    """Ask for running and waiting jobs per team; the reply is a :class:`Usage`."""
+
+    reply: asyncio.Future[Usage]
+
+
+@frozen
+class Usage:
+    """Jobs of this entry VM per team, and its rights."""
+
+    running: Mapping[str, int]
+    waiting: Mapping[str, int]
+    rights: Mapping[str, int]
+
+
+@define
+class JobEntry:
+    """A job and where it is; ``state`` is a state of the job chart."""
+
+    job: Job
+    state: str = JOB_CHART.initial
+    waiters: list[asyncio.Future[Reply]] = Factory(list)
+    reply: Reply | None = None
+    attempt: Attempt | None = None
+    attempt_count: int = 0
+    failure_count: int = 0
+    placed_on: str = ""
+    boot_id: str = ""
+    fence_delay_ms: float = defaults.GUARD_QUERY_FIRST_MS
+    no_answer_at_ms: float | None = None
+    excluded: set[str] = Factory(set)
+    claim_epoch: int = 0
+    answer: Answer | None = field(default=None, repr=False)
+
+
+class Dispatch(Actor):
+    """Owns all jobs of an entry VM.
+
+    :param rng: source of randomness of the routing policies.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        data_centre: str,
+        incarnation: str,
+        journal: Journal,
+        timer: Timer,
+        rng: random.Random,
+        source_address: str = "",
+        key_freshness_ms: float = defaults.KEY_FRESHNESS_MS,
+    ) -> None:
+        super().__init__("dispatch")
+        self.entry = entry
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self.peers: Actor | None = None
+        self._journal = journal
+        self._timer = timer
+        self._rng = rng
+        self._source_address = source_address
+        self._key_freshness_ms = key_freshness_ms
+        self._view = FleetView()
+        self._fresh_as_of_ms = float("-inf")
+        self._loaded = False
+        self._log_available = False
+        self._draining: list[asyncio.Future[None]] = []
+        self._is_draining = False
+        self._jobs: dict[str, JobEntry] = {}
+        self._log_jobs: dict[str, JobState] = {}
+        self._finished: dict[str, float] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._pools: dict[str, PoolPlacement] = {}
+        self._upstreams: dict[str, Upstream] = {}
+        self._facts: dict[str, UpstreamFacts] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._ledger = limits.RightsLedger(incarnation)
+        self._waiting: Counter[str] = Counter()
+        # Attempts of retried idempotent jobs that may still run; they keep their right.
+        self._stranded: dict[str, tuple[Attempt, str]] = {}
+        self._wants: list[limits.PeerWants] = []
+        self._withdrawn: frozenset[str] = frozenset()
+        self._attempt_number = 0
+
+    async def opened(self) -> None:
+        """Subscribe to the timer."""
+        self.subscribe(self._timer.every(defaults.DEADLINE_SWEEP_MS), SweepDeadlines())
+        self.subscribe(self._timer.every(defaults.RIGHTS_REBALANCE_MS), Rebalance())
+
+    async def closed(self) -> None:
+        """Stop the upstreams' actors."""
+        await asyncio.gather(*(upstream.stop() for upstream in self._upstreams.values()))
+
+    # Submissions
+
+    @receives(Submit)
+    def _on_submit(self, message: Submit) -> None:
+        submission = message.submission
+        try:
+            job = admission.admit(submission, self._standing())
+            self._take(job, submission, message.reply)
+        except RequestError as error:
+            resolve(message.reply, refusal(submission.request_id, error))
+
+    def _standing(self) -> Standing:
+        now_ms = self._timer.now_ms()
+        return Standing(
+            view=self._view,
+            view_age_ms=now_ms - self._fresh_as_of_ms,
+            loaded=self._loaded,
+            draining=self._is_draining,
+            now_ms=now_ms,
+            key_freshness_ms=self._key_freshness_ms,
+            withdrawn=self._withdrawn,
+        )
+
+    def _take(self, job: Job, submission: Submission, reply: asyncio.Future[Reply]) -> None:
+        if job.guarded and job.issued_by and job.issued_by != self.incarnation:
+            self._forward(job, submission, reply)
+            return
+        known = self._jobs.get(job.request_id)
+        if known is not None:
+            self._join_known(known, job, reply)
+            return
+        if job.guarded and job.issued_by:
+            self._check_issue_time(job.request_id)
+        queue = self._view.config.queue(job.queue)
+        if queue is not None and len(self._pool(job.pool).order) >= queue.waiting_limit_count:
+            raise RequestError(
+                "queue is full",
+                code="queue_full",
+                status=429,
+                step="admission",
+                limit="waiting_limit_count",
+            )
+        self._admit(job, reply)
+
+    def _forward(self, job: Job, submission: Submission, reply: asyncio.Future[Reply]) -> None:
+        if submission.forwarded or self.peers is None:
+            # Forwarding is limited to one hop; the issuer has taken a new incarnation since.
+            resolve(reply, unknown(job.request_id, "issuer_gone", "forward"))
+            return
+        self.peers.tell(ForwardSubmission(submission, job.issued_by, reply))
+
+    def _join_known(self, known: JobEntry, job: Job, reply: asyncio.Future[Reply]) -> None:
+        if known.job.body_digest != job.body_digest or known.job.queue != job.queue:
+            raise RequestError(
+                "request ID was used with another body",
+                code="different_body",
+                status=409,
+                step="admission",
+            )
+        if known.reply is not None:
+            resolve(reply, known.reply)
+        else:
+            known.waiters.append(reply)
+
+    def _check_issue_time(self, request_id: str) -> None:
+        age_ms = self._timer.now_ms() - issue_time_ms(request_id)
+        if age_ms > defaults.REQUEST_ID_VALIDITY_MS:
+            raise RequestError(
+                "request ID is too old to be started",
+                code="request_id_expired",
+                status=504,
+                step="admission",
+                limit="request_id_validity_ms",
+            )
+
+    def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
+        entry = JobEntry(job, waiters=[reply])
+        known = self._log_jobs.get(job.request_id)
+        if known is None and admission.needs_claim(job) and not self._log_available:
+            raise RequestError(
+                "the log is unavailable",
+                code="log_unavailable",
+                status=503,
+                step="admission",
+                peer="log",
+            )
+        self._jobs[job.request_id] = entry
+        heapq.heappush(self._deadlines, (job.deadline_ms, job.request_id))
+        if known is not None:
+            self._step(entry, "known_elsewhere")
+            self._follow_log(entry, known)
+        elif job.mode is Mode.DEFERRED:
+            self._step(entry, "admit_durable")
+        else:
+            self._step(entry, "admit")
+            self._pump(job.pool)
+
+    def _step(self, entry: JobEntry, event: str, **details: Any) -> None:
+        self.step(JOB_CHART, entry, event, **details)
+        if JOB_CHART.is_final(entry.state):
+            self._finished[entry.job.request_id] = self._timer.now_ms()
+
+    # Records
+
+    def _append(self, record: Any, expires_at_ms: float = float("inf")) -> None:
+        reply = new_reply()
+        reply.add_done_callback(
+            lambda done: done.cancelled() or self.tell(RecordEnded(record, done.result()))
+        )
+        self._journal.tell(Append(record, self.entry, reply, expires_at_ms))
+
+    @receives(RecordEnded)
+    def _on_record_ended(self, message: RecordEnded) -> None:
+        self._record_ended(message.record, message.entry)
+
+    @functools.singledispatchmethod
+    def _record_ended(self, record: Any, entry: AuditEntry | LogUnavailableError) -> None:
+        """Other records need no answer: replay shows their effect."""
+
+    @_record_ended.register
+    def _accept_ended(
+        self, record: records.AcceptJob, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        job = self._jobs[record.request_id]
+        if isinstance(entry, LogUnavailableError):
+            self._step(job, "refuse", error=_log_error(entry))
+        elif entry.accepted:
+            self._step(job, "recorded")
+            self._pump(job.job.pool)
+        elif entry.reason == "different_body":
+            self._step(job, "refuse", error=_different_body())
+        else:
+            self._step(job, "record_rejected")
+
+    @_record_ended.register
+    def _claim_ended(
+        self, record: records.ClaimJob, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        job = self._jobs[record.request_id]
+        if isinstance(entry, LogUnavailableError):
+            if job.job.mode is Mode.DEFERRED or job.state == "abandoned":
+                self._step(job, "log_unavailable")
+            else:
+                self._step(job, "refuse", error=_log_error(entry))
+        elif entry.accepted:
+            job.claim_epoch = record.epoch
+            self._step(job, "claimed")
+        elif entry.reason == "different_body":
+            self._step(job, "refuse", error=_different_body())
+        else:
+            self._step(job, "claim_lost")
+            if known := self._log_jobs.get(record.request_id):
+                self._follow_log(job, known)
+        self._pump(job.job.pool)
+
+    @_record_ended.register
+    def _transfer_ended(
+        self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        self._ledger.given[record.team] -= record.count
+
+    @_record_ended.register
+    def _take_ended(
+        self, record: records.TakeRights, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        self._ledger.asked[record.team] -= 1
+
+    # Actions of the job chart
+
+    @carries_out("enqueue")
+    def _enqueue(self, entry: JobEntry, **_: Any) -> None:
+        job = entry.job
+        weight = self._share_weight(job.team)
+        urgent = job.mode is Mode.INTERACTIVE
+        self._pool(job.pool).order.push(
+            job.request_id,
+            job.team,
+            weight,
+            job.declared_run_ms,
+            self._timer.now_ms(),
+            urgent=urgent,
+        )
+        self._waiting[job.team] += 1
+
+    def _share_weight(self, team: str) -> float:
+        for spec in self._view.config.teams:
+            if spec.name == team:
+                return spec.share_weight
+        return 1.0
+
+    @carries_out("append_accept")
+    def _append_accept(self, entry: JobEntry, **_: Any) -> None:
+        job = entry.job
+        record = records.AcceptJob(
+            request_id=job.request_id,
+            queue=job.queue,
+            team=job.team,
+            body_digest=job.body_digest,
+            payload=job.payload,
+            declared_run_ms=job.declared_run_ms,
+            incarnation=self.incarnation,
+        )
+        self._append(record, job.deadline_ms)
+
+    @carries_out("append_claim")
+    def _append_claim(self, entry: JobEntry, **_: Any) -> None:
+        job = entry.job
+        known = self._log_jobs.get(job.request_id)
+        record = records.ClaimJob(
+            request_id=job.request_id,
+            epoch=(known.claim_epoch if known else entry.claim_epoch) + 1,
+            incarnation=self.incarnation,
+            worker=entry.placed_on,
+            boot_id=entry.boot_id,
+            body_digest="" if job.mode is Mode.DEFERRED else job.body_digest,
+        )
+        self._append(record, job.deadline_ms)
+
+    @carries_out("start_attempt")
+    def _start_attempt(self, entry: JobEntry, **_: Any) -> None:
+        job = entry.job
+        self._attempt_number += 1
+        entry.attempt_count += 1
+        entry.no_answer_at_ms = None
+        entry.fence_delay_ms = defaults.GUARD_QUERY_FIRST_MS
+        entry.attempt = Attempt(
+            attempt_id=f"{self.incarnation}-{self._attempt_number}",
+            request_id=job.request_id,
+            worker=entry.placed_on,
+            payload=job.payload,
+            guarded=job.guarded,
+            team=job.team,
+            declared_run_ms=job.declared_run_ms,
+            deadline_ms=job.deadline_ms,
+            number=entry.attempt_count,
+        )
+        upstream = self._upstreams.get(entry.placed_on)
+        if upstream is None:
+            self.tell(AttemptEnded(entry.attempt, Evidence("not_started", None, "gone")))
+        else:
+            upstream.tell(Transmit(entry.attempt))
+
+    @carries_out("fence_request")
+    def _fence_request(self, entry: JobEntry, **_: Any) -> None:
+        assert entry.attempt is not None
+        if entry.no_answer_at_ms is None:
+            entry.no_answer_at_ms = self._timer.now_ms()
+        upstream = self._upstreams.get(entry.attempt.worker)
+        if upstream is None:
+            # The VM has left the fleet, and its guard with it.
+            self.tell(AttemptEnded(entry.attempt, Evidence("guard_lost"), fenced=True))
+        else:
+            upstream.tell(FenceRequest(entry.attempt, entry.boot_id))
+
+    @carries_out("fence_later")
+    def _fence_later(self, entry: JobEntry, **_: Any) -> None:
+        assert entry.attempt is not None
+        due = FenceDue(entry.job.request_id, entry.attempt.attempt_id)
+        self.subscribe_once(self._timer.after(entry.fence_delay_ms), due)
+        entry.fence_delay_ms = min(entry.fence_delay_ms * 2, defaults.GUARD_QUERY_MAX_MS)
+
+    @receives(FenceDue)
+    def _on_fence_due(self, message: FenceDue) -> None:
+        entry = self._jobs.get(message.request_id)
+        if entry is None or entry.attempt is None:
+            return
+        unresolved = entry.state in ("resolving", "unresolved")
+        if unresolved and entry.attempt.attempt_id == message.attempt_id:
+            self._fence_request(entry)
+
+    @carries_out("free_slot")
+    def _free_slot(self, entry: JobEntry, **_: Any) -> None:
+        if not entry.placed_on:
+            return
+        self._pool(entry.job.pool).release(entry.placed_on)
+        self._ledger.running[entry.job.team] -= 1
+        entry.placed_on = ""
+
+    @carries_out("record_result")
+    def _record_result(self, entry: JobEntry, **_: Any) -> None:
+        if entry.job.mode is not Mode.DEFERRED and not entry.claim_epoch:
+            return
+        answer = entry.answer
+        record = records.FinishJob(
+            request_id=entry.job.request_id,
+            outcome=Outcome.ANSWERED if answer else Outcome.NOT_RUN,
+            epoch=entry.claim_epoch,
+            body=answer.body if answer else None,
+            succeeded=answer.succeeded if answer else False,
+        )
+        self._append(record)
+
+    @carries_out("record_unknown")
+    def _record_unknown(self, entry: JobEntry, **_: Any) -> None:
+        if entry.claim_epoch:
+            self._append(
+                records.FinishJob(
+                    entry.job.request_id,
+                    Outcome.OUTCOME_UNKNOWN,
+                    epoch=entry.claim_epoch,
+                    code="guard_lost",
+                )
+            )
+
+    @carries_out("reply_accepted")
+    def _reply_accepted(self, entry: JobEntry, **_: Any) -> None:
+        self._answer(entry, Reply(entry.job.request_id, Outcome.ACCEPTED, status=202), final=False)
+
+    @carries_out("reply_answer")
+    def _reply_answer(self, entry: JobEntry, **_: Any) -> None:
+        self._answer(entry, Reply(entry.job.request_id, Outcome.ANSWERED, entry.answer))
+
+    @carries_out("reply_not_run")
+    def _reply_not_run(self, entry: JobEntry, error: RequestError | None = None, **_: Any) -> None:
+        error = error or RequestError(
+            "deadline passed before the job could start",
+            code="deadline",
+            status=503,
+            step="queue",
+            limit="deadline_ms",
+        )
+        self._answer(entry, refusal(entry.job.request_id, error))
+
+    @carries_out("reply_unknown")
+    def _reply_unknown(self, entry: JobEntry, **_: Any) -> None:
+        peer = entry.attempt.worker if entry.attempt else "log"
+        reply = unknown(entry.job.request_id, "no_answer", "attempt", peer)
+        self._answer(entry, reply, final=False)
+
+    def _answer(self, entry: JobEntry, reply: Reply, *, final: bool = True) -> None:
+        if final:
+            entry.reply = reply
+        for waiter in entry.waiters:
+            resolve(waiter, reply)
+        entry.waiters.clear()
+
+    # Placement
+
+    def _pool(self, name: str) -> PoolPlacement:
+        pool = self._pools.get(name)
+        if pool is None:
+            share_count = self._connection_count()
+            policies = self._view.config.policies
+            pool = PoolPlacement.create(policies, self.data_centre, share_count, self._rng)
+            self._pools[name] = pool
+        return pool
+
+    def _connection_count(self) -> int:
+        # A worker's connections are divided among the entry VMs.
+        vms = self._view.config.vms
+        connections = min((vm.connection_count for vm in vms), default=64)
+        return max(1, connections // max(1, len(self._view.members)))
+
+    def _pump(self, name: str) -> None:
+        """Start as many waiting jobs of a pool as may start now."""
+        pool = self._pool(name)
+        now_ms = self._timer.now_ms()
+        while placement := pool.next_placement(
+            self._ledger.may_start, lambda job_id: self._jobs[job_id].excluded, now_ms
+        ):
+            request_id, worker = placement
+            entry = self._jobs[request_id]
+            self._waiting[entry.job.team] -= 1
+            self._ledger.running[entry.job.team] += 1
+            entry.placed_on = worker
+            entry.boot_id = self._facts[worker].boot_id
+            claim = admission.needs_claim(entry.job)
+            self._step(entry, "place_claimed" if claim else "place")
+
+    @receives(AttemptEnded)
+    def _on_attempt_ended(self, message: AttemptEnded) -> None:
+        entry = self._jobs.get(message.attempt.request_id)
+        evidence = message.evidence
+        current = entry is not None and entry.attempt is message.attempt
+        if evidence.verdict is not None and not message.fenced:
+            pool = self._pool_of_worker(message.attempt.worker)
+            if pool is not None:
+                pool.health.record(
+                    message.attempt.worker, evidence.verdict, self._timer.now_ms()
+                )
+        if not current or entry is None:
+            self._stranded_ended(message)
+            return
+        if JOB_CHART.is_final(entry.state):
+            return
+        event = self._next_event(entry, evidence, message.fenced)
+        self._step(entry, event)
+        self._pump(entry.job.pool)
+
+    def _next_event(self, entry: JobEntry, evidence: Evidence, fenced: bool) -> str:
+        """Return the job chart's event for what is known about the present attempt."""
+        now_ms = self._timer.now_ms()
+        pool = self._pool(entry.job.pool)
+        if evidence.event == "result":
+            entry.answer = evidence.answer
+            failed = evidence.answer is not None and not evidence.answer.succeeded
+            if failed and self._may_retry(entry, pool):
+                entry.answer = None
+                return "retry"
+        elif evidence.event == "not_started":
+            if evidence.code == "busy":
+                pool.mark_busy(entry.placed_on, now_ms)
+                self.subscribe_once(self._timer.after(defaults.UPSTREAM_BUSY_MS), Rebalance())
+            else:
+                entry.excluded.add(entry.placed_on)
+        elif evidence.event == "guard_lost" and self._may_retry(entry, pool):
+            return "retry"
+        elif evidence.event == "no_answer" and fenced and not evidence.running:
+            waited_ms = now_ms - (entry.no_answer_at_ms or now_ms)
+            if waited_ms >= defaults.IDEMPOTENT_FENCE_MS and self._may_retry(entry, pool):
+                self._strand(entry)
+                return "retry"
+        return evidence.event
+
+    def _may_retry(self, entry: JobEntry, pool: PoolPlacement) -> bool:
+        allowed = (
+            not entry.job.guarded
+            and entry.state in ("attempting", "resolving")
+            and entry.attempt_count < defaults.ATTEMPT_COUNT
+            and pool.retries.take()
+        )
+        if allowed:
+            entry.excluded.add(entry.placed_on)
+        return allowed
+
+    def _strand(self, entry: JobEntry) -> None:
+        # The lost attempt may still run, so its right stays in use until the guard says otherwise.
+        assert entry.attempt is not None
+        self._stranded[entry.attempt.attempt_id] = entry.attempt, entry.boot_id
+        self._ledger.running[entry.job.team] += 1
+
+    def _stranded_ended(self, message: AttemptEnded) -> None:
+        ended = message.evidence.event in ("result", "not_started", "guard_lost")
+        if ended and self._stranded.pop(message.attempt.attempt_id, None):
+            self._ledger.running[message.attempt.team] -= 1
+
+    # Deadlines
+
+    @receives(SweepDeadlines)
+    def _on_sweep_deadlines(self, _: SweepDeadlines) -> None:
+        now_ms = self._timer.now_ms()
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            _, request_id = heapq.heappop(self._deadlines)
+            entry = self._jobs.get(request_id)
+            if entry is not None:
+                self._expire(entry)
+
+    def _expire(self, entry: JobEntry) -> None:
+        if entry.job.mode is Mode.DEFERRED and entry.state not in ("recording", "elsewhere"):
+            # The deadline of a deferred job is for its acceptance only.
+            return
+        if JOB_CHART.accepts(entry.state, "expire"):
+            if entry.state == "queued":
+                self._unqueue(entry)
+            self._step(entry, "expire")
+
+    def _unqueue(self, entry: JobEntry) -> None:
+        if self._pool(entry.job.pool).order.remove(entry.job.request_id):
+            self._waiting[entry.job.team] -= 1
+
+    # What the log and the platform say
+
+    @receives(ViewChanged)
+    def _on_view_changed(self, message: ViewChanged) -> None:
+        previous, self._view = self._view, message.view
+        self._fresh_as_of_ms = message.fresh_as_of_ms
+        self._log_available = message.log_available
+        self._loaded = message.loaded
+        self._ledger.rights = message.view.rights
+        if previous.config is not message.view.config or previous.members is not (
+            message.view.members
+        ):
+            self._pools_changed()
+        if previous.vms is not message.view.vms:
+            self._vms_changed()
+        if previous.rights is not message.view.rights:
+            self._pump_all()
+
+    def _pools_changed(self) -> None:
+        for pool in self._pools.values():
+            pool.policies = self._view.config.policies
+            pool.connection_count = self._connection_count()
+
+    def _vms_changed(self) -> None:
+        for name in set(self._upstreams) - set(self._view.vms):
+            self._drop_upstream(name)
+        for name, vm in self._view.vms.items():
+            known = self._upstreams.get(name)
+            if known is not None and known.address != vm.spec.address:
+                self._drop_upstream(name)
+                known = None
+            if known is None:
+                self._add_upstream(name, vm.spec.address)
+                self._facts[name] = UpstreamFacts(vm.spec)
+            facts = self._facts[name]
+            facts.spec = vm.spec
+            facts.in_service = vm.state in ("in_service", "failed")
+            self._assign_pool(name, vm.pool)
+
+    def _assign_pool(self, name: str, pool_name: str) -> None:
+        for other_name, other in self._pools.items():
+            if other_name != pool_name:
+                other.discard(name)
+        pool = self._pool(pool_name)
+        pool.add(self._facts[name])
+        pool.refresh(name)
+
+    def _add_upstream(self, name: str, address: str) -> None:
+        upstream = Upstream(
+            name,
+            address,
+            entry=self.entry,
+            incarnation=self.incarnation,
+            owner=self,
+            timer=self._timer,
+            connection_count=self._connection_count() + 1,
+            source_address=self._source_address,
+        )
+        self._upstreams[name] = upstream
+        upstream.start()
+
+    def _drop_upstream(self, name: str) -> None:
+        self.spawn(self._upstreams.pop(name).stop())
+        for pool in self._pools.values():
+            pool.discard(name)
+
+    def _pool_of_worker(self, worker: str) -> PoolPlacement | None:
+        return next((pool for pool in self._pools.values() if worker in pool.upstreams), None)
+
+    @receives(UpstreamChanged)
+    def _on_upstream_changed(self, message: UpstreamChanged) -> None:
+        pool = self._pool_of_worker(message.name)
+        if pool is None:
+            return
+        if message.name in self._listed_leaving:
+            message = evolve(message, leaving=True)
+        pool.observe(message, self._timer.now_ms())
+        self._fence_stranded(message.name)
+        self._pump(self._view.vms[message.name].pool)
+
+    def _fence_stranded(self, worker: str) -> None:
+        for attempt, boot_id in list(self._stranded.values()):
+            if attempt.worker == worker:
+                self._upstreams[worker].tell(FenceRequest(attempt, boot_id))
+
+    @receives(VmsListed)
+    def _on_vms_listed(self, message: VmsListed) -> None:
+        for name in message.leaving - self._listed_leaving:
+            if name in self._facts and (pool := self._pool_of_worker(name)):
+                self._facts[name].leaving = True
+                pool.refresh(name)
+        self._listed_leaving = message.leaving
+
+    @receives(JobChanged)
+    def _on_job_changed(self, message: JobChanged) -> None:
+        known = message.job
+        if known.outcome is None or known.outcome is Outcome.OUTCOME_UNKNOWN:
+            self._log_jobs[known.request_id] = known
+        else:
+            self._log_jobs.pop(known.request_id, None)
+        entry = self._jobs.get(known.request_id)
+        if entry is not None:
+            self._follow_log(entry, known)
+
+    def _follow_log(self, entry: JobEntry, known: JobState) -> None:
+        if known.outcome is Outcome.ANSWERED and JOB_CHART.accepts(
+            entry.state, "recorded_result"
+        ):
+            entry.answer = Answer(known.body, known.succeeded)
+            self._step(entry, "recorded_result")
+        elif known.outcome is Outcome.NOT_RUN and JOB_CHART.accepts(
+            entry.state, "recorded_not_run"
+        ):
+            self._step(entry, "recorded_not_run", error=_recorded_not_run(known.code))
+        elif entry.state == "queued" and known.claimed_by not in ("", self.incarnation):
+            self._unqueue(entry)
+            self._step(entry, "claim_lost")
+
+    @receives(PeersChanged)
+    def _on_peers_changed(self, message: PeersChanged) -> None:
+        self._wants = message.wants
+        self._withdrawn = message.withdrawn
+
+    # Rights and adoption
+
+    @receives(Rebalance)
+    def _on_rebalance(self, _: Rebalance) -> None:
+        if self._log_available and self._loaded and self.incarnation in self._view.members:
+            self._move_rights()
+            self._adopt_jobs()
+        if self.peers is not None:
+            wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
+            self.peers.tell(OwnDemand(wanted))
+        self._evict_finished()
+        self._pump_all()
+        self._check_drained()
+
+    def _pump_all(self) -> None:
+        for name, pool in self._pools.items():
+            if len(pool.order):
+                self._pump(name)
+
+    def _move_rights(self) -> None:
+        members_count = len(self._view.members)
+        waiting = {team: n for team, n in self._waiting.items() if n > 0}
+        if self._is_draining:
+            waiting = {}
+        for record in limits.plan_rights(self._ledger, waiting, self._wants, members_count):
+            if isinstance(record, records.TransferRights):
+                # The giver lets go before the receiver may use the rights.
+                self._ledger.given[record.team] += record.count
+            elif self._is_draining:
+                continue
+            else:
+                self._ledger.asked[record.team] += 1
+            self._append(record, self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS)
+
+    def _adopt_jobs(self) -> None:
+        """Take over deferred jobs whose owner is no longer a member."""
+        for known in list(self._log_jobs.values()):
+            if known.request_id in self._jobs or known.outcome is not None or not known.queue:
+                continue
+            owner = known.claimed_by or known.owner
+            if owner not in self._view.members and self._is_adopter(known.request_id):
+                self._adopt(known)
+
+    def _is_adopter(self, request_id: str) -> bool:
+        members = sorted(self._view.members)
+        # Rendezvous choice: all members agree on it as soon as they see the same members.
+        best = max(members, key=lambda inc: _rendezvous(request_id, inc))
+        return best == self.incarnation and not self._is_draining
+
+    def _adopt(self, known: JobState) -> None:
+        queue = self._view.config.queue(known.queue)
+        if queue is None:
+            return
+        job = Job(
+            request_id=known.request_id,
+            queue=known.queue,
+            team=known.team,
+            payload=known.payload,
+            body_digest=known.body_digest,
+            declared_run_ms=known.declared_run_ms,
+            deadline_ms=float("inf"),
+            guarded=queue.guarded,
+            mode=Mode.DEFERRED,
+            pool=queue.pool,
+        )
+        entry = JobEntry(job, claim_epoch=known.claim_epoch)
+        self._jobs[job.request_id] = entry
+        if not known.claimed_by:
+            self._step(entry, "adopt")
+            return
+        entry.boot_id = known.claimed_boot_id
+        entry.attempt = Attempt(
+            f"claim-{known.claim_epoch}", job.request_id, known.claimed_worker, team=job.team
+        )
+        self._step(entry, "adopt_claimed")
+
+    def _evict_finished(self) -> None:
+        oldest_ms = self._timer.now_ms() - defaults.RESULT_RETENTION_MS
+        while self._finished:
+            request_id = next(iter(self._finished))
+            if self._finished[request_id] > oldest_ms:
+                return
+            del self._finished[request_id]
+            self._jobs.pop(request_id, None)
+
+    # Queries
+
+    @receives(Query)
+    async def _on_query(self, message: Query) -> None:
+        entry = self._jobs.get(message.request_id)
+        if entry is None:
+            resolve(message.reply, None)
+        elif entry.reply is not None:
+            resolve(message.reply, entry.reply)
+        elif entry.state in ("unresolved", "lost"):
+            resolve(message.reply, unknown(message.request_id, "no_answer", "query"))
+        else:
+            reply = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
+            resolve(message.reply, reply)
+
+    @receives(Cancel)
+    def _on_cancel(self, message: Cancel) -> None:
+        entry = self._jobs.get(message.request_id)
+        if entry is None:
+            resolve(message.reply, None)
+            return
+        if entry.state == "queued":
+            self._unqueue(entry)
+            error = RequestError(
+                "cancelled by the caller", code="cancelled", status=200, step="cancel"
+            )
+            self._step(entry, "cancel", error=error)
+        pending = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
+        resolve(message.reply, entry.reply or pending)
+
+    @receives(FindResult)
+    def _on_find_result(self, message: FindResult) -> None:
+        self.spawn(self._search_guards(message))
+
+    async def _search_guards(self, message: FindResult) -> None:
+        replies = []
+        for upstream in self._upstreams.values():
+            replies.append(new_reply())
+            upstream.tell(FindResult(message.request_id, replies[-1]))
+        found = await asyncio.gather(*replies)
+        results = [evidence for evidence in found if evidence.event == "result"]
+        resolve(message.reply, results[0] if results else Evidence("no_answer"))
+
+    @receives(CountTasks)
+    def _on_count_tasks(self, message: CountTasks) -> None:
+        self.spawn(self._count_tasks(message))
+
+    async def _count_tasks(self, message: CountTasks) -> None:
+        replies = []
+        for upstream in self._upstreams.values():
+            replies.append(new_reply())
+            upstream.tell(FenceIncarnation(message.incarnation, replies[-1]))
+        counts = await asyncio.gather(*replies)
+        resolve(message.reply, None if None in counts else sum(counts))
+
+    @receives(ReadUsage)
+    def _on_read_usage(self, message: ReadUsage) -> None:
+        rights = {team: self._ledger.held_count(team) for team in self._view.rights}
+        usage = Usage(dict(self._ledger.running), dict(self._waiting), rights)
+        resolve(message.reply, usage)
+
+    # Shutdown and new incarnations
+
+    @receives(Drain)
+    def _on_drain(self, message: Drain) -> None:
+        self._is_draining = True
+        self._draining.append(message.reply)
+        for entry in list(self._jobs.values()):
+            if entry.state == "queued" and entry.job.mode is Mode.DEFERRED:
+                # Another entry VM adopts it once this incarnation is retired.
+                self._unqueue(entry)
+                del self._jobs[entry.job.request_id]
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        if not self._is_draining:
+            return
+        if all(JOB_CHART.is_final(e.state) or e.state == "elsewhere" for e in self._jobs.values()):
+            for reply in self._draining:
+                resolve(reply, None)
+
+    @receives(UseIncarnation)
+    def _on_use_incarnation(self, message: UseIncarnation) -> None:
+        self.incarnation = message.incarnation
+        self._ledger = limits.RightsLedger(
+            message.incarnation, self._view.rights, running=self._ledger.running
+        )
+        for name in list(self._upstreams):
+            self._drop_upstream(name)
+        self._vms_changed()
+
+
+def refusal(request_id: str, error: RequestError) -> Reply:
+    """Return the reply for a request that did not run, or whose ID was too old to tell."""
+    outcome = Outcome.OUTCOME_UNKNOWN if error.status == 504 else Outcome.NOT_RUN
+    return Reply(
+        request_id,
+        outcome,
+        code=error.code,
+        message=error.message,
+        step=error.step,
+        peer=error.peer,
+        limit=error.limit,
+        status=error.status,
+    )
+
+
+def unknown(request_id: str, code: str, step: str, peer: str = "") -> Reply:
+    """Return the reply for a request that may have run."""
+    return Reply(
+        request_id,
+        Outcome.OUTCOME_UNKNOWN,
+        code=code,
+        message="the job may have run; ask again by request ID",
+        step=step,
+        peer=peer,
+        status=504,
+    )
+
+
+def issue_request_ids(entry: str, incarnation: str, now_ms: float, count: int) -> list[str]:
+    """Return fresh request IDs; each holds the time of issue and 40 random bits."""
+    issued_ms = int(now_ms)
+    return [
+        f"{entry}.{incarnation}.{issued_ms << 40 | secrets.randbits(40)}" for _ in range(count)
+    ]
+
+
+def issue_time_ms(request_id: str) -> float:
+    """Return when a request ID was issued, on the issuer's monotonic clock."""
+    return int(request_id.rsplit(".", 1)[1]) >> 40
+
+
+def _rendezvous(request_id: str, incarnation: str) -> int:
+    digest = hashlib.blake2b(f"{request_id}/{incarnation}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _log_error(error: LogUnavailableError) -> RequestError:
+    return RequestError(
+        error.message, code="log_unavailable", status=503, step=error.step, peer=error.peer
+    )
+
+
+def _different_body() -> RequestError:
+    return RequestError(
+        "request ID was used with another body", code="different_body", status=409, step="replay"
+    )
+
+
+def _recorded_not_run(code: str) -> RequestError:
+    return RequestError("the job was not run", code=code or "not_run", status=503, step="replay")
--- /dev/null
+++ b/src/tarragoncart/journal.py
@@ -0,0 +1,501 @@
+"""Owner of the connection to the log: group commit, replay, read-back and snapshots."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections import deque
+from typing import Any
+
+import aiohttp
+from attrs import Factory, define, field, frozen
+
+from . import defaults, records, replay, snapshots
+from .charts import load_chart
+from .errors import LogUnavailableError, RecordError
+from .mailbox import Actor, carries_out, receives, resolve
+from .replay import AuditEntry, FleetState, FleetView, JobState
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+APPEND_CHART = load_chart("append")
+STREAM = "fleet"
+# Raw records kept for peers that are cut off from the log.
+TAIL_RECORD_COUNT = 2_000
+
+
+@frozen
+class Append:
+    """Ask for a record to be appended.
+
+    The reply is the :class:`AuditEntry` once the record has been replayed, or
+    :class:`LogUnavailableError` when it is certain that the record was not written.
+
+    :param expires_at_ms: a refused record is given up after this time.
+    """
+
+    record: Any
+    author: str
+    reply: asyncio.Future[AuditEntry | LogUnavailableError] | None = None
+    expires_at_ms: float = float("inf")
+
+
+@frozen
+class Chunk:
+    """Records that were read, from the log or through a peer.
+
+    :param end_offset: offset after the last record that existed when the answer was made.
+    :param fresh_as_of_ms: the answer holds all that was accepted before this time.
+    """
+
+    records: list[dict[str, Any]]
+    start_offset: int
+    end_offset: int
+    fresh_as_of_ms: float
+    from_log: bool = True
+
+
+@frozen
+class AdoptState:
+    """Offer a state that a peer sent; it is taken only if it is newer."""
+
+    state: FleetState
+    fresh_as_of_ms: float
+
+
+@frozen
+class ReadFailed:
+    """A read of the log failed."""
+
+
+@frozen
+class Flush:
+    """The flush window is over."""
+
+
+@frozen
+class RetryBatch:
+    """A refused batch may be sent again."""
+
+    batch_id: str
+
+
+@frozen
+class AppendEnded:
+    """A call that appends a batch has ended; ``event`` is an event of the append chart."""
+
+    batch_id: str
+    event: str
+    duration_ms: float
+    rate_limited: bool = False
+
+
+@frozen
+class SnapshotDue:
+    """Consider appending a snapshot."""
+
+
+@frozen
+class ReadTail:
+    """Ask for the records after an offset; the reply is a :class:`Chunk` or None for a gap."""
+
+    after_offset: int
+    reply: asyncio.Future[Chunk | None]
+
+
+@frozen
+class ReadState:
+    """Ask for the parts of a snapshot of the present state and its age."""
+
+    reply: asyncio.Future[tuple[list[records.SnapshotPart], float]]
+
+
+@frozen
+class ReadAudit:
+    """Ask for audit entries about a subject."""
+
+    subject: str
+    reply: asyncio.Future[list[AuditEntry]]
+
+
+@frozen
+class ReadJob:
+    """Ask for what the log knows about a job."""
+
+    request_id: str
+    reply: asyncio.Future[JobState | None]
+
+
+@frozen
+class ViewChanged:
+    """The replayed state or its age has changed.
+
+    :param fresh_as_of_ms: the view holds all that was accepted before this time.
+    """
+
+    view: FleetView
+    fresh_as_of_ms: float
+    log_available: bool
+    loaded: bool
+
+
+@frozen
+class JobChanged:
+    """A job in the log has changed."""
+
+    job: JobState
+
+
+@define
+class Batch:
+    """Records of one append."""
+
+    batch_id: str
+    items: list[Append] = Factory(list)
+    encoded: list[dict[str, Any]] = Factory(list)
+    state: str = APPEND_CHART.initial
+    unanswered_at_ms: float = 0.0
+
+
+@define
+class Bootstrap:
+    """Records that wait for a snapshot, because the stream no longer starts where we need it."""
+
+    assembler: snapshots.SnapshotAssembler = Factory(snapshots.SnapshotAssembler)
+    waiting: list[tuple[int, records.Envelope]] = field(factory=list, repr=False)
+
+
+class Journal(Actor):
+    """Owns :class:`FleetState` and all traffic with the log.
+
+    :param platform_address: ``IP:PORT`` of the platform.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        platform_address: str,
+        timer: Timer,
+        flush_window_ms: float = defaults.FLUSH_WINDOW_MS,
+        source_address: str = "",
+        retention_ms: float = defaults.LOG_RETENTION_MS,
+        snapshot_after_count: int = defaults.SNAPSHOT_AFTER_COUNT,
+    ) -> None:
+        super().__init__("journal")
+        self.entry = name
+        self.state = FleetState()
+        self.view = FleetView()
+        self.fresh_as_of_ms = float("-inf")
+        self.log_available = True
+        self.loaded = False
+        self._url = f"http://{platform_address}/log/{STREAM}/records"
+        self._peer = platform_address
+        self._timer = timer
+        self._window_ms = flush_window_ms
+        self._source_address = source_address
+        self._retention_ms = retention_ms
+        self._snapshot_after_count = snapshot_after_count
+        self._prefix = secrets.token_hex(6)
+        self._batch_number = 0
+        self._collecting: Batch | None = None
+        self._batches: dict[str, Batch] = {}
+        self._bootstrap: Bootstrap | None = None
+        self._last_read_ms = timer.now_ms()
+        self._last_snapshot_offset = -1
+        self._last_snapshot_at_ms = timer.wall_ms()
+        self._tail: deque[dict[str, Any]] = deque(maxlen=TAIL_RECORD_COUNT)
+        self._listeners: list[Actor] = []
+        self._session: aiohttp.ClientSession
+
+    def add_listener(self, actor: Actor) -> None:
+        """Send :class:`ViewChanged` and :class:`JobChanged` to the actor from now on."""
+        self._listeners.append(actor)
+
+    async def opened(self) -> None:
+        """Open the session and start reading."""
+        local = (self._source_address, 0) if self._source_address else None
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=16, local_addr=local)
+        )
+        self.subscribe(self._timer.every(defaults.SNAPSHOT_CHECK_MS), SnapshotDue())
+        self.spawn(self._read_forever())
+
+    async def closed(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    # Reading
+
+    async def _read_forever(self) -> None:
+        next_offset = 0
+        while True:
+            next_offset = max(next_offset, self.state.offset + 1)
+            try:
+                chunk = await self._read(next_offset)
+            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+                self.tell(ReadFailed())
+                await asyncio.sleep(defaults.LOG_RETRY_MS / 1_000)
+                continue
+            if chunk.records:
+                next_offset = chunk.records[-1]["offset"] + 1
+            self.tell(chunk)
+
+    async def _read(self, offset: int) -> Chunk:
+        sent_at_ms = self._timer.now_ms()
+        params = {
+            "from": offset,
+            "limit": defaults.LOG_READ_LIMIT_COUNT,
+            "wait_ms": defaults.LOG_LONG_POLL_MS,
+        }
+        timeout = aiohttp.ClientTimeout(total=defaults.LOG_READ_TIMEOUT_MS / 1_000)
+        async with self._session.get(self._url, params=params, timeout=timeout) as response:
+            response.raise_for_status()
+            data = await response.json()
+        return Chunk(data["records"], data["start_offset"], data["end_offset"], sent_at_ms)
+
+    @receives(Chunk)
+    def _on_chunk(self, chunk: Chunk) -> None:
+        if chunk.from_log:
+            self._last_read_ms = self._timer.now_ms()
+        if chunk.start_offset > self.state.offset + 1 and self._bootstrap is None:
+            # The state in force stays until a newer complete one has been assembled.
+            logger.warning("log no longer holds the next record; waiting for a snapshot")
+            self._bootstrap = Bootstrap()
+        sections = frozenset().union(*(self._take(item) for item in chunk.records))
+        reached_end = self._bootstrap is None and self.state.offset + 1 >= chunk.end_offset
+        if reached_end:
+            self.fresh_as_of_ms = max(self.fresh_as_of_ms, chunk.fresh_as_of_ms)
+            self.loaded = True
+            if chunk.from_log:
+                self._resend_absent(chunk.fresh_as_of_ms)
+        self._announce(sections, log_available=self.log_available or chunk.from_log)
+
+    def _take(self, item: dict[str, Any]) -> frozenset[str]:
+        offset = item["offset"]
+        if offset <= self.state.offset:
+            return frozenset()
+        try:
+            envelope = records.decode_record(item["record"])
+        except RecordError as error:
+            # A newer version may write kinds that this one does not know.
+            logger.warning("skipped a log record", extra={"offset": offset, "error": str(error)})
+            self.state.offset = offset if self._bootstrap is None else self.state.offset
+            return frozenset()
+        self._tail.append(item)
+        if self._bootstrap is not None:
+            return self._take_while_waiting(offset, envelope)
+        return self._apply(offset, envelope)
+
+    def _take_while_waiting(self, offset: int, envelope: records.Envelope) -> frozenset[str]:
+        assert self._bootstrap is not None
+        self._bootstrap.waiting.append((offset, envelope))
+        if not isinstance(envelope.record, records.SnapshotPart):
+            return frozenset()
+        state = self._bootstrap.assembler.add(envelope.record)
+        first_offset = self._bootstrap.waiting[0][0]
+        if state is None or state.offset < max(first_offset - 1, self.state.offset):
+            return frozenset()
+        waiting, self._bootstrap = self._bootstrap.waiting, None
+        return self._adopt(state).union(
+            *(self._apply(at, held) for at, held in waiting if at > state.offset)
+        )
+
+    def _adopt(self, state: FleetState) -> frozenset[str]:
+        self.state = state
+        logger.info("adopted a snapshot", extra={"offset": state.offset})
+        for job in state.jobs.values():
+            self._tell_listeners(JobChanged(job))
+        return ALL_SECTIONS
+
+    def _apply(self, offset: int, envelope: records.Envelope) -> frozenset[str]:
+        applied = replay.apply(self.state, offset, envelope)
+        batch = self._batches.get(envelope.batch_id)
+        if applied is None:
+            return frozenset()
+        if batch is not None:
+            resolve(batch.items[envelope.index].reply, applied.entry)
+            if envelope.index == len(batch.items) - 1:
+                self.step(APPEND_CHART, batch, "seen")
+        if isinstance(envelope.record, records.SnapshotPart):
+            self._last_snapshot_offset = envelope.record.through_offset
+            self._last_snapshot_at_ms = envelope.at_ms
+        if "jobs" in applied.sections:
+            self._tell_listeners(JobChanged(self.state.jobs[applied.entry.subjects[0]]))
+        return applied.sections
+
+    @receives(ReadFailed)
+    def _on_read_failed(self, _: ReadFailed) -> None:
+        silent_ms = self._timer.now_ms() - self._last_read_ms
+        if self.log_available and silent_ms > defaults.LOG_UNAVAILABLE_MS:
+            self._announce(frozenset(), log_available=False)
+
+    @receives(AdoptState)
+    def _on_adopt_state(self, message: AdoptState) -> None:
+        if message.state.offset <= self.state.offset:
+            return
+        self._bootstrap = None
+        sections = self._adopt(message.state)
+        self.fresh_as_of_ms = max(self.fresh_as_of_ms, message.fresh_as_of_ms)
+        self.loaded = True
+        self._announce(sections, log_available=self.log_available)
+
+    def _announce(self, sections: frozenset[str], *, log_available: bool) -> None:
+        if log_available != self.log_available:
+            logger.warning("log availability changed", extra={"available": log_available})
+        self.log_available = log_available
+        self.view = replay.view_of(self.state, self.view, sections)
+        self._tell_listeners(
+            ViewChanged(self.view, self.fresh_as_of_ms, self.log_available, self.loaded)
+        )
+
+    def _tell_listeners(self, message: ViewChanged | JobChanged) -> None:
+        for listener in self._listeners:
+            listener.tell(message)
+
+    # Appending
+
+    @receives(Append)
+    def _on_append(self, message: Append) -> None:
+        if self._collecting is None:
+            self._batch_number += 1
+            self._collecting = Batch(f"{self._prefix}-{self._batch_number}")
+            self.subscribe_once(self._timer.after(self._window_ms), Flush())
+        batch = self._collecting
+        batch.items.append(message)
+        if len(batch.items) >= defaults.FLUSH_RECORD_COUNT:
+            self._on_flush(Flush())
+
+    @receives(Flush)
+    def _on_flush(self, _: Flush) -> None:
+        if self._collecting is None:
+            return
+        batch, self._collecting = self._collecting, None
+        self._batches[batch.batch_id] = batch
+        self.step(APPEND_CHART, batch, "flush")
+
+    @receives(RetryBatch)
+    def _on_retry_batch(self, message: RetryBatch) -> None:
+        batch = self._batches.get(message.batch_id)
+        if batch is not None:
+            self.step(APPEND_CHART, batch, "retry" if batch.items else "empty")
+
+    @receives(AppendEnded)
+    def _on_append_ended(self, message: AppendEnded) -> None:
+        batch = self._batches.get(message.batch_id)
+        slow = message.event != "acknowledged" or message.duration_ms > defaults.APPEND_SLOW_MS
+        self._window_ms = defaults.FLUSH_WINDOW_SLOW_MS if slow else defaults.FLUSH_WINDOW_MS
+        if batch is None or not APPEND_CHART.accepts(batch.state, message.event):
+            return
+        batch.unanswered_at_ms = self._timer.now_ms()
+        self.step(APPEND_CHART, batch, message.event)
+
+    @carries_out("send_batch")
+    def _send_batch(self, batch: Batch) -> None:
+        at_ms = self._timer.wall_ms()
+        if not batch.encoded:
+            batch.encoded = [
+                records.encode_record(
+                    records.Envelope(batch.batch_id, index, item.author, at_ms, item.record)
+                )
+                for index, item in enumerate(batch.items)
+            ]
+        self.spawn(self._post(batch.batch_id, batch.encoded))
+
+    async def _post(self, batch_id: str, encoded: list[dict[str, Any]]) -> None:
+        started_ms = self._timer.now_ms()
+        timeout = aiohttp.ClientTimeout(total=defaults.APPEND_TIMEOUT_MS / 1_000)
+        rate_limited = False
+        try:
+            async with self._session.post(
+                self._url, json={"records": encoded}, timeout=timeout
+            ) as response:
+                await response.read()
+            rate_limited = response.status == 429
+            # Only an explicit refusal proves that nothing was written.
+            refused = rate_limited or response.status == 503
+            event = "acknowledged" if response.ok else "refused" if refused else "no_answer"
+        except aiohttp.ClientConnectorError:
+            event = "refused"
+        except (aiohttp.ClientError, TimeoutError):
+            event = "no_answer"
+        duration_ms = self._timer.now_ms() - started_ms
+        self.tell(AppendEnded(batch_id, event, duration_ms, rate_limited))
+
+    @carries_out("drop_expired")
+    def _drop_expired(self, batch: Batch) -> None:
+        # The batch was refused, so nothing of it is in the log and it may be cut down.
+        now_ms = self._timer.now_ms()
+        error = LogUnavailableError("the log refused the record", step="append", peer=self._peer)
+        kept = []
+        for item in batch.items:
+            if item.expires_at_ms > now_ms and (self.log_available or item.reply is None):
+                kept.append(item)
+            else:
+                resolve(item.reply, error)
+        batch.items = kept
+        batch.encoded = []
+
+    @carries_out("schedule_retry")
+    def _schedule_retry(self, batch: Batch) -> None:
+        self.subscribe_once(self._timer.after(defaults.LOG_RETRY_MS), RetryBatch(batch.batch_id))
+
+    @carries_out("forget_batch")
+    def _forget_batch(self, batch: Batch) -> None:
+        del self._batches[batch.batch_id]
+
+    def _resend_absent(self, read_sent_at_ms: float) -> None:
+        for batch in list(self._batches.values()):
+            overdue_ms = read_sent_at_ms - batch.unanswered_at_ms
+            if batch.state == "unanswered" and overdue_ms > defaults.APPEND_GRACE_MS:
+                self.step(APPEND_CHART, batch, "absent")
+
+    # Snapshots and look-ups
+
+    @receives(SnapshotDue)
+    def _on_snapshot_due(self, _: SnapshotDue) -> None:
+        if not self.log_available or self._bootstrap is not None or not self.loaded:
+            return
+        record_count = self.state.offset - self._last_snapshot_offset
+        age_ms = self._timer.wall_ms() - self._last_snapshot_at_ms
+        aged = record_count > 0 and age_ms > self._retention_ms / 4
+        if not aged and record_count < self._snapshot_after_count:
+            return
+        self._last_snapshot_offset = self.state.offset
+        self._last_snapshot_at_ms = self._timer.wall_ms()
+        for part in snapshots.encode_snapshot(self.state, secrets.token_hex(6)):
+            self.tell(Append(part, self.entry))
+
+    @receives(ReadTail)
+    def _on_read_tail(self, message: ReadTail) -> None:
+        after = message.after_offset
+        if after >= self.state.offset:
+            items: list[dict[str, Any]] | None = []
+        elif self._tail and self._tail[0]["offset"] <= after + 1:
+            items = [item for item in self._tail if after < item["offset"] <= self.state.offset]
+        else:
+            items = None
+        chunk = None
+        if items is not None:
+            start = items[0]["offset"] if items else after + 1
+            chunk = Chunk(items, start, self.state.offset + 1, self.fresh_as_of_ms, False)
+        resolve(message.reply, chunk)
+
+    @receives(ReadState)
+    def _on_read_state(self, message: ReadState) -> None:
+        parts = snapshots.encode_snapshot(self.state, secrets.token_hex(6)) if self.loaded else []
+        resolve(message.reply, (parts, self._timer.now_ms() - self.fresh_as_of_ms))
+
+    @receives(ReadAudit)
+    def _on_read_audit(self, message: ReadAudit) -> None:
+        entries = [entry for entry in self.state.audit if message.subject in entry.subjects]
+        resolve(message.reply, entries)
+
+    @receives(ReadJob)
+    def _on_read_job(self, message: ReadJob) -> None:
+        resolve(message.reply, self.state.jobs.get(message.request_id))
+
+
+ALL_SECTIONS = frozenset(
+    ("config", "config_version", "keys", "members", "retired", "rights", "vms", "waves")
+)
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -10,6 +10,7 @@
 import reactivex
 
 from . import defaults
+from .charts import Chart
 from .errors import InboxFullError
 
 logger = logging.getLogger(__name__)
@@ -27,6 +28,16 @@
     return decorate
 
 
+def carries_out(action: str) -> Callable[[Handler], Handler]:
+    """Mark a method as what carries out an action of a state chart."""
+
+    def decorate(method: Handler) -> Handler:
+        method.actions = (*getattr(method, "actions", ()), action)  # type: ignore[attr-defined]
+        return method
+
+    return decorate
+
+
 class Actor:
     """A task with a bounded inbox.
 
@@ -37,18 +48,27 @@
     """
 
     _handlers: ClassVar[dict[type, Handler]] = {}
+    _actions: ClassVar[dict[str, Handler]] = {}
 
     def __init_subclass__(cls) -> None:
         super().__init_subclass__()
-        handlers = dict(cls._handlers)
+        cls._handlers = dict(cls._handlers)
+        cls._actions = dict(cls._actions)
         for value in vars(cls).values():
             if hasattr(value, "message_type"):
-                handlers[value.message_type] = value
-        cls._handlers = handlers
+                cls._handlers[value.message_type] = value
+            for action in getattr(value, "actions", ()):
+                cls._actions[action] = value
+
+    @classmethod
+    def can_carry_out(cls, actions: frozenset[str]) -> bool:
+        """Tell whether there is a method for each action of a chart."""
+        return actions <= cls._actions.keys()
 
     def __init__(self, name: str, inbox_limit_count: int = defaults.INBOX_COUNT) -> None:
         self.name = name
-        self._inbox: asyncio.Queue[Any] = asyncio.Queue(inbox_limit_count)
+        self._inbox: asyncio.Queue[Any] = asyncio.Queue()
+        self._inbox_limit_count = inbox_limit_count
         self._children: set[asyncio.Task[Any]] = set()
         self._subscriptions: list[Any] = []
         self._runner: asyncio.Task[None] | None = None
@@ -58,21 +78,37 @@
 
         :raises InboxFullError: if the inbox has reached its bound.
         """
-        try:
-            self._inbox.put_nowait(message)
-        except asyncio.QueueFull:
-            raise InboxFullError("inbox is full", step="tell", peer=self.name) from None
+        if self._inbox.qsize() >= self._inbox_limit_count:
+            raise InboxFullError("inbox is full", step="tell", peer=self.name)
+        self._inbox.put_nowait(message)
 
     def subscribe(self, observable: reactivex.Observable[Any], message: Any) -> None:
         """Send ``message`` to this actor whenever the observable emits."""
 
         def forward(_: Any) -> None:
             # A tick that finds the inbox full is dropped: the next one does its work.
-            if not self._inbox.full():
+            if self._inbox.qsize() < self._inbox_limit_count:
                 self._inbox.put_nowait(message)
 
         self._subscriptions.append(observable.subscribe(forward))
 
+    def subscribe_once(self, observable: reactivex.Observable[Any], message: Any) -> None:
+        """Send ``message`` to this actor when the observable emits for the first time.
+
+        It passes the inbox's bound: nothing would send it again.
+        """
+        observable.subscribe(lambda _: self._inbox.put_nowait(message))
+
+    def step(self, chart: Chart, subject: Any, event: str, **details: Any) -> None:
+        """Move ``subject.state`` along a chart and carry out the actions of the step.
+
+        :raises ChartError: if the state does not accept the event.
+        """
+        step = chart.step(subject.state, event)
+        subject.state = step.state
+        for action in step.actions:
+            self._actions[action](self, subject, **details)
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine that belongs to this actor; it is cancelled when the actor stops."""
         task = asyncio.get_running_loop().create_task(work)
--- /dev/null
+++ b/src/tarragoncart/placement.py
@@ -0,0 +1,164 @@
+"""Waiting jobs and upstreams of one pool: which job goes where next."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+
+from attrs import Factory, define
+
+from . import defaults, fairqueue, routing
+from .model import PolicySpec, Verdict, VmSpec
+from .upstream import UpstreamChanged
+
+
+@define
+class UpstreamFacts:
+    """What this entry VM knows about one upstream.
+
+    :param busy_until_ms: the worker has just refused a job because it was full.
+    """
+
+    spec: VmSpec
+    slot_count: int = 0
+    running_count: int = 0
+    reported_own_count: int = 0
+    in_flight_count: int = 0
+    placed_count: int = 0
+    busy_until_ms: float = float("-inf")
+    boot_id: str = ""
+    in_service: bool = True
+    leaving: bool = False
+
+
+@define
+class PoolPlacement:
+    """Queue order, upstream health and routing of one pool.
+
+    :param connection_count: most jobs of this entry VM at one upstream.
+    """
+
+    policies: PolicySpec
+    own_data_centre: str
+    connection_count: int
+    rng: random.Random
+    order: fairqueue.QueueOrder
+    health: routing.PoolHealth
+    retries: routing.RetryBudget = Factory(routing.RetryBudget)
+    upstreams: dict[str, UpstreamFacts] = Factory(dict)
+
+    @classmethod
+    def create(
+        cls, policies: PolicySpec, own_data_centre: str, connection_count: int, rng: random.Random
+    ) -> PoolPlacement:
+        """Return an empty pool that uses the named policies."""
+        return cls(
+            policies,
+            own_data_centre,
+            connection_count,
+            rng,
+            fairqueue.QUEUE_ORDERS.get(policies.queue_order)(),
+            routing.EJECTION.get(policies.ejection)(),
+        )
+
+    def add(self, facts: UpstreamFacts) -> None:
+        """Add an upstream; it gets no jobs before it has granted a lease."""
+        if facts.spec.name not in self.upstreams:
+            self.health.step(facts.spec.name, "lease_expired")
+        self.upstreams[facts.spec.name] = facts
+
+    def discard(self, name: str) -> None:
+        """Remove an upstream."""
+        if self.upstreams.pop(name, None) is not None:
+            self.health.discard(name)
+
+    def observe(self, change: UpstreamChanged, now_ms: float) -> None:
+        """Take in what a lease call has shown."""
+        facts = self.upstreams[change.name]
+        if change.verdict is Verdict.RESULT:
+            facts.slot_count = change.slot_count
+            facts.running_count = change.running_count
+            facts.reported_own_count = facts.in_flight_count
+            facts.boot_id = change.boot_id
+            facts.leaving = change.leaving
+        else:
+            self.health.record(change.name, change.verdict, now_ms)
+        self._step_if_accepted(
+            change.name, "lease_granted" if change.leased else "lease_expired"
+        )
+        self.refresh(change.name)
+
+    def refresh(self, name: str) -> None:
+        """Bring an upstream's state in line with whether it is leaving."""
+        facts = self.upstreams[name]
+        is_leaving = facts.leaving or not facts.in_service
+        if is_leaving and self.health.state(name) != "leaving":
+            self._step_if_accepted(name, "leaving")
+        elif not is_leaving and self.health.state(name) == "leaving":
+            self._step_if_accepted(name, "returned")
+
+    def _step_if_accepted(self, name: str, event: str) -> None:
+        if routing.UPSTREAM_CHART.accepts(self.health.state(name), event):
+            self.health.step(name, event)
+
+    def views(self, now_ms: float) -> Iterator[routing.UpstreamView]:
+        """Yield the upstreams as routing sees them."""
+        for name, facts in self.upstreams.items():
+            if facts.busy_until_ms > now_ms or not facts.slot_count:
+                continue
+            yield routing.UpstreamView(
+                name=name,
+                data_centre=facts.spec.data_centre,
+                rack=facts.spec.rack,
+                state=self.health.state(name),
+                slot_count=facts.slot_count,
+                in_flight_count=facts.in_flight_count,
+                running_count=facts.running_count,
+                reported_own_count=facts.reported_own_count,
+                connection_limit_count=self.connection_count,
+                failure_count=self.health.failure_count(name),
+                proven=self.health.proven(name),
+                placed_count=facts.placed_count,
+            )
+
+    def next_placement(
+        self,
+        may_start: Callable[[str], bool],
+        excluded_of: Callable[[str], set[str]],
+        now_ms: float,
+    ) -> tuple[str, str] | None:
+        """Take the next job and return it with its upstream, None if none can start now."""
+        if not len(self.order):
+            return None
+        candidates = list(self.views(now_ms))
+        if not any(routing.usable(candidates)):
+            return None
+        job_id = self.order.pop(may_start)
+        if job_id is None:
+            return None
+        excluded = excluded_of(job_id)
+        probe = self.health.claim_probe(now_ms)
+        name = probe or self._choose(candidates, excluded) or self._choose(candidates, set())
+        assert name is not None
+        facts = self.upstreams[name]
+        facts.in_flight_count += 1
+        facts.placed_count += 1
+        self.retries.record_attempt()
+        return job_id, name
+
+    def _choose(self, candidates: list[routing.UpstreamView], excluded: set[str]) -> str | None:
+        return routing.choose(
+            self.policies.routing, candidates, self.rng, self.own_data_centre, excluded
+        )
+
+    def release(self, name: str) -> None:
+        """Give back the place of a job that has ended."""
+        facts = self.upstreams.get(name)
+        if facts is not None:
+            facts.in_flight_count -= 1
+
+    def mark_busy(self, name: str, now_ms: float) -> None:
+        """Skip an upstream for a moment after it has refused a job because it was full."""
+        facts = self.upstreams.get(name)
+        if facts is not None:
+            facts.busy_until_ms = now_ms + defaults.UPSTREAM_BUSY_MS
--- a/src/tarragoncart/records.py
+++ b/src/tarragoncart/records.py
@@ -112,17 +112,23 @@
     body_digest: str
     payload: Any
     declared_run_ms: float
+    incarnation: str = ""
 
 
 @record_kind("claim")
 @frozen
 class ClaimJob:
-    """An incarnation alone may attempt a job, at the named worker."""
+    """An incarnation alone may attempt a job, at the named worker.
+
+    :param boot_id: of the worker; a guard that has restarted since proves nothing.
+    :param body_digest: set for a job that has no ``accept`` record.
+    """
 
     request_id: str
     epoch: int
     incarnation: str
     worker: str = ""
+    boot_id: str = ""
     body_digest: str = ""
 
 
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -57,7 +57,7 @@
 
 @frozen
 class JobState:
-    """A job that the log knows."""
+    """A job that the log knows; ``owner`` is the incarnation that accepted it."""
 
     request_id: str
     queue: str
@@ -65,9 +65,11 @@
     body_digest: str
     payload: Any = field(repr=False, default=None)
     declared_run_ms: float = 0.0
+    owner: str = ""
     claim_epoch: int = 0
     claimed_by: str = ""
     claimed_worker: str = ""
+    claimed_boot_id: str = ""
     outcome: Outcome | None = None
     body: Any = field(repr=False, default=None)
     succeeded: bool = True
@@ -365,6 +367,7 @@
         body_digest=record.body_digest,
         payload=record.payload,
         declared_run_ms=record.declared_run_ms,
+        owner=record.incarnation,
     )
     _evict_finished(state, envelope.at_ms)
     return Ruling((record.request_id, record.team))
@@ -391,6 +394,7 @@
         claim_epoch=record.epoch,
         claimed_by=record.incarnation,
         claimed_worker=record.worker,
+        claimed_boot_id=record.boot_id,
     )
     return Ruling(subjects)
 
--- a/src/tarragoncart/timer.py
+++ b/src/tarragoncart/timer.py
@@ -27,6 +27,10 @@
         """Return an observable that emits once a period."""
         ...
 
+    def after(self, delay_ms: float) -> reactivex.Observable[int]:
+        """Return an observable that emits once."""
+        ...
+
 
 class LoopTimer:
     """Timer on the running event loop."""
@@ -46,6 +50,10 @@
         """Return an observable that emits once a period."""
         return reactivex.interval(period_ms / 1_000, scheduler=self._scheduler)
 
+    def after(self, delay_ms: float) -> reactivex.Observable[int]:
+        """Return an observable that emits once."""
+        return reactivex.timer(delay_ms / 1_000, scheduler=self._scheduler)
+
 
 class ManualTimer:
     """Timer that moves only when :meth:`advance` is called."""
@@ -65,6 +73,10 @@
         """Return an observable that emits once a period."""
         return reactivex.interval(period_ms / 1_000, scheduler=self._scheduler)
 
+    def after(self, delay_ms: float) -> reactivex.Observable[int]:
+        """Return an observable that emits once."""
+        return reactivex.timer(delay_ms / 1_000, scheduler=self._scheduler)
+
     def advance(self, duration_ms: float) -> None:
         """Move time on and run what becomes due."""
         self._scheduler.advance_by(datetime.timedelta(milliseconds=duration_ms).total_seconds())
