--- /dev/null
+++ b/src/tarragoncart/routing.py
@@ -0,0 +1,378 @@
+"""Selection of an upstream for a job, and ejection of upstreams; registered policies."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+
+from attrs import define, field, frozen
+
+from . import defaults
+from .charts import load_chart
+from .model import Verdict
+from .registry import Registry
+
+UPSTREAM_CHART = load_chart("upstream")
+
+# A placement looks at this many random candidates before it looks at all, so that its cost does
+# not grow with the pool while at least a small part of the pool has free slots.
+SAMPLE_COUNT = 8
+
+
+@frozen
+class UpstreamView:
+    """What an entry VM knows about an upstream when it places a job.
+
+    :param state: a state of the upstream chart.
+    :param in_flight_count: this entry VM's own jobs there.
+    :param running_count: all jobs there by the last usage report, which lags.
+    :param reported_own_count: this entry VM's own jobs there at the time of that report.
+    :param failure_count: consecutive failed jobs, see :meth:`PoolHealth.failure_count`.
+    :param proven: see :meth:`PoolHealth.proven`.
+    :param placed_count: jobs this entry VM has placed there so far.
+    """
+
+    name: str
+    data_centre: str
+    rack: str
+    state: str
+    slot_count: int
+    in_flight_count: int = 0
+    running_count: int = 0
+    reported_own_count: int = 0
+    connection_limit_count: int = 64
+    failure_count: int = 0
+    proven: bool = True
+    placed_count: int = 0
+
+    @property
+    def estimated_count(self) -> int:
+        """Estimated number of running jobs: the others' of the last report and our own now."""
+        others_count = max(0, self.running_count - self.reported_own_count)
+        return others_count + self.in_flight_count
+
+    @property
+    def load_ratio(self) -> float:
+        """Estimated share of the slots in use."""
+        return self.estimated_count / self.slot_count
+
+
+Policy = Callable[[Sequence[UpstreamView], random.Random, str, Collection[str]], str | None]
+
+ROUTING: Registry[Policy] = Registry("routing policy")
+
+
+# Filters
+
+
+def in_use(upstreams: Iterable[UpstreamView]) -> Iterator[UpstreamView]:
+    """Pass upstreams that are leased, not leaving and not ejected."""
+    return (upstream for upstream in upstreams if upstream.state == "in_use")
+
+
+def with_free_slots(upstreams: Iterable[UpstreamView]) -> Iterator[UpstreamView]:
+    """Pass upstreams with an estimated free slot."""
+    return (u for u in upstreams if u.estimated_count < u.slot_count)
+
+
+def with_free_connections(upstreams: Iterable[UpstreamView]) -> Iterator[UpstreamView]:
+    """Pass upstreams with a free connection."""
+    return (u for u in upstreams if u.in_flight_count < u.connection_limit_count)
+
+
+def not_in(upstreams: Iterable[UpstreamView], excluded: Collection[str]) -> Iterator[UpstreamView]:
+    """Pass upstreams that are not excluded."""
+    return (upstream for upstream in upstreams if upstream.name not in excluded)
+
+
+def trusted(upstreams: Iterable[UpstreamView]) -> Iterator[UpstreamView]:
+    """Pass upstreams that cannot fail more jobs than lead to an ejection.
+
+    Without this, an upstream that fails quickly looks idle and attracts jobs until the others in
+    the pool have results that justify its ejection.
+    """
+    limit_count = defaults.EJECT_AFTER_FAILURES_COUNT
+    return (
+        u
+        for u in upstreams
+        if (u.proven and not u.failure_count) or u.failure_count + u.in_flight_count < limit_count
+    )
+
+
+def usable(
+    upstreams: Iterable[UpstreamView], excluded: Collection[str] = ()
+) -> Iterator[UpstreamView]:
+    """Pass upstreams that can take a job now."""
+    return not_in(with_free_connections(with_free_slots(in_use(upstreams))), excluded)
+
+
+# Policies
+
+
+def choose(
+    policy: str,
+    candidates: Sequence[UpstreamView],
+    rng: random.Random,
+    own_data_centre: str,
+    excluded: Collection[str] = (),
+) -> str | None:
+    """Return the upstream for a job, None if no candidate can take one now.
+
+    :param policy: a name in :data:`ROUTING`.
+    :param candidates: the upstreams of the job's pool.
+    :param excluded: upstreams not to use, e.g. those that failed the job before.
+    :raises RegistryError: for an unknown policy.
+    """
+    return ROUTING.get(policy)(candidates, rng, own_data_centre, excluded)
+
+
+def _trusted_first(usable_upstreams: list[UpstreamView]) -> list[UpstreamView]:
+    # A failure shared by the whole pool leaves no upstream trusted; then all of them are used.
+    return list(trusted(usable_upstreams)) or usable_upstreams
+
+
+@ROUTING.register("two_choices")
+def two_choices(
+    candidates: Sequence[UpstreamView],
+    rng: random.Random,
+    own_data_centre: str,
+    excluded: Collection[str],
+) -> str | None:
+    """Return the less loaded of two random upstreams; of equal ones, one in the own data centre.
+
+    Source: Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001.
+    """
+    sample = rng.sample(candidates, min(SAMPLE_COUNT, len(candidates)))
+    pair = list(itertools.islice(trusted(usable(sample, excluded)), 2))
+    if not pair:
+        remaining = _trusted_first(list(usable(candidates, excluded)))
+        pair = rng.sample(remaining, min(2, len(remaining)))
+    best = min(pair, key=lambda u: (u.load_ratio, u.data_centre != own_data_centre), default=None)
+    return best.name if best else None
+
+
+@ROUTING.register("random")
+def random_choice(
+    candidates: Sequence[UpstreamView],
+    rng: random.Random,
+    own_data_centre: str,
+    excluded: Collection[str],
+) -> str | None:
+    """Baseline: any usable upstream."""
+    remaining = list(usable(candidates, excluded))
+    return rng.choice(remaining).name if remaining else None
+
+
+@ROUTING.register("least_loaded")
+def least_loaded(
+    candidates: Sequence[UpstreamView],
+    rng: random.Random,
+    own_data_centre: str,
+    excluded: Collection[str],
+) -> str | None:
+    """Baseline: the least loaded upstream by this entry VM's lagging view."""
+    best = min(usable(candidates, excluded), key=lambda u: (u.load_ratio, u.name), default=None)
+    return best.name if best else None
+
+
+@ROUTING.register("round_robin")
+def round_robin(
+    candidates: Sequence[UpstreamView],
+    rng: random.Random,
+    own_data_centre: str,
+    excluded: Collection[str],
+) -> str | None:
+    """Baseline: the upstream with the fewest placements so far."""
+    best = min(usable(candidates, excluded), key=lambda u: (u.placed_count, u.name), default=None)
+    return best.name if best else None
+
+
+@define
+class RetryBudget:
+    """Token bucket: retries are at most ``ratio`` of all attempts, plus the initial tokens.
+
+    :param capacity_count: most tokens, and the tokens at the start.
+    """
+
+    ratio: float = defaults.RETRY_BUDGET_RATIO
+    capacity_count: float = defaults.RETRY_BUDGET_MIN_COUNT
+    _tokens: float = field(init=False)
+
+    @_tokens.default
+    def _full(self) -> float:
+        return self.capacity_count
+
+    def record_attempt(self) -> None:
+        """Count an attempt, whether first or retry."""
+        self._tokens = min(self.capacity_count, self._tokens + self.ratio)
+
+    def take(self) -> bool:
+        """Take the token for one retry; False if the budget is used up."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+# Ejection
+
+EJECTION: Registry[type[PoolHealth]] = Registry("ejection policy")
+
+
+@define
+class _Health:
+    """Evidence about one upstream; times are None if the event has not happened."""
+
+    state: str = UPSTREAM_CHART.step(UPSTREAM_CHART.initial, "lease_granted").state
+    failure_count: int = 0
+    silence_count: int = 0
+    first_failure_ms: float = 0.0
+    result_ms: float | None = None
+    answer_ms: float | None = None
+    silence_ms: float | None = None
+    probe_ms: float = 0.0
+
+
+@define
+class PoolHealth:
+    """Health of a pool's upstreams as one entry VM sees it.
+
+    :param upstreams: names of the pool's upstreams.
+    """
+
+    upstreams: dict[str, _Health] = field(
+        converter=lambda names: {name: _Health() for name in names}, factory=dict
+    )
+
+    def step(self, upstream: str, event: str) -> None:
+        """Take a step of the upstream chart, for events that are no verdicts.
+
+        :raises ChartError: if the upstream's state does not accept the event.
+        """
+        health = self.upstreams.setdefault(upstream, _Health())
+        self._step(health, event)
+        if health.state == UPSTREAM_CHART.initial:
+            # After a reboot or a lost lease, earlier results say nothing about the upstream.
+            health.result_ms = None
+
+    def state(self, upstream: str) -> str:
+        """Return the upstream's state."""
+        return self.upstreams[upstream].state
+
+    def discard(self, upstream: str) -> None:
+        """Forget an upstream that is no longer in the pool."""
+        self.upstreams.pop(upstream, None)
+
+    def failure_count(self, upstream: str) -> int:
+        """Return how many jobs have failed there in a row."""
+        return self.upstreams[upstream].failure_count
+
+    def proven(self, upstream: str) -> bool:
+        """Tell whether a job has had a result there since it was last without a lease."""
+        return self.upstreams[upstream].result_ms is not None
+
+    def record(self, upstream: str, verdict: Verdict, now_ms: float) -> None:
+        """Count the verdict of one job or probe, and eject the upstream if it decides so."""
+        health = self.upstreams.setdefault(upstream, _Health())
+        if verdict is Verdict.RESULT:
+            health.result_ms = health.answer_ms = now_ms
+            health.failure_count = health.silence_count = 0
+        else:
+            if not health.failure_count:
+                health.first_failure_ms = now_ms
+            health.failure_count += 1
+            if verdict is Verdict.NO_ANSWER:
+                health.silence_count += 1
+                health.silence_ms = now_ms
+            else:
+                health.silence_count = 0
+                health.answer_ms = now_ms
+        if health.state == "probing":
+            passed = verdict is Verdict.RESULT
+            self._step(health, "probe_passed" if passed else "probe_failed")
+            health.probe_ms = now_ms + defaults.EJECT_DURATION_MS
+        elif (
+            health.state == "in_use"
+            and self._condemned(upstream, health, now_ms)
+            and self._ejected_count() < self.ejected_limit_count
+        ):
+            self._step(health, "eject")
+            health.probe_ms = now_ms + defaults.EJECT_DURATION_MS
+
+    @property
+    def ejected_limit_count(self) -> int:
+        """Most upstreams that may be ejected at once."""
+        return max(1, int(len(self.upstreams) * defaults.EJECT_MAX_RATIO))
+
+    def ejected(self, now_ms: float) -> set[str]:
+        """Return the upstreams that get no jobs other than a probe."""
+        for health in self.upstreams.values():
+            # A probe that was cancelled has no verdict and must not keep the upstream out.
+            if (
+                health.state == "probing"
+                and now_ms >= health.probe_ms + defaults.ATTEMPT_TIMEOUT_MS
+            ):
+                self._step(health, "probe_failed")
+                health.probe_ms = now_ms
+        return {n for n, h in self.upstreams.items() if h.state in ("ejected", "probing")}
+
+    def claim_probe(self, now_ms: float) -> str | None:
+        """Return an ejected upstream that is due for its single probing job, None if none is."""
+        for name, health in self.upstreams.items():
+            if health.state == "ejected" and now_ms >= health.probe_ms:
+                self._step(health, "probe_due")
+                health.probe_ms = now_ms
+                return name
+        return None
+
+    def unreachable(self, now_ms: float) -> bool:
+        """Tell whether no upstream answers, so that this entry VM may be the partitioned one."""
+        since_ms = now_ms - defaults.EJECT_WINDOW_MS
+        silent_count = sum(_within(h.silence_ms, since_ms) for h in self.upstreams.values())
+        answered = any(_within(h.answer_ms, since_ms) for h in self.upstreams.values())
+        return silent_count >= min(2, len(self.upstreams)) > 0 and not answered
+
+    def _ejected_count(self) -> int:
+        return sum(h.state in ("ejected", "probing") for h in self.upstreams.values())
+
+    def _condemned(self, upstream: str, health: _Health, now_ms: float) -> bool:
+        raise NotImplementedError
+
+    @staticmethod
+    def _step(health: _Health, event: str) -> None:
+        step = UPSTREAM_CHART.step(health.state, event)
+        health.state = step.state
+        if "reset_counts" in step.actions:
+            health.failure_count = health.silence_count = 0
+
+
+def _within(time_ms: float | None, since_ms: float) -> bool:
+    return time_ms is not None and time_ms >= since_ms
+
+
+@EJECTION.register("three_valued")
+@define
+class ThreeValuedHealth(PoolHealth):
+    """Ejects an upstream only on evidence that the others in the pool are better."""
+
+    def _condemned(self, upstream: str, health: _Health, now_ms: float) -> bool:
+        others = [h for name, h in self.upstreams.items() if name != upstream]
+        # With little traffic the failures may span more than a window; so do the results then.
+        since_ms = min(now_ms - defaults.EJECT_WINDOW_MS, health.first_failure_ms)
+        if health.failure_count >= defaults.EJECT_AFTER_FAILURES_COUNT:
+            result_count = sum(_within(h.result_ms, since_ms) for h in others)
+            if others and result_count * 2 >= len(others):
+                return True
+        if health.silence_count >= defaults.EJECT_AFTER_SILENCES_COUNT:
+            return any(_within(h.answer_ms, since_ms) for h in others)
+        return False
+
+
+@EJECTION.register("two_valued")
+@define
+class TwoValuedHealth(PoolHealth):
+    """Baseline: any three failures in a row count, whatever the others in the pool do."""
+
+    def _condemned(self, upstream: str, health: _Health, now_ms: float) -> bool:
+        return health.failure_count >= defaults.EJECT_AFTER_FAILURES_COUNT
