--- /dev/null
+++ b/src/tarragoncart/daemon.py
@@ -0,0 +1,117 @@
+"""Wiring of an entry process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+import signal
+import socket
+
+from aiohttp import web
+
+from . import logs, metrics
+from .dispatch import Dispatch
+from .inventory import Inventory
+from .journal import Journal
+from .mailbox import Actor, new_reply
+from .membership import Membership, Terminate, new_incarnation
+from .model import Member
+from .peers import Peers
+from .registry import Registry
+from .server import CLIENT_ROUTES, PEER_ROUTES, Front, Handler, build_app
+from .settings import EntrySettings
+from .timer import LoopTimer
+
+
+def run(settings: EntrySettings) -> None:
+    """Run an entry process until SIGTERM or SIGINT."""
+    logs.setup_logging(settings.log_level, settings.name)
+    metrics.start_metrics(settings.metrics_exporter, {"entry": settings.name})
+    asyncio.run(serve(settings))
+
+
+async def serve(settings: EntrySettings) -> None:
+    """Bind the listeners, start the actors, print the bound addresses and wait for a signal."""
+    timer = LoopTimer()
+    rng = random.Random(secrets.randbits(64))
+    journal = Journal(
+        settings.name,
+        settings.platform_address,
+        timer,
+        flush_window_ms=settings.flush_window_ms,
+        source_address=settings.source_address,
+    )
+    client_socket, client_address = _bind(settings.client_address)
+    peer_socket, peer_address = _bind(settings.peer_address)
+    member = Member(
+        settings.name,
+        new_incarnation(),
+        settings.data_centre,
+        settings.advertised_peer_address or peer_address,
+        settings.advertised_client_address or client_address,
+    )
+    dispatch = Dispatch(
+        settings.name,
+        settings.data_centre,
+        member.incarnation,
+        journal,
+        timer,
+        rng,
+        source_address=settings.source_address,
+        key_freshness_ms=settings.key_freshness_ms,
+    )
+    addresses = [peer.peer_address for peer in settings.peers]
+    peers = Peers(member, addresses, journal, dispatch, timer, rng, settings.source_address)
+    dispatch.peers = peers
+    membership = Membership(
+        member, journal, dispatch, peers, timer, settings.shutdown_timeout_ms
+    )
+    inventory = Inventory(settings.platform_address, dispatch, timer, settings.source_address)
+    actors: list[Actor] = [journal, dispatch, peers, membership, inventory]
+    for listener in (dispatch, peers, membership):
+        journal.add_listener(listener)
+    for actor in actors:
+        actor.start()
+    front = Front(journal, dispatch, peers, membership, timer)
+    runners = [
+        await _serve(front, CLIENT_ROUTES, client_socket),
+        await _serve(front, PEER_ROUTES, peer_socket),
+    ]
+    print(
+        json.dumps({"client_address": client_address, "peer_address": peer_address}), flush=True
+    )
+    await _wait_for_signal()
+    terminated = new_reply()
+    membership.tell(Terminate(terminated))
+    await terminated
+    for runner in runners:
+        await runner.cleanup()
+    for actor in reversed(actors):
+        await actor.stop()
+
+
+def _bind(address: str) -> tuple[socket.socket, str]:
+    """Bind a listening socket and return it with its address; port 0 takes a free port."""
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=1_024)
+    host, port = listener.getsockname()[:2]
+    return listener, f"{host}:{port}"
+
+
+async def _serve(
+    front: Front, routes: Registry[Handler], listener: socket.socket
+) -> web.AppRunner:
+    runner = web.AppRunner(build_app(front, routes), access_log=None)
+    await runner.setup()
+    await web.SockSite(runner, listener).start()
+    return runner
+
+
+async def _wait_for_signal() -> None:
+    received = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, received.set)
+    await received.wait()
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -79,3 +79,5 @@
 UPSTREAM_BUSY_MS = 10
 # Evidence from the guard of an idempotent job is waited for this long before it is retried.
 IDEMPOTENT_FENCE_MS = 500
+MEMBER_CHECK_MS = 500
+OPERATOR_TIMEOUT_MS = 6_000
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -20,7 +20,7 @@
 from .attempts import Evidence
 from .charts import load_chart
 from .errors import LogUnavailableError, RequestError
-from .journal import Append, JobChanged, Journal, ViewChanged
+from .journal import Append, JobChanged, Journal, ReadJob, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .model import Answer, Attempt, Job, Mode, Outcome, Reply
 from .placement import PoolPlacement, UpstreamFacts
@@ -64,6 +64,14 @@
     reply: asyncio.Future[Reply | None]
 
 
+@frozen
+class ReadLogged:
+    """Ask for the outcome of a job in the log; the reply is a :class:`Reply` or None."""
+
+    request_id: str
+    reply: asyncio.Future[Reply | None]
+
+
 @frozen
 class ForwardSubmission:
     """For the peers' actor: let the incarnation that issued the request ID handle it."""
@@ -174,6 +182,7 @@
     attempt_count: int = 0
     failure_count: int = 0
     placed_on: str = ""
+    placed_at_ms: float = 0.0
     boot_id: str = ""
     fence_delay_ms: float = defaults.GUARD_QUERY_FIRST_MS
     no_answer_at_ms: float | None = None
@@ -231,6 +240,21 @@
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
 
+    @property
+    def view(self) -> FleetView:
+        """The present view, read-only."""
+        return self._view
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force here."""
+        return self._view.config_version
+
+    @property
+    def view_age_ms(self) -> float:
+        """Age of the view."""
+        return min(self._timer.now_ms() - self._fresh_as_of_ms, 1e12)
+
     async def opened(self) -> None:
         """Subscribe to the timer."""
         self.subscribe(self._timer.every(defaults.DEADLINE_SWEEP_MS), SweepDeadlines())
@@ -413,15 +437,7 @@
     def _enqueue(self, entry: JobEntry, **_: Any) -> None:
         job = entry.job
         weight = self._share_weight(job.team)
-        urgent = job.mode is Mode.INTERACTIVE
-        self._pool(job.pool).order.push(
-            job.request_id,
-            job.team,
-            weight,
-            job.declared_run_ms,
-            self._timer.now_ms(),
-            urgent=urgent,
-        )
+        self._pool(job.pool).enqueue(job, weight, self._timer.now_ms())
         self._waiting[job.team] += 1
 
     def _share_weight(self, team: str) -> float:
@@ -514,7 +530,10 @@
     def _free_slot(self, entry: JobEntry, **_: Any) -> None:
         if not entry.placed_on:
             return
-        self._pool(entry.job.pool).release(entry.placed_on)
+        pool = self._pool(entry.job.pool)
+        pool.release(entry.placed_on)
+        ran_ms = self._timer.now_ms() - entry.placed_at_ms if JOB_CHART.is_final(entry.state) else 0
+        pool.charge(entry.job, ran_ms)
         self._ledger.running[entry.job.team] -= 1
         entry.placed_on = ""
 
@@ -605,6 +624,7 @@
             self._waiting[entry.job.team] -= 1
             self._ledger.running[entry.job.team] += 1
             entry.placed_on = worker
+            entry.placed_at_ms = now_ms
             entry.boot_id = self._facts[worker].boot_id
             claim = admission.needs_claim(entry.job)
             self._step(entry, "place_claimed" if claim else "place")
@@ -938,6 +958,31 @@
         pending = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
         resolve(message.reply, entry.reply or pending)
 
+    @receives(ReadLogged)
+    def _on_read_logged(self, message: ReadLogged) -> None:
+        self.spawn(self._read_logged(message))
+
+    async def _read_logged(self, message: ReadLogged) -> None:
+        asked: asyncio.Future[JobState | None] = new_reply()
+        self._journal.tell(ReadJob(message.request_id, asked))
+        known = await asked
+        if known is not None and known.outcome is None and known.claimed_worker:
+            known = await self._ask_claimed_worker(known)
+        resolve(message.reply, None if known is None else logged_reply(known))
+
+    async def _ask_claimed_worker(self, known: JobState) -> JobState:
+        upstream = self._upstreams.get(known.claimed_worker)
+        if upstream is None:
+            return known
+        asked: asyncio.Future[Evidence] = new_reply()
+        upstream.tell(FindResult(known.request_id, asked))
+        answer = (await asked).answer
+        if answer is None:
+            return known
+        return evolve(
+            known, outcome=Outcome.ANSWERED, body=answer.body, succeeded=answer.succeeded
+        )
+
     @receives(FindResult)
     def _on_find_result(self, message: FindResult) -> None:
         self.spawn(self._search_guards(message))
@@ -1028,6 +1073,18 @@
     )
 
 
+def logged_reply(known: JobState) -> Reply:
+    """Return the reply for a job that the log knows."""
+    if known.outcome is Outcome.ANSWERED:
+        answer = Answer(known.body, known.succeeded, known.claimed_worker)
+        return Reply(known.request_id, Outcome.ANSWERED, answer)
+    if known.outcome is Outcome.NOT_RUN:
+        return refusal(known.request_id, _recorded_not_run(known.code))
+    if known.outcome is Outcome.OUTCOME_UNKNOWN:
+        return unknown(known.request_id, known.code, "attempt", known.claimed_worker)
+    return Reply(known.request_id, Outcome.ACCEPTED, code="pending", status=202)
+
+
 def issue_request_ids(entry: str, incarnation: str, now_ms: float, count: int) -> list[str]:
     """Return fresh request IDs; each holds the time of issue and 40 random bits."""
     issued_ms = int(now_ms)
--- /dev/null
+++ b/src/tarragoncart/membership.py
@@ -0,0 +1,228 @@
+"""Life of this entry VM, and retirement of others that have gone."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+from attrs import evolve, frozen
+
+from . import defaults, records
+from .charts import load_chart
+from .dispatch import CountTasks, Dispatch, Drain, UseIncarnation
+from .journal import Append, Journal, ViewChanged
+from .mailbox import Actor, carries_out, new_reply, receives, resolve
+from .model import Member
+from .peers import Peers, PeerStatus, ReadPeers, UseIdentity
+from .replay import FleetView
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+ENTRY_CHART = load_chart("entry")
+
+
+@frozen
+class CheckMembers:
+    """Time to look for members that are gone."""
+
+
+@frozen
+class Terminate:
+    """Shut down gracefully; the reply comes when the process may end."""
+
+    reply: asyncio.Future[None]
+
+
+@frozen
+class Drained:
+    """No job is left, or the shutdown timeout has passed."""
+
+    event: str
+
+
+@frozen
+class ReadEntry:
+    """Ask for the state and the identity of this entry VM."""
+
+    reply: asyncio.Future[tuple[str, Member]]
+
+
+def new_incarnation() -> str:
+    """Return a random incarnation ID of 64 bits in hexadecimal."""
+    return secrets.token_hex(8)
+
+
+class Membership(Actor):
+    """Joins, retires and shuts down.
+
+    :param member: identity of this entry VM.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        journal: Journal,
+        dispatch: Dispatch,
+        peers: Peers,
+        timer: Timer,
+        shutdown_timeout_ms: float = defaults.SHUTDOWN_TIMEOUT_MS,
+    ) -> None:
+        super().__init__("membership")
+        self.member = member
+        self.state = ENTRY_CHART.initial
+        self._journal = journal
+        self._dispatch = dispatch
+        self._peers = peers
+        self._timer = timer
+        self._shutdown_timeout_ms = shutdown_timeout_ms
+        self._view = FleetView()
+        self._log_available = False
+        self._releasing: set[str] = set()
+        self._retiring: set[str] = set()
+        self._terminating: list[asyncio.Future[None]] = []
+
+    async def opened(self) -> None:
+        """Subscribe to the timer."""
+        self.subscribe(self._timer.every(defaults.MEMBER_CHECK_MS), CheckMembers())
+
+    def _event(self, event: str) -> None:
+        if ENTRY_CHART.accepts(self.state, event):
+            before = self.state
+            self.step(ENTRY_CHART, self, event)
+            logger.info("entry VM changed state", extra={"from": before, "to": self.state})
+
+    @receives(ViewChanged)
+    def _on_view_changed(self, message: ViewChanged) -> None:
+        self._view = message.view
+        self._log_available = message.log_available
+        if message.loaded:
+            self._event("state_loaded")
+        if self.member.incarnation in message.view.retired:
+            self._event("retired")
+
+    @carries_out("join_members")
+    def _join_members(self, _: Any) -> None:
+        # Without a reply the journal keeps trying until the log takes it.
+        self._journal.tell(Append(records.Join(self.member), self.member.name))
+
+    @carries_out("new_incarnation")
+    def _new_incarnation(self, _: Any) -> None:
+        self.member = evolve(self.member, incarnation=new_incarnation())
+        self._dispatch.tell(UseIncarnation(self.member.incarnation))
+        self._peers.tell(UseIdentity(self.member))
+
+    # Retirement of others
+
+    @receives(CheckMembers)
+    async def _on_check_members(self, _: CheckMembers) -> None:
+        if not self._log_available or self.member.incarnation not in self._view.members:
+            return
+        asked: asyncio.Future[list[PeerStatus]] = new_reply()
+        self._peers.tell(ReadPeers(asked))
+        statuses = await asked
+        live = [s for s in statuses if s.silent_ms < defaults.MEMBER_RETIRE_MS]
+        if not live or min(s.member.name for s in live) != self.member.name:
+            return
+        self._retire_silent(statuses)
+        self._release_retired()
+
+    def _retire_silent(self, statuses: list[PeerStatus]) -> None:
+        replaced = _replaced(statuses)
+        for status in statuses:
+            incarnation = status.member.incarnation
+            gone = status.silent_ms >= defaults.MEMBER_RETIRE_MS or incarnation in replaced
+            if gone and incarnation not in self._retiring:
+                self._retiring.add(incarnation)
+                self._append(
+                    records.Retire(incarnation, f"silent for {status.silent_ms:.0f} ms"),
+                    lambda _, inc=incarnation: self._retiring.discard(inc),
+                )
+
+    def _release_retired(self) -> None:
+        held = {inc for rights in self._view.rights.values() for inc in rights.held}
+        for incarnation in held - self._releasing:
+            self._releasing.add(incarnation)
+            self.spawn(self._release(incarnation))
+
+    async def _release(self, incarnation: str) -> None:
+        """Free the rights of a retired incarnation once no task of it can run."""
+        try:
+            counted: asyncio.Future[int | None] = new_reply()
+            self._dispatch.tell(CountTasks(incarnation, counted))
+            if await counted == 0:
+                recorded = new_reply()
+                record = records.ReleaseRights(incarnation)
+                expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+                self._journal.tell(Append(record, self.member.name, recorded, expires_ms))
+                await recorded
+        finally:
+            self._releasing.discard(incarnation)
+
+    def _append(self, record: Any, done: Callable[[Any], Any]) -> None:
+        reply = new_reply()
+        reply.add_done_callback(done)
+        expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+        self._journal.tell(Append(record, self.member.name, reply, expires_ms))
+
+    # Shutdown
+
+    @receives(Terminate)
+    def _on_terminate(self, message: Terminate) -> None:
+        self._terminating.append(message.reply)
+        self._event("terminate")
+        if self.state == "stopped":
+            self._close(None)
+
+    @carries_out("withdraw_readiness")
+    @carries_out("restore_readiness")
+    def _log_readiness(self, _: Any) -> None:
+        logger.info("readiness changed", extra={"ready": self.state == "ready"})
+
+    @carries_out("return_rights")
+    def _return_rights(self, _: Any) -> None:
+        self.spawn(self._drain())
+
+    async def _drain(self) -> None:
+        drained = new_reply()
+        self._dispatch.tell(Drain(drained))
+        try:
+            await asyncio.wait_for(drained, self._shutdown_timeout_ms / 1_000)
+            event = "drained"
+        except TimeoutError:
+            event = "timeout"
+        recorded = new_reply()
+        record = records.Retire(self.member.incarnation, "shutdown")
+        expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+        self._journal.tell(Append(record, self.member.name, recorded, expires_ms))
+        try:
+            await asyncio.wait_for(recorded, defaults.LOG_UNAVAILABLE_MS / 1_000)
+        except TimeoutError:
+            logger.warning("retirement is not in the log; another entry VM will record it")
+        self.tell(Drained(event))
+
+    @receives(Drained)
+    def _on_drained(self, message: Drained) -> None:
+        self._event(message.event)
+
+    @carries_out("close")
+    def _close(self, _: Any) -> None:
+        for reply in self._terminating:
+            resolve(reply, None)
+
+    @receives(ReadEntry)
+    def _on_read_entry(self, message: ReadEntry) -> None:
+        resolve(message.reply, (self.state, self.member))
+
+
+def _replaced(statuses: list[PeerStatus]) -> set[str]:
+    """Return silent incarnations whose name a newer, live one has taken."""
+    silent_ms = defaults.PEER_SILENCE_MS * 2
+    names = {s.member.name for s in statuses if s.silent_ms < silent_ms}
+    return {
+        s.member.incarnation
+        for s in statuses
+        if s.silent_ms >= silent_ms and s.member.name in names
+    }
--- /dev/null
+++ b/src/tarragoncart/peers.py
@@ -0,0 +1,423 @@
+"""Owner of the sockets to other entry VMs: heartbeats, freshness, relayed records, forwarding."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+import aiohttp
+import cattrs
+from attrs import Factory, define, evolve, frozen
+
+from . import defaults, limits, records, snapshots
+from .attempts import Evidence
+from .dispatch import (
+    ForwardSubmission,
+    OwnDemand,
+    PeersChanged,
+    unknown,
+)
+from .journal import AdoptState, Append, Chunk, Journal, ReadTail, ViewChanged
+from .mailbox import Actor, new_reply, receives, resolve
+from .model import Member, Outcome, Reply
+from .replay import FleetView
+from .timer import Timer
+from .upstream import FindResult
+
+logger = logging.getLogger(__name__)
+
+
+@frozen
+class BeatDue:
+    """Time for heartbeats."""
+
+
+@frozen
+class PeerBeat:
+    """Content of a heartbeat and of its answer.
+
+    :param age_ms: age of the sender's view when it was sent.
+    :param withdrawn: keys withdrawn that the log has not taken yet.
+    :param wanted: rights that the sender lacks, per team.
+    """
+
+    name: str
+    incarnation: str
+    peer_address: str
+    offset: int
+    age_ms: float
+    log_available: bool
+    withdrawn: tuple[str, ...] = ()
+    wanted: dict[str, int] = Factory(dict)
+
+
+@frozen
+class BeatReceived:
+    """A peer's heartbeat; the reply is our own :class:`PeerBeat` and the records it lacks."""
+
+    beat: PeerBeat
+    reply: asyncio.Future[tuple[PeerBeat, Chunk | None]]
+
+
+@frozen
+class BeatAnswered:
+    """A peer has answered a heartbeat that was sent at ``sent_at_ms``."""
+
+    address: str
+    beat: PeerBeat
+    chunk: Chunk | None
+    sent_at_ms: float
+
+
+@frozen
+class BeatFailed:
+    """A peer has not answered a heartbeat."""
+
+    address: str
+
+
+@frozen
+class WithdrawNow:
+    """Refuse a key at once and spread its withdrawal, whether the log takes it or not."""
+
+    key_id: str
+
+
+@frozen
+class PeerStatus:
+    """What is known about a member."""
+
+    member: Member
+    offset: int
+    silent_ms: float
+
+
+@frozen
+class ReadPeers:
+    """Ask for the status of all members."""
+
+    reply: asyncio.Future[list[PeerStatus]]
+
+
+@frozen
+class ForwardQuery:
+    """Ask the issuer of a request ID for its outcome; the reply is None if it cannot be asked."""
+
+    request_id: str
+    incarnation: str
+    reply: asyncio.Future[Reply | None]
+
+
+@frozen
+class UseIdentity:
+    """Name, incarnation and addresses that heartbeats carry."""
+
+    member: Member
+
+
+@define
+class Contact:
+    """An entry VM that heartbeats go to."""
+
+    address: str
+    incarnation: str = ""
+    offset: int = -1
+    log_available: bool = True
+    heard_at_ms: float = float("-inf")
+    in_flight: bool = False
+    wanted: dict[str, int] = Factory(dict)
+
+
+class Peers(Actor):
+    """Talks to the other entry VMs.
+
+    :param addresses: peer addresses known from the settings.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        addresses: list[str],
+        journal: Journal,
+        dispatch: Actor,
+        timer: Timer,
+        rng: random.Random,
+        source_address: str = "",
+    ) -> None:
+        super().__init__("peers")
+        self._member = member
+        self._journal = journal
+        self._dispatch = dispatch
+        self._timer = timer
+        self._rng = rng
+        self._source_address = source_address
+        self._contacts = {a: Contact(a) for a in addresses if a != member.peer_address}
+        self._view = FleetView()
+        self._fresh_as_of_ms = float("-inf")
+        self._log_available = False
+        self._loaded = False
+        self._started_ms = timer.now_ms()
+        self._joined_ms: dict[str, float] = {}
+        self._withdrawn: set[str] = set()
+        self._demand: dict[str, int] = {}
+        self._session: aiohttp.ClientSession
+
+    async def opened(self) -> None:
+        """Open the session and start the heartbeats."""
+        local = (self._source_address, 0) if self._source_address else None
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=local))
+        self.subscribe(self._timer.every(defaults.HEARTBEAT_PERIOD_MS), BeatDue())
+        self.tell(BeatDue())
+
+    async def closed(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    @receives(UseIdentity)
+    def _on_use_identity(self, message: UseIdentity) -> None:
+        self._member = message.member
+
+    # Heartbeats
+
+    @receives(BeatDue)
+    def _on_beat_due(self, _: BeatDue) -> None:
+        now_ms = self._timer.now_ms()
+        contacts = [c for c in self._contacts.values() if not c.in_flight]
+        chosen = self._rng.sample(contacts, min(defaults.HEARTBEAT_FANOUT_COUNT, len(contacts)))
+        silent = [c for c in contacts if now_ms - c.heard_at_ms > defaults.PEER_SILENCE_MS]
+        for contact in {c.address: c for c in (*chosen, *silent)}.values():
+            contact.in_flight = True
+            self.spawn(self._beat(contact.address, self._own_beat()))
+
+    def _own_beat(self) -> PeerBeat:
+        return PeerBeat(
+            name=self._member.name,
+            incarnation=self._member.incarnation,
+            peer_address=self._member.peer_address,
+            offset=self._view.offset,
+            age_ms=min(self._timer.now_ms() - self._fresh_as_of_ms, 1e12),
+            log_available=self._log_available,
+            withdrawn=tuple(sorted(self._withdrawn)),
+            wanted=self._demand,
+        )
+
+    async def _beat(self, address: str, beat: PeerBeat) -> None:
+        sent_at_ms = self._timer.now_ms()
+        try:
+            data = await self._post(address, "/peer/heartbeat", encode(beat))
+            answer = decode(data["beat"], PeerBeat)
+            chunk = decode(data["chunk"], Chunk) if data.get("chunk") else None
+            self.tell(BeatAnswered(address, answer, chunk, sent_at_ms))
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, cattrs.BaseValidationError):
+            self.tell(BeatFailed(address))
+
+    async def _post(
+        self, address: str, path: str, body: Any, timeout_ms: float = defaults.PEER_TIMEOUT_MS
+    ) -> Any:
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_ms / 1_000, sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000
+        )
+        async with self._session.post(
+            f"http://{address}{path}", json=body, timeout=timeout
+        ) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    @receives(BeatFailed)
+    def _on_beat_failed(self, message: BeatFailed) -> None:
+        contact = self._contacts.get(message.address)
+        if contact is not None:
+            contact.in_flight = False
+
+    @receives(BeatAnswered)
+    def _on_beat_answered(self, message: BeatAnswered) -> None:
+        contact = self._contacts.get(message.address)
+        if contact is None:
+            return
+        contact.in_flight = False
+        contact.heard_at_ms = message.sent_at_ms
+        self._note(contact, message.beat)
+        if message.chunk is not None:
+            # The peer's age counts from when we asked; its answer may have been on its way since.
+            fresh_ms = message.sent_at_ms - message.beat.age_ms
+            self._journal.tell(evolve(message.chunk, fresh_as_of_ms=fresh_ms, from_log=False))
+        elif message.beat.offset > self._view.offset or not self._loaded:
+            self.spawn(self._fetch_state(message.address))
+        self._check_all_heard()
+
+    def _note(self, contact: Contact, beat: PeerBeat) -> None:
+        contact.incarnation = beat.incarnation
+        contact.offset = beat.offset
+        contact.log_available = beat.log_available
+        contact.wanted = beat.wanted
+        self._learn_withdrawals(beat.withdrawn)
+        self._tell_dispatch()
+
+    @receives(BeatReceived)
+    async def _on_beat_received(self, message: BeatReceived) -> None:
+        beat = message.beat
+        if beat.peer_address not in self._contacts:
+            self._contacts[beat.peer_address] = Contact(beat.peer_address)
+        self._note(self._contacts[beat.peer_address], beat)
+        chunk = None
+        if beat.offset <= self._view.offset and self._loaded:
+            asked = new_reply()
+            self._journal.tell(ReadTail(beat.offset, asked))
+            chunk = await asked
+        resolve(message.reply, (self._own_beat(), chunk))
+
+    async def _fetch_state(self, address: str) -> None:
+        """Take over the whole state of a peer that has records which this one cannot get."""
+        sent_at_ms = self._timer.now_ms()
+        timeout = aiohttp.ClientTimeout(total=defaults.LOG_READ_TIMEOUT_MS / 1_000)
+        try:
+            async with self._session.get(f"http://{address}/peer/state", timeout=timeout) as answer:
+                data = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return
+        assembler = snapshots.SnapshotAssembler()
+        for part in data["parts"]:
+            state = assembler.add(decode(part, records.SnapshotPart))
+            if state is not None:
+                self._journal.tell(AdoptState(state, sent_at_ms - data["age_ms"]))
+
+    def _check_all_heard(self) -> None:
+        """Count a complete round of heartbeats as evidence of freshness while the log is away.
+
+        Keys are withdrawn through entry VMs only, so a withdrawal that no member knows of has
+        not been accepted.
+        """
+        if self._log_available or self._member.incarnation not in self._view.members:
+            return
+        others = [inc for inc in self._view.members if inc != self._member.incarnation]
+        heard = {c.incarnation: c for c in self._contacts.values()}
+        if not all(inc in heard and not heard[inc].log_available for inc in others):
+            return
+        contacts = [heard[inc] for inc in others]
+        oldest_ms = min((c.heard_at_ms for c in contacts), default=self._timer.now_ms())
+        newest_offset = max((c.offset for c in contacts), default=self._view.offset)
+        after = self._view.offset + 1
+        self._journal.tell(Chunk([], after, newest_offset + 1, oldest_ms, from_log=False))
+
+    # Demand and withdrawals
+
+    @receives(OwnDemand)
+    def _on_own_demand(self, message: OwnDemand) -> None:
+        self._demand = dict(message.wanted_count)
+
+    def _tell_dispatch(self) -> None:
+        now_ms = self._timer.now_ms()
+        wants = [
+            limits.PeerWants(c.incarnation, c.wanted)
+            for c in self._contacts.values()
+            if c.wanted and now_ms - c.heard_at_ms < defaults.PEER_SILENCE_MS * 2
+        ]
+        self._dispatch.tell(PeersChanged(wants, frozenset(self._withdrawn)))
+
+    @receives(WithdrawNow)
+    def _on_withdraw_now(self, message: WithdrawNow) -> None:
+        self._learn_withdrawals((message.key_id,))
+        self._tell_dispatch()
+        self._on_beat_due(BeatDue())
+
+    def _learn_withdrawals(self, key_ids: tuple[str, ...]) -> None:
+        for key_id in set(key_ids) - self._withdrawn:
+            if key_id in self._view.keys:
+                self._withdrawn.add(key_id)
+                # Each entry VM that knows of it appends it, since any of them may be replaced.
+                self._journal.tell(Append(records.WithdrawKey(key_id), self._member.name))
+
+    @receives(ViewChanged)
+    def _on_view_changed(self, message: ViewChanged) -> None:
+        self._view = message.view
+        self._fresh_as_of_ms = message.fresh_as_of_ms
+        self._log_available = message.log_available
+        self._loaded = message.loaded
+        self._withdrawn = {key_id for key_id in self._withdrawn if key_id in message.view.keys}
+        known = {member.peer_address for member in message.view.members.values()}
+        for address in known - {self._member.peer_address} - set(self._contacts):
+            self._contacts[address] = Contact(address)
+        now_ms = self._timer.now_ms()
+        for incarnation in message.view.members:
+            self._joined_ms.setdefault(incarnation, now_ms)
+
+    @receives(ReadPeers)
+    def _on_read_peers(self, message: ReadPeers) -> None:
+        heard = {c.incarnation: c for c in self._contacts.values()}
+        resolve(message.reply, [self._status(m, heard) for m in self._view.members.values()])
+
+    def _status(self, member: Member, heard: dict[str, Contact]) -> PeerStatus:
+        now_ms = self._timer.now_ms()
+        if member.incarnation == self._member.incarnation:
+            return PeerStatus(member, self._view.offset, 0.0)
+        contact = heard.get(member.incarnation)
+        known_ms = max(self._joined_ms.get(member.incarnation, now_ms), self._started_ms)
+        if contact is None:
+            return PeerStatus(member, -1, now_ms - known_ms)
+        heard_ms = max(contact.heard_at_ms, known_ms)
+        return PeerStatus(member, contact.offset, now_ms - heard_ms)
+
+    # Forwarding
+
+    @receives(ForwardSubmission)
+    def _on_forward_submission(self, message: ForwardSubmission) -> None:
+        self.spawn(self._forward(message))
+
+    async def _forward(self, message: ForwardSubmission) -> None:
+        submission = message.submission
+        reply = None
+        member = self._view.members.get(message.incarnation)
+        if member is not None:
+            body = encode(evolve(submission, forwarded=True))
+            timeout_ms = submission.deadline_ms + defaults.PEER_TIMEOUT_MS
+            try:
+                data = await self._post(member.peer_address, "/peer/forward", body, timeout_ms)
+                reply = decode(data, Reply)
+            except (aiohttp.ClientError, TimeoutError, ValueError, cattrs.BaseValidationError):
+                logger.debug("forwarding failed", extra={"peer": member.peer_address})
+        if reply is None:
+            # An earlier submission may have reached the issuer, so "not run" would be a guess.
+            reply = await self._search(submission.request_id, message.incarnation)
+        resolve(message.reply, reply)
+
+    async def _search(self, request_id: str, incarnation: str) -> Reply:
+        found: asyncio.Future[Evidence] = new_reply()
+        self._dispatch.tell(FindResult(request_id, found))
+        evidence = await found
+        if evidence.answer is not None:
+            return Reply(request_id, Outcome.ANSWERED, evidence.answer)
+        return unknown(request_id, "issuer_unreachable", "forward", incarnation)
+
+    @receives(ForwardQuery)
+    def _on_forward_query(self, message: ForwardQuery) -> None:
+        self.spawn(self._forward_query(message))
+
+    async def _forward_query(self, message: ForwardQuery) -> None:
+        reply = None
+        member = self._view.members.get(message.incarnation)
+        if member is not None:
+            try:
+                body = {"request_id": message.request_id}
+                data = await self._post(member.peer_address, "/peer/query", body)
+                reply = decode(data, Reply) if data else None
+            except (aiohttp.ClientError, TimeoutError, ValueError, cattrs.BaseValidationError):
+                logger.debug("query failed", extra={"peer": member.peer_address})
+        if reply is None:
+            reply = await self._search(message.request_id, message.incarnation)
+        resolve(message.reply, reply)
+
+
+# HTTP handlers for other entry VMs are in server.py; these are their message encodings.
+
+
+def encode(value: Any) -> Any:
+    """Return the JSON form of an ``attrs`` value."""
+    return records.converter().unstructure(value)
+
+
+def decode(data: Any, cls: type[Any]) -> Any:
+    """Return the ``attrs`` value that a JSON form stands for."""
+    return records.converter().structure(data, cls)
+
--- a/src/tarragoncart/placement.py
+++ b/src/tarragoncart/placement.py
@@ -8,7 +8,7 @@
 from attrs import Factory, define
 
 from . import defaults, fairqueue, routing
-from .model import PolicySpec, Verdict, VmSpec
+from .model import Job, Mode, PolicySpec, Verdict, VmSpec
 from .upstream import UpstreamChanged
 
 
@@ -45,6 +45,7 @@
     order: fairqueue.QueueOrder
     health: routing.PoolHealth
     retries: routing.RetryBudget = Factory(routing.RetryBudget)
+    run_times: fairqueue.RunTimes = Factory(fairqueue.RunTimes)
     upstreams: dict[str, UpstreamFacts] = Factory(dict)
 
     @classmethod
@@ -101,6 +102,18 @@
         if routing.UPSTREAM_CHART.accepts(self.health.state(name), event):
             self.health.step(name, event)
 
+    def enqueue(self, job: Job, weight: float, now_ms: float) -> None:
+        """Add a waiting job."""
+        cost_ms = self.run_times.expected_ms(job.queue, job.declared_run_ms)
+        urgent = job.mode is Mode.INTERACTIVE
+        self.order.push(job.request_id, job.team, weight, cost_ms, now_ms, urgent=urgent)
+
+    def charge(self, job: Job, actual_ms: float) -> None:
+        """Account for a job that was placed and has ended; 0 ms if it did not run."""
+        self.order.charge(job.team, actual_ms)
+        if actual_ms > 0:
+            self.run_times.observe(job.queue, actual_ms)
+
     def views(self, now_ms: float) -> Iterator[routing.UpstreamView]:
         """Yield the upstreams as routing sees them."""
         for name, facts in self.upstreams.items():
--- /dev/null
+++ b/src/tarragoncart/server.py
@@ -0,0 +1,486 @@
+"""HTTP with JSON on the outside, messages to the actors on the inside."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import math
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from attrs import frozen
+
+from . import defaults, records
+from .admission import Submission
+from .audit import entries_about, entry_json
+from .dispatch import Cancel, Dispatch, Query, ReadLogged, ReadUsage, Submit, issue_request_ids
+from .errors import RequestError
+from .journal import Append, Journal, ReadAudit, ReadState
+from .mailbox import Actor, new_reply
+from .membership import Membership, ReadEntry
+from .model import KeyGrant, Outcome, Reply, digest_key, issuer_of
+from .peers import (
+    BeatReceived,
+    ForwardQuery,
+    PeerBeat,
+    Peers,
+    PeerStatus,
+    ReadPeers,
+    WithdrawNow,
+    decode,
+    encode,
+)
+from .registry import Registry
+from .replay import AuditEntry, FleetView, unavailable_count
+from .settings import parse_fleet_config
+from .timer import Timer
+
+SUBMISSION_FIELDS = frozenset(("request_id", "payload", "deadline_ms", "declared_run_ms"))
+
+Handler = Callable[["Front", web.Request], Awaitable[web.StreamResponse]]
+CLIENT_ROUTES: Registry[Handler] = Registry("client route")
+PEER_ROUTES: Registry[Handler] = Registry("peer route")
+
+
+@frozen
+class Front:
+    """What the handlers talk to.
+
+    :param timer: only for the times of issued request IDs.
+    """
+
+    journal: Journal
+    dispatch: Dispatch
+    peers: Peers
+    membership: Membership
+    timer: Timer
+
+    async def ask(self, actor: Actor, make: Callable[[asyncio.Future[Any]], Any]) -> Any:
+        """Send a message with a reply future and wait for the reply."""
+        reply = new_reply()
+        actor.tell(make(reply))
+        return await reply
+
+    async def record(self, record: Any, author: str) -> AuditEntry:
+        """Append an operator's record and return how it was judged.
+
+        :raises RequestError: if the log did not take it, or has not confirmed it in time.
+        """
+        expires_ms = self.timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+        asked = self.ask(
+            self.journal, lambda reply: Append(record, author, reply, expires_ms)
+        )
+        try:
+            entry = await asyncio.wait_for(asked, defaults.OPERATOR_TIMEOUT_MS / 1_000)
+        except TimeoutError:
+            raise RequestError(
+                "the log has not confirmed the record; it may still take effect",
+                code="outcome_unknown",
+                status=504,
+                step="append",
+                peer="log",
+            ) from None
+        if isinstance(entry, Exception):
+            raise RequestError(
+                str(entry), code="log_unavailable", status=503, step="append", peer="log"
+            )
+        return entry
+
+
+def build_app(front: Front, routes: Registry[Handler]) -> web.Application:
+    """Return an application that serves the registered routes; names are ``METHOD PATH``."""
+    app = web.Application(client_max_size=defaults.BODY_SIZE_BYTES)
+    for name, handler in routes.items():
+        method, path = name.split(" ")
+        app.router.add_route(method, path, _bind(front, handler))
+    return app
+
+
+def _bind(front: Front, handler: Handler) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+    async def handle(request: web.Request) -> web.StreamResponse:
+        try:
+            return await handler(front, request)
+        except RequestError as error:
+            return error_response(error)
+        except web.HTTPRequestEntityTooLarge:
+            limit = f"{defaults.BODY_SIZE_BYTES} bytes"
+            return error_response(
+                _bad_request(f"body is larger than {limit}", "body_too_large", 413, "body_size")
+            )
+
+    return handle
+
+
+def error_response(error: RequestError) -> web.Response:
+    """Encode a refusal; nothing of the request has run."""
+    return web.json_response(_error_body(error), status=error.status)
+
+
+def _error_body(error: RequestError | Reply) -> dict[str, Any]:
+    return {
+        "outcome": error.outcome if isinstance(error, Reply) else Outcome.NOT_RUN,
+        "error": {
+            "code": error.code,
+            "message": error.message,
+            "step": error.step,
+            "peer": error.peer,
+            "limit": error.limit,
+        },
+    }
+
+
+def _bad_request(message: str, code: str, status: int = 400, limit: str = "") -> RequestError:
+    return RequestError(message, code=code, status=status, step="decode", limit=limit)
+
+
+async def _read_json(request: web.Request) -> dict[str, Any]:
+    body = await request.read()
+    try:
+        data = json.loads(body)
+    except ValueError as error:
+        raise _bad_request(f"body is not valid JSON: {error}", "bad_json") from None
+    if not isinstance(data, dict):
+        raise _bad_request("body is not a JSON object", "bad_json")
+    return data
+
+
+def _take(data: dict[str, Any], name: str, kind: type | tuple[type, ...], default: Any) -> Any:
+    value = data.get(name, default)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise _bad_request(f"field {name!r} is missing or has the wrong type", "bad_field")
+    if isinstance(value, float) and not math.isfinite(value):
+        raise _bad_request(f"field {name!r} is not a finite number", "bad_field")
+    return value
+
+
+def key_of(request: web.Request) -> str:
+    """Return the digest of the key that came with a request, empty if there is none."""
+    header = request.headers.get("Authorization", "")
+    scheme, _, key = header.partition(" ")
+    return digest_key(key.strip()) if scheme == "Bearer" and key else ""
+
+
+# Callers
+
+
+@CLIENT_ROUTES.register("POST /v1/request-ids")
+async def issue_ids(front: Front, request: web.Request) -> web.Response:
+    """Issue request IDs that only this incarnation may start."""
+    data = await _read_json(request)
+    count = _take(data, "count", int, 1)
+    if not 1 <= count <= defaults.REQUEST_ID_BLOCK_COUNT:
+        raise _bad_request("count is out of range", "bad_field", limit="request_id_block_count")
+    state, member = await front.ask(front.membership, ReadEntry)
+    if state not in ("ready", "isolated"):
+        raise RequestError(f"entry VM is {state}", code=state, status=503, step="issue IDs")
+    ids = issue_request_ids(member.name, member.incarnation, front.timer.now_ms(), count)
+    return web.json_response(
+        {"request_ids": ids, "valid_ms": defaults.REQUEST_ID_VALIDITY_MS, "entry": member.name}
+    )
+
+
+@CLIENT_ROUTES.register("POST /v1/queues/{queue}/jobs")
+async def submit(front: Front, request: web.Request) -> web.Response:
+    """Take a job and answer with its outcome."""
+    submission = decode_submission(
+        request.match_info["queue"], key_of(request), await _read_json(request)
+    )
+    reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
+    return reply_response(reply, front.dispatch.config_version)
+
+
+def decode_submission(queue: str, key_id: str, data: dict[str, Any]) -> Submission:
+    """Check the fields of a submission.
+
+    :raises RequestError: for unknown, missing or wrong fields.
+    """
+    unknown = data.keys() - SUBMISSION_FIELDS
+    if unknown:
+        raise _bad_request(f"unknown fields: {', '.join(sorted(unknown))}", "bad_field")
+    if "payload" not in data:
+        raise _bad_request("field 'payload' is missing", "bad_field")
+    request_id = _take(data, "request_id", str, secrets.token_hex(16))
+    if not request_id or len(request_id) > defaults.REQUEST_ID_LENGTH or "/" in request_id:
+        raise _bad_request("request ID is empty, too long or has a slash", "bad_field")
+    canonical = json.dumps(data["payload"], sort_keys=True, separators=(",", ":")).encode()
+    return Submission(
+        request_id=request_id,
+        queue=queue,
+        key_id=key_id,
+        payload=data["payload"],
+        body_digest=hashlib.sha256(canonical).hexdigest(),
+        deadline_ms=_take(data, "deadline_ms", (int, float), defaults.DEADLINE_DEFAULT_MS),
+        declared_run_ms=_take(data, "declared_run_ms", (int, float), 0.0),
+    )
+
+
+def reply_response(reply: Reply, config_version: int) -> web.Response:
+    """Encode a reply."""
+    body: dict[str, Any]
+    if reply.answer is not None:
+        body = {
+            "outcome": reply.outcome,
+            "answer": reply.answer.body,
+            "succeeded": reply.answer.succeeded,
+        }
+    elif reply.outcome is Outcome.ACCEPTED:
+        body = {"outcome": reply.outcome}
+    else:
+        body = _error_body(reply)
+    body["request_id"] = reply.request_id
+    body["config_version"] = config_version
+    return web.json_response(body, status=reply.status)
+
+
+@CLIENT_ROUTES.register("GET /v1/requests/{request_id}")
+async def query(front: Front, request: web.Request) -> web.Response:
+    """Answer with the outcome of an earlier request."""
+    reply = await _outcome(front, request.match_info["request_id"])
+    return reply_response(reply, front.dispatch.config_version)
+
+
+async def _outcome(front: Front, request_id: str) -> Reply:
+    reply = await front.ask(front.dispatch, lambda future: Query(request_id, future))
+    if reply is not None:
+        return reply
+    issuer = issuer_of(request_id)
+    _, member = await front.ask(front.membership, ReadEntry)
+    if issuer is not None and issuer[1] != member.incarnation:
+        return await front.ask(
+            front.peers, lambda future: ForwardQuery(request_id, issuer[1], future)
+        )
+    job = await front.ask(front.dispatch, lambda future: ReadLogged(request_id, future))
+    if job is None:
+        raise RequestError("unknown request", code="unknown_request", status=404, step="query")
+    return job
+
+
+@CLIENT_ROUTES.register("DELETE /v1/requests/{request_id}")
+async def cancel(front: Front, request: web.Request) -> web.Response:
+    """Cancel a job that has not started."""
+    request_id = request.match_info["request_id"]
+    reply = await front.ask(front.dispatch, lambda future: Cancel(request_id, future))
+    if reply is None:
+        reply = await _outcome(front, request_id)
+    return reply_response(reply, front.dispatch.config_version)
+
+
+# Operators
+
+
+def _author(data: dict[str, Any]) -> str:
+    author = _take(data, "author", str, "")
+    if not author:
+        raise _bad_request("field 'author' is missing", "bad_field")
+    return author
+
+
+def _conflict(entry: AuditEntry, code: str = "rejected") -> RequestError:
+    return RequestError(entry.reason, code=code, status=409, step=entry.kind, peer="log")
+
+
+@CLIENT_ROUTES.register("POST /v1/config")
+async def publish(front: Front, request: web.Request) -> web.Response:
+    """Publish a configuration."""
+    data = await _read_json(request)
+    base_version = _take(data, "base_version", int, None)
+    try:
+        config = parse_fleet_config(data.get("config"))
+    except ExceptionGroup as group:
+        problems = [{"path": e.peer, "message": e.message} for e in group.exceptions]  # type: ignore[attr-defined]
+        error = _bad_request("the configuration has errors", "bad_config")
+        return web.json_response({**_error_body(error), "problems": problems}, status=400)
+    entry = await front.record(records.Publish(base_version, config), _author(data))
+    if not entry.accepted:
+        error = _conflict(entry, "version_conflict")
+        body = {**_error_body(error), "version": front.dispatch.config_version}
+        return web.json_response(body, status=409)
+    return web.json_response({"version": base_version + 1, "offset": entry.offset})
+
+
+@CLIENT_ROUTES.register("POST /v1/keys")
+async def grant_key(front: Front, request: web.Request) -> web.Response:
+    """Make a key for a team; only its digest is kept."""
+    data = await _read_json(request)
+    team = _take(data, "team", str, None)
+    if team not in front.dispatch.view.rights:
+        raise _bad_request(f"unknown team {team!r}", "unknown_team", 404)
+    key = secrets.token_urlsafe(24)
+    grace_s = float(_take(data, "cutoff_grace_s", (int, float), 0.0))
+    grant = KeyGrant(digest_key(key), team, grace_s)
+    entry = await front.record(records.GrantKey(grant), _author(data))
+    return web.json_response({"key": key, "key_id": grant.key_id, "offset": entry.offset})
+
+
+@CLIENT_ROUTES.register("DELETE /v1/keys/{key_id}")
+async def withdraw_key(front: Front, request: web.Request) -> web.Response:
+    """Withdraw a key; repeat the call to learn when it is complete."""
+    key_id = request.match_info["key_id"]
+    author = _author(dict(request.query))
+    view = front.dispatch.view
+    _, member = await front.ask(front.membership, ReadEntry)
+    if member.incarnation not in view.members:
+        # Other entry VMs do not wait for this one when they judge how fresh they are.
+        raise RequestError("entry VM has not joined", code="starting", status=503, step="withdraw")
+    grant = view.keys.get(key_id)
+    offset = None
+    if grant is not None:
+        front.peers.tell(WithdrawNow(key_id))
+        entry = await front.record(records.WithdrawKey(key_id), author)
+        offset = entry.offset
+    bound_ms = defaults.KEY_FRESHNESS_MS + (grant.cutoff_grace_s * 1_000 if grant else 0)
+    statuses: list[PeerStatus] = await front.ask(front.peers, ReadPeers)
+    needed = offset if offset is not None else front.dispatch.view.offset
+    missing = [
+        s.member.name for s in statuses if s.offset < needed and s.silent_ms <= bound_ms
+    ]
+    return web.json_response(
+        {"offset": needed, "complete": not missing, "missing": sorted(missing)}
+    )
+
+
+@CLIENT_ROUTES.register("POST /v1/waves")
+async def start_wave(front: Front, request: web.Request) -> web.Response:
+    """Start a maintenance wave over some pools."""
+    data = await _read_json(request)
+    pools = tuple(_take(data, "pools", list, None))
+    cause = _take(data, "cause", str, "maintenance")
+    record = records.StartWave(_take(data, "wave", str, None), pools, cause)
+    return await _recorded(front, record, _author(data))
+
+
+@CLIENT_ROUTES.register("POST /v1/waves/{wave}/{event}")
+async def control_wave(front: Front, request: web.Request) -> web.Response:
+    """Resume or cancel a wave."""
+    data = await _read_json(request)
+    record = records.ControlWave(request.match_info["wave"], request.match_info["event"])
+    return await _recorded(front, record, _author(data))
+
+
+@CLIENT_ROUTES.register("POST /v1/moves")
+async def move_vm(front: Front, request: web.Request) -> web.Response:
+    """Move a VM to another pool."""
+    data = await _read_json(request)
+    name = _take(data, "vm", str, None)
+    vm = front.dispatch.view.vms.get(name)
+    if vm is None:
+        raise _bad_request(f"unknown VM {name!r}", "unknown_vm", 404)
+    record = records.MoveVm(name, vm.pool, _take(data, "to_pool", str, None), "operator")
+    return await _recorded(front, record, _author(data))
+
+
+async def _recorded(front: Front, record: Any, author: str) -> web.Response:
+    entry = await front.record(record, author)
+    if not entry.accepted:
+        raise _conflict(entry)
+    return web.json_response({"offset": entry.offset, "reason": entry.reason})
+
+
+@CLIENT_ROUTES.register("GET /v1/explain/{kind}/{name}")
+async def explain(front: Front, request: web.Request) -> web.Response:
+    """Answer who changed a job, VM or team, when, and in answer to which fact."""
+    kind, name = request.match_info["kind"], request.match_info["name"]
+    entries = await front.ask(front.journal, lambda future: ReadAudit(name, future))
+    return web.json_response({"entries": [entry_json(e) for e in entries_about(entries, kind, name)]})
+
+
+@CLIENT_ROUTES.register("GET /v1/status")
+async def status(front: Front, _: web.Request) -> web.Response:
+    """Answer with what this entry VM knows of the fleet."""
+    state, member = await front.ask(front.membership, ReadEntry)
+    statuses: list[PeerStatus] = await front.ask(front.peers, ReadPeers)
+    usage = await front.ask(front.dispatch, ReadUsage)
+    view = front.dispatch.view
+    return web.json_response(
+        {
+            "name": member.name,
+            "incarnation": member.incarnation,
+            "data_centre": member.data_centre,
+            "state": state,
+            "offset": view.offset,
+            "config_version": view.config_version,
+            "age_ms": front.dispatch.view_age_ms,
+            "members": [_member_json(s) for s in statuses],
+            "teams": {
+                team: {
+                    "limit_count": rights.limit_count,
+                    "rights_count": usage.rights.get(team, 0),
+                    "running_count": usage.running.get(team, 0),
+                    "waiting_count": usage.waiting.get(team, 0),
+                }
+                for team, rights in view.rights.items()
+            },
+            "pools": {pool.name: _pool_json(view, pool) for pool in view.config.pools},
+            "waves": {name: encode(wave) for name, wave in view.waves.items()},
+        }
+    )
+
+
+def _member_json(status: PeerStatus) -> dict[str, Any]:
+    return {
+        "name": status.member.name,
+        "incarnation": status.member.incarnation,
+        "data_centre": status.member.data_centre,
+        "client_address": status.member.client_address,
+        "offset": status.offset,
+        "silent_ms": status.silent_ms,
+    }
+
+
+def _pool_json(view: FleetView, pool: Any) -> dict[str, Any]:
+    return {
+        "vm_count": sum(vm.pool == pool.name for vm in view.vms.values()),
+        "unavailable_count": unavailable_count(view, pool.name),
+        "max_unavailable_count": pool.max_unavailable_count,
+    }
+
+
+@CLIENT_ROUTES.register("GET /healthz")
+async def healthz(_: Front, __: web.Request) -> web.Response:
+    """Answer that the process runs."""
+    return web.json_response({"alive": True})
+
+
+@CLIENT_ROUTES.register("GET /readyz")
+async def readyz(front: Front, _: web.Request) -> web.Response:
+    """Tell the load balancer whether to send requests here."""
+    state, _member = await front.ask(front.membership, ReadEntry)
+    return web.json_response({"state": state}, status=200 if state == "ready" else 503)
+
+
+# Other entry VMs
+
+
+@PEER_ROUTES.register("POST /peer/heartbeat")
+async def heartbeat(front: Front, request: web.Request) -> web.Response:
+    """Take a peer's heartbeat and answer with our own and the records it lacks."""
+    beat = decode(await _read_json(request), PeerBeat)
+    own, chunk = await front.ask(front.peers, lambda future: BeatReceived(beat, future))
+    return web.json_response({"beat": encode(own), "chunk": encode(chunk) if chunk else None})
+
+
+@PEER_ROUTES.register("GET /peer/state")
+async def peer_state(front: Front, _: web.Request) -> web.Response:
+    """Answer with the whole state as snapshot parts."""
+    parts, age_ms = await front.ask(front.journal, ReadState)
+    return web.json_response({"parts": [encode(part) for part in parts], "age_ms": age_ms})
+
+
+@PEER_ROUTES.register("POST /peer/forward")
+async def peer_forward(front: Front, request: web.Request) -> web.Response:
+    """Handle a submission whose request ID this entry VM has issued."""
+    submission = decode(await _read_json(request), Submission)
+    reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
+    return web.json_response(encode(reply))
+
+
+@PEER_ROUTES.register("POST /peer/query")
+async def peer_query(front: Front, request: web.Request) -> web.Response:
+    """Answer with the outcome of a request, null if it is not known here."""
+    data = await _read_json(request)
+    request_id = _take(data, "request_id", str, None)
+    reply = await front.ask(front.dispatch, lambda future: Query(request_id, future))
+    return web.json_response(encode(reply) if reply else None)
