--- /dev/null
+++ b/src/standins/platform.py
@@ -0,0 +1,570 @@
+"""Stand-in for the platform: an append-only log, and the list of VMs that lags."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter, defaultdict
+from collections.abc import Mapping
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+from aiohttp import web
+from attrs import evolve, field, frozen
+
+from tarragoncart.errors import RegistryError
+from tarragoncart.mailbox import Actor, receives, resolve
+from tarragoncart.registry import Registry
+
+from .log import Page, RateCap, Stream
+from .serving import (
+    BODY_LIMIT_BYTES,
+    FaultFunction,
+    History,
+    Lagged,
+    Listener,
+    ask,
+    drop_connection,
+    json_answer,
+    load_chart,
+    now_ms,
+    read_json,
+    run_until_terminated,
+    switch_fault,
+)
+
+VM_CHART = load_chart("vm")
+VM_ACTIONS = ("drain", "undrain", "reboot")
+WORKER_TIMEOUT_S = 2.0
+RETURN_POLL_S = 0.1
+READ_LIMIT_COUNT = 1_000
+READ_WAIT_MS = 60_000
+
+faults: Registry[FaultFunction] = Registry("platform fault")
+
+
+@frozen
+class Faults:
+    """Injected faults in force; the defaults inject none."""
+
+    outage: bool = False
+    delay_ms: float = 0.0
+    lose_answers_ratio: float = 0.0
+    record_count: int | None = None
+    lag_ms: float = 1_000.0
+    hidden: tuple[str, ...] = ()
+    added: tuple[dict[str, str], ...] = ()
+    per_s: float = 300.0
+
+
+@faults.register("outage")
+def _outage() -> dict[str, Any]:
+    return {"outage": True}
+
+
+@faults.register("slow")
+def _slow(delay_ms: float = 500.0) -> dict[str, Any]:
+    return {"delay_ms": delay_ms}
+
+
+@faults.register("lose_answers")
+def _lose_answers(ratio: float = 1.0) -> dict[str, Any]:
+    return {"lose_answers_ratio": ratio}
+
+
+@faults.register("retention")
+def _retention(record_count: int = 100) -> dict[str, Any]:
+    return {"record_count": record_count}
+
+
+@faults.register("vm_list_lag")
+def _vm_list_lag(lag_ms: float = 5_000.0) -> dict[str, Any]:
+    return {"lag_ms": lag_ms}
+
+
+@faults.register("wrong_vm_list")
+def _wrong_vm_list(
+    hidden: tuple[str, ...] = (), added: tuple[dict[str, str], ...] = ()
+) -> dict[str, Any]:
+    return {"hidden": tuple(hidden), "added": tuple(added)}
+
+
+@faults.register("rate_cap")
+def _rate_cap(per_s: float = 300.0) -> dict[str, Any]:
+    return {"per_s": per_s}
+
+
+@frozen
+class Vm:
+    """A VM as the platform knows it."""
+
+    name: str
+    address: str
+    state: str = VM_CHART.initial
+
+
+@frozen
+class Problem:
+    """Why the platform refused a call."""
+
+    code: str
+    message: str = ""
+
+
+@frozen
+class Appended:
+    """The outcome of an append; ``answered`` is false if the answer is to be lost."""
+
+    first_offset: int
+    end_offset: int
+    answered: bool
+
+
+@frozen
+class Append:
+    """Append records to a stream, all or nothing."""
+
+    stream: str
+    records: list[Any]
+    reply: asyncio.Future[Appended | Problem]
+
+
+@frozen(eq=False)
+class Read:
+    """Read a stream, waiting for a record at or past the offset."""
+
+    stream: str
+    from_offset: int
+    limit_count: int
+    wait_ms: float
+    reply: asyncio.Future[Page | Problem]
+
+
+@frozen
+class EndWait:
+    """The wait of a read is over."""
+
+    read: Read
+
+
+@frozen
+class GetDelay:
+    """Return for how long the log is to hold a call back, in ms."""
+
+    reply: asyncio.Future[float]
+
+
+@frozen
+class ListVms:
+    """Return the VM list as others see it."""
+
+    reply: asyncio.Future[list[Vm]]
+
+
+@frozen
+class PutVm:
+    """Add a VM or change its address."""
+
+    name: str
+    address: str
+    reply: asyncio.Future[Vm]
+
+
+@frozen
+class DeleteVm:
+    """Remove a VM."""
+
+    name: str
+    reply: asyncio.Future[Vm | Problem]
+
+
+@frozen
+class ActOnVm:
+    """Drain, undrain or reboot a VM."""
+
+    name: str
+    action: str
+    params: Mapping[str, Any]
+    reply: asyncio.Future[Vm | Problem]
+
+
+@frozen
+class VmReturned:
+    """A VM has come back from its reboot."""
+
+    name: str
+    address: str
+
+
+@frozen
+class SetFault:
+    """Switch an injected fault on or off."""
+
+    fault: str
+    on: bool
+    params: Mapping[str, Any]
+    reply: asyncio.Future[Faults | Problem]
+
+
+@frozen
+class GetState:
+    """Return the whole state for inspection."""
+
+    reply: asyncio.Future[dict[str, Any]]
+
+
+@frozen
+class PlatformSettings:
+    """Settings of the platform stand-in."""
+
+    name: str = "platform"
+    history: str = ""
+    seed: int = 1
+    normal: Faults = field(factory=Faults)
+
+
+class Platform(Actor):
+    """Owns the streams, the VM list and the injected faults."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        super().__init__(settings.name)
+        self._history = History(settings.history, "platform", settings.name)
+        self._random = random.Random(settings.seed)
+        self._normal = settings.normal
+        self._faults = settings.normal
+        self._streams: dict[str, Stream] = defaultdict(Stream)
+        self._waiting: dict[str, list[Read]] = defaultdict(list)
+        self._rate_cap = RateCap()
+        self._vms: dict[str, Vm] = {}
+        self._vm_list: Lagged[tuple[Vm, ...]] = Lagged(())
+        self._counts: Counter[str] = Counter()
+        self._session: aiohttp.ClientSession
+
+    async def opened(self) -> None:
+        """Open the HTTP session to the workers."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=WORKER_TIMEOUT_S),
+            # A kept connection to a worker that has rebooted would fail the next call.
+            connector=aiohttp.TCPConnector(force_close=True),
+        )
+
+    async def closed(self) -> None:
+        """Close the session and the history."""
+        await self._session.close()
+        self._history.close()
+
+    @receives(Append)
+    def _append(self, message: Append) -> None:
+        if self._faults.outage:
+            resolve(message.reply, self._refuse("outage"))
+            return
+        if not self._rate_cap.accept(now_ms(), self._faults.per_s):
+            resolve(message.reply, self._refuse("rate_cap", f"{self._faults.per_s} appends/s"))
+            return
+        stream = self._streams[message.stream]
+        first = stream.append(message.records)
+        answered = self._random.random() >= self._faults.lose_answers_ratio
+        self._counts["appended"] += 1
+        self._counts["lost_answers"] += not answered
+        kinds = [r["kind"] for r in message.records if isinstance(r, dict) and "kind" in r]
+        self._history.write(
+            "append",
+            stream=message.stream,
+            first_offset=first,
+            count=len(message.records),
+            kinds=kinds,
+            answered=answered,
+        )
+        resolve(message.reply, Appended(first, stream.end_offset, answered))
+        self._wake(message.stream)
+        self._retain()
+
+    def _refuse(self, code: str, message: str = "") -> Problem:
+        self._counts[code] += 1
+        return Problem(code, message)
+
+    def _wake(self, name: str) -> None:
+        waiting = self._waiting.pop(name, [])
+        for read in waiting:
+            if not self._serve(read):
+                self._waiting[name].append(read)
+
+    def _serve(self, read: Read) -> bool:
+        stream = self._streams[read.stream]
+        if read.from_offset >= stream.end_offset:
+            return False
+        resolve(read.reply, stream.read(read.from_offset, read.limit_count))
+        return True
+
+    def _retain(self) -> None:
+        if self._faults.record_count is not None:
+            for stream in self._streams.values():
+                stream.retain(self._faults.record_count)
+
+    @receives(Read)
+    def _read(self, message: Read) -> None:
+        if self._faults.outage:
+            resolve(message.reply, self._refuse("outage"))
+        elif not self._serve(message):
+            self._waiting[message.stream].append(message)
+            loop = asyncio.get_running_loop()
+            loop.call_later(message.wait_ms / 1_000, self.tell, EndWait(message))
+
+    @receives(EndWait)
+    def _end_wait(self, message: EndWait) -> None:
+        read = message.read
+        if read in self._waiting[read.stream]:
+            self._waiting[read.stream].remove(read)
+            page = self._streams[read.stream].read(read.from_offset, read.limit_count)
+            resolve(read.reply, page)
+
+    @receives(GetDelay)
+    def _get_delay(self, message: GetDelay) -> None:
+        resolve(message.reply, self._faults.delay_ms)
+
+    @receives(ListVms)
+    def _list_vms(self, message: ListVms) -> None:
+        listed = {vm.name: vm for vm in self._vm_list.at(now_ms() - self._faults.lag_ms)}
+        for name in self._faults.hidden:
+            listed.pop(name, None)
+        for fields in self._faults.added:
+            listed[fields["name"]] = Vm(**fields)
+        resolve(message.reply, list(listed.values()))
+
+    @receives(PutVm)
+    def _put_vm(self, message: PutVm) -> None:
+        vm = self._vms.get(message.name, Vm(message.name, message.address))
+        self._change_vm(evolve(vm, address=message.address))
+        resolve(message.reply, self._vms[message.name])
+
+    @receives(DeleteVm)
+    def _delete_vm(self, message: DeleteVm) -> None:
+        vm = self._vms.pop(message.name, None)
+        if vm is None:
+            resolve(message.reply, Problem("unknown_vm", message.name))
+            return
+        self._publish_vms(evolve(vm, state="removed"))
+        resolve(message.reply, vm)
+
+    def _change_vm(self, vm: Vm) -> None:
+        if self._vms.get(vm.name) != vm:
+            self._vms[vm.name] = vm
+            self._publish_vms(vm)
+
+    def _publish_vms(self, changed: Vm) -> None:
+        self._vm_list.push(now_ms(), tuple(self._vms.values()))
+        self._history.write("vm", vm=changed.name, address=changed.address, state=changed.state)
+
+    @receives(ActOnVm)
+    def _act_on_vm(self, message: ActOnVm) -> None:
+        vm = self._vms.get(message.name)
+        if vm is None:
+            resolve(message.reply, Problem("unknown_vm", message.name))
+            return
+        vm = evolve(vm, state=VM_CHART.step(vm.state, message.action).state)
+        self._change_vm(vm)
+        self.spawn(self._call_worker(vm, message))
+
+    async def _call_worker(self, vm: Vm, message: ActOnVm) -> None:
+        url = f"http://{vm.address}/control/{message.action}"
+        try:
+            async with self._session.post(url, json=dict(message.params)) as answer:
+                body = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            problem = Problem("worker_unreachable", f"{vm.name} {vm.address}: {error!r}")
+            resolve(message.reply, problem)
+            return
+        resolve(message.reply, vm)
+        if message.action == "reboot":
+            await self._wait_for_return(vm, body.get("boot_id"))
+
+    async def _wait_for_return(self, vm: Vm, old_boot_id: str) -> None:
+        # Bounded by the removal of the VM: one that never comes back stays in the list.
+        while vm.name in self._vms:
+            await asyncio.sleep(RETURN_POLL_S)
+            try:
+                async with self._session.get(f"http://{vm.address}/control/state") as answer:
+                    boot_id = (await answer.json()).get("boot_id")
+            except (aiohttp.ClientError, TimeoutError, ValueError):
+                continue
+            if boot_id not in (None, old_boot_id):
+                self.tell(VmReturned(vm.name, vm.address))
+                return
+
+    @receives(VmReturned)
+    def _vm_returned(self, message: VmReturned) -> None:
+        vm = self._vms.get(message.name)
+        if vm is not None and vm.address == message.address:
+            self._change_vm(evolve(vm, state=VM_CHART.step(vm.state, "returned").state))
+
+    @receives(SetFault)
+    def _set_fault(self, message: SetFault) -> None:
+        try:
+            self._faults = switch_fault(
+                faults, self._faults, self._normal, message.fault, message.on, message.params
+            )
+        except (RegistryError, TypeError) as error:
+            resolve(message.reply, Problem("bad_fault", str(error)))
+            return
+        self._history.write(
+            "fault", fault=message.fault, on=message.on, params=dict(message.params)
+        )
+        self._retain()
+        if self._faults.outage:
+            for read in [read for reads in self._waiting.values() for read in reads]:
+                resolve(read.reply, self._refuse("outage"))
+            self._waiting.clear()
+        resolve(message.reply, self._faults)
+
+    @receives(GetState)
+    def _get_state(self, message: GetState) -> None:
+        streams = {
+            name: {"start_offset": stream.start_offset, "end_offset": stream.end_offset}
+            for name, stream in self._streams.items()
+        }
+        state = {
+            "streams": streams,
+            "vms": list(self._vms.values()),
+            "faults": self._faults,
+            "counts": dict(self._counts),
+            "waiting_reads": sum(map(len, self._waiting.values())),
+        }
+        resolve(message.reply, state)
+
+
+PLATFORM = web.AppKey("platform", Platform)
+routes = web.RouteTableDef()
+
+STATUSES = {
+    "outage": 503,
+    "rate_cap": 429,
+    "unknown_vm": 404,
+    "bad_fault": 400,
+    "bad_request": 400,
+    "worker_unreachable": 502,
+}
+
+
+def _answer(value: Any) -> web.Response:
+    status = STATUSES[value.code] if isinstance(value, Problem) else 200
+    return json_answer(value, status)
+
+
+async def _hold_back(platform: Platform) -> None:
+    delay_ms = await ask(platform, GetDelay)
+    if delay_ms:
+        await asyncio.sleep(delay_ms / 1_000)
+
+
+@routes.post("/log/{stream}/records")
+async def _append_records(request: web.Request) -> web.Response:
+    platform = request.app[PLATFORM]
+    body = await read_json(request, "records")
+    if not isinstance(body["records"], list) or not body["records"]:
+        return _answer(Problem("bad_request", "records must be a list that is not empty"))
+    # The append takes effect after the delay, even if the caller has given up by then.
+    await _hold_back(platform)
+    value = await ask(platform, Append, request.match_info["stream"], body["records"])
+    if isinstance(value, Problem):
+        return _answer(value)
+    if not value.answered:
+        return drop_connection(request)
+    return json_answer({"first_offset": value.first_offset, "end_offset": value.end_offset})
+
+
+@routes.get("/log/{stream}/records")
+async def _read_records(request: web.Request) -> web.Response:
+    platform = request.app[PLATFORM]
+    try:
+        from_offset = int(request.query.get("from", 0))
+        limit_count = max(1, int(request.query.get("limit", READ_LIMIT_COUNT)))
+        wait_ms = min(max(0.0, float(request.query.get("wait_ms", 0))), READ_WAIT_MS)
+    except ValueError as error:
+        return _answer(Problem("bad_request", str(error)))
+    await _hold_back(platform)
+    stream = request.match_info["stream"]
+    value = await ask(platform, Read, stream, from_offset, limit_count, wait_ms)
+    if isinstance(value, Problem):
+        return _answer(value)
+    text = (
+        f'{{"start_offset": {value.start_offset}, "end_offset": {value.end_offset}, '
+        f'"records": [{", ".join(value.encoded)}]}}'
+    )
+    return web.Response(text=text, content_type="application/json")
+
+
+@routes.get("/vms")
+async def _get_vms(request: web.Request) -> web.Response:
+    return json_answer({"vms": await ask(request.app[PLATFORM], ListVms)})
+
+
+@routes.put("/vms/{name}")
+async def _put_vm(request: web.Request) -> web.Response:
+    body = await read_json(request, "address")
+    return _answer(
+        await ask(request.app[PLATFORM], PutVm, request.match_info["name"], body["address"])
+    )
+
+
+@routes.delete("/vms/{name}")
+async def _delete_vm(request: web.Request) -> web.Response:
+    return _answer(await ask(request.app[PLATFORM], DeleteVm, request.match_info["name"]))
+
+
+@routes.post("/vms/{name}/{action:" + "|".join(VM_ACTIONS) + "}")
+async def _act_on_vm(request: web.Request) -> web.Response:
+    name, action = request.match_info["name"], request.match_info["action"]
+    params = await read_json(request)
+    return _answer(await ask(request.app[PLATFORM], ActOnVm, name, action, params))
+
+
+@routes.get("/state")
+async def _get_state(request: web.Request) -> web.Response:
+    return json_answer(await ask(request.app[PLATFORM], GetState))
+
+
+@routes.post("/control/faults")
+async def _set_fault(request: web.Request) -> web.Response:
+    params = await read_json(request, "fault", "on")
+    name, on = params.pop("fault"), bool(params.pop("on"))
+    return _answer(await ask(request.app[PLATFORM], SetFault, name, on, params))
+
+
+def make_app(platform: Platform) -> web.Application:
+    """Return the HTTP application; it starts and stops the actor."""
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    app[PLATFORM] = platform
+    app.add_routes(routes)
+
+    async def run_actor(_: web.Application) -> Any:
+        platform.start()
+        yield
+        await platform.stop()
+
+    app.cleanup_ctx.append(run_actor)
+    return app
+
+
+def main(
+    address: Annotated[str, typer.Option(help="IP:PORT to listen on; port 0 is any.")] = (
+        "127.0.0.1:0"
+    ),
+    name: Annotated[str, typer.Option(help="Name in the history.")] = "platform",
+    history: Annotated[str, typer.Option(help="File to append events to.")] = "",
+    seed: Annotated[int, typer.Option(help="Seed of injected faults.")] = 1,
+    vm_list_lag_ms: Annotated[float, typer.Option(help="Lag of the VM list.")] = 1_000.0,
+    rate_cap_per_s: Annotated[float, typer.Option(help="Appends a second, all streams.")] = 300.0,
+) -> None:
+    """Run the platform stand-in until SIGTERM."""
+    normal = Faults(lag_ms=vm_list_lag_ms, per_s=rate_cap_per_s)
+
+    async def run() -> None:
+        listener = Listener(make_app(Platform(PlatformSettings(name, history, seed, normal))))
+        await run_until_terminated(lambda: listener.open(address), listener.close)
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    typer.run(main)
