--- a/src/standins/guard.py
+++ b/src/standins/guard.py
@@ -16,6 +16,19 @@
 CHART = load_chart("task")
 
 
+@frozen
+class Work:
+    """What a task does when it runs.
+
+    :param run_ms: how long it runs, whatever was declared; infinite if it never ends.
+    :param echo: part of the answer's body.
+    """
+
+    run_ms: float = 0.0
+    fails: bool = False
+    echo: Any = None
+
+
 @frozen
 class Attempt:
     """One attempt at a request, as an entry VM sent it."""
@@ -26,8 +39,7 @@
     lease_epoch: int
     team: str
     guarded: bool
-    declared_run_ms: float
-    payload: Any
+    work: Work
 
 
 @frozen
--- /dev/null
+++ b/src/standins/network.py
@@ -0,0 +1,413 @@
+"""TCP relay in front of many destinations, so that tests can cut links between data centres."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import socket
+import struct
+from typing import Annotated, Any
+
+import typer
+from aiohttp import web
+from attrs import define, field, frozen
+
+from tarragoncart.mailbox import Actor, receives, resolve
+from tarragoncart.registry import Registry
+
+from .serving import (
+    History,
+    Listener,
+    ask,
+    json_answer,
+    load_chart,
+    read_json,
+    run_until_terminated,
+)
+
+CHART = load_chart("link")
+CONNECT_TIMEOUT_S = 2.0
+# Bytes that a client may send before its destination is connected.
+EARLY_SIZE_BYTES = 64 * 1024
+# Linger with a timeout of 0 makes a close send a reset.
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+# What a link does when a cut of its mode is in force.
+CUT_EVENTS = {"blackhole": "freeze", "reset": "reset"}
+
+actions: Registry[Any] = Registry("link action")
+
+# A data centre's number, or "platform".
+Place = int | str
+
+
+@define(eq=False)
+class Side(asyncio.Protocol):
+    """One of a link's two connections."""
+
+    link: Link
+    transport: asyncio.Transport | None = None
+    early: bytearray = field(factory=bytearray)
+    write_paused: bool = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and tell the link's owner."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.link.side_opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on, or keep them while the destination is not connected."""
+        if self.link.state == "open":
+            self.link.other(self).write(data)
+            return
+        self.early += data
+        if len(self.early) >= EARLY_SIZE_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Close the link; HTTP peers do not close one direction only."""
+        self.link.side_lost()
+        return False
+
+    def connection_lost(self, _: Exception | None) -> None:
+        """Close the link."""
+        self.link.side_lost()
+
+    def pause_writing(self) -> None:
+        """Stop reading from the other side while this one does not drain."""
+        self.write_paused = True
+        self.link.other(self).set_reading(False)
+
+    def resume_writing(self) -> None:
+        """Read from the other side again."""
+        self.write_paused = False
+        self.link.other(self).set_reading(self.link.state == "open")
+
+    def write(self, data: bytes | bytearray) -> None:
+        """Send bytes."""
+        if self.transport is not None and data:
+            self.transport.write(bytes(data))
+
+    def set_reading(self, on: bool) -> None:
+        """Read, or leave arriving bytes in the kernel."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if on:
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+
+
+class Link:
+    """A client's connection to a destination, driven by the events of its chart."""
+
+    def __init__(self, relay: Relay, route: str) -> None:
+        self.state = CHART.initial
+        self.source: Place = 0
+        self.route = route
+        self._relay = relay
+        self._client = Side(self)
+        self._target = Side(self)
+
+    @property
+    def client_protocol(self) -> Side:
+        """The protocol of the client's connection."""
+        return self._client
+
+    def other(self, side: Side) -> Side:
+        """Return the opposite side."""
+        return self._target if side is self._client else self._client
+
+    def side_opened(self, side: Side) -> None:
+        """Report an accepted client or a connected destination to the relay."""
+        if side is self._client:
+            assert side.transport is not None
+            self.source = find_data_centre(side.transport.get_extra_info("peername")[0])
+            self._relay.tell(LinkAccepted(self))
+        else:
+            self._relay.tell(LinkEvent(self, "connected"))
+
+    def side_lost(self) -> None:
+        """Report a closed connection to the relay."""
+        if not CHART.is_final(self.state):
+            self._relay.tell(LinkEvent(self, "lost"))
+
+    def handle(self, event: str) -> None:
+        """Take a step; a closed link accepts no events."""
+        if CHART.accepts(self.state, event):
+            step = CHART.step(self.state, event)
+            self.state = step.state
+            for action in step.actions:
+                actions.get(action)(self)
+
+    @actions.register("connect")
+    def _connect(self) -> None:
+        self._relay.connect(self, self._target)
+
+    @actions.register("hold_bytes")
+    def _hold_bytes(self) -> None:
+        self._client.set_reading(False)
+        self._target.set_reading(False)
+
+    @actions.register("pass_bytes")
+    def _pass_bytes(self) -> None:
+        for side in (self._client, self._target):
+            self.other(side).write(side.early)
+            side.early.clear()
+            side.set_reading(not self.other(side).write_paused)
+
+    @actions.register("abort")
+    def _abort(self) -> None:
+        for side in (self._client, self._target):
+            if side.transport is not None and not side.transport.is_closing():
+                connection = side.transport.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                side.transport.abort()
+
+    @actions.register("close")
+    def _close(self) -> None:
+        for side in (self._client, self._target):
+            if side.transport is not None:
+                side.transport.close()
+
+
+def find_data_centre(ip: str) -> int:
+    """Return N for 127.0.N.x, which is 0 for addresses in no data centre."""
+    address = ipaddress.IPv4Address(ip)
+    return address.packed[2] if address.is_loopback else 0
+
+
+@define
+class Route:
+    """A destination and the port that leads to it."""
+
+    name: str
+    target: str
+    data_centre: Place
+    server: asyncio.Server | None = None
+    address: str = ""
+
+
+@frozen
+class LinkAccepted:
+    """A client has connected."""
+
+    link: Link
+
+
+@frozen
+class LinkEvent:
+    """An event of a link's chart."""
+
+    link: Link
+    event: str
+
+
+@frozen
+class PutRoute:
+    """Add a destination, or change the target of one and keep its port."""
+
+    name: str
+    target: str
+    data_centre: Place
+    reply: asyncio.Future[Route]
+
+
+@frozen
+class SetCut:
+    """Cut or restore the links from one data centre to another."""
+
+    source: Place
+    to: Place
+    on: bool
+    mode: str
+    reply: asyncio.Future[dict[str, Any]]
+
+
+@frozen
+class GetState:
+    """Return routes, cuts and the number of links in each state."""
+
+    reply: asyncio.Future[dict[str, Any]]
+
+
+class Relay(Actor):
+    """Owns the routes, the cuts in force and the links.
+
+    :param host: IP address that the routes listen on.
+    """
+
+    def __init__(self, host: str, history: str = "", name: str = "network") -> None:
+        super().__init__(name)
+        self._host = host
+        self._history = History(history, "network", name)
+        self._routes: dict[str, Route] = {}
+        self._cuts: dict[tuple[Place, Place], str] = {}
+        self._links: set[Link] = set()
+
+    async def closed(self) -> None:
+        """Close all routes and links."""
+        for route in self._routes.values():
+            if route.server is not None:
+                route.server.close()
+        for link in self._links:
+            link.handle("lost")
+        self._history.close()
+
+    @receives(PutRoute)
+    async def _put_route(self, message: PutRoute) -> None:
+        route = self._routes.get(message.name)
+        if route is None:
+            route = Route(message.name, message.target, message.data_centre)
+            route.server = await asyncio.get_running_loop().create_server(
+                lambda: Link(self, message.name).client_protocol, self._host, 0, backlog=512
+            )
+            route.address = "{}:{}".format(*route.server.sockets[0].getsockname()[:2])
+            self._routes[message.name] = route
+        route.target, route.data_centre = message.target, message.data_centre
+        resolve(message.reply, route)
+
+    @receives(SetCut)
+    def _set_cut(self, message: SetCut) -> None:
+        pair = (message.source, message.to)
+        if message.on:
+            self._cuts[pair] = message.mode
+        else:
+            self._cuts.pop(pair, None)
+        self._history.write(
+            "link_cut" if message.on else "link_restored",
+            source_data_centre=message.source,
+            to=message.to,
+            mode=message.mode,
+        )
+        for link in list(self._links):
+            if self._pair(link) == pair:
+                self._apply_cuts(link)
+        resolve(message.reply, self._describe_cuts())
+
+    def _describe_cuts(self) -> dict[str, Any]:
+        cuts = [{"from": a, "to": b, "mode": mode} for (a, b), mode in self._cuts.items()]
+        return {"cuts": cuts}
+
+    def _pair(self, link: Link) -> tuple[Place, Place]:
+        return (link.source, self._routes[link.route].data_centre)
+
+    def _apply_cuts(self, link: Link) -> None:
+        mode = self._cuts.get(self._pair(link))
+        link.handle(CUT_EVENTS[mode] if mode is not None else "restore")
+        self._forget_closed(link)
+
+    def _forget_closed(self, link: Link) -> None:
+        if CHART.is_final(link.state):
+            self._links.discard(link)
+
+    @receives(LinkAccepted)
+    def _link_accepted(self, message: LinkAccepted) -> None:
+        self._links.add(message.link)
+        self._apply_cuts(message.link)
+
+    @receives(LinkEvent)
+    def _link_event(self, message: LinkEvent) -> None:
+        message.link.handle(message.event)
+        self._forget_closed(message.link)
+        if message.event == "connected":
+            self._apply_cuts(message.link)
+
+    def connect(self, link: Link, side: Side) -> None:
+        """Connect a link's destination; the result comes back as a message."""
+        self.spawn(self._connect(link, side, self._routes[link.route].target))
+
+    async def _connect(self, link: Link, side: Side, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: side, host, int(port))
+        except (OSError, TimeoutError):
+            # The client's connection is reset, which is not the refused connection that a
+            # destination without a listener gives: a relay has accepted it before it knows.
+            self.tell(LinkEvent(link, "reset"))
+            return
+        if CHART.is_final(link.state) and side.transport is not None:
+            side.transport.close()
+
+    @receives(GetState)
+    def _get_state(self, message: GetState) -> None:
+        routes_now = {
+            route.name: {
+                "address": route.address,
+                "target": route.target,
+                "data_centre": route.data_centre,
+            }
+            for route in self._routes.values()
+        }
+        states = [link.state for link in self._links]
+        links = {state: states.count(state) for state in sorted(set(states))}
+        resolve(message.reply, {"routes": routes_now, "links": links} | self._describe_cuts())
+
+
+RELAY = web.AppKey("relay", Relay)
+routes = web.RouteTableDef()
+
+
+@routes.post("/routes")
+async def _put_route(request: web.Request) -> web.Response:
+    body = await read_json(request, "name", "target")
+    data_centre = body.get("data_centre") or 0
+    if not isinstance(data_centre, int) and data_centre != "platform":
+        return json_answer({"code": "bad_request", "message": "data_centre"}, 400)
+    route = await ask(request.app[RELAY], PutRoute, body["name"], body["target"], data_centre)
+    return json_answer({"address": route.address})
+
+
+@routes.post("/cuts")
+async def _set_cut(request: web.Request) -> web.Response:
+    body = await read_json(request, "from", "to", "on")
+    mode = body.get("mode", "blackhole")
+    if mode not in CUT_EVENTS or 0 in (body["from"], body["to"]):
+        return json_answer({"code": "bad_request", "message": "mode, from or to"}, 400)
+    return json_answer(
+        await ask(request.app[RELAY], SetCut, body["from"], body["to"], bool(body["on"]), mode)
+    )
+
+
+@routes.get("/state")
+async def _get_state(request: web.Request) -> web.Response:
+    return json_answer(await ask(request.app[RELAY], GetState))
+
+
+def make_app(relay: Relay) -> web.Application:
+    """Return the HTTP application; it starts and stops the actor."""
+    app = web.Application()
+    app[RELAY] = relay
+    app.add_routes(routes)
+
+    async def run_actor(_: web.Application) -> Any:
+        relay.start()
+        yield
+        await relay.stop()
+
+    app.cleanup_ctx.append(run_actor)
+    return app
+
+
+def main(
+    address: Annotated[str, typer.Option(help="IP:PORT to listen on; port 0 is any.")] = (
+        "127.0.0.1:0"
+    ),
+    history: Annotated[str, typer.Option(help="File to append events to.")] = "",
+    name: Annotated[str, typer.Option(help="Name in the history.")] = "network",
+) -> None:
+    """Run the relay until SIGTERM."""
+
+    async def run() -> None:
+        relay = Relay(address.rpartition(":")[0], history, name)
+        listener = Listener(make_app(relay))
+        await run_until_terminated(lambda: listener.open(address), listener.close)
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/standins/platform.py
+++ b/src/standins/platform.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Annotated, Any
 
 import aiohttp
@@ -38,12 +38,23 @@
 VM_ACTIONS = ("drain", "undrain", "reboot")
 WORKER_TIMEOUT_S = 2.0
 RETURN_POLL_S = 0.1
+# Nothing listens there.
+ABSENT_ADDRESS = "127.0.0.1:1"
 READ_LIMIT_COUNT = 1_000
 READ_WAIT_MS = 60_000
 
 faults: Registry[FaultFunction] = Registry("platform fault")
 
 
+@frozen
+class Vm:
+    """A VM as the platform knows it."""
+
+    name: str
+    address: str
+    state: str = VM_CHART.initial
+
+
 @frozen
 class Faults:
     """Injected faults in force; the defaults inject none."""
@@ -54,7 +65,7 @@
     record_count: int | None = None
     lag_ms: float = 1_000.0
     hidden: tuple[str, ...] = ()
-    added: tuple[dict[str, str], ...] = ()
+    added: tuple[Vm, ...] = ()
     per_s: float = 300.0
 
 
@@ -65,43 +76,35 @@
 
 @faults.register("slow")
 def _slow(delay_ms: float = 500.0) -> dict[str, Any]:
-    return {"delay_ms": delay_ms}
+    return {"delay_ms": float(delay_ms)}
 
 
 @faults.register("lose_answers")
 def _lose_answers(ratio: float = 1.0) -> dict[str, Any]:
-    return {"lose_answers_ratio": ratio}
+    return {"lose_answers_ratio": float(ratio)}
 
 
 @faults.register("retention")
 def _retention(record_count: int = 100) -> dict[str, Any]:
-    return {"record_count": record_count}
+    return {"record_count": int(record_count)}
 
 
 @faults.register("vm_list_lag")
 def _vm_list_lag(lag_ms: float = 5_000.0) -> dict[str, Any]:
-    return {"lag_ms": lag_ms}
+    return {"lag_ms": float(lag_ms)}
 
 
 @faults.register("wrong_vm_list")
 def _wrong_vm_list(
-    hidden: tuple[str, ...] = (), added: tuple[dict[str, str], ...] = ()
+    hidden: Iterable[str] = (), added: Iterable[str | Mapping[str, str]] = ()
 ) -> dict[str, Any]:
-    return {"hidden": tuple(hidden), "added": tuple(added)}
+    vms = (Vm(vm, ABSENT_ADDRESS) if isinstance(vm, str) else Vm(**vm) for vm in added)
+    return {"hidden": tuple(hidden), "added": tuple(vms)}
 
 
 @faults.register("rate_cap")
 def _rate_cap(per_s: float = 300.0) -> dict[str, Any]:
-    return {"per_s": per_s}
-
-
-@frozen
-class Vm:
-    """A VM as the platform knows it."""
-
-    name: str
-    address: str
-    state: str = VM_CHART.initial
+    return {"per_s": float(per_s)}
 
 
 @frozen
@@ -328,15 +331,17 @@
         listed = {vm.name: vm for vm in self._vm_list.at(now_ms() - self._faults.lag_ms)}
         for name in self._faults.hidden:
             listed.pop(name, None)
-        for fields in self._faults.added:
-            listed[fields["name"]] = Vm(**fields)
-        resolve(message.reply, list(listed.values()))
+        added = {vm.name: vm for vm in self._faults.added}
+        resolve(message.reply, list((listed | added).values()))
 
     @receives(PutVm)
     def _put_vm(self, message: PutVm) -> None:
-        vm = self._vms.get(message.name, Vm(message.name, message.address))
-        self._change_vm(evolve(vm, address=message.address))
-        resolve(message.reply, self._vms[message.name])
+        vm = self._vms.get(message.name)
+        if vm is None or vm.address != message.address:
+            # Another address is another VM in place of the old one, so it is not leaving.
+            vm = Vm(message.name, message.address)
+            self._change_vm(vm)
+        resolve(message.reply, vm)
 
     @receives(DeleteVm)
     def _delete_vm(self, message: DeleteVm) -> None:
@@ -404,7 +409,7 @@
             self._faults = switch_fault(
                 faults, self._faults, self._normal, message.fault, message.on, message.params
             )
-        except (RegistryError, TypeError) as error:
+        except (RegistryError, TypeError, ValueError) as error:
             resolve(message.reply, Problem("bad_fault", str(error)))
             return
         self._history.write(
--- a/src/standins/serving.py
+++ b/src/standins/serving.py
@@ -15,17 +15,20 @@
 from typing import Any, Generic, TypeVar
 
 from aiohttp import web
-from attrs import asdict, evolve
+from attrs import AttrsInstance, asdict, evolve
 
 from tarragoncart.charts import Chart, parse_chart
 from tarragoncart.mailbox import Actor, new_reply
 from tarragoncart.registry import Registry
 
 T = TypeVar("T")
+FaultsT = TypeVar("FaultsT", bound=AttrsInstance)
 FaultFunction = Callable[..., dict[str, Any]]
 
-# Answers that are being written when the process stops or reboots get this long.
-SHUTDOWN_TIMEOUT_S = 2.0
+# Answers of ended tasks that are still being sent when a worker reboots get this long.
+SUSPEND_TIMEOUT_S = 2.0
+# A stand-in that is terminated breaks its connections, as a VM that dies does.
+CLOSE_TIMEOUT_S = 0.05
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
 
@@ -43,15 +46,15 @@
 
 def switch_fault(
     registry: Registry[FaultFunction],
-    current: T,
-    normal: T,
+    current: FaultsT,
+    normal: FaultsT,
     name: str,
     on: bool,
     params: Mapping[str, Any],
-) -> T:
+) -> FaultsT:
     """Return the faults after one was switched on or off.
 
-    :param registry: functions that return the fields of ``T`` which the fault changes.
+    :param registry: functions that return the fields which the fault changes.
     :param normal: the fields without any fault.
     :raises RegistryError: if there is no such fault.
     :raises TypeError: if it does not take these parameters.
@@ -59,7 +62,7 @@
     changes = registry.get(name)(**params)
     if not on:
         changes = {key: getattr(normal, key) for key in changes}
-    return evolve(current, **changes)  # type: ignore[type-var]
+    return evolve(current, **changes)
 
 
 class Lagged(Generic[T]):
@@ -115,7 +118,7 @@
 
     def __init__(self, app: web.Application) -> None:
         self._runner = web.AppRunner(
-            app, access_log=None, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app, access_log=None, handle_signals=False, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         self._site: web.SockSite | None = None
         self._reserved: socket.socket | None = None
@@ -143,7 +146,7 @@
         # A socket that is bound but does not listen makes the kernel refuse connections and
         # keeps other processes from taking the port.
         self._reserved = _bind(self._endpoint)
-        await self._runner.server.shutdown(SHUTDOWN_TIMEOUT_S)
+        await self._runner.server.shutdown(SUSPEND_TIMEOUT_S)
 
     async def resume(self) -> None:
         """Listen again after :meth:`suspend`."""
--- a/src/standins/worker.py
+++ b/src/standins/worker.py
@@ -7,19 +7,19 @@
 import random
 import time
 import uuid
-from collections.abc import Mapping
-from typing import Annotated, Any, TypeVar
+from collections.abc import Callable, Mapping
+from typing import Annotated, Any
 
 import typer
 from aiohttp import web
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, frozen
 
 from tarragoncart import defaults
 from tarragoncart.errors import RegistryError
 from tarragoncart.mailbox import Actor, receives, resolve
 from tarragoncart.registry import Registry
 
-from .guard import Attempt, Guard, Lease, Refusal, Result, Start
+from .guard import Attempt, Guard, Lease, Refusal, Result, Start, Work
 from .serving import (
     BODY_LIMIT_BYTES,
     FaultFunction,
@@ -39,9 +39,8 @@
 CHART = load_chart("worker")
 REBOOT_MS = 2_000.0
 
-T = TypeVar("T")
 faults: Registry[FaultFunction] = Registry("worker fault")
-actions: Registry[Any] = Registry("worker action")
+actions: Registry[Callable[..., None]] = Registry("worker action")
 
 
 @frozen
@@ -108,13 +107,13 @@
     """
 
     attempt: Attempt
+    reply: asyncio.Future[Delivery | Refusal]
     work_left_ms: float
     fails: bool
     resumed_at_ms: float
     speed: float = 1.0
     done_ms: float = 0.0
     timer: asyncio.TimerHandle | None = None
-    waiting: list[asyncio.Future[Delivery]] = field(factory=list)
 
 
 @frozen
@@ -354,7 +353,7 @@
             sum(task.speed for task in self._tasks.values()),
             at_ms,
         )
-        self._usage.push(at_ms, usage)
+        self._usage.push(at_ms, usage, keep_ms=self.settings.usage_lag_ms + 1_000)
 
     def _view(self, request_id: str) -> TaskView:
         entry = self._guard.find(request_id)
@@ -368,7 +367,7 @@
     def _request_lease(self, message: RequestLease) -> None:
         lease = self._guard.grant_lease(message.incarnation, now_ms())
         if isinstance(lease, Refusal):
-            self._history.write("refused", code=lease.code, incarnation=message.incarnation)
+            self._history.write("lease_refused", code=lease.code, incarnation=message.incarnation)
             resolve(message.reply, lease)
             return
         grant = LeaseGrant(evolve(lease), len(self._tasks), self._leaving, self.boot_id)
@@ -390,16 +389,12 @@
             return
         resolve(message.reply, self._deliver(ruling))
 
-    def _start(self, attempt: Attempt, reply: asyncio.Future[Delivery]) -> None:
-        payload = attempt.payload if isinstance(attempt.payload, dict) else {}
-        work_ms = float(payload.get("run_ms", attempt.declared_run_ms)) * self._faults.slow_factor
-        if payload.get("never_ends"):
-            work_ms = float("inf")
-        fails = bool(payload.get("fail"))
+    def _start(self, attempt: Attempt, reply: asyncio.Future[Delivery | Refusal]) -> None:
+        work_ms, fails = attempt.work.run_ms * self._faults.slow_factor, attempt.work.fails
         if self._faults.fail_all:
             work_ms, fails = self._faults.fail_after_ms, True
         work_ms *= self.settings.time_scale
-        task = Task(attempt, work_ms, fails, now_ms(), waiting=[reply])
+        task = Task(attempt, reply, work_ms, fails, now_ms())
         self._tasks[attempt.request_id] = task
         self._schedule(task)
         self._record("started", attempt)
@@ -440,9 +435,7 @@
         task = self._tasks.pop(request_id)
         if task.timer is not None:
             task.timer.cancel()
-        payload = task.attempt.payload
-        echo = payload.get("echo") if isinstance(payload, dict) else payload
-        body = {"echo": echo, "worker": self.name, "request_id": request_id}
+        body = {"echo": task.attempt.work.echo, "worker": self.name, "request_id": request_id}
         names = self._guard.end(request_id, event, body, now_ms())
         result = self._guard.find(request_id).result
         assert result is not None
@@ -450,8 +443,7 @@
         for name in names:
             actions.get(name)(self, task.attempt, result)
         delivery = self._deliver(result)
-        for reply in task.waiting:
-            resolve(reply, delivery)
+        resolve(task.reply, delivery)
         self._note_usage()
         self._check_stopped()
 
@@ -539,10 +531,9 @@
     def _record_leaving(self) -> None:
         self._history.write("leaving")
 
-    @actions.register("begin_stop")
-    def _begin_stop(self) -> None:
-        # Callers that were refused are answered before the last task ends.
-        pass
+    @actions.register("record_serving")
+    def _record_serving(self) -> None:
+        self._history.write("serving")
 
     @actions.register("go_down")
     def _go_down(self) -> None:
@@ -669,22 +660,37 @@
     return json_answer(answer)
 
 
-@routes.post("/attempts")
-async def _attempt(request: web.Request) -> web.StreamResponse:
-    worker = request.app[WORKER]
-    body = await read_json(
-        request, "attempt_id", "request_id", "incarnation", "lease_epoch", "team", "guarded"
+def _decode_attempt(body: dict[str, Any]) -> Attempt:
+    payload = body.get("payload")
+    fields = payload if isinstance(payload, dict) else {"echo": payload}
+    declared_run_ms = body.get("declared_run_ms") or 0.0
+    run_ms = max(0.0, float(fields.get("run_ms", declared_run_ms)))
+    work = Work(
+        float("inf") if fields.get("never_ends") else run_ms,
+        bool(fields.get("fail")),
+        fields.get("echo"),
     )
-    attempt = Attempt(
+    return Attempt(
         str(body["attempt_id"]),
         str(body["request_id"]),
         str(body["incarnation"]),
         int(body["lease_epoch"]),
         str(body["team"]),
         bool(body["guarded"]),
-        float(body.get("declared_run_ms") or 0.0),
-        body.get("payload"),
+        work,
+    )
+
+
+@routes.post("/attempts")
+async def _attempt(request: web.Request) -> web.StreamResponse:
+    worker = request.app[WORKER]
+    body = await read_json(
+        request, "attempt_id", "request_id", "incarnation", "lease_epoch", "team", "guarded"
     )
+    try:
+        attempt = _decode_attempt(body)
+    except (TypeError, ValueError) as error:
+        return json_answer({"code": "bad_request", "message": str(error)}, 400)
     over_limit = worker.listener.is_over(request, worker.settings.connection_limit_count)
     delivery = await ask(worker, StartAttempt, attempt, over_limit)
     if isinstance(delivery, Refusal):
