Add the operators' library, client and command

The client tries the next entry VM only when a change cannot have been sent, so that no change is made twice.

--- /dev/null
+++ b/src/tarragoncart/cli.py
@@ -0,0 +1,293 @@
+"""The ``tarragoncart`` command.
+
+Exit status: 0 done, 1 refused or not finished, 2 wrong arguments or files.
+"""
+
+from __future__ import annotations
+
+import getpass
+import importlib
+import json
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Annotated, Any
+
+import attrs
+import typer
+
+from . import audit, defaults, operator_api, settings
+from .errors import RequestError, SettingsError
+from .model import FleetConfig
+from .operator_api import Operator, Withdrawal
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
+key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw teams' keys.")
+wave_app = typer.Typer(no_args_is_help=True, help="Drive maintenance waves.")
+app.add_typer(key_app, name="key")
+app.add_typer(wave_app, name="wave")
+
+Entries = Annotated[
+    list[str],
+    typer.Option("--entry", envvar="TARRAGONCART_ENTRY", help="Entry VM IP:PORT; repeatable."),
+]
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # Containers often have no entry for the user ID.
+        return "operator"
+
+
+Author = Annotated[
+    str,
+    typer.Option(
+        "--author",
+        envvar="TARRAGONCART_AUTHOR",
+        default_factory=_user,
+        help="Name recorded in the audit trail.",
+    ),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print the entry VM's answer as JSON.")]
+
+
+def main() -> None:
+    """Run the command."""
+    app()
+
+
+@contextmanager
+def _reported() -> Iterator[None]:
+    """Print errors on standard error and turn them into an exit status."""
+    errors: Sequence[Exception]
+    try:
+        yield
+        return
+    except ExceptionGroup as group:
+        errors = group.exceptions
+    except RequestError as error:
+        errors = (error,)
+    for error in errors:
+        if isinstance(error, SettingsError):
+            typer.echo(f"{error.peer}: {error.message}", err=True)
+        elif isinstance(error, RequestError):
+            limit = f", limit {error.limit}" if error.limit else ""
+            typer.echo(f"{error.code}: {error}{limit}", err=True)
+    raise typer.Exit(2 if isinstance(errors[0], SettingsError) else 1)
+
+
+def _ask(entries: Sequence[str], author: str, work: Callable[[Operator], Awaitable[Any]]) -> Any:
+    with _reported():
+        return operator_api.run(entries, author, work)
+
+
+def _print_json(data: Any) -> None:
+    typer.echo(json.dumps(data, indent=2))
+
+
+def _print_table(header: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    lines = [list(header), *([str(value) for value in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        typer.echo("  ".join(cells).rstrip())
+
+
+@app.command()
+def entry(path: Annotated[Path, typer.Argument(metavar="SETTINGS")]) -> None:
+    """Run an entry VM until it is told to stop."""
+    with _reported():
+        entry_settings = settings.load_entry_settings(path)
+    # The daemon loads the whole server, which the operators' commands do not need.
+    importlib.import_module("tarragoncart.daemon").run(entry_settings)
+
+
+@app.command()
+def check(path: Annotated[Path, typer.Argument(metavar="FILE")]) -> None:
+    """Check a settings file or a fleet configuration and print every problem with its path."""
+    with _reported():
+        data = settings.read_file(path)
+        sections = {field.name for field in attrs.fields(FleetConfig)}
+        if isinstance(data, dict) and sections & set(data):
+            config = settings.parse_fleet_config(data)
+            counts = (f"{len(getattr(config, s))} {s}" for s in ("queues", "teams", "pools", "vms"))
+            typer.echo(f"{path}: fleet configuration with {', '.join(counts)}")
+        else:
+            name = settings.parse_entry_settings(data).name
+            typer.echo(f"{path}: settings of entry VM {name}")
+
+
+@app.command()
+def publish(
+    path: Annotated[Path, typer.Argument(metavar="FILE")],
+    entries: Entries,
+    author: Author,
+    base_version: Annotated[
+        int | None, typer.Option(help="Version that the file replaces; default: the one in force.")
+    ] = None,
+) -> None:
+    """Check a fleet configuration and put it in force."""
+    with _reported():
+        config = settings.load_fleet_config(path)
+    answer = _ask(entries, author, lambda operator: operator.publish(config, base_version))
+    typer.echo(f"version {answer['version']} at offset {answer['offset']}")
+
+
+@key_app.command("grant")
+def grant_key(
+    team: str,
+    entries: Entries,
+    author: Author,
+    cutoff_grace_s: Annotated[
+        float, typer.Option(min=0, help="How much longer an entry VM that is cut off honours it.")
+    ] = 0.0,
+) -> None:
+    """Make a key for a team; it is shown only once."""
+    answer = _ask(entries, author, lambda operator: operator.grant_key(team, cutoff_grace_s))
+    typer.echo(f"key     {answer['key']}\nkey ID  {answer['key_id']}")
+
+
+@key_app.command("withdraw")
+def withdraw_key(
+    key_id: str,
+    entries: Entries,
+    author: Author,
+    timeout_s: Annotated[float, typer.Option(min=0, help="Longest wait for all entry VMs.")] = 30.0,
+) -> None:
+    """Withdraw a key and wait until no entry VM honours it."""
+
+    def report(progress: Withdrawal) -> None:
+        if progress.missing:
+            typer.echo(f"waiting for {', '.join(progress.missing)}")
+
+    progress = _ask(
+        entries, author, lambda operator: operator.withdraw_key(key_id, timeout_s, report)
+    )
+    if not progress.complete:
+        names = ", ".join(progress.missing) or "the log"
+        typer.echo(f"not complete after {timeout_s:g} s; missing: {names}", err=True)
+        raise typer.Exit(1)
+    typer.echo("withdrawn everywhere")
+
+
+@app.command()
+def pools(entries: Entries, author: Author, as_json: AsJson = False) -> None:
+    """Show the pools with their availability budgets."""
+    state = _ask(entries, author, Operator.status)
+    if as_json:
+        _print_json(state["pools"])
+    else:
+        _print_pools(state["pools"])
+
+
+def _print_pools(items: dict[str, dict[str, Any]]) -> None:
+    columns = ("vm_count", "unavailable_count", "max_unavailable_count")
+    _print_table(("pool", "vms", "unavailable", "max_unavailable"), _rows(items, columns))
+
+
+@app.command()
+def status(entries: Entries, author: Author, as_json: AsJson = False) -> None:
+    """Show entry VMs, teams, pools and waves as one entry VM sees them."""
+    state = _ask(entries, author, Operator.status)
+    if as_json:
+        _print_json(state)
+        return
+    typer.echo(
+        f"{state['name']} in {state['data_centre']}: {state['state']},"
+        f" configuration {state['config_version']}, offset {state['offset']},"
+        f" view {state['age_ms']} ms old\n"
+    )
+    columns: tuple[str, ...] = ("name", "data_centre", "offset", "silent_ms")
+    members = ([member[column] for column in columns] for member in state["members"])
+    _print_table(("entry", "data_centre", "offset", "silent_ms"), members)
+    typer.echo()
+    columns = ("limit_count", "rights_count", "running_count", "waiting_count")
+    header = ("team", "limit", "rights", "running", "waiting")
+    _print_table(header, _rows(state["teams"], columns))
+    typer.echo()
+    _print_pools(state["pools"])
+    for name, wave in state.get("waves", {}).items():
+        typer.echo(f"wave {name}: {json.dumps(wave)}")
+
+
+def _rows(items: dict[str, dict[str, Any]], columns: Sequence[str]) -> Iterator[list[Any]]:
+    for name, item in sorted(items.items()):
+        yield [name, *(item[column] for column in columns)]
+
+
+@app.command()
+def explain(
+    kind: Annotated[str, typer.Argument(help=" | ".join(audit.EXPLAINED_KINDS))],
+    name: Annotated[str, typer.Argument(metavar="ID")],
+    entries: Entries,
+    author: Author,
+    as_json: AsJson = False,
+) -> None:
+    """Show what happened to a job, a VM or a team, and why."""
+    if kind not in audit.EXPLAINED_KINDS:
+        raise typer.BadParameter(f"kind must be one of {', '.join(audit.EXPLAINED_KINDS)}")
+    found = _ask(entries, author, lambda operator: operator.explain(kind, name))
+    if as_json:
+        _print_json(found)
+        return
+    for item in found:
+        typer.echo(audit.sentence(audit.entry_from_json(item)))
+    if not found:
+        typer.echo(f"the log has nothing about {kind} {name}", err=True)
+        raise typer.Exit(1)
+
+
+@wave_app.command("start")
+def start_wave(
+    wave: str,
+    pool_names: Annotated[list[str], typer.Argument(metavar="POOL...")],
+    entries: Entries,
+    author: Author,
+) -> None:
+    """Start a maintenance wave over all VMs of the pools."""
+    _print_json(_ask(entries, author, lambda operator: operator.start_wave(wave, pool_names)))
+
+
+@wave_app.command("resume")
+def resume_wave(wave: str, entries: Entries, author: Author) -> None:
+    """Resume a wave that halted because VMs did not come back."""
+    _print_json(_ask(entries, author, lambda operator: operator.control_wave(wave, "resume")))
+
+
+@wave_app.command("cancel")
+def cancel_wave(wave: str, entries: Entries, author: Author) -> None:
+    """Stop no further VMs in a wave."""
+    _print_json(_ask(entries, author, lambda operator: operator.control_wave(wave, "cancel")))
+
+
+@app.command()
+def move(vm: str, pool: str, entries: Entries, author: Author) -> None:
+    """Move a VM to another pool once it has drained."""
+    _print_json(_ask(entries, author, lambda operator: operator.move_vm(vm, pool)))
+
+
+@app.command()
+def submit(
+    queue: str,
+    entries: Entries,
+    key: Annotated[str, typer.Option(envvar="TARRAGONCART_KEY", help="The team's key.")] = "",
+    payload: Annotated[str, typer.Option(help="JSON for the worker.")] = "{}",
+    deadline_ms: Annotated[int, typer.Option(min=1)] = defaults.DEADLINE_DEFAULT_MS,
+    declared_run_ms: Annotated[int, typer.Option(min=0)] = 0,
+) -> None:
+    """Submit one job, for trying a queue out; services use the client library."""
+    try:
+        decoded = json.loads(payload)
+    except ValueError as error:
+        raise typer.BadParameter(f"payload is not JSON: {error}") from None
+    _print_json(
+        _ask(
+            entries,
+            "",
+            lambda operator: operator.submit(
+                queue, decoded, key=key, deadline_ms=deadline_ms, declared_run_ms=declared_run_ms
+            ),
+        )
+    )
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,52 @@
 
 METER_NAME = "tarragoncart"
 
+# Instruments of the API forward to the SDK's once an exporter is set, and do nothing before.
+_meter = api.get_meter(METER_NAME)
+
+
+def _counter(name: str, unit: str, description: str) -> api.Counter:
+    return _meter.create_counter(f"{METER_NAME}.{name}", f"{{{unit}}}", description)
+
+
+def _duration(name: str, description: str) -> api.Histogram:
+    return _meter.create_histogram(f"{METER_NAME}.{name}", "ms", description)
+
+
+# Callers: attributes queue, outcome, code.
+REQUESTS = _counter("requests", "request", "Requests answered, by queue and outcome.")
+REFUSALS = _counter("refusals", "request", "Requests refused as not run, by code.")
+FORWARDS = _counter("forwards", "request", "Requests forwarded to another entry VM.")
+REQUEST_DURATION = _duration("request.duration", "From a request's arrival to its answer.")
+WAIT_DURATION = _duration("wait.duration", "From a job's admission to its first attempt.")
+
+# Upstreams: attributes pool, verdict.
+ATTEMPTS = _counter("attempts", "attempt", "Attempts ended, by verdict.")
+RETRIES = _counter("retries", "attempt", "Attempts after the first of a job.")
+DISCARDED_ANSWERS = _counter("answers.discarded", "answer", "Late, swapped or truncated answers.")
+GUARD_QUERIES = _counter("guard.queries", "query", "Questions to a worker's guard table.")
+EJECTIONS = _counter("ejections", "event", "Upstreams ejected.")
+ATTEMPT_DURATION = _duration("attempt.duration", "From the first byte sent to the verdict.")
+
+# The log: attributes result.
+APPENDS = _counter("log.appends", "append", "Appends ended, by result.")
+RECORDS = _counter("log.records", "record", "Records applied, by kind and ruling.")
+APPEND_DURATION = _duration("log.append.duration", "From an append's start to its answer.")
+CONFIG_DURATION = _duration("config.duration", "From a publish to its being in force here.")
+
+# Other entry VMs and the fleet.
+HEARTBEATS = _counter("peer.heartbeats", "heartbeat", "Heartbeats sent, by result.")
+RIGHTS_MOVED = _counter("rights.moved", "right", "Rights taken, passed on or returned.")
+VM_MOVES = _counter("vm.moves", "move", "Moves of VMs between pools.")
+VM_STOPS = _counter("vm.stops", "stop", "Planned stops, by result.")
+
+
+@functools.lru_cache(maxsize=4_096)
+def labels(**values: str) -> dict[str, str]:
+    """Return the attributes of a measurement; equal ones share a dictionary, do not change it."""
+    return values
+
+
 ReaderFactory = Callable[[], Any]
 
 METRICS_EXPORTERS: Registry[ReaderFactory] = Registry("metrics exporter")
--- /dev/null
+++ b/src/tarragoncart/operator_api.py
@@ -0,0 +1,264 @@
+"""Client of the operators' interface of the entry VMs."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+from attrs import define, field, frozen
+
+from . import defaults
+from .errors import RequestError
+from .model import FleetConfig
+from .records import converter
+
+# Longer than an append with its read-back, which a change has to wait for.
+REQUEST_TIMEOUT_MS = 10_000
+WITHDRAWAL_POLL_MS = 200
+
+# Repeating one of these at another entry VM does not do anything twice.
+_REPEATABLE = ("GET", "DELETE")
+
+
+@frozen
+class Withdrawal:
+    """Progress of the withdrawal of a key.
+
+    :param missing: entry VMs that may still honour the key.
+    """
+
+    offset: int | None
+    complete: bool
+    missing: tuple[str, ...] = ()
+
+
+@define
+class Operator:
+    """Talks to the first reachable entry VM; an asynchronous context manager.
+
+    :param addresses: client addresses ``IP:PORT`` of entry VMs, in order of preference.
+    :param author: who is recorded in the audit trail.
+    """
+
+    addresses: tuple[str, ...]
+    author: str
+    timeout_ms: int = REQUEST_TIMEOUT_MS
+    _session: aiohttp.ClientSession | None = field(default=None, init=False, repr=False)
+
+    async def __aenter__(self) -> Operator:
+        timeout = aiohttp.ClientTimeout(
+            total=self.timeout_ms / 1_000, sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000
+        )
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        params: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Any:
+        """Return the decoded answer of the first entry VM that can be reached.
+
+        A change that may have been sent is not repeated elsewhere.
+
+        :raises RequestError: with the error that the entry VM answered; with code
+            ``unreachable`` if no entry VM was reached, and with code ``outcome_unknown`` if a
+            change was sent but not answered.
+        """
+        assert self._session is not None, "use Operator as a context manager"
+        request = functools.partial(
+            self._session.request, method, json=body, params=params, headers=headers
+        )
+        step = f"{method} {path}"
+        last_error: Exception | None = None
+        for address in self.addresses:
+            try:
+                async with request(f"http://{address}{path}") as response:
+                    return await _decode(response, step, address)
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+                last_error = error
+            except (aiohttp.ClientError, TimeoutError) as error:
+                if method not in _REPEATABLE:
+                    raise RequestError(
+                        f"sent but not answered, so it may have taken effect: {error!r}",
+                        code="outcome_unknown",
+                        status=504,
+                        step=step,
+                        peer=address,
+                    ) from error
+                last_error = error
+        raise RequestError(
+            f"no entry VM was reached: {last_error!r}",
+            code="unreachable",
+            status=503,
+            step=step,
+            peer=", ".join(self.addresses),
+        ) from last_error
+
+    async def status(self) -> dict[str, Any]:
+        """Return the state of the fleet as one entry VM sees it."""
+        return await self.call("GET", "/v1/status")
+
+    async def publish(self, config: FleetConfig, base_version: int | None = None) -> dict[str, Any]:
+        """Publish a configuration and return its version and offset.
+
+        :param base_version: the version that it replaces; by default the one in force now.
+        :raises RequestError: with code ``version_conflict`` if another version is in force.
+        """
+        if base_version is None:
+            base_version = (await self.status())["config_version"]
+        body = {
+            "base_version": base_version,
+            "config": converter().unstructure(config),
+            "author": self.author,
+        }
+        return await self.call("POST", "/v1/config", body)
+
+    async def grant_key(self, team: str, cutoff_grace_s: float = 0.0) -> dict[str, Any]:
+        """Return a new key of a team, its ID and its offset; the key is not shown again."""
+        body = {"team": team, "cutoff_grace_s": cutoff_grace_s, "author": self.author}
+        return await self.call("POST", "/v1/keys", body)
+
+    async def withdraw_key(
+        self,
+        key_id: str,
+        timeout_s: float = 30.0,
+        report: Callable[[Withdrawal], None] = lambda _: None,
+    ) -> Withdrawal:
+        """Withdraw a key and wait until no entry VM honours it any more.
+
+        An entry VM that has not reached the withdrawal's offset stops honouring the key by itself
+        once its view is older than the freshness bound and the key's grace. The latter counts
+        only if the answer tells ``cutoff_grace_s``.
+
+        :param timeout_s: longest wait; the last progress is returned when it ends.
+        :param report: called whenever the missing entry VMs change.
+        """
+        # Started before the call, the bound would be passed too early by the call's duration.
+        path = f"/v1/keys/{quote(key_id, safe='')}"
+        answer = await self.call("DELETE", path, params={"author": self.author})
+        started_s = time.monotonic()
+        offset = answer.get("offset")
+        progress = Withdrawal(offset, answer["complete"], tuple(answer.get("missing", ())))
+        bound_s = None
+        if "cutoff_grace_s" in answer:
+            bound_s = defaults.KEY_FRESHNESS_MS / 1_000 + answer["cutoff_grace_s"]
+        report(progress)
+        while not progress.complete:
+            elapsed_s = time.monotonic() - started_s
+            if bound_s is not None and elapsed_s > bound_s:
+                return Withdrawal(offset, True)
+            if elapsed_s > timeout_s:
+                return progress
+            await asyncio.sleep(WITHDRAWAL_POLL_MS / 1_000)
+            try:
+                missing = _missing(progress.missing, offset, await self.status())
+            except RequestError:
+                continue
+            complete = offset is not None and not missing
+            if missing != progress.missing or complete:
+                progress = Withdrawal(offset, complete, missing)
+                report(progress)
+        return progress
+
+    async def explain(self, kind: str, name: str) -> list[dict[str, Any]]:
+        """Return the audit entries about a ``job``, ``vm`` or ``team``."""
+        path = f"/v1/explain/{quote(kind, safe='')}/{quote(name, safe='')}"
+        return (await self.call("GET", path))["entries"]
+
+    async def start_wave(self, wave: str, pools: Sequence[str]) -> dict[str, Any]:
+        """Start a maintenance wave over all VMs of some pools."""
+        body = {"wave": wave, "pools": list(pools), "author": self.author}
+        return await self.call("POST", "/v1/waves", body)
+
+    async def control_wave(self, wave: str, event: str) -> dict[str, Any]:
+        """Apply ``resume`` or ``cancel`` to a wave."""
+        path = f"/v1/waves/{quote(wave, safe='')}/{event}"
+        return await self.call("POST", path, {"author": self.author})
+
+    async def move_vm(self, vm: str, to_pool: str) -> dict[str, Any]:
+        """Move a VM to another pool once it has drained."""
+        body = {"vm": vm, "to_pool": to_pool, "author": self.author}
+        return await self.call("POST", "/v1/moves", body)
+
+    async def submit(
+        self,
+        queue: str,
+        payload: Any,
+        *,
+        key: str = "",
+        deadline_ms: int = defaults.DEADLINE_DEFAULT_MS,
+        declared_run_ms: int = 0,
+    ) -> dict[str, Any]:
+        """Submit one job under an ID of its own, to try a queue out.
+
+        :param deadline_ms: from now.
+        """
+        body = {
+            "request_id": uuid.uuid4().hex,
+            "deadline_ms": deadline_ms,
+            "payload": payload,
+            "declared_run_ms": declared_run_ms,
+        }
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        return await self.call(
+            "POST", f"/v1/queues/{quote(queue, safe='')}/jobs", body, headers=headers
+        )
+
+
+def _missing(
+    missing: tuple[str, ...], offset: int | None, status: dict[str, Any]
+) -> tuple[str, ...]:
+    """Return the names that have not reached the offset.
+
+    A name that has left the members stays: it may be cut off rather than gone.
+    """
+    if offset is None:
+        return missing
+    reached = {item["name"] for item in status["members"] if item["offset"] >= offset}
+    if status["offset"] >= offset:
+        reached.add(status["name"])
+    return tuple(name for name in missing if name not in reached)
+
+
+async def _decode(response: aiohttp.ClientResponse, step: str, address: str) -> Any:
+    try:
+        answer = await response.json(content_type=None)
+    except ValueError:
+        answer = {"error": {"code": "invalid_answer", "message": "answer is not JSON"}}
+    error = answer.get("error") if isinstance(answer, dict) else None
+    if response.status < 400 and not error:
+        return answer
+    error = error or {}
+    raise RequestError(
+        error.get("message") or f"status {response.status}",
+        code=error.get("code", "unknown"),
+        status=response.status,
+        step=error.get("step") or step,
+        peer=error.get("peer") or address,
+        limit=error.get("limit") or "",
+    )
+
+
+def run(addresses: Sequence[str], author: str, work: Callable[[Operator], Awaitable[Any]]) -> Any:
+    """Run work that needs an :class:`Operator` from synchronous code and return its result."""
+
+    async def session() -> Any:
+        async with Operator(tuple(addresses), author) as operator:
+            return await work(operator)
+
+    return asyncio.run(session())
