Add the history reader and the twelve history checks

Cause: runs of real processes need a judge that shares no code with what it judges. Conclusion: on an empty directory all twelve report "not covered".

--- /dev/null
+++ b/src/bench/checks.py
@@ -0,0 +1,797 @@
+"""History checks: whether a recorded run kept the guarantees of section 1 of the design page.
+
+Bounds are those of the page. ``python -m bench.checks DIR`` judges the histories of a directory.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import sys
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from attrs import Factory, evolve, frozen
+
+from tarragoncart.registry import Registry
+
+from .history import (
+    Event,
+    History,
+    LogRecord,
+    log_records,
+    outages,
+    pairwise_drops,
+    reachable_deadline_ms,
+    read_history,
+    targets_of,
+    task_spans,
+)
+from .vm_model import VmModel
+
+CONFIG_BOUND_MS = 9_000
+KEY_BOUND_MS = 5_000
+LEAVING_BOUND_MS = 5_000
+# An entry VM that is stopped has this long to finish; what its callers lose meanwhile counts.
+STOP_DURATION_MS = 30_000
+
+LIVE_VM_STATES = frozenset({"live", "in_service", "up"})
+FAILED_VM_STATES = frozenset({"down", "dead", "failed"})
+GOOD_OUTCOMES = frozenset({"answered", "accepted"})
+SHOWN_DETAIL_COUNT = 10
+
+
+class Verdict(StrEnum):
+    """Result of a check; a run without an event to judge says nothing."""
+
+    HELD = "held"
+    BROKEN = "broken"
+    NOT_COVERED = "not covered"
+
+
+@frozen
+class Finding:
+    """What a check found.
+
+    :param event_count: events that were judged.
+    :param details: one sentence for each violation.
+    :param figures: the totals that the check measured.
+    """
+
+    name: str
+    verdict: Verdict
+    event_count: int
+    details: tuple[str, ...] = ()
+    figures: Mapping[str, float] = Factory(dict)
+
+
+Check = Callable[[History], Finding]
+CHECKS: Registry[Check] = Registry("history check")
+
+
+def check(name: str) -> Callable[[Check], Check]:
+    """Register a check under the name of its guarantee."""
+    return CHECKS.register(name)
+
+
+def conclude(name: str, judged: Iterable[str], **figures: float) -> Finding:
+    """Return the finding on judged events; each is a violation's sentence, or empty if good."""
+    sentences = list(judged)
+    details = tuple(sentence for sentence in sentences if sentence)
+    verdict = Verdict.BROKEN if details else Verdict.HELD if sentences else Verdict.NOT_COVERED
+    return Finding(name, verdict, len(sentences), details, figures)
+
+
+# Configurations and keys that the history shows
+
+
+@frozen
+class ConfigVersion:
+    """A configuration version.
+
+    :param known_ms: earliest time at which a process can have known it.
+    :param accepted_ms: when an operator or caller first saw it in force; infinite if none did.
+    :param limits: upper limit of each team; None if the history does not say.
+    :param queue_pools: pool of each queue.
+    """
+
+    version: int
+    known_ms: float
+    accepted_ms: float = math.inf
+    limits: Mapping[str, int] | None = None
+    queue_pools: Mapping[str, str] = Factory(dict)
+    open_queues: frozenset[str] = frozenset()
+
+
+def config_versions(history: History) -> list[ConfigVersion]:
+    """Return every version, from the log's records and, where it has none, operators' replies.
+
+    Version 0 stands for the runner's ``config`` event, if that has ``limits``.
+    """
+    versions: dict[int, ConfigVersion] = {}
+    for event in history.select("runner", "config"):
+        if "limits" in event.fields:
+            versions[0] = ConfigVersion(0, event.at_ms, event.at_ms, event["limits"])
+    for record in log_records(history.select("platform", "append")):
+        if record.kind == "publish" and record.record["base_version"] == max(versions, default=0):
+            version = record.record["base_version"] + 1
+            versions[version] = _logged_version(version, record)
+    sent_ms: dict[str, float] = {}
+    for event in history.select("operator", "publish", "publish_reply"):
+        if event.event == "publish":
+            sent_ms[event.name] = event.at_ms
+        elif event.get("accepted"):
+            known_ms = sent_ms.get(event.name, event.at_ms)
+            versions.setdefault(
+                event["version"],
+                ConfigVersion(event["version"], known_ms, limits=event.get("limits")),
+            )
+    seen = _first_seen(history)
+    return [
+        evolve(version, accepted_ms=min(version.accepted_ms, _seen_ms(seen, number)))
+        for number, version in sorted(versions.items())
+    ]
+
+
+def _logged_version(version: int, record: LogRecord) -> ConfigVersion:
+    config = record.record["config"]
+    return ConfigVersion(
+        version,
+        record.at_ms,
+        limits={team["name"]: team["upper_limit_count"] for team in config["teams"]},
+        queue_pools={queue["name"]: queue["pool"] for queue in config["queues"]},
+        open_queues=frozenset(q["name"] for q in config["queues"] if q.get("open_to_all")),
+    )
+
+
+def _first_seen(history: History) -> dict[int, float]:
+    seen: dict[int, float] = {}
+    accepted = (e for e in history.select("operator", "publish_reply") if e.get("accepted"))
+    shown = [(e.at_ms, e["version"]) for e in accepted]
+    shown += [(e.at_ms, e["config_version"]) for e in history.select("operator", "status")]
+    replies = history.select("caller", "reply", "query_reply")
+    shown += [(e.at_ms, e.get("config_version") or 0) for e in replies]
+    for at_ms, version in shown:
+        seen[version] = min(at_ms, seen.get(version, math.inf))
+    return seen
+
+
+def _seen_ms(seen: Mapping[int, float], version: int) -> float:
+    return min((at_ms for number, at_ms in seen.items() if number >= version), default=math.inf)
+
+
+def open_queues(history: History) -> frozenset[str]:
+    """Return the queues that need no key in some version of the configuration."""
+    named = {event["queue"] for event in history.select("runner", "open_queue")}
+    return frozenset(named.union(*(v.open_queues for v in config_versions(history))))
+
+
+@frozen
+class Grant:
+    """A key's grant."""
+
+    key_id: str
+    team: str
+    at_ms: float
+    grace_ms: float
+
+
+def key_grants(history: History) -> dict[str, list[Grant]]:
+    """Return the grants of each key: the log's records, or else the operators' replies."""
+    grants: dict[str, list[Grant]] = defaultdict(list)
+    for record in log_records(history.select("platform", "append")):
+        if record.kind == "key_grant":
+            grants[record.record["grant"]["key_id"]].append(
+                _grant(record.at_ms, record.record["grant"])
+            )
+    logged = set(grants)
+    for event in history.select("operator", "key_grant_reply"):
+        if event["key_id"] not in logged and event.get("accepted", True):
+            grants[event["key_id"]].append(_grant(event.at_ms, event.fields))
+    return grants
+
+
+def _grant(at_ms: float, data: Mapping[str, Any]) -> Grant:
+    grace_ms = 1_000 * data.get("cutoff_grace_s", 0)
+    return Grant(data["key_id"], data["team"], at_ms, grace_ms)
+
+
+# Teams and keys
+
+
+@check("upper_limit")
+def upper_limit(history: History) -> Finding:
+    """Judge every start of a team's task.
+
+    The tasks of the team that run over all workers, this one included, must not be more than the
+    upper limit in force. A raised limit is in force from its append. A lowered one binds starts
+    from ``CONFIG_BOUND_MS`` after it was seen in force; tasks that already run may finish, but
+    they count. A team that the configuration lacks has the limit 0. Tasks without a team, which
+    are those of open queues, are not judged.
+    """
+    limits = _limit_spans(config_versions(history))
+    changes: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    for span in task_spans(history):
+        # A task that ends in the millisecond of its start overlaps no other.
+        if span.team and span.end_ms > span.start_ms:
+            changes[span.team] += [(span.start_ms, 1), (span.end_ms, -1)]
+    excesses = [
+        (team, at_ms, running_count, limit_count)
+        for team, at_ms, running_count in _running_counts(changes)
+        for limit_count in [_limit_at(limits, team, at_ms)]
+        if limit_count is not None
+    ]
+    return conclude(
+        "upper_limit",
+        (
+            f"{team} runs {count} of at most {limit} at {at_ms:.0f} ms" if count > limit else ""
+            for team, at_ms, count, limit in excesses
+        ),
+        max_over_limit=max((max(0, count - limit) for _, _, count, limit in excesses), default=0),
+    )
+
+
+def _running_counts(
+    changes: Mapping[str, list[tuple[float, int]]],
+) -> Iterator[tuple[str, float, int]]:
+    for team, points in changes.items():
+        running_count = 0
+        for at_ms, change in sorted(points):
+            running_count += change
+            if change > 0:
+                yield team, at_ms, running_count
+
+
+def _limit_spans(
+    versions: list[ConfigVersion],
+) -> list[tuple[float, float, Mapping[str, int]]]:
+    """Return from when to when the limits of each version may be used."""
+    stated = [version for version in versions if version.limits is not None]
+    spans = []
+    for n, version in enumerate(stated):
+        later_ms = min((later.accepted_ms for later in stated[n + 1 :]), default=math.inf)
+        spans.append((version.known_ms, later_ms + CONFIG_BOUND_MS, version.limits or {}))
+    return spans
+
+
+def _limit_at(
+    spans: list[tuple[float, float, Mapping[str, int]]], team: str, at_ms: float
+) -> int | None:
+    usable = [limits for from_ms, to_ms, limits in spans if from_ms <= at_ms <= to_ms]
+    return max((limits.get(team, 0) for limits in usable), default=None)
+
+
+@check("key_required")
+def key_required(history: History) -> Finding:
+    """Judge every start, and every job answered or accepted, outside open queues.
+
+    One of the keys that callers submitted the request ID with must have been granted to the
+    job's team before. A start whose request nobody submitted is a violation. Whether the key has
+    been withdrawn since is judged by ``key_withdrawn``.
+    """
+    submissions = history.by_request("caller", "submit")
+    grants = key_grants(history)
+    exempt = open_queues(history)
+
+    def judge(event: Event, what: str, team: str | None) -> str | None:
+        sent = [s for s in submissions.get(event["request_id"], []) if s.at_ms <= event.at_ms]
+        if any(s["queue"] in exempt for s in sent):
+            return None
+        teams = {
+            grant.team
+            for s in sent
+            for grant in grants.get(s.get("key_id") or "", [])
+            if grant.at_ms <= event.at_ms
+        }
+        if teams and (team is None or team in teams):
+            return ""
+        return f"{event['request_id']} {what} for {team or 'a team'} without a key of it"
+
+    started = (
+        judge(event, "started", event.get("team") or "no team")
+        for event in history.select("worker", "started")
+    )
+    answered = (
+        judge(event, event["outcome"], None)
+        for event in history.select("caller", "reply")
+        if event["outcome"] in GOOD_OUTCOMES
+    )
+    judged = [*started, *answered]
+    return conclude("key_required", (sentence for sentence in judged if sentence is not None))
+
+
+@check("key_withdrawn")
+def key_withdrawn(history: History) -> Finding:
+    """Judge every job submitted with a key after the key's withdrawal was accepted.
+
+    The bound is ``KEY_BOUND_MS`` after the acceptance, plus the grace that the grant states. An
+    interactive job must not start past it, even if it was submitted before it. A job submitted
+    past it must not be answered or accepted either. Jobs submitted before the withdrawal, and
+    deferred jobs accepted before the bound, may run later. A later grant of the same key ends
+    the judgement.
+    """
+    submissions: dict[str, list[Event]] = defaultdict(list)
+    for event in history.select("caller", "submit"):
+        submissions[event.get("key_id") or ""].append(event)
+    starts = history.by_request("worker", "started")
+    replies = history.by_request("caller", "reply")
+    grants = key_grants(history)
+    exempt = open_queues(history)
+    judged: list[str] = []
+    last_use_ms: list[float] = []
+    for reply in history.select("operator", "key_withdraw_reply"):
+        if not reply.get("accepted"):
+            continue
+        granted = grants.get(reply["key_id"], [])
+        end_ms = min((g.at_ms for g in granted if g.at_ms > reply.at_ms), default=math.inf)
+        grace_ms = max((g.grace_ms for g in granted if g.at_ms <= reply.at_ms), default=0)
+        bound_ms = KEY_BOUND_MS + grace_ms
+        sent = [s for s in submissions[reply["key_id"]] if s["queue"] not in exempt]
+        earlier = {s["request_id"] for s in sent if s.at_ms <= reply.at_ms}
+        for event in sent:
+            request_id = event["request_id"]
+            if not reply.at_ms < event.at_ms < end_ms or request_id in earlier:
+                continue
+            uses = [
+                start.at_ms - reply.at_ms
+                for start in starts.get(request_id, [])
+                if event["mode"] == "interactive" and start.at_ms < end_ms
+            ]
+            last_use_ms += uses
+            late = max(uses, default=0) > bound_ms
+            if event.at_ms > reply.at_ms + bound_ms:
+                late |= any(
+                    r["outcome"] in GOOD_OUTCOMES and event.at_ms <= r.at_ms < end_ms
+                    for r in replies.get(request_id, [])
+                )
+            judged.append(
+                f"{request_id} used key {reply['key_id']} past the bound of its withdrawal"
+                if late
+                else ""
+            )
+    figures = {"key_last_use_max_ms": max(last_use_ms)} if last_use_ms else {}
+    return conclude("key_withdrawn", judged, **figures)
+
+
+# Jobs
+
+
+@check("whole_answer")
+def whole_answer(history: History) -> Finding:
+    """Judge every answer, and every job that was accepted.
+
+    An answer must be complete and hold the payload token that was submitted under its request
+    ID. A job accepted for later must have such an answer by the end of the history, which the
+    runner closes with a quiet phase. Two other ends are no loss: a cancelled job, and
+    ``outcome_unknown`` for a guarded job that has started, because a worker can die with the
+    only evidence of its end (section 4.2).
+    """
+    submissions = history.by_request("caller", "submit")
+    starts = history.by_request("worker", "started")
+    replies = history.by_request("caller", "reply", "query_reply")
+    judged: list[str] = []
+    lost_count = 0
+    for request_id, told in replies.items():
+        sent = submissions.get(request_id, [])
+        for event in told:
+            if event["outcome"] == "answered":
+                judged.append(_answer_fault(event, sent))
+        if not any(event["outcome"] == "accepted" for event in told):
+            continue
+        last = next(e for e in reversed(told) if e["outcome"] in _FINAL_OUTCOMES)
+        guarded = any(s.get("guarded") for s in sent)
+        kept = (
+            any(event["outcome"] == "answered" for event in told)
+            or (last["outcome"] == "not_run" and last.get("code") == "cancelled")
+            or (last["outcome"] == "outcome_unknown" and guarded and request_id in starts)
+        )
+        lost_count += not kept
+        judged.append("" if kept else f"{request_id} was accepted and ended as {last['outcome']}")
+    return conclude("whole_answer", judged, lost=lost_count)
+
+
+_FINAL_OUTCOMES = frozenset({"answered", "accepted", "not_run", "outcome_unknown"})
+
+
+def _answer_fault(event: Event, sent: list[Event]) -> str:
+    if event.get("truncated"):
+        return f"{event['request_id']} got a truncated answer"
+    if event.get("echo") not in {s["payload_token"] for s in sent}:
+        return f"{event['request_id']} got the answer {event.get('echo')!r} of another request"
+    return ""
+
+
+@check("not_run_true")
+def not_run_true(history: History) -> Finding:
+    """Judge every answer "not run".
+
+    No start of the request ID may come before the answer. One may come after it only if a caller
+    has submitted the request ID again in between, which is a new order.
+    """
+    submissions = history.by_request("caller", "submit")
+    starts = history.by_request("worker", "started")
+    false_ids: set[str] = set()
+    judged: list[str] = []
+    for event in history.select("caller", "reply", "query_reply"):
+        if event["outcome"] != "not_run":
+            continue
+        request_id = event["request_id"]
+        again_ms = min(
+            (s.at_ms for s in submissions.get(request_id, []) if s.at_ms >= event.at_ms),
+            default=math.inf,
+        )
+        started = [
+            start.at_ms
+            for start in starts.get(request_id, [])
+            if start.at_ms <= event.at_ms or start.at_ms < again_ms
+        ]
+        if started:
+            false_ids.add(request_id)
+        judged.append(
+            f"{request_id} was answered not run at {event.at_ms:.0f} ms but started"
+            if started
+            else ""
+        )
+    return conclude("not_run_true", judged, false_not_run=len(false_ids))
+
+
+@check("at_most_once")
+def at_most_once(history: History) -> Finding:
+    """Judge every guarded job that has started: it must have started once over all workers.
+
+    A job is guarded if the worker or the caller says so.
+    """
+    submissions = history.by_request("caller", "submit")
+    counts = [
+        (request_id, len(events))
+        for request_id, events in history.by_request("worker", "started").items()
+        if any(e.get("guarded") for e in [*events, *submissions.get(request_id, [])])
+    ]
+    return conclude(
+        "at_most_once",
+        (f"{request_id} started {n} times" if n > 1 else "" for request_id, n in counts),
+        guarded_started_twice=sum(n > 1 for _, n in counts),
+    )
+
+
+# Planned stops and upstreams
+
+
+@check("leaving_upstream")
+def leaving_upstream(history: History) -> Finding:
+    """Judge every worker that was leaving: its last start until it rebooted.
+
+    The bound of "a few seconds" is ``LEAVING_BOUND_MS``: the page's own reading of "within
+    seconds" for an entry VM whose view is old (``key_freshness_ms``). Each faster source fits in
+    it: the worker refuses with ``leaving`` at once, and a lease, which an entry VM must renew to
+    go on starting tasks, lasts 3 s.
+    """
+    ends = history.select("worker", "rebooted", "killed") + history.select("runner", "kill")
+    starts = history.select("worker", "started")
+    judged: list[str] = []
+    last_job_ms: list[float] = []
+    for leaving in history.select("worker", "leaving"):
+        end_ms = min(
+            (
+                e.at_ms
+                for e in ends
+                if e.at_ms > leaving.at_ms
+                and e.get("attempt_id") is None
+                and leaving.name in (e.name, *targets_of(e))
+            ),
+            default=math.inf,
+        )
+        delays = [
+            start.at_ms - leaving.at_ms
+            for start in starts
+            if start.name == leaving.name and leaving.at_ms < start.at_ms < end_ms
+        ]
+        last_job_ms.append(max(delays, default=0))
+        late = last_job_ms[-1] > LEAVING_BOUND_MS
+        judged.append(f"{leaving.name} started a task after {delays[-1]:.0f} ms" if late else "")
+    figures = {"leaving_last_job_max_ms": max(last_job_ms)} if last_job_ms else {}
+    return conclude("leaving_upstream", judged, **figures)
+
+
+@check("graceful_stop")
+def graceful_stop(history: History) -> Finding:
+    """Judge every planned stop, of the runner's or of a worker that was leaving.
+
+    Three things are an interruption: a task that the worker reports as cut; a task that still ran
+    when its worker rebooted; and a connection that a caller lost to an entry VM between its
+    planned stop and ``STOP_DURATION_MS`` later, unless the runner has killed, paused or cut off
+    that entry VM since the submission. A caller records a refused connection as ``not_run``, not
+    as a lost one.
+    """
+    cuts = [
+        f"{span.request_id} was cut at {span.worker} ({span.ended_by})"
+        for span in task_spans(history)
+        if span.ended_by in ("cut", "rebooted")
+    ]
+    submissions = history.by_request("caller", "submit")
+    stops = history.select("runner", "planned_stop")
+    faults = history.select("runner", "kill", "pause", "cut")
+    for lost in history.select("caller", "connection_lost"):
+        sent = submissions.get(lost["request_id"], [])
+        entry = lost.get("entry") or (sent[-1].get("entry") if sent else None)
+        sent_ms = sent[-1].at_ms if sent else lost.at_ms
+        stopped = any(
+            entry in targets_of(stop) and 0 <= lost.at_ms - stop.at_ms <= STOP_DURATION_MS
+            for stop in stops
+        )
+        excused = any(
+            entry in targets_of(fault) and sent_ms <= fault.at_ms <= lost.at_ms for fault in faults
+        )
+        if stopped and not excused:
+            cuts.append(f"{lost['request_id']} lost its connection to {entry}")
+    stop_count = len(stops) + len(history.select("worker", "leaving"))
+    return conclude("graceful_stop", [*cuts, *[""] * stop_count], cut_by_planned_stop=len(cuts))
+
+
+@check("availability_budget")
+def availability_budget(history: History) -> Finding:
+    """Judge every planned departure of a VM: a worker's ``leaving`` or a platform state.
+
+    The log's records up to then, replayed by a model of its own, must have permitted it: a begun
+    stop or a move within the pool's budget. Besides, the pool's VMs that have departed by plan
+    and are not back must fit the budget. Departures that the runner caused by ``planned_stop``,
+    ``kill`` or ``fault`` are not judged, but those by plan count.
+    """
+    caused: set[str] = set()
+    out: set[str] = set()
+    serving: set[str] = set()
+    judged: list[str] = []
+    for event, model in _replayed(history):
+        if event.source == "runner" and event.event in ("planned_stop", "kill", "fault"):
+            caused |= targets_of(event)
+        elif event.event == "append":
+            before = serving
+            serving = {name for name, vm in model.vms.items() if vm.state == "in_service"}
+            out -= serving - before
+        departure = _departure(event)
+        if departure is None or departure[0] not in model.vms:
+            continue
+        name, departs = departure
+        if not departs:
+            out.discard(name)
+            caused.discard(name)
+        elif name not in out:
+            out.add(name)
+            if name not in caused:
+                judged.append(_departure_fault(model, out, name))
+    return conclude("availability_budget", judged)
+
+
+def _replayed(history: History) -> Iterator[tuple[Event, VmModel]]:
+    model = VmModel()
+    seen: set[tuple[str, int]] = set()
+    for event in history.events:
+        if event.event == "append" and event["stream"] == "fleet":
+            for data in event["records"]:
+                if (data["batch_id"], data["index"]) not in seen:
+                    seen.add((data["batch_id"], data["index"]))
+                    model.apply(data["kind"], data["record"])
+        yield event, model
+
+
+def _departure(event: Event) -> tuple[str, bool] | None:
+    if event.source == "worker" and event.event in ("leaving", "rebooted"):
+        return event.name, event.event == "leaving"
+    if event.source == "platform" and event.event == "vm_state":
+        if event["state"] in FAILED_VM_STATES:
+            return None
+        return event["vm"], event["state"] not in LIVE_VM_STATES
+    return None
+
+
+def _departure_fault(model: VmModel, out: set[str], name: str) -> str:
+    vm = model.vms[name]
+    if vm.state not in ("stopping", "draining"):
+        return f"{name} of {vm.pool} departed while the log has it {vm.state}"
+    out_count = len(out & set(model.members(vm.pool)))
+    if not model.fits(vm.pool, out_count):
+        return f"{out_count} VMs of {vm.pool} are out by plan, above the budget"
+    return ""
+
+
+@check("one_pool_per_vm")
+def one_pool_per_vm(history: History) -> Finding:
+    """Judge every start of a job whose queue belongs to a pool.
+
+    The pool must be one that the log's records had the VM in during the last
+    ``CONFIG_BOUND_MS``, by a model of its own; and no task of a queue of another pool may still
+    run on the VM.
+    """
+    queue_pools: dict[str, set[str]] = defaultdict(set)
+    for version in config_versions(history):
+        for queue, pool in version.queue_pools.items():
+            queue_pools[queue].add(pool)
+    pools_of = {
+        request_id: queue_pools[sent[0]["queue"]]
+        for request_id, sent in history.by_request("caller", "submit").items()
+    }
+    left = _pool_changes(history)
+    running: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    judged: list[str] = []
+    for span in task_spans(history):
+        pools = pools_of.get(span.request_id)
+        if not pools or span.worker not in left:
+            continue
+        running[span.worker] = [task for task in running[span.worker] if task[0] > span.start_ms]
+        mixed = any(pools.isdisjoint(pools_of[other]) for _, other in running[span.worker])
+        running[span.worker].append((span.end_ms, span.request_id))
+        allowed = {
+            pool
+            for from_ms, to_ms, pool in left[span.worker]
+            if from_ms <= span.start_ms <= to_ms + CONFIG_BOUND_MS
+        }
+        names = "/".join(sorted(pools))
+        if pools.isdisjoint(allowed):
+            judged.append(f"{span.worker} ran {span.request_id} of {names}, not in that pool")
+        else:
+            judged.append(f"{span.worker} ran {names} beside another pool" if mixed else "")
+    return conclude("one_pool_per_vm", judged)
+
+
+def _pool_changes(history: History) -> dict[str, list[tuple[float, float, str]]]:
+    """Return from when to when the model had each VM in a pool."""
+    spans: dict[str, list[tuple[float, float, str]]] = defaultdict(list)
+    for event, model in _replayed(history):
+        if event.event != "append":
+            continue
+        for name, vm in model.vms.items():
+            if spans[name] and spans[name][-1][2] == vm.pool:
+                continue
+            if spans[name]:
+                spans[name][-1] = (spans[name][-1][0], event.at_ms, spans[name][-1][2])
+            spans[name].append((event.at_ms, math.inf, vm.pool))
+    return dict(spans)
+
+
+# Configuration
+
+
+@check("config_in_force")
+def config_in_force(history: History) -> Finding:
+    """Judge every version at every entry VM that was known before the version was accepted.
+
+    A version is accepted when an operator or caller first sees it. The first status of the entry
+    VM with that version or a later one must come within ``CONFIG_BOUND_MS``. The bound counts
+    anew from the end of an outage of the entry VM that overlaps it (see ``history.outages``); an
+    outage without an end, and a history that ends before the bound, say nothing.
+    """
+    samples: dict[str, list[Event]] = defaultdict(list)
+    for event in history.select("operator", "status"):
+        if event.get("offset", 0) >= 0:
+            samples[event["entry"]].append(event)
+    judged: list[str] = []
+    delays_ms: list[float] = [0.0]
+    for version in config_versions(history):
+        if version.version == 0 or version.accepted_ms == math.inf:
+            continue
+        for entry, statuses in samples.items():
+            if statuses[0].at_ms > version.accepted_ms:
+                continue
+            spans = outages(history, entry)
+            deadline_ms = reachable_deadline_ms(spans, version.accepted_ms, CONFIG_BOUND_MS)
+            start_ms = deadline_ms - CONFIG_BOUND_MS
+            shown_ms = next(
+                (s.at_ms for s in statuses if s["config_version"] >= version.version), math.inf
+            )
+            if shown_ms == math.inf and statuses[-1].at_ms <= deadline_ms:
+                continue
+            delays_ms.append(min(shown_ms, statuses[-1].at_ms) - start_ms)
+            late = shown_ms > deadline_ms
+            judged.append(f"{entry} lacks version {version.version} after 9 s" if late else "")
+    figures = {"config_in_force_max_ms": max(delays_ms)} if judged else {}
+    return conclude("config_in_force", judged, **figures)
+
+
+@check("config_never_reverts")
+def config_never_reverts(history: History) -> Finding:
+    """Judge three things about versions.
+
+    The versions in the statuses that one operator sees of one entry VM never go down, also over
+    restarts. A reply to a job that was submitted ``CONFIG_BOUND_MS`` after an accepted publish
+    carries that version or a later one; for the entry VM that sent it the bound counts anew from
+    the end of an outage that overlaps it, as in ``config_in_force``. Two publishes are never
+    accepted with the same version, since one of them would be lost.
+    """
+    judged: list[str] = []
+    seen: dict[tuple[str, str], list[int]] = defaultdict(list)
+    for event in history.select("operator", "status"):
+        seen[event.name, event["entry"]].append(event["config_version"])
+    for (_, entry), versions in seen.items():
+        drops = list(pairwise_drops(versions))
+        judged += [f"{entry} went from version {a} to {b}" for a, b in drops]
+        judged += [""] * (len(versions) - 1 - len(drops))
+    published: set[int] = set()
+    for event in history.select("operator", "publish_reply"):
+        if event.get("accepted"):
+            double = event["version"] in published
+            judged.append(f"version {event['version']} was accepted twice" if double else "")
+            published.add(event["version"])
+    judged += _reply_versions(history)
+    return conclude("config_never_reverts", judged)
+
+
+def _reply_versions(history: History) -> Iterator[str]:
+    submissions = history.by_request("caller", "submit")
+    versions = [v for v in config_versions(history) if v.accepted_ms < math.inf]
+    due: dict[str, list[tuple[float, int]]] = {}
+    for event in history.select("caller", "reply", "query_reply"):
+        version = event.get("config_version")
+        if version is None:
+            continue
+        entry = event.get("entry") or ""
+        if entry not in due:
+            spans = outages(history, entry)
+            due[entry] = [
+                (reachable_deadline_ms(spans, v.accepted_ms, CONFIG_BOUND_MS), v.version)
+                for v in versions
+            ]
+        sent = [s.at_ms for s in submissions.get(event["request_id"], []) if s.at_ms < event.at_ms]
+        asked_ms = sent[-1] if sent and event.event == "reply" else event.at_ms
+        least = max((number for due_ms, number in due[entry] if due_ms < asked_ms), default=0)
+        yield f"{entry} replied with version {version} after {least}" if version < least else ""
+
+
+# All checks together
+
+NO_FIGURES: Mapping[str, float | None] = {
+    "max_over_limit": 0,
+    "guarded_started_twice": 0,
+    "false_not_run": 0,
+    "lost": 0,
+    "cut_by_planned_stop": 0,
+    "config_in_force_max_ms": None,
+    "key_last_use_max_ms": None,
+    "leaving_last_job_max_ms": None,
+}
+
+
+def run_checks(history: History) -> list[Finding]:
+    """Return the findings of all registered checks."""
+    return [judge(history) for _, judge in CHECKS.items()]
+
+
+def totals(history: History, findings: Iterable[Finding]) -> dict[str, float | None]:
+    """Return counts of jobs, and the figures of the findings.
+
+    ``doubled`` counts jobs that finished more than once, ``outcome_unknown`` those whose last
+    word it is. A figure in milliseconds is None if nothing was measured.
+    """
+    replies = history.by_request("caller", "reply", "query_reply")
+    told = [{event["outcome"] for event in events} for events in replies.values()]
+    finished = history.by_request("worker", "finished").values()
+    result: dict[str, float | None] = {
+        "accepted": sum("accepted" in outcomes for outcomes in told),
+        "answered": sum("answered" in outcomes for outcomes in told),
+        "doubled": sum(len(events) > 1 for events in finished),
+        "refused_not_run": sum("not_run" in outcomes for outcomes in told),
+        "outcome_unknown": sum(e[-1]["outcome"] == "outcome_unknown" for e in replies.values()),
+        **NO_FIGURES,
+    }
+    for finding in findings:
+        result.update(finding.figures)
+    return result
+
+
+def report(directory: Annotated[Path, typer.Argument(help="directory of *.jsonl files")]) -> None:
+    """Print the verdict of every check and the totals; exit with 1 if one is broken."""
+    history = read_history(directory)
+    findings = run_checks(history)
+    for finding in findings:
+        print(f"{finding.name}: {finding.verdict}  (events judged: {finding.event_count})")
+        for detail in finding.details[:SHOWN_DETAIL_COUNT]:
+            print(f"{finding.name}: {detail}", file=sys.stderr)
+    print(json.dumps(totals(history, findings)))
+    raise typer.Exit(int(any(finding.verdict is Verdict.BROKEN for finding in findings)))
+
+
+if __name__ == "__main__":
+    typer.run(report)
--- /dev/null
+++ b/src/bench/history.py
@@ -0,0 +1,248 @@
+"""Histories of runs: what real processes recorded, merged by time.
+
+Each process writes JSON lines to a file ``NAME.jsonl`` of its own; ``at_ms`` is CLOCK_MONOTONIC,
+which processes of one machine share.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field, frozen
+
+from tarragoncart.errors import TarragoncartError
+
+
+class HistoryError(TarragoncartError):
+    """A line of a history is no event; ``peer`` holds file and line."""
+
+
+@frozen
+class Event:
+    """One line of a history.
+
+    :param at_ms: CLOCK_MONOTONIC in milliseconds.
+    :param source: ``caller``, ``operator``, ``worker``, ``platform`` or ``runner``.
+    :param name: the recording process; for a worker, its VM.
+    :param fields: everything else on the line.
+    """
+
+    at_ms: float
+    source: str
+    name: str
+    event: str
+    fields: Mapping[str, Any] = field(factory=dict)
+
+    def __getitem__(self, key: str) -> Any:
+        return self.fields[key]
+
+    def get(self, key: str, default: Any = None) -> Any:
+        """Return a field, or the default if the line lacks it."""
+        return self.fields.get(key, default)
+
+
+@define
+class History:
+    """All events of a run in order of time."""
+
+    events: tuple[Event, ...]
+    _index: dict[tuple[str, str], list[Event]] = field(init=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._index = defaultdict(list)
+        for event in self.events:
+            self._index[event.source, event.event].append(event)
+
+    def select(self, source: str, *events: str) -> list[Event]:
+        """Return the events of a source with one of these names, in order of time."""
+        if len(events) == 1:
+            return self._index.get((source, events[0]), [])
+        chosen = (self._index.get((source, name), []) for name in events)
+        return list(heapq.merge(*chosen, key=_time_of))
+
+    def by_request(self, source: str, *events: str) -> dict[str, list[Event]]:
+        """Return the chosen events grouped by request ID."""
+        groups: dict[str, list[Event]] = defaultdict(list)
+        for event in self.select(source, *events):
+            groups[event["request_id"]].append(event)
+        return groups
+
+
+@frozen
+class LogRecord:
+    """A record of stream ``fleet``; copies of a batch are left out.
+
+    :param at_ms: when the platform appended it.
+    :param record: fields of the record in JSON form.
+    """
+
+    at_ms: float
+    kind: str
+    record: Mapping[str, Any]
+
+
+@frozen
+class TaskSpan:
+    """One execution of a task at a worker, from ``start_ms`` to before ``end_ms``.
+
+    :param end_ms: infinite if the task did not end within the run.
+    :param ended_by: event that ended it, empty if none did.
+    """
+
+    worker: str
+    request_id: str
+    team: str
+    start_ms: float
+    end_ms: float
+    ended_by: str
+
+
+def _time_of(event: Event) -> tuple[float, bool]:
+    # At equal times an append comes first: nothing acts on a record before it is appended.
+    return event.at_ms, event.event != "append"
+
+
+def read_lines(path: Path) -> Iterator[tuple[int, str]]:
+    """Yield the numbered complete lines; a killed process may leave half of its last one."""
+    with path.open(encoding="utf-8") as lines:
+        yield from ((n, line) for n, line in enumerate(lines, 1) if line.endswith("\n"))
+
+
+def decode_event(path: Path, number: int, line: str) -> Event:
+    """Return the event on a line.
+
+    :raises HistoryError: if the line is no JSON object or lacks one of the four common fields.
+    """
+    try:
+        data = json.loads(line)
+        common = {key: data.pop(key) for key in ("at_ms", "source", "name", "event")}
+        return Event(**common, fields=data)
+    except (ValueError, KeyError, AttributeError, TypeError) as error:
+        peer = f"{path.name}:{number}"
+        raise HistoryError(f"not an event: {error!r}", step="read history", peer=peer) from error
+
+
+def read_events(path: Path) -> Iterator[Event]:
+    """Yield the events of one file."""
+    return (decode_event(path, number, line) for number, line in read_lines(path))
+
+
+def merge_events(streams: Iterable[Iterable[Event]]) -> History:
+    """Merge streams by time; a stream's own order is kept among equal times."""
+    ordered = (sorted(stream, key=_time_of) for stream in streams)
+    return History(tuple(heapq.merge(*ordered, key=_time_of)))
+
+
+def read_history(directory: Path) -> History:
+    """Read every ``*.jsonl`` file of a directory.
+
+    :raises HistoryError: if a complete line is no event.
+    """
+    return merge_events(read_events(path) for path in sorted(directory.glob("*.jsonl")))
+
+
+def log_records(events: Iterable[Event]) -> Iterator[LogRecord]:
+    """Yield the records of stream ``fleet`` in order of their offsets, each batch once."""
+    seen: set[tuple[str, int]] = set()
+    for event in events:
+        if event.event != "append" or event["stream"] != "fleet":
+            continue
+        for data in event["records"]:
+            copy_key = data["batch_id"], data["index"]
+            if copy_key not in seen:
+                seen.add(copy_key)
+                yield LogRecord(event.at_ms, data["kind"], data["record"])
+
+
+def targets_of(event: Event) -> frozenset[str]:
+    """Return the processes or data centres that a runner's event names."""
+    target = event.get("target", ())
+    return frozenset([target] if isinstance(target, str) else target)
+
+
+def task_spans(history: History) -> list[TaskSpan]:
+    """Return every execution of a task.
+
+    A task ends when its worker says so (``finished``, ``cut``, or ``killed`` with its attempt ID)
+    or when the worker as a whole ends (``rebooted`` or ``killed`` without an attempt ID, or a
+    runner's ``kill``, which the runner records after the process has exited).
+    """
+    running: dict[tuple[str, str], Event] = {}
+    spans: list[TaskSpan] = []
+
+    def end(keys: Iterable[tuple[str, str]], at_ms: float, ended_by: str) -> None:
+        for key in keys:
+            task = running.pop(key, None)
+            if task is not None:
+                spans.append(_span(task, at_ms, ended_by))
+
+    for event in history.events:
+        if event.source == "worker" and event.event == "started":
+            running[event.name, event["attempt_id"]] = event
+        elif event.source == "worker" and event.event in ("finished", "cut", "killed", "rebooted"):
+            attempt_id = event.get("attempt_id")
+            whole = [key for key in running if key[0] == event.name]
+            keys = whole if attempt_id is None else [(event.name, attempt_id)]
+            end(keys, event.at_ms, event.event)
+        elif event.source == "runner" and event.event == "kill":
+            end([key for key in running if key[0] in targets_of(event)], event.at_ms, "kill")
+    end(list(running), math.inf, "")
+    return sorted(spans, key=lambda span: span.start_ms)
+
+
+def _span(task: Event, end_ms: float, ended_by: str) -> TaskSpan:
+    return TaskSpan(
+        task.name, task["request_id"], task.get("team") or "", task.at_ms, end_ms, ended_by
+    )
+
+
+def outages(history: History, entry: str) -> list[tuple[float, float]]:
+    """Return when an entry could not reach the platform, or did not run.
+
+    ``pause`` lasts until ``resume`` and ``cut`` until ``heal`` of the same target, which is a
+    process or a data centre (``data_centres`` of the runner's ``config`` event says whose). A cut
+    whose field ``from`` leaves out the platform is no outage. ``kill`` and ``planned_stop`` last
+    until the entry's next status.
+    """
+    names = {entry}
+    for event in history.select("runner", "config"):
+        names |= {event.get("data_centres", {}).get(entry, entry)}
+    statuses = [e.at_ms for e in history.select("operator", "status") if e["entry"] == entry]
+    spans: list[tuple[float, float]] = []
+    began: dict[str, float] = {}
+    ends = {"resume": "pause", "heal": "cut"}
+    for event in history.select("runner", "pause", "resume", "cut", "heal", "kill", "planned_stop"):
+        if not names & targets_of(event):
+            continue
+        if event.event in ("kill", "planned_stop"):
+            later = (at_ms for at_ms in statuses if at_ms > event.at_ms)
+            spans.append((event.at_ms, next(later, math.inf)))
+        elif event.event in ends:
+            start_ms = began.pop(ends[event.event], None)
+            if start_ms is not None:
+                spans.append((start_ms, event.at_ms))
+        elif "platform" in event.get("from", ("platform",)):
+            began.setdefault(event.event, event.at_ms)
+    return sorted([*spans, *((start_ms, math.inf) for start_ms in began.values())])
+
+
+def reachable_deadline_ms(
+    spans: Iterable[tuple[float, float]], from_ms: float, bound_ms: float
+) -> float:
+    """Return when a bound ends that counts only from the last outage which overlaps it."""
+    for start_ms, end_ms in spans:
+        if start_ms <= from_ms + bound_ms and end_ms > from_ms:
+            from_ms = end_ms
+    return from_ms + bound_ms
+
+
+def pairwise_drops(values: Iterable[int]) -> Iterator[tuple[int, int]]:
+    """Yield neighbours of which the second is lower."""
+    return ((a, b) for a, b in itertools.pairwise(values) if b < a)
