--- /dev/null
+++ b/src/bench/processes.py
@@ -0,0 +1,240 @@
+"""Starts the processes of a fleet over loopback and sends signals to them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, TextIO
+
+import aiohttp
+from attrs import define, evolve, field, frozen
+
+from tarragoncart.model import FleetConfig
+from tarragoncart.records import converter
+from tarragoncart.settings import EntrySettings, PeerSettings
+
+START_TIMEOUT_S = 30
+
+
+@define
+class HistoryWriter:
+    """Appends events of this process to a history file."""
+
+    path: Path
+    source: str
+    name: str
+    _file: TextIO = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._file = self.path.open("a", encoding="utf-8", buffering=1)
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Append one event with the present time."""
+        line = {
+            "at_ms": time.monotonic() * 1_000,
+            "source": self.source,
+            "name": self.name,
+            "event": event,
+            **fields,
+        }
+        self._file.write(json.dumps(line, default=str) + "\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+@frozen
+class Started:
+    """A running process and the addresses that it has printed."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    addresses: Mapping[str, str]
+
+
+@define
+class ProcessGroup:
+    """Processes that this runner has started, by name.
+
+    :param directory: holds settings, histories and error output.
+    """
+
+    directory: Path
+    started: dict[str, Started] = field(factory=dict)
+
+    async def start(self, name: str, module: str, *arguments: str) -> Started:
+        """Start ``python -m MODULE`` and wait for the line with its addresses.
+
+        :raises RuntimeError: if the process ends before it listens.
+        """
+        errors = (self.directory / f"{name}.err").open("ab")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=errors,
+            stdin=asyncio.subprocess.DEVNULL,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        errors.close()
+        assert process.stdout is not None
+        line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT_S)
+        if not line:
+            raise RuntimeError(f"{name} ended before it listened; see {errors.name}")
+        started = Started(name, process, json.loads(line))
+        self.started[name] = started
+        return started
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this group that still runs."""
+        process = self.started[name].process
+        if process.returncode is None:
+            process.send_signal(number)
+
+    async def wait(self, name: str) -> None:
+        """Wait until a process has ended and forget it."""
+        await self.started.pop(name).process.wait()
+
+    async def stop(self) -> None:
+        """Ask all processes to end and kill those that have not after some seconds."""
+        running = [s for s in self.started.values() if s.process.returncode is None]
+        for started in running:
+            started.process.send_signal(signal.SIGCONT)
+            started.process.terminate()
+        waits = [asyncio.ensure_future(started.process.wait()) for started in running]
+        if waits:
+            await asyncio.wait(waits, timeout=8)
+        for started in running:
+            if started.process.returncode is None:
+                started.process.kill()
+        await asyncio.gather(*waits)
+        self.started.clear()
+
+
+@define
+class Deployment:
+    """One firm's fleet as separate processes: platform, workers and entry VMs.
+
+    :param config: the fleet; addresses of its VMs are replaced by those of the stand-ins.
+    """
+
+    directory: Path
+    config: FleetConfig
+    entry_count: int = 7
+    time_scale: float = 1.0
+    platform_options: tuple[str, ...] = ()
+    group: ProcessGroup = field(init=False)
+    platform_address: str = field(init=False, default="")
+    entries: dict[str, EntrySettings] = field(init=False, factory=dict)
+    client_addresses: dict[str, str] = field(init=False, factory=dict)
+    peer_addresses: dict[str, str] = field(init=False, factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.group = ProcessGroup(self.directory)
+
+    @property
+    def data_centres(self) -> list[str]:
+        """Names of the data centres, in the order of the configuration."""
+        return list(dict.fromkeys(vm.data_centre for vm in self.config.vms))
+
+    async def start(self) -> None:
+        """Start all processes and tell the platform of the VMs."""
+        started = await self.group.start(
+            "platform",
+            "standins.platform",
+            "--history",
+            str(self.directory / "platform.jsonl"),
+            *self.platform_options,
+        )
+        self.platform_address = started.addresses["address"]
+        workers = await asyncio.gather(*(self.start_worker(vm.name) for vm in self.config.vms))
+        addresses = {worker.name: worker.addresses["address"] for worker in workers}
+        vms = tuple(evolve(vm, address=addresses[vm.name]) for vm in self.config.vms)
+        self.config = evolve(self.config, vms=vms)
+        async with aiohttp.ClientSession() as session:
+            for vm in vms:
+                url = f"http://{self.platform_address}/vms/{vm.name}"
+                async with session.put(url, json={"address": vm.address}) as response:
+                    response.raise_for_status()
+        centres = self.data_centres
+        for number in range(self.entry_count):
+            await self.start_entry(f"entry-{number + 1}", centres[number % len(centres)])
+
+    async def start_worker(self, name: str, address: str = "127.0.0.1:0") -> Started:
+        """Start the stand-in for one worker."""
+        return await self.group.start(
+            name,
+            "standins.worker",
+            "--name",
+            name,
+            "--address",
+            address,
+            "--time-scale",
+            str(self.time_scale),
+            "--history",
+            str(self.directory / f"{name}.jsonl"),
+        )
+
+    async def start_entry(self, name: str, data_centre: str) -> Started:
+        """Start an entry process, or replace one that has ended by an empty one."""
+        settings = EntrySettings(
+            name=name,
+            data_centre=data_centre,
+            client_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
+            platform_address=self.platform_address,
+            peers=tuple(
+                PeerSettings(other, address)
+                for other, address in self.peer_addresses.items()
+                if other != name
+            ),
+        )
+        return await self.launch_entry(settings)
+
+    async def launch_entry(self, settings: EntrySettings) -> Started:
+        """Write the settings file of an entry process and start it."""
+        path = self.directory / f"{settings.name}.settings.json"
+        text = json.dumps(settings_json(settings), indent=2)
+        path.write_text(f"// Written by the runner.\n{text}\n", encoding="utf-8")
+        started = await self.group.start(settings.name, "tarragoncart", "entry", str(path))
+        self.entries[settings.name] = settings
+        self.client_addresses[settings.name] = started.addresses["client_address"]
+        self.peer_addresses[settings.name] = started.addresses["peer_address"]
+        return started
+
+    async def wait_ready(self, timeout_s: float = 20) -> None:
+        """Wait until all entry processes are ready and have seen each other join.
+
+        :raises TimeoutError: if they have not in time.
+        """
+        async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
+            for address in self.client_addresses.values():
+                while not await self._is_ready(session, address):
+                    await asyncio.sleep(0.05)
+
+    async def _is_ready(self, session: aiohttp.ClientSession, address: str) -> bool:
+        try:
+            async with session.get(f"http://{address}/v1/status") as response:
+                data = await response.json()
+        except aiohttp.ClientError:
+            return False
+        return data["state"] == "ready" and len(data["members"]) >= len(self.client_addresses)
+
+    async def stop(self) -> None:
+        """Stop all processes."""
+        await self.group.stop()
+
+
+def settings_json(settings: EntrySettings) -> dict[str, Any]:
+    """Return entry settings in the form of a settings file."""
+    return converter().unstructure(settings)
--- /dev/null
+++ b/src/tarragoncart/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m tarragoncart``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/tarragoncart/client.py
@@ -0,0 +1,228 @@
+"""The callers' library: submits jobs and finds out what became of them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import aiohttp
+from attrs import define, field, frozen
+
+from . import defaults
+from .errors import TarragoncartError
+from .model import Outcome
+
+# Block of request IDs fetched at once; small enough to be used before it expires.
+ID_BLOCK_COUNT = 50
+ID_MARGIN_MS = 20_000
+
+
+@frozen
+class Result:
+    """What became of a job.
+
+    :param answer: the worker's answer if ``outcome`` is ``answered``.
+    :param code: error code otherwise.
+    """
+
+    request_id: str
+    outcome: Outcome
+    answer: Any = None
+    succeeded: bool = False
+    code: str = ""
+    message: str = ""
+    status: int = 0
+    entry: str = ""
+    config_version: int = 0
+
+
+class EntryUnreachableError(TarragoncartError):
+    """No entry VM could be reached; nothing was submitted."""
+
+
+@define
+class _Block:
+    """Unused request IDs of one entry VM."""
+
+    request_ids: deque[str]
+    expires_ms: float
+
+
+Observer = Callable[[str, dict[str, Any]], None]
+
+
+@define
+class Client:
+    """Submits jobs to the entry VMs in turn.
+
+    :param addresses: ``IP:PORT`` of the entry VMs.
+    :param key: the team's key, empty for open queues.
+    :param observer: called with the name and the fields of each event, for audits and tests.
+    :param source_address: local IP of the connections, empty for the system's choice.
+    """
+
+    addresses: Sequence[str]
+    key: str = ""
+    observer: Observer = lambda event, fields: None
+    source_address: str = ""
+    rng: random.Random = field(factory=random.Random)
+    _blocks: dict[str, _Block] = field(init=False, factory=dict)
+    _session: aiohttp.ClientSession | None = field(init=False, default=None)
+
+    async def __aenter__(self) -> Client:
+        local = (self.source_address, 0) if self.source_address else None
+        headers = {"Authorization": f"Bearer {self.key}"} if self.key else {}
+        self._session = aiohttp.ClientSession(
+            headers=headers, connector=aiohttp.TCPConnector(limit=0, local_addr=local)
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._session is not None
+        await self._session.close()
+
+    async def submit(
+        self,
+        queue: str,
+        payload: Any,
+        *,
+        deadline_ms: float = defaults.DEADLINE_DEFAULT_MS,
+        declared_run_ms: float = 0.0,
+        note: dict[str, Any] | None = None,
+    ) -> Result:
+        """Submit a job and return what became of it by the deadline.
+
+        A job that was certainly not sent goes to another entry VM under a new request ID. One
+        that may have been sent is never submitted again; its outcome is asked for instead.
+
+        :param note: fields added to the observer's events.
+        :raises EntryUnreachableError: if no entry VM can be reached.
+        """
+        ends_ms = _now_ms() + deadline_ms
+        for address in self._in_random_order():
+            try:
+                request_id = await self._take_id(address)
+            except (aiohttp.ClientError, TimeoutError, EntryUnreachableError):
+                continue
+            self.observer("submit", {"request_id": request_id, "entry": address, **(note or {})})
+            body = {
+                "request_id": request_id,
+                "payload": payload,
+                "deadline_ms": max(1.0, ends_ms - _now_ms()),
+                "declared_run_ms": declared_run_ms,
+            }
+            try:
+                result = await self._post(address, queue, body)
+            except aiohttp.ClientConnectorError:
+                self.observer("connection_lost", {"request_id": request_id, "sent": False})
+                self._blocks.pop(address, None)
+                continue
+            except (aiohttp.ClientError, TimeoutError, ValueError):
+                self.observer("connection_lost", {"request_id": request_id, "sent": True})
+                self._blocks.pop(address, None)
+                return await self.find(request_id, wait_ms=max(0.0, ends_ms - _now_ms()))
+            self._observe("reply", result)
+            return result
+        raise EntryUnreachableError("no entry VM could be reached", step="submit")
+
+    async def _post(self, address: str, queue: str, body: dict[str, Any]) -> Result:
+        assert self._session is not None
+        total_ms = body["deadline_ms"] + defaults.PEER_TIMEOUT_MS * 2
+        timeout = aiohttp.ClientTimeout(
+            total=total_ms / 1_000, sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000
+        )
+        url = f"http://{address}/v1/queues/{queue}/jobs"
+        async with self._session.post(url, json=body, timeout=timeout) as response:
+            return _result(body["request_id"], response.status, await response.json(), address)
+
+    async def find(self, request_id: str, *, wait_ms: float = 0.0) -> Result:
+        """Ask for the outcome of a request, again and again until it is final or time is up."""
+        ends_ms = _now_ms() + wait_ms
+        delay_ms = float(defaults.GUARD_QUERY_FIRST_MS)
+        result = Result(request_id, Outcome.OUTCOME_UNKNOWN, code="no_answer")
+        for address in itertools.chain.from_iterable(iter(self._in_random_order, None)):
+            try:
+                result = await self._get(address, request_id)
+            except (aiohttp.ClientError, TimeoutError, ValueError):
+                pass
+            if result.outcome in (Outcome.ANSWERED, Outcome.NOT_RUN) or _now_ms() >= ends_ms:
+                break
+            await asyncio.sleep(min(delay_ms, max(1.0, ends_ms - _now_ms())) / 1_000)
+            delay_ms = min(delay_ms * 2, defaults.GUARD_QUERY_MAX_MS)
+        self._observe("query_reply", result)
+        return result
+
+    async def _get(self, address: str, request_id: str) -> Result:
+        assert self._session is not None
+        url = f"http://{address}/v1/requests/{request_id}"
+        timeout = aiohttp.ClientTimeout(total=defaults.PEER_TIMEOUT_MS * 2 / 1_000)
+        async with self._session.get(url, timeout=timeout) as response:
+            data = await response.json()
+            if response.status == 404:
+                # This entry VM has never heard of it; that is no evidence that it has not run.
+                return Result(request_id, Outcome.OUTCOME_UNKNOWN, code="unknown_request")
+            return _result(request_id, response.status, data, address)
+
+    async def cancel(self, request_id: str) -> Result:
+        """Cancel a job that has not started; returns what is known about it."""
+        assert self._session is not None
+        result = Result(request_id, Outcome.OUTCOME_UNKNOWN, code="no_answer")
+        for address in self._in_random_order():
+            try:
+                url = f"http://{address}/v1/requests/{request_id}"
+                async with self._session.delete(url) as response:
+                    result = _result(request_id, response.status, await response.json(), address)
+                    break
+            except (aiohttp.ClientError, TimeoutError, ValueError):
+                continue
+        self._observe("cancel_reply", result)
+        return result
+
+    async def _take_id(self, address: str) -> str:
+        block = self._blocks.get(address)
+        if block is None or not block.request_ids or _now_ms() > block.expires_ms:
+            block = self._blocks[address] = await self._fetch_ids(address)
+        return block.request_ids.popleft()
+
+    async def _fetch_ids(self, address: str) -> _Block:
+        assert self._session is not None
+        asked_ms = _now_ms()
+        timeout = aiohttp.ClientTimeout(total=defaults.PEER_TIMEOUT_MS / 1_000)
+        async with self._session.post(
+            f"http://{address}/v1/request-ids", json={"count": ID_BLOCK_COUNT}, timeout=timeout
+        ) as response:
+            data = await response.json()
+            if response.status != 200:
+                raise EntryUnreachableError("no request IDs", step="issue IDs", peer=address)
+        expires_ms = asked_ms + data["valid_ms"] - ID_MARGIN_MS
+        return _Block(deque(data["request_ids"]), expires_ms)
+
+    def _in_random_order(self) -> list[str]:
+        return self.rng.sample(list(self.addresses), len(self.addresses))
+
+    def _observe(self, event: str, result: Result) -> None:
+        self.observer(event, {"result": result, "request_id": result.request_id})
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1_000
+
+
+def _result(request_id: str, status: int, data: dict[str, Any], entry: str) -> Result:
+    error = data.get("error", {})
+    return Result(
+        request_id=request_id,
+        outcome=Outcome(data["outcome"]),
+        answer=data.get("answer"),
+        succeeded=data.get("succeeded", False),
+        code=error.get("code", ""),
+        message=error.get("message", ""),
+        status=status,
+        entry=entry,
+        config_version=data.get("config_version", 0),
+    )
--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -65,9 +65,7 @@
     addresses = [peer.peer_address for peer in settings.peers]
     peers = Peers(member, addresses, journal, dispatch, timer, rng, settings.source_address)
     dispatch.peers = peers
-    membership = Membership(
-        member, journal, dispatch, peers, timer, settings.shutdown_timeout_ms
-    )
+    membership = Membership(member, journal, dispatch, peers, timer, settings.shutdown_timeout_ms)
     inventory = Inventory(settings.platform_address, dispatch, timer, settings.source_address)
     actors: list[Actor] = [journal, dispatch, peers, membership, inventory]
     for listener in (dispatch, peers, membership):
@@ -79,9 +77,7 @@
         await _serve(front, CLIENT_ROUTES, client_socket),
         await _serve(front, PEER_ROUTES, peer_socket),
     ]
-    print(
-        json.dumps({"client_address": client_address, "peer_address": peer_address}), flush=True
-    )
+    print(json.dumps({"client_address": client_address, "peer_address": peer_address}), flush=True)
     await _wait_for_signal()
     terminated = new_reply()
     membership.tell(Terminate(terminated))
@@ -100,9 +96,7 @@
     return listener, f"{host}:{port}"
 
 
-async def _serve(
-    front: Front, routes: Registry[Handler], listener: socket.socket
-) -> web.AppRunner:
+async def _serve(front: Front, routes: Registry[Handler], listener: socket.socket) -> web.AppRunner:
     runner = web.AppRunner(build_app(front, routes), access_log=None)
     await runner.setup()
     await web.SockSite(runner, listener).start()
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -370,9 +370,12 @@
 
     def _append(self, record: Any, expires_at_ms: float = float("inf")) -> None:
         reply = new_reply()
-        reply.add_done_callback(
-            lambda done: done.cancelled() or self.tell(RecordEnded(record, done.result()))
-        )
+
+        def ended(done: asyncio.Future[Any]) -> None:
+            if not done.cancelled():
+                self.tell(RecordEnded(record, done.result()))
+
+        reply.add_done_callback(ended)
         self._journal.tell(Append(record, self.entry, reply, expires_at_ms))
 
     @receives(RecordEnded)
@@ -637,9 +640,7 @@
         if evidence.verdict is not None and not message.fenced:
             pool = self._pool_of_worker(message.attempt.worker)
             if pool is not None:
-                pool.health.record(
-                    message.attempt.worker, evidence.verdict, self._timer.now_ms()
-                )
+                pool.health.record(message.attempt.worker, evidence.verdict, self._timer.now_ms())
         if not current or entry is None:
             self._stranded_ended(message)
             return
@@ -693,7 +694,8 @@
 
     def _stranded_ended(self, message: AttemptEnded) -> None:
         ended = message.evidence.event in ("result", "not_started", "guard_lost")
-        if ended and self._stranded.pop(message.attempt.attempt_id, None):
+        if ended and message.attempt.attempt_id in self._stranded:
+            del self._stranded[message.attempt.attempt_id]
             self._ledger.running[message.attempt.team] -= 1
 
     # Deadlines
@@ -702,7 +704,7 @@
     def _on_sweep_deadlines(self, _: SweepDeadlines) -> None:
         now_ms = self._timer.now_ms()
         while self._deadlines and self._deadlines[0][0] <= now_ms:
-            _, request_id = heapq.heappop(self._deadlines)
+            request_id = heapq.heappop(self._deadlines)[1]
             entry = self._jobs.get(request_id)
             if entry is not None:
                 self._expire(entry)
@@ -825,9 +827,7 @@
             self._follow_log(entry, known)
 
     def _follow_log(self, entry: JobEntry, known: JobState) -> None:
-        if known.outcome is Outcome.ANSWERED and JOB_CHART.accepts(
-            entry.state, "recorded_result"
-        ):
+        if known.outcome is Outcome.ANSWERED and JOB_CHART.accepts(entry.state, "recorded_result"):
             entry.answer = Answer(known.body, known.succeeded)
             self._step(entry, "recorded_result")
         elif known.outcome is Outcome.NOT_RUN and JOB_CHART.accepts(
@@ -979,9 +979,7 @@
         answer = (await asked).answer
         if answer is None:
             return known
-        return evolve(
-            known, outcome=Outcome.ANSWERED, body=answer.body, succeeded=answer.succeeded
-        )
+        return evolve(known, outcome=Outcome.ANSWERED, body=answer.body, succeeded=answer.succeeded)
 
     @receives(FindResult)
     def _on_find_result(self, message: FindResult) -> None:
@@ -1088,9 +1086,7 @@
 def issue_request_ids(entry: str, incarnation: str, now_ms: float, count: int) -> list[str]:
     """Return fresh request IDs; each holds the time of issue and 40 random bits."""
     issued_ms = int(now_ms)
-    return [
-        f"{entry}.{incarnation}.{issued_ms << 40 | secrets.randbits(40)}" for _ in range(count)
-    ]
+    return [f"{entry}.{incarnation}.{issued_ms << 40 | secrets.randbits(40)}" for _ in range(count)]
 
 
 def issue_time_ms(request_id: str) -> float:
--- a/src/tarragoncart/journal.py
+++ b/src/tarragoncart/journal.py
@@ -209,7 +209,7 @@
         self._session: aiohttp.ClientSession
 
     def add_listener(self, actor: Actor) -> None:
-        """Send :class:`ViewChanged` and :class:`JobChanged` to the actor from now on."""
+        """Send the actor those of :class:`ViewChanged` and :class:`JobChanged` it handles."""
         self._listeners.append(actor)
 
     async def opened(self) -> None:
@@ -351,7 +351,8 @@
 
     def _tell_listeners(self, message: ViewChanged | JobChanged) -> None:
         for listener in self._listeners:
-            listener.tell(message)
+            if listener.can_receive(type(message)):
+                listener.tell(message)
 
     # Appending
 
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -133,12 +133,20 @@
                 result = self.handle(message)
                 if result is not None:
                     await result
-            except Exception:
+            except Exception as error:
                 # One bad message must not stop the actor and all jobs it owns.
                 logger.exception(
                     "message handler failed",
                     extra={"actor": self.name, "message_type": type(message).__name__},
                 )
+                reply = getattr(message, "reply", None)
+                if isinstance(reply, asyncio.Future) and not reply.done():
+                    reply.set_exception(error)
+
+    @classmethod
+    def can_receive(cls, message_type: type) -> bool:
+        """Tell whether there is a handler for a message type."""
+        return message_type in cls._handlers
 
     def handle(self, message: Any) -> Any:
         """Call the handler of a message; returns an awaitable if the handler is a coroutine."""
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import Callable
 from typing import Any
 
 from attrs import evolve, frozen
@@ -136,10 +135,8 @@
             gone = status.silent_ms >= defaults.MEMBER_RETIRE_MS or incarnation in replaced
             if gone and incarnation not in self._retiring:
                 self._retiring.add(incarnation)
-                self._append(
-                    records.Retire(incarnation, f"silent for {status.silent_ms:.0f} ms"),
-                    lambda _, inc=incarnation: self._retiring.discard(inc),
-                )
+                record = records.Retire(incarnation, f"silent for {status.silent_ms:.0f} ms")
+                self.spawn(self._retire(record))
 
     def _release_retired(self) -> None:
         held = {inc for rights in self._view.rights.values() for inc in rights.held}
@@ -153,19 +150,19 @@
             counted: asyncio.Future[int | None] = new_reply()
             self._dispatch.tell(CountTasks(incarnation, counted))
             if await counted == 0:
-                recorded = new_reply()
-                record = records.ReleaseRights(incarnation)
-                expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
-                self._journal.tell(Append(record, self.member.name, recorded, expires_ms))
-                await recorded
+                await self._append(records.ReleaseRights(incarnation))
         finally:
             self._releasing.discard(incarnation)
 
-    def _append(self, record: Any, done: Callable[[Any], Any]) -> None:
+    async def _retire(self, record: records.Retire) -> None:
+        await self._append(record)
+        self._retiring.discard(record.incarnation)
+
+    def _append(self, record: Any) -> asyncio.Future[Any]:
         reply = new_reply()
-        reply.add_done_callback(done)
         expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
         self._journal.tell(Append(record, self.member.name, reply, expires_ms))
+        return reply
 
     # Shutdown
 
@@ -193,10 +190,7 @@
             event = "drained"
         except TimeoutError:
             event = "timeout"
-        recorded = new_reply()
-        record = records.Retire(self.member.incarnation, "shutdown")
-        expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
-        self._journal.tell(Append(record, self.member.name, recorded, expires_ms))
+        recorded = self._append(records.Retire(self.member.incarnation, "shutdown"))
         try:
             await asyncio.wait_for(recorded, defaults.LOG_UNAVAILABLE_MS / 1_000)
         except TimeoutError:
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -210,7 +210,13 @@
             answer = decode(data["beat"], PeerBeat)
             chunk = decode(data["chunk"], Chunk) if data.get("chunk") else None
             self.tell(BeatAnswered(address, answer, chunk, sent_at_ms))
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, cattrs.BaseValidationError):
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+            cattrs.BaseValidationError,
+        ):
             self.tell(BeatFailed(address))
 
     async def _post(
@@ -420,4 +426,3 @@
 def decode(data: Any, cls: type[Any]) -> Any:
     """Return the ``attrs`` value that a JSON form stands for."""
     return records.converter().structure(data, cls)
-
--- a/src/tarragoncart/placement.py
+++ b/src/tarragoncart/placement.py
@@ -84,9 +84,7 @@
             facts.leaving = change.leaving
         else:
             self.health.record(change.name, change.verdict, now_ms)
-        self._step_if_accepted(
-            change.name, "lease_granted" if change.leased else "lease_expired"
-        )
+        self._step_if_accepted(change.name, "lease_granted" if change.leased else "lease_expired")
         self.refresh(change.name)
 
     def refresh(self, name: str) -> None:
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -17,7 +17,7 @@
 from .admission import Submission
 from .audit import entries_about, entry_json
 from .dispatch import Cancel, Dispatch, Query, ReadLogged, ReadUsage, Submit, issue_request_ids
-from .errors import RequestError
+from .errors import RequestError, SettingsError
 from .journal import Append, Journal, ReadAudit, ReadState
 from .mailbox import Actor, new_reply
 from .membership import Membership, ReadEntry
@@ -70,9 +70,7 @@
         :raises RequestError: if the log did not take it, or has not confirmed it in time.
         """
         expires_ms = self.timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
-        asked = self.ask(
-            self.journal, lambda reply: Append(record, author, reply, expires_ms)
-        )
+        asked = self.ask(self.journal, lambda reply: Append(record, author, reply, expires_ms))
         try:
             entry = await asyncio.wait_for(asked, defaults.OPERATOR_TIMEOUT_MS / 1_000)
         except TimeoutError:
@@ -290,9 +288,13 @@
     try:
         config = parse_fleet_config(data.get("config"))
     except ExceptionGroup as group:
-        problems = [{"path": e.peer, "message": e.message} for e in group.exceptions]  # type: ignore[attr-defined]
-        error = _bad_request("the configuration has errors", "bad_config")
-        return web.json_response({**_error_body(error), "problems": problems}, status=400)
+        problems = [
+            {"path": error.peer, "message": error.message}
+            for error in group.exceptions
+            if isinstance(error, SettingsError)
+        ]
+        refused = _bad_request("the configuration has errors", "bad_config")
+        return web.json_response({**_error_body(refused), "problems": problems}, status=400)
     entry = await front.record(records.Publish(base_version, config), _author(data))
     if not entry.accepted:
         error = _conflict(entry, "version_conflict")
@@ -334,9 +336,7 @@
     bound_ms = defaults.KEY_FRESHNESS_MS + (grant.cutoff_grace_s * 1_000 if grant else 0)
     statuses: list[PeerStatus] = await front.ask(front.peers, ReadPeers)
     needed = offset if offset is not None else front.dispatch.view.offset
-    missing = [
-        s.member.name for s in statuses if s.offset < needed and s.silent_ms <= bound_ms
-    ]
+    missing = [s.member.name for s in statuses if s.offset < needed and s.silent_ms <= bound_ms]
     return web.json_response(
         {"offset": needed, "complete": not missing, "missing": sorted(missing)}
     )
@@ -384,7 +384,9 @@
     """Answer who changed a job, VM or team, when, and in answer to which fact."""
     kind, name = request.match_info["kind"], request.match_info["name"]
     entries = await front.ask(front.journal, lambda future: ReadAudit(name, future))
-    return web.json_response({"entries": [entry_json(e) for e in entries_about(entries, kind, name)]})
+    return web.json_response(
+        {"entries": [entry_json(e) for e in entries_about(entries, kind, name)]}
+    )
 
 
 @CLIENT_ROUTES.register("GET /v1/status")
