--- a/src/standins/serving.py
+++ b/src/standins/serving.py
@@ -62,7 +62,7 @@
     changes = registry.get(name)(**params)
     if not on:
         changes = {key: getattr(normal, key) for key in changes}
-    return evolve(current, **changes)
+    return evolve(current, **changes)  # type: ignore[misc]
 
 
 class Lagged(Generic[T]):
--- a/src/standins/worker.py
+++ b/src/standins/worker.py
@@ -662,7 +662,7 @@
 
 def _decode_attempt(body: dict[str, Any]) -> Attempt:
     payload = body.get("payload")
-    fields = payload if isinstance(payload, dict) else {"echo": payload}
+    fields: dict[str, Any] = payload if isinstance(payload, dict) else {"echo": payload}
     declared_run_ms = body.get("declared_run_ms") or 0.0
     run_ms = max(0.0, float(fields.get("run_ms", declared_run_ms)))
     work = Work(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
+import aiohttp
 import pytest
 
+from standins.guard import Attempt, Guard, Work
+from standins.network import Relay
+from standins.network import make_app as make_network_app
+from standins.platform import Platform, PlatformSettings
+from standins.platform import make_app as make_platform_app
+from standins.serving import Listener
+from standins.worker import Worker, WorkerSettings
 from tarragoncart import replay
 from tarragoncart.model import FleetConfig, Member, PoolSpec, QueueSpec, TeamSpec, VmSpec
 from tarragoncart.records import Envelope, Join, Publish
@@ -53,3 +62,104 @@
         return applied.entry
 
     return apply
+
+
+@pytest.fixture
+def guard() -> Guard:
+    """A worker's guard with two slots; incarnation ``i`` has a lease from 0 to 1,000 ms."""
+    guard = Guard(slot_count=2, lease_ms=1_000, epoch_floor=0)
+    guard.grant_lease("i", 0)
+    return guard
+
+
+@pytest.fixture
+def attempt() -> Callable[..., Attempt]:
+    """Make an attempt at request ``r`` under the first lease of incarnation ``i``."""
+    numbers = itertools.count()
+
+    def make(request_id: str = "r", **changes: Any) -> Attempt:
+        fields = {"incarnation": "i", "lease_epoch": 1, "team": "shop", "guarded": True}
+        return Attempt(f"a-{next(numbers)}", request_id, work=Work(), **(fields | changes))
+
+    return make
+
+
+@pytest.fixture
+async def http() -> AsyncIterator[aiohttp.ClientSession]:
+    """An HTTP session that opens a connection for each call."""
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield session
+
+
+@pytest.fixture
+def call(http: aiohttp.ClientSession) -> Callable[..., Awaitable[tuple[int, Any]]]:
+    """Make a call and return the status and the decoded body."""
+
+    async def send(method: str, url: str, **body: Any) -> tuple[int, Any]:
+        async with http.request(method, url, json=body) as answer:
+            return answer.status, await answer.json()
+
+    return send
+
+
+@pytest.fixture
+async def serve() -> AsyncIterator[Callable[[Listener], Awaitable[str]]]:
+    """Open a listener on a free port and return its address."""
+    listeners: list[Listener] = []
+
+    async def open_listener(listener: Listener) -> str:
+        listeners.append(listener)
+        return await listener.open("127.0.0.1:0")
+
+    yield open_listener
+    for listener in reversed(listeners):
+        await listener.close()
+
+
+@pytest.fixture
+async def worker(serve: Callable[[Listener], Awaitable[str]], tmp_path: Any) -> str:
+    """URL of a worker stand-in with two slots and four connections."""
+    settings = WorkerSettings(
+        "w", 2, connection_limit_count=4, usage_lag_ms=0, history=str(tmp_path / "history")
+    )
+    return "http://" + await serve(Worker(settings).listener)
+
+
+@pytest.fixture
+async def platform(serve: Callable[[Listener], Awaitable[str]], tmp_path: Any) -> str:
+    """URL of a platform stand-in."""
+    settings = PlatformSettings(history=str(tmp_path / "history"))
+    return "http://" + await serve(Listener(make_platform_app(Platform(settings))))
+
+
+@pytest.fixture
+async def network(serve: Callable[[Listener], Awaitable[str]]) -> str:
+    """URL of a relay."""
+    return "http://" + await serve(Listener(make_network_app(Relay("127.0.0.1"))))
+
+
+@pytest.fixture
+def submit_attempt(call: Callable[..., Awaitable[tuple[int, Any]]], worker: str) -> Any:
+    """Take a lease and send an attempt to the worker; the keywords are its payload."""
+
+    async def send(request_id: str, guarded: bool = True, **payload: Any) -> tuple[int, Any]:
+        _, lease = await call("POST", f"{worker}/lease", incarnation="i", entry="e")
+        fields = {"attempt_id": f"a-{request_id}", "request_id": request_id, "team": "shop"}
+        lease_fields = {"incarnation": "i", "lease_epoch": lease["epoch"], "guarded": guarded}
+        body = fields | lease_fields | {"declared_run_ms": 1, "payload": payload}
+        return await call("POST", f"{worker}/attempts", **body)
+
+    return send
+
+
+@pytest.fixture
+def wait_until() -> Callable[[Callable[[], Awaitable[bool]]], Awaitable[None]]:
+    """Repeat a check until it holds, for at most 5 s."""
+
+    async def wait(check: Callable[[], Awaitable[bool]]) -> None:
+        async with asyncio.timeout(5):
+            while not await check():
+                await asyncio.sleep(0.01)
+
+    return wait
