--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -163,3 +163,13 @@
                 await asyncio.sleep(0.01)
 
     return wait
+
+
+@pytest.fixture
+def wait_for_task(call: Any, worker: str, wait_until: Any) -> Callable[[], Awaitable[None]]:
+    """Wait until the worker runs a task."""
+
+    async def running() -> bool:
+        return bool((await call("GET", f"{worker}/tasks"))[1]["tasks"])
+
+    return lambda: wait_until(running)
