--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -401,3 +401,34 @@
     process.send_signal(signal.SIGTERM)
     rest, _ = await asyncio.wait_for(process.communicate(), 5)
     assert (process.returncode, rest) == (0, b"")
+
+
+async def test_late_and_slow_workers_answer_in_the_end(call, submit_attempt, worker):
+    """Guards against delays that are not injected, or that lose the answer."""
+    control = f"{worker}/control/faults"
+    await call("POST", control, fault="late_answers", on=True, delay_ms=100)
+    late = asyncio.ensure_future(submit_attempt("r"))
+    done, _ = await asyncio.wait([late], timeout=0.05)
+    assert not done and (await late)[1]["request_id"] == "r"
+    await call("POST", control, fault="late_answers", on=False)
+    await call("POST", control, fault="slow", on=True, factor=100)
+    slow = asyncio.ensure_future(submit_attempt("s", run_ms=2))
+    done, _ = await asyncio.wait([slow], timeout=0.05)
+    assert not done and (await slow)[1]["status"] == "completed"
+
+
+async def test_a_worker_may_fail_to_come_back(call, worker, wait_until):
+    """Guards against a failed reboot that looks like a finished one."""
+    await call("POST", f"{worker}/control/faults", fault="fail_reboot", on=True)
+    await call("POST", f"{worker}/control/reboot", duration_ms=0)
+
+    async def refused():
+        try:
+            await call("GET", f"{worker}/usage")
+        except aiohttp.ClientConnectorError:
+            return True
+        return False
+
+    await wait_until(refused)
+    await asyncio.sleep(0.1)
+    assert await refused()
