--- a/src/standins/worker.py
+++ b/src/standins/worker.py
@@ -646,7 +646,7 @@
 async def _lease(request: web.Request) -> web.Response:
     worker = request.app[WORKER]
     body = await read_json(request, "incarnation")
-    grant = await ask(worker, RequestLease, body["incarnation"])
+    grant = await ask(worker, RequestLease, str(body["incarnation"]))
     if isinstance(grant, Refusal):
         return _refuse(grant)
     answer = {
@@ -662,7 +662,7 @@
 
 def _decode_attempt(body: dict[str, Any]) -> Attempt:
     payload = body.get("payload")
-    fields = payload if isinstance(payload, dict) else {"echo": payload}
+    fields: dict[str, Any] = payload if isinstance(payload, dict) else {"echo": payload}
     declared_run_ms = body.get("declared_run_ms") or 0.0
     run_ms = max(0.0, float(fields.get("run_ms", declared_run_ms)))
     work = Work(
@@ -727,11 +727,11 @@
     worker = request.app[WORKER]
     body = await read_json(request)
     if "request_id" in body:
-        view = await ask(worker, FenceRequest, body["request_id"])
+        view = await ask(worker, FenceRequest, str(body["request_id"]))
         return json_answer({"request_id": body["request_id"]} | _view_body(view))
     if "incarnation" not in body:
         return json_answer({"code": "bad_request", "missing": ["request_id", "incarnation"]}, 400)
-    views = await ask(worker, FenceIncarnation, body["incarnation"])
+    views = await ask(worker, FenceIncarnation, str(body["incarnation"]))
     running = [{"request_id": view.attempt.request_id, "team": view.attempt.team} for view in views]
     return json_answer({"running": running, "boot_id": worker.boot_id})
 
