--- a/src/tarragoncart/cli.py
+++ b/src/tarragoncart/cli.py
@@ -61,21 +61,21 @@
 @contextmanager
 def _reported() -> Iterator[None]:
     """Print errors on standard error and turn them into an exit status."""
-    errors: Sequence[Exception]
     try:
         yield
+    except* SettingsError as group:
+        found: list[Any] = list(group.exceptions)
+    except* RequestError as group:  # type: ignore[assignment]
+        found = list(group.exceptions)
+    else:
         return
-    except ExceptionGroup as group:
-        errors = group.exceptions
-    except RequestError as error:
-        errors = (error,)
-    for error in errors:
-        if isinstance(error, SettingsError):
-            typer.echo(f"{error.peer}: {error.message}", err=True)
-        elif isinstance(error, RequestError):
-            limit = f", limit {error.limit}" if error.limit else ""
-            typer.echo(f"{error.code}: {error}{limit}", err=True)
-    raise typer.Exit(2 if isinstance(errors[0], SettingsError) else 1)
+    for item in found:
+        if isinstance(item, SettingsError):
+            typer.echo(f"{item.peer}: {item.message}", err=True)
+        else:
+            limit = f", limit {item.limit}" if item.limit else ""
+            typer.echo(f"{item.code}: {item}{limit}", err=True)
+    raise typer.Exit(2 if isinstance(found[0], SettingsError) else 1)
 
 
 def _ask(entries: Sequence[str], author: str, work: Callable[[Operator], Awaitable[Any]]) -> Any:
--- a/src/tarragoncart/operator_api.py
+++ b/src/tarragoncart/operator_api.py
@@ -93,8 +93,9 @@
                 last_error = error
             except (aiohttp.ClientError, TimeoutError) as error:
                 if method not in _REPEATABLE:
+                    cause = str(error) or type(error).__name__
                     raise RequestError(
-                        f"sent but not answered, so it may have taken effect: {error!r}",
+                        f"sent but not answered, so it may have taken effect: {cause}",
                         code="outcome_unknown",
                         status=504,
                         step=step,
@@ -102,7 +103,7 @@
                     ) from error
                 last_error = error
         raise RequestError(
-            f"no entry VM was reached: {last_error!r}",
+            f"no entry VM was reached: {last_error}",
             code="unreachable",
             status=503,
             step=step,
--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -415,6 +415,16 @@
     yield from _duplicate_problems([*fixed, platform, *peers])
 
 
+@ENTRY_CHECKS.register("advertised addresses")
+def check_advertised_addresses(settings: EntrySettings) -> Iterator[SettingsError]:
+    """An entry VM that binds all its addresses says which one others connect to."""
+    for side in ("client", "peer"):
+        bound = getattr(settings, f"{side}_address")
+        path = f"advertised_{side}_address"
+        if bound.rpartition(":")[0] in ("0.0.0.0", "[::]") and not getattr(settings, path):
+            yield problem(path, f"needed, because nobody can connect to {bound}")
+
+
 @ENTRY_CHECKS.register("choices")
 def check_entry_choices(settings: EntrySettings) -> Iterator[SettingsError]:
     """Log level and metrics exporter exist."""
