--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -302,7 +302,7 @@
 def _unknown_key(key: str, known: list[str]) -> str:
     stems = {_stem(name): name for name in known}
     if _stem(key) in stems:
-        return f"unknown key; wrong unit, use {stems[_stem(key)]}"
+        return f"unknown key; wrong or missing unit, use {stems[_stem(key)]}"
     near = difflib.get_close_matches(key, known, n=1)
     return f"unknown key; did you mean {near[0]}?" if near else "unknown key"
 
