--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -302,7 +302,7 @@
 def _unknown_key(key: str, known: list[str]) -> str:
     stems = {_stem(name): name for name in known}
     if _stem(key) in stems:
-        return f"unknown key; wrong unit, use {stems[_stem(key)]}"
+        return f"unknown key; wrong or missing unit, use {stems[_stem(key)]}"
     near = difflib.get_close_matches(key, known, n=1)
     return f"unknown key; did you mean {near[0]}?" if near else "unknown key"
 
@@ -415,6 +415,16 @@
     yield from _duplicate_problems([*fixed, platform, *peers])
 
 
+@ENTRY_CHECKS.register("advertised addresses")
+def check_advertised_addresses(settings: EntrySettings) -> Iterator[SettingsError]:
+    """An entry VM that binds all its addresses says which one others connect to."""
+    for side in ("client", "peer"):
+        bound = getattr(settings, f"{side}_address")
+        path = f"advertised_{side}_address"
+        if bound.rpartition(":")[0] in ("0.0.0.0", "[::]") and not getattr(settings, path):
+            yield problem(path, f"needed, because nobody can connect to {bound}")
+
+
 @ENTRY_CHECKS.register("choices")
 def check_entry_choices(settings: EntrySettings) -> Iterator[SettingsError]:
     """Log level and metrics exporter exist."""
