Keep the guard's retention in the worker stand-in

Cause: the stand-in used a constant of the entry process that has since changed, and every task failed to end. Change: retention constants of the platform's guard live with the stand-in; entry processes are stopped before the platform; a requeued job drops its earlier attempt.

--- a/src/bench/processes.py
+++ b/src/bench/processes.py
@@ -20,6 +20,7 @@
 from tarragoncart.settings import EntrySettings, PeerSettings
 
 START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 10
 
 
 @define
@@ -102,7 +103,8 @@
 
     async def wait(self, name: str) -> None:
         """Wait until a process has ended and forget it."""
-        await self.started.pop(name).process.wait()
+        await self.started[name].process.wait()
+        self.started.pop(name, None)
 
     async def stop(self) -> None:
         """Ask all processes to end and kill those that have not after some seconds."""
@@ -231,7 +233,15 @@
         return data["state"] == "ready" and len(data["members"]) >= len(self.client_addresses)
 
     async def stop(self) -> None:
-        """Stop all processes."""
+        """Stop the entry processes first, so that they find the log, then all others."""
+        for name in self.entries:
+            if name in self.group.started:
+                self.group.send(name, signal.SIGTERM)
+        waits = [self.group.wait(name) for name in self.entries if name in self.group.started]
+        try:
+            await asyncio.wait_for(asyncio.gather(*waits), STOP_TIMEOUT_S)
+        except TimeoutError:
+            pass
         await self.group.stop()
 
 
--- a/src/standins/guard.py
+++ b/src/standins/guard.py
@@ -9,12 +9,14 @@
 
 from attrs import define, field, frozen
 
-from tarragoncart import defaults
-
 from .serving import load_chart
 
 CHART = load_chart("task")
 
+# A guard keeps results this long, and at most this many.
+RETENTION_MS = 15 * 60 * 1_000
+RETENTION_COUNT = 20_000
+
 
 @frozen
 class Work:
@@ -202,7 +204,7 @@
     def fence_request(self, request_id: str) -> GuardEntry:
         """Keep a request ID from starting later, and return its entry."""
         self.fenced_requests[request_id] = None
-        if len(self.fenced_requests) > defaults.RESULT_RETENTION_COUNT:
+        if len(self.fenced_requests) > RETENTION_COUNT:
             self.fenced_requests.popitem(last=False)
         return self.find(request_id)
 
@@ -219,8 +221,8 @@
         """Remove entries that are past the retention time or count."""
         while self.ended:
             entry = next(iter(self.ended.values()))
-            recent = now_ms - entry.ended_at_ms < defaults.RESULT_RETENTION_MS
-            if recent and len(self.ended) <= defaults.RESULT_RETENTION_COUNT:
+            recent = now_ms - entry.ended_at_ms < RETENTION_MS
+            if recent and len(self.ended) <= RETENTION_COUNT:
                 return
             self.ended.popitem(last=False)
 
--- a/src/standins/platform.py
+++ b/src/standins/platform.py
@@ -270,13 +270,12 @@
         answered = self._random.random() >= self._faults.lose_answers_ratio
         self._counts["appended"] += 1
         self._counts["lost_answers"] += not answered
-        kinds = [r["kind"] for r in message.records if isinstance(r, dict) and "kind" in r]
         self._history.write(
             "append",
             stream=message.stream,
             first_offset=first,
             count=len(message.records),
-            kinds=kinds,
+            records=message.records,
             answered=answered,
         )
         resolve(message.reply, Appended(first, stream.end_offset, answered))
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -439,6 +439,8 @@
     @carries_out("enqueue")
     def _enqueue(self, entry: JobEntry, **_: Any) -> None:
         job = entry.job
+        # A late report on the previous attempt must not be taken for one on the next.
+        entry.attempt = None
         weight = self._share_weight(job.team)
         self._pool(job.pool).enqueue(job, weight, self._timer.now_ms())
         self._waiting[job.team] += 1
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -16,10 +16,9 @@
 from standins import network as network_module
 from standins import platform as platform_module
 from standins import worker as worker_module
-from standins.guard import Attempt, Guard, Refusal, Result, Start, Work
+from standins.guard import RETENTION_MS, Attempt, Guard, Refusal, Result, Start, Work
 from standins.log import RateCap, Stream
 from standins.serving import Lagged
-from tarragoncart import defaults
 
 
 def read_events(path):
@@ -67,7 +66,7 @@
 
 def test_fences_outlive_results(guard, attempt):
     """Guards against a delayed attempt that starts once the guard has forgotten a result."""
-    late_ms = defaults.RESULT_RETENTION_MS + 10
+    late_ms = RETENTION_MS + 10
     guard.admit(attempt(), 1, leaving=False)
     assert guard.fence_request("r").state == "running"
     guard.end("r", "complete", {}, 2)
@@ -328,7 +327,8 @@
     assert (await call("POST", url, records=[1]))[0] == 429
     assert (await call("POST", control, fault="slow", on=True, delay_ms="x"))[0] == 400
     append = next(event for event in read_events(tmp_path) if event["event"] == "append")
-    assert (append["stream"], append["first_offset"], append["kinds"]) == ("fleet", 0, ["a"])
+    assert (append["stream"], append["first_offset"]) == ("fleet", 0)
+    assert [record["kind"] for record in append["records"]] == ["a"]
 
 
 async def test_vm_list_lags_and_can_be_wrong(call, platform):
