--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -55,15 +55,17 @@
     assert settings.load_entry_settings(EXAMPLES / "entry.json").name == "entry-1"
 
 
-@pytest.mark.parametrize(("data_centres", "rack_count"), [(["dc-1", "dc-2"], 1), (["dc-1"], 2)])
+@pytest.mark.parametrize(("data_centres", "rack_count"), [(["dc-1", "dc-2"], 2), (["dc-1"], 2)])
 def test_vms_added_in_turn_are_spread(data_centres, rack_count):
-    """Guards against a pool in one rack because VMs of another pool were added in between."""
+    """Guards against a pool in one rack or data centre because VMs of another pool were added in between."""
     fleet = Fleet(data_centres, racks_per_data_centre_count=rack_count)
     for pool in ("a", "b"):
         fleet.pool(pool, max_unavailable_count=1)
     for pool in ("a", "b", "a"):
         fleet.vms(pool, count=1)
-    assert len({vm.rack for vm in fleet.build().vms if vm.pool == "a"}) == 2
+    vms = [vm for vm in fleet.build().vms if vm.pool == "a"]
+    assert len({vm.rack for vm in vms}) == 2
+    assert len({vm.data_centre for vm in vms}) == len(data_centres)
 
 
 def test_full_racks_are_an_error():
