--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -57,7 +57,7 @@
 
 @pytest.mark.parametrize(("data_centres", "rack_count"), [(["dc-1", "dc-2"], 2), (["dc-1"], 2)])
 def test_vms_added_in_turn_are_spread(data_centres, rack_count):
-    """Guards against a pool in one rack or data centre because VMs of another pool were added in between."""
+    """Guards against a pool in one rack or data centre because another pool grew in between."""
     fleet = Fleet(data_centres, racks_per_data_centre_count=rack_count)
     for pool in ("a", "b"):
         fleet.pool(pool, max_unavailable_count=1)
