--- a/src/tarragoncart/records.py
+++ b/src/tarragoncart/records.py
@@ -291,7 +291,7 @@
     :raises RecordError: if the kind is unknown or a field is missing or wrong.
     """
     try:
-        record = converter().structure(data["record"], RECORD_KINDS.get(data["kind"]))
+        record: Any = converter().structure(data["record"], RECORD_KINDS.get(data["kind"]))
         return Envelope(data["batch_id"], data["index"], data["author"], data["at_ms"], record)
     except Exception as error:
         raise RecordError(f"undecodable record: {error}", step="decode record") from error
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -90,7 +90,7 @@
 
 def build_app(front: Front, routes: Registry[Handler]) -> web.Application:
     """Return an application that serves the registered routes; names are ``METHOD PATH``."""
-    app = web.Application(client_max_size=defaults.BODY_SIZE_BYTES)
+    app = web.Application(client_max_size=defaults.CONFIG_SIZE_BYTES)
     for name, handler in routes.items():
         method, path = name.split(" ")
         app.router.add_route(method, path, _bind(front, handler))
@@ -104,10 +104,7 @@
         except RequestError as error:
             return error_response(error)
         except web.HTTPRequestEntityTooLarge:
-            limit = f"{defaults.BODY_SIZE_BYTES} bytes"
-            return error_response(
-                _bad_request(f"body is larger than {limit}", "body_too_large", 413, "body_size")
-            )
+            return error_response(_too_large(defaults.CONFIG_SIZE_BYTES))
 
     return handle
 
@@ -134,8 +131,19 @@
     return RequestError(message, code=code, status=status, step="decode", limit=limit)
 
 
-async def _read_json(request: web.Request) -> dict[str, Any]:
+def _too_large(limit_bytes: int) -> RequestError:
+    message = f"body is larger than {limit_bytes} bytes"
+    return _bad_request(message, "body_too_large", 413, "body_size_bytes")
+
+
+async def _read_json(
+    request: web.Request, limit_bytes: int = defaults.BODY_SIZE_BYTES
+) -> dict[str, Any]:
+    if (request.content_length or 0) > limit_bytes:
+        raise _too_large(limit_bytes)
     body = await request.read()
+    if len(body) > limit_bytes:
+        raise _too_large(limit_bytes)
     try:
         data = json.loads(body)
     except ValueError as error:
@@ -283,7 +291,7 @@
 @CLIENT_ROUTES.register("POST /v1/config")
 async def publish(front: Front, request: web.Request) -> web.Response:
     """Publish a configuration."""
-    data = await _read_json(request)
+    data = await _read_json(request, defaults.CONFIG_SIZE_BYTES)
     base_version = _take(data, "base_version", int, None)
     try:
         config = parse_fleet_config(data.get("config"))
@@ -338,7 +346,12 @@
     needed = offset if offset is not None else front.dispatch.view.offset
     missing = [s.member.name for s in statuses if s.offset < needed and s.silent_ms <= bound_ms]
     return web.json_response(
-        {"offset": needed, "complete": not missing, "missing": sorted(missing)}
+        {
+            "offset": needed,
+            "complete": not missing,
+            "missing": sorted(missing),
+            "cutoff_grace_s": grant.cutoff_grace_s if grant else 0.0,
+        }
     )
 
 
@@ -474,7 +487,8 @@
 @PEER_ROUTES.register("POST /peer/forward")
 async def peer_forward(front: Front, request: web.Request) -> web.Response:
     """Handle a submission whose request ID this entry VM has issued."""
-    submission = decode(await _read_json(request), Submission)
+    data = await _read_json(request, 2 * defaults.BODY_SIZE_BYTES)
+    submission = decode(data, Submission)
     reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
     return web.json_response(encode(reply))
 
--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -34,9 +34,11 @@
 
 from . import defaults
 from .errors import SettingsError
+from .fairqueue import QUEUE_ORDERS
 from .metrics import METRICS_EXPORTERS
 from .model import FleetConfig
 from .registry import Registry
+from .routing import EJECTION, ROUTING
 
 T = TypeVar("T")
 
@@ -47,9 +49,13 @@
 
 UNIT_SUFFIXES = ("ms", "s", "min", "h", "count", "bytes", "kb", "mb", "gb", "ratio", "weight")
 
-# Registries of policies by the field of PolicySpec that names one of their entries. The modules
-# that own the registries add them; a field without a registry is not checked.
-POLICY_REGISTRIES: dict[str, Registry[Any]] = {}
+# Registries of policies by the field of PolicySpec that names one of their entries; a field
+# without a registry is not checked.
+POLICY_REGISTRIES: dict[str, Registry[Any]] = {
+    "routing": ROUTING,
+    "ejection": EJECTION,
+    "queue_order": QUEUE_ORDERS,
+}
 
 
 @frozen
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -178,6 +178,7 @@
     return lambda: wait_until(running)
 
 
+@pytest.fixture
 def entry_data() -> dict[str, Any]:
     """Decoded settings of an entry VM, without a fault."""
     return {
