Drive planned stops, moves and failed VMs from the replayed state

Cause: records for stops, moves and waves were replayed, but nothing executed them. Change: plan_steps decides from the view and from what workers report; the Operations actor of the driver appends the records and calls the platform. Membership tells the driver of its role. Records about VMs carry the revision they were decided on, so that a late copy of a step from another driver is rejected; drain and reboot calls carry the worker's boot ID for the same reason, which the stand-ins check. VmState remembers that a drain may still be in force, so that any driver can end it.

--- a/src/bench/vm_model.py
+++ b/src/bench/vm_model.py
@@ -17,12 +17,16 @@
 
 @define
 class Vm:
-    """A VM: its pool, and its state: in_service, reserved, stopping, draining or failed."""
+    """A VM: its pool, and its state: in_service, reserved, stopping, draining or failed.
+
+    :param revision: number of changes of the state; a record decided on another one is void.
+    """
 
     pool: str
     state: str = "in_service"
     wave: str = ""
     target_pool: str = ""
+    revision: int = 0
 
 
 @define
@@ -99,6 +103,8 @@
 
     def _change_vm(self, kind: str, record: Mapping[str, Any], vm: Vm) -> None:
         before = vm.state
+        if record.get("revision", -1) not in (-1, vm.revision):
+            return
         if kind == "reserve_stop" and before == "in_service":
             wave = self.waves.get(record["wave"])
             in_wave = wave and wave.state == "running" and record["vm"] in wave.pending
@@ -122,6 +128,7 @@
             vm.state = "in_service"
             if before == "stopping":
                 self._leave_wave(record["vm"], vm, failed=False)
+        vm.revision += vm.state != before
         if vm.state == "in_service":
             vm.wave = vm.target_pool = ""
 
--- a/src/standins/platform.py
+++ b/src/standins/platform.py
@@ -38,6 +38,7 @@
 VM_ACTIONS = ("drain", "undrain", "reboot")
 WORKER_TIMEOUT_S = 2.0
 RETURN_POLL_S = 0.1
+PRECONDITION_FAILED = 412
 # Nothing listens there.
 ABSENT_ADDRESS = "127.0.0.1:1"
 READ_LIMIT_COUNT = 1_000
@@ -366,19 +367,26 @@
         if vm is None:
             resolve(message.reply, Problem("unknown_vm", message.name))
             return
+        before = vm
         vm = evolve(vm, state=VM_CHART.step(vm.state, message.action).state)
         self._change_vm(vm)
-        self.spawn(self._call_worker(vm, message))
+        self.spawn(self._call_worker(vm, before, message))
 
-    async def _call_worker(self, vm: Vm, message: ActOnVm) -> None:
+    async def _call_worker(self, vm: Vm, before: Vm, message: ActOnVm) -> None:
         url = f"http://{vm.address}/control/{message.action}"
         try:
             async with self._session.post(url, json=dict(message.params)) as answer:
                 body = await answer.json()
+                refused = answer.status == PRECONDITION_FAILED
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             problem = Problem("worker_unreachable", f"{vm.name} {vm.address}: {error!r}")
             resolve(message.reply, problem)
             return
+        if refused:
+            if before.state == VM_CHART.initial:
+                self.tell(VmReturned(vm.name, vm.address))
+            resolve(message.reply, Problem("other_boot", f"{vm.name} {vm.address}"))
+            return
         resolve(message.reply, vm)
         if message.action == "reboot":
             await self._wait_for_return(vm, body.get("boot_id"))
@@ -447,6 +455,7 @@
     "bad_fault": 400,
     "bad_request": 400,
     "worker_unreachable": 502,
+    "other_boot": PRECONDITION_FAILED,
 }
 
 
--- a/src/standins/worker.py
+++ b/src/standins/worker.py
@@ -254,11 +254,13 @@
     """Drain, undrain or reboot the worker; ``event`` is an event of its chart.
 
     :param graceful: let running tasks end before a reboot.
+    :param boot_id: precondition on the worker's own one, empty for none.
     """
 
     event: str
     duration_ms: float
     graceful: bool
+    boot_id: str
     reply: asyncio.Future[dict[str, Any]]
 
 
@@ -514,6 +516,9 @@
     @receives(Control)
     def _control(self, message: Control) -> None:
         boot_id = self.boot_id
+        if message.boot_id not in ("", boot_id):
+            resolve(message.reply, Refusal("other_boot"))
+            return
         if message.event == "reboot":
             self._reboot_ms = message.duration_ms
         self._step(message.event)
@@ -779,7 +784,9 @@
     duration_ms = float(body.get("duration_ms", REBOOT_MS))
     graceful = bool(body.get("graceful", True))
     event = request.match_info["event"]
-    return json_answer(await ask(request.app[WORKER], Control, event, duration_ms, graceful))
+    boot_id = str(body.get("boot_id", ""))
+    value = await ask(request.app[WORKER], Control, event, duration_ms, graceful, boot_id)
+    return _refuse(value, 412) if isinstance(value, Refusal) else json_answer(value)
 
 
 @routes.get("/control/state")
--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -18,6 +18,7 @@
 from .mailbox import Actor, new_reply
 from .membership import Membership, Terminate, new_incarnation
 from .model import Member
+from .operations import Operations
 from .peers import Peers
 from .registry import Registry
 from .server import CLIENT_ROUTES, PEER_ROUTES, Front, Handler, build_app
@@ -67,8 +68,19 @@
     dispatch.peers = peers
     membership = Membership(member, journal, dispatch, peers, timer, settings.shutdown_timeout_ms)
     inventory = Inventory(settings.platform_address, dispatch, timer, settings.source_address)
-    actors: list[Actor] = [journal, dispatch, peers, membership, inventory]
-    for listener in (dispatch, peers, membership):
+    operations = Operations(
+        settings.name,
+        settings.platform_address,
+        journal,
+        dispatch,
+        peers,
+        timer,
+        settings.source_address,
+    )
+    dispatch.operations = operations
+    membership.add_listener(operations)
+    actors: list[Actor] = [journal, dispatch, peers, membership, inventory, operations]
+    for listener in (dispatch, peers, membership, operations):
         journal.add_listener(listener)
     for actor in actors:
         actor.start()
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -83,3 +83,21 @@
 IDEMPOTENT_FENCE_MS = 500
 MEMBER_CHECK_MS = 500
 OPERATOR_TIMEOUT_MS = 6_000
+
+# Operations: how often the driver looks, and how long it waits before it repeats a call.
+OPERATIONS_PERIOD_MS = 250
+PLATFORM_CALL_RETRY_MS = 1_000
+# Longer than the platform waits for a worker, so that its answer is not lost.
+PLATFORM_CALL_TIMEOUT_MS = 3_000
+# A pending record that has no answer by then is decided anew: replay accepts each step once.
+RECORD_WAIT_MS = 10_000
+CAPACITY_PERIOD_MS = 10_000
+LOAD_SAMPLE_MS = 1_000
+# A VM has failed after this silence and this many unanswered calls; the count keeps an entry VM
+# that was paused from taking its own pause for the VM's silence.
+VM_SILENCE_MS = 5_000
+VM_SILENCE_CALL_COUNT = 3
+# A planned stop or move that finds a VM busy for this long is given up rather than cut a task.
+VM_DRAIN_TIMEOUT_MS = 600_000
+# Time without an answer after which a VM counts as not back from its reboot.
+VM_RETURN_TIMEOUT_MS = 30_000
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -31,6 +31,7 @@
     FenceIncarnation,
     FenceRequest,
     FindResult,
+    RenewLease,
     Transmit,
     Upstream,
     UpstreamChanged,
@@ -83,9 +84,13 @@
 
 @frozen
 class OwnDemand:
-    """For the peers' actor: rights that this entry VM wants."""
+    """For the peers' actor: rights that this entry VM wants, and its load in each pool.
+
+    :param loads: running and waiting jobs by pool.
+    """
 
     wanted_count: Mapping[str, int]
+    loads: Mapping[str, tuple[int, int]] = Factory(dict)
 
 
 @frozen
@@ -103,6 +108,13 @@
     leaving: frozenset[str]
 
 
+@frozen
+class ProbeUpstreams:
+    """Ask some workers for their state now rather than at the next renewal of the lease."""
+
+    names: tuple[str, ...]
+
+
 @frozen
 class RecordEnded:
     """A record that this actor appended has been replayed, or was not written."""
@@ -213,6 +225,7 @@
         self.data_centre = data_centre
         self.incarnation = incarnation
         self.peers: Actor | None = None
+        self.operations: Actor | None = None
         self._journal = journal
         self._timer = timer
         self._rng = rng
@@ -795,6 +808,8 @@
 
     @receives(UpstreamChanged)
     def _on_upstream_changed(self, message: UpstreamChanged) -> None:
+        if self.operations is not None:
+            self.operations.tell(message)
         pool = self._pool_of_worker(message.name)
         if pool is None:
             return
@@ -804,6 +819,12 @@
         self._fence_stranded(message.name)
         self._pump(self._view.vms[message.name].pool)
 
+    @receives(ProbeUpstreams)
+    def _on_probe_upstreams(self, message: ProbeUpstreams) -> None:
+        for name in message.names:
+            if name in self._upstreams:
+                self._upstreams[name].tell(RenewLease())
+
     def _fence_stranded(self, worker: str) -> None:
         for attempt, boot_id in list(self._stranded.values()):
             if attempt.worker == worker:
@@ -854,11 +875,17 @@
             self._adopt_jobs()
         if self.peers is not None:
             wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
-            self.peers.tell(OwnDemand(wanted))
+            self.peers.tell(OwnDemand(wanted, self._loads()))
         self._evict_finished()
         self._pump_all()
         self._check_drained()
 
+    def _loads(self) -> dict[str, tuple[int, int]]:
+        return {
+            name: (sum(f.in_flight_count for f in pool.upstreams.values()), len(pool.order))
+            for name, pool in self._pools.items()
+        }
+
     def _pump_all(self) -> None:
         for name, pool in self._pools.items():
             if len(pool.order):
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -42,6 +42,13 @@
     event: str
 
 
+@frozen
+class DriverChosen:
+    """Whether this entry VM is the driver: the one that acts for the whole fleet."""
+
+    driving: bool
+
+
 @frozen
 class ReadEntry:
     """Ask for the state and the identity of this entry VM."""
@@ -82,6 +89,12 @@
         self._releasing: set[str] = set()
         self._retiring: set[str] = set()
         self._terminating: list[asyncio.Future[None]] = []
+        self._driving = False
+        self._listeners: list[Actor] = []
+
+    def add_listener(self, actor: Actor) -> None:
+        """Send the actor :class:`DriverChosen` at each change."""
+        self._listeners.append(actor)
 
     async def opened(self) -> None:
         """Subscribe to the timer."""
@@ -117,16 +130,23 @@
 
     @receives(CheckMembers)
     async def _on_check_members(self, _: CheckMembers) -> None:
-        if not self._log_available or self.member.incarnation not in self._view.members:
+        statuses: list[PeerStatus] = []
+        if self._log_available and self.member.incarnation in self._view.members:
+            asked: asyncio.Future[list[PeerStatus]] = new_reply()
+            self._peers.tell(ReadPeers(asked))
+            statuses = await asked
+        self._choose_driver(is_driver(self.member.name, statuses))
+        if self._driving:
+            self._retire_silent(statuses)
+            self._release_retired()
+
+    def _choose_driver(self, driving: bool) -> None:
+        if driving == self._driving:
             return
-        asked: asyncio.Future[list[PeerStatus]] = new_reply()
-        self._peers.tell(ReadPeers(asked))
-        statuses = await asked
-        live = [s for s in statuses if s.silent_ms < defaults.MEMBER_RETIRE_MS]
-        if not live or min(s.member.name for s in live) != self.member.name:
-            return
-        self._retire_silent(statuses)
-        self._release_retired()
+        self._driving = driving
+        logger.info("driver role changed", extra={"driving": driving})
+        for listener in self._listeners:
+            listener.tell(DriverChosen(driving))
 
     def _retire_silent(self, statuses: list[PeerStatus]) -> None:
         replaced = _replaced(statuses)
@@ -211,6 +231,16 @@
         resolve(message.reply, (self.state, self.member))
 
 
+def is_driver(name: str, statuses: list[PeerStatus]) -> bool:
+    """Tell whether the live member with the lowest name is ``name``.
+
+    Two entry VMs may both be told so for some seconds; whatever a driver does must stay harmless
+    when another one does it too.
+    """
+    live = [s.member.name for s in statuses if s.silent_ms < defaults.MEMBER_RETIRE_MS]
+    return bool(live) and min(live) == name
+
+
 def _replaced(statuses: list[PeerStatus]) -> set[str]:
     """Return silent incarnations whose name a newer, live one has taken."""
     silent_ms = defaults.PEER_SILENCE_MS * 2
--- /dev/null
+++ b/src/tarragoncart/operations.py
@@ -0,0 +1,608 @@
+"""Driver of planned stops, moves, waves and failed VMs.
+
+:func:`plan_steps` decides from the replayed state and from what workers report. A step that a
+driver lost before or after it was carried out is seen there, so any driver can go on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from statistics import fmean
+from typing import Any
+
+import aiohttp
+from attrs import Factory, evolve, field, frozen
+
+from . import capacity, defaults, records
+from .capacity import PoolLoad, VmLoad
+from .dispatch import Dispatch, ProbeUpstreams
+from .errors import LogUnavailableError
+from .journal import Append, Journal, ViewChanged
+from .mailbox import Actor, new_reply, receives
+from .membership import DriverChosen
+from .model import Verdict
+from .peers import Peers, ReadLoads
+from .registry import Registry
+from .replay import AuditEntry, FleetView, VmState, budget_refusal
+from .timer import Timer
+from .upstream import UpstreamChanged
+from .waves import WAVES
+
+logger = logging.getLogger(__name__)
+
+
+@frozen
+class Bounds:
+    """Longest waits of operations."""
+
+    silence_ms: float = defaults.VM_SILENCE_MS
+    drain_ms: float = defaults.VM_DRAIN_TIMEOUT_MS
+    return_ms: float = defaults.VM_RETURN_TIMEOUT_MS
+
+
+@frozen
+class WorkerFacts:
+    """What this entry VM has heard from a worker; times are when a call was sent.
+
+    :param known_at_ms: since when the worker has been asked.
+    :param answered_at_ms: last call that was answered, even by an error.
+    :param unanswered_count: calls without any answer since then.
+    :param seen_at_ms: last call whose answer told the fields below.
+    """
+
+    known_at_ms: float
+    answered_at_ms: float = float("-inf")
+    unanswered_count: int = 0
+    seen_at_ms: float = float("-inf")
+    boot_id: str = ""
+    running_count: int = 0
+    leaving: bool = False
+
+    def after(self, change: UpstreamChanged) -> WorkerFacts:
+        """Return the facts after a call to the worker has ended."""
+        if change.verdict is Verdict.NO_ANSWER:
+            return evolve(self, unanswered_count=self.unanswered_count + 1)
+        facts = evolve(self, answered_at_ms=change.asked_at_ms, unanswered_count=0)
+        if change.verdict is Verdict.ERROR_ANSWER:
+            return facts
+        return evolve(
+            facts,
+            seen_at_ms=change.asked_at_ms,
+            boot_id=change.boot_id,
+            running_count=change.running_count,
+            leaving=change.leaving,
+        )
+
+
+@frozen
+class Facts:
+    """What this entry VM knows besides the replayed state.
+
+    :param since_ms: when it first saw each VM in its present revision.
+    :param log_since_ms: when the log was last found available after an outage.
+    """
+
+    workers: Mapping[str, WorkerFacts] = Factory(dict)
+    since_ms: Mapping[str, float] = Factory(dict)
+    log_since_ms: float = float("-inf")
+
+
+@frozen
+class AppendRecord:
+    """A step: append a record about a VM."""
+
+    record: Any
+
+
+@frozen
+class CallPlatform:
+    """A step: have the platform drain, undrain or reboot a VM.
+
+    :param boot_id: the call has no effect on a worker with another one; empty for any.
+    """
+
+    vm: str
+    action: str
+    boot_id: str = ""
+
+
+Step = AppendRecord | CallPlatform
+
+
+@frozen
+class Case:
+    """One VM with all that a rule needs.
+
+    :param age_ms: time in the present state, not counting log outages.
+    :param fresh: the worker answers, and its facts are newer than the state.
+    :param silent_ms: time without an answer.
+    :param isolated: no worker answers, so this entry VM may be the one that is cut off.
+    """
+
+    view: FleetView
+    name: str
+    vm: VmState
+    worker: WorkerFacts
+    age_ms: float
+    fresh: bool
+    silent_ms: float
+    isolated: bool
+    bounds: Bounds
+
+    def is_lost(self, bound_ms: float) -> bool:
+        """Tell whether the VM has been silent for too long and this entry VM is connected."""
+        enough_calls = self.worker.unanswered_count >= defaults.VM_SILENCE_CALL_COUNT
+        return enough_calls and self.silent_ms >= bound_ms and not self.isolated
+
+    def append(self, record_type: Callable[..., Any], **fields: Any) -> AppendRecord:
+        """Return the step that appends a record about the present revision of the VM."""
+        return AppendRecord(record_type(vm=self.name, revision=self.vm.revision, **fields))
+
+    def call(self, action: str, boot_id: str = "") -> CallPlatform:
+        """Return the step that calls the platform about the VM."""
+        return CallPlatform(self.name, action, boot_id)
+
+    def fail(self, while_doing: str) -> AppendRecord:
+        """Return the step that records the VM as failed for its silence."""
+        cause = f"no answer for {self.silent_ms:.0f} ms {while_doing}"
+        return self.append(records.VmFailed, cause=cause)
+
+
+Rule = Callable[[Case], Step | None]
+VM_RULES: Registry[Rule] = Registry("rule for a VM's state")
+
+
+@VM_RULES.register("in_service")
+def in_service(case: Case) -> Step | None:
+    """Notice a failure; end the drain that a finished or abandoned operation has left."""
+    if case.is_lost(case.bounds.silence_ms):
+        return case.fail("in service")
+    if not case.vm.drain_asked or not case.fresh:
+        return None
+    if case.worker.leaving:
+        return case.call("undrain")
+    return case.append(records.VmBack, cause="no longer drained")
+
+
+@VM_RULES.register("reserved")
+def reserved(case: Case) -> Step | None:
+    """Begin the stop unless its wave no longer runs."""
+    if case.is_lost(case.bounds.silence_ms):
+        return case.fail("before its stop")
+    wave = case.view.waves.get(case.vm.wave)
+    if case.vm.wave and (wave is None or wave.state != "running"):
+        state = wave.state if wave else "unknown"
+        return case.append(records.CancelStop, cause=f"wave {case.vm.wave} is {state}")
+    if case.fresh and case.worker.boot_id:
+        return case.append(records.BeginStop, boot_id=case.worker.boot_id, cause="the budget holds")
+    if case.age_ms >= case.bounds.return_ms:
+        cause = f"worker has not told its state for {case.age_ms:.0f} ms"
+        return case.append(records.CancelStop, cause=cause)
+    return None
+
+
+@VM_RULES.register("stopping")
+def stopping(case: Case) -> Step | None:
+    """Drain, wait until idle, reboot, and wait for another boot ID."""
+    worker, vm = case.worker, case.vm
+    if case.is_lost(case.bounds.return_ms):
+        return case.fail("during its stop")
+    if not case.fresh:
+        return None
+    if worker.boot_id != vm.boot_id:
+        if worker.leaving:
+            return case.call("undrain", worker.boot_id)
+        cause = f"rebooted, boot ID {worker.boot_id} after {vm.boot_id}"
+        return case.append(records.VmBack, cause=cause)
+    if case.age_ms >= case.bounds.drain_ms:
+        cause = f"not rebooted after {case.age_ms:.0f} ms, {worker.running_count} tasks running"
+        return case.append(records.VmFailed, cause=cause)
+    if not worker.leaving:
+        return case.call("drain", vm.boot_id)
+    return None if worker.running_count else case.call("reboot", vm.boot_id)
+
+
+@VM_RULES.register("draining")
+def draining(case: Case) -> Step | None:
+    """Drain and wait until idle, so that no task of the old pool runs in the new one."""
+    if case.is_lost(case.bounds.silence_ms):
+        return case.fail("during its move")
+    if not case.fresh:
+        return None
+    if case.worker.leaving and not case.worker.running_count:
+        return case.append(records.VmDrained, cause="drained and idle")
+    if case.age_ms >= case.bounds.drain_ms:
+        cause = f"{case.worker.running_count} tasks running after {case.age_ms:.0f} ms"
+        return case.append(records.CancelStop, cause=cause)
+    return None if case.worker.leaving else case.call("drain", case.worker.boot_id)
+
+
+@VM_RULES.register("failed")
+def failed(case: Case) -> Step | None:
+    """Notice that the VM answers again."""
+    if not case.fresh:
+        return None
+    if not case.worker.leaving:
+        return case.append(records.VmBack, cause="answers again")
+    # A VM that the platform drains for its own reasons is left alone.
+    return case.call("undrain") if case.vm.drain_asked else None
+
+
+def plan_steps(
+    view: FleetView, facts: Facts, now_ms: float, bounds: Bounds = Bounds()
+) -> list[Step]:
+    """Return what a driver has to do now; repeating a step is harmless.
+
+    Nothing is returned that rests on a record which is not in the view.
+    """
+    cases = list(_cases(view, facts, now_ms, bounds))
+    steps = [step for case in cases if (step := VM_RULES.get(case.vm.state)(case))]
+    busy = {_vm_of(step) for step in steps}
+    ready = {c.name for c in cases if is_ready(c) and c.name not in busy}
+    return [*steps, *_plan_waves(view, ready)]
+
+
+def is_ready(case: Case) -> bool:
+    """Tell whether a planned stop or move may choose the VM."""
+    answers = bool(case.worker.boot_id) and not case.worker.unanswered_count
+    at_rest = case.vm.state == "in_service" and not case.vm.drain_asked
+    return answers and at_rest and not case.worker.leaving
+
+
+def _vm_of(step: Step) -> str:
+    return step.vm if isinstance(step, CallPlatform) else step.record.vm
+
+
+def _cases(view: FleetView, facts: Facts, now_ms: float, bounds: Bounds) -> Iterator[Case]:
+    silent_ms = {
+        name: now_ms - max(worker.answered_at_ms, worker.known_at_ms)
+        for name, worker in facts.workers.items()
+        if name in view.vms
+    }
+    isolated = all(
+        silent >= bounds.silence_ms and facts.workers[name].unanswered_count
+        for name, silent in silent_ms.items()
+    )
+    for name in silent_ms:
+        vm, worker = view.vms[name], facts.workers[name]
+        since_ms = facts.since_ms.get(name, now_ms)
+        yield Case(
+            view=view,
+            name=name,
+            vm=vm,
+            worker=worker,
+            age_ms=now_ms - max(since_ms, facts.log_since_ms),
+            fresh=worker.seen_at_ms >= since_ms and not worker.unanswered_count,
+            silent_ms=silent_ms[name],
+            isolated=isolated,
+            bounds=bounds,
+        )
+
+
+def _plan_waves(view: FleetView, ready: set[str]) -> Iterator[Step]:
+    policy = view.config.policies.wave
+    reserved_counts: Counter[str] = Counter()
+    for name, wave in sorted(view.waves.items()):
+        pending = tuple(vm for vm in wave.pending if vm in ready)
+        if wave.state != "running" or not pending:
+            continue
+        # A VM that cannot stop now must not keep the policy from choosing another one.
+        for vm in WAVES.get(policy)(view, evolve(wave, pending=pending)):
+            pool = view.vms[vm].pool
+            if vm not in ready or budget_refusal(view, pool, reserved_counts[pool] + 1):
+                continue
+            ready.discard(vm)
+            reserved_counts[pool] += 1
+            cause = f"wave {name}, chosen by policy {policy}"
+            yield AppendRecord(records.ReserveStop(vm, name, cause, view.vms[vm].revision))
+
+
+def pool_loads(
+    view: FleetView, facts: Facts, demands: Mapping[str, tuple[float, int]], now_ms: float
+) -> list[PoolLoad]:
+    """Return the pools as capacity policies see them.
+
+    :param demands: running and waiting jobs of each pool, averaged and now waiting.
+    """
+    ready = {case.name for case in _cases(view, facts, now_ms, Bounds()) if is_ready(case)}
+    loads = []
+    for pool in view.config.pools:
+        vms = {name: vm for name, vm in view.vms.items() if vm.pool == pool.name}
+        demand_count, waiting_count = demands.get(pool.name, (0.0, 0))
+        loads.append(
+            PoolLoad(
+                name=pool.name,
+                vms=tuple(
+                    VmLoad(name, facts.workers[name].running_count, vm.spec.slot_count)
+                    for name, vm in vms.items()
+                    if name in ready
+                ),
+                max_unavailable_count=pool.max_unavailable_count,
+                min_available_count=pool.min_available_count,
+                spare=pool.spare,
+                unavailable_count=sum(vm.state != "in_service" for vm in vms.values()),
+                incoming_count=sum(vm.target_pool == pool.name for vm in view.vms.values()),
+                demand_count=demand_count,
+                waiting_count=waiting_count,
+            )
+        )
+    return loads
+
+
+def plan_moves(
+    view: FleetView, loads: Sequence[PoolLoad], now_ms: float, memory: Any
+) -> tuple[list[Step], Any]:
+    """Return the moves that the capacity policy wants, and its memory for the next pass."""
+    policy = view.config.policies.capacity
+    moves, memory = capacity.plan(policy, loads, now_ms, memory)
+    steps: list[Step] = []
+    for move in moves:
+        cause = f"to {move.to_pool}: {move.cause}, by policy {policy}"
+        revision = view.vms[move.vm].revision
+        record = records.MoveVm(move.vm, move.from_pool, move.to_pool, cause, revision)
+        steps.append(AppendRecord(record))
+    return steps, memory
+
+
+# The actor
+
+
+@frozen
+class LookDue:
+    """Time to look for steps."""
+
+
+@frozen
+class SampleDue:
+    """Time to ask for the load of the pools."""
+
+
+@frozen
+class LoadsRead:
+    """Running and waiting jobs by pool, over the fleet."""
+
+    loads: Mapping[str, tuple[int, int]]
+
+
+@frozen
+class CapacityDue:
+    """Time to look for moves between pools."""
+
+
+@frozen
+class CallEnded:
+    """A call to the platform has ended."""
+
+    step: CallPlatform
+    problem: str = ""
+
+
+@frozen
+class RecordEnded:
+    """A record has been replayed, or was not written."""
+
+    key: tuple[Any, ...]
+    entry: AuditEntry | LogUnavailableError = field(repr=False)
+
+
+class Operations(Actor):
+    """Carries out the steps while this entry VM is the driver.
+
+    :param entry: name of this entry VM, author of the records.
+    :param platform_address: ``IP:PORT`` of the platform.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        platform_address: str,
+        journal: Journal,
+        dispatch: Dispatch,
+        peers: Peers,
+        timer: Timer,
+        source_address: str = "",
+        bounds: Bounds = Bounds(),
+    ) -> None:
+        super().__init__("operations")
+        self._entry = entry
+        self._url = f"http://{platform_address}/vms"
+        self._journal = journal
+        self._dispatch = dispatch
+        self._peers = peers
+        self._timer = timer
+        self._source_address = source_address
+        self._bounds = bounds
+        self._view = FleetView()
+        self._loaded = False
+        self._log_available = False
+        self._driving = False
+        self._workers: dict[str, WorkerFacts] = {}
+        self._since_ms: dict[str, float] = {}
+        self._log_since_ms = timer.now_ms()
+        self._samples: list[Mapping[str, tuple[int, int]]] = []
+        self._capacity_memory: tuple[str, Any] = "", None
+        # Steps under way or done lately, with the time from which they may be repeated.
+        self._blocked_until_ms: dict[tuple[Any, ...], float] = {}
+        self._session: aiohttp.ClientSession
+
+    async def opened(self) -> None:
+        """Open the session and subscribe to the timer."""
+        local = (self._source_address, 0) if self._source_address else None
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=local))
+        self.subscribe(self._timer.every(defaults.OPERATIONS_PERIOD_MS), LookDue())
+        self.subscribe(self._timer.every(defaults.LOAD_SAMPLE_MS), SampleDue())
+        self.subscribe(self._timer.every(defaults.CAPACITY_PERIOD_MS), CapacityDue())
+
+    async def closed(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    # What is known
+
+    @receives(DriverChosen)
+    def _on_driver_chosen(self, message: DriverChosen) -> None:
+        self._driving = message.driving
+
+    @receives(ViewChanged)
+    def _on_view_changed(self, message: ViewChanged) -> None:
+        now_ms = self._timer.now_ms()
+        previous, self._view = self._view, message.view
+        if message.log_available and not self._log_available:
+            self._log_since_ms = now_ms
+        self._log_available = message.log_available
+        self._loaded = message.loaded
+        if previous.vms is not message.view.vms:
+            self._note_vms(previous, now_ms)
+        if previous.vms is not message.view.vms or previous.waves is not message.view.waves:
+            self._look()
+
+    def _note_vms(self, previous: FleetView, now_ms: float) -> None:
+        vms = self._view.vms
+        for name in set(self._workers) - set(vms):
+            del self._workers[name], self._since_ms[name]
+        for name, vm in vms.items():
+            known = previous.vms.get(name)
+            if known is None or known.spec.address != vm.spec.address:
+                self._workers[name] = WorkerFacts(known_at_ms=now_ms)
+            if known is None or known.revision != vm.revision:
+                self._since_ms[name] = now_ms
+
+    @receives(UpstreamChanged)
+    def _on_upstream_changed(self, message: UpstreamChanged) -> None:
+        facts = self._workers.get(message.name)
+        if facts is not None and message.asked_at_ms >= facts.known_at_ms:
+            self._workers[message.name] = facts.after(message)
+
+    def _facts(self) -> Facts:
+        return Facts(self._workers, self._since_ms, self._log_since_ms)
+
+    # Steps
+
+    def _may_act(self) -> bool:
+        return self._driving and self._log_available and self._loaded
+
+    @receives(LookDue)
+    def _on_look_due(self, _: LookDue) -> None:
+        self._look()
+        changing = tuple(
+            name
+            for name, vm in self._view.vms.items()
+            if vm.drain_asked or vm.state not in ("in_service", "failed")
+        )
+        if changing and self._driving:
+            self._dispatch.tell(ProbeUpstreams(changing))
+
+    def _look(self) -> None:
+        if not self._may_act():
+            return
+        now_ms = self._timer.now_ms()
+        for key in [key for key, until in self._blocked_until_ms.items() if until <= now_ms]:
+            del self._blocked_until_ms[key]
+        self._carry_out(plan_steps(self._view, self._facts(), now_ms, self._bounds))
+
+    @receives(SampleDue)
+    def _on_sample_due(self, _: SampleDue) -> None:
+        if self._may_act():
+            self.spawn(self._read_loads())
+
+    async def _read_loads(self) -> None:
+        reply: asyncio.Future[dict[str, tuple[int, int]]] = new_reply()
+        self._peers.tell(ReadLoads(reply))
+        self.tell(LoadsRead(await reply))
+
+    @receives(LoadsRead)
+    def _on_loads_read(self, message: LoadsRead) -> None:
+        self._samples.append(message.loads)
+
+    @receives(CapacityDue)
+    def _on_capacity_due(self, _: CapacityDue) -> None:
+        samples, self._samples = self._samples, []
+        if not samples or not self._may_act():
+            return
+        demands = {
+            pool: (fmean(sum(s.get(pool, (0, 0))) for s in samples), samples[-1][pool][1])
+            for pool in samples[-1]
+        }
+        now_ms = self._timer.now_ms()
+        policy = self._view.config.policies.capacity
+        known_policy, memory = self._capacity_memory
+        loads = pool_loads(self._view, self._facts(), demands, now_ms)
+        memory = memory if known_policy == policy else None
+        steps, memory = plan_moves(self._view, loads, now_ms, memory)
+        self._capacity_memory = policy, memory
+        self._carry_out(steps)
+
+    def _carry_out(self, steps: Iterable[Step]) -> None:
+        for step in steps:
+            self._do(step)
+
+    def _block(self, key: tuple[Any, ...], duration_ms: float) -> bool:
+        """Block a step for a while; returns False if it is blocked already."""
+        if key in self._blocked_until_ms:
+            return False
+        self._blocked_until_ms[key] = self._timer.now_ms() + duration_ms
+        return True
+
+    @functools.singledispatchmethod
+    def _do(self, step: Any) -> None:
+        raise NotImplementedError(type(step))
+
+    @_do.register
+    def _append(self, step: AppendRecord) -> None:
+        record = step.record
+        key = record.vm, record.revision, record.kind
+        if not self._block(key, defaults.RECORD_WAIT_MS):
+            return
+        reply = new_reply()
+
+        def ended(done: asyncio.Future[Any]) -> None:
+            if not done.cancelled():
+                self.tell(RecordEnded(key, done.result()))
+
+        reply.add_done_callback(ended)
+        expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+        self._journal.tell(Append(record, self._entry, reply, expires_ms))
+
+    @receives(RecordEnded)
+    def _on_record_ended(self, message: RecordEnded) -> None:
+        entry = message.entry
+        accepted = isinstance(entry, AuditEntry) and entry.accepted
+        # A rejected record is not repeated at once: the cause of the rejection may last.
+        wait_ms = 0.0 if accepted else float(defaults.PLATFORM_CALL_RETRY_MS)
+        self._blocked_until_ms[message.key] = self._timer.now_ms() + wait_ms
+
+    @_do.register
+    def _call(self, step: CallPlatform) -> None:
+        if self._block((step.vm, step.action), defaults.PLATFORM_CALL_TIMEOUT_MS):
+            self.spawn(self._post(step))
+
+    async def _post(self, step: CallPlatform) -> None:
+        timeout = aiohttp.ClientTimeout(total=defaults.PLATFORM_CALL_TIMEOUT_MS / 1_000)
+        body: dict[str, Any] = {"boot_id": step.boot_id} if step.boot_id else {}
+        if step.action == "reboot":
+            body["graceful"] = True
+        problem = ""
+        try:
+            url = f"{self._url}/{step.vm}/{step.action}"
+            async with self._session.post(url, json=body, timeout=timeout) as response:
+                if not response.ok:
+                    problem = f"status {response.status}"
+        except (aiohttp.ClientError, TimeoutError) as error:
+            problem = type(error).__name__
+        self.tell(CallEnded(step, problem))
+
+    @receives(CallEnded)
+    def _on_call_ended(self, message: CallEnded) -> None:
+        step = message.step
+        until_ms = self._timer.now_ms() + defaults.PLATFORM_CALL_RETRY_MS
+        self._blocked_until_ms[step.vm, step.action] = until_ms
+        if message.problem:
+            logger.debug("platform call failed", extra={"vm": step.vm, "problem": message.problem})
+        vm = self._view.vms.get(step.vm)
+        if step.action == "drain" and vm is not None and not vm.drain_asked:
+            # Another driver has ended the operation while the call was on its way.
+            self._do(CallPlatform(step.vm, "undrain"))
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from typing import Any
 
 import aiohttp
@@ -41,6 +42,7 @@
     :param age_ms: age of the sender's view when it was sent.
     :param withdrawn: keys withdrawn that the log has not taken yet.
     :param wanted: rights that the sender lacks, per team.
+    :param loads: the sender's running and waiting jobs by pool.
     """
 
     name: str
@@ -51,6 +53,7 @@
     log_available: bool
     withdrawn: tuple[str, ...] = ()
     wanted: dict[str, int] = Factory(dict)
+    loads: dict[str, tuple[int, int]] = Factory(dict)
 
 
 @frozen
@@ -101,6 +104,13 @@
     reply: asyncio.Future[list[PeerStatus]]
 
 
+@frozen
+class ReadLoads:
+    """Ask for running and waiting jobs by pool, summed over the entry VMs heard from lately."""
+
+    reply: asyncio.Future[dict[str, tuple[int, int]]]
+
+
 @frozen
 class ForwardQuery:
     """Ask the issuer of a request ID for its outcome; the reply is None if it cannot be asked."""
@@ -128,6 +138,7 @@
     heard_at_ms: float = float("-inf")
     in_flight: bool = False
     wanted: dict[str, int] = Factory(dict)
+    loads: dict[str, tuple[int, int]] = Factory(dict)
 
 
 class Peers(Actor):
@@ -162,6 +173,7 @@
         self._joined_ms: dict[str, float] = {}
         self._withdrawn: set[str] = set()
         self._demand: dict[str, int] = {}
+        self._loads: dict[str, tuple[int, int]] = {}
         self._session: aiohttp.ClientSession
 
     async def opened(self) -> None:
@@ -201,6 +213,7 @@
             log_available=self._log_available,
             withdrawn=tuple(sorted(self._withdrawn)),
             wanted=self._demand,
+            loads={name: load for name, load in self._loads.items() if any(load)},
         )
 
     async def _beat(self, address: str, beat: PeerBeat) -> None:
@@ -258,6 +271,7 @@
         contact.offset = beat.offset
         contact.log_available = beat.log_available
         contact.wanted = beat.wanted
+        contact.loads = beat.loads
         self._learn_withdrawals(beat.withdrawn)
         self._tell_dispatch()
 
@@ -312,6 +326,19 @@
     @receives(OwnDemand)
     def _on_own_demand(self, message: OwnDemand) -> None:
         self._demand = dict(message.wanted_count)
+        self._loads = dict(message.loads)
+
+    @receives(ReadLoads)
+    def _on_read_loads(self, message: ReadLoads) -> None:
+        oldest_ms = self._timer.now_ms() - defaults.MEMBER_RETIRE_MS
+        heard = [c.loads for c in self._contacts.values() if c.heard_at_ms >= oldest_ms]
+        running: Counter[str] = Counter()
+        waiting: Counter[str] = Counter()
+        for loads in (self._loads, *heard):
+            for pool, (running_count, waiting_count) in loads.items():
+                running[pool] += running_count
+                waiting[pool] += waiting_count
+        resolve(message.reply, {pool: (running[pool], waiting[pool]) for pool in running})
 
     def _tell_dispatch(self) -> None:
         now_ms = self._timer.now_ms()
--- a/src/tarragoncart/records.py
+++ b/src/tarragoncart/records.py
@@ -17,6 +17,8 @@
 
 R = TypeVar("R", bound=type)
 
+ANY_REVISION = -1
+
 
 def record_kind(name: str) -> Callable[[R], R]:
     """Register a class as the record kind ``name``."""
@@ -159,19 +161,31 @@
 @record_kind("reserve_stop")
 @frozen
 class ReserveStop:
-    """A planned stop of a VM, subject to its pool's budget."""
+    """A planned stop of a VM, subject to its pool's budget.
+
+    :param revision: here and in the other records about a VM, the revision that the author
+        decided on; any other one rejects the record, so that a late copy of a step cannot act on
+        a later operation. ``ANY_REVISION`` for no such condition.
+    """
 
     vm: str
     wave: str
     cause: str
+    revision: int = ANY_REVISION
 
 
 @record_kind("begin_stop")
 @frozen
 class BeginStop:
-    """A reserved stop begins, if the budget still holds."""
+    """A reserved stop begins, if the budget still holds.
+
+    :param boot_id: of the worker before its reboot, empty if unknown.
+    """
 
     vm: str
+    boot_id: str = ""
+    cause: str = ""
+    revision: int = ANY_REVISION
 
 
 @record_kind("cancel_stop")
@@ -181,6 +195,7 @@
 
     vm: str
     cause: str
+    revision: int = ANY_REVISION
 
 
 @record_kind("move")
@@ -192,6 +207,7 @@
     from_pool: str
     to_pool: str
     cause: str
+    revision: int = ANY_REVISION
 
 
 @record_kind("drained")
@@ -200,6 +216,8 @@
     """A moving VM has no work left and joins its new pool."""
 
     vm: str
+    cause: str = ""
+    revision: int = ANY_REVISION
 
 
 @record_kind("vm_failed")
@@ -209,14 +227,17 @@
 
     vm: str
     cause: str
+    revision: int = ANY_REVISION
 
 
 @record_kind("vm_back")
 @frozen
 class VmBack:
-    """A stopped or failed VM serves again."""
+    """A stopped, moved or failed VM serves again and is no longer drained."""
 
     vm: str
+    cause: str = ""
+    revision: int = ANY_REVISION
 
 
 @record_kind("wave_start")
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -34,7 +34,12 @@
 
 @frozen
 class VmState:
-    """Where a VM is and what happens to it; ``state`` is a state of the VM chart."""
+    """Where a VM is and what happens to it; ``state`` is a state of the VM chart.
+
+    :param boot_id: of the worker when its stop began.
+    :param drain_asked: the platform may still drain the VM for an operation that has ended.
+    :param revision: number of changes of ``state``.
+    """
 
     spec: VmSpec
     pool: str
@@ -42,6 +47,9 @@
     wave: str = ""
     target_pool: str = ""
     cause: str = ""
+    boot_id: str = ""
+    drain_asked: bool = False
+    revision: int = 0
 
 
 @frozen
@@ -484,20 +492,30 @@
     return ""
 
 
-def _step_vm(state: FleetState, name: str, event: str, **changes: Any) -> Ruling:
+def _stale(vm: VmState | None, record: Any) -> bool:
+    return vm is not None and record.revision not in (records.ANY_REVISION, vm.revision)
+
+
+def _step_vm(
+    state: FleetState, record: Any, event: str, reason: str = "", **changes: Any
+) -> Ruling:
+    name = record.vm
     vm = state.vms.get(name)
     if vm is None:
         return _rejected("unknown VM", name)
+    if _stale(vm, record):
+        return _rejected(f"VM is {vm.state} in a later revision", name)
     if not VM_CHART.accepts(vm.state, event):
         return _rejected(f"VM is {vm.state}", name)
     step = VM_CHART.step(vm.state, event)
-    state.vms[name] = evolve(vm, state=step.state, **changes)
+    revision = vm.revision + (step.state != vm.state)
+    state.vms[name] = evolve(vm, state=step.state, revision=revision, **changes)
     for action in step.actions:
         if action == "count_wave_failure":
             _count_wave_failure(state, vm.wave, name)
         elif action == "count_wave_done":
             _count_wave_done(state, vm.wave, name)
-    return Ruling((name, vm.pool), reason=str(changes.get("cause", "")))
+    return Ruling((name, vm.pool), reason=reason or str(changes.get("cause", "")))
 
 
 @handles(records.ReserveStop, "vms")
@@ -512,7 +530,7 @@
     refusal = budget_refusal(state, vm.pool, 1)
     if refusal:
         return _rejected(refusal, record.vm, vm.pool)
-    return _step_vm(state, record.vm, "reserve_stop", wave=record.wave, cause=record.cause)
+    return _step_vm(state, record, "reserve_stop", wave=record.wave, cause=record.cause)
 
 
 @handles(records.BeginStop, "vms")
@@ -520,16 +538,20 @@
     vm = state.vms.get(record.vm)
     if vm is None or vm.state != "reserved":
         return _rejected("VM has no reserved stop", record.vm)
+    if _stale(vm, record):
+        return _rejected("VM is reserved in a later revision", record.vm)
     refusal = budget_refusal(state, vm.pool, 0)
     if refusal:
-        _step_vm(state, record.vm, "cancel_stop", cause=refusal, wave="")
+        _step_vm(state, record, "cancel_stop", cause=refusal, wave="")
         return Ruling((record.vm, vm.pool), reason=f"cancelled: {refusal}")
-    return _step_vm(state, record.vm, "begin_stop")
+    return _step_vm(
+        state, record, "begin_stop", record.cause, boot_id=record.boot_id, drain_asked=True
+    )
 
 
 @handles(records.CancelStop, "vms")
 def _cancel_stop(state: FleetState, record: records.CancelStop, _: Envelope) -> Ruling:
-    return _step_vm(state, record.vm, "cancel_stop", cause=record.cause, wave="", target_pool="")
+    return _step_vm(state, record, "cancel_stop", cause=record.cause, wave="", target_pool="")
 
 
 @handles(records.MoveVm, "vms")
@@ -542,7 +564,14 @@
     refusal = budget_refusal(state, vm.pool, 1)
     if refusal:
         return _rejected(refusal, record.vm, vm.pool)
-    return _step_vm(state, record.vm, "move", target_pool=record.to_pool, cause=record.cause)
+    return _step_vm(
+        state,
+        record,
+        "move",
+        target_pool=record.to_pool,
+        cause=record.cause,
+        drain_asked=True,
+    )
 
 
 @handles(records.VmDrained, "vms")
@@ -550,17 +579,30 @@
     vm = state.vms.get(record.vm)
     if vm is None or vm.state != "draining":
         return _rejected("VM is not draining", record.vm)
-    return _step_vm(state, record.vm, "drained", pool=vm.target_pool, target_pool="")
+    reason = f"joins {vm.target_pool}: {record.cause}" if record.cause else ""
+    return _step_vm(state, record, "drained", reason, pool=vm.target_pool, target_pool="")
 
 
 @handles(records.VmFailed, "vms", "waves")
 def _vm_failed(state: FleetState, record: records.VmFailed, _: Envelope) -> Ruling:
-    return _step_vm(state, record.vm, "vm_failed", cause=record.cause, target_pool="")
+    return _step_vm(state, record, "vm_failed", cause=record.cause, target_pool="")
 
 
 @handles(records.VmBack, "vms", "waves")
 def _vm_back(state: FleetState, record: records.VmBack, _: Envelope) -> Ruling:
-    return _step_vm(state, record.vm, "vm_back", cause="", wave="")
+    vm = state.vms.get(record.vm)
+    if vm is not None and vm.state == "in_service" and not vm.drain_asked:
+        return _rejected("VM is in_service", record.vm)
+    return _step_vm(
+        state,
+        record,
+        "vm_back",
+        record.cause,
+        cause="",
+        wave="",
+        boot_id="",
+        drain_asked=False,
+    )
 
 
 @handles(records.StartWave, "waves")
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -34,7 +34,7 @@
     encode,
 )
 from .registry import Registry
-from .replay import AuditEntry, FleetView, unavailable_count
+from .replay import AuditEntry, FleetView, VmState, unavailable_count
 from .settings import parse_fleet_config
 from .timer import Timer
 
@@ -381,7 +381,8 @@
     vm = front.dispatch.view.vms.get(name)
     if vm is None:
         raise _bad_request(f"unknown VM {name!r}", "unknown_vm", 404)
-    record = records.MoveVm(name, vm.pool, _take(data, "to_pool", str, None), "operator")
+    to_pool = _take(data, "to_pool", str, None)
+    record = records.MoveVm(name, vm.pool, to_pool, f"to {to_pool}: operator")
     return await _recorded(front, record, _author(data))
 
 
@@ -430,6 +431,12 @@
             },
             "pools": {pool.name: _pool_json(view, pool) for pool in view.config.pools},
             "waves": {name: encode(wave) for name, wave in view.waves.items()},
+            # Those at rest are in the pools' counts.
+            "vms": {
+                name: _vm_json(vm)
+                for name, vm in view.vms.items()
+                if vm.state != "in_service" or vm.drain_asked
+            },
         }
     )
 
@@ -453,6 +460,17 @@
     }
 
 
+def _vm_json(vm: VmState) -> dict[str, Any]:
+    return {
+        "pool": vm.pool,
+        "state": vm.state,
+        "wave": vm.wave,
+        "target_pool": vm.target_pool,
+        "cause": vm.cause,
+        "drain_asked": vm.drain_asked,
+    }
+
+
 @CLIENT_ROUTES.register("GET /healthz")
 async def healthz(_: Front, __: web.Request) -> web.Response:
     """Answer that the process runs."""
--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -33,12 +33,14 @@
 from cattrs.gen import make_dict_structure_fn
 
 from . import defaults
+from .capacity import CAPACITY
 from .errors import SettingsError
 from .fairqueue import QUEUE_ORDERS
 from .metrics import METRICS_EXPORTERS
 from .model import FleetConfig
 from .registry import Registry
 from .routing import EJECTION, ROUTING
+from .waves import WAVES
 
 T = TypeVar("T")
 
@@ -49,12 +51,13 @@
 
 UNIT_SUFFIXES = ("ms", "s", "min", "h", "count", "bytes", "kb", "mb", "gb", "ratio", "weight")
 
-# Registries of policies by the field of PolicySpec that names one of their entries; a field
-# without a registry is not checked.
+# Registries of policies by the field of PolicySpec that names one of their entries.
 POLICY_REGISTRIES: dict[str, Registry[Any]] = {
     "routing": ROUTING,
     "ejection": EJECTION,
     "queue_order": QUEUE_ORDERS,
+    "capacity": CAPACITY,
+    "wave": WAVES,
 }
 
 
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -73,6 +73,7 @@
     """What the entry VM knows about a worker after a lease call.
 
     :param boot_id: changes when the worker has restarted and lost its guard.
+    :param asked_at_ms: when the call was sent.
     """
 
     name: str
@@ -82,6 +83,7 @@
     running_count: int = 0
     boot_id: str = ""
     verdict: Verdict = Verdict.RESULT
+    asked_at_ms: float = 0.0
 
 
 @define
@@ -174,11 +176,18 @@
                 slot_count=data["slots"],
                 running_count=data["running"],
                 boot_id=self._boot_id,
+                asked_at_ms=sent_at_ms,
             )
         else:
             verdict = Verdict.ERROR_ANSWER if status else Verdict.NO_ANSWER
             leased = self._timer.now_ms() < self._leased_until_ms
-            change = UpstreamChanged(self.worker, leased, boot_id=self._boot_id, verdict=verdict)
+            change = UpstreamChanged(
+                self.worker,
+                leased,
+                boot_id=self._boot_id,
+                verdict=verdict,
+                asked_at_ms=sent_at_ms,
+            )
         self._owner.tell(change)
 
     async def _call(self, method: str, path: str, body: Any) -> tuple[int, Any]:
