--- a/src/bench/demo.py
+++ b/src/bench/demo.py
@@ -66,13 +66,14 @@
     return totals(history, findings)
 
 
-async def _serve(firm: str, deployment: Deployment, seed: int, jobs: int) -> None:
+async def make_callers(firm: str, deployment: Deployment, seed: int) -> list[Caller]:
+    """Publish the configuration, grant a key to each team and return a caller for each."""
     addresses = list(deployment.client_addresses.values())
     operator_log = HistoryWriter(deployment.directory / "operator.jsonl", "operator", "operator")
     caller_log = HistoryWriter(deployment.directory / "callers.jsonl", "caller", firm)
     config = deployment.config
     callers = []
-    async with Operator(addresses, "demo") as operator:
+    async with Operator(tuple(addresses), "demo") as operator:
         published = await operator.publish(config)
         operator_log.write("publish_reply", accepted=True, version=published["version"])
         for number, team in enumerate(config.teams):
@@ -91,9 +92,15 @@
                 )
             )
     print(f"{firm}: configuration published, {len(callers)} keys granted", flush=True)
-    total_weight = sum(team.share_weight for team in config.teams)
+    return callers
+
+
+async def _serve(firm: str, deployment: Deployment, seed: int, jobs: int) -> None:
+    callers = await make_callers(firm, deployment, seed)
+    teams = deployment.config.teams
+    total_weight = sum(team.share_weight for team in teams)
     async with asyncio.TaskGroup() as group:
-        for caller, team in zip(callers, config.teams, strict=True):
+        for caller, team in zip(callers, teams, strict=True):
             count = max(10, round(jobs * team.share_weight / total_weight))
             group.create_task(caller.run(count, rate_per_s=count / 6))
     await asyncio.gather(*(caller.collect(wait_ms=10_000) for caller in callers))
--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -264,8 +264,7 @@
         if name in view.vms
     }
     isolated = all(
-        silent >= bounds.silence_ms and facts.workers[name].unanswered_count
-        for name, silent in silent_ms.items()
+        now_ms - facts.workers[name].answered_at_ms >= bounds.silence_ms for name in silent_ms
     )
     for name in silent_ms:
         vm, worker = view.vms[name], facts.workers[name]
@@ -459,6 +458,7 @@
             self._note_vms(previous, now_ms)
         if previous.vms is not message.view.vms or previous.waves is not message.view.waves:
             self._look()
+            self._probe()
 
     def _note_vms(self, previous: FleetView, now_ms: float) -> None:
         vms = self._view.vms
@@ -476,6 +476,12 @@
         facts = self._workers.get(message.name)
         if facts is not None and message.asked_at_ms >= facts.known_at_ms:
             self._workers[message.name] = facts.after(message)
+            if self._is_changing(message.name):
+                self._look()
+
+    def _is_changing(self, name: str) -> bool:
+        vm = self._view.vms[name]
+        return vm.drain_asked or vm.state not in ("in_service", "failed")
 
     def _facts(self) -> Facts:
         return Facts(self._workers, self._since_ms, self._log_since_ms)
@@ -488,12 +494,11 @@
     @receives(LookDue)
     def _on_look_due(self, _: LookDue) -> None:
         self._look()
-        changing = tuple(
-            name
-            for name, vm in self._view.vms.items()
-            if vm.drain_asked or vm.state not in ("in_service", "failed")
-        )
-        if changing and self._driving:
+        self._probe()
+
+    def _probe(self) -> None:
+        changing = tuple(name for name in self._view.vms if self._is_changing(name))
+        if changing and self._may_act():
             self._dispatch.tell(ProbeUpstreams(changing))
 
     def _look(self) -> None:
