Test the driver; take back a drain that came too late

Cause: the test on the stand-ins found that the undrain which takes back a late drain was dropped when another undrain of the VM had just ended. Change: a drain call is remembered until the worker is seen to serve after the operation, and its undrain is repeated until then. A fleet with simulated workers, driven by hand, checks waves, failures, a driver lost before and after each of its steps, two drivers with steps up to 3 s late, and log outages; one test uses the platform and worker stand-ins.

--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -426,6 +426,8 @@
         self._capacity_memory: tuple[str, Any] = "", None
         # Steps under way or done lately, with the time from which they may be repeated.
         self._blocked_until_ms: dict[tuple[Any, ...], float] = {}
+        # Our drain calls that have ended, until the worker is seen to serve after the operation.
+        self._drained_at_ms: dict[str, float] = {}
         self._session: aiohttp.ClientSession
 
     async def opened(self) -> None:
@@ -493,9 +495,16 @@
 
     @receives(LookDue)
     def _on_look_due(self, _: LookDue) -> None:
+        self._expire_blocks()
+        self._undo_late_drains()
         self._look()
         self._probe()
 
+    def _expire_blocks(self) -> None:
+        now_ms = self._timer.now_ms()
+        for key in [key for key, until in self._blocked_until_ms.items() if until <= now_ms]:
+            del self._blocked_until_ms[key]
+
     def _probe(self) -> None:
         changing = tuple(name for name in self._view.vms if self._is_changing(name))
         if changing and self._may_act():
@@ -504,9 +513,8 @@
     def _look(self) -> None:
         if not self._may_act():
             return
+        self._expire_blocks()
         now_ms = self._timer.now_ms()
-        for key in [key for key, until in self._blocked_until_ms.items() if until <= now_ms]:
-            del self._blocked_until_ms[key]
         self._carry_out(plan_steps(self._view, self._facts(), now_ms, self._bounds))
 
     @receives(SampleDue)
@@ -607,7 +615,20 @@
         self._blocked_until_ms[step.vm, step.action] = until_ms
         if message.problem:
             logger.debug("platform call failed", extra={"vm": step.vm, "problem": message.problem})
-        vm = self._view.vms.get(step.vm)
-        if step.action == "drain" and vm is not None and not vm.drain_asked:
-            # Another driver has ended the operation while the call was on its way.
-            self._do(CallPlatform(step.vm, "undrain"))
+        if step.action == "drain":
+            self._drained_at_ms[step.vm] = self._timer.now_ms()
+
+    def _undo_late_drains(self) -> None:
+        """Undrain VMs whose operation another driver has ended while our drain was on its way.
+
+        This is done by an entry VM that is no longer the driver too: nobody else knows.
+        """
+        for name, drained_at_ms in list(self._drained_at_ms.items()):
+            vm = self._view.vms.get(name)
+            if vm is None:
+                del self._drained_at_ms[name]
+            elif not vm.drain_asked and self._workers[name].seen_at_ms >= drained_at_ms:
+                if self._workers[name].leaving:
+                    self._do(CallPlatform(name, "undrain"))
+                else:
+                    del self._drained_at_ms[name]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -11,7 +12,7 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 from standins.guard import Attempt, Guard, Work
 from standins.network import Relay
@@ -20,9 +21,15 @@
 from standins.platform import make_app as make_platform_app
 from standins.serving import Listener
 from standins.worker import Worker, WorkerSettings
-from tarragoncart import replay
-from tarragoncart.model import FleetConfig, Member, PoolSpec, QueueSpec, TeamSpec, VmSpec
+from tarragoncart import operations, replay
+from tarragoncart.dispatch import Dispatch
+from tarragoncart.journal import Append, Journal
+from tarragoncart.mailbox import new_reply
+from tarragoncart.model import FleetConfig, Member, PoolSpec, QueueSpec, TeamSpec, Verdict, VmSpec
+from tarragoncart.peers import Peers
 from tarragoncart.records import Envelope, Join, Publish
+from tarragoncart.timer import LoopTimer
+from tarragoncart.upstream import UpstreamChanged
 
 
 @pytest.fixture
@@ -67,6 +74,156 @@
     return apply
 
 
+@define
+class SimWorker:
+    """A worker as a driver sees it.
+
+    :param task_end_ms: until then it runs a task.
+    :param back_ms: until then it is down.
+    """
+
+    boot: int = 0
+    leaving: bool = False
+    task_end_ms: float = 0.0
+    back_ms: float = 0.0
+    returns: bool = True
+
+
+@define
+class SimDriver:
+    """A driver's own knowledge, empty at its start."""
+
+    workers: dict[str, operations.WorkerFacts] = Factory(dict)
+    revisions: dict[str, int] = Factory(dict)
+    since_ms: dict[str, float] = Factory(dict)
+
+
+@define
+class Operated:
+    """A fleet with simulated workers, on which drivers act by hand-driven time."""
+
+    fleet: replay.FleetState
+    submit: Callable[..., replay.AuditEntry]
+    workers: dict[str, SimWorker]
+    now_ms: float = 0.0
+    unreachable: set[str] = Factory(set)
+
+    def plan(self, driver: SimDriver) -> list[operations.Step]:
+        """Let a driver hear from all workers and return its steps."""
+        for name, vm in self.fleet.vms.items():
+            facts = driver.workers.get(name, operations.WorkerFacts(self.now_ms))
+            if driver.revisions.get(name) != vm.revision:
+                driver.since_ms[name] = self.now_ms
+                driver.revisions[name] = vm.revision
+            driver.workers[name] = facts.after(self._call(name))
+        facts = operations.Facts(driver.workers, driver.since_ms)
+        return operations.plan_steps(self.view(), facts, self.now_ms)
+
+    def _call(self, name: str) -> UpstreamChanged:
+        worker = self.workers[name]
+        if name in self.unreachable or self.now_ms < worker.back_ms:
+            return UpstreamChanged(name, False, verdict=Verdict.NO_ANSWER)
+        return UpstreamChanged(
+            name,
+            True,
+            leaving=worker.leaving,
+            running_count=int(worker.task_end_ms > self.now_ms),
+            boot_id=f"boot-{worker.boot}",
+            asked_at_ms=self.now_ms,
+        )
+
+    def view(self) -> replay.FleetView:
+        """Return the present view."""
+        return replay.view_of(self.fleet, replay.FleetView(), frozenset(("vms", "waves", "config")))
+
+    def carry_out(self, step: operations.Step) -> None:
+        """Carry a step out as the log, the platform and the worker do."""
+        if isinstance(step, operations.AppendRecord):
+            self.submit(step.record)
+            return
+        worker = self.workers[step.vm]
+        down = self.now_ms < worker.back_ms
+        if down or step.boot_id not in ("", f"boot-{worker.boot}"):
+            return
+        if step.action == "reboot":
+            # A task that still ran would be cut here.
+            assert worker.task_end_ms <= self.now_ms
+            worker.boot += 1
+            worker.back_ms = self.now_ms + 2_000 if worker.returns else float("inf")
+        worker.leaving = step.action == "drain"
+
+    def run(self, driver: SimDriver, duration_ms: float, until: Callable[[], bool]) -> bool:
+        """Carry out all steps of a driver until a condition holds; tell whether it did."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms and not until():
+            for step in self.plan(driver):
+                self.carry_out(step)
+            self.now_ms += 250
+        return until()
+
+
+@pytest.fixture
+def operated(fleet: replay.FleetState, submit: Callable[..., replay.AuditEntry]) -> Operated:
+    """The small fleet with a worker for each VM; each has a task for 600 ms."""
+    workers = {name: SimWorker(task_end_ms=600) for name in fleet.vms}
+    return Operated(fleet, submit, workers)
+
+
+@define
+class StandInFleet:
+    """Actors of one entry VM on in-process stand-ins, without callers."""
+
+    platform: str
+    workers: list[Worker]
+    worker_urls: dict[str, str]
+    journal: Journal
+    operations: operations.Operations
+
+    async def record(self, record: Any) -> None:
+        """Append a record and wait until it is replayed as accepted."""
+        reply = new_reply()
+        self.journal.tell(Append(record, "test", reply))
+        assert (await asyncio.wait_for(reply, 5)).accepted
+
+
+@pytest.fixture
+async def operated_stand_ins(
+    serve: Callable[[Listener], Awaitable[str]], platform: str, call: Any, config: FleetConfig
+) -> AsyncIterator[StandInFleet]:
+    """The small fleet with three workers; only the spare pool has a single VM."""
+    workers = [Worker(WorkerSettings(f"vm-{n}", time_scale=0.02)) for n in range(3)]
+    addresses = {worker.name: await serve(worker.listener) for worker in workers}
+    for name, address in addresses.items():
+        await call("PUT", f"{platform}/vms/{name}", address=address)
+    pools = {"vm-0": "holds", "vm-1": "holds", "vm-2": "spare"}
+    vms = tuple(VmSpec(n, pools[n], "dc-1", "rack-1", a) for n, a in addresses.items())
+    holds, spare = config.pools
+    config = evolve(config, vms=vms, pools=(evolve(holds, min_available_count=1), spare))
+    timer, rng, address = LoopTimer(), random.Random(1), platform.removeprefix("http://")
+    member = Member("a", "i", "dc-1", "127.0.0.1:2", "127.0.0.1:3")
+    journal = Journal("a", address, timer)
+    dispatch = Dispatch("a", "dc-1", "i", journal, timer, rng)
+    peers = Peers(member, [], journal, dispatch, timer, rng)
+    driver = operations.Operations("a", address, journal, dispatch, peers, timer)
+    dispatch.operations = driver
+    for listener in (dispatch, peers, driver):
+        journal.add_listener(listener)
+    for actor in (journal, dispatch, peers, driver):
+        actor.start()
+    urls = {name: f"http://{address}" for name, address in addresses.items()}
+    fleet = StandInFleet(platform, workers, urls, journal, driver)
+    await fleet.record(Publish(0, config))
+    yield fleet
+    for actor in (driver, peers, dispatch, journal):
+        await actor.stop()
+
+
+@pytest.fixture
+def new_driver() -> Callable[[], SimDriver]:
+    """Make a driver that knows nothing yet."""
+    return SimDriver
+
+
 @pytest.fixture
 def guard() -> Guard:
     """A worker's guard with two slots; incarnation ``i`` has a lease from 0 to 1,000 ms."""
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,259 @@
+"""Decisions of the driver, by hand-driven time, and its actor on stand-ins."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from attrs import evolve
+
+from tarragoncart import operations, records
+from tarragoncart.journal import ViewChanged
+from tarragoncart.membership import DriverChosen, is_driver
+from tarragoncart.model import Member
+from tarragoncart.peers import PeerStatus
+from tarragoncart.timer import ManualTimer
+from tarragoncart.upstream import UpstreamChanged
+
+BOOTED_ONCE = [1, 1, 1, 1]
+
+
+def boots(operated):
+    """Return how often each VM of the pool of the wave has rebooted."""
+    return [operated.workers[f"vm-{n}"].boot for n in range(4)]
+
+
+def out_count(operated):
+    """Return how many VMs of the pool of the wave do not take work."""
+    workers = [operated.workers[f"vm-{n}"] for n in range(4)]
+    return sum(w.leaving or operated.now_ms < w.back_ms for w in workers)
+
+
+def kinds(steps):
+    """Return the records' kinds and the calls' actions."""
+    return [
+        step.action if isinstance(step, operations.CallPlatform) else step.record.kind
+        for step in steps
+    ]
+
+
+@pytest.fixture
+def wave(operated):
+    """Start a wave over the pool of four VMs; returns whether it has finished."""
+    operated.submit(records.StartWave("w", ("holds",), "kernel"))
+    return lambda: operated.fleet.waves["w"].state == "finished"
+
+
+def test_a_stop_drains_before_it_reboots_and_waits_for_another_boot(operated, wave, new_driver):
+    """Guards against a reboot that cuts a task, and a VM taken for back before its reboot."""
+    driver, done = new_driver(), []
+    while len(done) < 5:
+        steps = operated.plan(driver)
+        assert len(steps) <= 1
+        if steps:
+            done.append((*kinds(steps), operated.now_ms))
+            operated.carry_out(steps[0])
+        operated.now_ms += 100
+    names = [name for name, _ in done]
+    assert names == ["reserve_stop", "begin_stop", "drain", "reboot", "vm_back"]
+    assert done[3][1] >= 600
+    assert done[4][1] >= done[3][1] + 2_000
+
+
+def test_a_wave_finishes_within_its_budget(operated, wave, new_driver):
+    """Guards against two VMs of a pool with a budget of one out at once."""
+    driver = new_driver()
+    while not wave():
+        assert operated.run(driver, 250, wave) or operated.now_ms < 30_000
+        assert out_count(operated) <= 1
+    assert boots(operated) == BOOTED_ONCE
+
+
+@pytest.mark.parametrize("carried_out", [True, False])
+@pytest.mark.parametrize("lost_after_count", range(26))
+def test_a_lost_driver_leaves_nothing_undone(
+    operated, wave, new_driver, lost_after_count, carried_out
+):
+    """Guards against a stop or move that only the driver which began it could end."""
+    operated.submit(records.MoveVm("vm-4", "spare", "holds", "operator"))
+    driver, count = new_driver(), 0
+    while count < lost_after_count and operated.now_ms < 30_000:
+        for step in operated.plan(driver):
+            count += 1
+            if count < lost_after_count or carried_out:
+                operated.carry_out(step)
+            if count == lost_after_count:
+                break
+        operated.now_ms += 250
+
+    def at_rest():
+        return wave() and not any(vm.drain_asked for vm in operated.fleet.vms.values())
+
+    assert operated.run(new_driver(), 30_000, at_rest)
+    assert boots(operated) == BOOTED_ONCE
+    assert operated.fleet.vms["vm-4"].pool == "holds"
+    assert not any(worker.leaving for worker in operated.workers.values())
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_two_drivers_with_late_steps_do_no_harm(operated, wave, new_driver, seed):
+    """Guards against a late step of a stale driver that acts on a later operation."""
+    rng, drivers, late = random.Random(seed), (new_driver(), new_driver()), []
+    operated.submit(records.MoveVm("vm-4", "spare", "holds", "operator"))
+    while not wave():
+        for driver in drivers:
+            late += [(operated.now_ms + rng.uniform(0, 3_000), s) for s in operated.plan(driver)]
+        for item in [item for item in late if item[0] <= operated.now_ms]:
+            late.remove(item)
+            operated.carry_out(item[1])
+            assert out_count(operated) <= 1
+        operated.now_ms += 250
+        assert operated.now_ms < 120_000
+    assert boots(operated) == BOOTED_ONCE
+    assert operated.fleet.vms["vm-4"].pool == "holds"
+
+
+def test_vms_that_do_not_come_back_halt_the_wave(operated, wave, new_driver):
+    """Guards against a bad image being rolled out further, and a silent reboot being waited for."""
+    for name in ("vm-0", "vm-1"):
+        operated.workers[name].returns = False
+
+    def halted():
+        return operated.fleet.waves["w"].state == "halted"
+
+    driver = new_driver()
+    assert not operated.run(driver, 90_000, halted)
+    # The first failure uses up the budget until an operator raises it.
+    assert sorted(operated.fleet.waves["w"].failed) == ["vm-0"]
+    config = operated.fleet.config
+    pools = tuple(evolve(pool, max_unavailable_count=2) for pool in config.pools)
+    # The policy spares the last rack of a pool in which a VM is out.
+    vms = tuple(evolve(vm, rack=vm.name) for vm in config.vms)
+    operated.submit(records.Publish(1, evolve(config, pools=pools, vms=vms)))
+    assert operated.run(driver, 90_000, halted)
+    assert [vm.state for vm in operated.fleet.vms.values()].count("failed") == 2
+    assert boots(operated)[2:] == [0, 0]
+
+
+def test_a_halted_or_cancelled_wave_begins_no_stop(operated, wave, new_driver):
+    """Guards against a reserved stop that begins after the operator has cancelled the wave."""
+    driver = new_driver()
+    for step in operated.plan(driver):
+        operated.carry_out(step)
+    operated.submit(records.ControlWave("w", "cancel"))
+    assert kinds(operated.plan(driver)) == ["cancel_stop"]
+
+
+def test_a_silent_vm_fails_and_returns(operated, new_driver):
+    """Guards against a dead VM that counts as available, or one that stays out for ever."""
+    driver = new_driver()
+    operated.plan(driver)
+    operated.unreachable.add("vm-2")
+    started_ms = operated.now_ms
+    vms = operated.fleet.vms
+    assert operated.run(driver, 10_000, lambda: vms["vm-2"].state == "failed")
+    assert operated.now_ms - started_ms >= operations.Bounds().silence_ms
+    assert "no answer for" in vms["vm-2"].cause
+    operated.unreachable.clear()
+    assert operated.run(driver, 1_000, lambda: vms["vm-2"].state == "in_service")
+
+
+def test_an_entry_vm_that_hears_nobody_fails_nobody(operated, new_driver):
+    """Guards against a partitioned or paused entry VM that declares the fleet failed."""
+    driver = new_driver()
+    operated.plan(driver)
+    operated.unreachable |= set(operated.workers)
+    for _ in range(20):
+        operated.now_ms += 1_000
+        assert not operated.plan(driver)
+    operated.unreachable -= {"vm-0"}
+    operated.now_ms += 60_000
+    driver.workers = {n: evolve(f, unanswered_count=0) for n, f in driver.workers.items()}
+    assert not operated.plan(driver)
+
+
+def test_a_busy_vm_is_not_cut(operated, new_driver):
+    """Guards against a task that never ends being cut, or keeping a move open for ever."""
+    operated.workers["vm-4"].task_end_ms = float("inf")
+    operated.submit(records.MoveVm("vm-4", "spare", "holds", "operator"))
+    driver = new_driver()
+    vm = operated.fleet.vms
+    assert not operated.run(driver, 590_000, lambda: vm["vm-4"].state != "draining")
+    assert operated.run(driver, 20_000, lambda: not vm["vm-4"].drain_asked)
+    assert (vm["vm-4"].pool, operated.workers["vm-4"].leaving) == ("spare", False)
+
+
+def test_a_platform_drain_is_left_alone(operated, new_driver):
+    """Guards against a driver that undoes what the platform does for its own reasons."""
+    operated.workers["vm-1"].leaving = True
+    assert not operated.plan(new_driver())
+
+
+def test_a_copy_of_a_step_is_rejected(operated, submit, wave):
+    """Guards against a late record that ends a later operation of the same VM."""
+    submit(records.ReserveStop("vm-0", "w", "kernel", revision=0))
+    submit(records.BeginStop("vm-0", "boot-0", revision=1))
+    assert submit(records.VmBack("vm-0", revision=2)).accepted
+    submit(records.ReserveStop("vm-0", "", "again"))
+    submit(records.BeginStop("vm-0", "boot-1"))
+    assert not submit(records.VmBack("vm-0", revision=2)).accepted
+
+
+def test_the_live_member_with_the_lowest_name_drives():
+    """Guards against a fleet that waits for a driver which is gone."""
+    members = [Member(n, n, "dc-1", "127.0.0.1:2", "127.0.0.1:3") for n in "ab"]
+    a, b = (PeerStatus(member, 0, 0.0) for member in members)
+    assert is_driver("a", [a, b]) and not is_driver("b", [a, b])
+    assert is_driver("b", [evolve(a, silent_ms=60_000.0), b])
+    assert not is_driver("a", [])
+
+
+async def test_stops_and_moves_on_stand_ins(operated_stand_ins, call, wait_until):
+    """Guards against calls that the platform or a worker does not understand."""
+    fleet = operated_stand_ins
+    fleet.operations.tell(DriverChosen(True))
+    await fleet.record(records.StartWave("w", ("spare",), "kernel"))
+    boot_ids = {worker.name: worker.boot_id for worker in fleet.workers}
+
+    async def finished():
+        return fleet.journal.view.waves["w"].state == "finished"
+
+    await wait_until(finished)
+    rebooted = {w.name for w in fleet.workers if w.boot_id != boot_ids[w.name]}
+    assert rebooted == {"vm-2"}
+    await fleet.record(records.MoveVm("vm-0", "holds", "spare", "operator"))
+
+    async def moved():
+        vm = fleet.journal.view.vms["vm-0"]
+        return vm.pool == "spare" and not vm.drain_asked
+
+    await wait_until(moved)
+    state = f"{fleet.worker_urls['vm-0']}/control/state"
+
+    async def serving():
+        return (await call("GET", state))[1]["state"] == "serving"
+
+    assert await serving()
+    # A drain of a driver that was late is taken back.
+    await call("POST", f"{fleet.platform}/vms/vm-0/drain")
+    assert not await serving()
+    fleet.operations.tell(operations.CallEnded(operations.CallPlatform("vm-0", "drain")))
+    await wait_until(serving)
+
+
+async def test_nothing_is_done_during_a_log_outage(operated, wave):
+    """Guards against a stop or move that begins while nobody can see it."""
+    told = []
+    log = SimpleNamespace(tell=told.append)
+    actor = operations.Operations("a", "127.0.0.1:1", log, log, log, ManualTimer())
+    actor.handle(DriverChosen(True))
+    changed = ViewChanged(operated.view(), 0.0, log_available=False, loaded=True)
+    actor.handle(changed)
+    for name in operated.workers:
+        actor.handle(UpstreamChanged(name, True, boot_id="boot-0"))
+    actor.handle(operations.LookDue())
+    assert not told
+    actor.handle(evolve(changed, log_available=True))
+    actor.handle(operations.LookDue())
+    assert [type(message.record) for message in told] == [records.ReserveStop]
