Measure one entry process beside a bare forwarder; share connections per worker

The profile showed an idle process: the smallest connection limit of any worker bounded the jobs at every worker. Change: bench.throughput; an entry VM's part of the connections is taken from each worker's own limit.

--- /dev/null
+++ b/src/bench/throughput.py
@@ -0,0 +1,205 @@
+"""Throughput and latency of one entry process beside a bare forwarder in the same run."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import statistics
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+from aiohttp import web
+from attrs import asdict, frozen
+from hdrh.histogram import HdrHistogram
+
+from tarragoncart.attempts import digest_answer
+from tarragoncart.model import FleetConfig, PoolSpec, QueueSpec, TeamSpec, VmSpec
+from tarragoncart.operator_api import Operator
+from tarragoncart.settings import EntrySettings
+
+from .processes import ProcessGroup
+
+app = typer.Typer(add_completion=False)
+# Far more than the callers need, so that no limit is met.
+SLOT_COUNT = 4_096
+BODY = {"echo": "x" * 64}
+DIGEST = digest_answer(BODY)
+
+
+async def _listen(application: web.Application) -> None:
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    print(json.dumps({"address": f"127.0.0.1:{port}"}), flush=True)
+    await asyncio.Event().wait()
+
+
+@app.command()
+def worker() -> None:
+    """Serve attempts at once, without a guard: the fastest upstream there can be."""
+
+    async def lease(_: web.Request) -> web.Response:
+        grant = {"epoch": 1, "duration_ms": 3_000, "slots": SLOT_COUNT}
+        return web.json_response({**grant, "running": 0, "leaving": False, "boot_id": "1"})
+
+    async def attempt(request: web.Request) -> web.Response:
+        data = await request.json()
+        ids = {name: data.get(name) for name in ("attempt_id", "request_id")}
+        return web.json_response({**ids, "status": "completed", "body": BODY, "digest": DIGEST})
+
+    application = web.Application()
+    application.add_routes([web.post("/lease", lease), web.post("/attempts", attempt)])
+    asyncio.run(_listen(application))
+
+
+@app.command()
+def forwarder(target: str) -> None:
+    """Forward every body to ``/attempts`` of the target: the baseline."""
+
+    async def serve() -> None:
+        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+        async def forward(request: web.Request) -> web.Response:
+            body = await request.json()
+            async with session.post(f"http://{target}/attempts", json=body) as answer:
+                return web.json_response(await answer.json())
+
+        application = web.Application()
+        application.add_routes([web.post("/attempts", forward)])
+        await _listen(application)
+
+    asyncio.run(serve())
+
+
+@frozen
+class Load:
+    """Result of one load; latencies in milliseconds."""
+
+    requests_per_s: float
+    p50_ms: float
+    p99_ms: float
+
+
+async def load(post: Callable[[], Awaitable[None]], callers: int, duration_s: float) -> Load:
+    """Call ``post`` from a number of callers, each waiting for its answer."""
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    ends_s = time.monotonic() + duration_s
+
+    async def call() -> None:
+        while (started_s := time.monotonic()) < ends_s:
+            await post()
+            histogram.record_value(int((time.monotonic() - started_s) * 1e6))
+
+    await asyncio.gather(*(call() for _ in range(callers)))
+    return Load(
+        round(histogram.get_total_count() / duration_s, 1),
+        histogram.get_value_at_percentile(50) / 1e3,
+        histogram.get_value_at_percentile(99) / 1e3,
+    )
+
+
+def _poster(
+    session: aiohttp.ClientSession, url: str, body: dict[str, Any]
+) -> Callable[[], Awaitable[None]]:
+    async def post() -> None:
+        async with session.post(url, json=body) as response:
+            data = await response.json()
+            assert response.status == 200 and data, data
+
+    return post
+
+
+async def _measure(rounds: int, duration_s: float) -> dict[str, Any]:
+    with tempfile.TemporaryDirectory() as name:
+        group = ProcessGroup(Path(name))
+        try:
+            return await _measure_group(group, rounds, duration_s)
+        finally:
+            await group.stop()
+
+
+async def _measure_group(group: ProcessGroup, rounds: int, duration_s: float) -> dict[str, Any]:
+    module = "bench.throughput"
+    upstream = (await group.start("worker", module, "worker")).addresses["address"]
+    bare = (await group.start("forwarder", module, "forwarder", upstream)).addresses["address"]
+    platform = (await group.start("platform", "standins.platform")).addresses["address"]
+    entry, key = await _start_entry(group, platform, upstream)
+    headers = {"Authorization": f"Bearer {key}"}
+    async with aiohttp.ClientSession(
+        headers=headers, connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        ways = {
+            "direct": _poster(session, f"http://{upstream}/attempts", {"payload": BODY}),
+            "bare": _poster(session, f"http://{bare}/attempts", {"payload": BODY}),
+            "entry": _poster(session, f"http://{entry}/v1/queues/checks/jobs", {"payload": BODY}),
+        }
+        results: dict[str, list[Load]] = {}
+        for _ in range(rounds):
+            for callers in (32, 1):
+                for way, post in ways.items():
+                    await load(post, callers, 0.5)
+                    results.setdefault(f"{way} {callers}", []).append(
+                        await load(post, callers, duration_s)
+                    )
+    return _summary(results)
+
+
+async def _start_entry(group: ProcessGroup, platform: str, upstream: str) -> tuple[str, str]:
+    settings = EntrySettings("entry-1", "dc-1", "127.0.0.1:0", "127.0.0.1:0", platform)
+    path = group.directory / "entry.json"
+    path.write_text(json.dumps(asdict(settings)), encoding="utf-8")
+    started = await group.start("entry-1", "tarragoncart", "entry", str(path))
+    address = started.addresses["client_address"]
+    config = FleetConfig(
+        queues=(QueueSpec("checks", "checks"),),
+        teams=(TeamSpec("desk", 1.0, SLOT_COUNT),),
+        pools=(PoolSpec("checks", 1),),
+        vms=(VmSpec("vm-1", "checks", "dc-1", "rack-1", upstream, SLOT_COUNT, SLOT_COUNT),),
+    )
+    async with Operator([address], "bench") as operator:
+        while (await operator.status())["state"] != "ready":
+            await asyncio.sleep(0.05)
+        await operator.publish(config)
+        key = (await operator.grant_key("desk"))["key"]
+    await asyncio.sleep(2)
+    return address, key
+
+
+def _summary(results: dict[str, list[Load]]) -> dict[str, Any]:
+    def median(name: str, figure: str) -> float:
+        return statistics.median(getattr(load, figure) for load in results[name])
+
+    figures = {
+        name: {figure: round(median(name, figure), 3) for figure in asdict(loads[0])}
+        for name, loads in results.items()
+    }
+    ratios = [
+        entry.requests_per_s / bare.requests_per_s
+        for entry, bare in zip(results["entry 32"], results["bare 32"], strict=True)
+    ]
+    return {
+        **figures,
+        "entry_to_bare_ratio": round(statistics.median(ratios), 3),
+        "entry_to_bare_ratio_range": [round(min(ratios), 3), round(max(ratios), 3)],
+        "added_p50_ms": round(median("entry 1", "p50_ms") - median("bare 1", "p50_ms"), 3),
+    }
+
+
+@app.command()
+def run(
+    rounds: Annotated[int, typer.Option(help="Interleaved rounds.")] = 3,
+    duration_s: Annotated[float, typer.Option(help="Length of one load.")] = 5.0,
+) -> None:
+    """Measure all ways and print one JSON document."""
+    print(json.dumps(asyncio.run(_measure(rounds, duration_s)), indent=2))
+
+
+if __name__ == "__main__":
+    app()
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -22,7 +22,7 @@
 from .errors import LogUnavailableError, RequestError
 from .journal import Append, JobChanged, Journal, ReadJob, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
-from .model import Answer, Attempt, Job, Mode, Outcome, Reply
+from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec
 from .placement import PoolPlacement, UpstreamFacts
 from .replay import AuditEntry, FleetView, JobState
 from .timer import Timer
@@ -605,18 +605,10 @@
     def _pool(self, name: str) -> PoolPlacement:
         pool = self._pools.get(name)
         if pool is None:
-            share_count = self._connection_count()
             policies = self._view.config.policies
-            pool = PoolPlacement.create(policies, self.data_centre, share_count, self._rng)
-            self._pools[name] = pool
+            pool = self._pools[name] = PoolPlacement.create(policies, self.data_centre, self._rng)
         return pool
 
-    def _connection_count(self) -> int:
-        # A worker's connections are divided among the entry VMs.
-        vms = self._view.config.vms
-        connections = min((vm.connection_count for vm in vms), default=64)
-        return max(1, connections // max(1, len(self._view.members)))
-
     def _pump(self, name: str) -> None:
         """Start as many waiting jobs of a pool as may start now."""
         pool = self._pool(name)
@@ -745,7 +737,13 @@
     def _pools_changed(self) -> None:
         for pool in self._pools.values():
             pool.policies = self._view.config.policies
-            pool.connection_count = self._connection_count()
+        for facts in self._facts.values():
+            self._share_connections(facts)
+
+    def _share_connections(self, facts: UpstreamFacts) -> None:
+        # A worker's connections are divided among the entry VMs.
+        members_count = max(1, len(self._view.members))
+        facts.connection_limit_count = max(1, facts.spec.connection_count // members_count)
 
     def _vms_changed(self) -> None:
         for name in set(self._upstreams) - set(self._view.vms):
@@ -756,10 +754,11 @@
                 self._drop_upstream(name)
                 known = None
             if known is None:
-                self._add_upstream(name, vm.spec.address)
+                self._add_upstream(vm.spec)
                 self._facts[name] = UpstreamFacts(vm.spec)
             facts = self._facts[name]
             facts.spec = vm.spec
+            self._share_connections(facts)
             facts.in_service = vm.state in ("in_service", "failed")
             self._assign_pool(name, vm.pool)
 
@@ -771,18 +770,18 @@
         pool.add(self._facts[name])
         pool.refresh(name)
 
-    def _add_upstream(self, name: str, address: str) -> None:
+    def _add_upstream(self, spec: VmSpec) -> None:
         upstream = Upstream(
-            name,
-            address,
+            spec.name,
+            spec.address,
             entry=self.entry,
             incarnation=self.incarnation,
             owner=self,
             timer=self._timer,
-            connection_count=self._connection_count() + 1,
+            connection_count=spec.connection_count,
             source_address=self._source_address,
         )
-        self._upstreams[name] = upstream
+        self._upstreams[spec.name] = upstream
         upstream.start()
 
     def _drop_upstream(self, name: str) -> None:
--- a/src/tarragoncart/placement.py
+++ b/src/tarragoncart/placement.py
@@ -16,6 +16,7 @@
 class UpstreamFacts:
     """What this entry VM knows about one upstream.
 
+    :param connection_limit_count: most jobs of this entry VM there at once.
     :param busy_until_ms: the worker has just refused a job because it was full.
     """
 
@@ -27,20 +28,17 @@
     placed_count: int = 0
     busy_until_ms: float = float("-inf")
     boot_id: str = ""
+    connection_limit_count: int = 1
     in_service: bool = True
     leaving: bool = False
 
 
 @define
 class PoolPlacement:
-    """Queue order, upstream health and routing of one pool.
-
-    :param connection_count: most jobs of this entry VM at one upstream.
-    """
+    """Queue order, upstream health and routing of one pool."""
 
     policies: PolicySpec
     own_data_centre: str
-    connection_count: int
     rng: random.Random
     order: fairqueue.QueueOrder
     health: routing.PoolHealth
@@ -50,13 +48,12 @@
 
     @classmethod
     def create(
-        cls, policies: PolicySpec, own_data_centre: str, connection_count: int, rng: random.Random
+        cls, policies: PolicySpec, own_data_centre: str, rng: random.Random
     ) -> PoolPlacement:
         """Return an empty pool that uses the named policies."""
         return cls(
             policies,
             own_data_centre,
-            connection_count,
             rng,
             fairqueue.QUEUE_ORDERS.get(policies.queue_order)(),
             routing.EJECTION.get(policies.ejection)(),
@@ -126,7 +123,7 @@
                 in_flight_count=facts.in_flight_count,
                 running_count=facts.running_count,
                 reported_own_count=facts.reported_own_count,
-                connection_limit_count=self.connection_count,
+                connection_limit_count=facts.connection_limit_count,
                 failure_count=self.health.failure_count(name),
                 proven=self.health.proven(name),
                 placed_count=facts.placed_count,
