--- a/src/bench/callers.py
+++ b/src/bench/callers.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
-from attrs import define, field
+import aiohttp
+from attrs import Factory, define, field
 
+from tarragoncart import defaults
 from tarragoncart.client import Client, EntryUnreachableError, Result
 from tarragoncart.model import FleetConfig, Mode, Outcome, QueueSpec, digest_key
 
@@ -25,6 +27,9 @@
     """One account: submits jobs of its team, some at a time.
 
     :param key: the team's key; open queues are used without it.
+    :param entry_names: names of the entry VMs by address, for the history.
+    :param own_ids_ratio: share of the guarded jobs that are submitted under request IDs of the
+        caller's own; some of them twice at once, and some of these with another body.
     """
 
     name: str
@@ -37,6 +42,8 @@
     run_ms: float = 20.0
     deadline_ms: float = 8_000.0
     source_address: str = ""
+    entry_names: Mapping[str, str] = Factory(dict)
+    own_ids_ratio: float = 0.0
     accepted: dict[str, str] = field(init=False, factory=dict)
     _number: int = field(init=False, default=0)
 
@@ -52,17 +59,11 @@
 
     async def submit(self, client: Client, queue: QueueSpec) -> Result | None:
         """Submit one job and record what became of it."""
-        self._number += 1
-        token = f"{self.name}-{self._number}"
-        payload = {"run_ms": self.rng.expovariate(1 / self.run_ms), "echo": token}
-        note = {
-            "queue": queue.name,
-            "team": "" if queue.open_to_all else self.team,
-            "key_id": "" if queue.open_to_all else digest_key(self.key),
-            "guarded": queue.guarded,
-            "mode": str(queue.mode),
-            "payload_token": token,
-        }
+        if queue.guarded and self.rng.random() < self.own_ids_ratio:
+            await self.submit_own_id(client, queue)
+            return None
+        payload = self._payload()
+        token, note = payload["echo"], self._note(queue, payload)
         try:
             result = await client.submit(
                 queue.name,
@@ -77,6 +78,93 @@
             self.accepted[result.request_id] = token
         return result
 
+    def _payload(self) -> dict[str, Any]:
+        self._number += 1
+        run_ms = self.rng.expovariate(1 / self.run_ms)
+        return {"run_ms": run_ms, "echo": f"{self.name}-{self._number}"}
+
+    def _note(self, queue: QueueSpec, payload: dict[str, Any]) -> dict[str, Any]:
+        return {
+            "queue": queue.name,
+            "team": "" if queue.open_to_all else self.team,
+            "key_id": "" if queue.open_to_all else digest_key(self.key),
+            "guarded": queue.guarded,
+            "mode": str(queue.mode),
+            "payload_token": payload["echo"],
+        }
+
+    async def submit_own_id(self, client: Client, queue: QueueSpec) -> None:
+        """Submit a job under a request ID of the caller's own, perhaps to two entry VMs at once."""
+        request_id = f"own-{self.name}-{self.rng.getrandbits(64):016x}"
+        first = self._payload()
+        second = self._payload() if self.rng.random() < 0.3 else first
+        copies = [first, second][: self.rng.choice((1, 2))]
+        addresses = self.rng.sample(list(self.addresses), min(len(copies), len(self.addresses)))
+        answers = [
+            self._post(request_id, queue, payload, address)
+            for payload, address in zip(copies, addresses, strict=False)
+        ]
+        outcomes = await asyncio.gather(*answers)
+        if queue.mode is Mode.DEFERRED and Outcome.ACCEPTED in outcomes:
+            self.accepted[request_id] = first["echo"]
+        elif None in outcomes or Outcome.OUTCOME_UNKNOWN in outcomes:
+            await client.find(request_id, wait_ms=self.deadline_ms)
+
+    async def _post(
+        self, request_id: str, queue: QueueSpec, payload: dict[str, Any], address: str
+    ) -> Outcome | None:
+        entry = self.entry_names.get(address, address)
+        note = {**self._note(queue, payload), "request_id": request_id, "entry": entry}
+        self.history.write("submit", **note)
+        body = {
+            "request_id": request_id,
+            "payload": payload,
+            "deadline_ms": self.deadline_ms,
+            "declared_run_ms": self.run_ms,
+        }
+        timeout = aiohttp.ClientTimeout(
+            total=(self.deadline_ms + defaults.PEER_TIMEOUT_MS * 2) / 1_000,
+            sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000,
+        )
+        url = f"http://{address}/v1/queues/{queue.name}/jobs"
+        headers = {"Authorization": f"Bearer {self.key}"}
+        try:
+            async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
+                async with session.post(url, json=body) as response:
+                    data = await response.json()
+                    status = response.status
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            self.history.write("not_sent", request_id=request_id, entry=entry)
+            return None
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            self.history.write("connection_lost", request_id=request_id, entry=entry, sent=True)
+            return None
+        self.history.write(
+            "reply",
+            request_id=request_id,
+            outcome=data["outcome"],
+            status=status,
+            code=data.get("error", {}).get("code", ""),
+            echo=echo_of(data.get("answer")),
+            truncated=False,
+            config_version=data.get("config_version"),
+            entry=entry,
+            payload_token=payload["echo"],
+        )
+        return Outcome(data["outcome"])
+
+    async def cancel_burst(self, count: int) -> None:
+        """Submit jobs of all queues at once and cancel those accepted or waiting a moment later."""
+        async with self._client() as client, asyncio.TaskGroup() as group:
+            queues = [queue for queue in self.config.queues if queue.mode is Mode.DEFERRED]
+            for _ in range(count):
+                group.create_task(self._submit_and_cancel(client, self.rng.choice(queues)))
+
+    async def _submit_and_cancel(self, client: Client, queue: QueueSpec) -> None:
+        result = await self.submit(client, queue)
+        if result is not None:
+            await client.cancel(result.request_id)
+
     async def collect(self, wait_ms: float) -> None:
         """Ask for the answers of accepted deferred jobs."""
         async with self._client() as client, asyncio.TaskGroup() as group:
@@ -86,7 +174,11 @@
     def _record(self, event: str, fields: dict[str, Any]) -> None:
         result = fields.pop("result", None)
         if result is None:
-            self.history.write(event, **fields)
+            if "entry" in fields:
+                fields["entry"] = self.entry_names.get(fields["entry"], fields["entry"])
+            # A connection that was refused carried no request, so none was lost with it.
+            refused = event == "connection_lost" and not fields["sent"]
+            self.history.write("not_sent" if refused else event, **fields)
             return
         self.history.write(
             event,
@@ -97,5 +189,5 @@
             echo=echo_of(result.answer),
             truncated=False,
             config_version=result.config_version,
-            entry=result.entry,
+            entry=self.entry_names.get(result.entry, result.entry),
         )
--- /dev/null
+++ b/src/bench/failures.py
@@ -0,0 +1,377 @@
+"""Failures that ``bench.prove`` injects: functions in a registry, each of which heals itself."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+from attrs import define, field, frozen
+
+from tarragoncart.errors import TarragoncartError
+from tarragoncart.operator_api import Operator
+from tarragoncart.registry import Registry
+
+from .processes import HistoryWriter
+from .relayed import RelayedDeployment
+
+# An administrative call to a stand-in; a paused or rebooting one does not answer.
+CONTROL_TIMEOUT_S = 4.0
+
+
+@define
+class Site:
+    """What failures act on.
+
+    :param runner_log: history of the runner, as the checks expect it.
+    """
+
+    deployment: RelayedDeployment
+    runner_log: HistoryWriter
+    session: aiohttp.ClientSession
+    operator: Operator
+    _locks: dict[str, asyncio.Lock] = field(init=False, factory=dict)
+
+    @asynccontextmanager
+    async def hold(self, names: Iterable[str]) -> AsyncIterator[None]:
+        """Keep other failures off these processes; names are locked in order, so none deadlock."""
+        locks = [self._locks.setdefault(name, asyncio.Lock()) for name in sorted(set(names))]
+        for lock in locks:
+            await lock.acquire()
+        try:
+            yield
+        finally:
+            for lock in locks:
+                lock.release()
+
+    async def kill(self, names: list[str]) -> None:
+        """Kill processes at once and record it after they have ended."""
+        group = self.deployment.group
+        for name in names:
+            group.send(name, signal.SIGKILL)
+        await asyncio.gather(*(group.wait(name) for name in names))
+        self.runner_log.write("kill", target=names)
+
+    async def restore(self, names: list[str]) -> None:
+        """Start empty replacements of killed processes."""
+        await asyncio.gather(*(self.deployment.restart(name) for name in names))
+        self.runner_log.write("fault_end", target=names)
+
+    async def cut(self, centre: str, *, others: bool, platform: bool) -> None:
+        """Cut a data centre off."""
+        sides = [*self.deployment.other_centres(centre)] * others + ["platform"] * platform
+        # "from" holds what the data centre has lost; checks ask whether the platform is in it.
+        self.runner_log.write("cut", **{"target": centre, "from": sides})
+        await self.deployment.set_cut(centre, others=others, platform=platform, on=True)
+
+    async def heal(self, centre: str, *, others: bool, platform: bool) -> None:
+        """Undo :meth:`cut`."""
+        await self.deployment.set_cut(centre, others=others, platform=platform, on=False)
+        self.runner_log.write("heal", target=centre)
+
+    async def platform_fault(self, fault: str, on: bool, **params: Any) -> None:
+        """Switch a fault of the platform."""
+        self.runner_log.write("fault" if on else "fault_end", target="platform", fault=fault)
+        url = f"http://{self.deployment.platform_direct}/control/faults"
+        await self._post(url, {"fault": fault, "on": on, **params})
+
+    async def worker_fault(self, worker: str, fault: str, on: bool, **params: Any) -> None:
+        """Switch a fault of a worker; a worker that has ended needs no healing."""
+        self.runner_log.write("worker_fault", worker=worker, fault=fault, on=on)
+        url = f"http://{self.deployment.worker_direct[worker]}/control/faults"
+        await self._post(url, {"fault": fault, "on": on, **params})
+
+    async def act_on_vm(self, worker: str, action: str, **params: Any) -> None:
+        """Drain, undrain or reboot a VM through the platform."""
+        url = f"http://{self.deployment.platform_direct}/vms/{worker}/{action}"
+        await self._post(url, params)
+
+    async def _post(self, url: str, body: dict[str, Any]) -> None:
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self.session.post(url, json=body, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self.runner_log.write("control_failed", url=url, error=repr(error))
+
+
+Failure = Callable[[Site, random.Random], Awaitable[None]]
+FAILURES: Registry[Failure] = Registry("failure")
+
+
+@frozen
+class Planned:
+    """A failure of a schedule.
+
+    :param start_ms: from the begin of the schedule.
+    """
+
+    start_ms: float
+    name: str
+    seed: str
+
+
+def plan_failures(seed: int, duration_ms: float) -> list[Planned]:
+    """Return the schedule of a seed: failures follow each other, and some come in pairs."""
+    rng = random.Random(f"failures-{seed}")
+    names = [name for name, _ in FAILURES.items()]
+    deck: list[str] = []
+    plan: list[Planned] = []
+    at_ms = 500.0
+    while at_ms < duration_ms - 3_000:
+        for number in range(rng.choice((1, 1, 2))):
+            if not deck:
+                deck = rng.sample(names, len(names))
+            plan.append(Planned(at_ms, deck.pop(), f"{seed}-{len(plan)}-{number}"))
+            at_ms += rng.uniform(0, 800)
+        at_ms += rng.uniform(2_500, 5_000)
+    return plan
+
+
+async def run_failures(site: Site, plan: list[Planned]) -> None:
+    """Inject the failures of a schedule and return when all are healed."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+
+    async def inject(planned: Planned) -> None:
+        await asyncio.sleep(started_s + planned.start_ms / 1_000 - loop.time())
+        site.runner_log.write("failure_begins", failure=planned.name)
+        await FAILURES.get(planned.name)(site, random.Random(planned.seed))
+        site.runner_log.write("failure_ends", failure=planned.name)
+
+    async with asyncio.TaskGroup() as group:
+        for planned in plan:
+            group.create_task(inject(planned))
+
+
+# Entry VMs
+
+
+@FAILURES.register("entry_killed")
+async def entry_killed(site: Site, rng: random.Random) -> None:
+    """Kill an entry VM and replace it by an empty one."""
+    name = rng.choice(sorted(site.deployment.entries))
+    async with site.hold([name]):
+        await site.kill([name])
+        await asyncio.sleep(rng.uniform(0.2, 2))
+        await site.restore([name])
+
+
+@FAILURES.register("entry_paused")
+async def entry_paused(site: Site, rng: random.Random) -> None:
+    """Pause an entry VM past its leases, sometimes past its membership."""
+    name = rng.choice(sorted(site.deployment.entries))
+    async with site.hold([name]):
+        site.runner_log.write("pause", target=name)
+        site.deployment.group.send(name, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(rng.choice((rng.uniform(4, 7), rng.uniform(4, 7), 11.5)))
+        finally:
+            site.deployment.group.send(name, signal.SIGCONT)
+        site.runner_log.write("resume", target=name)
+
+
+@FAILURES.register("entry_stopped")
+async def entry_stopped(site: Site, rng: random.Random) -> None:
+    """Stop an entry VM by plan under load and replace it."""
+    name = rng.choice(sorted(site.deployment.entries))
+    async with site.hold([name]):
+        site.runner_log.write("planned_stop", target=name)
+        site.deployment.group.send(name, signal.SIGTERM)
+        await site.deployment.group.wait(name)
+        site.runner_log.write("stopped", target=name)
+        await site.restore([name])
+
+
+# Networks
+
+
+async def _cut_centre(site: Site, rng: random.Random, *, others: bool, platform: bool) -> None:
+    centre = rng.choice(site.deployment.data_centres)
+    async with site.hold([f"network {centre}"]):
+        await site.cut(centre, others=others, platform=platform)
+        await asyncio.sleep(rng.choice((rng.uniform(4, 8), 11.5)))
+        await site.heal(centre, others=others, platform=platform)
+
+
+@FAILURES.register("centre_cut_from_others")
+async def centre_cut_from_others(site: Site, rng: random.Random) -> None:
+    """Cut a data centre off from the other data centres."""
+    await _cut_centre(site, rng, others=True, platform=False)
+
+
+@FAILURES.register("centre_cut_from_platform")
+async def centre_cut_from_platform(site: Site, rng: random.Random) -> None:
+    """Cut a data centre off from the platform."""
+    await _cut_centre(site, rng, others=False, platform=True)
+
+
+@FAILURES.register("centre_isolated")
+async def centre_isolated(site: Site, rng: random.Random) -> None:
+    """Cut a data centre off from the others and from the platform."""
+    await _cut_centre(site, rng, others=True, platform=True)
+
+
+@FAILURES.register("centre_lost")
+async def centre_lost(site: Site, rng: random.Random) -> None:
+    """Kill all entry VMs and workers of a data centre, and replace them some seconds later."""
+    names = site.deployment.processes_in(rng.choice(site.deployment.data_centres))
+    async with site.hold(names):
+        await site.kill(names)
+        await asyncio.sleep(rng.uniform(2, 5))
+        await site.restore(names)
+
+
+# The log and the VM list
+
+
+async def _platform_fault(site: Site, seconds: float, fault: str, **params: Any) -> None:
+    async with site.hold([f"platform {fault}"]):
+        await site.platform_fault(fault, True, **params)
+        await asyncio.sleep(seconds)
+        await site.platform_fault(fault, False)
+
+
+@FAILURES.register("log_outage")
+async def log_outage(site: Site, rng: random.Random) -> None:
+    """Let the log refuse all calls."""
+    await _platform_fault(site, rng.uniform(2, 7), "outage")
+
+
+@FAILURES.register("log_slow")
+async def log_slow(site: Site, rng: random.Random) -> None:
+    """Delay all calls to the log; past 1,500 ms appends time out before they take effect."""
+    delay_ms = rng.choice((400, 900, 1_800))
+    await _platform_fault(site, rng.uniform(3, 6), "slow", delay_ms=delay_ms)
+
+
+@FAILURES.register("append_answers_lost")
+async def append_answers_lost(site: Site, rng: random.Random) -> None:
+    """Lose the answers of appends that have taken effect."""
+    ratio = rng.uniform(0.3, 1)
+    await _platform_fault(site, rng.uniform(3, 6), "lose_answers", ratio=ratio)
+
+
+@FAILURES.register("log_retention")
+async def log_retention(site: Site, rng: random.Random) -> None:
+    """Keep few records, so that readers that were away find a gap."""
+    await _platform_fault(
+        site, rng.uniform(4, 7), "retention", record_count=rng.choice((5, 20, 60))
+    )
+
+
+@FAILURES.register("vm_list_wrong")
+async def vm_list_wrong(site: Site, rng: random.Random) -> None:
+    """Hide VMs from the list and show an unknown one and a serving one as leaving."""
+    names = [vm.name for vm in site.deployment.config.vms]
+    hidden, shown = rng.sample(names, 2)
+    wrong = {"name": shown, "address": "127.0.0.1:1", "state": "leaving"}
+    await _platform_fault(
+        site, rng.uniform(2, 4), "wrong_vm_list", hidden=[hidden], added=["unknown-1", wrong]
+    )
+
+
+# Workers
+
+
+async def _worker_faults(
+    site: Site, workers: list[str], seconds: float, fault: str, **params: Any
+) -> None:
+    async with site.hold(workers):
+        for worker in workers:
+            await site.worker_fault(worker, fault, True, **params)
+        await asyncio.sleep(seconds)
+        for worker in workers:
+            await site.worker_fault(worker, fault, False)
+
+
+def _any_pool(site: Site, rng: random.Random) -> list[str]:
+    pool = rng.choice(site.deployment.config.pools).name
+    return [vm.name for vm in site.deployment.config.vms if vm.pool == pool]
+
+
+def _any_worker(site: Site, rng: random.Random) -> str:
+    return rng.choice([vm.name for vm in site.deployment.config.vms])
+
+
+@FAILURES.register("worker_fails_everything")
+async def worker_fails_everything(site: Site, rng: random.Random) -> None:
+    """Let a worker fail all that it starts."""
+    await _worker_faults(site, [_any_worker(site, rng)], rng.uniform(3, 6), "fail_all")
+
+
+@FAILURES.register("answers_late")
+async def answers_late(site: Site, rng: random.Random) -> None:
+    """Delay some answers of a pool, some past the deadlines."""
+    delay_ms = rng.choice((800, 5_000))
+    await _worker_faults(
+        site, _any_pool(site, rng), rng.uniform(3, 5), "late_answers", delay_ms=delay_ms, ratio=0.3
+    )
+
+
+@FAILURES.register("answers_crossed")
+async def answers_crossed(site: Site, rng: random.Random) -> None:
+    """Swap answers between the requests of a pool."""
+    await _worker_faults(
+        site, _any_pool(site, rng), rng.uniform(3, 5), "crossed_answers", ratio=0.5
+    )
+
+
+@FAILURES.register("answers_truncated")
+async def answers_truncated(site: Site, rng: random.Random) -> None:
+    """Cut answers of a pool short."""
+    await _worker_faults(
+        site, _any_pool(site, rng), rng.uniform(3, 5), "truncated_answers", ratio=0.5
+    )
+
+
+@FAILURES.register("answers_dropped")
+async def answers_dropped(site: Site, rng: random.Random) -> None:
+    """Drop answers of a pool."""
+    await _worker_faults(site, _any_pool(site, rng), rng.uniform(3, 5), "drop_answers", ratio=0.5)
+
+
+@FAILURES.register("worker_killed")
+async def worker_killed(site: Site, rng: random.Random) -> None:
+    """Kill a worker and start it again with an empty guard."""
+    name = _any_worker(site, rng)
+    async with site.hold([name]):
+        await site.kill([name])
+        await asyncio.sleep(rng.uniform(0.5, 3))
+        await site.restore([name])
+
+
+@FAILURES.register("rack_killed_during_wave")
+async def rack_killed_during_wave(site: Site, rng: random.Random) -> None:
+    """Start a maintenance wave and kill the workers of a rack in it."""
+    rack = rng.choice(sorted({vm.rack for vm in site.deployment.config.vms}))
+    names = [vm.name for vm in site.deployment.config.vms if vm.rack == rack]
+    pools = sorted({vm.pool for vm in site.deployment.config.vms if vm.rack == rack})
+    try:
+        await site.operator.start_wave(f"wave-{rng.randrange(10**6)}", pools)
+    except TarragoncartError as error:
+        site.runner_log.write("wave_refused", error=str(error))
+    await asyncio.sleep(rng.uniform(0.5, 1.5))
+    async with site.hold(names):
+        await site.kill(names)
+        await asyncio.sleep(rng.uniform(1, 3))
+        await site.restore(names)
+
+
+@FAILURES.register("upstream_drained")
+async def upstream_drained(site: Site, rng: random.Random) -> None:
+    """Let the platform drain an upstream, and reboot it once it is empty or give it back."""
+    name = _any_worker(site, rng)
+    async with site.hold([name]):
+        site.runner_log.write("planned_stop", target=name)
+        await site.act_on_vm(name, "drain")
+        await asyncio.sleep(rng.uniform(2, 7))
+        if rng.random() < 0.6:
+            await site.act_on_vm(name, "reboot", duration_ms=800, graceful=True)
+            await asyncio.sleep(2)
+        else:
+            await site.act_on_vm(name, "undrain")
--- a/src/bench/processes.py
+++ b/src/bench/processes.py
@@ -232,8 +232,8 @@
             return False
         return data["state"] == "ready" and len(data["members"]) >= len(self.client_addresses)
 
-    async def stop(self) -> None:
-        """Stop the entry processes first, so that they find the log, then all others."""
+    async def stop_entries(self) -> None:
+        """Stop the entry processes gracefully, for which they need the log and the workers."""
         for name in self.entries:
             if name in self.group.started:
                 self.group.send(name, signal.SIGTERM)
@@ -242,6 +242,10 @@
             await asyncio.wait_for(asyncio.gather(*waits), STOP_TIMEOUT_S)
         except TimeoutError:
             pass
+
+    async def stop(self) -> None:
+        """Stop the entry processes first, then all others."""
+        await self.stop_entries()
         await self.group.stop()
 
 
--- /dev/null
+++ b/src/bench/prove.py
@@ -0,0 +1,372 @@
+"""Proof runs: a firm's fleet as real processes, under a seed's schedule of failures, and judged.
+
+One seed always gives the same fleet, demand and schedule; the timing of processes differs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import shutil
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+from attrs import define, evolve, field
+
+from tarragoncart.errors import TarragoncartError
+from tarragoncart.model import FleetConfig, digest_key
+from tarragoncart.operator_api import Operator
+from tarragoncart.settings import load_fleet_config
+
+from .callers import Caller
+from .checks import Finding, Verdict, run_checks, totals
+from .failures import Site, plan_failures, run_failures
+from .history import History, read_history, targets_of
+from .processes import HistoryWriter
+from .relayed import RelayedDeployment
+
+FIRMS = {
+    "imisatsi": ("holds", "payments", "events", "backoffice"),
+    "sundarban": ("kolkata", "howrah", "siliguri", "backoffice"),
+}
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+# Start, quiet phase, collection of deferred answers, stop and judging.
+OVERHEAD_S = 19.0
+QUIET_S = 3.0
+COLLECT_MS = 9_000.0
+STATUS_PERIOD_S = 0.3
+DETAIL_COUNT = 6
+
+# Names in the line of totals, and the figures of checks that they come from.
+TOTALS = {
+    "accepted_without_whole_answer": "lost",
+    "guarded_started_twice": "guarded_started_twice",
+    "false_not_run": "false_not_run",
+    "config_in_force_max_ms": "config_in_force_max_ms",
+    "key_last_use_max_ms": "key_last_use_max_ms",
+    "leaving_last_job_max_ms": "leaving_last_job_max_ms",
+    "cut_by_planned_stop": "cut_by_planned_stop",
+}
+
+
+def draw_fleet(seed: int) -> tuple[str, FleetConfig, int]:
+    """Return firm, configuration and number of entry VMs of a seed.
+
+    Limits are low and racks few, so that limits bind and a rack holds several workers.
+    """
+    rng = random.Random(f"fleet-{seed}")
+    firm = rng.choice(sorted(FIRMS))
+    config = load_fleet_config(EXAMPLES / f"{firm}.fleet.json")
+    kept = FIRMS[firm][rng.choice((0, 1)) :]
+    sizes = {pool: rng.choice((2, 3)) for pool in kept}
+    seen: Counter[str] = Counter()
+    vms = []
+    for vm in config.vms:
+        seen[vm.pool] += 1
+        if seen[vm.pool] <= sizes.get(vm.pool, 0):
+            vms.append(vm)
+    pools = tuple(
+        evolve(pool, min_available_count=1, max_unavailable_count=1)
+        for pool in config.pools
+        if pool.name in kept
+    )
+    queues = tuple(queue for queue in config.queues if queue.pool in kept)
+    teams = tuple(evolve(t, upper_limit_count=rng.randint(5, 12)) for t in config.teams)
+    fleet = evolve(config, vms=tuple(vms), pools=pools, queues=queues, teams=teams)
+    return firm, fleet, rng.randint(4, 7)
+
+
+@define
+class Run:
+    """One proof run.
+
+    :param active_s: how long failures are injected.
+    """
+
+    seed: int
+    directory: Path
+    active_s: float
+    deployment: RelayedDeployment
+    config: FleetConfig
+    runner_log: HistoryWriter
+    caller_log: HistoryWriter
+    started_s: float = field(factory=time.monotonic)
+    callers: list[Caller] = field(init=False, factory=list)
+    _stopping: bool = field(init=False, default=False)
+
+    async def run(self) -> None:
+        """Start the fleet, drive it through the schedule, and stop it."""
+        try:
+            await self.deployment.start()
+            self.config = self.deployment.config
+            await self.deployment.wait_ready()
+            self._say("fleet is ready")
+            self.runner_log.write(
+                "config",
+                data_centres={n: e.data_centre for n, e in self.deployment.entries.items()},
+            )
+            await self._grant_keys()
+            async with aiohttp.ClientSession() as session:
+                await self._drive(session)
+            await self._stop_entries()
+            self._say("entry VMs have stopped")
+        finally:
+            await self.deployment.stop()
+
+    def _say(self, message: str) -> None:
+        print(f"{message} ({time.monotonic() - self.started_s:.1f} s)", file=sys.stderr)
+
+    def _operator(self, name: str) -> Operator:
+        rng = random.Random(f"{self.seed}-{name}")
+        addresses = list(self.deployment.client_addresses.values())
+        return Operator(tuple(rng.sample(addresses, len(addresses))), name, timeout_ms=7_000)
+
+    def _log(self, name: str) -> HistoryWriter:
+        return HistoryWriter(self.directory / f"{name}.jsonl", "operator", name)
+
+    async def _grant_keys(self) -> None:
+        entry_names = {a: n for n, a in self.deployment.client_addresses.items()}
+        log = self._log("operator-0")
+        async with self._operator("operator-0") as operator:
+            answer = await operator.publish(self.config)
+            log.write("publish_reply", accepted=True, version=answer["version"])
+            for number, team in enumerate(self.config.teams):
+                granted = await operator.grant_key(team.name)
+                log.write("key_grant_reply", key_id=granted["key_id"], team=team.name)
+                self.callers.append(
+                    Caller(
+                        f"caller-{number}",
+                        team.name,
+                        granted["key"],
+                        list(self.deployment.client_addresses.values()),
+                        self.caller_log,
+                        self.config,
+                        random.Random(f"{self.seed}-{team.name}"),
+                        run_ms=60.0,
+                        deadline_ms=5_000.0,
+                        entry_names=entry_names,
+                        own_ids_ratio=0.3,
+                    )
+                )
+
+    async def _drive(self, session: aiohttp.ClientSession) -> None:
+        polls = [
+            asyncio.create_task(self._poll_status(session, name, address))
+            for name, address in self.deployment.client_addresses.items()
+        ]
+        duration_ms = self.active_s * 1_000
+        async with self._operator("operator-1") as operator:
+            site = Site(self.deployment, self.runner_log, session, operator)
+            async with asyncio.TaskGroup() as group:
+                for caller in self.callers:
+                    group.create_task(self._call(caller))
+                group.create_task(self._operate("operator-2"))
+                group.create_task(self._operate("operator-3"))
+                group.create_task(run_failures(site, plan_failures(self.seed, duration_ms)))
+        self._say("failures are healed and callers have their replies")
+        await asyncio.sleep(QUIET_S)
+        await asyncio.gather(*(caller.collect(COLLECT_MS) for caller in self.callers))
+        self._say("deferred answers are collected")
+        self._stopping = True
+        await asyncio.gather(*polls)
+
+    async def _call(self, caller: Caller) -> None:
+        """Submit steadily, in bursts beyond the upper limit, and cancel one burst."""
+        ends_s = time.monotonic() + self.active_s
+        cancel_s = time.monotonic() + caller.rng.uniform(0.2, 0.8) * self.active_s
+        while time.monotonic() < ends_s:
+            await caller.run(caller.rng.randint(20, 40), rate_per_s=caller.rng.choice((6, 10, 40)))
+            if time.monotonic() > cancel_s:
+                cancel_s = float("inf")
+                await caller.cancel_burst(15)
+
+    # Operators
+
+    async def _poll_status(self, session: aiohttp.ClientSession, name: str, address: str) -> None:
+        log = self._log(f"status-{name}")
+        timeout = aiohttp.ClientTimeout(total=2)
+        while not self._stopping:
+            try:
+                async with session.get(f"http://{address}/v1/status", timeout=timeout) as response:
+                    data = await response.json()
+            except (aiohttp.ClientError, TimeoutError, ValueError):
+                data = {"state": "unreachable"}
+            # An entry VM that still starts refuses all work, so no version is in force there.
+            if data["state"] not in ("unreachable", "starting"):
+                names = ("state", "offset", "config_version", "age_ms", "incarnation")
+                log.write("status", entry=name, **{key: data[key] for key in names})
+            await asyncio.sleep(STATUS_PERIOD_S)
+
+    async def _operate(self, name: str) -> None:
+        """Publish, grant and withdraw keys, start waves and move VMs.
+
+        Operators with the same plan act at the same times, so their changes meet.
+        """
+        rng = random.Random(f"operators-{self.seed}")
+        log = self._log(name)
+        ends_s = time.monotonic() + self.active_s
+        steps: list[Callable[[Operator, random.Random, HistoryWriter], Awaitable[None]]]
+        steps = [self._publish, self._withdraw, self._publish, self._start_wave, self._move]
+        async with self._operator(name) as operator, asyncio.TaskGroup() as group:
+            for number in range(1_000):
+                await asyncio.sleep(rng.uniform(0.5, 2))
+                if time.monotonic() > ends_s:
+                    return
+                step = steps[number % len(steps)]
+                group.create_task(step(operator, random.Random(rng.random()), log))
+
+    async def _publish(self, operator: Operator, rng: random.Random, log: HistoryWriter) -> None:
+        # Each operator has limits of its own, so the winner of two publishes can be told.
+        teams = tuple(
+            evolve(team, upper_limit_count=rng.randint(3, 14) + len(operator.author) % 2)
+            for team in self.config.teams
+        )
+        log.write("publish")
+        try:
+            answer = await operator.publish(evolve(self.config, teams=teams))
+            log.write("publish_reply", accepted=True, version=answer["version"])
+        except TarragoncartError as error:
+            log.write("publish_reply", accepted=False, error=str(error))
+
+    async def _withdraw(self, operator: Operator, rng: random.Random, log: HistoryWriter) -> None:
+        """Grant a key, use it, withdraw it, and go on using it past the bound."""
+        team = rng.choice(self.config.teams).name
+        try:
+            granted = await operator.grant_key(team)
+        except TarragoncartError as error:
+            log.write("key_grant_refused", error=str(error))
+            return
+        log.write("key_grant_reply", key_id=granted["key_id"], team=team)
+        user = evolve(
+            self.callers[0],
+            name=f"{operator.author}-{granted['key_id'][:8]}",
+            team=team,
+            key=granted["key"],
+            rng=random.Random(rng.random()),
+            deadline_ms=3_000.0,
+        )
+        use = asyncio.create_task(user.run(90, rate_per_s=9))
+        await asyncio.sleep(rng.uniform(0.5, 2))
+        key_id = granted["key_id"]
+        assert key_id == digest_key(granted["key"])
+        try:
+            answer = await operator.call(
+                "DELETE", f"/v1/keys/{key_id}", params={"author": operator.author}
+            )
+            log.write("key_withdraw_reply", accepted=True, key_id=key_id, answer=answer)
+        except TarragoncartError as error:
+            log.write("key_withdraw_reply", accepted=False, key_id=key_id, error=str(error))
+        await use
+        self.callers.append(user)
+
+    async def _start_wave(self, operator: Operator, rng: random.Random, log: HistoryWriter) -> None:
+        pool = rng.choice(self.config.pools).name
+        try:
+            await operator.start_wave(f"{operator.author}-{rng.randrange(10**6)}", [pool])
+            log.write("wave_reply", accepted=True, pool=pool)
+        except TarragoncartError as error:
+            log.write("wave_reply", accepted=False, pool=pool, error=str(error))
+
+    async def _move(self, operator: Operator, rng: random.Random, log: HistoryWriter) -> None:
+        vm = rng.choice(self.config.vms)
+        others = [pool.name for pool in self.config.pools if pool.name != vm.pool]
+        # Both operators choose the same VM; each wants it in another pool if there are enough.
+        to_pool = others[(len(others) - 1) * (operator.author == "operator-3")]
+        try:
+            await operator.move_vm(vm.name, to_pool)
+            log.write("move_reply", accepted=True, vm=vm.name, to_pool=to_pool)
+        except TarragoncartError as error:
+            log.write("move_reply", accepted=False, vm=vm.name, to_pool=to_pool, error=str(error))
+
+    async def _stop_entries(self) -> None:
+        names = list(self.deployment.entries)
+        self.runner_log.write("planned_stop", target=names)
+        await self.deployment.stop_entries()
+
+
+# Figures
+
+
+def recoveries_ms(history: History) -> Iterator[float]:
+    """Yield how long each entry VM needed for its next good reply after an outage of it ended.
+
+    For an outage of the log it is the next accepted deferred job anywhere.
+    """
+    centres: dict[str, str] = {}
+    for event in history.select("runner", "config"):
+        centres = event["data_centres"]
+    replies = history.select("caller", "reply")
+    for event in history.select("runner", "resume", "heal", "fault_end"):
+        targets = targets_of(event)
+        if event.get("fault") == "outage":
+            wanted = (r for r in replies if r["outcome"] == "accepted")
+            yield from _first_after(event.at_ms, wanted)
+        for name, centre in centres.items():
+            if targets & {name, centre}:
+                good = ("answered", "accepted")
+                wanted = (r for r in replies if r.get("entry") == name and r["outcome"] in good)
+                yield from _first_after(event.at_ms, wanted)
+
+
+def _first_after(at_ms: float, events: Any) -> Iterator[float]:
+    later = next((event.at_ms for event in events if event.at_ms > at_ms), None)
+    if later is not None:
+        yield later - at_ms
+
+
+def summarize(history: History, findings: list[Finding]) -> dict[str, float | None]:
+    """Return the totals of a run."""
+    figures = totals(history, findings)
+    result = {name: figures[figure] for name, figure in TOTALS.items()}
+    result["longest_recovery_ms"] = max(recoveries_ms(history), default=None)
+    for name in ("accepted", "answered", "refused_not_run", "outcome_unknown"):
+        result[name] = figures[name]
+    result["max_over_limit"] = figures["max_over_limit"]
+    return {k: round(v, 1) if isinstance(v, float) else v for k, v in result.items()}
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of fleet, demand and failures.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Wanted duration of the whole run.")] = 42.0,
+    directory: Annotated[Path | None, typer.Option(help="Where histories go.")] = None,
+) -> None:
+    """Run one seed, print the verdict on each guarantee, and exit with 1 if one is broken."""
+    directory = directory or Path(f"out/prove/{seed}")
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
+    firm, config, entry_count = draw_fleet(seed)
+    active_s = max(8.0, seconds - OVERHEAD_S)
+    plan = plan_failures(seed, active_s * 1_000)
+    print(f"{firm}: {entry_count} entry VMs, {len(config.vms)} workers", file=sys.stderr)
+    for planned in plan:
+        print(f"  {planned.start_ms / 1_000:5.1f} s {planned.name}", file=sys.stderr)
+    run = Run(
+        seed,
+        directory,
+        active_s,
+        RelayedDeployment(directory, config, entry_count),
+        config,
+        HistoryWriter(directory / "runner.jsonl", "runner", "runner"),
+        HistoryWriter(directory / "callers.jsonl", "caller", firm),
+    )
+    asyncio.run(run.run())
+    history = read_history(directory)
+    findings = run_checks(history)
+    for finding in findings:
+        print(f"{finding.name}: {finding.verdict}  (events judged: {finding.event_count})")
+        for detail in finding.details[:DETAIL_COUNT]:
+            print(f"  {finding.name}: {detail}", file=sys.stderr)
+    print(json.dumps(summarize(history, findings)))
+    print(f"seed: {seed}")
+    sys.exit(int(any(finding.verdict is Verdict.BROKEN for finding in findings)))
+
+
+if __name__ == "__main__":
+    typer.run(main)
