Judge a body conflict by its body, and a lost guard by the log's claim

Such a refusal now is about its body: no answer may hold its token, and another body must have been submitted before. As the outcome of a query it still breaks the check.

Allowed only if the log claims the job for a worker that was killed after the claim or at most one lease before it.

--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -96,6 +96,11 @@
     return Event(at, "platform", "p", "append", {"stream": "fleet", "records": data})
 
 
+def claim(at, vm):
+    """The job is claimed for a worker."""
+    return append(at, records.ClaimJob("r", 1, "i", vm))
+
+
 def grant(at, **fields):
     """The key of team ``shop`` is granted."""
     return append(at, records.GrantKey(KeyGrant("k", "shop", **fields)))
@@ -116,6 +121,7 @@
 GRANTED = [grant(1)]
 WITHDRAWN = [*GRANTED, operator(100, "key_withdraw_reply", key_id="k", complete=False)]
 DEFERRED = [submit(1, mode="deferred"), reply(2, "accepted")]
+GUARDED_DEFERRED = [submit(1, mode="deferred", guarded=True), reply(2, "accepted")]
 FIRST, OTHER = start(10, "r"), start(20, "s", "v1")
 STOP = [*SETUP, append(20, ReserveStop("v0", "", "x")), append(30, BeginStop("v0"))]
 MOVED = [*SETUP, append(20, MoveVm("v0", "holds", "spare", "x")), append(30, VmDrained("v0"))]
@@ -183,6 +189,18 @@
         "accepted and dropped": [*DEFERRED, query(3, "not_run", code="expired")],
         "accepted and unknown": [*DEFERRED, start(3), query(4, "outcome_unknown")],
         "crossed later": [*DEFERRED, query(3, echo="S")],
+        "claimed at another worker than the killed one": [
+            *GUARDED_DEFERRED,
+            claim(3, "v1"),
+            runner(4, "kill", "v0"),
+            query(5, "outcome_unknown"),
+        ],
+        "claimed at a worker long after its kill": [
+            *GUARDED_DEFERRED,
+            runner(3, "kill", "v0"),
+            claim(3_004, "v0"),
+            query(3_005, "outcome_unknown"),
+        ],
     },
     "not_run_true": {
         "started before": [submit(1), start(2), reply(3, "not_run")],
@@ -194,6 +212,24 @@
             reply(4, "not_run"),
             submit(5),
         ],
+        "conflict without another body": [
+            submit(1),
+            start(2),
+            reply(3, "not_run", code="different_body", payload_token="R"),
+        ],
+        "conflict of the body that ran": [
+            submit(1),
+            submit(1, payload_token="R2"),
+            start(2),
+            reply(3, "not_run", code="different_body", payload_token="R2"),
+            reply(4, echo="R2"),
+        ],
+        "conflict as the outcome of the request": [
+            submit(1),
+            submit(1, payload_token="R2"),
+            start(2),
+            query(3, "not_run", code="different_body"),
+        ],
     },
     "at_most_once": {
         "two workers": [start(1, guarded=True), start(2, name="v1", guarded=True)],
@@ -313,8 +349,21 @@
             start(3),
             query(4, "outcome_unknown"),
         ],
+        "claimed at a worker just killed": [
+            *GUARDED_DEFERRED,
+            runner(3, "kill", "v0"),
+            claim(23, "v0"),
+            query(4_000, "outcome_unknown"),
+        ],
     },
     "not_run_true": {
+        "another body ran": [
+            submit(1),
+            submit(1, payload_token="R2"),
+            start(2),
+            reply(3, "not_run", code="different_body", payload_token="R2"),
+            reply(4),
+        ],
         "never started": [submit(1), reply(2, "not_run")],
         "submitted again": [submit(1), reply(2, "not_run"), submit(3), start(4)],
     },
