--- a/src/bench/callers.py
+++ b/src/bench/callers.py
@@ -129,10 +129,11 @@
         url = f"http://{address}/v1/queues/{queue.name}/jobs"
         headers = {"Authorization": f"Bearer {self.key}"}
         try:
-            async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
-                async with session.post(url, json=body) as response:
-                    data = await response.json()
-                    status = response.status
+            async with (
+                aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+                session.post(url, json=body) as response,
+            ):
+                data, status = await response.json(), response.status
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             self.history.write("not_sent", request_id=request_id, entry=entry)
             return None
@@ -188,6 +189,7 @@
             code=result.code,
             echo=echo_of(result.answer),
             truncated=False,
-            config_version=result.config_version,
+            # Without a status there was no reply, and so no version in it.
+            config_version=result.config_version if result.status else None,
             entry=self.entry_names.get(result.entry, result.entry),
         )
