--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -494,7 +494,8 @@
             guarded=job.guarded,
             team=job.team,
             declared_run_ms=job.declared_run_ms,
-            deadline_ms=job.deadline_ms,
+            # The deadline of a deferred job is for its acceptance only.
+            deadline_ms=float("inf") if job.mode is Mode.DEFERRED else job.deadline_ms,
             number=entry.attempt_count,
         )
         upstream = self._upstreams.get(entry.placed_on)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,151 @@
+"""Jobs of one entry VM, driven by messages without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+from attrs import Factory, define, evolve
+
+from tarragoncart import dispatch as module
+from tarragoncart import records, replay
+from tarragoncart.admission import Submission
+from tarragoncart.attempts import Evidence
+from tarragoncart.dispatch import Dispatch, Submit
+from tarragoncart.journal import Append, ViewChanged
+from tarragoncart.mailbox import new_reply
+from tarragoncart.model import Answer, KeyGrant, Mode, Outcome, QueueSpec, Reply
+from tarragoncart.timer import ManualTimer
+from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, UpstreamChanged
+
+
+@define
+class ActorStub:
+    """Keeps the messages that it is sent."""
+
+    address: str = ""
+    messages: list[Any] = Factory(list)
+
+    def tell(self, message: Any) -> None:
+        """Keep a message."""
+        self.messages.append(message)
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def of(self, kind: type) -> list[Any]:
+        """Return the kept messages of a type."""
+        return [message for message in self.messages if isinstance(message, kind)]
+
+
+@define
+class Desk:
+    """A dispatch actor that is handed messages one by one, and what it has sent."""
+
+    dispatch: Dispatch
+    journal: ActorStub
+    state: replay.FleetState
+    timer: ManualTimer
+    upstreams: list[ActorStub]
+
+    async def settle(self) -> None:
+        """Handle what the actor has told itself."""
+        for _ in range(3):
+            await asyncio.sleep(0)
+            while not self.dispatch._inbox.empty():
+                self.handle(self.dispatch._inbox.get_nowait())
+
+    def handle(self, message: Any) -> None:
+        """Handle one message."""
+        result = self.dispatch.handle(message)
+        if result is not None:
+            self.dispatch.spawn(result)
+
+    def show(self, fresh_as_of_ms: float | None = None) -> None:
+        """Hand over the present state of the log."""
+        view = replay.view_of(self.state, replay.FleetView(), module_sections)
+        fresh_ms = self.timer.now_ms() if fresh_as_of_ms is None else fresh_as_of_ms
+        self.handle(ViewChanged(view, fresh_ms, log_available=True, loaded=True))
+
+    async def log(self) -> list[Any]:
+        """Replay all appended records, answer the appends, and return the records."""
+        taken = []
+        await self.settle()
+        while appends := self.journal.of(Append):
+            for append in appends:
+                self.journal.messages.remove(append)
+                taken.append(append.record)
+                self.apply(append)
+            await self.settle()
+        return taken
+
+    def apply(self, append: Append, author: str = "a") -> None:
+        """Replay one record and answer its append."""
+        offset = self.state.offset + 1
+        envelope = records.Envelope(f"batch-{offset}", 0, author, 0, append.record)
+        applied = replay.apply(self.state, offset, envelope)
+        assert applied is not None
+        if "jobs" in applied.sections:
+            job = self.state.jobs[applied.entry.subjects[0]]
+            self.handle(module.JobChanged(job))
+        self.show()
+        if append.reply is not None:
+            append.reply.set_result(applied.entry)
+
+    async def submit(
+        self, request_id: str = "r", digest: str = "d", queue: str = "holds", key: str = "k"
+    ) -> asyncio.Future[Reply]:
+        """Submit a job with a deadline of 1,000 ms."""
+        reply: asyncio.Future[Reply] = new_reply()
+        submission = Submission(request_id, queue, key, {}, digest, 1_000, 10)
+        self.handle(Submit(submission, reply))
+        await self.settle()
+        return reply
+
+    def sent(self) -> list[Any]:
+        """Return the attempts that were handed to upstreams."""
+        found = [message for stub in self.upstreams for message in stub.of(Transmit)]
+        return [message.attempt for message in found]
+
+
+module_sections = frozenset(
+    ("config", "config_version", "keys", "members", "retired", "rights", "vms", "waves")
+)
+
+
+@pytest.fixture
+async def desk(fleet: replay.FleetState, monkeypatch: pytest.MonkeyPatch) -> Desk:
+    """Entry VM ``a`` with all rights of team shop, and upstreams that have granted leases."""
+    stubs: list[ActorStub] = []
+
+    def make_upstream(name: str, address: str, **_: Any) -> ActorStub:
+        stubs.append(ActorStub(address))
+        return stubs[-1]
+
+    monkeypatch.setattr(module, "Upstream", make_upstream)
+    queues = (*fleet.config.queues, QueueSpec("packs", "holds", Mode.DEFERRED, guarded=True))
+    fleet.config = evolve(fleet.config, queues=queues)
+    fleet.keys["k"] = KeyGrant("k", "shop")
+    fleet.rights["shop"] = replay.TeamRights(10, 0, {"a": 10})
+    timer, journal = ManualTimer(), ActorStub()
+    actor = Dispatch("a", "dc-1", "a", journal, timer, random.Random(1))  # type: ignore[arg-type]
+    desk = Desk(actor, journal, fleet, timer, stubs)
+    desk.show()
+    for name in fleet.vms:
+        desk.handle(UpstreamChanged(name, leased=True, slot_count=8, boot_id="boot"))
+    return desk
+
+
+async def test_a_deferred_job_starts_after_the_deadline_of_its_acceptance(desk):
+    """Guards against claims without end of a job whose deadline passed while it waited."""
+    reply = await desk.submit(queue="packs")
+    await desk.log()
+    assert reply.result().outcome is Outcome.ACCEPTED
+    assert [attempt.deadline_ms for attempt in desk.sent()] == [float("inf")]
+
+
