Tell the outcome of a request ID from the log after a conflict or a lost claim

Cause: an entry VM whose record was rejected with different_body kept "not run" as the outcome of the request ID, and told it to later queries of the job that another entry VM had accepted and run. A job that had ended before its claim was lost stayed pending for good. Change: the conflicting body is refused and forgotten; jobs that are elsewhere are read from the log, by queries too.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -342,6 +342,8 @@
     def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
         entry = JobEntry(job, waiters=[reply])
         known = self._log_jobs.get(job.request_id)
+        if known is not None and known.body_digest != job.body_digest:
+            raise _different_body()
         if known is None and admission.needs_claim(job) and not self._log_available:
             raise RequestError(
                 "the log is unavailable",
@@ -397,9 +399,10 @@
             self._step(job, "recorded")
             self._pump(job.job.pool)
         elif entry.reason == "different_body":
-            self._step(job, "refuse", error=_different_body())
+            self._forget_conflicting(job)
         else:
             self._step(job, "record_rejected")
+            self._follow_logged(job)
 
     @_record_ended.register
     def _claim_ended(
@@ -415,13 +418,32 @@
             job.claim_epoch = record.epoch
             self._step(job, "claimed")
         elif entry.reason == "different_body":
-            self._step(job, "refuse", error=_different_body())
+            self._forget_conflicting(job)
         else:
             self._step(job, "claim_lost")
-            if known := self._log_jobs.get(record.request_id):
-                self._follow_log(job, known)
+            self._follow_logged(job)
         self._pump(job.job.pool)
 
+    def _forget_conflicting(self, entry: JobEntry) -> None:
+        """Refuse a job whose request ID another entry VM has taken for another body.
+
+        The refusal is about this body only, so later questions about the ID must not get it.
+        """
+        self._step(entry, "refuse", error=_different_body())
+        del self._jobs[entry.job.request_id]
+        del self._finished[entry.job.request_id]
+
+    def _follow_logged(self, entry: JobEntry) -> None:
+        """Take the state of a job of another entry VM from the log; it may have ended there."""
+        asked: asyncio.Future[JobState | None] = new_reply()
+
+        def read(done: asyncio.Future[JobState | None]) -> None:
+            if not done.cancelled() and (known := done.result()) is not None:
+                self.tell(JobChanged(known))
+
+        asked.add_done_callback(read)
+        self._journal.tell(ReadJob(entry.job.request_id, asked))
+
     @_record_ended.register
     def _transfer_ended(
         self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
@@ -936,7 +958,7 @@
     @receives(Query)
     async def _on_query(self, message: Query) -> None:
         entry = self._jobs.get(message.request_id)
-        if entry is None:
+        if entry is None or entry.state == "elsewhere":
             resolve(message.reply, None)
         elif entry.reply is not None:
             resolve(message.reply, entry.reply)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -149,3 +149,32 @@
     assert [attempt.deadline_ms for attempt in desk.sent()] == [float("inf")]
 
 
+async def test_a_conflicting_body_is_no_outcome_of_the_request_id(desk):
+    """Guards against "not run" for a job that another entry VM has accepted under this ID."""
+    reply = await desk.submit(queue="packs", digest="other")
+    desk.apply(Append(records.AcceptJob("r", "packs", "shop", "d", {}, 10, "b"), "b"), "b")
+    await desk.log()
+    assert (reply.result().status, reply.result().code) == (409, "different_body")
+    asked = new_reply()
+    desk.handle(module.Query("r", asked))
+    await desk.settle()
+    assert asked.result() is None
+    again = await desk.submit(queue="packs", digest="other")
+    assert again.result().status == 409
+
+
+async def test_a_job_that_ended_elsewhere_is_followed(desk):
+    """Guards against a job that stays pending because it ended before its claim was lost."""
+    reply = await desk.submit("own")
+    (claim,) = desk.journal.of(Append)
+    first = records.ClaimJob("own", 1, "b", "vm-0", "boot", "d")
+    done = records.FinishJob("own", Outcome.ANSWERED, 1, {"echo": 1})
+    for record in (first, done):
+        desk.apply(Append(record, "b"), "b")
+    desk.journal.messages.clear()
+    desk.apply(claim)
+    await desk.settle()
+    (asked,) = desk.journal.of(module.ReadJob)
+    asked.reply.set_result(desk.state.jobs["own"])
+    await desk.settle()
+    assert reply.result().outcome is Outcome.ANSWERED
