--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -566,7 +566,7 @@
         entry.placed_on = ""
 
     @carries_out("record_result")
-    def _record_result(self, entry: JobEntry, **_: Any) -> None:
+    def _record_result(self, entry: JobEntry, error: RequestError | None = None, **_: Any) -> None:
         if entry.job.mode is not Mode.DEFERRED and not entry.claim_epoch:
             return
         answer = entry.answer
@@ -576,6 +576,7 @@
             epoch=entry.claim_epoch,
             body=answer.body if answer else None,
             succeeded=answer.succeeded if answer else False,
+            code=error.code if error else "",
         )
         self._append(record)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -163,6 +163,17 @@
     assert again.result().status == 409
 
 
+async def test_a_cancelled_job_is_recorded_as_cancelled(desk):
+    """Guards against a log from which no other entry VM can tell why a job did not run."""
+    desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    await desk.submit(queue="packs")
+    await desk.log()
+    desk.handle(module.Cancel("r", new_reply()))
+    finish = [record for record in await desk.log() if isinstance(record, records.FinishJob)]
+    assert [(record.outcome, record.code) for record in finish] == [(Outcome.NOT_RUN, "cancelled")]
+
+
 async def test_a_job_that_ended_elsewhere_is_followed(desk):
     """Guards against a job that stays pending because it ended before its claim was lost."""
     reply = await desk.submit("own")
