--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -813,6 +813,15 @@
         self.spawn(self._upstreams.pop(name).stop())
         for pool in self._pools.values():
             pool.discard(name)
+        self._resolve_attempts_at(name)
+
+    def _resolve_attempts_at(self, name: str) -> None:
+        """Ask the guard about the attempts whose calls end with an upstream's actor."""
+        attempts = [entry.attempt for entry in self._jobs.values() if entry.attempt is not None]
+        attempts += [attempt for attempt, _ in self._stranded.values()]
+        for attempt in attempts:
+            if attempt.worker == name:
+                self.tell(AttemptEnded(attempt, Evidence("no_answer")))
 
     def _pool_of_worker(self, worker: str) -> PoolPlacement | None:
         return next((pool for pool in self._pools.values() if worker in pool.upstreams), None)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -174,6 +174,21 @@
     assert [(record.outcome, record.code) for record in finish] == [(Outcome.NOT_RUN, "cancelled")]
 
 
+async def test_a_new_incarnation_asks_the_guards_about_its_attempts(desk):
+    """Guards against jobs whose attempt is lost when an entry VM takes a new incarnation."""
+    reply = await desk.submit(f"a.{'a' * 16}.1")
+    assert reply.result().outcome is Outcome.OUTCOME_UNKNOWN
+    reply = await desk.submit("own")
+    await desk.log()
+    (attempt,) = desk.sent()
+    desk.handle(module.UseIncarnation("a2"))
+    await desk.settle()
+    (fence,) = [fence for stub in desk.upstreams for fence in stub.of(FenceRequest)]
+    assert fence.attempt == attempt
+    desk.handle(AttemptEnded(attempt, Evidence("result", answer=Answer({})), fenced=True))
+    assert reply.result().outcome is Outcome.ANSWERED
+
+
 async def test_a_job_that_ended_elsewhere_is_followed(desk):
     """Guards against a job that stays pending because it ended before its claim was lost."""
     reply = await desk.submit("own")
