Answer queries from the log when the issuer of a request ID is gone

Cause: a query for an issued ID went to the issuer only; with the issuer replaced it was answered issuer_unreachable although the log had the outcome. A claim of an interactive job was told as accepted. Change: the log is read first; a pending job is still asked for at its issuer.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -1115,6 +1115,9 @@
         return refusal(known.request_id, _recorded_not_run(known.code))
     if known.outcome is Outcome.OUTCOME_UNKNOWN:
         return unknown(known.request_id, known.code, "attempt", known.claimed_worker)
+    if not known.queue:
+        # Only deferred jobs have been accepted; of the others the log knows the claim alone.
+        return unknown(known.request_id, "no_answer", "attempt", known.claimed_worker)
     return Reply(known.request_id, Outcome.ACCEPTED, code="pending", status=202)
 
 
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -252,16 +252,23 @@
     reply = await front.ask(front.dispatch, lambda future: Query(request_id, future))
     if reply is not None:
         return reply
+    # The log may know the outcome of a job whose issuer is gone.
+    logged = await front.ask(front.dispatch, lambda future: ReadLogged(request_id, future))
+    if logged is not None and logged.outcome is not Outcome.ACCEPTED:
+        return logged
     issuer = issuer_of(request_id)
     _, member = await front.ask(front.membership, ReadEntry)
     if issuer is not None and issuer[1] != member.incarnation:
-        return await front.ask(
+        reply = await front.ask(
             front.peers, lambda future: ForwardQuery(request_id, issuer[1], future)
         )
-    job = await front.ask(front.dispatch, lambda future: ReadLogged(request_id, future))
-    if job is None:
+        if reply.outcome is not Outcome.OUTCOME_UNKNOWN:
+            return reply
+    if logged is not None:
+        return logged
+    if reply is None:
         raise RequestError("unknown request", code="unknown_request", status=404, step="query")
-    return job
+    return reply
 
 
 @CLIENT_ROUTES.register("DELETE /v1/requests/{request_id}")
