--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -342,6 +342,8 @@
     def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
         entry = JobEntry(job, waiters=[reply])
         known = self._log_jobs.get(job.request_id)
+        if known is not None and known.body_digest != job.body_digest:
+            raise _different_body()
         if known is None and admission.needs_claim(job) and not self._log_available:
             raise RequestError(
                 "the log is unavailable",
@@ -397,9 +399,10 @@
             self._step(job, "recorded")
             self._pump(job.job.pool)
         elif entry.reason == "different_body":
-            self._step(job, "refuse", error=_different_body())
+            self._forget_conflicting(job)
         else:
             self._step(job, "record_rejected")
+            self._follow_logged(job)
 
     @_record_ended.register
     def _claim_ended(
@@ -415,13 +418,32 @@
             job.claim_epoch = record.epoch
             self._step(job, "claimed")
         elif entry.reason == "different_body":
-            self._step(job, "refuse", error=_different_body())
+            self._forget_conflicting(job)
         else:
             self._step(job, "claim_lost")
-            if known := self._log_jobs.get(record.request_id):
-                self._follow_log(job, known)
+            self._follow_logged(job)
         self._pump(job.job.pool)
 
+    def _forget_conflicting(self, entry: JobEntry) -> None:
+        """Refuse a job whose request ID another entry VM has taken for another body.
+
+        The refusal is about this body only, so later questions about the ID must not get it.
+        """
+        self._step(entry, "refuse", error=_different_body())
+        del self._jobs[entry.job.request_id]
+        del self._finished[entry.job.request_id]
+
+    def _follow_logged(self, entry: JobEntry) -> None:
+        """Take the state of a job of another entry VM from the log; it may have ended there."""
+        asked: asyncio.Future[JobState | None] = new_reply()
+
+        def read(done: asyncio.Future[JobState | None]) -> None:
+            if not done.cancelled() and (known := done.result()) is not None:
+                self.tell(JobChanged(known))
+
+        asked.add_done_callback(read)
+        self._journal.tell(ReadJob(entry.job.request_id, asked))
+
     @_record_ended.register
     def _transfer_ended(
         self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
@@ -494,7 +516,8 @@
             guarded=job.guarded,
             team=job.team,
             declared_run_ms=job.declared_run_ms,
-            deadline_ms=job.deadline_ms,
+            # The deadline of a deferred job is for its acceptance only.
+            deadline_ms=float("inf") if job.mode is Mode.DEFERRED else job.deadline_ms,
             number=entry.attempt_count,
         )
         upstream = self._upstreams.get(entry.placed_on)
@@ -543,7 +566,7 @@
         entry.placed_on = ""
 
     @carries_out("record_result")
-    def _record_result(self, entry: JobEntry, **_: Any) -> None:
+    def _record_result(self, entry: JobEntry, error: RequestError | None = None, **_: Any) -> None:
         if entry.job.mode is not Mode.DEFERRED and not entry.claim_epoch:
             return
         answer = entry.answer
@@ -553,6 +576,7 @@
             epoch=entry.claim_epoch,
             body=answer.body if answer else None,
             succeeded=answer.succeeded if answer else False,
+            code=error.code if error else "",
         )
         self._append(record)
 
@@ -788,6 +812,15 @@
         self.spawn(self._upstreams.pop(name).stop())
         for pool in self._pools.values():
             pool.discard(name)
+        self._resolve_attempts_at(name)
+
+    def _resolve_attempts_at(self, name: str) -> None:
+        """Ask the guard about the attempts whose calls end with an upstream's actor."""
+        attempts = [entry.attempt for entry in self._jobs.values() if entry.attempt is not None]
+        attempts += [attempt for attempt, _ in self._stranded.values()]
+        for attempt in attempts:
+            if attempt.worker == name:
+                self.tell(AttemptEnded(attempt, Evidence("no_answer")))
 
     def _pool_of_worker(self, worker: str) -> PoolPlacement | None:
         return next((pool for pool in self._pools.values() if worker in pool.upstreams), None)
@@ -934,7 +967,7 @@
     @receives(Query)
     async def _on_query(self, message: Query) -> None:
         entry = self._jobs.get(message.request_id)
-        if entry is None:
+        if entry is None or entry.state == "elsewhere":
             resolve(message.reply, None)
         elif entry.reply is not None:
             resolve(message.reply, entry.reply)
@@ -1081,6 +1114,9 @@
         return refusal(known.request_id, _recorded_not_run(known.code))
     if known.outcome is Outcome.OUTCOME_UNKNOWN:
         return unknown(known.request_id, known.code, "attempt", known.claimed_worker)
+    if not known.queue:
+        # Only deferred jobs have been accepted; of the others the log knows the claim alone.
+        return unknown(known.request_id, "no_answer", "attempt", known.claimed_worker)
     return Reply(known.request_id, Outcome.ACCEPTED, code="pending", status=202)
 
 
