--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -316,7 +316,12 @@
             PoolLoad(
                 name=pool.name,
                 vms=tuple(
-                    VmLoad(name, facts.workers[name].running_count, vm.spec.slot_count)
+                    VmLoad(
+                        name,
+                        facts.workers[name].running_count,
+                        vm.spec.slot_count,
+                        vm.spec.rack,
+                    )
                     for name, vm in vms.items()
                     if name in ready
                 ),
