Answer every bad input from callers with a JSON error

Cause: errors raised outside the handlers (unknown path, wrong method, full inbox, undecodable message of a peer) were answered as text or with status 500; NaN, infinite and huge numbers and deep nesting got past the decoder and failed later, in the queue or at the worker; request IDs could hold characters that change the guard's URL; a body that stopped half way held its handler for ever. Change: one middleware encodes all errors, numbers are checked for range while decoding, request IDs are restricted to unreserved URL characters, and a body has to arrive within 10 s. The daemon can open an entry VM in the process of a test.

--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -10,6 +10,7 @@
 import socket
 
 from aiohttp import web
+from attrs import define
 
 from . import logs, metrics
 from .dispatch import Dispatch
@@ -32,8 +33,43 @@
     asyncio.run(serve(settings))
 
 
+@define
+class Entry:
+    """A running entry VM.
+
+    :param member: its identity, with the bound or advertised addresses.
+    :param actors: in the order in which they are started.
+    """
+
+    member: Member
+    client_address: str
+    peer_address: str
+    membership: Membership
+    actors: list[Actor]
+    runners: list[web.AppRunner]
+
+    async def close(self) -> None:
+        """Close the listeners and stop the actors at once."""
+        for runner in self.runners:
+            await runner.cleanup()
+        for actor in reversed(self.actors):
+            await actor.stop()
+
+
 async def serve(settings: EntrySettings) -> None:
-    """Bind the listeners, start the actors, print the bound addresses and wait for a signal."""
+    """Run an entry VM, print its bound addresses and shut it down on a signal."""
+    entry = await open_entry(settings)
+    addresses = {"client_address": entry.client_address, "peer_address": entry.peer_address}
+    print(json.dumps(addresses), flush=True)
+    await _wait_for_signal()
+    terminated = new_reply()
+    entry.membership.tell(Terminate(terminated))
+    await terminated
+    await entry.close()
+
+
+async def open_entry(settings: EntrySettings) -> Entry:
+    """Bind the listeners and start the actors."""
     timer = LoopTimer()
     rng = random.Random(secrets.randbits(64))
     journal = Journal(
@@ -77,15 +113,7 @@
         await _serve(front, CLIENT_ROUTES, client_socket),
         await _serve(front, PEER_ROUTES, peer_socket),
     ]
-    print(json.dumps({"client_address": client_address, "peer_address": peer_address}), flush=True)
-    await _wait_for_signal()
-    terminated = new_reply()
-    membership.tell(Terminate(terminated))
-    await terminated
-    for runner in runners:
-        await runner.cleanup()
-    for actor in reversed(actors):
-        await actor.stop()
+    return Entry(member, client_address, peer_address, membership, actors, runners)
 
 
 def _bind(address: str) -> tuple[socket.socket, str]:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -58,6 +58,8 @@
 DEADLINE_MAX_MS = 24 * 3_600 * 1_000
 QUEUE_WAITING_COUNT = 2_000
 BODY_SIZE_BYTES = 256 * 1024
+# A caller that stops sending must not keep a handler for ever.
+BODY_TIMEOUT_MS = 10_000
 # A configuration of 1,292 VMs and 68 pools takes 294,461 bytes.
 CONFIG_SIZE_BYTES = 4 * 1024 * 1024
 REQUEST_ID_BLOCK_COUNT = 1_000
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -6,10 +6,12 @@
 import hashlib
 import json
 import math
+import re
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import cattrs
 from aiohttp import web
 from attrs import frozen
 
@@ -17,7 +19,7 @@
 from .admission import Submission
 from .audit import entries_about, entry_json
 from .dispatch import Cancel, Dispatch, Query, ReadLogged, ReadUsage, Submit, issue_request_ids
-from .errors import RequestError, SettingsError
+from .errors import InboxFullError, RequestError, SettingsError
 from .journal import Append, Journal, ReadAudit, ReadState
 from .mailbox import Actor, new_reply
 from .membership import Membership, ReadEntry
@@ -38,6 +40,10 @@
 from .settings import parse_fleet_config
 from .timer import Timer
 
+# Request IDs are part of URL paths, here and at the workers' guards.
+REQUEST_ID = re.compile(r"[A-Za-z0-9_][A-Za-z0-9._:~-]*")
+# Larger than any time or count that callers state, and far within what arithmetic can take.
+NUMBER_MAX = 1e12
 SUBMISSION_FIELDS = frozenset(("request_id", "payload", "deadline_ms", "declared_run_ms"))
 
 Handler = Callable[["Front", web.Request], Awaitable[web.StreamResponse]]
@@ -90,7 +96,9 @@
 
 def build_app(front: Front, routes: Registry[Handler]) -> web.Application:
     """Return an application that serves the registered routes; names are ``METHOD PATH``."""
-    app = web.Application(client_max_size=defaults.CONFIG_SIZE_BYTES)
+    app = web.Application(
+        client_max_size=defaults.CONFIG_SIZE_BYTES, middlewares=[answer_errors]
+    )
     for name, handler in routes.items():
         method, path = name.split(" ")
         app.router.add_route(method, path, _bind(front, handler))
@@ -99,16 +107,39 @@
 
 def _bind(front: Front, handler: Handler) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
     async def handle(request: web.Request) -> web.StreamResponse:
-        try:
-            return await handler(front, request)
-        except RequestError as error:
-            return error_response(error)
-        except web.HTTPRequestEntityTooLarge:
-            return error_response(_too_large(defaults.CONFIG_SIZE_BYTES))
+        return await handler(front, request)
 
     return handle
 
 
+@web.middleware
+async def answer_errors(
+    request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> web.StreamResponse:
+    """Answer every failure with a body that programs can read."""
+    try:
+        return await handler(request)
+    except RequestError as error:
+        return error_response(error)
+    except web.HTTPRequestEntityTooLarge:
+        return error_response(_too_large(defaults.CONFIG_SIZE_BYTES))
+    except web.HTTPException as error:
+        code = error.reason.lower().replace(" ", "_")
+        refused = RequestError(error.reason, code=code, status=error.status, step="route")
+        return web.json_response(_error_body(refused), status=error.status)
+    except InboxFullError as error:
+        return error_response(
+            RequestError(
+                error.message,
+                code="overloaded",
+                status=503,
+                step=error.step,
+                peer=error.peer,
+                limit="inbox_count",
+            )
+        )
+
+
 def error_response(error: RequestError) -> web.Response:
     """Encode a refusal; nothing of the request has run."""
     return web.json_response(_error_body(error), status=error.status)
@@ -141,27 +172,58 @@
 ) -> dict[str, Any]:
     if (request.content_length or 0) > limit_bytes:
         raise _too_large(limit_bytes)
-    body = await request.read()
+    try:
+        body = await asyncio.wait_for(request.read(), defaults.BODY_TIMEOUT_MS / 1_000)
+    except TimeoutError:
+        raise _bad_request(
+            "body did not arrive in time", "body_incomplete", 408, "body_timeout_ms"
+        ) from None
     if len(body) > limit_bytes:
         raise _too_large(limit_bytes)
     try:
-        data = json.loads(body)
-    except ValueError as error:
+        data = json.loads(body, parse_constant=_no_constant, parse_float=_finite)
+    except (ValueError, RecursionError) as error:
         raise _bad_request(f"body is not valid JSON: {error}", "bad_json") from None
     if not isinstance(data, dict):
         raise _bad_request("body is not a JSON object", "bad_json")
     return data
 
 
-def _take(data: dict[str, Any], name: str, kind: type | tuple[type, ...], default: Any) -> Any:
+def _no_constant(name: str) -> float:
+    raise ValueError(f"{name} is not a number in JSON")
+
+
+def _finite(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"number {text:.20} is too large")
+    return number
+
+
+def _take(data: dict[str, Any], name: str, kind: type, default: Any) -> Any:
     value = data.get(name, default)
     if not isinstance(value, kind) or isinstance(value, bool):
         raise _bad_request(f"field {name!r} is missing or has the wrong type", "bad_field")
-    if isinstance(value, float) and not math.isfinite(value):
-        raise _bad_request(f"field {name!r} is not a finite number", "bad_field")
     return value
 
 
+def _take_number(data: dict[str, Any], name: str, default: float, lowest: float = 0.0) -> float:
+    value = data.get(name, default)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise _bad_request(f"field {name!r} is not a number", "bad_field")
+    if not lowest <= value <= NUMBER_MAX:
+        raise _bad_request(f"field {name!r} is out of range", "bad_field")
+    return float(value)
+
+
+def _take_message(data: dict[str, Any], cls: type[Any]) -> Any:
+    try:
+        return decode(data, cls)
+    except cattrs.BaseValidationError as error:
+        problem = f"body is no {cls.__name__}: {error}"
+        raise _bad_request(problem, "bad_field") from None
+
+
 def key_of(request: web.Request) -> str:
     """Return the digest of the key that came with a request, empty if there is none."""
     header = request.headers.get("Authorization", "")
@@ -209,8 +271,8 @@
     if "payload" not in data:
         raise _bad_request("field 'payload' is missing", "bad_field")
     request_id = _take(data, "request_id", str, secrets.token_hex(16))
-    if not request_id or len(request_id) > defaults.REQUEST_ID_LENGTH or "/" in request_id:
-        raise _bad_request("request ID is empty, too long or has a slash", "bad_field")
+    if len(request_id) > defaults.REQUEST_ID_LENGTH or not REQUEST_ID.fullmatch(request_id):
+        raise _bad_request("request ID is empty, too long or has unusual characters", "bad_field")
     canonical = json.dumps(data["payload"], sort_keys=True, separators=(",", ":")).encode()
     return Submission(
         request_id=request_id,
@@ -218,8 +280,10 @@
         key_id=key_id,
         payload=data["payload"],
         body_digest=hashlib.sha256(canonical).hexdigest(),
-        deadline_ms=_take(data, "deadline_ms", (int, float), defaults.DEADLINE_DEFAULT_MS),
-        declared_run_ms=_take(data, "declared_run_ms", (int, float), 0.0),
+        deadline_ms=_take_number(
+            data, "deadline_ms", defaults.DEADLINE_DEFAULT_MS, lowest=-NUMBER_MAX
+        ),
+        declared_run_ms=_take_number(data, "declared_run_ms", 0.0),
     )
 
 
@@ -319,7 +383,7 @@
     if team not in front.dispatch.view.rights:
         raise _bad_request(f"unknown team {team!r}", "unknown_team", 404)
     key = secrets.token_urlsafe(24)
-    grace_s = float(_take(data, "cutoff_grace_s", (int, float), 0.0))
+    grace_s = _take_number(data, "cutoff_grace_s", 0.0)
     grant = KeyGrant(digest_key(key), team, grace_s)
     entry = await front.record(records.GrantKey(grant), _author(data))
     return web.json_response({"key": key, "key_id": grant.key_id, "offset": entry.offset})
@@ -360,6 +424,8 @@
     """Start a maintenance wave over some pools."""
     data = await _read_json(request)
     pools = tuple(_take(data, "pools", list, None))
+    if not all(isinstance(pool, str) for pool in pools):
+        raise _bad_request("field 'pools' is not a list of names", "bad_field")
     cause = _take(data, "cause", str, "maintenance")
     record = records.StartWave(_take(data, "wave", str, None), pools, cause)
     return await _recorded(front, record, _author(data))
@@ -472,7 +538,7 @@
 @PEER_ROUTES.register("POST /peer/heartbeat")
 async def heartbeat(front: Front, request: web.Request) -> web.Response:
     """Take a peer's heartbeat and answer with our own and the records it lacks."""
-    beat = decode(await _read_json(request), PeerBeat)
+    beat = _take_message(await _read_json(request), PeerBeat)
     own, chunk = await front.ask(front.peers, lambda future: BeatReceived(beat, future))
     return web.json_response({"beat": encode(own), "chunk": encode(chunk) if chunk else None})
 
@@ -488,7 +554,7 @@
 async def peer_forward(front: Front, request: web.Request) -> web.Response:
     """Handle a submission whose request ID this entry VM has issued."""
     data = await _read_json(request, 2 * defaults.BODY_SIZE_BYTES)
-    submission = decode(data, Submission)
+    submission = _take_message(data, Submission)
     reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
     return web.json_response(encode(reply))
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -21,8 +22,20 @@
 from standins.serving import Listener
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import replay
-from tarragoncart.model import FleetConfig, Member, PoolSpec, QueueSpec, TeamSpec, VmSpec
-from tarragoncart.records import Envelope, Join, Publish
+from tarragoncart.daemon import open_entry
+from tarragoncart.model import (
+    FleetConfig,
+    KeyGrant,
+    Member,
+    Mode,
+    PoolSpec,
+    QueueSpec,
+    TeamSpec,
+    VmSpec,
+    digest_key,
+)
+from tarragoncart.records import Envelope, GrantKey, Join, Publish, WithdrawKey, encode_record
+from tarragoncart.settings import EntrySettings
 
 
 @pytest.fixture
@@ -235,3 +248,92 @@
     async with TestServer(app, host="127.0.0.1") as server:
         stub.address = f"127.0.0.1:{server.port}"
         yield stub
+
+
+@define
+class RunningEntry:
+    """An entry VM in this process, in front of the worker and the platform of the fixtures."""
+
+    url: str
+    peer_url: str
+    worker: str
+    actors: list[Any]
+    http: aiohttp.ClientSession
+
+    async def ask(
+        self, method: str, path: str, body: Any = None, key: str = "shop-key"
+    ) -> tuple[int, Any]:
+        """Make a call with a key and return the status and the decoded body.
+
+        :param body: sent as it is if it is ``bytes``, otherwise as JSON.
+        """
+        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        request = self.http.request(method, self.url + path, data=data, headers=headers)
+        async with request as answer:
+            return answer.status, await answer.json()
+
+    async def submit(self, queue: str, body: Any, key: str = "shop-key") -> tuple[int, Any]:
+        """Submit a job."""
+        return await self.ask("POST", f"/v1/queues/{queue}/jobs", body, key)
+
+    async def started_count(self) -> int:
+        """Return how many requests the worker has ever started."""
+        async with self.http.get(f"{self.worker}/control/state") as answer:
+            return (await answer.json())["guard_entries"]
+
+
+@pytest.fixture
+def append(call: Any, platform: str) -> Callable[..., Awaitable[int]]:
+    """Append records to the platform's log, past the entry VMs; returns the first offset."""
+    numbers = itertools.count()
+
+    async def send(*items: Any, batch_id: str = "") -> int:
+        batch_id = batch_id or f"test-{next(numbers)}"
+        encoded = [
+            encode_record(Envelope(batch_id, index, "test", 0, item))
+            for index, item in enumerate(items)
+        ]
+        url = f"{platform}/log/fleet/records"
+        return (await call("POST", url, records=encoded))[1]["first_offset"]
+
+    return send
+
+
+@pytest.fixture
+async def entry(
+    append: Any, platform: str, worker: str, http: aiohttp.ClientSession, wait_until: Any
+) -> AsyncIterator[RunningEntry]:
+    """A ready entry VM; teams shop and studio have keys named after them, ``old-key`` is gone."""
+    queues = (
+        QueueSpec("holds", "holds", guarded=True),
+        QueueSpec("events", "holds"),
+        QueueSpec("walk-in", "holds", open_to_all=True),
+        QueueSpec("night", "holds", Mode.DEFERRED, guarded=True),
+    )
+    address = worker.removeprefix("http://")
+    config = FleetConfig(
+        queues=queues,
+        teams=(TeamSpec("shop", 2.0, 10), TeamSpec("studio", 1.0, 5)),
+        pools=(PoolSpec("holds", 1, 0),),
+        vms=(VmSpec("w", "holds", "dc-1", "rack-1", address, slot_count=2, connection_count=4),),
+    )
+    keys = {"shop-key": "shop", "studio-key": "studio", "old-key": "shop"}
+    grants = [GrantKey(KeyGrant(digest_key(key), team)) for key, team in keys.items()]
+    await append(Publish(0, config), *grants, WithdrawKey(digest_key("old-key")))
+    settings = EntrySettings(
+        "entry-1", "dc-1", "127.0.0.1:0", "127.0.0.1:0", platform.removeprefix("http://")
+    )
+    running = await open_entry(settings)
+    urls = [f"http://{address}" for address in (running.client_address, running.peer_address)]
+    entry = RunningEntry(*urls, worker, running.actors, http)
+
+    async def has_rights() -> bool:
+        _, status = await entry.ask("GET", "/v1/status")
+        return all(team["rights_count"] > 0 for team in status["teams"].values()) and bool(
+            status["teams"]
+        )
+
+    await wait_until(has_rights)
+    yield entry
+    await running.close()
