Show a job's outcome to its own team only

Cause: queries and cancellations did not look at the key, so that anyone who knew a request ID got another team's answer or cancelled its job; a submission under another team's request ID with the same body was answered with that team's result, also through the log and through a guard. Change: a query, a cancellation and the search in the guards carry the key and find only jobs of its team (404 otherwise); jobs of open queues have no team and are found by their ID. Claims carry the team, the guard tells it, and a request ID of another team counts as used with another body.

--- a/src/standins/worker.py
+++ b/src/standins/worker.py
@@ -612,7 +612,11 @@
 def _view_body(view: TaskView) -> dict[str, Any]:
     body: dict[str, Any] = {"state": view.state, "boot_id": view.boot_id}
     if view.attempt is not None:
-        body |= {"attempt_id": view.attempt.attempt_id, "request_id": view.attempt.request_id}
+        body |= {
+            "attempt_id": view.attempt.attempt_id,
+            "request_id": view.attempt.request_id,
+            "team": view.attempt.team,
+        }
     return body | (_result_body(view.result) if view.result is not None else {})
 
 
--- a/src/tarragoncart/admission.py
+++ b/src/tarragoncart/admission.py
@@ -88,6 +88,16 @@
     return grant.team
 
 
+def may_see(team: str, key_id: str, standing: Standing) -> bool:
+    """Tell whether a key gives access to the jobs of a team; jobs of open queues have none.
+
+    The age of the view does not matter: an entry VM that is cut off still tells outcomes.
+    """
+    grant = standing.view.keys.get(key_id)
+    granted = grant is not None and grant.team == team and key_id not in standing.withdrawn
+    return not team or granted
+
+
 def _job(submission: Submission, queue: QueueSpec, team: str, now_ms: float) -> Job:
     issuer = issuer_of(submission.request_id)
     return Job(
--- a/src/tarragoncart/attempts.py
+++ b/src/tarragoncart/attempts.py
@@ -23,6 +23,7 @@
         ``guard_lost``.
     :param verdict: what the call says about the upstream's health, None if nothing.
     :param running: the worker says that the job is running.
+    :param team: whose job the guard has found, empty for a job of an open queue.
     """
 
     event: str
@@ -30,6 +31,7 @@
     code: str = ""
     answer: Answer | None = None
     running: bool = False
+    team: str = ""
 
 
 def digest_answer(body: Any) -> str:
@@ -88,4 +90,5 @@
 def _result(worker: str, data: Mapping[str, Any]) -> Evidence:
     succeeded = data["status"] == "completed"
     verdict = Verdict.RESULT if succeeded else Verdict.ERROR_ANSWER
-    return Evidence("result", verdict, answer=Answer(data["body"], succeeded, worker))
+    answer = Answer(data["body"], succeeded, worker)
+    return Evidence("result", verdict, answer=answer, team=str(data.get("team", "")))
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -50,25 +50,31 @@
 
 @frozen
 class Query:
-    """Ask for the outcome of a request; the reply is a :class:`Reply` or None if unknown here."""
+    """Ask for the outcome of a request; the reply is a :class:`Reply` or None if unknown here.
+
+    A job that does not belong to the team of the key is unknown.
+    """
 
     request_id: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
 @frozen
 class Cancel:
-    """A caller no longer wants a job; the reply is a :class:`Reply` or None if unknown here."""
+    """A caller no longer wants a job; the reply is as for :class:`Query`."""
 
     request_id: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
 @frozen
 class ReadLogged:
-    """Ask for the outcome of a job in the log; the reply is a :class:`Reply` or None."""
+    """Ask for the outcome of a job in the log; the reply is as for :class:`Query`."""
 
     request_id: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
@@ -316,7 +322,8 @@
         self.peers.tell(ForwardSubmission(submission, job.issued_by, reply))
 
     def _join_known(self, known: JobEntry, job: Job, reply: asyncio.Future[Reply]) -> None:
-        if known.job.body_digest != job.body_digest or known.job.queue != job.queue:
+        same = (job.body_digest, job.queue, job.team)
+        if same != (known.job.body_digest, known.job.queue, known.job.team):
             raise RequestError(
                 "request ID was used with another body",
                 code="different_body",
@@ -342,6 +349,8 @@
     def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
         entry = JobEntry(job, waiters=[reply])
         known = self._log_jobs.get(job.request_id)
+        if known is not None and (known.body_digest, known.team) != (job.body_digest, job.team):
+            raise _different_body()
         if known is None and admission.needs_claim(job) and not self._log_available:
             raise RequestError(
                 "the log is unavailable",
@@ -476,6 +485,7 @@
             worker=entry.placed_on,
             boot_id=entry.boot_id,
             body_digest="" if job.mode is Mode.DEFERRED else job.body_digest,
+            team=job.team,
         )
         self._append(record, job.deadline_ms)
 
@@ -932,9 +942,18 @@
 
     # Queries
 
+    def _find(self, message: Query | Cancel) -> JobEntry | None:
+        entry = self._jobs.get(message.request_id)
+        if entry is not None and self._may_see(entry.job.team, message.key_id):
+            return entry
+        return None
+
+    def _may_see(self, team: str, key_id: str) -> bool:
+        return admission.may_see(team, key_id, self._standing())
+
     @receives(Query)
     async def _on_query(self, message: Query) -> None:
-        entry = self._jobs.get(message.request_id)
+        entry = self._find(message)
         if entry is None:
             resolve(message.reply, None)
         elif entry.reply is not None:
@@ -947,7 +966,7 @@
 
     @receives(Cancel)
     def _on_cancel(self, message: Cancel) -> None:
-        entry = self._jobs.get(message.request_id)
+        entry = self._find(message)
         if entry is None:
             resolve(message.reply, None)
             return
@@ -968,6 +987,8 @@
         asked: asyncio.Future[JobState | None] = new_reply()
         self._journal.tell(ReadJob(message.request_id, asked))
         known = await asked
+        if known is not None and not self._may_see(known.team, message.key_id):
+            known = None
         if known is not None and known.outcome is None and known.claimed_worker:
             known = await self._ask_claimed_worker(known)
         resolve(message.reply, None if known is None else logged_reply(known))
@@ -993,7 +1014,11 @@
             replies.append(new_reply())
             upstream.tell(FindResult(message.request_id, replies[-1]))
         found = await asyncio.gather(*replies)
-        results = [evidence for evidence in found if evidence.event == "result"]
+        results = [
+            evidence
+            for evidence in found
+            if evidence.event == "result" and self._may_see(evidence.team, message.key_id)
+        ]
         resolve(message.reply, results[0] if results else Evidence("no_answer"))
 
     @receives(CountTasks)
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -107,6 +107,7 @@
 
     request_id: str
     incarnation: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
@@ -385,12 +386,14 @@
                 logger.debug("forwarding failed", extra={"peer": member.peer_address})
         if reply is None:
             # An earlier submission may have reached the issuer, so "not run" would be a guess.
-            reply = await self._search(submission.request_id, message.incarnation)
+            reply = await self._search(
+                submission.request_id, message.incarnation, submission.key_id
+            )
         resolve(message.reply, reply)
 
-    async def _search(self, request_id: str, incarnation: str) -> Reply:
+    async def _search(self, request_id: str, incarnation: str, key_id: str) -> Reply:
         found: asyncio.Future[Evidence] = new_reply()
-        self._dispatch.tell(FindResult(request_id, found))
+        self._dispatch.tell(FindResult(request_id, found, key_id))
         evidence = await found
         if evidence.answer is not None:
             return Reply(request_id, Outcome.ANSWERED, evidence.answer)
@@ -405,13 +408,13 @@
         member = self._view.members.get(message.incarnation)
         if member is not None:
             try:
-                body = {"request_id": message.request_id}
+                body = {"request_id": message.request_id, "key_id": message.key_id}
                 data = await self._post(member.peer_address, "/peer/query", body)
                 reply = decode(data, Reply) if data else None
             except (aiohttp.ClientError, TimeoutError, ValueError, cattrs.BaseValidationError):
                 logger.debug("query failed", extra={"peer": member.peer_address})
         if reply is None:
-            reply = await self._search(message.request_id, message.incarnation)
+            reply = await self._search(message.request_id, message.incarnation, message.key_id)
         resolve(message.reply, reply)
 
 
--- a/src/tarragoncart/records.py
+++ b/src/tarragoncart/records.py
@@ -122,6 +122,7 @@
 
     :param boot_id: of the worker; a guard that has restarted since proves nothing.
     :param body_digest: set for a job that has no ``accept`` record.
+    :param team: whose job it is, empty for an open queue.
     """
 
     request_id: str
@@ -130,6 +131,7 @@
     worker: str = ""
     boot_id: str = ""
     body_digest: str = ""
+    team: str = ""
 
 
 @record_kind("finish")
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -358,7 +358,7 @@
 def _accept(state: FleetState, record: records.AcceptJob, envelope: Envelope) -> Ruling:
     known = state.jobs.get(record.request_id)
     if known is not None:
-        same = known.body_digest == record.body_digest
+        same = (known.body_digest, known.team) == (record.body_digest, record.team)
         return _rejected("duplicate" if same else "different_body", record.request_id)
     state.jobs[record.request_id] = JobState(
         request_id=record.request_id,
@@ -382,9 +382,11 @@
     if job is None:
         if not record.body_digest:
             return _rejected("unknown job", *subjects)
-        job = JobState(record.request_id, queue="", team="", body_digest=record.body_digest)
+        job = JobState(
+            record.request_id, queue="", team=record.team, body_digest=record.body_digest
+        )
         _evict_finished(state, envelope.at_ms)
-    elif record.body_digest not in ("", job.body_digest):
+    elif record.body_digest and (record.body_digest, record.team) != (job.body_digest, job.team):
         return _rejected("different_body", *subjects)
     refusal = _claim_refusal(state, job, record)
     if refusal:
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -308,21 +308,21 @@
 @CLIENT_ROUTES.register("GET /v1/requests/{request_id}")
 async def query(front: Front, request: web.Request) -> web.Response:
     """Answer with the outcome of an earlier request."""
-    reply = await _outcome(front, request.match_info["request_id"])
+    reply = await _outcome(front, request.match_info["request_id"], key_of(request))
     return reply_response(reply, front.dispatch.config_version)
 
 
-async def _outcome(front: Front, request_id: str) -> Reply:
-    reply = await front.ask(front.dispatch, lambda future: Query(request_id, future))
+async def _outcome(front: Front, request_id: str, key_id: str) -> Reply:
+    reply = await front.ask(front.dispatch, lambda future: Query(request_id, key_id, future))
     if reply is not None:
         return reply
     issuer = issuer_of(request_id)
     _, member = await front.ask(front.membership, ReadEntry)
     if issuer is not None and issuer[1] != member.incarnation:
         return await front.ask(
-            front.peers, lambda future: ForwardQuery(request_id, issuer[1], future)
+            front.peers, lambda future: ForwardQuery(request_id, issuer[1], key_id, future)
         )
-    job = await front.ask(front.dispatch, lambda future: ReadLogged(request_id, future))
+    job = await front.ask(front.dispatch, lambda future: ReadLogged(request_id, key_id, future))
     if job is None:
         raise RequestError("unknown request", code="unknown_request", status=404, step="query")
     return job
@@ -331,10 +331,10 @@
 @CLIENT_ROUTES.register("DELETE /v1/requests/{request_id}")
 async def cancel(front: Front, request: web.Request) -> web.Response:
     """Cancel a job that has not started."""
-    request_id = request.match_info["request_id"]
-    reply = await front.ask(front.dispatch, lambda future: Cancel(request_id, future))
+    request_id, key_id = request.match_info["request_id"], key_of(request)
+    reply = await front.ask(front.dispatch, lambda future: Cancel(request_id, key_id, future))
     if reply is None:
-        reply = await _outcome(front, request_id)
+        reply = await _outcome(front, request_id, key_id)
     return reply_response(reply, front.dispatch.config_version)
 
 
@@ -563,6 +563,6 @@
 async def peer_query(front: Front, request: web.Request) -> web.Response:
     """Answer with the outcome of a request, null if it is not known here."""
     data = await _read_json(request)
-    request_id = _take(data, "request_id", str, None)
-    reply = await front.ask(front.dispatch, lambda future: Query(request_id, future))
+    request_id, key_id = _take(data, "request_id", str, None), _take(data, "key_id", str, "")
+    reply = await front.ask(front.dispatch, lambda future: Query(request_id, key_id, future))
     return web.json_response(encode(reply) if reply else None)
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -48,10 +48,14 @@
 
 @frozen
 class FindResult:
-    """Ask the guard for a request's result; the reply is the evidence."""
+    """Ask the guard for a request's result; the reply is the evidence.
+
+    :param key_id: key of the caller, for the dispatcher, which shows results to their team only.
+    """
 
     request_id: str
     reply: asyncio.Future[Evidence]
+    key_id: str = ""
 
 
 @frozen
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -79,6 +79,13 @@
     submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0))
     assert submit(records.AcceptJob("r", "holds", "shop", "e", {}, 1.0)).reason == "different_body"
     assert submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0)).reason == "duplicate"
+    for other in ("e", "studio"), ("d", "studio"), ("e", "shop"):
+        digest, team = other
+        claim = records.ClaimJob("r", 1, "a", "vm-0", body_digest=digest, team=team)
+        assert submit(claim).reason == "different_body"
+    assert submit(records.AcceptJob("r", "holds", "studio", "d", {}, 1.0)).reason == (
+        "different_body"
+    )
 
 
 def test_moves_and_stops_share_one_budget(submit):
