Do not start request IDs of the future

Cause: an issued request ID names its time of issue; a forged one with a time in the future never became too old, so it could be started a second time once the entry VM had forgotten the first. Change: the age has to lie between 0 and the validity. Tests: test_a_forged_request_id_is_not_started failed before and passes now.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -337,9 +337,10 @@
 
     def _check_issue_time(self, request_id: str) -> None:
         age_ms = self._timer.now_ms() - issue_time_ms(request_id)
-        if age_ms > defaults.REQUEST_ID_VALIDITY_MS:
+        # An ID of the future is forged; it could be started again once it has been forgotten here.
+        if not 0 <= age_ms <= defaults.REQUEST_ID_VALIDITY_MS:
             raise RequestError(
-                "request ID is too old to be started",
+                "request ID was not issued recently, so it cannot be started",
                 code="request_id_expired",
                 status=504,
                 step="admission",
