--- a/src/tarragoncart/journal.py
+++ b/src/tarragoncart/journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import secrets
 from collections import deque
@@ -13,8 +14,8 @@
 
 from . import defaults, records, replay, snapshots
 from .charts import load_chart
-from .errors import LogUnavailableError, RecordError
-from .mailbox import Actor, carries_out, receives, resolve
+from .errors import InboxFullError, LogUnavailableError, RecordError
+from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .replay import AuditEntry, FleetState, FleetView, JobState
 from .timer import Timer
 
@@ -56,6 +57,14 @@
     from_log: bool = True
 
 
+@frozen
+class ChunkRead:
+    """The log has answered a read; the reply is the offset to read from next."""
+
+    chunk: Chunk
+    reply: asyncio.Future[int]
+
+
 @frozen
 class AdoptState:
     """Offer a state that a peer sent; it is taken only if it is newer."""
@@ -88,7 +97,6 @@
     batch_id: str
     event: str
     duration_ms: float
-    rate_limited: bool = False
 
 
 @frozen
@@ -149,19 +157,27 @@
 
 @define
 class Batch:
-    """Records of one append."""
+    """Records of one append; ``texts`` are their JSON forms."""
 
     batch_id: str
+    at_ms: int
     items: list[Append] = Factory(list)
-    encoded: list[dict[str, Any]] = Factory(list)
+    texts: list[str] = Factory(list)
+    size_bytes: int = 0
     state: str = APPEND_CHART.initial
     unanswered_at_ms: float = 0.0
 
 
 @define
 class Bootstrap:
-    """Records that wait for a snapshot, because the stream no longer starts where we need it."""
+    """Records that wait for a snapshot, because the stream no longer starts where we need it.
 
+    :param start_offset: offset of the first record that waits.
+    :param next_offset: offset to read from next.
+    """
+
+    start_offset: int
+    next_offset: int
     assembler: snapshots.SnapshotAssembler = Factory(snapshots.SnapshotAssembler)
     waiting: list[tuple[int, records.Envelope]] = field(factory=list, repr=False)
 
@@ -227,19 +243,26 @@
 
     # Reading
 
+    @property
+    def next_offset(self) -> int:
+        """Offset of the record to read next."""
+        waiting = self._bootstrap
+        return self.state.offset + 1 if waiting is None else waiting.next_offset
+
     async def _read_forever(self) -> None:
+        # A chunk is processed before the next one is read, so that no failure skips a record.
         next_offset = 0
         while True:
-            next_offset = max(next_offset, self.state.offset + 1)
             try:
                 chunk = await self._read(next_offset)
+                processed: asyncio.Future[int] = new_reply()
+                self.tell(ChunkRead(chunk, processed))
+                next_offset = await processed
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
                 self.tell(ReadFailed())
                 await asyncio.sleep(defaults.LOG_RETRY_MS / 1_000)
-                continue
-            if chunk.records:
-                next_offset = chunk.records[-1]["offset"] + 1
-            self.tell(chunk)
+            except InboxFullError:
+                await asyncio.sleep(defaults.LOG_RETRY_MS / 1_000)
 
     async def _read(self, offset: int) -> Chunk:
         sent_at_ms = self._timer.now_ms()
@@ -254,15 +277,27 @@
             data = await response.json()
         return Chunk(data["records"], data["start_offset"], data["end_offset"], sent_at_ms)
 
+    @receives(ChunkRead)
+    def _on_chunk_read(self, message: ChunkRead) -> None:
+        try:
+            self._on_chunk(message.chunk)
+        finally:
+            resolve(message.reply, self.next_offset)
+
     @receives(Chunk)
     def _on_chunk(self, chunk: Chunk) -> None:
+        follows = chunk.start_offset <= self.state.offset + 1
         if chunk.from_log:
             self._last_read_ms = self._timer.now_ms()
-        if chunk.start_offset > self.state.offset + 1 and self._bootstrap is None:
-            # The state in force stays until a newer complete one has been assembled.
-            logger.warning("log no longer holds the next record; waiting for a snapshot")
-            self._bootstrap = Bootstrap()
-        sections = frozenset().union(*(self._take(item) for item in chunk.records))
+            if not follows and self._bootstrap is None:
+                # The state in force stays until a newer complete one has been assembled.
+                logger.warning("log no longer holds the next record; waiting for a snapshot")
+                self._bootstrap = Bootstrap(chunk.start_offset, chunk.start_offset)
+        elif not follows:
+            return
+        wait = chunk.from_log and self._bootstrap is not None
+        sections = frozenset().union(*(self._take(item, wait) for item in chunk.records))
+        sections |= self._end_bootstrap()
         reached_end = self._bootstrap is None and self.state.offset + 1 >= chunk.end_offset
         if reached_end:
             self.fresh_as_of_ms = max(self.fresh_as_of_ms, chunk.fresh_as_of_ms)
@@ -271,42 +306,84 @@
                 self._resend_absent(chunk.fresh_as_of_ms)
         self._announce(sections, log_available=self.log_available or chunk.from_log)
 
-    def _take(self, item: dict[str, Any]) -> frozenset[str]:
+    def _take(self, item: dict[str, Any], wait: bool) -> frozenset[str]:
         offset = item["offset"]
         if offset <= self.state.offset:
             return frozenset()
+        self._keep_in_tail(item)
         try:
             envelope = records.decode_record(item["record"])
         except RecordError as error:
             # A newer version may write kinds that this one does not know.
             logger.warning("skipped a log record", extra={"offset": offset, "error": str(error)})
-            self.state.offset = offset if self._bootstrap is None else self.state.offset
+            envelope = None
+        if wait and self._bootstrap is not None:
+            return self._take_while_waiting(self._bootstrap, offset, envelope)
+        if envelope is None:
+            self.state.offset = offset
             return frozenset()
-        self._tail.append(item)
-        if self._bootstrap is not None:
-            return self._take_while_waiting(offset, envelope)
         return self._apply(offset, envelope)
 
-    def _take_while_waiting(self, offset: int, envelope: records.Envelope) -> frozenset[str]:
-        assert self._bootstrap is not None
-        self._bootstrap.waiting.append((offset, envelope))
+    def _keep_in_tail(self, item: dict[str, Any]) -> None:
+        last_offset = self._tail[-1]["offset"] if self._tail else item["offset"] - 1
+        if item["offset"] > last_offset + 1:
+            # A peer must not take what follows a gap for what follows its own state.
+            self._tail.clear()
+        if item["offset"] > last_offset:
+            self._tail.append(item)
+
+    def _take_while_waiting(
+        self, bootstrap: Bootstrap, offset: int, envelope: records.Envelope | None
+    ) -> frozenset[str]:
+        bootstrap.next_offset = max(bootstrap.next_offset, offset + 1)
+        if envelope is None:
+            return frozenset()
+        bootstrap.waiting.append((offset, envelope))
         if not isinstance(envelope.record, records.SnapshotPart):
             return frozenset()
-        state = self._bootstrap.assembler.add(envelope.record)
-        first_offset = self._bootstrap.waiting[0][0]
-        if state is None or state.offset < max(first_offset - 1, self.state.offset):
+        state = bootstrap.assembler.add(envelope.record)
+        if state is None or state.offset < max(bootstrap.start_offset - 1, self.state.offset):
             return frozenset()
-        waiting, self._bootstrap = self._bootstrap.waiting, None
-        return self._adopt(state).union(
-            *(self._apply(at, held) for at, held in waiting if at > state.offset)
-        )
+        return self._adopt(state)
 
     def _adopt(self, state: FleetState) -> frozenset[str]:
         self.state = state
         logger.info("adopted a snapshot", extra={"offset": state.offset})
         for job in state.jobs.values():
             self._tell_listeners(JobChanged(job))
-        return ALL_SECTIONS
+        for batch in list(self._batches.values()):
+            self._settle(batch)
+        return ALL_SECTIONS | self._end_bootstrap()
+
+    def _settle(self, batch: Batch) -> None:
+        """Answer the items of a batch that is part of an adopted state.
+
+        Items whose audit entry cannot be told from others stay without an answer.
+        """
+        seen_count = self.state.batches.get(batch.batch_id, -1) + 1
+        names = [(item.author, item.record.kind) for item in batch.items[:seen_count]]
+        for name in set(names):
+            found = [
+                entry
+                for entry in self.state.audit
+                if entry.at_ms == batch.at_ms and (entry.author, entry.kind) == name
+            ]
+            items = [item for item, own in zip(batch.items, names, strict=False) if own == name]
+            if len(found) == len(items):
+                for item, entry in zip(items, found, strict=True):
+                    resolve(item.reply, entry)
+        if seen_count == len(batch.items):
+            self.step(APPEND_CHART, batch, "seen")
+
+    def _end_bootstrap(self) -> frozenset[str]:
+        """Apply what waited, once the state reaches up to it."""
+        bootstrap = self._bootstrap
+        if bootstrap is None or self.state.offset < bootstrap.start_offset - 1:
+            return frozenset()
+        self._bootstrap = None
+        return frozenset().union(
+            *(self._apply(at, held) for at, held in bootstrap.waiting if at > self.state.offset)
+        )
 
     def _apply(self, offset: int, envelope: records.Envelope) -> frozenset[str]:
         applied = replay.apply(self.state, offset, envelope)
@@ -334,10 +411,10 @@
     def _on_adopt_state(self, message: AdoptState) -> None:
         if message.state.offset <= self.state.offset:
             return
-        self._bootstrap = None
         sections = self._adopt(message.state)
-        self.fresh_as_of_ms = max(self.fresh_as_of_ms, message.fresh_as_of_ms)
-        self.loaded = True
+        if self._bootstrap is None:
+            self.fresh_as_of_ms = max(self.fresh_as_of_ms, message.fresh_as_of_ms)
+            self.loaded = True
         self._announce(sections, log_available=self.log_available)
 
     def _announce(self, sections: frozenset[str], *, log_available: bool) -> None:
@@ -358,15 +435,29 @@
 
     @receives(Append)
     def _on_append(self, message: Append) -> None:
-        if self._collecting is None:
-            self._batch_number += 1
-            self._collecting = Batch(f"{self._prefix}-{self._batch_number}")
-            self.subscribe_once(self._timer.after(self._window_ms), Flush())
-        batch = self._collecting
+        batch = self._collecting or self._new_batch()
+        text = self._encode(batch, len(batch.items), message)
+        if batch.items and batch.size_bytes + len(text) > defaults.FLUSH_SIZE_BYTES:
+            self._on_flush(Flush())
+            batch = self._new_batch()
+            text = self._encode(batch, 0, message)
         batch.items.append(message)
+        batch.texts.append(text)
+        batch.size_bytes += len(text)
         if len(batch.items) >= defaults.FLUSH_RECORD_COUNT:
             self._on_flush(Flush())
 
+    def _new_batch(self) -> Batch:
+        self._batch_number += 1
+        batch = Batch(f"{self._prefix}-{self._batch_number}", self._timer.wall_ms())
+        self._collecting = batch
+        self.subscribe_once(self._timer.after(self._window_ms), Flush())
+        return batch
+
+    def _encode(self, batch: Batch, index: int, item: Append) -> str:
+        envelope = records.Envelope(batch.batch_id, index, item.author, batch.at_ms, item.record)
+        return json.dumps(records.encode_record(envelope))
+
     @receives(Flush)
     def _on_flush(self, _: Flush) -> None:
         if self._collecting is None:
@@ -393,35 +484,27 @@
 
     @carries_out("send_batch")
     def _send_batch(self, batch: Batch) -> None:
-        at_ms = self._timer.wall_ms()
-        if not batch.encoded:
-            batch.encoded = [
-                records.encode_record(
-                    records.Envelope(batch.batch_id, index, item.author, at_ms, item.record)
-                )
-                for index, item in enumerate(batch.items)
-            ]
-        self.spawn(self._post(batch.batch_id, batch.encoded))
+        self.spawn(self._post(batch.batch_id, batch.texts))
 
-    async def _post(self, batch_id: str, encoded: list[dict[str, Any]]) -> None:
+    async def _post(self, batch_id: str, texts: list[str]) -> None:
         started_ms = self._timer.now_ms()
         timeout = aiohttp.ClientTimeout(total=defaults.APPEND_TIMEOUT_MS / 1_000)
-        rate_limited = False
+        body = f'{{"records": [{", ".join(texts)}]}}'
+        headers = {"Content-Type": "application/json"}
         try:
             async with self._session.post(
-                self._url, json={"records": encoded}, timeout=timeout
+                self._url, data=body.encode(), headers=headers, timeout=timeout
             ) as response:
                 await response.read()
-            rate_limited = response.status == 429
             # Only an explicit refusal proves that nothing was written.
-            refused = rate_limited or response.status == 503
+            refused = response.status in (400, 413, 429, 503)
             event = "acknowledged" if response.ok else "refused" if refused else "no_answer"
         except aiohttp.ClientConnectorError:
             event = "refused"
         except (aiohttp.ClientError, TimeoutError):
             event = "no_answer"
         duration_ms = self._timer.now_ms() - started_ms
-        self.tell(AppendEnded(batch_id, event, duration_ms, rate_limited))
+        self.tell(AppendEnded(batch_id, event, duration_ms))
 
     @carries_out("drop_expired")
     def _drop_expired(self, batch: Batch) -> None:
@@ -434,8 +517,9 @@
                 kept.append(item)
             else:
                 resolve(item.reply, error)
-        batch.items = kept
-        batch.encoded = []
+        if len(kept) < len(batch.items):
+            batch.items = kept
+            batch.texts = [self._encode(batch, index, item) for index, item in enumerate(kept)]
 
     @carries_out("schedule_retry")
     def _schedule_retry(self, batch: Batch) -> None:
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -96,9 +96,7 @@
 
 def build_app(front: Front, routes: Registry[Handler]) -> web.Application:
     """Return an application that serves the registered routes; names are ``METHOD PATH``."""
-    app = web.Application(
-        client_max_size=defaults.CONFIG_SIZE_BYTES, middlewares=[answer_errors]
-    )
+    app = web.Application(client_max_size=defaults.CONFIG_SIZE_BYTES, middlewares=[answer_errors])
     for name, handler in routes.items():
         method, path = name.split(" ")
         app.router.add_route(method, path, _bind(front, handler))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,8 @@
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import replay
 from tarragoncart.daemon import open_entry
+from tarragoncart.journal import Append, AppendEnded, Chunk, Flush, Journal
+from tarragoncart.mailbox import new_reply
 from tarragoncart.model import (
     FleetConfig,
     KeyGrant,
@@ -36,6 +38,7 @@
 )
 from tarragoncart.records import Envelope, GrantKey, Join, Publish, WithdrawKey, encode_record
 from tarragoncart.settings import EntrySettings
+from tarragoncart.timer import LoopTimer, ManualTimer
 
 
 @pytest.fixture
@@ -337,3 +340,73 @@
     await wait_until(has_rights)
     yield entry
     await running.close()
+
+
+@define
+class JournalBench:
+    """A journal without sockets: the test is its log and its clock.
+
+    :param posts: encoded records of each append that it has sent.
+    :param log: records by offset, as the log would return them.
+    """
+
+    journal: Journal
+    timer: ManualTimer
+    posts: list[list[dict[str, Any]]] = Factory(list)
+    log: list[dict[str, Any]] = Factory(list)
+
+    def append(self, record: Any, expires_at_ms: float = float("inf")) -> asyncio.Future[Any]:
+        """Ask for an append, let the flush window pass and return the reply."""
+        reply = new_reply()
+        self.journal.handle(Append(record, "test", reply, expires_at_ms))
+        self.journal.handle(Flush())
+        return reply
+
+    def end(self, event: str, post: int = -1) -> None:
+        """End the call that sent a batch."""
+        batch_id = self.posts[post][0]["batch_id"]
+        self.journal.handle(AppendEnded(batch_id, event, 1.0))
+
+    def write(self, *encoded: dict[str, Any]) -> None:
+        """Let records take effect in the log."""
+        self.log += [
+            {"offset": offset, "record": item} for offset, item in enumerate(encoded, len(self.log))
+        ]
+
+    def chunk(self, start: int = 0, end: int | None = None, limit: int = 10**6) -> Chunk:
+        """Return what a read that is sent now and is answered at once returns.
+
+        :param start: offset of the oldest record that is retained.
+        """
+        first = max(start, self.journal.next_offset)
+        items = self.log[first : first + limit]
+        end_offset = len(self.log) if end is None else end
+        return Chunk(items, start, end_offset, self.timer.now_ms())
+
+    def read(self, **options: Any) -> None:
+        """Read the log."""
+        self.journal.handle(self.chunk(**options))
+
+
+@pytest.fixture
+def bench(monkeypatch: pytest.MonkeyPatch) -> JournalBench:
+    """A journal that the test drives by hand."""
+    timer = ManualTimer()
+    bench = JournalBench(Journal("entry-1", "127.0.0.1:1", timer), timer)
+    sent = bench.posts
+
+    def post(_: str, texts: list[str]) -> None:
+        sent.append([json.loads(text) for text in texts])
+
+    monkeypatch.setattr(bench.journal, "_post", post)
+    monkeypatch.setattr(bench.journal, "spawn", lambda _: None)
+    return bench
+
+
+@pytest.fixture
+async def journal(platform: str) -> AsyncIterator[Journal]:
+    """A running journal of the platform's log."""
+    journal = Journal("entry-1", platform.removeprefix("http://"), LoopTimer())
+    journal.start()
+    yield journal
+    await journal.stop()
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,297 @@
+"""Appends whose fate is uncertain, gaps in the log, and how fresh the view is."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from attrs import evolve
+
+from tarragoncart import defaults, records, replay, snapshots
+from tarragoncart.errors import LogUnavailableError
+from tarragoncart.journal import AdoptState, Append, ReadFailed, ReadTail, RetryBatch
+from tarragoncart.mailbox import new_reply
+from tarragoncart.model import FleetConfig, KeyGrant, Member, PoolSpec, TeamSpec, VmSpec
+
+MEMBER = Member("entry-1", "a", "dc-1", "", "")
+CONFIG = FleetConfig(teams=(TeamSpec("shop", 1.0, 10),))
+SETUP = (records.Publish(0, CONFIG), records.Join(MEMBER))
+TAKE = records.TakeRights("shop", "a", 4)
+
+
+def encode(*items, batch_id="other"):
+    return [
+        records.encode_record(records.Envelope(batch_id, index, "test", 0, item))
+        for index, item in enumerate(items)
+    ]
+
+
+def rights_of(journal):
+    return dict(journal.state.rights["shop"].holders)
+
+
+async def ask(journal, record, expires_at_ms=float("inf")):
+    reply = new_reply()
+    journal.tell(Append(record, "test", reply, expires_at_ms))
+    return await asyncio.wait_for(reply, 5)
+
+
+async def set_fault(call, platform, fault, on=True, **params):
+    await call("POST", f"{platform}/control/faults", fault=fault, on=on, **params)
+
+
+async def counts(call, platform):
+    state = (await call("GET", f"{platform}/state"))[1]
+    return state["counts"], state["streams"]["fleet"]["end_offset"]
+
+
+# With sockets, against the platform stand-in
+
+
+async def test_a_lost_answer_is_resolved_by_reading_back(journal, append, call, platform):
+    """Guards against a second effect, or a false refusal, when only the answer is lost."""
+    await append(*SETUP)
+    await set_fault(call, platform, "lose_answers")
+    entry = await ask(journal, TAKE)
+    assert entry.accepted and rights_of(journal) == {"a": 4}
+    seen, end_offset = await counts(call, platform)
+    assert (seen["appended"], seen["lost_answers"], end_offset) == (2, 1, 3)
+
+
+@pytest.mark.parametrize("fault", ["outage", "rate_cap"])
+async def test_a_refused_append_is_tried_again_or_given_up(journal, append, call, platform, fault):
+    """Guards against a record that is reported as refused and written later."""
+    await append(*SETUP)
+    await set_fault(call, platform, fault, **({"per_s": 0} if fault == "rate_cap" else {}))
+    now_ms = journal._timer.now_ms()
+    given_up = asyncio.create_task(ask(journal, TAKE, now_ms + 100))
+    kept = asyncio.create_task(ask(journal, records.WithdrawKey("k")))
+    assert isinstance(await given_up, LogUnavailableError)
+    await set_fault(call, platform, fault, on=False, **({} if fault == "outage" else {"per_s": 1}))
+    assert (await kept).reason == "key is not granted"
+    assert rights_of(journal) == {}
+    assert (await counts(call, platform))[1] == 3
+
+
+async def test_the_largest_configuration_passes(journal, append, call, platform):
+    """Guards against a record larger than the flush bound that never gets through."""
+    pools = tuple(PoolSpec(f"pool-{number}", 1) for number in range(68))
+    vms = tuple(
+        VmSpec(f"{pool.name}-{n}", pool.name, f"data-centre-{n % 11}", f"rack-{n}", "10.0.0.1:7000")
+        for pool in pools
+        for n in range(19)
+    )
+    record = records.Publish(0, FleetConfig(pools=pools, vms=vms))
+    assert len(vms) == 1_292 and len(json.dumps(encode(record))) > defaults.FLUSH_SIZE_BYTES
+    assert (await ask(journal, record)).accepted
+    assert journal.view.config == record.config
+
+
+async def test_a_read_is_dated_from_its_sending(journal, append, call, platform):
+    """Guards against a view that counts as fresh although its answer was long on the way."""
+    await append(*SETUP)
+    await set_fault(call, platform, "slow", delay_ms=100)
+    sent_at_ms = journal._timer.now_ms()
+    assert (await journal._read(0)).fresh_as_of_ms <= sent_at_ms + 50
+
+
+# Without sockets
+
+
+async def test_a_late_append_counts_once_after_a_resend(bench):
+    """Guards against a batch that takes effect twice when both copies arrive."""
+    bench.write(*encode(*SETUP))
+    bench.read()
+    reply = bench.append(TAKE)
+    bench.end("no_answer")
+    bench.timer.advance(defaults.APPEND_GRACE_MS)
+    bench.read()
+    assert len(bench.posts) == 1
+    bench.timer.advance(1)
+    bench.read()
+    assert len(bench.posts) == 2 and bench.posts[0] == bench.posts[1]
+    bench.write(*bench.posts[0], *bench.posts[1])
+    bench.read()
+    assert reply.result().accepted and rights_of(bench.journal) == {"a": 4}
+    bench.end("acknowledged")
+    assert not bench.journal._batches
+
+
+async def test_a_refused_resend_says_nothing_about_the_first_copy(bench):
+    """Guards against a false refusal, and a reader that stops, when the first copy is late."""
+    bench.write(*encode(*SETUP))
+    bench.read()
+    reply = bench.append(TAKE, expires_at_ms=1)
+    bench.end("no_answer")
+    bench.timer.advance(defaults.APPEND_GRACE_MS + 1)
+    bench.read()
+    bench.end("refused")
+    assert not reply.done()
+    bench.write(*bench.posts[0], *encode(records.Publish(1, CONFIG), batch_id="later"))
+    bench.read()
+    assert reply.result().accepted and bench.journal.state.config_version == 2
+
+
+async def test_a_resend_waits_for_a_read_that_reached_the_end(bench):
+    """Guards against a second copy while the first may be in the part that was not read."""
+    reply = bench.append(SETUP[0])
+    bench.end("no_answer")
+    bench.timer.advance(defaults.APPEND_GRACE_MS + 1)
+    bench.write(*encode(*SETUP[1:] * 3), *bench.posts[0])
+    bench.read(limit=2)
+    assert len(bench.posts) == 1
+    bench.read()
+    assert len(bench.posts) == 1 and reply.result().accepted
+
+
+async def test_a_batch_stays_within_the_flush_bound(bench):
+    """Guards against an append that the log never takes because it has grown without bound."""
+    half = "x" * (defaults.FLUSH_SIZE_BYTES // 2)
+    jobs = [records.AcceptJob(f"r-{n}", "night", "shop", "d", half, 1.0) for n in range(3)]
+    large = evolve(jobs[0], request_id="large", payload=half * 3)
+    for record in (*jobs, large, jobs[0]):
+        bench.journal.handle(Append(record, "test"))
+    bench.append(records.WithdrawKey("k"))
+    sizes = [[item["record"].get("request_id") for item in post] for post in bench.posts]
+    assert sizes == [["r-0"], ["r-1"], ["r-2"], ["large"], ["r-0", None]]
+
+
+async def test_an_expired_item_leaves_the_rest_of_its_batch_whole(bench):
+    """Guards against a reply that goes to the wrong item of a batch that was cut down."""
+    bench.write(*encode(*SETUP))
+    bench.read()
+    expired, kept = new_reply(), new_reply()
+    bench.journal.handle(Append(TAKE, "test", expired, 10.0))
+    bench.journal.handle(Append(records.WithdrawKey("k"), "test", kept))
+    bench.append(records.TakeRights("shop", "a", 1))
+    bench.timer.advance(100)
+    bench.end("refused")
+    assert isinstance(expired.result(), LogUnavailableError)
+    bench.journal.handle(RetryBatch(bench.posts[0][0]["batch_id"]))
+    bench.write(*bench.posts[1])
+    bench.read()
+    assert kept.result().kind == "key_withdraw" and rights_of(bench.journal) == {"a": 1}
+
+
+async def test_a_gap_keeps_the_state_until_a_newer_snapshot_is_whole(bench, fleet):
+    """Guards against a configuration that reverts, or a view that misses records."""
+    bench.write(*encode(*SETUP))
+    bench.read()
+    state = bench.journal.state
+    bench.write(*encode(TAKE, batch_id="lost"), *encode(records.WithdrawKey("x"), batch_id="x"))
+    whole = replay.FleetState()
+    for item in bench.log:
+        envelope = records.decode_record(item["record"])
+        replay.apply(whole, item["offset"], envelope)
+    parts = snapshots.encode_snapshot(whole, "s")
+    text = parts[0].data
+    halves = [
+        evolve(parts[0], part=0, part_count=2, data=text[:10]),
+        evolve(parts[0], part=1, part_count=2, data=text[10:]),
+    ]
+    bench.write(*encode(halves[0], batch_id="s0"))
+    bench.timer.advance(10)
+    fresh_as_of_ms = bench.journal.fresh_as_of_ms
+    bench.read(start=4)
+    assert bench.journal.state is state and bench.journal.view.config == CONFIG
+    assert bench.journal.fresh_as_of_ms == fresh_as_of_ms
+    bench.write(*encode(records.TakeRights("shop", "a", 2), batch_id="later"))
+    bench.write(*encode(halves[1], batch_id="s1"))
+    bench.read(start=4)
+    assert rights_of(bench.journal) == {"a": 6}
+    assert bench.journal.fresh_as_of_ms == bench.timer.now_ms()
+
+
+async def test_a_new_journal_starts_from_a_snapshot(bench, fleet):
+    """Guards against an entry VM that starts from nothing once the log has lost its start."""
+    bench.log = [{"offset": n, "record": {}} for n in range(fleet.offset + 1)]
+    bench.read(start=fleet.offset + 1)
+    assert not bench.journal.loaded
+    bench.write(*encode(*snapshots.encode_snapshot(fleet, "s"), batch_id="s"))
+    bench.read(start=fleet.offset + 1)
+    assert bench.journal.loaded and bench.journal.state.config == fleet.config
+
+
+async def test_an_unknown_record_kind_is_skipped_and_passed_on(bench):
+    """Guards against a reader that stops at a newer version's record, or hides it from peers."""
+    unknown = encode(SETUP[1], batch_id="new")[0] | {"kind": "unheard_of"}
+    bench.write(*encode(SETUP[0]), unknown)
+    bench.read()
+    assert bench.journal.loaded and bench.journal.state.offset == 1
+    reply = new_reply()
+    bench.journal.handle(ReadTail(0, reply))
+    assert [item["record"] for item in reply.result().records] == [unknown]
+    bench.write(*encode(records.GrantKey(KeyGrant("k", "shop")), batch_id="k"))
+    bench.read()
+    assert "k" in bench.journal.view.keys
+
+
+async def test_an_older_state_is_not_adopted(bench, fleet):
+    """Guards against a configuration that reverts because a peer is behind."""
+    bench.write(*encode(records.Publish(0, CONFIG)))
+    bench.write(*encode(*SETUP[1:] * 3, batch_id="joins"))
+    bench.read()
+    assert fleet.offset < bench.journal.state.offset
+    bench.journal.handle(AdoptState(fleet, bench.timer.now_ms()))
+    assert bench.journal.view.config == CONFIG
+
+
+async def test_records_read_while_waiting_survive_a_peers_state(bench, fleet):
+    """Guards against records between a peer's state and the end of the log that are never read."""
+    bench.log = [{"offset": n, "record": {}} for n in range(fleet.offset + 3)]
+    bench.write(*encode(records.GrantKey(KeyGrant("k", "shop")), batch_id="k"))
+    start = fleet.offset + 2
+    bench.read(start=start)
+    # The peer's state does not reach up to the start of the log: records in between are missing.
+    bench.journal.handle(AdoptState(fleet, bench.timer.now_ms()))
+    bench.read(start=start)
+    assert not bench.journal.loaded and "k" not in bench.journal.view.keys
+    later = evolve(fleet, offset=start)
+    bench.journal.handle(AdoptState(later, bench.timer.now_ms()))
+    assert bench.journal.loaded and "k" in bench.journal.view.keys
+
+
+async def test_peers_get_no_records_past_a_gap(bench, fleet):
+    """Guards against a peer that takes what follows a gap for what follows its own state."""
+    bench.write(*encode(*SETUP))
+    bench.read()
+    bench.log += [{"offset": n, "record": {}} for n in range(2, 10)]
+    bench.journal.handle(AdoptState(evolve(fleet, offset=9), bench.timer.now_ms()))
+    bench.write(*encode(records.GrantKey(KeyGrant("k", "shop")), batch_id="k"))
+    bench.read()
+    replies = {after: new_reply() for after in (0, 8, 9)}
+    for after, reply in replies.items():
+        bench.journal.handle(ReadTail(after, reply))
+    assert replies[0].result() is None and replies[8].result() is None
+    assert [item["offset"] for item in replies[9].result().records] == [10]
+
+
+async def test_an_append_within_an_adopted_state_is_answered(bench):
+    """Guards against a job that waits for ever because its record came in a peer's state."""
+    bench.write(*encode(*SETUP))
+    bench.read()
+    accepted, rejected = bench.append(TAKE), bench.append(records.WithdrawKey("k"))
+    bench.end("no_answer", post=0)
+    state = replay.FleetState()
+    for offset, item in enumerate([*encode(*SETUP), *bench.posts[0], *bench.posts[1]]):
+        replay.apply(state, offset, records.decode_record(item))
+    bench.journal.handle(AdoptState(state, bench.timer.now_ms()))
+    assert accepted.result().accepted and not rejected.result().accepted
+    assert not bench.journal._batches
+
+
+async def test_freshness_counts_from_the_sending_of_a_complete_read(bench):
+    """Guards against a withdrawn key that is honoured because a read was slow or partial."""
+    bench.write(*encode(*SETUP))
+    chunk = bench.chunk()
+    bench.timer.advance(800)
+    bench.journal.handle(chunk)
+    assert bench.journal.fresh_as_of_ms == 0
+    bench.write(*encode(records.WithdrawKey("k"), records.WithdrawKey("k"), batch_id="k"))
+    bench.read(limit=1)
+    assert bench.journal.fresh_as_of_ms == 0
+    bench.read()
+    assert bench.journal.fresh_as_of_ms == 800
+    bench.journal.handle(ReadFailed())
+    assert bench.journal.fresh_as_of_ms == 800
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -57,7 +57,14 @@
         400,
         "bad_field",
     ),
-    "negative run time": ("POST", JOBS, JOB | {"declared_run_ms": -1}, "shop-key", 400, "bad_field"),
+    "negative run time": (
+        "POST",
+        JOBS,
+        JOB | {"declared_run_ms": -1},
+        "shop-key",
+        400,
+        "bad_field",
+    ),
     "past deadline": ("POST", JOBS, JOB | {"deadline_ms": -5}, "shop-key", 408, "deadline_in_past"),
     "no time left": ("POST", JOBS, JOB | {"deadline_ms": 0}, "shop-key", 408, "deadline_in_past"),
     "empty request ID": ("POST", JOBS, JOB | {"request_id": ""}, "shop-key", 400, "bad_field"),
@@ -69,7 +76,14 @@
         400,
         "bad_field",
     ),
-    "request ID is a path": ("POST", JOBS, JOB | {"request_id": ".."}, "shop-key", 400, "bad_field"),
+    "request ID is a path": (
+        "POST",
+        JOBS,
+        JOB | {"request_id": ".."},
+        "shop-key",
+        400,
+        "bad_field",
+    ),
     "request ID is a query": (
         "POST",
         JOBS,
@@ -80,7 +94,14 @@
     ),
     "lone surrogate": ("POST", JOBS, JOB | {"request_id": "\ud800"}, "shop-key", 400, "bad_field"),
     "request ID is a number": ("POST", JOBS, JOB | {"request_id": 7}, "shop-key", 400, "bad_field"),
-    "long request ID": ("POST", JOBS, JOB | {"request_id": "a" * 129}, "shop-key", 400, "bad_field"),
+    "long request ID": (
+        "POST",
+        JOBS,
+        JOB | {"request_id": "a" * 129},
+        "shop-key",
+        400,
+        "bad_field",
+    ),
     "digits that are not ASCII": (
         "POST",
         JOBS,
@@ -143,7 +164,11 @@
 
 async def test_bad_input_from_peers_is_refused(entry, call):
     """Guards against a fault of another entry VM that is answered without a reason."""
-    for path, body in {"heartbeat": {"name": 1}, "forward": {"queue": "holds"}, "query": {}}.items():
+    for path, body in {
+        "heartbeat": {"name": 1},
+        "forward": {"queue": "holds"},
+        "query": {},
+    }.items():
         status, data = await call("POST", f"{entry.peer_url}/peer/{path}", **body)
         assert (status, data["error"]["code"]) == (400, "bad_field"), path
 
