--- /dev/null
+++ b/src/bench/measure.py
@@ -0,0 +1,143 @@
+"""Measures the policies against baselines: ``python -m bench.measure --seed N``."""
+
+from __future__ import annotations
+
+import json
+import math
+import statistics
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from .simulate import STRATEGIES, Result, Simulation, share_distance
+from .workload import FIRMS, Firm, ordinary_jobs, saturated_jobs
+
+PROCESS_COUNT = 3
+ORDINARY_S = 480
+SATURATED_S = 30
+BASELINES = ("chosen", "static", "reactive")
+
+app = typer.Typer(add_completion=False, help=__doc__)
+
+# Printed columns: key, heading, format.
+COLUMNS = (
+    ("idle_vm_s", "buffer, idle VM-s", "{:.0f}"),
+    ("fleet_idle_vm_s", "whole fleet, idle VM-s", "{:.0f}"),
+    ("move_count", "VM moves", "{:.0f}"),
+    ("rollout_s", "rollout, s", "{:.0f}"),
+    ("rollout_ratio", "rollout / bound", "{:.2f}"),
+    ("failing_rollout_s", "rollout with failures, s", "{:.0f}"),
+    ("share_distance_pct", "worst share distance, %", "{:.1f}"),
+    ("desk_wait_ratio", "worst desk / fair wait", "{:.2f}"),
+    ("urgent_p50_ms", "urgent wait p50, ms", "{:.0f}"),
+    ("urgent_p99_ms", "urgent wait p99, ms", "{:.0f}"),
+    ("first_queue_p99_ms", "first queue wait p99, ms", "{:.0f}"),
+    ("deferred_p99_ms", "deferred wait p99, ms", "{:.0f}"),
+    ("refused_count", "refused jobs", "{:.0f}"),
+    ("throughput_per_s", "throughput, jobs/s", "{:.1f}"),
+    ("saturated_per_s", "saturated throughput, jobs/s", "{:.1f}"),
+    ("bad_worker_count", "jobs lost to bad worker", "{:.0f}"),
+    ("wrongly_ejected_count", "wrong ejections", "{:.0f}"),
+    ("unknown_count", "outcome unknown", "{:.0f}"),
+    ("worst_rack_loss_count", "VMs out after rack failure", "{:.0f}"),
+)
+
+
+def _percentile(result: Result, name: str, percent: float) -> float:
+    histogram = result.waits.get(name)
+    return float(histogram.get_value_at_percentile(percent)) if histogram else 0.0
+
+
+def _desk_wait_ratio(firm: Firm, result: Result) -> float:
+    """Return the longest mean wait of a pool's urgent jobs over that of all together."""
+    waits = [h for p in firm.pools if (h := result.waits.get(f"{p} offered")) is not None]
+    total_count = sum(h.get_total_count() for h in waits)
+    mean_ms = sum(h.get_mean_value() * h.get_total_count() for h in waits) / total_count
+    return max(h.get_mean_value() for h in waits) / mean_ms
+
+
+def run_case(firm_name: str, strategy_name: str, seed: int) -> dict[str, float]:
+    """Run both scenarios of one firm, strategy and seed and return the figures."""
+    firm, strategy = FIRMS[firm_name], STRATEGIES[strategy_name]
+    jobs = ordinary_jobs(firm, seed, ORDINARY_S)
+    ordinary = Simulation(firm, strategy, seed, ORDINARY_S, jobs, maintenance=True).run()
+    jobs = saturated_jobs(firm, seed, SATURATED_S)
+    saturated = Simulation(firm, strategy, seed, SATURATED_S, jobs, maintenance=False).run()
+    distance, window_count = share_distance(firm, saturated, SATURATED_S)
+    return {
+        "idle_vm_s": ordinary.idle_vm_s,
+        "fleet_idle_vm_s": ordinary.fleet_idle_vm_s,
+        "move_count": ordinary.move_count,
+        "rollout_s": ordinary.rollout_s.get("clean", math.inf),
+        "rollout_ratio": ordinary.rollout_ratio,
+        "failing_rollout_s": ordinary.rollout_s.get("failing", math.inf),
+        "share_distance_pct": 100 * distance,
+        "share_window_count": window_count,
+        "desk_wait_ratio": _desk_wait_ratio(firm, saturated),
+        "urgent_p50_ms": _percentile(ordinary, "urgent", 50),
+        "urgent_p99_ms": _percentile(ordinary, "urgent", 99),
+        "first_queue_p99_ms": _percentile(ordinary, firm.queues[0].spec.name, 99),
+        "deferred_p99_ms": _percentile(ordinary, "deferred", 99),
+        "refused_count": ordinary.refused.total(),
+        "throughput_per_s": ordinary.done_count / ORDINARY_S,
+        "saturated_per_s": saturated.done_count / SATURATED_S,
+        "bad_worker_count": ordinary.bad_worker_count,
+        "wrongly_ejected_count": ordinary.wrongly_ejected_count,
+        "unknown_count": ordinary.unknown_count,
+        "worst_rack_loss_count": ordinary.worst_rack_loss_count,
+    }
+
+
+def _spread(values: list[float], form: str) -> str:
+    parts = (min(values), statistics.median(values), max(values))
+    return " / ".join(form.format(part) for part in parts)
+
+
+def print_table(firm: str, runs: dict[str, list[dict[str, float]]]) -> None:
+    """Print one firm's figures as a Markdown table of min / median / max over the seeds."""
+    names = list(runs)
+    typer.echo(f"\n{firm}: min / median / max over {len(runs[names[0]])} seeds\n")
+    typer.echo("| measure | " + " | ".join(names) + " |")
+    typer.echo("| --- |" + " --- |" * len(names))
+    for key, heading, form in COLUMNS:
+        cells = (_spread([run[key] for run in runs[name]], form) for name in names)
+        typer.echo(f"| {heading} | " + " | ".join(cells) + " |")
+
+
+@app.callback(invoke_without_command=True)
+def main(
+    context: typer.Context,
+    seed: Annotated[int, typer.Option(help="First seed.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Number of consecutive seeds.")] = 10,
+    firm: Annotated[str, typer.Option(help="imisatsi, sundarban or both.")] = "both",
+    strategies: Annotated[
+        str, typer.Option(help="Comma-separated; known: " + ", ".join(STRATEGIES))
+    ] = ",".join(BASELINES),
+    json_path: Annotated[
+        Path | None, typer.Option("--json", help="Write all figures to this file.")
+    ] = None,
+) -> None:
+    """Measure the strategies over both firms and print one table per firm."""
+    if context.invoked_subcommand:
+        return
+    firms = list(FIRMS) if firm == "both" else [firm]
+    names = strategies.split(",")
+    started = time.monotonic()
+    cases = [(f, s, n) for f in firms for s in names for n in range(seed, seed + seeds)]
+    with ProcessPoolExecutor(PROCESS_COUNT) as executor:
+        figures = list(executor.map(run_case, *zip(*cases, strict=True)))
+    report: dict[str, Any] = {name: {s: [] for s in names} for name in firms}
+    for (firm_name, strategy, case_seed), result in zip(cases, figures, strict=True):
+        report[firm_name][strategy].append({"seed": case_seed, **result})
+    for firm_name in firms:
+        print_table(firm_name, report[firm_name])
+    typer.echo(f"\n{len(cases)} runs in {time.monotonic() - started:.0f} s")
+    if json_path:
+        json_path.write_text(json.dumps(report, indent=1))
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/src/bench/simulate.py
@@ -0,0 +1,639 @@
+"""Event-driven run of the decision functions in virtual time.
+
+One queue per pool and one view of the upstreams stand for all entry VMs. Workers are counters of
+busy slots; VM states come from :mod:`tarragoncart.replay`, so that its budget rules decide.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from attrs import Factory, define, evolve, field, frozen
+from hdrh.histogram import HdrHistogram
+
+from tarragoncart import capacity, defaults, records, replay, waves
+from tarragoncart.fairqueue import QUEUE_ORDERS, QueueOrder, RunTimes
+from tarragoncart.model import PolicySpec, PoolSpec, Verdict
+from tarragoncart.routing import EJECTION, PoolHealth, RetryBudget, UpstreamView, choose
+
+from .workload import SLOTS_PER_VM, Firm, SimJob, fleet_config
+
+DRAIN_TIMEOUT_MS = 10_000.0
+REBOOT_MS = (20_000.0, 40_000.0)
+WAVE_PERIOD_MS = 1_000.0
+SAMPLE_MS = 1_000.0
+WAVE_STARTS_MS = {"clean": 200_000.0, "failing": 340_000.0}
+RACK_FAILURE_DELAY_MS = 45_000.0
+OUTAGE_MS = 60_000.0
+OPERATOR_DELAY_MS = 20_000.0
+# A wave that its budgets block for good ends the run.
+END_MS = 3_600_000.0
+BAD_WORKER_MS = (30_000.0, 150_000.0)
+BAD_WORKER_RUN_MS = 5.0
+POISON_RUN_MS = 50.0
+CANCEL_PERIOD_MS = 45_000.0
+CANCEL_RATIO = 0.4
+SHARE_WINDOW_S = 10
+# No answer to a job whose VM died is known only after this time.
+SILENCE_MS = 1_000.0
+
+
+@frozen
+class Strategy:
+    """A named combination of policies."""
+
+    name: str
+    policies: PolicySpec
+    borrowing: str = "none"
+
+
+_FIRST_COME = PolicySpec("round_robin", "two_valued", "first_come", "static", "one_by_one")
+STRATEGIES = {
+    strategy.name: strategy
+    for strategy in (
+        Strategy("chosen", PolicySpec(), "spare_first"),
+        Strategy("static", _FIRST_COME),
+        Strategy("reactive", evolve(_FIRST_COME, capacity="reactive_threshold")),
+        # Parts of the chosen policy, for docs/policies.md.
+        Strategy("no moves", PolicySpec(capacity="static"), "spare_first"),
+        Strategy("no borrowing", PolicySpec()),
+        Strategy("first come", PolicySpec(queue_order="first_come"), "spare_first"),
+        Strategy("two valued", PolicySpec(ejection="two_valued"), "spare_first"),
+        Strategy("round robin", PolicySpec(routing="round_robin"), "spare_first"),
+        Strategy("random", PolicySpec(routing="random"), "spare_first"),
+        Strategy("least loaded", PolicySpec(routing="least_loaded"), "spare_first"),
+        Strategy("one by one", PolicySpec(wave="one_by_one"), "spare_first"),
+    )
+}
+
+
+@define
+class Vm:
+    """Worker stand-in: jobs that run, and views as the entry VM sees them."""
+
+    name: str
+    pool: str
+    in_service: bool = True
+    jobs: dict[str, SimJob] = Factory(dict)
+    drained: Callable[[], None] | None = None
+
+
+@define
+class Result:
+    """Figures of one run; waits in ms."""
+
+    waits: dict[str, HdrHistogram] = Factory(dict)
+    idle_vm_s: float = 0.0
+    fleet_idle_vm_s: float = 0.0
+    move_count: int = 0
+    rollout_s: dict[str, float] = Factory(dict)
+    rollout_ratio: float = 0.0
+    refused: Counter[str] = Factory(Counter)
+    done_count: int = 0
+    unknown_count: int = 0
+    failed_count: int = 0
+    bad_worker_count: int = 0
+    wrongly_ejected_count: int = 0
+    used_ms: dict[int, Counter[str]] = Factory(dict)
+    backlogged_s: Counter[int] = Factory(Counter)
+    worst_rack_loss_count: int = 0
+
+    def record_wait(self, name: str, wait_ms: float) -> None:
+        """Add a wait, rounded to ms."""
+        histogram = self.waits.get(name)
+        if histogram is None:
+            histogram = self.waits[name] = HdrHistogram(1, 24 * 3_600_000, 3)
+        histogram.record_value(max(1, round(wait_ms)))
+
+
+@define
+class Simulation:
+    """One run of one strategy.
+
+    :param seconds: demand and job figures end then; waves run on until they have finished.
+    """
+
+    firm: Firm
+    strategy: Strategy
+    seed: int
+    seconds: float
+    jobs: list[SimJob]
+    maintenance: bool
+    now_ms: float = 0.0
+    result: Result = Factory(Result)
+    rng: random.Random = field(init=False)
+    fleet: replay.FleetState = Factory(replay.FleetState)
+    vms: dict[str, Vm] = Factory(dict)
+    views: dict[str, dict[str, UpstreamView]] = Factory(dict)
+    queues: dict[str, QueueOrder] = Factory(dict)
+    health: dict[str, PoolHealth] = Factory(dict)
+    free_counts: Counter[str] = Factory(Counter)
+    running: Counter[str] = Factory(Counter)
+    own_running: Counter[str] = Factory(Counter)
+    urgent_waiting: Counter[str] = Factory(Counter)
+    team_waiting: Counter[str] = Factory(Counter)
+    waiting: dict[str, SimJob] = Factory(dict)
+    demand_sums: Counter[str] = Factory(Counter)
+    memory: Any = None
+    run_times: RunTimes = Factory(RunTimes)
+    budget: RetryBudget = Factory(RetryBudget)
+    wave_durations: dict[str, dict[str, list[float]]] = Factory(dict)
+    wave_spans: dict[str, dict[str, float]] = Factory(dict)
+    _events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = Factory(list)
+    _numbers: itertools.count[int] = Factory(itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(f"{self.seed} {self.strategy.name}")
+        config = fleet_config(self.firm)
+        self.submit(records.Publish(0, config))
+        policies = self.strategy.policies
+        for pool in self.firm.pools:
+            self.queues[pool] = QUEUE_ORDERS.get(policies.queue_order)()
+            self.health[pool] = EJECTION.get(policies.ejection)()
+            self.views[pool] = {}
+        for spec in config.vms:
+            self.vms[spec.name] = Vm(spec.name, spec.pool)
+            self.enter_service(spec.name, spec.pool)
+        self.bad_worker = f"{self.firm.pools[0]}-{self.seed % 6}" if self.maintenance else ""
+
+    bad_worker: str = ""
+
+    # Events
+
+    def at(self, time_ms: float, action: Callable[..., None], *args: Any) -> None:
+        """Schedule an event."""
+        heapq.heappush(self._events, (time_ms, next(self._numbers), action, args))
+
+    def run(self) -> Result:
+        """Run to the end and return the figures."""
+        for job in self.jobs:
+            self.at(job.arrival_ms, self.arrive, job)
+        self.at(SAMPLE_MS, self.sample)
+        self.at(capacity.CAPACITY_PERIOD_MS, self.capacity_pass)
+        if self.maintenance:
+            self.at(CANCEL_PERIOD_MS, self.cancel_burst)
+            for wave, start_ms in WAVE_STARTS_MS.items():
+                self.at(start_ms, self.start_wave, wave)
+        while self._events and self.now_ms < END_MS:
+            self.now_ms, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        self.result.refused["backlog at the end"] = len(self.waiting)
+        return self.result
+
+    @property
+    def over(self) -> bool:
+        """Whether the demand has ended."""
+        return self.now_ms >= self.seconds * 1_000
+
+    def submit(self, record: Any) -> bool:
+        """Append a record to the fleet stream; returns whether replay accepted it."""
+        offset = self.fleet.offset + 1
+        envelope = records.Envelope(f"b-{offset}", 0, "sim", int(self.now_ms), record)
+        applied = replay.apply(self.fleet, offset, envelope)
+        return applied is not None and applied.entry.accepted
+
+    # Request path
+
+    def arrive(self, job: SimJob) -> None:
+        """Admit or refuse a new job."""
+        pool = job.queue.pool
+        if len(self.queues[pool]) >= job.queue.waiting_limit_count:
+            self.result.refused["waiting limit"] += 1
+            self.result.record_wait(f"{pool} offered", defaults.DEADLINE_DEFAULT_MS)
+            return
+        self.enqueue(job)
+        self.dispatch(pool)
+
+    def enqueue(self, job: SimJob) -> None:
+        """Let a job wait in its pool's queue."""
+        pool = job.queue.pool
+        cost_ms = self.run_times.expected_ms(job.queue.name, job.declared_ms)
+        self.queues[pool].push(
+            job.job_id, job.team.name, job.team.share_weight, cost_ms, self.now_ms, job.urgent
+        )
+        self.waiting[job.job_id] = job
+        self.team_waiting[job.team.name] += 1
+        self.urgent_waiting[pool] += job.urgent
+
+    def leave_queue(self, job: SimJob) -> None:
+        """Account for a job that no longer waits."""
+        del self.waiting[job.job_id]
+        self.team_waiting[job.team.name] -= 1
+        self.urgent_waiting[job.queue.pool] -= job.urgent
+
+    def eligible(self, team: str) -> bool:
+        """Whether the team is below its upper limit."""
+        return self.running[team] < self.firm.teams[0].upper_limit_count
+
+    def dispatch(self, pool: str) -> None:
+        """Start waiting jobs of a pool while there are slots for them."""
+        queue = self.queues[pool]
+        while len(queue):
+            upstream = self.place(pool, ())
+            if upstream is None:
+                return
+            job_id = queue.pop(self.eligible)
+            if job_id is None:
+                return
+            job = self.waiting[job_id]
+            self.leave_queue(job)
+            if self.now_ms >= job.deadline_ms:
+                queue.charge(job.team.name, 0.0)
+                self.result.refused["deadline"] += 1
+                self.result.record_wait(f"{pool} offered", self.now_ms - job.arrival_ms)
+                continue
+            if upstream in job.excluded:
+                upstream = self.place(pool, job.excluded) or upstream
+            self.start(job, self.vms[upstream])
+
+    def place(self, pool: str, excluded: tuple[str, ...]) -> str | None:
+        """Choose an upstream in the pool or in a lending one."""
+        if self.free_counts[pool] > 0:
+            chosen = self.choose_in(pool, excluded)
+            if chosen is not None:
+                return chosen
+        if self.strategy.borrowing == "none" or not self.any_free:
+            return None
+        slots = [
+            capacity.PoolSlots(
+                name,
+                SLOTS_PER_VM * len(self.views[name]),
+                self.free_counts[name],
+                len(self.queues[name]),
+                name == self.firm.spare,
+            )
+            for name in self.views
+            if self.free_counts[name] > 0
+        ]
+        lend = capacity.BORROWING.get(self.strategy.borrowing)
+        for lender in lend(pool, slots, self.urgent_waiting[pool] > 0):
+            chosen = self.choose_in(lender, excluded)
+            if chosen is not None:
+                return chosen
+        return None
+
+    @property
+    def any_free(self) -> bool:
+        """Whether any pool has a free slot."""
+        return any(count > 0 for count in self.free_counts.values())
+
+    def choose_in(self, pool: str, excluded: tuple[str, ...]) -> str | None:
+        """Choose an upstream of one pool, a due probe first."""
+        health = self.health[pool]
+        probe = health.claim_probe(self.now_ms)
+        if probe is not None and probe in self.views[pool]:
+            return probe
+        ejected = health.ejected(self.now_ms)
+        return choose(
+            self.strategy.policies.routing,
+            list(self.views[pool].values()),
+            self.rng,
+            f"dc-{self.rng.randrange(3)}",
+            ejected.union(excluded),
+        )
+
+    def refresh(self, vm: Vm, placed: int = 0) -> None:
+        """Update the entry VM's view of an upstream."""
+        views = self.views[vm.pool]
+        view = views.get(vm.name)
+        if view is None:
+            return
+        health = self.health[vm.pool]
+        views[vm.name] = UpstreamView(
+            vm.name,
+            view.data_centre,
+            view.rack,
+            health.state(vm.name),
+            view.slot_count,
+            in_flight_count=len(vm.jobs),
+            failure_count=health.failure_count(vm.name),
+            proven=health.proven(vm.name),
+            placed_count=view.placed_count + placed,
+        )
+
+    def start(self, job: SimJob, vm: Vm) -> None:
+        """Start a job at a worker."""
+        self.budget.record_attempt()
+        job.upstream, job.started_ms = vm.name, self.now_ms
+        job.epoch += 1
+        vm.jobs[job.job_id] = job
+        self.free_counts[vm.pool] -= 1
+        self.running[job.team.name] += 1
+        self.own_running[job.queue.pool] += 1
+        self.refresh(vm, placed=1)
+        if job.epoch == 1:
+            wait_ms = self.now_ms - job.arrival_ms
+            kind = "urgent" if job.urgent else "deferred"
+            self.result.record_wait(kind, wait_ms)
+            self.result.record_wait(job.queue.name, wait_ms)
+            if job.urgent:
+                self.result.record_wait(f"{job.queue.pool} offered", wait_ms)
+        run_ms, verdict = job.actual_ms, Verdict.RESULT
+        if job.poison:
+            run_ms, verdict = POISON_RUN_MS, Verdict.ERROR_ANSWER
+        if vm.name == self.bad_worker and BAD_WORKER_MS[0] <= self.now_ms < BAD_WORKER_MS[1]:
+            run_ms, verdict = BAD_WORKER_RUN_MS, Verdict.ERROR_ANSWER
+            self.result.bad_worker_count += 1
+        self.at(self.now_ms + run_ms, self.finish, job, job.epoch, verdict)
+
+    def stop_running(self, job: SimJob) -> Vm:
+        """Release a job's slot and charge what it used."""
+        vm = self.vms[job.upstream]
+        del vm.jobs[job.job_id]
+        job.epoch += 1
+        if vm.in_service:
+            self.free_counts[vm.pool] += 1
+        self.running[job.team.name] -= 1
+        self.own_running[job.queue.pool] -= 1
+        used_ms = self.now_ms - job.started_ms
+        self.queues[job.queue.pool].charge(job.team.name, used_ms)
+        self.count_use(job.team.name, job.started_ms)
+        return vm
+
+    def count_use(self, team: str, started_ms: float) -> None:
+        """Divide a slot's use over whole seconds."""
+        at_ms = started_ms
+        while at_ms < self.now_ms:
+            second = int(at_ms // 1_000)
+            end_ms = min(self.now_ms, (second + 1) * 1_000.0)
+            self.result.used_ms.setdefault(second, Counter())[team] += end_ms - at_ms
+            at_ms = end_ms
+
+    def finish(self, job: SimJob, epoch: int, verdict: Verdict) -> None:
+        """End an attempt, and retry the job if that is allowed."""
+        if job.epoch != epoch:
+            return
+        vm = self.stop_running(job)
+        self.verdict(vm, verdict)
+        self.refresh(vm)
+        if verdict is Verdict.RESULT:
+            self.run_times.observe(job.queue.name, self.now_ms - job.started_ms)
+            self.result.done_count += not self.over
+        elif not job.queue.guarded and len(job.excluded) < 2 and self.budget.take():
+            job.excluded = (*job.excluded, vm.name)
+            self.enqueue(job)
+        else:
+            self.result.failed_count += 1
+        if not vm.jobs and vm.drained is not None:
+            vm.drained()
+        self.dispatch(vm.pool)
+        if self.any_free:
+            for pool, queue in self.queues.items():
+                if pool != vm.pool and len(queue):
+                    self.dispatch(pool)
+
+    def verdict(self, vm: Vm, verdict: Verdict) -> None:
+        """Record a verdict if the upstream still belongs to the pool's view."""
+        if vm.name not in self.views[vm.pool]:
+            return
+        health = self.health[vm.pool]
+        if verdict is Verdict.RESULT:
+            health.record(vm.name, verdict, self.now_ms)
+            return
+        before = health.ejected(self.now_ms)
+        health.record(vm.name, verdict, self.now_ms)
+        for name in health.ejected(self.now_ms) - before:
+            self.result.wrongly_ejected_count += name != self.bad_worker
+
+    def cancel_burst(self) -> None:
+        """Cancel many jobs of one team, waiting and running."""
+        team = self.rng.choice(self.firm.teams).name
+        waiting = [j for j in self.waiting.values() if j.team.name == team]
+        for job in waiting:
+            if self.rng.random() < CANCEL_RATIO:
+                self.queues[job.queue.pool].remove(job.job_id)
+                self.leave_queue(job)
+        for vm in self.vms.values():
+            for job in [j for j in vm.jobs.values() if j.team.name == team]:
+                if not job.queue.guarded and self.rng.random() < CANCEL_RATIO:
+                    self.stop_running(job)
+            self.refresh(vm)
+            if not vm.jobs and vm.drained is not None:
+                vm.drained()
+        for pool in self.queues:
+            self.dispatch(pool)
+        if not self.over:
+            self.at(self.now_ms + CANCEL_PERIOD_MS, self.cancel_burst)
+
+    # VMs
+
+    def enter_service(self, name: str, pool: str) -> None:
+        """Let a VM take jobs of a pool."""
+        vm = self.vms[name]
+        vm.pool, vm.in_service, vm.drained = pool, True, None
+        spec = self.fleet.vms[name].spec
+        self.health[pool].discard(name)
+        self.health[pool].upstreams[name] = type(self.health[pool])([name]).upstreams[name]
+        state = self.health[pool].state(name)
+        self.views[pool][name] = UpstreamView(
+            name, spec.data_centre, spec.rack, state, spec.slot_count, proven=False
+        )
+        self.free_counts[pool] += spec.slot_count - len(vm.jobs)
+        self.dispatch(pool)
+
+    def leave_service(self, vm: Vm) -> None:
+        """Give a VM no more jobs."""
+        vm.in_service = False
+        del self.views[vm.pool][vm.name]
+        self.health[vm.pool].discard(vm.name)
+        self.free_counts[vm.pool] -= SLOTS_PER_VM - len(vm.jobs)
+
+    def drain(self, vm: Vm, then: Callable[[], None]) -> None:
+        """Wait for a VM's running jobs, then reboot it and call ``then``."""
+        self.leave_service(vm)
+
+        def reboot() -> None:
+            vm.drained = None
+            self.at(self.now_ms + self.rng.uniform(*REBOOT_MS), then)
+
+        if vm.jobs:
+            vm.drained = reboot
+        else:
+            reboot()
+
+    def fail(self, vm: Vm) -> None:
+        """Lose a VM with all jobs on it."""
+        if not self.submit(records.VmFailed(vm.name, "no heartbeat")):
+            return
+        if vm.in_service:
+            self.leave_service(vm)
+        vm.drained = None
+        for job in list(vm.jobs.values()):
+            self.stop_running(job)
+            if job.queue.guarded:
+                self.result.unknown_count += 1
+            elif self.budget.take():
+                self.at(self.now_ms + SILENCE_MS, self.retry, job)
+            else:
+                self.result.failed_count += 1
+        self.at(self.now_ms + OUTAGE_MS, self.recover, vm)
+
+    def retry(self, job: SimJob) -> None:
+        """Let a job whose VM died wait again."""
+        self.enqueue(job)
+        self.dispatch(job.queue.pool)
+
+    def recover(self, vm: Vm) -> None:
+        """Bring a failed VM back."""
+        if self.submit(records.VmBack(vm.name)):
+            self.enter_service(vm.name, self.fleet.vms[vm.name].pool)
+
+    # Capacity
+
+    def capacity_pass(self) -> None:
+        """Request the moves that the policy plans."""
+        passes = capacity.CAPACITY_PERIOD_MS / SAMPLE_MS
+        loads = [self.pool_load(pool, self.demand_sums[pool] / passes) for pool in self.queues]
+        self.demand_sums.clear()
+        moves, self.memory = capacity.plan(
+            self.strategy.policies.capacity, loads, self.now_ms, self.memory
+        )
+        for move in moves:
+            record = records.MoveVm(move.vm, move.from_pool, move.to_pool, move.cause)
+            if self.submit(record):
+                self.result.move_count += 1
+                vm = self.vms[move.vm]
+                self.drain(vm, lambda vm=vm: self.moved(vm))
+        if not self.over:
+            self.at(self.now_ms + capacity.CAPACITY_PERIOD_MS, self.capacity_pass)
+
+    def pool_load(self, pool: str, demand_count: float) -> capacity.PoolLoad:
+        """Return what the capacity policy sees of a pool."""
+        members = [vm for vm in self.fleet.vms.values() if vm.pool == pool]
+        spec = self.pool_spec(pool)
+        return capacity.PoolLoad(
+            pool,
+            tuple(
+                capacity.VmLoad(vm.spec.name, len(self.vms[vm.spec.name].jobs), SLOTS_PER_VM)
+                for vm in members
+                if vm.state == "in_service"
+            ),
+            spec.max_unavailable_count,
+            spec.min_available_count,
+            spec.spare,
+            sum(vm.state != "in_service" for vm in members),
+            sum(vm.target_pool == pool for vm in self.fleet.vms.values()),
+            demand_count,
+            len(self.queues[pool]),
+        )
+
+    def pool_spec(self, pool: str) -> PoolSpec:
+        """Return the configuration of a pool."""
+        return next(spec for spec in self.fleet.config.pools if spec.name == pool)
+
+    def moved(self, vm: Vm) -> None:
+        """Complete a move."""
+        if self.submit(records.VmDrained(vm.name)):
+            self.enter_service(vm.name, self.fleet.vms[vm.name].pool)
+
+    # Maintenance
+
+    def start_wave(self, wave: str) -> None:
+        """Start a wave over all pools, or wait for an earlier one."""
+        if not all(replay.WAVE_CHART.is_final(w.state) for w in self.fleet.waves.values()):
+            self.at(self.now_ms + WAVE_PERIOD_MS, self.start_wave, wave)
+            return
+        self.submit(records.StartWave(wave, tuple(self.firm.pools), "kernel"))
+        self.wave_durations[wave] = {pool: [] for pool in self.firm.pools}
+        self.wave_spans[wave] = {}
+        bad = set(self.rng.sample(sorted(self.vms), 2)) if wave == "failing" else set()
+        if wave == "failing":
+            rack = self.rng.choice(sorted({v.spec.rack for v in self.fleet.vms.values()}))
+            self.at(self.now_ms + RACK_FAILURE_DELAY_MS, self.fail_rack, rack)
+        self.wave_pass(wave, self.now_ms, bad)
+
+    def fail_rack(self, rack: str) -> None:
+        """Lose all VMs of a rack at once."""
+        for vm in self.fleet.vms.values():
+            if vm.spec.rack == rack:
+                self.fail(self.vms[vm.spec.name])
+        for pool in self.firm.pools:
+            out = sum(v.pool == pool and v.state != "in_service" for v in self.fleet.vms.values())
+            self.result.worst_rack_loss_count = max(self.result.worst_rack_loss_count, out)
+
+    def wave_pass(self, wave: str, started_ms: float, bad: set[str]) -> None:
+        """Start the stops that the policy chooses."""
+        state = self.fleet.waves[wave]
+        if replay.WAVE_CHART.is_final(state.state):
+            self.result.rollout_s[wave] = (self.now_ms - started_ms) / 1_000
+            if wave == "clean":
+                self.result.rollout_ratio = max(
+                    self.wave_spans[wave][pool] / max(sum(d) / 2, max(d))
+                    for pool, d in self.wave_durations[wave].items()
+                )
+            return
+        if state.state == "halted" and state.failure_count:
+            self.at(self.now_ms + OPERATOR_DELAY_MS, self.resume, wave, started_ms, bad)
+            return
+        for name in waves.next_stops(self.strategy.policies.wave, self.fleet, wave):
+            if not self.submit(records.ReserveStop(name, wave, "kernel")):
+                continue
+            self.submit(records.BeginStop(name))
+            if self.fleet.vms[name].state != "stopping":
+                continue
+            vm = self.vms[name]
+            self.drain(vm, lambda v=vm, t=self.now_ms: self.back(v, wave, t, started_ms, bad))
+        self.at(self.now_ms + WAVE_PERIOD_MS, self.wave_pass, wave, started_ms, bad)
+
+    def resume(self, wave: str, started_ms: float, bad: set[str]) -> None:
+        """Resume a halted wave, as an operator does; one without pending VMs is cancelled."""
+        event = "resume" if self.fleet.waves[wave].pending else "cancel"
+        self.submit(records.ControlWave(wave, event))
+        self.wave_pass(wave, started_ms, bad)
+
+    def back(self, vm: Vm, wave: str, stop_ms: float, started_ms: float, bad: set[str]) -> None:
+        """End a reboot, with or without success."""
+        if self.fleet.vms[vm.name].state != "stopping":
+            return
+        if vm.name in bad:
+            self.fail(vm)
+            return
+        pool = self.fleet.vms[vm.name].pool
+        self.wave_durations[wave][pool].append(self.now_ms - stop_ms)
+        self.wave_spans[wave][pool] = self.now_ms - started_ms
+        self.submit(records.VmBack(vm.name))
+        self.enter_service(vm.name, pool)
+
+    # Samples
+
+    def sample(self) -> None:
+        """Count idle VMs and demand once a second."""
+        for pool, queue in self.queues.items():
+            self.demand_sums[pool] += self.own_running[pool] + len(queue)
+        for vm in self.vms.values():
+            idle = 1 - len(vm.jobs) / SLOTS_PER_VM
+            self.result.fleet_idle_vm_s += idle
+            # A VM on its way to another pool is a cost of the move.
+            state = self.fleet.vms[vm.name]
+            if state.pool != self.firm.spare or state.target_pool:
+                self.result.idle_vm_s += idle
+        if all(self.team_waiting[team.name] for team in self.firm.teams):
+            self.result.backlogged_s[int(self.now_ms // 1_000)] = 1
+        if not self.over:
+            self.at(self.now_ms + SAMPLE_MS, self.sample)
+
+
+def share_distance(firm: Firm, result: Result, seconds: int) -> tuple[float, int]:
+    """Return the worst relative distance of a team from its share and the number of windows.
+
+    Only windows of 10 s in which every team had waiting jobs at each sample count.
+    """
+    total_weight = sum(team.share_weight for team in firm.teams)
+    worst, window_count = 0.0, 0
+    for start in range(seconds - SHARE_WINDOW_S + 1):
+        window = range(start, start + SHARE_WINDOW_S)
+        if not all(result.backlogged_s[second] for second in (*window, start + SHARE_WINDOW_S)):
+            continue
+        window_count += 1
+        used = Counter[str]()
+        for second in window:
+            used.update(result.used_ms.get(second, Counter()))
+        for team in firm.teams:
+            share = team.share_weight / total_weight
+            worst = max(worst, abs(used[team.name] / used.total() - share) / share)
+    return worst, window_count
--- /dev/null
+++ b/src/tarragoncart/capacity.py
@@ -0,0 +1,310 @@
+"""Moves of VMs between pools, and the lending of free slots; registered policies."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any
+
+from attrs import frozen
+
+from .registry import Registry
+
+# A VM that changes pools drains and reboots for tens of seconds, so that a shorter period would
+# only see the same state again.
+CAPACITY_PERIOD_MS = 5_000
+
+
+@frozen
+class VmLoad:
+    """A VM in service.
+
+    :param busy_count: running jobs, its own pool's and borrowers'.
+    """
+
+    name: str
+    busy_count: int
+    slot_count: int
+
+
+@frozen
+class PoolLoad:
+    """State of a pool at a capacity pass.
+
+    :param vms: VMs in service.
+    :param unavailable_count: VMs out of service: failed, stopped or leaving for another pool.
+    :param incoming_count: VMs on their way here.
+    :param demand_count: the pool's jobs that run anywhere or wait, averaged since the last pass.
+    :param waiting_count: the pool's jobs that wait now.
+    """
+
+    name: str
+    vms: tuple[VmLoad, ...]
+    max_unavailable_count: int
+    min_available_count: int
+    spare: bool = False
+    unavailable_count: int = 0
+    incoming_count: int = 0
+    demand_count: float = 0.0
+    waiting_count: int = 0
+
+    @property
+    def slot_count(self) -> int:
+        """Slots of the VMs in service."""
+        return sum(vm.slot_count for vm in self.vms)
+
+    @property
+    def busy_count(self) -> int:
+        """Slots in use."""
+        return sum(vm.busy_count for vm in self.vms)
+
+    @property
+    def spare_unit_count(self) -> int:
+        """VMs that may leave now within the availability budget."""
+        return min(
+            self.max_unavailable_count - self.unavailable_count,
+            len(self.vms) - self.min_available_count,
+        )
+
+    def least_busy(self) -> VmLoad:
+        """Return the VM that drains soonest."""
+        return min(self.vms, key=lambda vm: (vm.busy_count, vm.name))
+
+
+@frozen
+class Move:
+    """A VM to move."""
+
+    vm: str
+    from_pool: str
+    to_pool: str
+    cause: str
+
+
+Plan = tuple[list[Move], Any]
+CAPACITY: Registry[Callable[[Sequence[PoolLoad], float, Any], Plan]] = Registry("capacity policy")
+
+
+def plan(policy: str, pools: Sequence[PoolLoad], now_ms: float, memory: Any = None) -> Plan:
+    """Return the moves to request now and the memory for the next pass.
+
+    :param policy: a name in :data:`CAPACITY`.
+    :param memory: what the previous pass returned, None at the first one.
+    :raises RegistryError: for an unknown policy.
+    """
+    return CAPACITY.get(policy)(pools, now_ms, memory)
+
+
+@CAPACITY.register("static")
+def static(pools: Sequence[PoolLoad], now_ms: float, memory: Any) -> Plan:
+    """Baseline: no moves."""
+    return [], memory
+
+
+REACTIVE_HIGH_RATIO = 0.8
+REACTIVE_LOW_RATIO = 0.2
+
+
+@CAPACITY.register("reactive_threshold")
+def reactive_threshold(pools: Sequence[PoolLoad], now_ms: float, memory: Any) -> Plan:
+    """Baseline: a pool above 80% use gets a VM from the emptiest; one below 20% gives one up."""
+    moves: list[Move] = []
+    spares = [pool for pool in pools if pool.spare]
+    ratios = {p.name: p.demand_count / p.slot_count if p.slot_count else 1.0 for p in pools}
+    # At the minimum itself no maintenance wave could ever stop a VM of the pool.
+    givers = sorted(
+        (
+            p
+            for p in pools
+            if p.spare_unit_count > 0
+            and len(p.vms) > p.min_available_count + 1
+            and ratios[p.name] < REACTIVE_HIGH_RATIO
+        ),
+        key=lambda p: (not p.spare, ratios[p.name]),
+    )
+    for pool in pools:
+        if ratios[pool.name] > REACTIVE_HIGH_RATIO and not pool.incoming_count:
+            giver = next((g for g in givers if g.name != pool.name), None)
+            if giver is not None:
+                givers.remove(giver)
+                moves.append(Move(giver.least_busy().name, giver.name, pool.name, "high use"))
+        elif ratios[pool.name] < REACTIVE_LOW_RATIO and not pool.spare and pool in givers:
+            spare = next(iter(spares), None)
+            if spare is not None:
+                givers.remove(pool)
+                moves.append(Move(pool.least_busy().name, pool.name, spare.name, "low use"))
+    return moves, memory
+
+
+# Passes of demand history: 10 min.
+HISTORY_COUNT = 120
+# Passes before the first move, so that the quantiles rest on several bursts.
+WARM_UP_COUNT = 6
+# Demand beyond this quantile is met by borrowed slots. Queues burst for about a fifth of the
+# time, for seconds, which is shorter than a move.
+NEED_QUANTILE = 0.75
+GROW_AFTER_COUNT = 4
+SHRINK_AFTER_COUNT = 2
+# A move costs a VM for about this long; it must save more than that until the next one.
+MOVE_COST_MS = 45_000
+PAYBACK_MS = 180_000
+
+
+@frozen
+class PoolMemory:
+    """What ``forecast`` remembers of a pool.
+
+    :param demands: demand in slots at the last passes, oldest first.
+    :param short_count: consecutive passes in which the pool was too small.
+    :param surplus_count: consecutive passes in which the pool was too large.
+    :param moved_ms: time of the last move from or to the pool.
+    """
+
+    demands: tuple[float, ...] = ()
+    short_count: int = 0
+    surplus_count: int = 0
+    moved_ms: float = -math.inf
+
+
+Memory = Mapping[str, PoolMemory]
+
+
+@frozen
+class _Need:
+    """Number of VMs a pool should have, and how many it has or is about to have."""
+
+    pool: PoolLoad
+    wanted_count: int
+    held_count: int
+
+    @property
+    def surplus_count(self) -> int:
+        return self.held_count - self.wanted_count
+
+
+def quantile(values: Iterable[float], ratio: float) -> float:
+    """Return the quantile of the values by the nearest rank; 0 without values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(ratio * len(ordered)))] if ordered else 0.0
+
+
+def _need(pool: PoolLoad, memory: PoolMemory) -> _Need:
+    held_count = len(pool.vms) + pool.unavailable_count + pool.incoming_count
+    # With fewer VMs a maintenance wave could not use the whole budget.
+    floor_count = pool.min_available_count + pool.max_unavailable_count
+    slots_per_vm = pool.vms[0].slot_count if pool.vms else 1
+    wanted_count = math.ceil(quantile(memory.demands, NEED_QUANTILE) / slots_per_vm)
+    return _Need(pool, max(floor_count, wanted_count), held_count)
+
+
+@CAPACITY.register("forecast")
+def forecast(pools: Sequence[PoolLoad], now_ms: float, memory: Memory | None) -> Plan:
+    """Size each pool for its usual demand, and keep the rest in the spare pool.
+
+    Bursts are met by borrowed slots, see :func:`spare_first`. A pool grows or shrinks only after
+    it has been wrong for several passes, and only if the change pays back its cost.
+    """
+    known = memory or {}
+    remembered: dict[str, PoolMemory] = {}
+    needs: dict[str, _Need] = {}
+    for pool in pools:
+        old = known.get(pool.name, PoolMemory())
+        demands = (*old.demands[1 - HISTORY_COUNT :], pool.demand_count)
+        need = _need(pool, PoolMemory(demands))
+        needs[pool.name] = need
+        remembered[pool.name] = PoolMemory(
+            demands,
+            old.short_count + 1 if need.surplus_count < 0 else 0,
+            old.surplus_count + 1 if need.surplus_count > 0 else 0,
+            old.moved_ms,
+        )
+    moves = list(_forecast_moves(needs, remembered, now_ms))
+    for move in moves:
+        for name in (move.from_pool, move.to_pool):
+            if not needs[name].pool.spare:
+                old = remembered[name]
+                remembered[name] = PoolMemory(old.demands, moved_ms=now_ms)
+    return moves, remembered
+
+
+def _forecast_moves(needs: Mapping[str, _Need], memory: Memory, now_ms: float) -> Iterable[Move]:
+    units = {name: need.pool.spare_unit_count for name, need in needs.items()}
+    spares = [need for need in needs.values() if need.pool.spare]
+    taken: set[str] = set()
+    for need in needs.values():
+        pool, past = need.pool, memory[need.pool.name]
+        if pool.spare or len(past.demands) < WARM_UP_COUNT:
+            continue
+        if past.short_count >= GROW_AFTER_COUNT and not pool.incoming_count:
+            giver = next((s for s in spares if units[s.pool.name] > 0), None)
+            if giver is not None:
+                units[giver.pool.name] -= 1
+                vm = _take(giver.pool, taken)
+                yield Move(vm, giver.pool.name, pool.name, "usual demand exceeds the pool")
+        elif (
+            spares
+            and past.surplus_count >= SHRINK_AFTER_COUNT
+            # Unavailable VMs may be a wave's or failed; a move would compete with them.
+            and not pool.unavailable_count
+            and not pool.waiting_count
+            and (now_ms - past.moved_ms >= PAYBACK_MS or math.isinf(past.moved_ms))
+            and need.surplus_count * PAYBACK_MS > MOVE_COST_MS
+        ):
+            for _ in range(min(need.surplus_count, units[pool.name])):
+                units[pool.name] -= 1
+                yield Move(_take(pool, taken), pool.name, spares[0].pool.name, "surplus")
+
+
+def _take(pool: PoolLoad, taken: set[str]) -> str:
+    vm = min(
+        (vm for vm in pool.vms if vm.name not in taken), key=lambda vm: (vm.busy_count, vm.name)
+    )
+    taken.add(vm.name)
+    return vm.name
+
+
+# Lending of free slots
+
+
+@frozen
+class PoolSlots:
+    """Free slots of a pool now."""
+
+    name: str
+    slot_count: int
+    free_count: int
+    waiting_count: int = 0
+    spare: bool = False
+
+
+BORROWING: Registry[Callable[[str, Sequence[PoolSlots], bool], list[str]]] = Registry(
+    "borrowing policy"
+)
+
+# Free share of a pool that deferred jobs of other pools leave to its own urgent jobs.
+LENDING_RESERVE_RATIO = 0.25
+
+
+@BORROWING.register("none")
+def no_borrowing(pool: str, slots: Sequence[PoolSlots], urgent: bool) -> list[str]:
+    """Baseline: a pool's jobs run in that pool only."""
+    return []
+
+
+@BORROWING.register("spare_first")
+def spare_first(pool: str, slots: Sequence[PoolSlots], urgent: bool) -> list[str]:
+    """Return the pools whose free slots may serve a job of ``pool``, best first.
+
+    A lending pool has no waiting jobs of its own. The VM stays in its pool.
+
+    :param urgent: whether the pool has urgent jobs waiting; deferred ones leave a reserve.
+    """
+    lenders = [
+        s
+        for s in slots
+        if s.name != pool
+        and not s.waiting_count
+        and s.free_count > (0 if urgent else LENDING_RESERVE_RATIO * s.slot_count)
+    ]
+    lenders.sort(key=lambda s: (not s.spare, -s.free_count / s.slot_count, s.name))
+    return [s.name for s in lenders]
