--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, ClassVar
 
 import reactivex
@@ -155,6 +155,11 @@
                 if isinstance(reply, asyncio.Future) and not reply.done():
                     reply.set_exception(error)
 
+    def take_messages(self) -> Iterator[Any]:
+        """Remove and yield the waiting messages, for an actor that is driven by hand."""
+        while self._inbox:
+            yield self._inbox.popleft()
+
     @classmethod
     def can_receive(cls, message_type: type) -> bool:
         """Tell whether there is a handler for a message type."""
--- a/src/tarragoncart/records.py
+++ b/src/tarragoncart/records.py
@@ -124,6 +124,7 @@
 
     :param boot_id: of the worker; a guard that has restarted since proves nothing.
     :param body_digest: set for a job that has no ``accept`` record.
+    :param team: whose job it is, empty for an open queue.
     """
 
     request_id: str
@@ -132,6 +133,7 @@
     worker: str = ""
     boot_id: str = ""
     body_digest: str = ""
+    team: str = ""
 
 
 @record_kind("finish")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -22,13 +23,26 @@
 from standins.serving import Listener
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import operations, replay
+from tarragoncart.daemon import open_entry
 from tarragoncart.dispatch import Dispatch
-from tarragoncart.journal import Append, Journal
+from tarragoncart.journal import Append, AppendEnded, Chunk, Flush, Journal
 from tarragoncart.mailbox import new_reply
-from tarragoncart.model import FleetConfig, Member, PoolSpec, QueueSpec, TeamSpec, Verdict, VmSpec
+from tarragoncart.model import (
+    FleetConfig,
+    KeyGrant,
+    Member,
+    Mode,
+    PoolSpec,
+    QueueSpec,
+    TeamSpec,
+    Verdict,
+    VmSpec,
+    digest_key,
+)
 from tarragoncart.peers import Peers
-from tarragoncart.records import Envelope, Join, Publish
-from tarragoncart.timer import LoopTimer
+from tarragoncart.records import Envelope, GrantKey, Join, Publish, WithdrawKey, encode_record
+from tarragoncart.settings import EntrySettings
+from tarragoncart.timer import LoopTimer, ManualTimer
 from tarragoncart.upstream import UpstreamChanged
 
 
@@ -392,3 +406,162 @@
     async with TestServer(app, host="127.0.0.1") as server:
         stub.address = f"127.0.0.1:{server.port}"
         yield stub
+
+
+@define
+class RunningEntry:
+    """An entry VM in this process, in front of the worker and the platform of the fixtures."""
+
+    url: str
+    peer_url: str
+    worker: str
+    actors: list[Any]
+    http: aiohttp.ClientSession
+
+    async def ask(
+        self, method: str, path: str, body: Any = None, key: str = "shop-key"
+    ) -> tuple[int, Any]:
+        """Make a call with a key and return the status and the decoded body.
+
+        :param body: sent as it is if it is ``bytes``, otherwise as JSON.
+        """
+        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        request = self.http.request(method, self.url + path, data=data, headers=headers)
+        async with request as answer:
+            return answer.status, await answer.json()
+
+    async def submit(self, queue: str, body: Any, key: str = "shop-key") -> tuple[int, Any]:
+        """Submit a job."""
+        return await self.ask("POST", f"/v1/queues/{queue}/jobs", body, key)
+
+    async def started_count(self) -> int:
+        """Return how many requests the worker has ever started."""
+        async with self.http.get(f"{self.worker}/control/state") as answer:
+            return (await answer.json())["guard_entries"]
+
+
+@pytest.fixture
+def append(call: Any, platform: str) -> Callable[..., Awaitable[int]]:
+    """Append records to the platform's log, past the entry VMs; returns the first offset."""
+    numbers = itertools.count()
+
+    async def send(*items: Any, batch_id: str = "") -> int:
+        batch_id = batch_id or f"test-{next(numbers)}"
+        encoded = [
+            encode_record(Envelope(batch_id, index, "test", 0, item))
+            for index, item in enumerate(items)
+        ]
+        url = f"{platform}/log/fleet/records"
+        return (await call("POST", url, records=encoded))[1]["first_offset"]
+
+    return send
+
+
+@pytest.fixture
+async def entry(
+    append: Any, platform: str, worker: str, http: aiohttp.ClientSession, wait_until: Any
+) -> AsyncIterator[RunningEntry]:
+    """A ready entry VM; teams shop and studio have keys named after them, ``old-key`` is gone."""
+    queues = (
+        QueueSpec("holds", "holds", guarded=True),
+        QueueSpec("events", "holds"),
+        QueueSpec("walk-in", "holds", open_to_all=True),
+        QueueSpec("night", "holds", Mode.DEFERRED, guarded=True),
+    )
+    address = worker.removeprefix("http://")
+    config = FleetConfig(
+        queues=queues,
+        teams=(TeamSpec("shop", 2.0, 10), TeamSpec("studio", 1.0, 5)),
+        pools=(PoolSpec("holds", 1, 0),),
+        vms=(VmSpec("w", "holds", "dc-1", "rack-1", address, slot_count=2, connection_count=4),),
+    )
+    keys = {"shop-key": "shop", "studio-key": "studio", "old-key": "shop"}
+    grants = [GrantKey(KeyGrant(digest_key(key), team)) for key, team in keys.items()]
+    await append(Publish(0, config), *grants, WithdrawKey(digest_key("old-key")))
+    settings = EntrySettings(
+        "entry-1", "dc-1", "127.0.0.1:0", "127.0.0.1:0", platform.removeprefix("http://")
+    )
+    running = await open_entry(settings)
+    urls = [f"http://{address}" for address in (running.client_address, running.peer_address)]
+    entry = RunningEntry(*urls, worker, running.actors, http)
+
+    async def has_rights() -> bool:
+        _, status = await entry.ask("GET", "/v1/status")
+        return all(team["rights_count"] > 0 for team in status["teams"].values()) and bool(
+            status["teams"]
+        )
+
+    await wait_until(has_rights)
+    yield entry
+    await running.close()
+
+
+@define
+class JournalBench:
+    """A journal without sockets: the test is its log and its clock.
+
+    :param posts: encoded records of each append that it has sent.
+    :param log: records by offset, as the log would return them.
+    """
+
+    journal: Journal
+    timer: ManualTimer
+    posts: list[list[dict[str, Any]]] = Factory(list)
+    log: list[dict[str, Any]] = Factory(list)
+
+    def append(self, record: Any, expires_at_ms: float = float("inf")) -> asyncio.Future[Any]:
+        """Ask for an append, let the flush window pass and return the reply."""
+        reply = new_reply()
+        self.journal.handle(Append(record, "test", reply, expires_at_ms))
+        self.journal.handle(Flush())
+        return reply
+
+    def end(self, event: str, post: int = -1) -> None:
+        """End the call that sent a batch."""
+        batch_id = self.posts[post][0]["batch_id"]
+        self.journal.handle(AppendEnded(batch_id, event, 1.0))
+
+    def write(self, *encoded: dict[str, Any]) -> None:
+        """Let records take effect in the log."""
+        self.log += [
+            {"offset": offset, "record": item} for offset, item in enumerate(encoded, len(self.log))
+        ]
+
+    def chunk(self, start: int = 0, end: int | None = None, limit: int = 10**6) -> Chunk:
+        """Return what a read that is sent now and is answered at once returns.
+
+        :param start: offset of the oldest record that is retained.
+        """
+        first = max(start, self.journal.next_offset)
+        items = self.log[first : first + limit]
+        end_offset = len(self.log) if end is None else end
+        return Chunk(items, start, end_offset, self.timer.now_ms())
+
+    def read(self, **options: Any) -> None:
+        """Read the log."""
+        self.journal.handle(self.chunk(**options))
+
+
+@pytest.fixture
+def bench(monkeypatch: pytest.MonkeyPatch) -> JournalBench:
+    """A journal that the test drives by hand."""
+    timer = ManualTimer()
+    bench = JournalBench(Journal("entry-1", "127.0.0.1:1", timer), timer)
+    sent = bench.posts
+
+    def post(_: str, texts: list[str]) -> None:
+        sent.append([json.loads(text) for text in texts])
+
+    monkeypatch.setattr(bench.journal, "_post", post)
+    monkeypatch.setattr(bench.journal, "spawn", lambda _: None)
+    return bench
+
+
+@pytest.fixture
+async def journal(platform: str) -> AsyncIterator[Journal]:
+    """A running journal of the platform's log."""
+    journal = Journal("entry-1", platform.removeprefix("http://"), LoopTimer())
+    journal.start()
+    yield journal
+    await journal.stop()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -57,8 +57,8 @@
         """Handle what the actor has told itself."""
         for _ in range(3):
             await asyncio.sleep(0)
-            while not self.dispatch._inbox.empty():
-                self.handle(self.dispatch._inbox.get_nowait())
+            for message in self.dispatch.take_messages():
+                self.handle(message)
 
     def handle(self, message: Any) -> None:
         """Handle one message."""
@@ -156,7 +156,7 @@
     await desk.log()
     assert (reply.result().status, reply.result().code) == (409, "different_body")
     asked = new_reply()
-    desk.handle(module.Query("r", asked))
+    desk.handle(module.Query("r", "k", asked))
     await desk.settle()
     assert asked.result() is None
     again = await desk.submit(queue="packs", digest="other")
@@ -169,7 +169,7 @@
     desk.show()
     await desk.submit(queue="packs")
     await desk.log()
-    desk.handle(module.Cancel("r", new_reply()))
+    desk.handle(module.Cancel("r", "k", new_reply()))
     finish = [record for record in await desk.log() if isinstance(record, records.FinishJob)]
     assert [(record.outcome, record.code) for record in finish] == [(Outcome.NOT_RUN, "cancelled")]
 
@@ -193,7 +193,7 @@
     """Guards against a job that stays pending because it ended before its claim was lost."""
     reply = await desk.submit("own")
     (claim,) = desk.journal.of(Append)
-    first = records.ClaimJob("own", 1, "b", "vm-0", "boot", "d")
+    first = records.ClaimJob("own", 1, "b", "vm-0", "boot", "d", "shop")
     done = records.FinishJob("own", Outcome.ANSWERED, 1, {"echo": 1})
     for record in (first, done):
         desk.apply(Append(record, "b"), "b")
