--- a/src/tarragoncart/placement.py
+++ b/src/tarragoncart/placement.py
@@ -48,14 +48,21 @@
 
     @classmethod
     def create(
-        cls, policies: PolicySpec, own_data_centre: str, rng: random.Random
+        cls,
+        policies: PolicySpec,
+        own_data_centre: str,
+        rng: random.Random,
+        ledger: fairqueue.Ledger,
     ) -> PoolPlacement:
-        """Return an empty pool that uses the named policies."""
+        """Return an empty pool that uses the named policies.
+
+        :param ledger: use of slots by team, shared by all pools.
+        """
         return cls(
             policies,
             own_data_centre,
             rng,
-            fairqueue.QUEUE_ORDERS.get(policies.queue_order)(),
+            fairqueue.make_order(policies.queue_order, ledger),
             routing.EJECTION.get(policies.ejection)(),
         )
 
