Start nothing after a pause before the log has been read on; count requests and attempts

Cause: a process stopped past its lease may have been retired and its rights given away; a worker that rebooted meanwhile has lost its fences and would accept its late attempts. No instrument was recorded anywhere. Conclusion: a late holder needs evidence newer than its pause.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -15,7 +15,7 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from . import admission, defaults, fairqueue, limits, records
+from . import admission, defaults, fairqueue, limits, metrics, records
 from .admission import Standing, Submission
 from .attempts import Evidence
 from .charts import load_chart
@@ -195,6 +195,7 @@
     job: Job
     state: str = JOB_CHART.initial
     waiters: list[asyncio.Future[Reply]] = Factory(list)
+    admitted_ms: float = 0.0
     reply: Reply | None = None
     attempt: Attempt | None = None
     attempt_count: int = 0
@@ -259,6 +260,8 @@
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
+        self._swept_ms = timer.now_ms()
+        self._resumed_ms = float("-inf")
 
     @property
     def view(self) -> FleetView:
@@ -362,7 +365,7 @@
             )
 
     def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
-        entry = JobEntry(job, waiters=[reply])
+        entry = JobEntry(job, waiters=[reply], admitted_ms=self._timer.now_ms())
         known = self._log_jobs.get(job.request_id)
         if known is not None and (known.body_digest, known.team) != (job.body_digest, job.team):
             raise _different_body()
@@ -661,6 +664,8 @@
         """Start as many waiting jobs of a pool as may start now."""
         pool = self._pool(name)
         now_ms = self._timer.now_ms()
+        if not self._is_current(now_ms):
+            return
         while placement := pool.next_placement(
             self._ledger.may_start, lambda job_id: self._jobs[job_id].excluded, now_ms
         ):
@@ -671,14 +676,27 @@
             entry.placed_on = worker
             entry.placed_at_ms = now_ms
             entry.boot_id = self._facts[worker].boot_id
+            metrics.WAIT_DURATION.record(now_ms - entry.admitted_ms)
             claim = admission.needs_claim(entry.job)
             self._step(entry, "place_claimed" if claim else "place")
 
+    def _is_current(self, now_ms: float) -> bool:
+        """Tell whether the view holds what happened during the last pause of this process.
+
+        A process that was stopped for a lease may have been retired meanwhile, and its rights
+        may be in use elsewhere; it starts nothing before it has read on.
+        """
+        if now_ms - self._swept_ms > defaults.PAUSE_MS:
+            self._resumed_ms = now_ms
+            self._swept_ms = now_ms
+        return self._fresh_as_of_ms >= self._resumed_ms
+
     @receives(AttemptEnded)
     def _on_attempt_ended(self, message: AttemptEnded) -> None:
         entry = self._jobs.get(message.attempt.request_id)
         evidence = message.evidence
         current = entry is not None and entry.attempt is message.attempt
+        self._count_attempt(message)
         if evidence.verdict is not None and not message.fenced:
             pool = self._pool_of_worker(message.attempt.worker)
             if pool is not None:
@@ -692,6 +710,15 @@
         self._step(entry, event)
         self._pump(entry.job.pool)
 
+    def _count_attempt(self, message: AttemptEnded) -> None:
+        if message.fenced:
+            metrics.GUARD_QUERIES.add(1)
+            return
+        verdict = message.evidence.code or message.evidence.event
+        metrics.ATTEMPTS.add(1, metrics.labels(verdict=verdict))
+        if message.evidence.code in ("mismatched_answer", "undecodable_answer"):
+            metrics.DISCARDED_ANSWERS.add(1)
+
     def _next_event(self, entry: JobEntry, evidence: Evidence, fenced: bool) -> str:
         """Return the job chart's event for what is known about the present attempt."""
         now_ms = self._timer.now_ms()
@@ -725,6 +752,7 @@
             and pool.retries.take()
         )
         if allowed:
+            metrics.RETRIES.add(1)
             entry.excluded.add(entry.placed_on)
         return allowed
 
@@ -745,6 +773,8 @@
     @receives(SweepDeadlines)
     def _on_sweep_deadlines(self, _: SweepDeadlines) -> None:
         now_ms = self._timer.now_ms()
+        self._is_current(now_ms)
+        self._swept_ms = now_ms
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             request_id = heapq.heappop(self._deadlines)[1]
             entry = self._jobs.get(request_id)
@@ -769,6 +799,7 @@
     @receives(ViewChanged)
     def _on_view_changed(self, message: ViewChanged) -> None:
         previous, self._view = self._view, message.view
+        was_behind = self._fresh_as_of_ms < self._resumed_ms
         self._fresh_as_of_ms = message.fresh_as_of_ms
         self._log_available = message.log_available
         self._loaded = message.loaded
@@ -779,7 +810,7 @@
             self._pools_changed(previous)
         if previous.vms is not message.view.vms:
             self._vms_changed()
-        if previous.rights is not message.view.rights:
+        if previous.rights is not message.view.rights or was_behind:
             self._pump_all()
 
     def _pools_changed(self, previous: FleetView) -> None:
@@ -951,6 +982,7 @@
         if self._is_draining:
             waiting = {}
         for record in limits.plan_rights(self._ledger, waiting, self._wants, members_count):
+            metrics.RIGHTS_MOVED.add(record.count)
             if isinstance(record, records.TransferRights):
                 # The giver lets go before the receiver may use the rights.
                 self._ledger.given[record.team] += record.count
--- a/src/tarragoncart/journal.py
+++ b/src/tarragoncart/journal.py
@@ -12,7 +12,7 @@
 import aiohttp
 from attrs import Factory, define, field, frozen
 
-from . import defaults, records, replay, snapshots
+from . import defaults, metrics, records, replay, snapshots
 from .charts import load_chart
 from .errors import InboxFullError, LogUnavailableError, RecordError
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
@@ -22,6 +22,7 @@
 logger = logging.getLogger(__name__)
 APPEND_CHART = load_chart("append")
 STREAM = "fleet"
+COUNTERS = {"move": metrics.VM_MOVES, "begin_stop": metrics.VM_STOPS}
 # Raw records kept for peers that are cut off from the log.
 TAIL_RECORD_COUNT = 2_000
 
@@ -390,6 +391,7 @@
         batch = self._batches.get(envelope.batch_id)
         if applied is None:
             return frozenset()
+        self._count_record(applied.entry)
         if batch is not None:
             resolve(batch.items[envelope.index].reply, applied.entry)
             if envelope.index == len(batch.items) - 1:
@@ -401,6 +403,16 @@
             self._tell_listeners(JobChanged(self.state.jobs[applied.entry.subjects[0]]))
         return applied.sections
 
+    def _count_record(self, entry: AuditEntry) -> None:
+        ruling = "accepted" if entry.accepted else "rejected"
+        metrics.RECORDS.add(1, metrics.labels(kind=entry.kind, ruling=ruling))
+        if not entry.accepted:
+            return
+        if entry.kind in COUNTERS:
+            COUNTERS[entry.kind].add(1)
+        elif entry.kind == "publish" and self.loaded:
+            metrics.CONFIG_DURATION.record(max(0, self._timer.wall_ms() - entry.at_ms))
+
     @receives(ReadFailed)
     def _on_read_failed(self, _: ReadFailed) -> None:
         silent_ms = self._timer.now_ms() - self._last_read_ms
@@ -475,6 +487,8 @@
     @receives(AppendEnded)
     def _on_append_ended(self, message: AppendEnded) -> None:
         batch = self._batches.get(message.batch_id)
+        metrics.APPENDS.add(1, metrics.labels(result=message.event))
+        metrics.APPEND_DURATION.record(message.duration_ms)
         slow = message.event != "acknowledged" or message.duration_ms > defaults.APPEND_SLOW_MS
         self._window_ms = defaults.FLUSH_WINDOW_SLOW_MS if slow else defaults.FLUSH_WINDOW_MS
         if batch is None or not APPEND_CHART.accepts(batch.state, message.event):
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -40,8 +40,6 @@
 RETRIES = _counter("retries", "attempt", "Attempts after the first of a job.")
 DISCARDED_ANSWERS = _counter("answers.discarded", "answer", "Late, swapped or truncated answers.")
 GUARD_QUERIES = _counter("guard.queries", "query", "Questions to a worker's guard table.")
-EJECTIONS = _counter("ejections", "event", "Upstreams ejected.")
-ATTEMPT_DURATION = _duration("attempt.duration", "From the first byte sent to the verdict.")
 
 # The log: attributes result.
 APPENDS = _counter("log.appends", "append", "Appends ended, by result.")
@@ -91,6 +89,18 @@
     return InMemoryMetricReader()
 
 
+_readers: list[Any] = []
+
+
+def collect() -> str | None:
+    """Return all metrics as JSON; None if no reader keeps them in memory."""
+    for reader in _readers:
+        if hasattr(reader, "get_metrics_data"):
+            data = reader.get_metrics_data()
+            return "{}" if data is None else data.to_json()
+    return None
+
+
 def start_metrics(exporter: str, attributes: dict[str, str] | None = None) -> Any:
     """Install the exporter of that name and return its reader, None for ``none``.
 
@@ -103,6 +113,7 @@
     from opentelemetry.sdk.metrics import MeterProvider
     from opentelemetry.sdk.resources import Resource
 
+    _readers.append(reader)
     provider = MeterProvider([reader], resource=Resource.create(dict(attributes or {})))
     api.set_meter_provider(provider)
     return reader
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -12,7 +12,7 @@
 import cattrs
 from attrs import Factory, define, evolve, frozen
 
-from . import defaults, limits, records, snapshots
+from . import defaults, limits, metrics, records, snapshots
 from .attempts import Evidence
 from .dispatch import (
     ForwardSubmission,
@@ -247,12 +247,14 @@
 
     @receives(BeatFailed)
     def _on_beat_failed(self, message: BeatFailed) -> None:
+        metrics.HEARTBEATS.add(1, metrics.labels(result="failed"))
         contact = self._contacts.get(message.address)
         if contact is not None:
             contact.in_flight = False
 
     @receives(BeatAnswered)
     def _on_beat_answered(self, message: BeatAnswered) -> None:
+        metrics.HEARTBEATS.add(1, metrics.labels(result="answered"))
         contact = self._contacts.get(message.address)
         if contact is None:
             return
@@ -397,6 +399,7 @@
 
     @receives(ForwardSubmission)
     def _on_forward_submission(self, message: ForwardSubmission) -> None:
+        metrics.FORWARDS.add(1)
         self.spawn(self._forward(message))
 
     async def _forward(self, message: ForwardSubmission) -> None:
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 from attrs import frozen
 
-from . import defaults, records
+from . import defaults, metrics, records
 from .admission import Submission
 from .audit import entries_about, entry_json
 from .dispatch import Cancel, Dispatch, Query, ReadLogged, ReadUsage, Submit, issue_request_ids
@@ -254,7 +254,13 @@
     submission = decode_submission(
         request.match_info["queue"], key_of(request), await _read_json(request)
     )
+    arrived_ms = front.timer.now_ms()
     reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
+    outcome = str(reply.outcome)
+    metrics.REQUESTS.add(1, metrics.labels(queue=submission.queue, outcome=outcome))
+    metrics.REQUEST_DURATION.record(front.timer.now_ms() - arrived_ms)
+    if reply.outcome is Outcome.NOT_RUN:
+        metrics.REFUSALS.add(1, metrics.labels(code=reply.code))
     return reply_response(reply, front.dispatch.config_version)
 
 
@@ -555,6 +561,16 @@
     return web.json_response({"state": state}, status=200 if state == "ready" else 503)
 
 
+@CLIENT_ROUTES.register("GET /metrics")
+async def read_metrics(_: Front, __: web.Request) -> web.Response:
+    """Answer with all counters; they are kept only with the exporter ``memory``."""
+    text = metrics.collect()
+    if text is None:
+        message = "no metrics are kept; set metrics_exporter to memory"
+        raise RequestError(message, code="no_metrics", status=404, step="read metrics")
+    return web.json_response(text=text)
+
+
 # Other entry VMs
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -204,3 +204,17 @@
     asked.reply.set_result(desk.state.jobs["own"])
     await desk.settle()
     assert reply.result().outcome is Outcome.ANSWERED
+
+
+async def test_a_paused_process_starts_nothing_before_it_has_read_on(desk):
+    """Guards against a process that was stopped past its lease and retired meanwhile."""
+    desk.timer.advance(4_000)
+    await desk.submit("own")
+    assert not desk.journal.of(Append)
+    desk.show(fresh_as_of_ms=3_999)
+    await desk.settle()
+    assert not desk.journal.of(Append)
+    desk.show()
+    await desk.settle()
+    (claim,) = desk.journal.of(Append)
+    assert claim.record.request_id == "own"
