Let workers answer one after the other about a retired incarnation

Cause: the rights of a retired incarnation were released only when all workers answered a fence at the same time. Change: what a worker has answered counts until its boot ID changes, and a worker that does not reply, because it is being removed, ends the round by a timeout.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -165,7 +165,9 @@
 class CountTasks:
     """Fence an incarnation at every worker.
 
-    The reply is the number of its tasks that still run, None if a worker did not answer.
+    The reply is the number of its tasks that still run, None if a worker has not answered. What
+    a worker has answered once stays true until it reboots, so that the answers of all workers
+    need not come at the same time: during a wave there may always be one that reboots.
     """
 
     incarnation: str
@@ -257,6 +259,8 @@
         self._waiting: Counter[str] = Counter()
         # Attempts of retried idempotent jobs that may still run; they keep their right.
         self._stranded: dict[str, tuple[Attempt, str]] = {}
+        # Boot IDs of the workers at which a retired incarnation is fenced and runs nothing.
+        self._fenced: dict[str, dict[str, str]] = {}
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
@@ -1129,12 +1133,27 @@
         self.spawn(self._count_tasks(message))
 
     async def _count_tasks(self, message: CountTasks) -> None:
-        replies = []
-        for upstream in self._upstreams.values():
-            replies.append(new_reply())
-            upstream.tell(FenceIncarnation(message.incarnation, replies[-1]))
-        counts = await asyncio.gather(*replies)
-        resolve(message.reply, None if None in counts else sum(counts))
+        idle = self._fenced.setdefault(message.incarnation, {})
+        replies: dict[str, asyncio.Future[tuple[int, str] | None]] = {}
+        for name, upstream in self._upstreams.items():
+            if name not in idle or idle[name] != self._facts[name].boot_id:
+                replies[name] = new_reply()
+                upstream.tell(FenceIncarnation(message.incarnation, replies[name]))
+        if replies:
+            # An upstream that is removed meanwhile never replies.
+            await asyncio.wait(replies.values(), timeout=2 * defaults.CONTROL_TIMEOUT_MS / 1_000)
+        running_count: int | None = 0
+        for name, reply in replies.items():
+            found = reply.result() if reply.done() else None
+            if found is None or running_count is None:
+                running_count = None
+            else:
+                running_count += found[0]
+            if found is not None and not found[0]:
+                idle[name] = found[1]
+        if running_count == 0:
+            self._fenced.pop(message.incarnation, None)
+        resolve(message.reply, running_count)
 
     @receives(ReadUsage)
     def _on_read_usage(self, message: ReadUsage) -> None:
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -44,11 +44,12 @@
 class FenceIncarnation:
     """Stop all later starts of an incarnation.
 
-    The reply is the number of its running tasks, None if the worker did not answer.
+    The reply is the number of its running tasks and the worker's boot ID, None if the worker did
+    not answer.
     """
 
     incarnation: str
-    reply: asyncio.Future[int | None]
+    reply: asyncio.Future[tuple[int, str] | None]
 
 
 @frozen
@@ -298,14 +299,14 @@
 
     async def _fence_incarnation(self, message: FenceIncarnation) -> None:
         body = {"incarnation": message.incarnation}
-        count = None
+        found = None
         try:
             status, data = await self._call("POST", "/guard/fence", body)
             if status == 200 and isinstance(data, dict):
-                count = len(data["running"])
+                found = len(data["running"]), data.get("boot_id", "")
         except (aiohttp.ClientError, TimeoutError):
             logger.debug("fence failed", extra={"worker": self.worker})
-        resolve(message.reply, count)
+        resolve(message.reply, found)
 
 
 async def _decode(response: aiohttp.ClientResponse) -> Any:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -18,7 +18,13 @@
 from tarragoncart.mailbox import new_reply
 from tarragoncart.model import Answer, KeyGrant, Mode, Outcome, QueueSpec, Reply
 from tarragoncart.timer import ManualTimer
-from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, UpstreamChanged
+from tarragoncart.upstream import (
+    AttemptEnded,
+    FenceIncarnation,
+    FenceRequest,
+    Transmit,
+    UpstreamChanged,
+)
 
 
 @define
@@ -218,3 +224,26 @@
     await desk.settle()
     (claim,) = desk.journal.of(Append)
     assert claim.record.request_id == "own"
+
+
+async def test_workers_tell_of_a_retired_incarnation_one_after_the_other(desk):
+    """Guards against rights that stay held while in a wave one worker or another reboots."""
+
+    async def count(answers: dict[int, tuple[int, str]]) -> tuple[list[int], int | None]:
+        reply = new_reply()
+        desk.handle(module.CountTasks("gone", reply))
+        await desk.settle()
+        asked = []
+        for number, stub in enumerate(desk.upstreams):
+            for fence in stub.of(FenceIncarnation):
+                asked.append(number)
+                stub.messages.remove(fence)
+                fence.reply.set_result(answers.get(number))
+        return asked, await reply
+
+    idle = (0, "boot")
+    assert await count(dict.fromkeys(range(5), idle)) == ([0, 1, 2, 3, 4, 5], None)
+    assert await count({5: (1, "boot")}) == ([5], 1)
+    desk.handle(UpstreamChanged("vm-0", leased=True, slot_count=8, boot_id="later boot"))
+    assert await count({5: idle}) == ([0, 5], None)
+    assert await count({0: (0, "later boot")}) == ([0], 0)
