--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -449,6 +449,7 @@
         self._bounds = bounds
         self._view = FleetView()
         self._loaded = False
+        self._fresh_as_of_ms = float("-inf")
         self._log_available = False
         self._driving = False
         self._workers: dict[str, WorkerFacts] = {}
@@ -489,6 +490,7 @@
             self._log_since_ms = now_ms
         self._log_available = message.log_available
         self._loaded = message.loaded
+        self._fresh_as_of_ms = message.fresh_as_of_ms
         if previous.vms is not message.view.vms:
             self._note_vms(previous, now_ms)
         changed = previous.vms is not message.view.vms or previous.waves is not message.view.waves
@@ -528,7 +530,10 @@
     # Steps
 
     def _may_act(self) -> bool:
-        return self._driving and self._log_available and self._loaded
+        # The log may answer while records that were removed from it are missing here.
+        age_ms = self._timer.now_ms() - self._fresh_as_of_ms
+        is_current = self._loaded and age_ms <= defaults.LOG_UNAVAILABLE_MS
+        return self._driving and self._log_available and is_current
 
     @receives(LookDue)
     def _on_look_due(self, _: LookDue) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -276,6 +276,8 @@
     for name in operated.workers:
         actor.handle(UpstreamChanged(name, True, boot_id="boot-0"))
     actor.handle(operations.LookDue())
+    actor.handle(evolve(changed, log_available=True, fresh_as_of_ms=-3_000.0))
+    actor.handle(operations.LookDue())
     assert not told
     actor.handle(evolve(changed, log_available=True))
     actor.handle(operations.LookDue())
