--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -231,11 +231,18 @@
 
 def _update_rights(state: FleetState) -> None:
     limits = {team.name: team.upper_limit_count for team in state.config.teams}
-    for team in set(state.rights) - set(limits):
-        del state.rights[team]
-    for team, limit_count in limits.items():
+    for team in {**state.rights, **limits}:
         known = state.rights.get(team, TeamRights(0, 0))
-        state.rights[team] = resize_rights(known, limit_count)
+        _set_rights(state, team, resize_rights(known, limits.get(team, 0)), team in limits)
+
+
+def _set_rights(state: FleetState, team: str, rights: TeamRights, configured: bool) -> None:
+    # Held rights outlast their team: if it is configured again, the tasks that may still run
+    # count against its new limit.
+    if configured or rights.held:
+        state.rights[team] = rights
+    else:
+        state.rights.pop(team, None)
 
 
 def resize_rights(rights: TeamRights, limit_count: int) -> TeamRights:
@@ -252,6 +259,8 @@
     remainder = available - sum(holders.values())
     for name in sorted(holders)[:remainder]:
         holders[name] += 1
+    # An entry of 0 would outlast its incarnation and get a share of a later remainder.
+    holders = {name: count for name, count in holders.items() if count}
     return evolve(rights, limit_count=limit_count, unassigned_count=0, holders=holders)
 
 
@@ -300,10 +309,12 @@
 def _release(state: FleetState, record: records.ReleaseRights, _: Envelope) -> Ruling:
     if record.incarnation not in state.retired:
         return _rejected("incarnation is not retired", record.incarnation)
-    for team, rights in state.rights.items():
+    configured = {team.name for team in state.config.teams}
+    for team, rights in list(state.rights.items()):
         if record.incarnation in rights.held:
             held = {k: v for k, v in rights.held.items() if k != record.incarnation}
-            state.rights[team] = resize_rights(evolve(rights, held=held), rights.limit_count)
+            rights = resize_rights(evolve(rights, held=held), rights.limit_count)
+            _set_rights(state, team, rights, team in configured)
     return Ruling((state.retired[record.incarnation], record.incarnation))
 
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 
 from tarragoncart import records, replay
-from tarragoncart.model import KeyGrant, Outcome, TeamSpec
+from tarragoncart.model import KeyGrant, Member, Outcome, TeamSpec
 
 
 def test_second_publish_on_the_same_base_is_rejected(fleet, submit, config):
@@ -54,6 +54,35 @@
     assert (rights.held, rights.holders) == ({"a": 4}, {"b": 2})
 
 
+def test_rights_cut_to_nothing_leave_no_holder_behind(fleet, submit, config):
+    """Guards against a retired incarnation that gets the remainder of a later cut."""
+    limits = (0, 10, 5)
+    teams = [evolve(config, teams=(TeamSpec("shop", 1.0, limit),)) for limit in limits]
+    submit(records.TakeRights("shop", "a", 1))
+    submit(records.Publish(1, teams[0]))
+    submit(records.Retire("a", "silent"))
+    submit(records.Publish(2, teams[1]))
+    for name in "cd":
+        submit(records.Join(Member(name, name, "dc-1", "127.0.0.1:2", "127.0.0.1:3")))
+        submit(records.TakeRights("shop", name, 3))
+    submit(records.Publish(3, teams[2]))
+    assert fleet.rights["shop"].holders == {"c": 3, "d": 2}
+
+
+def test_held_rights_outlast_their_team(fleet, submit, config):
+    """Guards against tasks of a dead entry VM being forgotten when a team comes back."""
+    submit(records.TakeRights("shop", "a", 7))
+    submit(records.Retire("a", "silent"))
+    submit(records.Publish(1, evolve(config, teams=())))
+    assert not submit(records.TakeRights("shop", "b", 1)).accepted
+    submit(records.Publish(2, config))
+    assert fleet.rights["shop"].held == {"a": 7}
+    assert fleet.rights["shop"].unassigned_count == 3
+    submit(records.Publish(3, evolve(config, teams=())))
+    submit(records.ReleaseRights("a"))
+    assert not fleet.rights
+
+
 def test_only_one_claim_wins(fleet, submit):
     """Guards against two entry VMs running one deferred job."""
     submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0))
