Fix replay of publishes that remove pools or VMs in use

Cause: reading replay against the plain models showed four cases that short runs of the state machine had not reached. 1. move vm-0 from "holds" to "spare", publish without "spare", drained: the VM joined a pool that does not exist, which no budget covers. 2. VM in "spare" fails, publish without "spare": the VM was recorded as in service in its first pool, so that the budget counted a failed or rebooting VM as available. 3. Both VMs of a wave fail, operator resumes the halted wave: it ran for ever. 4. A publish removes the VMs that a wave still waits for: it ran for ever. Change: such a move ends in the old pool, a VM keeps its state when its pool is removed, a publish takes removed VMs out of waves, and a wave with no VM to come ends. bench.vm_model says the same. A test for each; the four fail on the old replay. Conclusion: the four cases are fixed.

--- a/src/bench/vm_model.py
+++ b/src/bench/vm_model.py
@@ -33,6 +33,11 @@
     state: str = "running"
     failure_count: int = 0
 
+    def end_if_done(self) -> None:
+        """End a running wave without VMs to come."""
+        if not self.pending and self.state == "running":
+            self.state = "over"
+
 
 @define
 class VmModel:
@@ -80,8 +85,13 @@
             for pool in config["pools"]
         }
         vms = {vm["name"]: vm["pool"] for vm in config["vms"]}
-        known = {n: vm for n, vm in self.vms.items() if n in vms and vm.pool in self.budgets}
-        self.vms = {name: known.get(name) or Vm(pool) for name, pool in vms.items()}
+        self.vms = {name: self.vms.get(name) or Vm(pool) for name, pool in vms.items()}
+        for name, vm in self.vms.items():
+            if vm.pool not in self.budgets:
+                vm.pool = vms[name]
+        for wave in self.waves.values():
+            wave.pending &= set(vms)
+            wave.end_if_done()
 
     def _start_wave(self, record: Mapping[str, Any]) -> None:
         pending = {name for pool in record["pools"] for name in self.members(pool)}
@@ -96,6 +106,7 @@
             wave.state = "over"
         elif record["event"] == "resume" and wave.state == "halted":
             wave.state, wave.failure_count = "running", 0
+            wave.end_if_done()
 
     def _change_vm(self, kind: str, record: Mapping[str, Any], vm: Vm) -> None:
         before = vm.state
@@ -113,7 +124,8 @@
             if known and self.fits(vm.pool, self._out_count(vm.pool) + 1):
                 vm.state, vm.target_pool = "draining", record["to_pool"]
         elif kind == "drained" and before == "draining":
-            vm.state, vm.pool = "in_service", vm.target_pool
+            vm.state = "in_service"
+            vm.pool = vm.target_pool if vm.target_pool in self.budgets else vm.pool
         elif kind == "vm_failed" and before != "failed":
             vm.state = "failed"
             if before in ("reserved", "stopping"):
@@ -133,5 +145,4 @@
         wave.failure_count += failed
         if wave.failure_count >= WAVE_FAILURE_LIMIT_COUNT:
             wave.state = "halted"
-        if not wave.pending and wave.state == "running":
-            wave.state = "over"
+        wave.end_if_done()
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -204,7 +204,7 @@
 # Configuration and keys
 
 
-@handles(records.Publish, "config", "config_version", "rights", "vms")
+@handles(records.Publish, "config", "config_version", "rights", "vms", "waves")
 def _publish(state: FleetState, record: records.Publish, _: Envelope) -> Ruling:
     if record.base_version != state.config_version:
         return _rejected(f"version {state.config_version} is in force", "config")
@@ -221,12 +221,18 @@
     pools = {pool.name for pool in state.config.pools}
     for name in set(state.vms) - set(specs):
         del state.vms[name]
+    for wave in state.waves.values():
+        pending = tuple(name for name in wave.pending if name in specs)
+        state.waves[wave.wave] = _finish_wave(evolve(wave, pending=pending))
     for name, spec in specs.items():
         known = state.vms.get(name)
-        if known is None or known.pool not in pools:
+        if known is None:
             state.vms[name] = VmState(spec, spec.pool)
         else:
-            state.vms[name] = evolve(known, spec=spec)
+            # A VM whose pool is gone joins its first one in the state that it is in: it may be
+            # out of service.
+            pool = known.pool if known.pool in pools else spec.pool
+            state.vms[name] = evolve(known, spec=spec, pool=pool)
 
 
 def _update_rights(state: FleetState) -> None:
@@ -557,6 +563,9 @@
     vm = state.vms.get(record.vm)
     if vm is None or vm.state != "draining":
         return _rejected("VM is not draining", record.vm)
+    if vm.target_pool not in {pool.name for pool in state.config.pools}:
+        cause = f"cancelled: unknown pool {vm.target_pool}"
+        return _step_vm(state, record.vm, "cancel_stop", cause=cause, target_pool="")
     return _step_vm(state, record.vm, "drained", pool=vm.target_pool, target_pool="")
 
 
@@ -590,7 +599,8 @@
         return _rejected(f"wave is {wave.state}", record.wave)
     step = WAVE_CHART.step(wave.state, record.event)
     failure_count = 0 if "reset_failures" in step.actions else wave.failure_count
-    state.waves[record.wave] = evolve(wave, state=step.state, failure_count=failure_count)
+    wave = evolve(wave, state=step.state, failure_count=failure_count)
+    state.waves[record.wave] = _finish_wave(wave)
     return Ruling((record.wave,), reason=record.event)
 
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import evolve
 
 from tarragoncart import records, replay
@@ -139,6 +140,41 @@
     assert submit(records.ControlWave("w", "resume")).accepted
 
 
+def test_a_publish_without_the_target_of_a_move_ends_the_move(fleet, submit, config):
+    """Guards against a VM in a pool that does not exist."""
+    submit(records.MoveVm("vm-0", "holds", "spare", "demand"))
+    submit(records.Publish(1, evolve(config, pools=config.pools[:1])))
+    assert "unknown pool" in submit(records.VmDrained("vm-0")).reason
+    assert (fleet.vms["vm-0"].pool, fleet.vms["vm-0"].state) == ("holds", "in_service")
+
+
+def test_a_publish_without_a_pool_keeps_its_vms_out_of_service(fleet, submit, config):
+    """Guards against a VM that reboots or has failed being counted as available."""
+    submit(records.MoveVm("vm-0", "holds", "spare", "demand"))
+    submit(records.VmDrained("vm-0"))
+    submit(records.VmFailed("vm-0", "no answer"))
+    submit(records.Publish(1, evolve(config, pools=config.pools[:1])))
+    assert (fleet.vms["vm-0"].pool, fleet.vms["vm-0"].state) == ("holds", "failed")
+
+
+@pytest.mark.parametrize("end", ["resume", "publish"])
+def test_a_wave_without_vms_to_come_ends(fleet, submit, config, end):
+    """Guards against a wave that runs for ever after its last failure or a removal of VMs."""
+    submit(records.StartWave("w", ("spare",), "kernel"))
+    names = ("vm-4", "vm-5")
+    for name in names if end == "resume" else ():
+        submit(records.ReserveStop(name, "w", "kernel"))
+        submit(records.VmFailed(name, "no answer"))
+        submit(records.VmBack(name))
+    if end == "resume":
+        assert fleet.waves["w"].state == "halted"
+        submit(records.ControlWave("w", "resume"))
+    else:
+        left = tuple(vm for vm in config.vms if vm.name not in names)
+        submit(records.Publish(1, evolve(config, vms=left)))
+    assert fleet.waves["w"].state == "finished"
+
+
 def test_a_withdrawn_key_is_gone(fleet, submit):
     """Guards against a key that works after its withdrawal."""
     submit(records.GrantKey(KeyGrant("k", "shop")))
