--- a/tests/test_replay_model.py
+++ b/tests/test_replay_model.py
@@ -311,5 +311,5 @@
 
 def test_replay_agrees_with_plain_models():
     """Guards against records from stale views breaking what the log is the authority for."""
-    limits = settings(derandomize=True, deadline=None, max_examples=60, stateful_step_count=40)
+    limits = settings(derandomize=True, deadline=None, max_examples=120, stateful_step_count=50)
     run_state_machine_as_test(Fleet, settings=limits)
