--- a/src/tarragoncart/journal.py
+++ b/src/tarragoncart/journal.py
@@ -258,11 +258,9 @@
     def _on_chunk(self, chunk: Chunk) -> None:
         if chunk.from_log:
             self._last_read_ms = self._timer.now_ms()
-        if chunk.start_offset > self.state.offset + 1 and self._bootstrap is None:
-            # The state in force stays until a newer complete one has been assembled.
-            logger.warning("log no longer holds the next record; waiting for a snapshot")
-            self._bootstrap = Bootstrap()
+        held = self._held_back(chunk)
         sections = frozenset().union(*(self._take(item) for item in chunk.records))
+        sections = sections.union(*(self._take_held(at, envelope) for at, envelope in held))
         reached_end = self._bootstrap is None and self.state.offset + 1 >= chunk.end_offset
         if reached_end:
             self.fresh_as_of_ms = max(self.fresh_as_of_ms, chunk.fresh_as_of_ms)
@@ -271,6 +269,30 @@
                 self._resend_absent(chunk.fresh_as_of_ms)
         self._announce(sections, log_available=self.log_available or chunk.from_log)
 
+    def _held_back(self, chunk: Chunk) -> list[tuple[int, records.Envelope]]:
+        """Notice a gap before a chunk, or its end; returns the records that had to wait for it."""
+        first_offset = chunk.records[0]["offset"] if chunk.records else chunk.start_offset
+        if first_offset > self.state.offset + 1:
+            if self._bootstrap is None:
+                # The state in force stays until a newer complete one has been assembled.
+                logger.warning("log no longer holds the next record; waiting for a snapshot")
+                self._bootstrap = Bootstrap()
+            return []
+        if self._bootstrap is None or not chunk.records:
+            return []
+        # A peer still has the records that the log has dropped.
+        waiting, self._bootstrap = self._bootstrap.waiting, None
+        return waiting
+
+    def _take_held(self, offset: int, envelope: records.Envelope) -> frozenset[str]:
+        if offset <= self.state.offset:
+            return frozenset()
+        if offset > self.state.offset + 1 and self._bootstrap is None:
+            self._bootstrap = Bootstrap()
+        if self._bootstrap is not None:
+            return self._take_while_waiting(offset, envelope)
+        return self._apply(offset, envelope)
+
     def _take(self, item: dict[str, Any]) -> frozenset[str]:
         offset = item["offset"]
         if offset <= self.state.offset:
