Judge a refused submission by the entry VM that refused it

The check took the refusal for a false one about the request ID. No entry VM could ever refuse an ID of the caller's own under that reading, a missing key included. A start now counts against a refusal unless another entry VM, to which the same ID was submitted before, has made it. Outcomes of queries are judged as before.

--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -439,6 +439,11 @@
     refused with ``different_body`` says that of its body only, since the request ID belongs to
     another one: that other body must have been submitted before, and no answer may hold the
     token of the refused one.
+
+    A reply to a submission speaks for the entry VM that was asked (section 4.1: it refuses when
+    it cannot get the claim). A start by an incarnation of another entry VM, to which the same
+    request ID was submitted before that start, does not make it false. The outcome of a query
+    speaks for the request ID everywhere.
     """
     submissions = history.by_request("caller", "submit")
     starts = history.by_request("worker", "started")
@@ -446,6 +451,7 @@
     judged: list[str] = []
     replies = history.select("caller", "reply", "query_reply")
     answers = {(e["request_id"], e.get("echo")) for e in replies if e["outcome"] == "answered"}
+    entries = _entries_of_incarnations(history)
     for event in replies:
         if event["outcome"] != "not_run":
             continue
@@ -463,7 +469,8 @@
         started = [
             start.at_ms
             for start in starts.get(request_id, [])
-            if start.at_ms <= event.at_ms or start.at_ms < again_ms
+            if (start.at_ms <= event.at_ms or start.at_ms < again_ms)
+            and not _ordered_elsewhere(event, start, submissions.get(request_id, []), entries)
         ]
         if started:
             false_ids.add(request_id)
@@ -475,6 +482,24 @@
     return conclude("not_run_true", judged, false_not_run=len(false_ids))
 
 
+def _entries_of_incarnations(history: History) -> dict[str, str]:
+    joins = log_records(history.select("platform", "append"))
+    members = (join.record["member"] for join in joins if join.kind == "join")
+    return {member["incarnation"]: member["name"] for member in members}
+
+
+def _ordered_elsewhere(
+    reply: Event, start: Event, sent: list[Event], entries: Mapping[str, str]
+) -> bool:
+    """Tell whether another entry VM than the one that replied has started its own submission."""
+    starter = entries.get(start.get("incarnation") or "")
+    return (
+        reply.event == "reply"
+        and starter not in (None, reply.get("entry"))
+        and any(s.get("entry") == starter and s.at_ms <= start.at_ms for s in sent)
+    )
+
+
 def _conflict_fault(event: Event, sent: list[Event], answers: set[tuple[str, Any]]) -> str:
     request_id, token = event["request_id"], event["payload_token"]
     if (request_id, token) in answers:
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -16,7 +16,7 @@
 from bench.checks import Verdict
 from bench.history import Event, HistoryError, merge_events, outages, read_history, task_spans
 from tarragoncart import records
-from tarragoncart.model import FleetConfig, KeyGrant, PoolSpec, QueueSpec, TeamSpec, VmSpec
+from tarragoncart.model import FleetConfig, KeyGrant, Member, PoolSpec, QueueSpec, TeamSpec, VmSpec
 from tarragoncart.records import BeginStop, MoveVm, ReserveStop, VmDrained, VmFailed
 
 GUARANTEES = [
@@ -101,6 +101,11 @@
     return append(at, records.ClaimJob("r", 1, "i", vm))
 
 
+def joined(at, name, incarnation):
+    """An entry VM has joined."""
+    return append(at, records.Join(Member(name, incarnation, "dc", "", "")))
+
+
 def grant(at, **fields):
     """The key of team ``shop`` is granted."""
     return append(at, records.GrantKey(KeyGrant("k", "shop", **fields)))
@@ -121,6 +126,12 @@
 GRANTED = [grant(1)]
 WITHDRAWN = [*GRANTED, operator(100, "key_withdraw_reply", key_id="k", complete=False)]
 DEFERRED = [submit(1, mode="deferred"), reply(2, "accepted")]
+TWO_SUBMISSIONS = [
+    joined(0, "e", "i-e"),
+    joined(0, "other", "i-o"),
+    submit(1),
+    submit(1, entry="other"),
+]
 GUARDED_DEFERRED = [submit(1, mode="deferred", guarded=True), reply(2, "accepted")]
 FIRST, OTHER = start(10, "r"), start(20, "s", "v1")
 STOP = [*SETUP, append(20, ReserveStop("v0", "", "x")), append(30, BeginStop("v0"))]
@@ -212,6 +223,22 @@
             reply(4, "not_run"),
             submit(5),
         ],
+        "started by the entry VM that replied": [
+            *TWO_SUBMISSIONS,
+            start(2, incarnation="i-e"),
+            reply(3, "not_run"),
+        ],
+        "started where it was not submitted": [
+            joined(0, "other", "i-o"),
+            submit(1),
+            start(2, incarnation="i-o"),
+            reply(3, "not_run"),
+        ],
+        "query after a start elsewhere": [
+            *TWO_SUBMISSIONS,
+            start(2, incarnation="i-o"),
+            query(3, "not_run"),
+        ],
         "conflict without another body": [
             submit(1),
             start(2),
@@ -357,6 +384,11 @@
         ],
     },
     "not_run_true": {
+        "another entry VM ran its own submission": [
+            *TWO_SUBMISSIONS,
+            start(2, incarnation="i-o"),
+            reply(3, "not_run"),
+        ],
         "another body ran": [
             submit(1),
             submit(1, payload_token="R2"),
