--- a/src/bench/callers.py
+++ b/src/bench/callers.py
@@ -105,10 +105,10 @@
             for payload, address in zip(copies, addresses, strict=False)
         ]
         outcomes = await asyncio.gather(*answers)
+        if None in outcomes or Outcome.OUTCOME_UNKNOWN in outcomes:
+            outcomes.append((await client.find(request_id, wait_ms=self.deadline_ms)).outcome)
         if queue.mode is Mode.DEFERRED and Outcome.ACCEPTED in outcomes:
             self.accepted[request_id] = first["echo"]
-        elif None in outcomes or Outcome.OUTCOME_UNKNOWN in outcomes:
-            await client.find(request_id, wait_ms=self.deadline_ms)
 
     async def _post(
         self, request_id: str, queue: QueueSpec, payload: dict[str, Any], address: str
