Check the key of an interactive job again when it starts

Found by reading key_withdrawn against dispatch: a job admitted just within the freshness bound could wait in the queue for its deadline and start seconds past the withdrawal's bound. Change: an interactive job that needs a key is refused with key_refused or view_too_old when it is placed past the bound.

--- a/src/tarragoncart/admission.py
+++ b/src/tarragoncart/admission.py
@@ -66,15 +66,26 @@
         raise RequestError(
             "deadline is in the past", code="deadline_in_past", status=408, step=STEP
         )
-    team = "" if queue.open_to_all else _team_of(submission, standing)
+    team = "" if queue.open_to_all else _team_of(submission.key_id, standing)
     if team and team not in standing.view.rights:
         raise RequestError(f"unknown team {team!r}", code="unknown_team", status=401, step=STEP)
     return _job(submission, queue, team, standing.now_ms)
 
 
-def _team_of(submission: Submission, standing: Standing) -> str:
-    grant = standing.view.keys.get(submission.key_id)
-    if grant is None or submission.key_id in standing.withdrawn:
+def check_start(job: Job, standing: Standing) -> None:
+    """Check an interactive job's key again before it starts.
+
+    It may have waited past the bound at which its key must have stopped working.
+
+    :raises RequestError: if the key is no longer honoured here; the job has not run.
+    """
+    if job.key_id:
+        _team_of(job.key_id, standing)
+
+
+def _team_of(key_id: str, standing: Standing) -> str:
+    grant = standing.view.keys.get(key_id)
+    if grant is None or key_id in standing.withdrawn:
         raise RequestError("missing or unknown key", code="key_refused", status=401, step=STEP)
     bound_ms = standing.key_freshness_ms + grant.cutoff_grace_s * 1_000
     if standing.view_age_ms > bound_ms:
@@ -90,6 +101,7 @@
 
 def _job(submission: Submission, queue: QueueSpec, team: str, now_ms: float) -> Job:
     issuer = issuer_of(submission.request_id)
+    keyed = bool(team) and queue.mode is Mode.INTERACTIVE
     return Job(
         request_id=submission.request_id,
         queue=queue.name,
@@ -102,6 +114,7 @@
         mode=queue.mode,
         pool=queue.pool,
         issued_by=issuer[1] if issuer else "",
+        key_id=submission.key_id if keyed else "",
     )
 
 
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -651,6 +651,12 @@
             request_id, worker = placement
             entry = self._jobs[request_id]
             self._waiting[entry.job.team] -= 1
+            try:
+                admission.check_start(entry.job, self._standing())
+            except RequestError as error:
+                pool.release(worker)
+                self._step(entry, "refuse", error=error)
+                continue
             self._ledger.running[entry.job.team] += 1
             entry.placed_on = worker
             entry.placed_at_ms = now_ms
--- a/src/tarragoncart/model.py
+++ b/src/tarragoncart/model.py
@@ -152,6 +152,7 @@
 
     :param deadline_ms: on the entry VM's monotonic clock.
     :param issued_by: incarnation that issued the request ID, empty if the caller made it.
+    :param key_id: key that an interactive job must still have when it starts; empty for others.
     """
 
     request_id: str
@@ -165,6 +166,7 @@
     mode: Mode
     pool: str
     issued_by: str = ""
+    key_id: str = ""
 
 
 @frozen
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -204,3 +204,21 @@
     asked.reply.set_result(desk.state.jobs["own"])
     await desk.settle()
     assert reply.result().outcome is Outcome.ANSWERED
+
+
+@pytest.mark.parametrize(
+    ("withdrawn", "age_ms", "code"),
+    [(False, 5_001, "view_too_old"), (True, 0, "key_refused"), (False, 5_000, "")],
+)
+async def test_a_waiting_job_needs_its_key_when_it_starts(desk, withdrawn, age_ms, code):
+    """Guards against jobs that wait past the bound of their key's withdrawal and then start."""
+    desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    reply = await desk.submit("own")
+    if withdrawn:
+        del desk.state.keys["k"]
+    desk.state.rights["shop"] = replay.TeamRights(10, 0, {"a": 10})
+    desk.show(fresh_as_of_ms=desk.timer.now_ms() - age_ms)
+    await desk.settle()
+    assert bool(desk.journal.of(Append)) is not bool(code)
+    assert not code or reply.result().code == code
