Adopt a job that was submitted to its adopter too; claim anew for a worker that left

Change: jobs of others do not count as held; an accepted claim is used only if its worker is still in use under the same boot, else the job is claimed again.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -416,7 +416,8 @@
                 self._step(job, "refuse", error=_log_error(entry))
         elif entry.accepted:
             job.claim_epoch = record.epoch
-            self._step(job, "claimed")
+            left = job.state == "claiming" and not self._is_usable(job)
+            self._step(job, "worker_left" if left else "claimed")
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
         else:
@@ -424,6 +425,14 @@
             self._follow_logged(job)
         self._pump(job.job.pool)
 
+    def _is_usable(self, entry: JobEntry) -> bool:
+        """Tell whether the worker of a claim can still take the job; an append may take seconds."""
+        pool = self._pool(entry.job.pool)
+        facts = pool.upstreams.get(entry.placed_on)
+        if facts is None or facts.boot_id != entry.boot_id:
+            return False
+        return pool.health.state(entry.placed_on) in ("in_use", "probing")
+
     def _forget_conflicting(self, entry: JobEntry) -> None:
         """Refuse a job whose request ID another entry VM has taken for another body.
 
@@ -921,7 +930,10 @@
     def _adopt_jobs(self) -> None:
         """Take over deferred jobs whose owner is no longer a member."""
         for known in list(self._log_jobs.values()):
-            if known.request_id in self._jobs or known.outcome is not None or not known.queue:
+            entry = self._jobs.get(known.request_id)
+            # A job that was submitted here too may still have to be taken over.
+            own = entry is not None and entry.state != "elsewhere"
+            if own or known.outcome is not None or not known.queue:
                 continue
             owner = known.claimed_by or known.owner
             if owner not in self._view.members and self._is_adopter(known.request_id):
@@ -949,7 +961,9 @@
             mode=Mode.DEFERRED,
             pool=queue.pool,
         )
-        entry = JobEntry(job, claim_epoch=known.claim_epoch)
+        submitted = self._jobs.get(known.request_id)
+        waiters = submitted.waiters if submitted else []
+        entry = JobEntry(job, claim_epoch=known.claim_epoch, waiters=waiters)
         self._jobs[job.request_id] = entry
         if not known.claimed_by:
             self._step(entry, "adopt")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -222,3 +222,37 @@
     await desk.settle()
     assert bool(desk.journal.of(Append)) is not bool(code)
     assert not code or reply.result().code == code
+
+
+async def test_a_job_submitted_here_too_is_adopted_from_its_dead_owner(desk):
+    """Guards against a job that nobody runs because its adopter holds a second submission."""
+    desk.apply(Append(records.AcceptJob("r", "packs", "shop", "d", {}, 10, "b"), "b"), "b")
+    await desk.submit(queue="packs")
+    desk.apply(Append(records.Retire("b", "silent"), "a"))
+    desk.handle(module.Rebalance())
+    taken = await desk.log()
+    assert [(r.request_id, r.incarnation) for r in taken if isinstance(r, records.ClaimJob)] == [
+        ("r", "a")
+    ]
+
+
+@pytest.mark.parametrize("change", [{"leaving": True}, {"boot_id": "other"}, {"leased": False}])
+async def test_a_claim_for_a_worker_that_has_left_is_made_again(desk, change):
+    """Guards against work for a worker that began to leave while the claim was appended."""
+    reply = await desk.submit(queue="packs")
+    await desk.settle()
+    (accept,) = desk.journal.of(Append)
+    desk.journal.messages.clear()
+    desk.apply(accept)
+    await desk.settle()
+    (claim,) = desk.journal.of(Append)
+    desk.journal.messages.clear()
+    known = {"leased": True, "slot_count": 8, "boot_id": "boot"}
+    desk.handle(UpstreamChanged(claim.record.worker, **known | change))
+    desk.apply(claim)
+    await desk.settle()
+    assert reply.result().outcome is Outcome.ACCEPTED
+    assert not desk.sent()
+    (again,) = [r for r in await desk.log() if isinstance(r, records.ClaimJob)]
+    assert again.epoch == 2
+    assert (again.worker != claim.record.worker) or "boot_id" in change
