--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -22,7 +22,7 @@
 from .errors import LogUnavailableError, RequestError
 from .journal import Append, JobChanged, Journal, ReadJob, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
-from .model import Answer, Attempt, Job, Mode, Outcome, Reply
+from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec
 from .placement import PoolPlacement, UpstreamFacts
 from .replay import AuditEntry, FleetView, JobState
 from .timer import Timer
@@ -50,25 +50,31 @@
 
 @frozen
 class Query:
-    """Ask for the outcome of a request; the reply is a :class:`Reply` or None if unknown here."""
+    """Ask for the outcome of a request; the reply is a :class:`Reply` or None if unknown here.
+
+    A job that does not belong to the team of the key is unknown.
+    """
 
     request_id: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
 @frozen
 class Cancel:
-    """A caller no longer wants a job; the reply is a :class:`Reply` or None if unknown here."""
+    """A caller no longer wants a job; the reply is as for :class:`Query`."""
 
     request_id: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
 @frozen
 class ReadLogged:
-    """Ask for the outcome of a job in the log; the reply is a :class:`Reply` or None."""
+    """Ask for the outcome of a job in the log; the reply is as for :class:`Query`."""
 
     request_id: str
+    key_id: str
     reply: asyncio.Future[Reply | None]
 
 
@@ -316,7 +322,8 @@
         self.peers.tell(ForwardSubmission(submission, job.issued_by, reply))
 
     def _join_known(self, known: JobEntry, job: Job, reply: asyncio.Future[Reply]) -> None:
-        if known.job.body_digest != job.body_digest or known.job.queue != job.queue:
+        same = (job.body_digest, job.queue, job.team)
+        if same != (known.job.body_digest, known.job.queue, known.job.team):
             raise RequestError(
                 "request ID was used with another body",
                 code="different_body",
@@ -330,9 +337,10 @@
 
     def _check_issue_time(self, request_id: str) -> None:
         age_ms = self._timer.now_ms() - issue_time_ms(request_id)
-        if age_ms > defaults.REQUEST_ID_VALIDITY_MS:
+        # An ID of the future is forged; it could be started again once it has been forgotten here.
+        if not 0 <= age_ms <= defaults.REQUEST_ID_VALIDITY_MS:
             raise RequestError(
-                "request ID is too old to be started",
+                "request ID was not issued recently, so it cannot be started",
                 code="request_id_expired",
                 status=504,
                 step="admission",
@@ -342,7 +350,7 @@
     def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
         entry = JobEntry(job, waiters=[reply])
         known = self._log_jobs.get(job.request_id)
-        if known is not None and known.body_digest != job.body_digest:
+        if known is not None and (known.body_digest, known.team) != (job.body_digest, job.team):
             raise _different_body()
         if known is None and admission.needs_claim(job) and not self._log_available:
             raise RequestError(
@@ -507,6 +515,7 @@
             worker=entry.placed_on,
             boot_id=entry.boot_id,
             body_digest="" if job.mode is Mode.DEFERRED else job.body_digest,
+            team=job.team,
         )
         self._append(record, job.deadline_ms)
 
@@ -638,18 +647,10 @@
     def _pool(self, name: str) -> PoolPlacement:
         pool = self._pools.get(name)
         if pool is None:
-            share_count = self._connection_count()
             policies = self._view.config.policies
-            pool = PoolPlacement.create(policies, self.data_centre, share_count, self._rng)
-            self._pools[name] = pool
+            pool = self._pools[name] = PoolPlacement.create(policies, self.data_centre, self._rng)
         return pool
 
-    def _connection_count(self) -> int:
-        # A worker's connections are divided among the entry VMs.
-        vms = self._view.config.vms
-        connections = min((vm.connection_count for vm in vms), default=64)
-        return max(1, connections // max(1, len(self._view.members)))
-
     def _pump(self, name: str) -> None:
         """Start as many waiting jobs of a pool as may start now."""
         pool = self._pool(name)
@@ -784,7 +785,13 @@
     def _pools_changed(self) -> None:
         for pool in self._pools.values():
             pool.policies = self._view.config.policies
-            pool.connection_count = self._connection_count()
+        for facts in self._facts.values():
+            self._share_connections(facts)
+
+    def _share_connections(self, facts: UpstreamFacts) -> None:
+        # A worker's connections are divided among the entry VMs.
+        members_count = max(1, len(self._view.members))
+        facts.connection_limit_count = max(1, facts.spec.connection_count // members_count)
 
     def _vms_changed(self) -> None:
         for name in set(self._upstreams) - set(self._view.vms):
@@ -795,10 +802,11 @@
                 self._drop_upstream(name)
                 known = None
             if known is None:
-                self._add_upstream(name, vm.spec.address)
+                self._add_upstream(vm.spec)
                 self._facts[name] = UpstreamFacts(vm.spec)
             facts = self._facts[name]
             facts.spec = vm.spec
+            self._share_connections(facts)
             facts.in_service = vm.state in ("in_service", "failed")
             self._assign_pool(name, vm.pool)
 
@@ -810,18 +818,18 @@
         pool.add(self._facts[name])
         pool.refresh(name)
 
-    def _add_upstream(self, name: str, address: str) -> None:
+    def _add_upstream(self, spec: VmSpec) -> None:
         upstream = Upstream(
-            name,
-            address,
+            spec.name,
+            spec.address,
             entry=self.entry,
             incarnation=self.incarnation,
             owner=self,
             timer=self._timer,
-            connection_count=self._connection_count() + 1,
+            connection_count=spec.connection_count,
             source_address=self._source_address,
         )
-        self._upstreams[name] = upstream
+        self._upstreams[spec.name] = upstream
         upstream.start()
 
     def _drop_upstream(self, name: str) -> None:
@@ -985,9 +993,18 @@
 
     # Queries
 
+    def _find(self, message: Query | Cancel) -> JobEntry | None:
+        entry = self._jobs.get(message.request_id)
+        if entry is not None and self._may_see(entry.job.team, message.key_id):
+            return entry
+        return None
+
+    def _may_see(self, team: str, key_id: str) -> bool:
+        return admission.may_see(team, key_id, self._standing())
+
     @receives(Query)
     async def _on_query(self, message: Query) -> None:
-        entry = self._jobs.get(message.request_id)
+        entry = self._find(message)
         if entry is None or entry.state == "elsewhere":
             resolve(message.reply, None)
         elif entry.reply is not None:
@@ -1000,7 +1017,7 @@
 
     @receives(Cancel)
     def _on_cancel(self, message: Cancel) -> None:
-        entry = self._jobs.get(message.request_id)
+        entry = self._find(message)
         if entry is None:
             resolve(message.reply, None)
             return
@@ -1021,6 +1038,8 @@
         asked: asyncio.Future[JobState | None] = new_reply()
         self._journal.tell(ReadJob(message.request_id, asked))
         known = await asked
+        if known is not None and not self._may_see(known.team, message.key_id):
+            known = None
         if known is not None and known.outcome is None and known.claimed_worker:
             known = await self._ask_claimed_worker(known)
         resolve(message.reply, None if known is None else logged_reply(known))
@@ -1046,7 +1065,11 @@
             replies.append(new_reply())
             upstream.tell(FindResult(message.request_id, replies[-1]))
         found = await asyncio.gather(*replies)
-        results = [evidence for evidence in found if evidence.event == "result"]
+        results = [
+            evidence
+            for evidence in found
+            if evidence.event == "result" and self._may_see(evidence.team, message.key_id)
+        ]
         resolve(message.reply, results[0] if results else Evidence("no_answer"))
 
     @receives(CountTasks)
