--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -15,7 +15,7 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from . import admission, defaults, limits, records
+from . import admission, defaults, fairqueue, limits, records
 from .admission import Standing, Submission
 from .attempts import Evidence
 from .charts import load_chart
@@ -31,6 +31,7 @@
     FenceIncarnation,
     FenceRequest,
     FindResult,
+    RenewLease,
     Transmit,
     Upstream,
     UpstreamChanged,
@@ -89,9 +90,13 @@
 
 @frozen
 class OwnDemand:
-    """For the peers' actor: rights that this entry VM wants."""
+    """For the peers' actor: rights that this entry VM wants, and its load in each pool.
+
+    :param loads: running and waiting jobs by pool.
+    """
 
     wanted_count: Mapping[str, int]
+    loads: Mapping[str, tuple[int, int]] = Factory(dict)
 
 
 @frozen
@@ -109,6 +114,13 @@
     leaving: frozenset[str]
 
 
+@frozen
+class ProbeUpstreams:
+    """Ask some workers for their state now rather than at the next renewal of the lease."""
+
+    names: tuple[str, ...]
+
+
 @frozen
 class RecordEnded:
     """A record that this actor appended has been replayed, or was not written."""
@@ -219,6 +231,7 @@
         self.data_centre = data_centre
         self.incarnation = incarnation
         self.peers: Actor | None = None
+        self.operations: Actor | None = None
         self._journal = journal
         self._timer = timer
         self._rng = rng
@@ -235,6 +248,7 @@
         self._finished: dict[str, float] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._pools: dict[str, PoolPlacement] = {}
+        self._slot_use = fairqueue.Ledger()
         self._upstreams: dict[str, Upstream] = {}
         self._facts: dict[str, UpstreamFacts] = {}
         self._listed_leaving: frozenset[str] = frozenset()
@@ -648,7 +662,8 @@
         pool = self._pools.get(name)
         if pool is None:
             policies = self._view.config.policies
-            pool = self._pools[name] = PoolPlacement.create(policies, self.data_centre, self._rng)
+            pool = PoolPlacement.create(policies, self.data_centre, self._rng, self._slot_use)
+            self._pools[name] = pool
         return pool
 
     def _pump(self, name: str) -> None:
@@ -776,18 +791,29 @@
         if previous.config is not message.view.config or previous.members is not (
             message.view.members
         ):
-            self._pools_changed()
+            self._pools_changed(previous)
         if previous.vms is not message.view.vms:
             self._vms_changed()
         if previous.rights is not message.view.rights:
             self._pump_all()
 
-    def _pools_changed(self) -> None:
-        for pool in self._pools.values():
-            pool.policies = self._view.config.policies
+    def _pools_changed(self, previous: FleetView) -> None:
+        if previous.config.policies != self._view.config.policies:
+            self._rebuild_pools()
         for facts in self._facts.values():
             self._share_connections(facts)
 
+    def _rebuild_pools(self) -> None:
+        """Let other policies take over the waiting jobs and the upstreams."""
+        self._pools = {}
+        self._slot_use = fairqueue.Ledger()
+        for name in self._upstreams.keys() & self._view.vms.keys():
+            self._assign_pool(name, self._view.vms[name].pool)
+        for entry in self._jobs.values():
+            if entry.state == "queued":
+                weight = self._share_weight(entry.job.team)
+                self._pool(entry.job.pool).enqueue(entry.job, weight, self._timer.now_ms())
+
     def _share_connections(self, facts: UpstreamFacts) -> None:
         # A worker's connections are divided among the entry VMs.
         members_count = max(1, len(self._view.members))
@@ -851,6 +877,8 @@
 
     @receives(UpstreamChanged)
     def _on_upstream_changed(self, message: UpstreamChanged) -> None:
+        if self.operations is not None:
+            self.operations.tell(message)
         pool = self._pool_of_worker(message.name)
         if pool is None:
             return
@@ -860,6 +888,12 @@
         self._fence_stranded(message.name)
         self._pump(self._view.vms[message.name].pool)
 
+    @receives(ProbeUpstreams)
+    def _on_probe_upstreams(self, message: ProbeUpstreams) -> None:
+        for name in message.names:
+            if name in self._upstreams:
+                self._upstreams[name].tell(RenewLease())
+
     def _fence_stranded(self, worker: str) -> None:
         for attempt, boot_id in list(self._stranded.values()):
             if attempt.worker == worker:
@@ -910,11 +944,17 @@
             self._adopt_jobs()
         if self.peers is not None:
             wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
-            self.peers.tell(OwnDemand(wanted))
+            self.peers.tell(OwnDemand(wanted, self._loads()))
         self._evict_finished()
         self._pump_all()
         self._check_drained()
 
+    def _loads(self) -> dict[str, tuple[int, int]]:
+        return {
+            name: (sum(f.in_flight_count for f in pool.upstreams.values()), len(pool.order))
+            for name, pool in self._pools.items()
+        }
+
     def _pump_all(self) -> None:
         for name, pool in self._pools.items():
             if len(pool.order):
