Check lease and deadline when an attempt's bytes leave, and report every attempt

Causes: - Lease and deadline were checked when an attempt was handed over; it could then wait up to 30 s for a free connection and be sent past both. - A guard forgets results after 15 min. Fencing a request later than that, after a long partition or for an adopted job, was taken as proof that it had not started. - The actor of a worker that left the fleet, or of a retired incarnation, was stopped with attempts and questions in flight; their jobs waited for ever and kept their rights. - A lease answer without all fields raised in the renewal. Change: the body is a payload that asks for permission when its connection is ready to take it; the attempt chart stays in never_sent until then. Guards older than the retention count as emptied; the attempt carries when its upstream was chosen, for an adopted job from its claim. Stopping an upstream reports what is in flight or still waits. A malformed lease is an error answer.

--- a/src/tarragoncart/attempts.py
+++ b/src/tarragoncart/attempts.py
@@ -69,22 +69,22 @@
     return Evidence("no_answer", Verdict.ERROR_ANSWER, code, running=code == "running")
 
 
-def judge_guard(request_id: str, worker: str, data: Any, *, same_boot: bool) -> Evidence:
+def judge_guard(request_id: str, worker: str, data: Any, *, kept: bool) -> Evidence:
     """Judge a guard's answer to a fence of one request.
 
-    :param same_boot: the worker has kept its guard since the attempt was sent; a guard that
-        was emptied by a restart proves nothing.
+    :param kept: the guard has kept all that it knew since the attempt was sent; one that was
+        emptied by a restart, or has forgotten old results, proves nothing.
     """
     if not isinstance(data, Mapping):
         return Evidence("no_answer")
     state = data.get("state")
     if state in ("completed", "failed") and is_own_answer(request_id, data):
         return _result(worker, data)
-    if not same_boot:
+    if state == "running":
+        return Evidence("no_answer", running=True)
+    if not kept:
         return Evidence("guard_lost")
-    if state == "fenced":
-        return Evidence("not_started")
-    return Evidence("no_answer", running=state == "running")
+    return Evidence("not_started" if state == "fenced" else "no_answer")
 
 
 def _result(worker: str, data: Mapping[str, Any]) -> Evidence:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -6,6 +6,8 @@
 # does not expire it.
 LEASE_DURATION_MS = 3_000
 LEASE_RENEWAL_MS = 1_000
+# A guard keeps results for 15 min; the rest is for clocks of entry VMs that differ.
+GUARD_RETENTION_MS = 14 * 60 * 1_000
 
 # A withdrawn key is refused everywhere at most this long after its withdrawal was accepted.
 KEY_FRESHNESS_MS = 5_000
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -507,6 +507,7 @@
             declared_run_ms=job.declared_run_ms,
             deadline_ms=job.deadline_ms,
             number=entry.attempt_count,
+            placed_at_ms=entry.placed_at_ms,
         )
         upstream = self._upstreams.get(entry.placed_on)
         if upstream is None:
@@ -927,8 +928,13 @@
             self._step(entry, "adopt")
             return
         entry.boot_id = known.claimed_boot_id
+        age_ms = max(0, self._timer.wall_ms() - known.claimed_at_ms)
         entry.attempt = Attempt(
-            f"claim-{known.claim_epoch}", job.request_id, known.claimed_worker, team=job.team
+            f"claim-{known.claim_epoch}",
+            job.request_id,
+            known.claimed_worker,
+            team=job.team,
+            placed_at_ms=self._timer.now_ms() - age_ms,
         )
         self._step(entry, "adopt_claimed")
 
--- a/src/tarragoncart/model.py
+++ b/src/tarragoncart/model.py
@@ -196,7 +196,10 @@
 
 @frozen
 class Attempt:
-    """One try of a job at one upstream."""
+    """One try of a job at one upstream.
+
+    :param placed_at_ms: when the upstream was chosen; nothing was sent before.
+    """
 
     attempt_id: str
     request_id: str
@@ -207,6 +210,7 @@
     declared_run_ms: float = 0.0
     deadline_ms: float = 0.0
     number: int = 1
+    placed_at_ms: float = 0.0
 
 
 def digest_key(key: str) -> str:
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -70,6 +70,7 @@
     claimed_by: str = ""
     claimed_worker: str = ""
     claimed_boot_id: str = ""
+    claimed_at_ms: int = 0
     outcome: Outcome | None = None
     body: Any = field(repr=False, default=None)
     succeeded: bool = True
@@ -397,6 +398,7 @@
         claimed_by=record.incarnation,
         claimed_worker=record.worker,
         claimed_boot_id=record.boot_id,
+        claimed_at_ms=envelope.at_ms,
     )
     return Ruling(subjects)
 
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
-from attrs import define, frozen
+from aiohttp.abc import AbstractStreamWriter
+from attrs import define, evolve, frozen
 
 from . import attempts, defaults
 from .attempts import Evidence
@@ -18,6 +20,7 @@
 
 logger = logging.getLogger(__name__)
 ATTEMPT_CHART = load_chart("attempt")
+LEASE_FIELDS = frozenset(("epoch", "duration_ms", "leaving", "slots", "running"))
 
 
 @frozen
@@ -97,6 +100,28 @@
     evidence: Evidence | None = None
 
 
+class GatedPayload(aiohttp.JsonPayload):
+    """A JSON body that asks for permission when its connection is ready to take it.
+
+    Waiting for a connection takes time, in which a lease or a deadline may pass.
+    """
+
+    def __init__(self, body: Any, may_send: Callable[[], bool]) -> None:
+        super().__init__(body)
+        self._may_send = may_send
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Write the body.
+
+        :raises ValueError: without permission; the connection is then closed.
+        """
+        if not self._may_send():
+            raise ValueError("the body may not be sent any more")
+        await super().write_with_length(writer, content_length)
+
+
 class Upstream(Actor):
     """Talks to one worker.
 
@@ -145,9 +170,21 @@
         self.tell(RenewLease())
 
     async def closed(self) -> None:
-        """Close the sessions."""
+        """Close the sessions and answer what still waits in the inbox."""
         await self._session.close()
         await self._control.close()
+        while not self._inbox.empty():
+            message = self._inbox.get_nowait()
+            if isinstance(message, Transmit):
+                evidence = Evidence("not_started", None, "gone")
+                self._owner.tell(AttemptEnded(message.attempt, evidence))
+            elif isinstance(message, FenceRequest):
+                evidence = Evidence("no_answer")
+                self._owner.tell(AttemptEnded(message.attempt, evidence, fenced=True))
+            elif isinstance(message, FindResult):
+                resolve(message.reply, Evidence("no_answer"))
+            elif isinstance(message, FenceIncarnation):
+                resolve(message.reply, None)
 
     # Lease
 
@@ -166,7 +203,7 @@
             status, data = 0, None
         finally:
             self._renewing = False
-        if status == 200 and isinstance(data, dict):
+        if status == 200 and isinstance(data, dict) and data.keys() >= LEASE_FIELDS:
             self._epoch = data["epoch"]
             # Counted from the sending, so that it ends here before it ends at the worker.
             self._leased_until_ms = sent_at_ms + data["duration_ms"]
@@ -197,17 +234,36 @@
     @receives(Transmit)
     def _on_transmit(self, message: Transmit) -> None:
         sending = Sending(message.attempt)
-        now_ms = self._timer.now_ms()
-        if now_ms >= self._leased_until_ms or now_ms >= message.attempt.deadline_ms:
-            code = "no_lease" if now_ms >= self._leased_until_ms else "deadline"
-            sending.evidence = Evidence("not_started", None, code)
+        if refusal := self._refusal(sending):
+            sending.evidence = refusal
             self.step(ATTEMPT_CHART, sending, "abandon")
         else:
+            self.step(ATTEMPT_CHART, sending, "connect")
+
+    def _refusal(self, sending: Sending) -> Evidence | None:
+        """Return why an attempt may not be sent now."""
+        now_ms = self._timer.now_ms()
+        if now_ms >= self._leased_until_ms:
+            return Evidence("not_started", None, "no_lease")
+        if now_ms >= sending.attempt.deadline_ms:
+            return Evidence("not_started", None, "deadline")
+        return None
+
+    def _may_send(self, sending: Sending) -> bool:
+        sending.evidence = self._refusal(sending)
+        if sending.evidence is None:
             self.step(ATTEMPT_CHART, sending, "send")
+        return sending.evidence is None
 
     @carries_out("transmit")
     def _transmit(self, sending: Sending) -> None:
-        self.spawn(self._send(sending, self._epoch))
+        def ended(task: asyncio.Task[None]) -> None:
+            # A worker that leaves the fleet must not leave its jobs without a report.
+            if task.cancelled() or task.exception():
+                sending.evidence = Evidence("no_answer", None, "gone")
+                self._end(sending)
+
+        self.spawn(self._send(sending, self._epoch)).add_done_callback(ended)
 
     async def _send(self, sending: Sending, epoch: int) -> None:
         attempt = sending.attempt
@@ -225,20 +281,29 @@
             total=defaults.ATTEMPT_TIMEOUT_MS / 1_000,
             sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000,
         )
+        payload = GatedPayload(body, lambda: self._may_send(sending))
         try:
             async with self._session.post(
-                f"{self._url}/attempts", json=body, timeout=timeout
+                f"{self._url}/attempts", data=payload, timeout=timeout
             ) as response:
                 data = await _decode(response)
             sending.evidence = attempts.judge_response(attempt, response.status, data)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            # There was no connection, so no byte of the attempt has left.
-            sending.evidence = Evidence("not_started", Verdict.NO_ANSWER, type(error).__name__)
         except (aiohttp.ClientError, TimeoutError) as error:
-            sending.evidence = Evidence("no_answer", Verdict.NO_ANSWER, type(error).__name__)
-        event = sending.evidence.event
-        refused = "connection_refused" if sending.evidence.verdict else "guard_refusal"
-        self.step(ATTEMPT_CHART, sending, refused if event == "not_started" else event)
+            if sending.state != "never_sent" or sending.evidence is None:
+                sending.evidence = Evidence("no_answer", Verdict.NO_ANSWER, type(error).__name__)
+        self._end(sending)
+
+    def _end(self, sending: Sending) -> None:
+        evidence = sending.evidence
+        assert evidence is not None
+        event = evidence.event
+        if sending.state == "never_sent":
+            # No byte of the body has left.
+            sending.evidence = evolve(evidence, event="not_started")
+            event = "connection_refused" if evidence.verdict else "abandon"
+        elif event == "not_started":
+            event = "guard_refusal"
+        self.step(ATTEMPT_CHART, sending, event)
 
     @carries_out("report_result")
     @carries_out("report_not_started")
@@ -251,38 +316,42 @@
 
     @receives(FenceRequest)
     def _on_fence_request(self, message: FenceRequest) -> None:
-        self.spawn(self._fence_request(message))
+        def ended(task: asyncio.Task[Evidence]) -> None:
+            failed = task.cancelled() or task.exception() is not None
+            evidence = Evidence("no_answer") if failed else task.result()
+            self._owner.tell(AttemptEnded(message.attempt, evidence, fenced=True))
 
-    async def _fence_request(self, message: FenceRequest) -> None:
-        attempt = message.attempt
-        evidence = await self._ask_guard(attempt.request_id, message.boot_id)
-        self._owner.tell(AttemptEnded(attempt, evidence, fenced=True))
+        self.spawn(self._ask_guard(message.attempt, message.boot_id)).add_done_callback(ended)
 
-    async def _ask_guard(self, request_id: str, boot_id: str) -> Evidence:
+    async def _ask_guard(self, attempt: Attempt, boot_id: str) -> Evidence:
+        request_id = attempt.request_id
         try:
             status, data = await self._call("POST", "/guard/fence", {"request_id": request_id})
         except (aiohttp.ClientError, TimeoutError):
             return Evidence("no_answer", Verdict.NO_ANSWER)
         if status != 200 or not isinstance(data, dict):
             return Evidence("no_answer", Verdict.ERROR_ANSWER)
-        same_boot = data.get("boot_id", "") == boot_id
-        return attempts.judge_guard(request_id, self.worker, data, same_boot=same_boot)
+        age_ms = self._timer.now_ms() - attempt.placed_at_ms
+        kept = data.get("boot_id", "") == boot_id and age_ms < defaults.GUARD_RETENTION_MS
+        return attempts.judge_guard(request_id, self.worker, data, kept=kept)
 
     @receives(FindResult)
     def _on_find_result(self, message: FindResult) -> None:
-        self.spawn(self._find_result(message))
+        found = self.spawn(self._find_result(message))
+        found.add_done_callback(lambda _: resolve(message.reply, Evidence("no_answer")))
 
     async def _find_result(self, message: FindResult) -> None:
         try:
             _, data = await self._call("GET", f"/guard/{message.request_id}", None)
         except (aiohttp.ClientError, TimeoutError):
             data = None
-        evidence = attempts.judge_guard(message.request_id, self.worker, data, same_boot=True)
+        evidence = attempts.judge_guard(message.request_id, self.worker, data, kept=True)
         resolve(message.reply, evidence)
 
     @receives(FenceIncarnation)
     def _on_fence_incarnation(self, message: FenceIncarnation) -> None:
-        self.spawn(self._fence_incarnation(message))
+        fenced = self.spawn(self._fence_incarnation(message))
+        fenced.add_done_callback(lambda _: resolve(message.reply, None))
 
     async def _fence_incarnation(self, message: FenceIncarnation) -> None:
         body = {"incarnation": message.incarnation}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,7 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 from standins.guard import Attempt, Guard, Work
 from standins.network import Relay
@@ -22,9 +22,11 @@
 from standins.serving import Listener
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import replay
+from tarragoncart.attempts import Evidence
 from tarragoncart.daemon import open_entry
 from tarragoncart.journal import Append, AppendEnded, Chunk, Flush, Journal
-from tarragoncart.mailbox import new_reply
+from tarragoncart.mailbox import Actor, new_reply
+from tarragoncart.model import Attempt as ModelAttempt
 from tarragoncart.model import (
     FleetConfig,
     KeyGrant,
@@ -39,6 +41,7 @@
 from tarragoncart.records import Envelope, GrantKey, Join, Publish, WithdrawKey, encode_record
 from tarragoncart.settings import EntrySettings
 from tarragoncart.timer import LoopTimer, ManualTimer
+from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, Upstream, UpstreamChanged
 
 
 @pytest.fixture
@@ -410,3 +413,80 @@
     journal.start()
     yield journal
     await journal.stop()
+
+
+class Owner(Actor):
+    """Keeps what an upstream's actor reports."""
+
+    def __init__(self) -> None:
+        super().__init__("owner")
+        self.ended: asyncio.Queue[AttemptEnded] = asyncio.Queue()
+        self.changes: list[UpstreamChanged] = []
+
+    def tell(self, message: Any) -> None:
+        """Keep a report."""
+        if isinstance(message, AttemptEnded):
+            self.ended.put_nowait(message)
+        else:
+            self.changes.append(message)
+
+
+@define
+class UpstreamBench:
+    """An upstream's actor with a lease, and the time in the test's hands."""
+
+    upstream: Upstream
+    owner: Owner
+    timer: ManualTimer
+
+    async def send(self, request_id: str = "r", **payload: Any) -> Evidence:
+        """Send an attempt that runs for 1 ms and return the evidence."""
+        self.transmit(request_id, **payload)
+        return await self.report()
+
+    def transmit(self, request_id: str, deadline_ms: float = 2_500, **payload: Any) -> None:
+        """Send an attempt."""
+        attempt = ModelAttempt(
+            f"a-{request_id}", request_id, "w", {"run_ms": 1} | payload, True, "shop"
+        )
+        self.upstream.tell(Transmit(evolve(attempt, deadline_ms=deadline_ms)))
+
+    async def fence(self, request_id: str, boot_id: str, placed_at_ms: float = 0.0) -> Evidence:
+        """Ask the guard about an attempt and return the evidence."""
+        attempt = ModelAttempt(f"a-{request_id}", request_id, "w", placed_at_ms=placed_at_ms)
+        self.upstream.tell(FenceRequest(attempt, boot_id))
+        return await self.report()
+
+    async def report(self) -> Evidence:
+        """Return the evidence of the next report."""
+        return (await asyncio.wait_for(self.owner.ended.get(), 5)).evidence
+
+
+@pytest.fixture
+async def open_upstream(wait_until: Any) -> AsyncIterator[Callable[..., Awaitable[UpstreamBench]]]:
+    """Start the actor of an upstream and wait for its first lease call to end."""
+    opened: list[Upstream] = []
+
+    async def start(url: str, connection_count: int = 4) -> UpstreamBench:
+        owner, timer = Owner(), ManualTimer()
+        upstream = Upstream(
+            "w",
+            url.removeprefix("http://"),
+            entry="entry-1",
+            incarnation="i",
+            owner=owner,
+            timer=timer,
+            connection_count=connection_count,
+        )
+        opened.append(upstream)
+        upstream.start()
+
+        async def has_asked() -> bool:
+            return bool(owner.changes)
+
+        await wait_until(has_asked)
+        return UpstreamBench(upstream, owner, timer)
+
+    yield start
+    for upstream in opened:
+        await upstream.stop()
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,64 @@
+"""What an upstream's answer, or the lack of one, proves."""
+
+from __future__ import annotations
+
+import pytest
+
+from tarragoncart.attempts import Evidence, digest_answer, judge_guard, judge_response
+from tarragoncart.model import Answer, Attempt, Verdict
+
+ATTEMPT = Attempt("a-1", "r", "w")
+RESULT = {"request_id": "r", "status": "completed", "body": {"x": 1}, "team": "shop"}
+RESULT["digest"] = digest_answer(RESULT["body"])
+ANSWERED = Evidence("result", Verdict.RESULT, answer=Answer({"x": 1}, True, "w"), team="shop")
+LOST = "no_answer", Verdict.ERROR_ANSWER
+
+
+@pytest.mark.parametrize("code", ["busy", "leaving", "stale_lease", "fenced"])
+def test_a_guard_refusal_proves_that_nothing_started(code):
+    """Guards against a refused job that is reported as unknown, or a refusal of an earlier start
+    that is taken for this one's."""
+    refusal = {"code": code, "started": False}
+    assert judge_response(ATTEMPT, 409, refusal) == Evidence("not_started", None, code)
+    for data in (refusal | {"started": True}, {"code": code}, {"code": code, "started": 0}):
+        assert judge_response(ATTEMPT, 409, data).event == "no_answer"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        None,
+        "text",
+        [],
+        {},
+        RESULT | {"request_id": "s"},
+        RESULT | {"body": {"x": 2}},
+        RESULT | {"digest": None},
+        RESULT | {"status": "stopped"},
+        {k: v for k, v in RESULT.items() if k != "digest"},
+    ],
+)
+def test_a_damaged_or_crossed_answer_proves_nothing(data):
+    """Guards against the answer to another request, or half an answer, being delivered."""
+    evidence = judge_response(ATTEMPT, 200, data)
+    assert (evidence.event, evidence.verdict) == LOST and evidence.answer is None
+    assert judge_guard("r", "w", data, kept=True).event == "no_answer"
+
+
+def test_other_errors_of_a_worker_prove_nothing():
+    """Guards against "not run" for a job that a failing worker may have started."""
+    for status, data in [(500, {}), (400, {"code": "bad_request"}), (409, RESULT)]:
+        evidence = judge_response(ATTEMPT, status, data)
+        assert (evidence.event, evidence.verdict) == LOST
+    assert judge_response(ATTEMPT, 409, {"code": "running", "started": True}).running
+
+
+def test_a_guard_proves_only_what_it_has_kept():
+    """Guards against "not run" on the word of a guard that has forgotten the start."""
+    for kept in (True, False):
+        assert judge_guard("r", "w", RESULT | {"state": "completed"}, kept=kept) == ANSWERED
+        assert judge_guard("r", "w", {"state": "running"}, kept=kept).running
+    assert judge_guard("r", "w", {"state": "fenced"}, kept=True).event == "not_started"
+    assert judge_guard("r", "w", {"state": "unknown"}, kept=True).event == "no_answer"
+    assert judge_guard("r", "w", {"state": "fenced"}, kept=False).event == "guard_lost"
+    assert judge_guard("r", "w", None, kept=False).event == "no_answer"
