Let rights reach every entry VM that has demand

Causes: - A holder whose own jobs waited never gave a right away, so an entry VM that came late got none while another was busy, and its jobs waited until their deadlines. - Jobs that waited for an upstream counted as lacking rights, so rights were hoarded. - A draining entry VM kept its free rights until it was retired and released. - After a retirement, the end of an old incarnation's transfer was taken off what the new one has given, which raised its rights above the log's and broke the upper limit. Change: lacking rights are counted against free ones; a holder with waiting jobs withholds what exceeds an even part until it can be given; a draining one returns its spare rights; the ledger notes sent and ended records itself and ignores those of other incarnations.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -436,13 +436,13 @@
     def _transfer_ended(
         self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.given[record.team] -= record.count
+        self._ledger.ended(record)
 
     @_record_ended.register
     def _take_ended(
         self, record: records.TakeRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.asked[record.team] -= 1
+        self._ledger.ended(record)
 
     # Actions of the job chart
 
@@ -864,8 +864,16 @@
         if self._log_available and self._loaded and self.incarnation in self._view.members:
             self._move_rights()
             self._adopt_jobs()
+        else:
+            # No rights move, so none is kept free for others.
+            self._ledger.withheld.clear()
         if self.peers is not None:
-            wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
+            lacking = {
+                team: limits.lacking_count(self._ledger, team, count)
+                for team, count in self._waiting.items()
+                if team
+            }
+            wanted = {team: count for team, count in lacking.items() if count}
             self.peers.tell(OwnDemand(wanted))
         self._evict_finished()
         self._pump_all()
@@ -879,16 +887,10 @@
     def _move_rights(self) -> None:
         members_count = len(self._view.members)
         waiting = {team: n for team, n in self._waiting.items() if n > 0}
-        if self._is_draining:
-            waiting = {}
-        for record in limits.plan_rights(self._ledger, waiting, self._wants, members_count):
-            if isinstance(record, records.TransferRights):
-                # The giver lets go before the receiver may use the rights.
-                self._ledger.given[record.team] += record.count
-            elif self._is_draining:
-                continue
-            else:
-                self._ledger.asked[record.team] += 1
+        for record in limits.plan_rights(
+            self._ledger, waiting, self._wants, members_count, draining=self._is_draining
+        ):
+            self._ledger.sent(record)
             self._append(record, self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS)
 
     def _adopt_jobs(self) -> None:
--- a/src/tarragoncart/limits.py
+++ b/src/tarragoncart/limits.py
@@ -26,6 +26,8 @@
 
     :param given: rights that are on their way to another holder; they are not used any more,
         although the log does not say so yet.
+    :param asked: takes that the log has not answered yet.
+    :param withheld: rights that are kept free, as soon as their jobs end, for peers that want them.
     """
 
     incarnation: str
@@ -33,6 +35,7 @@
     running: Counter[str] = Factory(Counter)
     given: Counter[str] = Factory(Counter)
     asked: Counter[str] = Factory(Counter)
+    withheld: Counter[str] = Factory(Counter)
 
     def held_count(self, team: str) -> int:
         """Return how many jobs of the team this incarnation may run at once."""
@@ -42,42 +45,91 @@
 
     def free_count(self, team: str) -> int:
         """Return how many more jobs of the team may start now."""
-        return self.held_count(team) - self.running[team]
+        return self.held_count(team) - self.withheld[team] - self.running[team]
 
     def may_start(self, team: str) -> bool:
         """Tell whether a job of the team may start; jobs of open queues have no team."""
         return not team or self.free_count(team) > 0
 
+    def sent(self, record: Any) -> None:
+        """Note a record that moves rights; the giver lets go before the receiver may use them."""
+        if isinstance(record, records.TransferRights):
+            self.given[record.team] += record.count
+        else:
+            self.asked[record.team] += 1
+
+    def ended(self, record: Any) -> None:
+        """Note that a record of :meth:`sent` is in ``rights`` or was not written.
+
+        Records of an earlier incarnation of this entry VM do not count.
+        """
+        if isinstance(record, records.TransferRights):
+            self.given[record.team] -= record.count * (record.giver == self.incarnation)
+        else:
+            self.asked[record.team] -= record.incarnation == self.incarnation
+
 
 def plan_rights(
     ledger: RightsLedger,
     waiting: Mapping[str, int],
     wants: list[PeerWants],
     member_count: int,
+    *,
+    draining: bool = False,
 ) -> Iterator[Any]:
     """Yield the records that bring rights to where the demand is.
 
-    An entry VM takes an even part when it starts, more when jobs wait, and passes on what it
-    does not use to peers that want it.
+    An entry VM takes an even part when it starts, more when jobs wait, and passes on what it does
+    not use to peers that want it. While its own jobs wait, it passes on what exceeds an even part;
+    a limit below the number of members has no even part, so its rights go round.
 
     :param waiting: jobs that wait for a right, per team.
+    :param draining: return what is not needed any more to the unassigned rights.
     """
     for team, rights in ledger.rights.items():
-        even_count = max(1, rights.limit_count // max(1, member_count))
-        missing_count = max(even_count - ledger.held_count(team), 0) + waiting.get(team, 0)
-        wanted_count = missing_count - max(0, ledger.free_count(team)) * bool(waiting.get(team))
-        if wanted_count > 0 and rights.unassigned_count > 0 and not ledger.asked[team]:
-            yield records.TakeRights(
-                team, ledger.incarnation, min(wanted_count, rights.unassigned_count)
-            )
-        if not waiting.get(team) and rights.unassigned_count == 0:
-            yield from _gifts(ledger, team, wants)
-
-
-def _gifts(ledger: RightsLedger, team: str, wants: list[PeerWants]) -> Iterator[Any]:
-    free_count = ledger.free_count(team)
-    for peer in wants:
-        count = min(peer.wanted_count.get(team, 0), (free_count + 1) // 2)
+        waiting_count = waiting.get(team, 0)
+        ledger.withheld[team] = 0
+        if draining:
+            spare_count = ledger.free_count(team) - waiting_count
+            if spare_count > 0:
+                yield records.TransferRights(team, ledger.incarnation, "", spare_count)
+            continue
+        even_count = rights.limit_count // max(1, member_count)
+        missing_count = max(1, even_count) - ledger.held_count(team)
+        count = max(missing_count, lacking_count(ledger, team, waiting_count))
+        if count > 0 and rights.unassigned_count > 0 and not ledger.asked[team]:
+            count = min(count, rights.unassigned_count)
+            yield records.TakeRights(team, ledger.incarnation, count)
+        if not rights.unassigned_count:
+            yield from _gifts(ledger, team, wants, even_count, waiting_count)
+
+
+def lacking_count(ledger: RightsLedger, team: str, waiting_count: int) -> int:
+    """Return how many of the waiting jobs lack a right; others wait for an upstream."""
+    return max(0, waiting_count - max(0, ledger.free_count(team)))
+
+
+def _gifts(
+    ledger: RightsLedger,
+    team: str,
+    wants: list[PeerWants],
+    even_count: int,
+    waiting_count: int,
+) -> Iterator[Any]:
+    """Yield what can be given now, and withhold what is to be given once its jobs have ended."""
+    # Each giver starts with the peer after itself, so that no peer is always the last one.
+    ring = sorted(wants, key=lambda peer: (peer.incarnation < ledger.incarnation, peer.incarnation))
+    spare_count = max(0, ledger.held_count(team) - even_count)
+    free_count = max(0, ledger.free_count(team))
+    # Several peers may give at once, so an idle one gives half of what it has.
+    free_count = min(free_count, spare_count) if waiting_count else (free_count + 1) // 2
+    for peer in ring:
+        wanted_count = peer.wanted_count.get(team, 0)
+        count = min(wanted_count, free_count)
         if count > 0:
             free_count -= count
             yield records.TransferRights(team, ledger.incarnation, peer.incarnation, count)
+        spare_count = max(0, spare_count - count)
+        withheld_count = min(wanted_count - count, spare_count)
+        spare_count -= withheld_count
+        ledger.withheld[team] += withheld_count
