--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import random
 import secrets
@@ -61,6 +62,8 @@
     entry = await open_entry(settings)
     addresses = {"client_address": entry.client_address, "peer_address": entry.peer_address}
     print(json.dumps(addresses), flush=True)
+    # What has been loaded stays; collections need not look at it again.
+    gc.freeze()
     await _wait_for_signal()
     terminated = new_reply()
     entry.membership.tell(Terminate(terminated))
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
 from attrs import define, evolve, frozen
+from yarl import URL
 
 from . import attempts, defaults
 from .attempts import Evidence
@@ -21,6 +22,10 @@
 logger = logging.getLogger(__name__)
 ATTEMPT_CHART = load_chart("attempt")
 LEASE_FIELDS = frozenset(("epoch", "duration_ms", "leaving", "slots", "running"))
+ATTEMPT_TIMEOUT = aiohttp.ClientTimeout(
+    total=defaults.ATTEMPT_TIMEOUT_MS / 1_000,
+    sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000,
+)
 
 
 @frozen
@@ -145,6 +150,8 @@
         self.worker = name
         self.address = address
         self._url = f"http://{address}"
+        # Parsed once: parsing a URL is a measurable part of a request's cost.
+        self._attempts_url = URL(f"{self._url}/attempts")
         self._entry = entry
         self._incarnation = incarnation
         self._owner = owner
@@ -161,7 +168,9 @@
         """Open the session and ask for a lease."""
         local = (self._source_address, 0) if self._source_address else None
         connector = aiohttp.TCPConnector(limit=self._connection_count, local_addr=local)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar(), timeout=ATTEMPT_TIMEOUT
+        )
         # Leases have a session of their own: attempts must not keep a renewal waiting.
         self._control = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=2, local_addr=local)
@@ -173,8 +182,8 @@
         """Close the sessions and answer what still waits in the inbox."""
         await self._session.close()
         await self._control.close()
-        while not self._inbox.empty():
-            message = self._inbox.get_nowait()
+        while self._inbox:
+            message = self._inbox.popleft()
             if isinstance(message, Transmit):
                 evidence = Evidence("not_started", None, "gone")
                 self._owner.tell(AttemptEnded(message.attempt, evidence))
@@ -277,15 +286,9 @@
             "declared_run_ms": attempt.declared_run_ms,
             "payload": attempt.payload,
         }
-        timeout = aiohttp.ClientTimeout(
-            total=defaults.ATTEMPT_TIMEOUT_MS / 1_000,
-            sock_connect=defaults.CONNECT_TIMEOUT_MS / 1_000,
-        )
         payload = GatedPayload(body, lambda: self._may_send(sending))
         try:
-            async with self._session.post(
-                f"{self._url}/attempts", data=payload, timeout=timeout
-            ) as response:
+            async with self._session.post(self._attempts_url, data=payload) as response:
                 data = await _decode(response)
             sending.evidence = attempts.judge_response(attempt, response.status, data)
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,7 +10,7 @@
 
 from tarragoncart import defaults, records, replay, snapshots
 from tarragoncart.errors import LogUnavailableError
-from tarragoncart.journal import AdoptState, Append, ReadFailed, ReadTail, RetryBatch
+from tarragoncart.journal import AdoptState, Append, Chunk, ReadFailed, ReadTail, RetryBatch
 from tarragoncart.mailbox import new_reply
 from tarragoncart.model import FleetConfig, KeyGrant, Member, PoolSpec, TeamSpec, VmSpec
 
@@ -252,6 +252,23 @@
     assert bench.journal.loaded and "k" in bench.journal.view.keys
 
 
+@pytest.mark.parametrize("from_peer_end", [4, 6, 8])
+async def test_a_peer_fills_the_gap_that_retention_has_left(bench, from_peer_end):
+    """Guards against an entry VM that keeps an old state although a peer has the records."""
+    for n in range(8):
+        bench.write(*encode(records.GrantKey(KeyGrant(f"k{n}", "shop")), batch_id=f"b{n}"))
+    log = bench.log
+    bench.journal.handle(Chunk(log[:2], 0, 2, 0.0))
+    bench.journal.handle(Chunk(log[4:6], 4, 6, 1.0))
+    assert bench.journal.state.offset == 1
+    part = Chunk(log[2:3], 2, 3, 2.0, from_log=False)
+    bench.journal.handle(part)
+    assert bench.journal.state.offset == 2
+    bench.journal.handle(Chunk(log[2:from_peer_end], 2, from_peer_end, 2.0, from_log=False))
+    assert set(bench.journal.state.keys) == {f"k{n}" for n in range(max(6, from_peer_end))}
+    assert bench.journal.fresh_as_of_ms == 2.0
+
+
 async def test_peers_get_no_records_past_a_gap(bench, fleet):
     """Guards against a peer that takes what follows a gap for what follows its own state."""
     bench.write(*encode(*SETUP))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
 from tarragoncart import defaults
+from tarragoncart import upstream as upstream_module
 from tarragoncart.model import Verdict
 from tarragoncart.upstream import FenceIncarnation, FindResult, RenewLease
 
@@ -54,7 +56,8 @@
     open_upstream, worker, call, monkeypatch, fault, verdict
 ):
     """Guards against "not run" for a job that has run, and a foreign or partial answer."""
-    monkeypatch.setattr(defaults, "ATTEMPT_TIMEOUT_MS", 200 if fault == "late_answers" else 2_000)
+    timeout = aiohttp.ClientTimeout(total=0.2 if fault == "late_answers" else 2)
+    monkeypatch.setattr(upstream_module, "ATTEMPT_TIMEOUT", timeout)
     bench = await open_upstream(worker)
     assert (await bench.send("other")).event == "result"
     await set_fault(call, worker, fault)
