Carry out every action and event that the charts name

Cause: the charts of VMs, waves and upstreams named actions that nobody carried out, beside code that did the same by hand; 'isolated' and 'reconnected' of the entry chart never came, so an entry VM that no upstream answers stayed ready, against section 4.7 of the design. Change: replay and routing carry out actions from registries; names without an effect are gone. Tests: test_every_action_is_carried_out failed for vm, wave and upstream (no registry to check), and test_code_and_charts_name_the_same_events for 'reconnected' and 'lease_failed'; both pass now, as does test_silence_of_all_upstreams_makes_an_entry_vm_not_ready.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -167,6 +167,13 @@
     reply: asyncio.Future[Usage]
 
 
+@frozen
+class ReadReach:
+    """Ask whether any upstream answers; the reply is False if all are silent."""
+
+    reply: asyncio.Future[bool]
+
+
 @frozen
 class Usage:
     """Jobs of this entry VM per team, and its rights."""
@@ -1078,6 +1085,13 @@
         usage = Usage(dict(self._ledger.running), dict(self._waiting), rights)
         resolve(message.reply, usage)
 
+    @receives(ReadReach)
+    def _on_read_reach(self, message: ReadReach) -> None:
+        now_ms = self._timer.now_ms()
+        pools = [pool for pool in self._pools.values() if pool.upstreams]
+        silent = pools and all(pool.health.unreachable(now_ms) for pool in pools)
+        resolve(message.reply, not silent)
+
     # Shutdown and new incarnations
 
     @receives(Drain)
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -11,7 +11,7 @@
 
 from . import defaults, records
 from .charts import load_chart
-from .dispatch import CountTasks, Dispatch, Drain, UseIncarnation
+from .dispatch import CountTasks, Dispatch, Drain, ReadReach, UseIncarnation
 from .journal import Append, Journal, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .model import Member
@@ -117,6 +117,10 @@
 
     @receives(CheckMembers)
     async def _on_check_members(self, _: CheckMembers) -> None:
+        reached: asyncio.Future[bool] = new_reply()
+        self._dispatch.tell(ReadReach(reached))
+        # Without an answer from any upstream, this entry VM may be the one that is cut off.
+        self._event("reconnected" if await reached else "isolated")
         if not self._log_available or self.member.incarnation not in self._view.members:
             return
         asked: asyncio.Future[list[PeerStatus]] = new_reply()
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -13,9 +13,12 @@
 from .charts import load_chart
 from .model import FleetConfig, KeyGrant, Member, Outcome, VmSpec
 from .records import Envelope
+from .registry import Registry
 
 VM_CHART = load_chart("vm")
 WAVE_CHART = load_chart("wave")
+VM_ACTIONS: Registry[Callable[[FleetState, VmState], None]] = Registry("VM action")
+WAVE_ACTIONS: Registry[Callable[[WaveState], WaveState]] = Registry("wave action")
 
 
 @frozen
@@ -497,10 +500,7 @@
     step = VM_CHART.step(vm.state, event)
     state.vms[name] = evolve(vm, state=step.state, **changes)
     for action in step.actions:
-        if action == "count_wave_failure":
-            _count_wave_failure(state, vm.wave, name)
-        elif action == "count_wave_done":
-            _count_wave_done(state, vm.wave, name)
+        VM_ACTIONS.get(action)(state, vm)
     return Ruling((name, vm.pool), reason=str(changes.get("cause", "")))
 
 
@@ -554,7 +554,7 @@
     vm = state.vms.get(record.vm)
     if vm is None or vm.state != "draining":
         return _rejected("VM is not draining", record.vm)
-    return _step_vm(state, record.vm, "drained", pool=vm.target_pool, target_pool="")
+    return _step_vm(state, record.vm, "drained")
 
 
 @handles(records.VmFailed, "vms", "waves")
@@ -585,42 +585,59 @@
         return _rejected("unknown wave or event", record.wave)
     if not WAVE_CHART.accepts(wave.state, record.event):
         return _rejected(f"wave is {wave.state}", record.wave)
-    step = WAVE_CHART.step(wave.state, record.event)
-    failure_count = 0 if "reset_failures" in step.actions else wave.failure_count
-    state.waves[record.wave] = evolve(wave, state=step.state, failure_count=failure_count)
+    state.waves[record.wave] = _step_wave(wave, record.event)
     return Ruling((record.wave,), reason=record.event)
 
 
-def _count_wave_failure(state: FleetState, name: str, vm: str) -> None:
-    wave = state.waves.get(name)
+def _step_wave(wave: WaveState, event: str) -> WaveState:
+    step = WAVE_CHART.step(wave.state, event)
+    wave = evolve(wave, state=step.state)
+    for action in step.actions:
+        wave = WAVE_ACTIONS.get(action)(wave)
+    return wave
+
+
+@WAVE_ACTIONS.register("count_failure")
+def _count_failure(wave: WaveState) -> WaveState:
+    return evolve(wave, failure_count=wave.failure_count + 1)
+
+
+@WAVE_ACTIONS.register("reset_failures")
+def _reset_failures(wave: WaveState) -> WaveState:
+    return evolve(wave, failure_count=0)
+
+
+@VM_ACTIONS.register("change_pool")
+def _change_pool(state: FleetState, vm: VmState) -> None:
+    moved = state.vms[vm.spec.name]
+    state.vms[vm.spec.name] = evolve(moved, pool=vm.target_pool, target_pool="")
+
+
+@VM_ACTIONS.register("count_wave_failure")
+def _count_wave_failure(state: FleetState, vm: VmState) -> None:
+    wave = state.waves.get(vm.wave)
     if wave is None or WAVE_CHART.is_final(wave.state):
         return
-    wave = evolve(
-        wave,
-        pending=tuple(other for other in wave.pending if other != vm),
-        failed=(*wave.failed, vm),
-        failure_count=wave.failure_count + 1,
-        state=WAVE_CHART.step(wave.state, "vm_failed").state,
-    )
+    wave = evolve(_step_wave(wave, "vm_failed"), failed=(*wave.failed, vm.spec.name))
     limit_met = wave.failure_count >= defaults.WAVE_FAILURE_LIMIT_COUNT
     if limit_met and WAVE_CHART.accepts(wave.state, "failure_limit"):
-        wave = evolve(wave, state=WAVE_CHART.step(wave.state, "failure_limit").state)
-    state.waves[name] = _finish_wave(wave)
+        wave = _step_wave(wave, "failure_limit")
+    state.waves[vm.wave] = _finish_wave(wave, vm)
 
 
-def _count_wave_done(state: FleetState, name: str, vm: str) -> None:
-    wave = state.waves.get(name)
-    if wave is None or WAVE_CHART.is_final(wave.state):
-        return
-    pending = tuple(other for other in wave.pending if other != vm)
-    step = WAVE_CHART.step(wave.state, "vm_done")
-    state.waves[name] = _finish_wave(evolve(wave, pending=pending, state=step.state))
+@VM_ACTIONS.register("count_wave_done")
+def _count_wave_done(state: FleetState, vm: VmState) -> None:
+    wave = state.waves.get(vm.wave)
+    if wave is not None and not WAVE_CHART.is_final(wave.state):
+        state.waves[vm.wave] = _finish_wave(_step_wave(wave, "vm_done"), vm)
 
 
-def _finish_wave(wave: WaveState) -> WaveState:
+def _finish_wave(wave: WaveState, vm: VmState) -> WaveState:
+    """Take a VM off the pending ones, and finish the wave with the last of them."""
+    wave = evolve(wave, pending=tuple(name for name in wave.pending if name != vm.spec.name))
     if wave.pending or not WAVE_CHART.accepts(wave.state, "all_done"):
         return wave
-    return evolve(wave, state=WAVE_CHART.step(wave.state, "all_done").state)
+    return _step_wave(wave, "all_done")
 
 
 @handles(records.SnapshotPart)
--- a/src/tarragoncart/routing.py
+++ b/src/tarragoncart/routing.py
@@ -14,6 +14,7 @@
 from .registry import Registry
 
 UPSTREAM_CHART = load_chart("upstream")
+UPSTREAM_ACTIONS: Registry[Callable[[_Health, float], None]] = Registry("upstream action")
 
 # A placement looks at this many random candidates before it looks at all, so that its cost does
 # not grow with the pool while at least a small part of the pool has free slots.
@@ -272,6 +273,10 @@
         """Tell whether a job has had a result there since it was last without a lease."""
         return self.upstreams[upstream].result_ms is not None
 
+    def heard(self, upstream: str, now_ms: float) -> None:
+        """Note that an upstream can be reached, which says nothing about its jobs."""
+        self.upstreams.setdefault(upstream, _Health()).answer_ms = now_ms
+
     def record(self, upstream: str, verdict: Verdict, now_ms: float) -> None:
         """Count the verdict of one job or probe, and eject the upstream if it decides so."""
         health = self.upstreams.setdefault(upstream, _Health())
@@ -290,15 +295,13 @@
                 health.answer_ms = now_ms
         if health.state == "probing":
             passed = verdict is Verdict.RESULT
-            self._step(health, "probe_passed" if passed else "probe_failed")
-            health.probe_ms = now_ms + defaults.EJECT_DURATION_MS
+            self._step(health, "probe_passed" if passed else "probe_failed", now_ms)
         elif (
             health.state == "in_use"
             and self._condemned(upstream, health, now_ms)
             and self._ejected_count() < self.ejected_limit_count
         ):
-            self._step(health, "eject")
-            health.probe_ms = now_ms + defaults.EJECT_DURATION_MS
+            self._step(health, "eject", now_ms)
 
     @property
     def ejected_limit_count(self) -> int:
@@ -340,11 +343,21 @@
         raise NotImplementedError
 
     @staticmethod
-    def _step(health: _Health, event: str) -> None:
+    def _step(health: _Health, event: str, now_ms: float = 0.0) -> None:
         step = UPSTREAM_CHART.step(health.state, event)
         health.state = step.state
-        if "reset_counts" in step.actions:
-            health.failure_count = health.silence_count = 0
+        for action in step.actions:
+            UPSTREAM_ACTIONS.get(action)(health, now_ms)
+
+
+@UPSTREAM_ACTIONS.register("reset_counts")
+def _reset_counts(health: _Health, _: float) -> None:
+    health.failure_count = health.silence_count = 0
+
+
+@UPSTREAM_ACTIONS.register("schedule_probe")
+def _schedule_probe(health: _Health, now_ms: float) -> None:
+    health.probe_ms = now_ms + defaults.EJECT_DURATION_MS
 
 
 def _within(time_ms: float | None, since_ms: float) -> bool:
--- a/tests/test_charts.py
+++ b/tests/test_charts.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import ast
 from importlib import resources
 
 import pytest
 
+from tarragoncart import replay, routing
 from tarragoncart.charts import load_chart, parse_chart
+from tarragoncart.dispatch import Dispatch
 from tarragoncart.errors import ChartError
+from tarragoncart.journal import Journal
+from tarragoncart.membership import Membership
+from tarragoncart.registry import Registry
+from tarragoncart.upstream import Upstream
 
 NAMES = sorted(
     path.name.removesuffix(".json")
@@ -32,3 +39,61 @@
     """Guards against dead states in chart files."""
     with pytest.raises(ChartError, match="cannot reach"):
         parse_chart("x", {"initial": "a", "states": {"a": {}, "b": {}}})
+
+
+USERS = {
+    "job": Dispatch,
+    "attempt": Upstream,
+    "append": Journal,
+    "entry": Membership,
+    "vm": replay.VM_ACTIONS,
+    "wave": replay.WAVE_ACTIONS,
+    "upstream": routing.UPSTREAM_ACTIONS,
+}
+MODULES = {
+    "dispatch": ["job"],
+    "upstream": ["attempt"],
+    "journal": ["append"],
+    "membership": ["entry"],
+    "replay": ["vm", "wave"],
+    "routing": ["upstream"],
+    "placement": ["upstream"],
+}
+STEPPERS = {"step", "_step", "_step_vm", "_step_wave", "_event", "accepts"}
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_every_action_is_carried_out(name):
+    """Guards against an action in a chart that nobody carries out, or that fails when it is due."""
+    user, actions = USERS[name], load_chart(name).actions
+    if isinstance(user, Registry):
+        assert actions == set(user)
+    else:
+        assert user.can_carry_out(actions)
+        assert user._actions.keys() == actions
+
+
+def texts(node: ast.AST) -> set[str]:
+    """Return all string constants within a node."""
+    constants = (part.value for part in ast.walk(node) if isinstance(part, ast.Constant))
+    return {value for value in constants if isinstance(value, str)}
+
+
+def called(node: ast.Call) -> str:
+    """Return the last part of the name of what is called."""
+    return getattr(node.func, "attr", getattr(node.func, "id", ""))
+
+
+def test_code_and_charts_name_the_same_events():
+    """Guards against an event that no state accepts, and one that never comes."""
+    package = resources.files("tarragoncart")
+    sources = {path.name: path.read_text() for path in package.iterdir() if path.is_file()}
+    everywhere = set().union(
+        *(texts(ast.parse(text)) for name, text in sources.items() if name.endswith(".py"))
+    )
+    for module, names in MODULES.items():
+        events = {event for name in names for _, event in load_chart(name).table}
+        calls = (n for n in ast.walk(ast.parse(sources[f"{module}.py"])) if isinstance(n, ast.Call))
+        used = {t for n in calls if called(n) in STEPPERS for arg in n.args for t in texts(arg)}
+        assert used and used <= events, module
+        assert events <= everywhere, module
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,14 +9,15 @@
 import pytest
 from attrs import Factory, define, evolve
 
+from tarragoncart import defaults, records, replay
 from tarragoncart import dispatch as module
-from tarragoncart import records, replay
 from tarragoncart.admission import Submission
 from tarragoncart.attempts import Evidence
 from tarragoncart.dispatch import Dispatch, Submit
 from tarragoncart.journal import Append, ViewChanged
 from tarragoncart.mailbox import new_reply
-from tarragoncart.model import Answer, KeyGrant, Mode, Outcome, QueueSpec, Reply
+from tarragoncart.membership import CheckMembers, Membership
+from tarragoncart.model import Answer, KeyGrant, Member, Mode, Outcome, QueueSpec, Reply, Verdict
 from tarragoncart.timer import ManualTimer
 from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, UpstreamChanged
 
@@ -60,6 +61,10 @@
             for message in self.dispatch.take_messages():
                 self.handle(message)
 
+    def tell(self, message: Any) -> None:
+        """Handle one message from another actor at once."""
+        self.handle(message)
+
     def handle(self, message: Any) -> None:
         """Handle one message."""
         result = self.dispatch.handle(message)
@@ -204,3 +209,19 @@
     asked.reply.set_result(desk.state.jobs["own"])
     await desk.settle()
     assert reply.result().outcome is Outcome.ANSWERED
+
+
+async def test_silence_of_all_upstreams_makes_an_entry_vm_not_ready(desk):
+    """Guards against callers being sent to an entry VM that is cut off from every upstream."""
+    member = Member("a", "a", "dc-1", "", "")
+    membership = Membership(member, desk.journal, desk, ActorStub(), desk.timer)
+    membership.handle(ViewChanged(replay.FleetView(), 0.0, log_available=False, loaded=True))
+    states = []
+    for verdict, answering in (Verdict.NO_ANSWER, 0), (Verdict.RESULT, 1), (Verdict.NO_ANSWER, 0):
+        desk.timer.advance(2 * defaults.EJECT_WINDOW_MS)
+        for number, name in enumerate(desk.state.vms):
+            changed = Verdict.NO_ANSWER if number >= answering else verdict
+            desk.handle(UpstreamChanged(name, leased=False, verdict=changed, boot_id="boot"))
+        await membership.handle(CheckMembers())
+        states.append(membership.state)
+    assert states == ["isolated", "ready", "isolated"]
