Take the refusal of a question for no outcome of the job

Cause: an entry VM that refused a query or a cancellation answered 'not_run' as for a submission, and the client reported that as the outcome of a job that may have run. An answer without an outcome raised from the client instead of leading to a question, and a connection that timed out before it was made was asked about instead of tried elsewhere. Change: errors on /v1/requests/ say outcome_unknown; the client believes an outcome only in an answer that names the request, and asks after any other answer.

--- a/src/tarragoncart/client.py
+++ b/src/tarragoncart/client.py
@@ -118,7 +118,7 @@
             }
             try:
                 result = await self._post(address, queue, body)
-            except aiohttp.ClientConnectorError:
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
                 self.observer("connection_lost", {"request_id": request_id, "sent": False})
                 self._blocks.pop(address, None)
                 continue
@@ -162,11 +162,7 @@
         url = f"http://{address}/v1/requests/{request_id}"
         timeout = aiohttp.ClientTimeout(total=defaults.PEER_TIMEOUT_MS * 2 / 1_000)
         async with self._session.get(url, timeout=timeout) as response:
-            data = await response.json()
-            if response.status == 404:
-                # This entry VM has never heard of it; that is no evidence that it has not run.
-                return Result(request_id, Outcome.OUTCOME_UNKNOWN, code="unknown_request")
-            return _result(request_id, response.status, data, address)
+            return _told(request_id, response.status, await response.json(), address)
 
     async def cancel(self, request_id: str) -> Result:
         """Cancel a job that has not started; returns what is known about it."""
@@ -176,7 +172,7 @@
             try:
                 url = f"http://{address}/v1/requests/{request_id}"
                 async with self._session.delete(url) as response:
-                    result = _result(request_id, response.status, await response.json(), address)
+                    result = _told(request_id, response.status, await response.json(), address)
                     break
             except (aiohttp.ClientError, TimeoutError, ValueError):
                 continue
@@ -213,7 +209,25 @@
     return time.monotonic() * 1_000
 
 
-def _result(request_id: str, status: int, data: dict[str, Any], entry: str) -> Result:
+def _told(request_id: str, status: int, data: Any, entry: str) -> Result:
+    """Return what an entry VM tells about an earlier request.
+
+    An answer that does not name the request is about the question; that the question was refused
+    is no evidence that the job has not run.
+    """
+    result = _result(request_id, status, data, entry)
+    if data.get("request_id") == request_id:
+        return result
+    return Result(request_id, Outcome.OUTCOME_UNKNOWN, code=result.code, status=status)
+
+
+def _result(request_id: str, status: int, data: Any, entry: str) -> Result:
+    """Decode an answer.
+
+    :raises ValueError: if it is not one of an entry VM.
+    """
+    if not isinstance(data, dict) or "outcome" not in data:
+        raise ValueError("the answer has no outcome")
     error = data.get("error", {})
     return Result(
         request_id=request_id,
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -116,8 +116,22 @@
 ) -> web.StreamResponse:
     """Answer every failure with a body that programs can read."""
     try:
-        return await handler(request)
+        try:
+            return await handler(request)
+        except InboxFullError as error:
+            raise RequestError(
+                error.message,
+                code="overloaded",
+                status=503,
+                step=error.step,
+                peer=error.peer,
+                limit="inbox_count",
+            ) from None
     except RequestError as error:
+        if request.path.startswith("/v1/requests/"):
+            # The question was refused, which says nothing about the job that it is about.
+            body = _error_body(error) | {"outcome": Outcome.OUTCOME_UNKNOWN}
+            return web.json_response(body, status=error.status)
         return error_response(error)
     except web.HTTPRequestEntityTooLarge:
         return error_response(_too_large(defaults.CONFIG_SIZE_BYTES))
@@ -125,17 +139,6 @@
         code = error.reason.lower().replace(" ", "_")
         refused = RequestError(error.reason, code=code, status=error.status, step="route")
         return web.json_response(_error_body(refused), status=error.status)
-    except InboxFullError as error:
-        return error_response(
-            RequestError(
-                error.message,
-                code="overloaded",
-                status=503,
-                step=error.step,
-                peer=error.peer,
-                limit="inbox_count",
-            )
-        )
 
 
 def error_response(error: RequestError) -> web.Response:
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,80 @@
+"""The callers' library: what it submits again and what it only asks about."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import pytest
+
+from tarragoncart.client import Client, EntryUnreachableError, _Block
+from tarragoncart.model import Outcome
+
+DEAD = "127.0.0.1:1"
+IDS, JOBS = ("POST", "/v1/request-ids"), ("POST", "/v1/queues/holds/jobs")
+OUTCOME = ("GET", "/v1/requests/id-1")
+ANSWERED = {"outcome": "answered", "answer": {"x": 1}, "succeeded": True, "request_id": "id-1"}
+OWN_ERROR = {"outcome": "not_run", "error": {"code": "overloaded", "message": "inbox is full"}}
+
+
+@pytest.fixture
+async def events():
+    """Names of the client's events with the request ID of each."""
+    return []
+
+
+@pytest.fixture
+async def client(entry_stub, events, monkeypatch):
+    """A client that tries a dead entry VM first, for which it still has a request ID."""
+    monkeypatch.setattr(Client, "_in_random_order", lambda self: list(self.addresses))
+    entry_stub.answers[IDS] = [(200, {"request_ids": ["id-1"], "valid_ms": 120_000})]
+
+    def observe(event, fields):
+        events.append((event, fields["request_id"]))
+
+    addresses = [DEAD, entry_stub.address]
+    async with Client(addresses, "key", observe, rng=random.Random(1)) as client:
+        client._blocks[DEAD] = _Block(deque(["id-of-the-dead"]), float("inf"))
+        yield client
+
+
+async def test_a_refused_connection_goes_elsewhere_under_a_new_id(client, entry_stub, events):
+    """Guards against a job given up, or an ID that only a dead entry VM may start."""
+    entry_stub.answers[JOBS] = [(200, ANSWERED)]
+    result = await client.submit("holds", {})
+    assert (result.outcome, result.entry) == (Outcome.ANSWERED, entry_stub.address)
+    (body,) = [body for method, path, body in entry_stub.calls if (method, path) == JOBS]
+    assert body["request_id"] == "id-1"
+    lost = [("submit", "id-of-the-dead"), ("connection_lost", "id-of-the-dead")]
+    assert events == [*lost, ("submit", "id-1"), ("reply", "id-1")]
+
+
+@pytest.mark.parametrize("answer", [None, (500, {}), (200, []), (200, {"outcome": "unheard_of"})])
+async def test_a_job_that_may_have_been_sent_is_only_asked_about(client, entry_stub, answer):
+    """Guards against a second submission after the connection is lost or the answer damaged."""
+    if answer is not None:
+        entry_stub.answers[JOBS] = [answer]
+    pending = {"outcome": "accepted", "request_id": "id-1"}
+    entry_stub.answers[OUTCOME] = [(202, pending), (200, ANSWERED)]
+    result = await client.submit("holds", {}, deadline_ms=5_000)
+    assert (result.outcome, result.request_id) == (Outcome.ANSWERED, "id-1")
+    paths = [(method, path) for method, path, _ in entry_stub.calls]
+    assert paths.count(JOBS) == 1 and paths.count(OUTCOME) == 2
+
+
+async def test_no_entry_vm_means_nothing_was_submitted(client, entry_stub):
+    """Guards against a job that is reported as unknown although nothing was sent."""
+    entry_stub.answers[IDS] = [(503, OWN_ERROR)]
+    with pytest.raises(EntryUnreachableError):
+        await client.submit("holds", {})
+
+
+@pytest.mark.parametrize("answer", [(404, OWN_ERROR), (503, OWN_ERROR), (500, {}), None])
+async def test_a_failed_question_is_no_outcome(client, entry_stub, answer):
+    """Guards against "not run" for a job because the question about it was refused."""
+    if answer is not None:
+        entry_stub.answers[OUTCOME] = [answer]
+    result = await client.find("id-1", wait_ms=120)
+    assert result.outcome is Outcome.OUTCOME_UNKNOWN
+    entry_stub.answers["DELETE", OUTCOME[1]] = entry_stub.answers.get(OUTCOME, [])
+    assert (await client.cancel("id-1")).outcome is Outcome.OUTCOME_UNKNOWN
