--- a/src/tarragoncart/fairqueue.py
+++ b/src/tarragoncart/fairqueue.py
@@ -353,3 +353,15 @@
 
     def _head_changed(self, queue: _TeamQueue) -> None:
         self._place(queue, queue.head.number)
+
+
+def make_order(policy: str, ledger: Ledger) -> QueueOrder:
+    """Return an empty queue of the named order for one pool.
+
+    :param ledger: shared by the pools over which the shares count.
+    :raises RegistryError: for an unknown policy.
+    """
+    order = QUEUE_ORDERS.get(policy)()
+    if isinstance(order, WeightedFair):
+        return type(order)(ledger=ledger)
+    return order
