--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -179,6 +179,13 @@
     reply: asyncio.Future[Usage]
 
 
+@frozen
+class ReadReach:
+    """Ask whether any upstream answers; the reply is False if all are silent."""
+
+    reply: asyncio.Future[bool]
+
+
 @frozen
 class Usage:
     """Jobs of this entry VM per team, and its rights."""
@@ -482,13 +489,13 @@
     def _transfer_ended(
         self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.given[record.team] -= record.count
+        self._ledger.ended(record)
 
     @_record_ended.register
     def _take_ended(
         self, record: records.TakeRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.asked[record.team] -= 1
+        self._ledger.ended(record)
 
     # Actions of the job chart
 
@@ -554,6 +561,7 @@
             # The deadline of a deferred job is for its acceptance only.
             deadline_ms=float("inf") if job.mode is Mode.DEFERRED else job.deadline_ms,
             number=entry.attempt_count,
+            placed_at_ms=entry.placed_at_ms,
         )
         upstream = self._upstreams.get(entry.placed_on)
         if upstream is None:
@@ -973,8 +981,16 @@
         if self._log_available and self._loaded and self.incarnation in self._view.members:
             self._move_rights()
             self._adopt_jobs()
+        else:
+            # No rights move, so none is kept free for others.
+            self._ledger.withheld.clear()
         if self.peers is not None:
-            wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
+            lacking = {
+                team: limits.lacking_count(self._ledger, team, count)
+                for team, count in self._waiting.items()
+                if team
+            }
+            wanted = {team: count for team, count in lacking.items() if count}
             self.peers.tell(OwnDemand(wanted, self._loads()))
         self._evict_finished()
         self._pump_all()
@@ -994,17 +1010,11 @@
     def _move_rights(self) -> None:
         members_count = len(self._view.members)
         waiting = {team: n for team, n in self._waiting.items() if n > 0}
-        if self._is_draining:
-            waiting = {}
-        for record in limits.plan_rights(self._ledger, waiting, self._wants, members_count):
+        for record in limits.plan_rights(
+            self._ledger, waiting, self._wants, members_count, draining=self._is_draining
+        ):
             metrics.RIGHTS_MOVED.add(record.count)
-            if isinstance(record, records.TransferRights):
-                # The giver lets go before the receiver may use the rights.
-                self._ledger.given[record.team] += record.count
-            elif self._is_draining:
-                continue
-            else:
-                self._ledger.asked[record.team] += 1
+            self._ledger.sent(record)
             self._append(record, self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS)
 
     def _adopt_jobs(self) -> None:
@@ -1049,8 +1059,13 @@
             self._step(entry, "adopt")
             return
         entry.boot_id = known.claimed_boot_id
+        age_ms = max(0, self._timer.wall_ms() - known.claimed_at_ms)
         entry.attempt = Attempt(
-            f"claim-{known.claim_epoch}", job.request_id, known.claimed_worker, team=job.team
+            f"claim-{known.claim_epoch}",
+            job.request_id,
+            known.claimed_worker,
+            team=job.team,
+            placed_at_ms=self._timer.now_ms() - age_ms,
         )
         self._step(entry, "adopt_claimed")
 
@@ -1162,6 +1177,13 @@
         usage = Usage(dict(self._ledger.running), dict(self._waiting), rights)
         resolve(message.reply, usage)
 
+    @receives(ReadReach)
+    def _on_read_reach(self, message: ReadReach) -> None:
+        now_ms = self._timer.now_ms()
+        pools = [pool for pool in self._pools.values() if pool.upstreams]
+        silent = pools and all(pool.health.unreachable(now_ms) for pool in pools)
+        resolve(message.reply, not silent)
+
     # Shutdown and new incarnations
 
     @receives(Drain)
