--- a/src/tarragoncart/fairqueue.py
+++ b/src/tarragoncart/fairqueue.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import ClassVar, Protocol
 
-from attrs import Factory, define, field
+from attrs import Factory, define
 
 from .registry import Registry
 
@@ -21,6 +21,8 @@
 # running jobs follow their weights, whatever the jobs' run times are; a hold of the expected run
 # time only evens out the starts, and long jobs then distort shares over seconds.
 HOLD_MS = 40_000.0
+# Teams whose keys a pop refreshes.
+REFRESH_COUNT = 2
 # Stale heap entries are dropped when they outnumber the teams by this factor.
 HEAP_SLACK_FACTOR = 4
 
@@ -261,7 +263,6 @@
 
     teams: dict[str, TeamUse] = Factory(dict)
     level_ms: float = 0.0
-    queues: list[WeightedFair] = field(factory=list, repr=False, eq=False)
 
     def use(self, team: str) -> TeamUse:
         """Return the use of a team."""
@@ -277,9 +278,19 @@
     """
 
     ledger: Ledger = Factory(Ledger)
+    _rotation: deque[str] = Factory(deque)
+    _known: set[str] = Factory(set)
 
-    def __attrs_post_init__(self) -> None:
-        self.ledger.queues.append(self)
+    def pop(self, eligible: Callable[[str], bool]) -> str | None:
+        """Remove and return the next job; see :class:`QueueOrder`."""
+        # Other pools change the teams' keys. An entry that is too low is corrected when it is met;
+        # one that is too high is found by this rotation, at a cost independent of the pools.
+        for _ in range(min(REFRESH_COUNT, len(self._rotation))):
+            queue = self._teams[self._rotation[0]]
+            self._rotation.rotate(-1)
+            if len(queue):
+                self._place(queue, self.ledger.use(queue.name).key_ms)
+        return _TeamHeap.pop(self, eligible)
 
     def charge(self, team: str, actual_ms: float) -> None:
         """Replace the hold of one of the team's popped jobs by what it used.
@@ -293,17 +304,18 @@
         if not use.holds_ms:
             use.held_ms = 0.0
         use.base_ms += actual_ms / use.weight
-        # Keys of the other pools' heaps may be too low, which ``pop`` finds out, but not too high.
-        for queue in self.ledger.queues:
-            waiting = queue._teams.get(team)
-            if waiting is not None and len(waiting):
-                queue._place(waiting, use.key_ms)
+        waiting = self._teams.get(team)
+        if waiting is not None and len(waiting):
+            self._place(waiting, use.key_ms)
 
     def _current_tag(self, queue: _TeamQueue, tag: float) -> float:
         return self.ledger.use(queue.name).key_ms
 
     def _first_tag(self, queue: _TeamQueue) -> float:
         # A team gets no credit for the time in which it was idle or at its upper limit.
+        if queue.name not in self._known:
+            self._known.add(queue.name)
+            self._rotation.append(queue.name)
         use = self.ledger.use(queue.name)
         use.base_ms = max(self.ledger.level_ms, use.base_ms)
         return use.key_ms
