Decide on suspected upstreams again when the others have results

Change: every verdict decides again on all suspected upstreams. An upstream that has failed in the same time as the suspect is no evidence against it; otherwise the end of a shared failure would eject those that have had no job since.

--- a/src/tarragoncart/routing.py
+++ b/src/tarragoncart/routing.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
+from collections import deque
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 
-from attrs import define, field, frozen
+from attrs import Factory, define, field, frozen
 
 from . import defaults
 from .charts import load_chart
@@ -222,12 +224,16 @@
 
 @define
 class _Health:
-    """Evidence about one upstream; times are None if the event has not happened."""
+    """Evidence about one upstream; times are None if the event has not happened.
+
+    :param failures_ms: times of the last failures in a row.
+    """
 
     state: str = UPSTREAM_CHART.step(UPSTREAM_CHART.initial, "lease_granted").state
     failure_count: int = 0
     silence_count: int = 0
-    first_failure_ms: float = 0.0
+    failures_ms: deque[float] = Factory(lambda: deque(maxlen=defaults.EJECT_AFTER_FAILURES_COUNT))
+    failure_ms: float = -math.inf
     result_ms: float | None = None
     answer_ms: float | None = None
     silence_ms: float | None = None
@@ -244,6 +250,7 @@
     upstreams: dict[str, _Health] = field(
         converter=lambda names: {name: _Health() for name in names}, factory=dict
     )
+    _suspects: set[str] = field(factory=set, init=False)
 
     def step(self, upstream: str, event: str) -> None:
         """Take a step of the upstream chart, for events that are no verdicts.
@@ -263,6 +270,7 @@
     def discard(self, upstream: str) -> None:
         """Forget an upstream that is no longer in the pool."""
         self.upstreams.pop(upstream, None)
+        self._suspects.discard(upstream)
 
     def failure_count(self, upstream: str) -> int:
         """Return how many jobs have failed there in a row."""
@@ -278,9 +286,10 @@
         if verdict is Verdict.RESULT:
             health.result_ms = health.answer_ms = now_ms
             health.failure_count = health.silence_count = 0
+            health.failures_ms.clear()
         else:
-            if not health.failure_count:
-                health.first_failure_ms = now_ms
+            health.failure_ms = now_ms
+            health.failures_ms.append(now_ms)
             health.failure_count += 1
             if verdict is Verdict.NO_ANSWER:
                 health.silence_count += 1
@@ -292,7 +301,18 @@
             passed = verdict is Verdict.RESULT
             self._step(health, "probe_passed" if passed else "probe_failed")
             health.probe_ms = now_ms + defaults.EJECT_DURATION_MS
-        elif (
+        if health.failure_count >= defaults.EJECT_AFTER_SILENCES_COUNT:
+            self._suspects.add(upstream)
+        else:
+            self._suspects.discard(upstream)
+        # The results that justify an ejection may come after the failures, so every verdict
+        # decides on all suspects again.
+        for name in sorted(self._suspects):
+            self._decide(name, now_ms)
+
+    def _decide(self, upstream: str, now_ms: float) -> None:
+        health = self.upstreams[upstream]
+        if (
             health.state == "in_use"
             and self._condemned(upstream, health, now_ms)
             and self._ejected_count() < self.ejected_limit_count
@@ -359,17 +379,23 @@
     def _condemned(self, upstream: str, health: _Health, now_ms: float) -> bool:
         others = [h for name, h in self.upstreams.items() if name != upstream]
         # With little traffic the failures may span more than a window; so do the results then.
-        since_ms = min(now_ms - defaults.EJECT_WINDOW_MS, health.first_failure_ms)
+        first_ms = health.failures_ms[0] if health.failures_ms else now_ms
+        since_ms = min(now_ms - defaults.EJECT_WINDOW_MS, first_ms)
         if health.failure_count >= defaults.EJECT_AFTER_FAILURES_COUNT:
-            # At the start of a shared failure the others' results still lie in the window, but
-            # their latest verdicts do not differ any more.
+            # At the start of a shared failure the others' results still lie in the window, and
+            # after its end some have results earlier than others; so an upstream that has failed
+            # in the same time is no evidence.
             result_count = sum(
-                _within(h.result_ms, since_ms) and not h.failure_count for h in others
+                _within(h.result_ms, since_ms) and not h.failure_count and h.failure_ms < first_ms
+                for h in others
             )
             if others and result_count * 2 >= len(others):
                 return True
         if health.silence_count >= defaults.EJECT_AFTER_SILENCES_COUNT:
-            return any(_within(h.answer_ms, since_ms) and not h.silence_count for h in others)
+            return any(
+                _within(h.answer_ms, since_ms) and not _within(h.silence_ms, first_ms)
+                for h in others
+            )
         return False
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -107,6 +107,15 @@
     assert health.ejected(60_000.0) == {"w0"}
 
 
+def test_later_results_of_the_others_eject(health):
+    """Guards against a fourth job on an upstream that failed while the others were idle."""
+    for at_ms in (0.0, 1.0, 2.0):
+        health.record("w0", Verdict.ERROR_ANSWER, at_ms)
+    assert not health.ejected(2.0)
+    record_results(health, ["w1", "w2", "w3"], 10_000.0)
+    assert health.ejected(10_000.0) == {"w0"}
+
+
 @pytest.mark.parametrize("verdict", [Verdict.ERROR_ANSWER, Verdict.NO_ANSWER])
 def test_a_shared_failure_ejects_none(health, verdict):
     """Guards against a bad release of the service, or a partition, emptying the pool."""
@@ -127,6 +136,19 @@
     assert not health.ejected(10.0)
 
 
+def test_the_end_of_a_shared_failure_ejects_none(health):
+    """Guards against ejecting upstreams that have had no job since a shared failure ended."""
+    for _ in range(3):
+        for name in health.upstreams:
+            health.record(name, Verdict.ERROR_ANSWER, 1.0)
+    record_results(health, ["w1", "w2", "w3"], 100.0)
+    assert not health.ejected(100.0)
+    for at_ms in (200.0, 201.0, 202.0):
+        record_results(health, ["w1", "w2", "w3"], at_ms)
+        health.record("w0", Verdict.ERROR_ANSWER, at_ms)
+    assert health.ejected(202.0) == {"w0"}
+
+
 def test_two_valued_baseline_ejects_on_a_shared_failure():
     """Guards against a baseline that has become the chosen policy."""
     baseline = EJECTION.get("two_valued")([f"w{n}" for n in range(6)])
