--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -533,14 +533,15 @@
 
 @check("leaving_upstream")
 def leaving_upstream(history: History) -> Finding:
-    """Judge every worker that was leaving: its last start until it rebooted.
+    """Judge every worker that was leaving: its last start until it rebooted or served again.
 
     The bound of "a few seconds" is ``LEAVING_BOUND_MS``: the page's own reading of "within
     seconds" for an entry VM whose view is old (``key_freshness_ms``). Each faster source fits in
     it: the worker refuses with ``leaving`` at once, and a lease, which an entry VM must renew to
     go on starting tasks, lasts 3 s.
     """
-    ends = history.select("worker", "rebooted", "killed") + history.select("runner", "kill")
+    ends = history.select("worker", "rebooted", "serving", "killed")
+    ends += history.select("runner", "kill")
     starts = history.select("worker", "started")
     judged: list[str] = []
     last_job_ms: list[float] = []
--- a/src/bench/prove.py
+++ b/src/bench/prove.py
@@ -271,6 +271,8 @@
         except TarragoncartError as error:
             log.write("key_withdraw_reply", accepted=False, key_id=key_id, error=str(error))
         await use
+        # Outcomes are shown to the team only, and the key that the jobs came with is withdrawn.
+        user.key = next(caller.key for caller in self.callers if caller.team == team)
         self.callers.append(user)
 
     async def _start_wave(self, operator: Operator, rng: random.Random, log: HistoryWriter) -> None:
