--- a/src/bench/prove.py
+++ b/src/bench/prove.py
@@ -200,8 +200,9 @@
                     data = await response.json()
             except (aiohttp.ClientError, TimeoutError, ValueError):
                 data = {"state": "unreachable"}
-            # An entry VM that still starts refuses all work, so no version is in force there.
-            if data["state"] not in ("unreachable", "starting"):
+            # An entry VM that still starts refuses all work, so no version is in force there. A
+            # planned stop lasts until the next status, which must not come from before its end.
+            if data["state"] not in ("unreachable", "starting", "draining"):
                 names = ("state", "offset", "config_version", "age_ms", "incarnation")
                 log.write(
                     "status", entry=name, teams=data["teams"], **{key: data[key] for key in names}
