--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -206,6 +206,20 @@
             runner(4, "kill", "v0"),
             query(5, "outcome_unknown"),
         ],
+        "claimed at a worker that rebooted": [
+            *GUARDED_DEFERRED,
+            claim(3, "v0"),
+            worker(4, "rebooted"),
+            query(5, "outcome_unknown"),
+        ],
+        "claimed at a worker that rebooted after the cut": [
+            *GUARDED_DEFERRED,
+            runner(2, "cut", "dc", **{"from": ["other"]}),
+            runner(3, "heal", "dc"),
+            claim(4, "v0"),
+            worker(5, "rebooted"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker long after its kill": [
             *GUARDED_DEFERRED,
             runner(3, "kill", "v0"),
@@ -384,6 +398,14 @@
             start(3),
             query(4, "outcome_unknown"),
         ],
+        "claimed at a worker that rebooted behind a cut link": [
+            *GUARDED_DEFERRED,
+            runner(2, "cut", "dc", **{"from": ["other"]}),
+            claim(3, "v0"),
+            worker(4, "rebooted"),
+            runner(5, "heal", "dc"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker just killed": [
             *GUARDED_DEFERRED,
             runner(3, "kill", "v0"),
