Release held rights though some worker always reboots

Cause: rights of a retired incarnation are released when all workers have fenced it and run nothing of it, and all had to confirm it in one round. During waves one worker is always down, so nothing was released; a publish then lowered the limit of museums to 4, below the held rights, and no entry VM could start a job of that team. A reply that never came because an upstream's actor was replaced also stopped all later rounds. Change: a worker's confirmation is kept until all have confirmed; replies are waited for at most two control calls.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -260,6 +260,8 @@
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
+        # Workers at which a retired incarnation is fenced and runs nothing.
+        self._fenced: dict[str, set[str]] = {}
         self._swept_ms = timer.now_ms()
         self._resumed_ms = float("-inf")
 
@@ -1136,11 +1138,13 @@
         for upstream in self._upstreams.values():
             replies.append(new_reply())
             upstream.tell(FindResult(message.request_id, replies[-1]))
-        found = await asyncio.gather(*replies)
+        found = await _replies_in_time(replies)
         results = [
             evidence
             for evidence in found
-            if evidence.event == "result" and self._may_see(evidence.team, message.key_id)
+            if evidence is not None
+            and evidence.event == "result"
+            and self._may_see(evidence.team, message.key_id)
         ]
         resolve(message.reply, results[0] if results else Evidence("no_answer"))
 
@@ -1149,12 +1153,20 @@
         self.spawn(self._count_tasks(message))
 
     async def _count_tasks(self, message: CountTasks) -> None:
-        replies = []
-        for upstream in self._upstreams.values():
-            replies.append(new_reply())
-            upstream.tell(FenceIncarnation(message.incarnation, replies[-1]))
-        counts = await asyncio.gather(*replies)
-        resolve(message.reply, None if None in counts else sum(counts))
+        # A fence lasts, so a worker that has confirmed it once need not answer at the same time as
+        # all others: during waves there is always one that does not.
+        fenced = self._fenced.setdefault(message.incarnation, set())
+        asked: dict[str, asyncio.Future[int | None]] = {}
+        for name, upstream in self._upstreams.items():
+            if name not in fenced:
+                asked[name] = new_reply()
+                upstream.tell(FenceIncarnation(message.incarnation, asked[name]))
+        counts = await _replies_in_time(list(asked.values()))
+        fenced |= {name for name, count in zip(asked, counts, strict=True) if count == 0}
+        total = None if None in counts else sum(counts)
+        if total == 0:
+            self._fenced.pop(message.incarnation, None)
+        resolve(message.reply, total)
 
     @receives(ReadUsage)
     def _on_read_usage(self, message: ReadUsage) -> None:
@@ -1193,6 +1205,13 @@
         self._vms_changed()
 
 
+async def _replies_in_time(replies: list[asyncio.Future[Any]]) -> list[Any]:
+    """Return what upstreams' actors have replied, None for each that has ended without a reply."""
+    if replies:
+        await asyncio.wait(replies, timeout=2 * defaults.CONTROL_TIMEOUT_MS / 1_000)
+    return [reply.result() if reply.done() else None for reply in replies]
+
+
 def refusal(request_id: str, error: RequestError) -> Reply:
     """Return the reply for a request that did not run, or whose ID was too old to tell."""
     outcome = Outcome.OUTCOME_UNKNOWN if error.status == 504 else Outcome.NOT_RUN
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -18,7 +18,13 @@
 from tarragoncart.mailbox import new_reply
 from tarragoncart.model import Answer, KeyGrant, Mode, Outcome, QueueSpec, Reply
 from tarragoncart.timer import ManualTimer
-from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, UpstreamChanged
+from tarragoncart.upstream import (
+    AttemptEnded,
+    FenceIncarnation,
+    FenceRequest,
+    Transmit,
+    UpstreamChanged,
+)
 
 
 @define
@@ -270,3 +276,23 @@
     await desk.settle()
     (claim,) = desk.journal.of(Append)
     assert claim.record.request_id == "own"
+
+
+async def test_workers_may_confirm_a_fence_one_after_the_other(desk):
+    """Guards against rights that stay held because some worker always reboots in a wave."""
+
+    async def count(answers: dict[int, int | None]) -> tuple[int | None, int]:
+        reply = new_reply()
+        desk.handle(module.CountTasks("gone", reply))
+        await asyncio.sleep(0)
+        asked = 0
+        for number, stub in enumerate(desk.upstreams):
+            for fence in stub.of(FenceIncarnation):
+                asked += 1
+                fence.reply.set_result(answers.get(number, 0))
+            stub.messages.clear()
+        return await reply, asked
+
+    assert await count({0: None, 1: 3}) == (None, len(desk.upstreams))
+    assert await count({0: 0, 1: 2}) == (2, 2)
+    assert await count({1: 0}) == (0, 1)
