--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -271,6 +271,7 @@
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
+        # Workers at which a retired incarnation is fenced and runs nothing.
         self._swept_ms = timer.now_ms()
         self._resumed_ms = float("-inf")
 
@@ -1155,11 +1156,13 @@
         for upstream in self._upstreams.values():
             replies.append(new_reply())
             upstream.tell(FindResult(message.request_id, replies[-1]))
-        found = await asyncio.gather(*replies)
+        found = await _replies_in_time(replies)
         results = [
             evidence
             for evidence in found
-            if evidence.event == "result" and self._may_see(evidence.team, message.key_id)
+            if evidence is not None
+            and evidence.event == "result"
+            and self._may_see(evidence.team, message.key_id)
         ]
         resolve(message.reply, results[0] if results else Evidence("no_answer"))
 
@@ -1234,6 +1237,13 @@
         self._vms_changed()
 
 
+async def _replies_in_time(replies: list[asyncio.Future[Any]]) -> list[Any]:
+    """Return what upstreams' actors have replied, None for each that has ended without a reply."""
+    if replies:
+        await asyncio.wait(replies, timeout=2 * defaults.CONTROL_TIMEOUT_MS / 1_000)
+    return [reply.result() if reply.done() else None for reply in replies]
+
+
 def refusal(request_id: str, error: RequestError) -> Reply:
     """Return the reply for a request that did not run, or whose ID was too old to tell."""
     outcome = Outcome.OUTCOME_UNKNOWN if error.status == 504 else Outcome.NOT_RUN
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -206,6 +206,20 @@
             runner(4, "kill", "v0"),
             query(5, "outcome_unknown"),
         ],
+        "claimed at a worker that rebooted": [
+            *GUARDED_DEFERRED,
+            claim(3, "v0"),
+            worker(4, "rebooted"),
+            query(5, "outcome_unknown"),
+        ],
+        "claimed at a worker that rebooted after the cut": [
+            *GUARDED_DEFERRED,
+            runner(2, "cut", "dc", **{"from": ["other"]}),
+            runner(3, "heal", "dc"),
+            claim(4, "v0"),
+            worker(5, "rebooted"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker long after its kill": [
             *GUARDED_DEFERRED,
             runner(3, "kill", "v0"),
@@ -262,7 +276,15 @@
         "two workers": [start(1, guarded=True), start(2, name="v1", guarded=True)],
         "one worker after its end": [submit(1, guarded=True), FIRST, end(11, FIRST), start(12)],
     },
-    "leaving_upstream": {"late start": [worker(1, "leaving"), start(5_002)]},
+    "leaving_upstream": {
+        "late start": [worker(1, "leaving"), start(5_002)],
+        "late start before it serves": [
+            worker(1, "leaving"),
+            start(5_002),
+            worker(5_003, "serving"),
+        ],
+        "another serves": [worker(1, "leaving"), worker(2, "serving", "v1"), start(5_002)],
+    },
     "graceful_stop": {
         "task cut": [runner(1, "planned_stop", "v0"), FIRST, end(20, FIRST, "cut")],
         "rebooted under a task": [worker(1, "leaving"), FIRST, worker(20, "rebooted")],
@@ -376,6 +398,14 @@
             start(3),
             query(4, "outcome_unknown"),
         ],
+        "claimed at a worker that rebooted behind a cut link": [
+            *GUARDED_DEFERRED,
+            runner(2, "cut", "dc", **{"from": ["other"]}),
+            claim(3, "v0"),
+            worker(4, "rebooted"),
+            runner(5, "heal", "dc"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker just killed": [
             *GUARDED_DEFERRED,
             runner(3, "kill", "v0"),
@@ -405,6 +435,7 @@
     },
     "leaving_upstream": {
         "start within the bound": [worker(1, "leaving"), start(5_001)],
+        "back after a move": [worker(1, "leaving"), worker(2, "serving"), start(9_000)],
         "back after a reboot": [worker(1, "leaving"), worker(2, "rebooted"), start(9_000)],
     },
     "graceful_stop": {
