--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -181,6 +181,13 @@
     reply: asyncio.Future[Usage]
 
 
+@frozen
+class ReadReach:
+    """Ask whether any upstream answers; the reply is False if all are silent."""
+
+    reply: asyncio.Future[bool]
+
+
 @frozen
 class Usage:
     """Jobs of this entry VM per team, and its rights."""
@@ -264,6 +271,7 @@
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
+        # Workers at which a retired incarnation is fenced and runs nothing.
         self._swept_ms = timer.now_ms()
         self._resumed_ms = float("-inf")
 
@@ -445,7 +453,8 @@
                 self._step(job, "refuse", error=_log_error(entry))
         elif entry.accepted:
             job.claim_epoch = record.epoch
-            self._step(job, "claimed")
+            left = job.state == "claiming" and not self._is_usable(job)
+            self._step(job, "worker_left" if left else "claimed")
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
         else:
@@ -453,6 +462,14 @@
             self._follow_logged(job)
         self._pump(job.job.pool)
 
+    def _is_usable(self, entry: JobEntry) -> bool:
+        """Tell whether the worker of a claim can still take the job; an append may take seconds."""
+        pool = self._pool(entry.job.pool)
+        facts = pool.upstreams.get(entry.placed_on)
+        if facts is None or facts.boot_id != entry.boot_id:
+            return False
+        return pool.health.state(entry.placed_on) in ("in_use", "probing")
+
     def _forget_conflicting(self, entry: JobEntry) -> None:
         """Refuse a job whose request ID another entry VM has taken for another body.
 
@@ -477,13 +494,13 @@
     def _transfer_ended(
         self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.given[record.team] -= record.count
+        self._ledger.ended(record)
 
     @_record_ended.register
     def _take_ended(
         self, record: records.TakeRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.asked[record.team] -= 1
+        self._ledger.ended(record)
 
     # Actions of the job chart
 
@@ -549,6 +566,7 @@
             # The deadline of a deferred job is for its acceptance only.
             deadline_ms=float("inf") if job.mode is Mode.DEFERRED else job.deadline_ms,
             number=entry.attempt_count,
+            placed_at_ms=entry.placed_at_ms,
         )
         upstream = self._upstreams.get(entry.placed_on)
         if upstream is None:
@@ -676,6 +694,12 @@
             request_id, worker = placement
             entry = self._jobs[request_id]
             self._waiting[entry.job.team] -= 1
+            try:
+                admission.check_start(entry.job, self._standing())
+            except RequestError as error:
+                pool.release(worker)
+                self._step(entry, "refuse", error=error)
+                continue
             self._ledger.running[entry.job.team] += 1
             entry.placed_on = worker
             entry.placed_at_ms = now_ms
@@ -962,8 +986,16 @@
         if self._log_available and self._loaded and self.incarnation in self._view.members:
             self._move_rights()
             self._adopt_jobs()
+        else:
+            # No rights move, so none is kept free for others.
+            self._ledger.withheld.clear()
         if self.peers is not None:
-            wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
+            lacking = {
+                team: limits.lacking_count(self._ledger, team, count)
+                for team, count in self._waiting.items()
+                if team
+            }
+            wanted = {team: count for team, count in lacking.items() if count}
             self.peers.tell(OwnDemand(wanted, self._loads()))
         self._evict_finished()
         self._pump_all()
@@ -983,23 +1015,20 @@
     def _move_rights(self) -> None:
         members_count = len(self._view.members)
         waiting = {team: n for team, n in self._waiting.items() if n > 0}
-        if self._is_draining:
-            waiting = {}
-        for record in limits.plan_rights(self._ledger, waiting, self._wants, members_count):
+        for record in limits.plan_rights(
+            self._ledger, waiting, self._wants, members_count, draining=self._is_draining
+        ):
             metrics.RIGHTS_MOVED.add(record.count)
-            if isinstance(record, records.TransferRights):
-                # The giver lets go before the receiver may use the rights.
-                self._ledger.given[record.team] += record.count
-            elif self._is_draining:
-                continue
-            else:
-                self._ledger.asked[record.team] += 1
+            self._ledger.sent(record)
             self._append(record, self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS)
 
     def _adopt_jobs(self) -> None:
         """Take over deferred jobs whose owner is no longer a member."""
         for known in list(self._log_jobs.values()):
-            if known.request_id in self._jobs or known.outcome is not None or not known.queue:
+            entry = self._jobs.get(known.request_id)
+            # A job that was submitted here too may still have to be taken over.
+            own = entry is not None and entry.state != "elsewhere"
+            if own or known.outcome is not None or not known.queue:
                 continue
             owner = known.claimed_by or known.owner
             if owner not in self._view.members and self._is_adopter(known.request_id):
@@ -1027,14 +1056,21 @@
             mode=Mode.DEFERRED,
             pool=queue.pool,
         )
-        entry = JobEntry(job, claim_epoch=known.claim_epoch)
+        submitted = self._jobs.get(known.request_id)
+        waiters = submitted.waiters if submitted else []
+        entry = JobEntry(job, claim_epoch=known.claim_epoch, waiters=waiters)
         self._jobs[job.request_id] = entry
         if not known.claimed_by:
             self._step(entry, "adopt")
             return
         entry.boot_id = known.claimed_boot_id
+        age_ms = max(0, self._timer.wall_ms() - known.claimed_at_ms)
         entry.attempt = Attempt(
-            f"claim-{known.claim_epoch}", job.request_id, known.claimed_worker, team=job.team
+            f"claim-{known.claim_epoch}",
+            job.request_id,
+            known.claimed_worker,
+            team=job.team,
+            placed_at_ms=self._timer.now_ms() - age_ms,
         )
         self._step(entry, "adopt_claimed")
 
@@ -1120,11 +1156,13 @@
         for upstream in self._upstreams.values():
             replies.append(new_reply())
             upstream.tell(FindResult(message.request_id, replies[-1]))
-        found = await asyncio.gather(*replies)
+        found = await _replies_in_time(replies)
         results = [
             evidence
             for evidence in found
-            if evidence.event == "result" and self._may_see(evidence.team, message.key_id)
+            if evidence is not None
+            and evidence.event == "result"
+            and self._may_see(evidence.team, message.key_id)
         ]
         resolve(message.reply, results[0] if results else Evidence("no_answer"))
 
@@ -1161,6 +1199,13 @@
         usage = Usage(dict(self._ledger.running), dict(self._waiting), rights)
         resolve(message.reply, usage)
 
+    @receives(ReadReach)
+    def _on_read_reach(self, message: ReadReach) -> None:
+        now_ms = self._timer.now_ms()
+        pools = [pool for pool in self._pools.values() if pool.upstreams]
+        silent = pools and all(pool.health.unreachable(now_ms) for pool in pools)
+        resolve(message.reply, not silent)
+
     # Shutdown and new incarnations
 
     @receives(Drain)
@@ -1192,6 +1237,13 @@
         self._vms_changed()
 
 
+async def _replies_in_time(replies: list[asyncio.Future[Any]]) -> list[Any]:
+    """Return what upstreams' actors have replied, None for each that has ended without a reply."""
+    if replies:
+        await asyncio.wait(replies, timeout=2 * defaults.CONTROL_TIMEOUT_MS / 1_000)
+    return [reply.result() if reply.done() else None for reply in replies]
+
+
 def refusal(request_id: str, error: RequestError) -> Reply:
     """Return the reply for a request that did not run, or whose ID was too old to tell."""
     outcome = Outcome.OUTCOME_UNKNOWN if error.status == 504 else Outcome.NOT_RUN
--- a/src/tarragoncart/model.py
+++ b/src/tarragoncart/model.py
@@ -152,6 +152,7 @@
 
     :param deadline_ms: on the entry VM's monotonic clock.
     :param issued_by: incarnation that issued the request ID, empty if the caller made it.
+    :param key_id: key that an interactive job must still have when it starts; empty for others.
     """
 
     request_id: str
@@ -165,6 +166,7 @@
     mode: Mode
     pool: str
     issued_by: str = ""
+    key_id: str = ""
 
 
 @frozen
@@ -196,7 +198,10 @@
 
 @frozen
 class Attempt:
-    """One try of a job at one upstream."""
+    """One try of a job at one upstream.
+
+    :param placed_at_ms: when the upstream was chosen; nothing was sent before.
+    """
 
     attempt_id: str
     request_id: str
@@ -207,6 +212,7 @@
     declared_run_ms: float = 0.0
     deadline_ms: float = 0.0
     number: int = 1
+    placed_at_ms: float = 0.0
 
 
 def digest_key(key: str) -> str:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,14 +9,15 @@
 import pytest
 from attrs import Factory, define, evolve
 
+from tarragoncart import defaults, records, replay
 from tarragoncart import dispatch as module
-from tarragoncart import records, replay
 from tarragoncart.admission import Submission
 from tarragoncart.attempts import Evidence
 from tarragoncart.dispatch import Dispatch, Submit
 from tarragoncart.journal import Append, ViewChanged
 from tarragoncart.mailbox import new_reply
-from tarragoncart.model import Answer, KeyGrant, Mode, Outcome, QueueSpec, Reply
+from tarragoncart.membership import CheckMembers, Membership
+from tarragoncart.model import Answer, KeyGrant, Member, Mode, Outcome, QueueSpec, Reply, Verdict
 from tarragoncart.timer import ManualTimer
 from tarragoncart.upstream import (
     AttemptEnded,
@@ -66,6 +67,10 @@
             for message in self.dispatch.take_messages():
                 self.handle(message)
 
+    def tell(self, message: Any) -> None:
+        """Handle one message from another actor at once."""
+        self.handle(message)
+
     def handle(self, message: Any) -> None:
         """Handle one message."""
         result = self.dispatch.handle(message)
@@ -226,6 +231,74 @@
     assert claim.record.request_id == "own"
 
 
+@pytest.mark.parametrize(
+    ("withdrawn", "age_ms", "code"),
+    [(False, 5_001, "view_too_old"), (True, 0, "key_refused"), (False, 5_000, "")],
+)
+async def test_a_waiting_job_needs_its_key_when_it_starts(desk, withdrawn, age_ms, code):
+    """Guards against jobs that wait past the bound of their key's withdrawal and then start."""
+    desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    reply = await desk.submit("own")
+    if withdrawn:
+        del desk.state.keys["k"]
+    desk.state.rights["shop"] = replay.TeamRights(10, 0, {"a": 10})
+    desk.show(fresh_as_of_ms=desk.timer.now_ms() - age_ms)
+    await desk.settle()
+    assert bool(desk.journal.of(Append)) is not bool(code)
+    assert not code or reply.result().code == code
+
+
+async def test_a_job_submitted_here_too_is_adopted_from_its_dead_owner(desk):
+    """Guards against a job that nobody runs because its adopter holds a second submission."""
+    desk.apply(Append(records.AcceptJob("r", "packs", "shop", "d", {}, 10, "b"), "b"), "b")
+    await desk.submit(queue="packs")
+    desk.apply(Append(records.Retire("b", "silent"), "a"))
+    desk.handle(module.Rebalance())
+    taken = await desk.log()
+    assert [(r.request_id, r.incarnation) for r in taken if isinstance(r, records.ClaimJob)] == [
+        ("r", "a")
+    ]
+
+
+@pytest.mark.parametrize("change", [{"leaving": True}, {"boot_id": "other"}, {"leased": False}])
+async def test_a_claim_for_a_worker_that_has_left_is_made_again(desk, change):
+    """Guards against work for a worker that began to leave while the claim was appended."""
+    reply = await desk.submit(queue="packs")
+    await desk.settle()
+    (accept,) = desk.journal.of(Append)
+    desk.journal.messages.clear()
+    desk.apply(accept)
+    await desk.settle()
+    (claim,) = desk.journal.of(Append)
+    desk.journal.messages.clear()
+    known = {"leased": True, "slot_count": 8, "boot_id": "boot"}
+    desk.handle(UpstreamChanged(claim.record.worker, **known | change))
+    desk.apply(claim)
+    await desk.settle()
+    assert reply.result().outcome is Outcome.ACCEPTED
+    assert not desk.sent()
+    (again,) = [r for r in await desk.log() if isinstance(r, records.ClaimJob)]
+    assert again.epoch == 2
+    assert (again.worker != claim.record.worker) or "boot_id" in change
+
+
+async def test_silence_of_all_upstreams_makes_an_entry_vm_not_ready(desk):
+    """Guards against callers being sent to an entry VM that is cut off from every upstream."""
+    member = Member("a", "a", "dc-1", "", "")
+    membership = Membership(member, desk.journal, desk, ActorStub(), desk.timer)
+    membership.handle(ViewChanged(replay.FleetView(), 0.0, log_available=False, loaded=True))
+    states = []
+    for verdict, answering in (Verdict.NO_ANSWER, 0), (Verdict.RESULT, 1), (Verdict.NO_ANSWER, 0):
+        desk.timer.advance(2 * defaults.EJECT_WINDOW_MS)
+        for number, name in enumerate(desk.state.vms):
+            changed = Verdict.NO_ANSWER if number >= answering else verdict
+            desk.handle(UpstreamChanged(name, leased=False, verdict=changed, boot_id="boot"))
+        await membership.handle(CheckMembers())
+        states.append(membership.state)
+    assert states == ["isolated", "ready", "isolated"]
+
+
 async def test_workers_tell_of_a_retired_incarnation_one_after_the_other(desk):
     """Guards against rights that stay held while in a wave one worker or another reboots."""
 
