Say not run only with evidence about the request ID; hold cut rights until they are settled

Cause: a caller's own request ID can be submitted to two entry VMs. One that refused it (log away, queue full, deadline) said "not run" while the other ran it; a caller that then orders anew under another ID is served twice. Separately, a lowered limit freed rights under which jobs still ran: limit 10 held by one entry VM, publish 5, publish 10, and another could take 5 while 10 jobs ran. Change: "not run" needs that this incarnation alone may start the ID, a claim, or a log record; other refusals are outcome_unknown and the ID can be submitted again. Requests without an ID get an issued one. A cut holds all rights back; members settle what their ended jobs free. Waiters that join a job late always get an answer.

--- a/src/tarragoncart/audit.py
+++ b/src/tarragoncart/audit.py
@@ -30,6 +30,7 @@
         "accept": (1,),
         "take": (0,),
         "transfer": (0,),
+        "settle": (0,),
     },
 }
 
@@ -44,6 +45,7 @@
     "retire": "retire incarnation {1} of entry VM {0}",
     "take": "take rights of team {0} for {1}",
     "transfer": "pass rights of team {0} from {1} to {2}",
+    "settle": "free rights of team {0} that a lower limit held back from {1}",
     "release": "release the rights held for {0}",
     "accept": "accept job {0}",
     "claim": "claim job {0} for {1}, to run on {2}",
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -22,7 +22,7 @@
 from .errors import LogUnavailableError, RequestError
 from .journal import Append, JobChanged, Journal, ReadJob, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
-from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec
+from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec, issuer_of
 from .placement import PoolPlacement, UpstreamFacts
 from .replay import AuditEntry, FleetView, JobState
 from .timer import Timer
@@ -308,7 +308,12 @@
             job = admission.admit(submission, self._standing())
             self._take(job, submission, message.reply)
         except RequestError as error:
-            resolve(message.reply, refusal(submission.request_id, error))
+            certain = self._is_sole_starter(submission.request_id)
+            resolve(message.reply, refusal(submission.request_id, error, certain=certain))
+
+    def _is_sole_starter(self, request_id: str) -> bool:
+        """Tell whether no other entry VM can have started this request ID."""
+        return issuer_of(request_id) == (self.entry, self.incarnation)
 
     def _standing(self) -> Standing:
         now_ms = self._timer.now_ms()
@@ -361,8 +366,13 @@
             )
         if known.reply is not None:
             resolve(reply, known.reply)
+        elif known.state in ("unresolved", "lost"):
+            resolve(reply, unknown(job.request_id, "no_answer", "attempt"))
+        elif job.mode is Mode.DEFERRED and known.state not in ("recording", "unconfirmed"):
+            resolve(reply, Reply(job.request_id, Outcome.ACCEPTED, status=202))
         else:
             known.waiters.append(reply)
+            heapq.heappush(self._deadlines, (job.deadline_ms, job.request_id))
 
     def _check_issue_time(self, request_id: str) -> None:
         age_ms = self._timer.now_ms() - issue_time_ms(request_id)
@@ -402,7 +412,7 @@
 
     def _step(self, entry: JobEntry, event: str, **details: Any) -> None:
         self.step(JOB_CHART, entry, event, **details)
-        if JOB_CHART.is_final(entry.state):
+        if JOB_CHART.is_final(entry.state) and entry is self._jobs.get(entry.job.request_id):
             self._finished[entry.job.request_id] = self._timer.now_ms()
 
     # Records
@@ -476,7 +486,7 @@
         The refusal is about this body only, so later questions about the ID must not get it.
         """
         self._step(entry, "refuse", error=_different_body())
-        del self._jobs[entry.job.request_id]
+        self._jobs.pop(entry.job.request_id, None)
         del self._finished[entry.job.request_id]
 
     def _follow_logged(self, entry: JobEntry) -> None:
@@ -496,6 +506,12 @@
     ) -> None:
         self._ledger.ended(record)
 
+    @_record_ended.register
+    def _settle_ended(
+        self, record: records.SettleRights, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        self._ledger.ended(record)
+
     @_record_ended.register
     def _take_ended(
         self, record: records.TakeRights, entry: AuditEntry | LogUnavailableError
@@ -610,7 +626,7 @@
         pool.release(entry.placed_on)
         ran_ms = self._timer.now_ms() - entry.placed_at_ms if JOB_CHART.is_final(entry.state) else 0
         pool.charge(entry.job, ran_ms)
-        self._ledger.running[entry.job.team] -= 1
+        self._ledger.job_ended(entry.job.team)
         entry.placed_on = ""
 
     @carries_out("record_result")
@@ -649,7 +665,13 @@
         self._answer(entry, Reply(entry.job.request_id, Outcome.ANSWERED, entry.answer))
 
     @carries_out("reply_not_run")
-    def _reply_not_run(self, entry: JobEntry, error: RequestError | None = None, **_: Any) -> None:
+    def _reply_not_run(
+        self,
+        entry: JobEntry,
+        error: RequestError | None = None,
+        recorded: bool = False,
+        **_: Any,
+    ) -> None:
         error = error or RequestError(
             "deadline passed before the job could start",
             code="deadline",
@@ -657,7 +679,13 @@
             step="queue",
             limit="deadline_ms",
         )
-        self._answer(entry, refusal(entry.job.request_id, error))
+        request_id = entry.job.request_id
+        # A claim excludes other starters as well; without either, this entry VM speaks for itself.
+        certain = recorded or entry.claim_epoch > 0 or self._is_sole_starter(request_id)
+        self._answer(entry, refusal(request_id, error, certain=certain), final=certain)
+        if not certain and entry.state == "not_run":
+            # The same ID may be submitted again, and the log tells its outcome.
+            self._jobs.pop(request_id, None)
 
     @carries_out("reply_unknown")
     def _reply_unknown(self, entry: JobEntry, **_: Any) -> None:
@@ -794,7 +822,7 @@
         ended = message.evidence.event in ("result", "not_started", "guard_lost")
         if ended and message.attempt.attempt_id in self._stranded:
             del self._stranded[message.attempt.attempt_id]
-            self._ledger.running[message.attempt.team] -= 1
+            self._ledger.job_ended(message.attempt.team)
 
     # Deadlines
 
@@ -831,7 +859,7 @@
         self._fresh_as_of_ms = message.fresh_as_of_ms
         self._log_available = message.log_available
         self._loaded = message.loaded
-        self._ledger.rights = message.view.rights
+        self._ledger.update(message.view.rights)
         if previous.config is not message.view.config or previous.members is not (
             message.view.members
         ):
@@ -969,7 +997,9 @@
         elif known.outcome is Outcome.NOT_RUN and JOB_CHART.accepts(
             entry.state, "recorded_not_run"
         ):
-            self._step(entry, "recorded_not_run", error=_recorded_not_run(known.code))
+            self._step(
+                entry, "recorded_not_run", error=_recorded_not_run(known.code), recorded=True
+            )
         elif entry.state == "queued" and known.claimed_by not in ("", self.incarnation):
             self._unqueue(entry)
             self._step(entry, "claim_lost")
@@ -1216,7 +1246,7 @@
             if entry.state == "queued" and entry.job.mode is Mode.DEFERRED:
                 # Another entry VM adopts it once this incarnation is retired.
                 self._unqueue(entry)
-                del self._jobs[entry.job.request_id]
+                self._jobs.pop(entry.job.request_id, None)
         self._check_drained()
 
     def _check_drained(self) -> None:
@@ -1244,9 +1274,14 @@
     return [reply.result() if reply.done() else None for reply in replies]
 
 
-def refusal(request_id: str, error: RequestError) -> Reply:
-    """Return the reply for a request that did not run, or whose ID was too old to tell."""
-    outcome = Outcome.OUTCOME_UNKNOWN if error.status == 504 else Outcome.NOT_RUN
+def refusal(request_id: str, error: RequestError, *, certain: bool = True) -> Reply:
+    """Return the reply for a request that this entry VM did not run.
+
+    :param certain: nothing else can have run it under this request ID; otherwise the outcome is
+        unknown, because the same ID may have been submitted to another entry VM.
+    """
+    known = certain and error.status != 504 and error.code != "different_body"
+    outcome = Outcome.NOT_RUN if known else Outcome.OUTCOME_UNKNOWN
     return Reply(
         request_id,
         outcome,
--- a/src/tarragoncart/limits.py
+++ b/src/tarragoncart/limits.py
@@ -27,6 +27,8 @@
     :param given: rights that are on their way to another holder; they are not used any more,
         although the log does not say so yet.
     :param asked: takes that the log has not answered yet.
+    :param legacy: running jobs whose rights a lower limit has held back; they are not counted
+        against the rights that this incarnation may use.
     :param withheld: rights that are kept free, as soon as their jobs end, for peers that want them.
     """
 
@@ -36,6 +38,26 @@
     given: Counter[str] = Factory(Counter)
     asked: Counter[str] = Factory(Counter)
     withheld: Counter[str] = Factory(Counter)
+    legacy: Counter[str] = Factory(Counter)
+
+    def update(self, rights: Mapping[str, TeamRights]) -> None:
+        """Take in the rights that the log now shows."""
+        previous, self.rights = self.rights, rights
+        for team in rights:
+            held_count = self._held_back_count(rights, team)
+            if held_count > self._held_back_count(previous, team):
+                # The limit has taken all rights, so every job that runs now does so under them.
+                self.legacy[team] = min(self.running[team], held_count)
+            else:
+                self.legacy[team] = min(self.legacy[team], held_count)
+
+    def _held_back_count(self, rights: Mapping[str, TeamRights], team: str) -> int:
+        return rights[team].held.get(self.incarnation, 0) if team in rights else 0
+
+    def job_ended(self, team: str) -> None:
+        """Note that a running job has ended."""
+        self.running[team] -= 1
+        self.legacy[team] = max(0, self.legacy[team] - 1)
 
     def held_count(self, team: str) -> int:
         """Return how many jobs of the team this incarnation may run at once."""
@@ -45,7 +67,8 @@
 
     def free_count(self, team: str) -> int:
         """Return how many more jobs of the team may start now."""
-        return self.held_count(team) - self.withheld[team] - self.running[team]
+        used_count = self.running[team] - self.legacy[team]
+        return self.held_count(team) - self.withheld[team] - used_count
 
     def may_start(self, team: str) -> bool:
         """Tell whether a job of the team may start; jobs of open queues have no team."""
@@ -89,6 +112,10 @@
     for team, rights in ledger.rights.items():
         waiting_count = waiting.get(team, 0)
         ledger.withheld[team] = 0
+        held_count = rights.held.get(ledger.incarnation, 0)
+        if held_count > ledger.legacy[team] and not ledger.asked[team]:
+            count = held_count - ledger.legacy[team]
+            yield records.SettleRights(team, ledger.incarnation, held_count, count)
         if draining:
             spare_count = ledger.free_count(team) - waiting_count
             if spare_count > 0:
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -164,7 +164,7 @@
 
     def _release_retired(self) -> None:
         held = {inc for rights in self._view.rights.values() for inc in rights.held}
-        for incarnation in held - self._releasing:
+        for incarnation in (held & self._view.retired.keys()) - self._releasing:
             self._releasing.add(incarnation)
             self.spawn(self._release(incarnation))
 
--- a/src/tarragoncart/records.py
+++ b/src/tarragoncart/records.py
@@ -95,6 +95,20 @@
     count: int
 
 
+@record_kind("settle")
+@frozen
+class SettleRights:
+    """A member frees rights that a lower limit has held back, once their jobs have ended.
+
+    :param held_count: what the member knows to be held; another limit may have changed it.
+    """
+
+    team: str
+    incarnation: str
+    held_count: int
+    count: int
+
+
 @record_kind("release")
 @frozen
 class ReleaseRights:
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -26,7 +26,8 @@
     """Division of a team's upper limit.
 
     :param holders: rights of live incarnations.
-    :param held: rights of retired incarnations whose tasks may still run.
+    :param held: rights under which tasks may still run although nothing may start: those of
+        retired incarnations, and those that a lower limit has taken from live ones.
     """
 
     limit_count: int
@@ -256,6 +257,10 @@
         _set_rights(state, team, resize_rights(known, limits.get(team, 0)), team in limits)
 
 
+def _team_names(state: FleetState) -> set[str]:
+    return {team.name for team in state.config.teams}
+
+
 def _set_rights(state: FleetState, team: str, rights: TeamRights, configured: bool) -> None:
     # Held rights outlast their team: if it is configured again, the tasks that may still run
     # count against its new limit.
@@ -268,20 +273,22 @@
 def resize_rights(rights: TeamRights, limit_count: int) -> TeamRights:
     """Return the division under a new limit.
 
-    A lower limit takes from the unassigned rights first, then from each holder in proportion.
-    Held rights stay, because tasks may still run under them.
+    A limit below what is assigned holds back all rights: jobs may run under each of them, and
+    only their holders know how many do. What a holder settles becomes unassigned again.
     """
-    available = max(0, limit_count - sum(rights.held.values()))
-    assigned = sum(rights.holders.values())
-    if assigned <= available:
-        return evolve(rights, limit_count=limit_count, unassigned_count=available - assigned)
-    holders = {name: count * available // assigned for name, count in rights.holders.items()}
-    remainder = available - sum(holders.values())
-    for name in sorted(holders)[:remainder]:
-        holders[name] += 1
-    # An entry of 0 would outlast its incarnation and get a share of a later remainder.
-    holders = {name: count for name, count in holders.items() if count}
-    return evolve(rights, limit_count=limit_count, unassigned_count=0, holders=holders)
+    held = rights.held
+    holders = rights.holders
+    if sum(holders.values()) + sum(held.values()) > limit_count:
+        held = {name: held.get(name, 0) + holders.get(name, 0) for name in {**held, **holders}}
+        holders = {}
+    assigned = sum(holders.values()) + sum(held.values())
+    return evolve(
+        rights,
+        limit_count=limit_count,
+        unassigned_count=max(0, limit_count - assigned),
+        holders=holders,
+        held=held,
+    )
 
 
 @handles(records.GrantKey, "keys")
@@ -320,7 +327,7 @@
         holders = dict(rights.holders)
         count = holders.pop(record.incarnation, 0)
         if count:
-            held = {**rights.held, record.incarnation: count}
+            held = _add(rights.held, record.incarnation, count)
             state.rights[team] = evolve(rights, holders=holders, held=held)
     return Ruling((member.name, record.incarnation), reason=record.cause)
 
@@ -329,7 +336,7 @@
 def _release(state: FleetState, record: records.ReleaseRights, _: Envelope) -> Ruling:
     if record.incarnation not in state.retired:
         return _rejected("incarnation is not retired", record.incarnation)
-    configured = {team.name for team in state.config.teams}
+    configured = _team_names(state)
     for team, rights in list(state.rights.items()):
         if record.incarnation in rights.held:
             held = {k: v for k, v in rights.held.items() if k != record.incarnation}
@@ -338,6 +345,20 @@
     return Ruling((state.retired[record.incarnation], record.incarnation))
 
 
+@handles(records.SettleRights, "rights")
+def _settle(state: FleetState, record: records.SettleRights, _: Envelope) -> Ruling:
+    rights = state.rights.get(record.team)
+    held_count = rights.held.get(record.incarnation, 0) if rights else 0
+    if rights is None or record.incarnation not in state.members:
+        return _rejected("unknown team or incarnation", record.team, record.incarnation)
+    if record.held_count != held_count or not 0 < record.count <= held_count:
+        return _rejected(f"{held_count} rights are held", record.team, record.incarnation)
+    held = _add(rights.held, record.incarnation, -record.count)
+    rights = resize_rights(evolve(rights, held=held), rights.limit_count)
+    _set_rights(state, record.team, rights, record.team in _team_names(state))
+    return Ruling((record.team, record.incarnation), reason=f"{record.count} rights")
+
+
 @handles(records.TakeRights, "rights")
 def _take(state: FleetState, record: records.TakeRights, _: Envelope) -> Ruling:
     rights = state.rights.get(record.team)
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -254,9 +254,10 @@
 @CLIENT_ROUTES.register("POST /v1/queues/{queue}/jobs")
 async def submit(front: Front, request: web.Request) -> web.Response:
     """Take a job and answer with its outcome."""
-    submission = decode_submission(
-        request.match_info["queue"], key_of(request), await _read_json(request)
-    )
+    data = await _read_json(request)
+    desk = front.dispatch
+    (fresh_id,) = issue_request_ids(desk.entry, desk.incarnation, front.timer.now_ms(), 1)
+    submission = decode_submission(request.match_info["queue"], key_of(request), data, fresh_id)
     arrived_ms = front.timer.now_ms()
     reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
     outcome = str(reply.outcome)
@@ -267,9 +268,10 @@
     return reply_response(reply, front.dispatch.config_version)
 
 
-def decode_submission(queue: str, key_id: str, data: dict[str, Any]) -> Submission:
+def decode_submission(queue: str, key_id: str, data: dict[str, Any], fresh_id: str) -> Submission:
     """Check the fields of a submission.
 
+    :param fresh_id: request ID to use if the caller has sent none.
     :raises RequestError: for unknown, missing or wrong fields.
     """
     unknown = data.keys() - SUBMISSION_FIELDS
@@ -277,7 +279,7 @@
         raise _bad_request(f"unknown fields: {', '.join(sorted(unknown))}", "bad_field")
     if "payload" not in data:
         raise _bad_request("field 'payload' is missing", "bad_field")
-    request_id = _take(data, "request_id", str, secrets.token_hex(16))
+    request_id = _take(data, "request_id", str, fresh_id)
     if len(request_id) > defaults.REQUEST_ID_LENGTH or not REQUEST_ID.fullmatch(request_id):
         raise _bad_request("request ID is empty, too long or has unusual characters", "bad_field")
     canonical = json.dumps(data["payload"], sort_keys=True, separators=(",", ":")).encode()
