--- a/src/tarragoncart/client.py
+++ b/src/tarragoncart/client.py
@@ -218,7 +218,7 @@
     result = _result(request_id, status, data, entry)
     if data.get("request_id") == request_id:
         return result
-    return Result(request_id, Outcome.OUTCOME_UNKNOWN, code=result.code, status=status)
+    return Result(request_id, Outcome.OUTCOME_UNKNOWN, code=result.code)
 
 
 def _result(request_id: str, status: int, data: Any, entry: str) -> Result:
