--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -15,7 +15,7 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from . import admission, defaults, fairqueue, limits, records
+from . import admission, defaults, fairqueue, limits, metrics, records
 from .admission import Standing, Submission
 from .attempts import Evidence
 from .charts import load_chart
@@ -202,6 +202,7 @@
     job: Job
     state: str = JOB_CHART.initial
     waiters: list[asyncio.Future[Reply]] = Factory(list)
+    admitted_ms: float = 0.0
     reply: Reply | None = None
     attempt: Attempt | None = None
     attempt_count: int = 0
@@ -266,6 +267,8 @@
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
+        self._swept_ms = timer.now_ms()
+        self._resumed_ms = float("-inf")
 
     @property
     def view(self) -> FleetView:
@@ -369,7 +372,7 @@
             )
 
     def _admit(self, job: Job, reply: asyncio.Future[Reply]) -> None:
-        entry = JobEntry(job, waiters=[reply])
+        entry = JobEntry(job, waiters=[reply], admitted_ms=self._timer.now_ms())
         known = self._log_jobs.get(job.request_id)
         if known is not None and (known.body_digest, known.team) != (job.body_digest, job.team):
             raise _different_body()
@@ -445,7 +448,8 @@
                 self._step(job, "refuse", error=_log_error(entry))
         elif entry.accepted:
             job.claim_epoch = record.epoch
-            self._step(job, "claimed")
+            left = job.state == "claiming" and not self._is_usable(job)
+            self._step(job, "worker_left" if left else "claimed")
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
         else:
@@ -453,6 +457,14 @@
             self._follow_logged(job)
         self._pump(job.job.pool)
 
+    def _is_usable(self, entry: JobEntry) -> bool:
+        """Tell whether the worker of a claim can still take the job; an append may take seconds."""
+        pool = self._pool(entry.job.pool)
+        facts = pool.upstreams.get(entry.placed_on)
+        if facts is None or facts.boot_id != entry.boot_id:
+            return False
+        return pool.health.state(entry.placed_on) in ("in_use", "probing")
+
     def _forget_conflicting(self, entry: JobEntry) -> None:
         """Refuse a job whose request ID another entry VM has taken for another body.
 
@@ -669,24 +681,45 @@
         """Start as many waiting jobs of a pool as may start now."""
         pool = self._pool(name)
         now_ms = self._timer.now_ms()
+        if not self._is_current(now_ms):
+            return
         while placement := pool.next_placement(
             self._ledger.may_start, lambda job_id: self._jobs[job_id].excluded, now_ms
         ):
             request_id, worker = placement
             entry = self._jobs[request_id]
             self._waiting[entry.job.team] -= 1
+            try:
+                admission.check_start(entry.job, self._standing())
+            except RequestError as error:
+                pool.release(worker)
+                self._step(entry, "refuse", error=error)
+                continue
             self._ledger.running[entry.job.team] += 1
             entry.placed_on = worker
             entry.placed_at_ms = now_ms
             entry.boot_id = self._facts[worker].boot_id
+            metrics.WAIT_DURATION.record(now_ms - entry.admitted_ms)
             claim = admission.needs_claim(entry.job)
             self._step(entry, "place_claimed" if claim else "place")
 
+    def _is_current(self, now_ms: float) -> bool:
+        """Tell whether the view holds what happened during the last pause of this process.
+
+        A process that was stopped for a lease may have been retired meanwhile, and its rights
+        may be in use elsewhere; it starts nothing before it has read on.
+        """
+        if now_ms - self._swept_ms > defaults.PAUSE_MS:
+            self._resumed_ms = now_ms
+            self._swept_ms = now_ms
+        return self._fresh_as_of_ms >= self._resumed_ms
+
     @receives(AttemptEnded)
     def _on_attempt_ended(self, message: AttemptEnded) -> None:
         entry = self._jobs.get(message.attempt.request_id)
         evidence = message.evidence
         current = entry is not None and entry.attempt is message.attempt
+        self._count_attempt(message)
         if evidence.verdict is not None and not message.fenced:
             pool = self._pool_of_worker(message.attempt.worker)
             if pool is not None:
@@ -700,6 +733,15 @@
         self._step(entry, event)
         self._pump(entry.job.pool)
 
+    def _count_attempt(self, message: AttemptEnded) -> None:
+        if message.fenced:
+            metrics.GUARD_QUERIES.add(1)
+            return
+        verdict = message.evidence.code or message.evidence.event
+        metrics.ATTEMPTS.add(1, metrics.labels(verdict=verdict))
+        if message.evidence.code in ("mismatched_answer", "undecodable_answer"):
+            metrics.DISCARDED_ANSWERS.add(1)
+
     def _next_event(self, entry: JobEntry, evidence: Evidence, fenced: bool) -> str:
         """Return the job chart's event for what is known about the present attempt."""
         now_ms = self._timer.now_ms()
@@ -733,6 +775,7 @@
             and pool.retries.take()
         )
         if allowed:
+            metrics.RETRIES.add(1)
             entry.excluded.add(entry.placed_on)
         return allowed
 
@@ -753,6 +796,8 @@
     @receives(SweepDeadlines)
     def _on_sweep_deadlines(self, _: SweepDeadlines) -> None:
         now_ms = self._timer.now_ms()
+        self._is_current(now_ms)
+        self._swept_ms = now_ms
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             request_id = heapq.heappop(self._deadlines)[1]
             entry = self._jobs.get(request_id)
@@ -777,6 +822,7 @@
     @receives(ViewChanged)
     def _on_view_changed(self, message: ViewChanged) -> None:
         previous, self._view = self._view, message.view
+        was_behind = self._fresh_as_of_ms < self._resumed_ms
         self._fresh_as_of_ms = message.fresh_as_of_ms
         self._log_available = message.log_available
         self._loaded = message.loaded
@@ -787,7 +833,7 @@
             self._pools_changed(previous)
         if previous.vms is not message.view.vms:
             self._vms_changed()
-        if previous.rights is not message.view.rights:
+        if previous.rights is not message.view.rights or was_behind:
             self._pump_all()
 
     def _pools_changed(self, previous: FleetView) -> None:
@@ -968,12 +1014,16 @@
             self._ledger, waiting, self._wants, members_count, draining=self._is_draining
         ):
             self._ledger.sent(record)
+            metrics.RIGHTS_MOVED.add(record.count)
             self._append(record, self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS)
 
     def _adopt_jobs(self) -> None:
         """Take over deferred jobs whose owner is no longer a member."""
         for known in list(self._log_jobs.values()):
-            if known.request_id in self._jobs or known.outcome is not None or not known.queue:
+            entry = self._jobs.get(known.request_id)
+            # A job that was submitted here too may still have to be taken over.
+            own = entry is not None and entry.state != "elsewhere"
+            if own or known.outcome is not None or not known.queue:
                 continue
             owner = known.claimed_by or known.owner
             if owner not in self._view.members and self._is_adopter(known.request_id):
@@ -1001,7 +1051,9 @@
             mode=Mode.DEFERRED,
             pool=queue.pool,
         )
-        entry = JobEntry(job, claim_epoch=known.claim_epoch)
+        submitted = self._jobs.get(known.request_id)
+        waiters = submitted.waiters if submitted else []
+        entry = JobEntry(job, claim_epoch=known.claim_epoch, waiters=waiters)
         self._jobs[job.request_id] = entry
         if not known.claimed_by:
             self._step(entry, "adopt")
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -218,7 +218,7 @@
 # Configuration and keys
 
 
-@handles(records.Publish, "config", "config_version", "rights", "vms")
+@handles(records.Publish, "config", "config_version", "rights", "vms", "waves")
 def _publish(state: FleetState, record: records.Publish, _: Envelope) -> Ruling:
     if record.base_version != state.config_version:
         return _rejected(f"version {state.config_version} is in force", "config")
@@ -235,21 +235,34 @@
     pools = {pool.name for pool in state.config.pools}
     for name in set(state.vms) - set(specs):
         del state.vms[name]
+    for wave in state.waves.values():
+        pending = tuple(name for name in wave.pending if name in specs)
+        state.waves[wave.wave] = _finish_wave(evolve(wave, pending=pending))
     for name, spec in specs.items():
         known = state.vms.get(name)
-        if known is None or known.pool not in pools:
+        if known is None:
             state.vms[name] = VmState(spec, spec.pool)
         else:
-            state.vms[name] = evolve(known, spec=spec)
+            # A VM whose pool is gone joins its first one in the state that it is in: it may be
+            # out of service.
+            pool = known.pool if known.pool in pools else spec.pool
+            state.vms[name] = evolve(known, spec=spec, pool=pool)
 
 
 def _update_rights(state: FleetState) -> None:
     limits = {team.name: team.upper_limit_count for team in state.config.teams}
-    for team in set(state.rights) - set(limits):
-        del state.rights[team]
-    for team, limit_count in limits.items():
+    for team in {**state.rights, **limits}:
         known = state.rights.get(team, TeamRights(0, 0))
-        state.rights[team] = resize_rights(known, limit_count)
+        _set_rights(state, team, resize_rights(known, limits.get(team, 0)), team in limits)
+
+
+def _set_rights(state: FleetState, team: str, rights: TeamRights, configured: bool) -> None:
+    # Held rights outlast their team: if it is configured again, the tasks that may still run
+    # count against its new limit.
+    if configured or rights.held:
+        state.rights[team] = rights
+    else:
+        state.rights.pop(team, None)
 
 
 def resize_rights(rights: TeamRights, limit_count: int) -> TeamRights:
@@ -266,6 +279,8 @@
     remainder = available - sum(holders.values())
     for name in sorted(holders)[:remainder]:
         holders[name] += 1
+    # An entry of 0 would outlast its incarnation and get a share of a later remainder.
+    holders = {name: count for name, count in holders.items() if count}
     return evolve(rights, limit_count=limit_count, unassigned_count=0, holders=holders)
 
 
@@ -314,10 +329,12 @@
 def _release(state: FleetState, record: records.ReleaseRights, _: Envelope) -> Ruling:
     if record.incarnation not in state.retired:
         return _rejected("incarnation is not retired", record.incarnation)
-    for team, rights in state.rights.items():
+    configured = {team.name for team in state.config.teams}
+    for team, rights in list(state.rights.items()):
         if record.incarnation in rights.held:
             held = {k: v for k, v in rights.held.items() if k != record.incarnation}
-            state.rights[team] = resize_rights(evolve(rights, held=held), rights.limit_count)
+            rights = resize_rights(evolve(rights, held=held), rights.limit_count)
+            _set_rights(state, team, rights, team in configured)
     return Ruling((state.retired[record.incarnation], record.incarnation))
 
 
@@ -583,6 +600,9 @@
     vm = state.vms.get(record.vm)
     if vm is None or vm.state != "draining":
         return _rejected("VM is not draining", record.vm)
+    if vm.target_pool not in {pool.name for pool in state.config.pools}:
+        cause = f"cancelled: unknown pool {vm.target_pool}"
+        return _step_vm(state, record, "cancel_stop", cause=cause, target_pool="")
     reason = f"joins {vm.target_pool}: {record.cause}" if record.cause else ""
     return _step_vm(state, record, "drained", reason)
 
@@ -627,7 +647,7 @@
         return _rejected("unknown wave or event", record.wave)
     if not WAVE_CHART.accepts(wave.state, record.event):
         return _rejected(f"wave is {wave.state}", record.wave)
-    state.waves[record.wave] = _step_wave(wave, record.event)
+    state.waves[record.wave] = _finish_wave(_step_wave(wave, record.event))
     return Ruling((record.wave,), reason=record.event)
 
 
@@ -664,19 +684,19 @@
     limit_met = wave.failure_count >= defaults.WAVE_FAILURE_LIMIT_COUNT
     if limit_met and WAVE_CHART.accepts(wave.state, "failure_limit"):
         wave = _step_wave(wave, "failure_limit")
-    state.waves[vm.wave] = _finish_wave(wave, vm)
+    state.waves[vm.wave] = _finish_wave(wave, vm.spec.name)
 
 
 @VM_ACTIONS.register("count_wave_done")
 def _count_wave_done(state: FleetState, vm: VmState) -> None:
     wave = state.waves.get(vm.wave)
     if wave is not None and not WAVE_CHART.is_final(wave.state):
-        state.waves[vm.wave] = _finish_wave(_step_wave(wave, "vm_done"), vm)
+        state.waves[vm.wave] = _finish_wave(_step_wave(wave, "vm_done"), vm.spec.name)
 
 
-def _finish_wave(wave: WaveState, vm: VmState) -> WaveState:
+def _finish_wave(wave: WaveState, done: str = "") -> WaveState:
     """Take a VM off the pending ones, and finish the wave with the last of them."""
-    wave = evolve(wave, pending=tuple(name for name in wave.pending if name != vm.spec.name))
+    wave = evolve(wave, pending=tuple(name for name in wave.pending if name != done))
     if wave.pending or not WAVE_CHART.accepts(wave.state, "all_done"):
         return wave
     return _step_wave(wave, "all_done")
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import evolve
 
 from tarragoncart import records, replay
-from tarragoncart.model import KeyGrant, Outcome, TeamSpec
+from tarragoncart.model import KeyGrant, Member, Outcome, TeamSpec
 
 
 def test_second_publish_on_the_same_base_is_rejected(fleet, submit, config):
@@ -54,6 +55,35 @@
     assert (rights.held, rights.holders) == ({"a": 4}, {"b": 2})
 
 
+def test_rights_cut_to_nothing_leave_no_holder_behind(fleet, submit, config):
+    """Guards against a retired incarnation that gets the remainder of a later cut."""
+    limits = (0, 10, 5)
+    teams = [evolve(config, teams=(TeamSpec("shop", 1.0, limit),)) for limit in limits]
+    submit(records.TakeRights("shop", "a", 1))
+    submit(records.Publish(1, teams[0]))
+    submit(records.Retire("a", "silent"))
+    submit(records.Publish(2, teams[1]))
+    for name in "cd":
+        submit(records.Join(Member(name, name, "dc-1", "127.0.0.1:2", "127.0.0.1:3")))
+        submit(records.TakeRights("shop", name, 3))
+    submit(records.Publish(3, teams[2]))
+    assert fleet.rights["shop"].holders == {"c": 3, "d": 2}
+
+
+def test_held_rights_outlast_their_team(fleet, submit, config):
+    """Guards against tasks of a dead entry VM being forgotten when a team comes back."""
+    submit(records.TakeRights("shop", "a", 7))
+    submit(records.Retire("a", "silent"))
+    submit(records.Publish(1, evolve(config, teams=())))
+    assert not submit(records.TakeRights("shop", "b", 1)).accepted
+    submit(records.Publish(2, config))
+    assert fleet.rights["shop"].held == {"a": 7}
+    assert fleet.rights["shop"].unassigned_count == 3
+    submit(records.Publish(3, evolve(config, teams=())))
+    submit(records.ReleaseRights("a"))
+    assert not fleet.rights
+
+
 def test_only_one_claim_wins(fleet, submit):
     """Guards against two entry VMs running one deferred job."""
     submit(records.AcceptJob("r", "holds", "shop", "d", {}, 1.0))
@@ -117,6 +147,41 @@
     assert submit(records.ControlWave("w", "resume")).accepted
 
 
+def test_a_publish_without_the_target_of_a_move_ends_the_move(fleet, submit, config):
+    """Guards against a VM in a pool that does not exist."""
+    submit(records.MoveVm("vm-0", "holds", "spare", "demand"))
+    submit(records.Publish(1, evolve(config, pools=config.pools[:1])))
+    assert "unknown pool" in submit(records.VmDrained("vm-0")).reason
+    assert (fleet.vms["vm-0"].pool, fleet.vms["vm-0"].state) == ("holds", "in_service")
+
+
+def test_a_publish_without_a_pool_keeps_its_vms_out_of_service(fleet, submit, config):
+    """Guards against a VM that reboots or has failed being counted as available."""
+    submit(records.MoveVm("vm-0", "holds", "spare", "demand"))
+    submit(records.VmDrained("vm-0"))
+    submit(records.VmFailed("vm-0", "no answer"))
+    submit(records.Publish(1, evolve(config, pools=config.pools[:1])))
+    assert (fleet.vms["vm-0"].pool, fleet.vms["vm-0"].state) == ("holds", "failed")
+
+
+@pytest.mark.parametrize("end", ["resume", "publish"])
+def test_a_wave_without_vms_to_come_ends(fleet, submit, config, end):
+    """Guards against a wave that runs for ever after its last failure or a removal of VMs."""
+    submit(records.StartWave("w", ("spare",), "kernel"))
+    names = ("vm-4", "vm-5")
+    for name in names if end == "resume" else ():
+        submit(records.ReserveStop(name, "w", "kernel"))
+        submit(records.VmFailed(name, "no answer"))
+        submit(records.VmBack(name))
+    if end == "resume":
+        assert fleet.waves["w"].state == "halted"
+        submit(records.ControlWave("w", "resume"))
+    else:
+        left = tuple(vm for vm in config.vms if vm.name not in names)
+        submit(records.Publish(1, evolve(config, vms=left)))
+    assert fleet.waves["w"].state == "finished"
+
+
 def test_a_withdrawn_key_is_gone(fleet, submit):
     """Guards against a key that works after its withdrawal."""
     submit(records.GrantKey(KeyGrant("k", "shop")))
