--- a/src/bench/prove.py
+++ b/src/bench/prove.py
@@ -200,8 +200,9 @@
                     data = await response.json()
             except (aiohttp.ClientError, TimeoutError, ValueError):
                 data = {"state": "unreachable"}
-            # An entry VM that still starts refuses all work, so no version is in force there.
-            if data["state"] not in ("unreachable", "starting"):
+            # An entry VM that still starts refuses all work, so no version is in force there. A
+            # planned stop lasts until the next status, which must not come from before its end.
+            if data["state"] not in ("unreachable", "starting", "draining"):
                 names = ("state", "offset", "config_version", "age_ms", "incarnation")
                 log.write(
                     "status", entry=name, teams=data["teams"], **{key: data[key] for key in names}
@@ -271,6 +272,8 @@
         except TarragoncartError as error:
             log.write("key_withdraw_reply", accepted=False, key_id=key_id, error=str(error))
         await use
+        # Outcomes are shown to the team only, and the key that the jobs came with is withdrawn.
+        user.key = next(caller.key for caller in self.callers if caller.team == team)
         self.callers.append(user)
 
     async def _start_wave(self, operator: Operator, rng: random.Random, log: HistoryWriter) -> None:
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -684,19 +684,24 @@
     limit_met = wave.failure_count >= defaults.WAVE_FAILURE_LIMIT_COUNT
     if limit_met and WAVE_CHART.accepts(wave.state, "failure_limit"):
         wave = _step_wave(wave, "failure_limit")
-    state.waves[vm.wave] = _finish_wave(wave, vm.spec.name)
+    state.waves[vm.wave] = _without(wave, vm)
 
 
 @VM_ACTIONS.register("count_wave_done")
 def _count_wave_done(state: FleetState, vm: VmState) -> None:
     wave = state.waves.get(vm.wave)
     if wave is not None and not WAVE_CHART.is_final(wave.state):
-        state.waves[vm.wave] = _finish_wave(_step_wave(wave, "vm_done"), vm.spec.name)
+        state.waves[vm.wave] = _without(_step_wave(wave, "vm_done"), vm)
 
 
-def _finish_wave(wave: WaveState, done: str = "") -> WaveState:
+def _without(wave: WaveState, vm: VmState) -> WaveState:
     """Take a VM off the pending ones, and finish the wave with the last of them."""
-    wave = evolve(wave, pending=tuple(name for name in wave.pending if name != done))
+    pending = tuple(name for name in wave.pending if name != vm.spec.name)
+    return _finish_wave(evolve(wave, pending=pending))
+
+
+def _finish_wave(wave: WaveState) -> WaveState:
+    """Finish a wave that has no VM left to come."""
     if wave.pending or not WAVE_CHART.accepts(wave.state, "all_done"):
         return wave
     return _step_wave(wave, "all_done")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -19,7 +19,13 @@
 from tarragoncart.membership import CheckMembers, Membership
 from tarragoncart.model import Answer, KeyGrant, Member, Mode, Outcome, QueueSpec, Reply, Verdict
 from tarragoncart.timer import ManualTimer
-from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, UpstreamChanged
+from tarragoncart.upstream import (
+    AttemptEnded,
+    FenceIncarnation,
+    FenceRequest,
+    Transmit,
+    UpstreamChanged,
+)
 
 
 @define
@@ -211,22 +217,6 @@
     assert reply.result().outcome is Outcome.ANSWERED
 
 
-async def test_silence_of_all_upstreams_makes_an_entry_vm_not_ready(desk):
-    """Guards against callers being sent to an entry VM that is cut off from every upstream."""
-    member = Member("a", "a", "dc-1", "", "")
-    membership = Membership(member, desk.journal, desk, ActorStub(), desk.timer)
-    membership.handle(ViewChanged(replay.FleetView(), 0.0, log_available=False, loaded=True))
-    states = []
-    for verdict, answering in (Verdict.NO_ANSWER, 0), (Verdict.RESULT, 1), (Verdict.NO_ANSWER, 0):
-        desk.timer.advance(2 * defaults.EJECT_WINDOW_MS)
-        for number, name in enumerate(desk.state.vms):
-            changed = Verdict.NO_ANSWER if number >= answering else verdict
-            desk.handle(UpstreamChanged(name, leased=False, verdict=changed, boot_id="boot"))
-        await membership.handle(CheckMembers())
-        states.append(membership.state)
-    assert states == ["isolated", "ready", "isolated"]
-
-
 async def test_a_paused_process_starts_nothing_before_it_has_read_on(desk):
     """Guards against a process that was stopped past its lease and retired meanwhile."""
     desk.timer.advance(4_000)
@@ -291,3 +281,42 @@
     (again,) = [r for r in await desk.log() if isinstance(r, records.ClaimJob)]
     assert again.epoch == 2
     assert (again.worker != claim.record.worker) or "boot_id" in change
+
+
+async def test_silence_of_all_upstreams_makes_an_entry_vm_not_ready(desk):
+    """Guards against callers being sent to an entry VM that is cut off from every upstream."""
+    member = Member("a", "a", "dc-1", "", "")
+    membership = Membership(member, desk.journal, desk, ActorStub(), desk.timer)
+    membership.handle(ViewChanged(replay.FleetView(), 0.0, log_available=False, loaded=True))
+    states = []
+    for verdict, answering in (Verdict.NO_ANSWER, 0), (Verdict.RESULT, 1), (Verdict.NO_ANSWER, 0):
+        desk.timer.advance(2 * defaults.EJECT_WINDOW_MS)
+        for number, name in enumerate(desk.state.vms):
+            changed = Verdict.NO_ANSWER if number >= answering else verdict
+            desk.handle(UpstreamChanged(name, leased=False, verdict=changed, boot_id="boot"))
+        await membership.handle(CheckMembers())
+        states.append(membership.state)
+    assert states == ["isolated", "ready", "isolated"]
+
+
+async def test_workers_tell_of_a_retired_incarnation_one_after_the_other(desk):
+    """Guards against rights that stay held while in a wave one worker or another reboots."""
+
+    async def count(answers: dict[int, tuple[int, str]]) -> tuple[list[int], int | None]:
+        reply = new_reply()
+        desk.handle(module.CountTasks("gone", reply))
+        await desk.settle()
+        asked = []
+        for number, stub in enumerate(desk.upstreams):
+            for fence in stub.of(FenceIncarnation):
+                asked.append(number)
+                stub.messages.remove(fence)
+                fence.reply.set_result(answers.get(number))
+        return asked, await reply
+
+    idle = (0, "boot")
+    assert await count(dict.fromkeys(range(5), idle)) == ([0, 1, 2, 3, 4, 5], None)
+    assert await count({5: (1, "boot")}) == ([5], 1)
+    desk.handle(UpstreamChanged("vm-0", leased=True, slot_count=8, boot_id="later boot"))
+    assert await count({5: idle}) == ([0, 5], None)
+    assert await count({0: (0, "later boot")}) == ([0], 0)
