Refuse requests that are on their way at a planned stop instead of losing them

Cause: with no job left, entry-1 closed its server while own-caller-5- had sent its head but not its body. The closing server dropped the body, waited for it until a timeout, so the stop took 7.5 s, and cut the connection. Change: an entry VM without jobs goes on refusing for 500 ms, closes each connection after its answer, stops listening, and then closes. A connection that is lost within a body is no error of the process.

--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from attrs import define
 
-from . import logs, metrics
+from . import defaults, logs, metrics
 from .dispatch import Dispatch
 from .inventory import Inventory
 from .journal import Journal
@@ -50,6 +50,18 @@
     actors: list[Actor]
     runners: list[web.AppRunner]
 
+    async def stop(self) -> None:
+        """Refuse requests that are still on their way, then close.
+
+        A server that is being closed drops the rest of a request whose body has not arrived yet.
+        """
+        await asyncio.sleep(defaults.LINGER_MS / 1_000)
+        for runner in self.runners:
+            for site in tuple(runner.sites):
+                await site.stop()
+        await asyncio.sleep(defaults.LINGER_CLOSED_MS / 1_000)
+        await self.close()
+
     async def close(self) -> None:
         """Close the listeners and stop the actors at once."""
         for runner in self.runners:
@@ -69,7 +81,7 @@
     terminated = new_reply()
     entry.membership.tell(Terminate(terminated))
     await terminated
-    await entry.close()
+    await entry.stop()
 
 
 async def open_entry(settings: EntrySettings) -> Entry:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -73,6 +73,9 @@
 ATTEMPT_COUNT = 3
 
 SHUTDOWN_TIMEOUT_MS = 30_000
+# After the last job, requests that come late are still refused; then the last answers go out.
+LINGER_MS = 500
+LINGER_CLOSED_MS = 200
 WAVE_FAILURE_LIMIT_COUNT = 2
 INBOX_COUNT = 50_000
 AUDIT_ENTRY_COUNT = 20_000
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -96,7 +96,9 @@
 
 def build_app(front: Front, routes: Registry[Handler]) -> web.Application:
     """Return an application that serves the registered routes; names are ``METHOD PATH``."""
-    app = web.Application(client_max_size=defaults.CONFIG_SIZE_BYTES, middlewares=[answer_errors])
+    app = web.Application(
+        client_max_size=defaults.CONFIG_SIZE_BYTES, middlewares=[_closing(front), answer_errors]
+    )
     for name, handler in routes.items():
         method, path = name.split(" ")
         app.router.add_route(method, path, _bind(front, handler))
@@ -110,6 +112,20 @@
     return handle
 
 
+def _closing(front: Front) -> Any:
+    @web.middleware
+    async def close_while_draining(
+        request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        if front.dispatch.draining:
+            # A connection that is still in use when the process ends loses its next request.
+            response.force_close()
+        return response
+
+    return close_while_draining
+
+
 @web.middleware
 async def answer_errors(
     request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -176,6 +192,8 @@
         raise _bad_request(
             "body did not arrive in time", "body_incomplete", 408, "body_timeout_ms"
         ) from None
+    except ConnectionResetError:
+        raise _bad_request("connection was lost within the body", "body_incomplete") from None
     if len(body) > limit_bytes:
         raise _too_large(limit_bytes)
     try:
@@ -343,7 +361,12 @@
 async def cancel(front: Front, request: web.Request) -> web.Response:
     """Cancel a job that has not started."""
     request_id, key_id = request.match_info["request_id"], key_of(request)
-    reply = await front.ask(front.dispatch, lambda future: Cancel(request_id, key_id, future))
+    asked = front.ask(front.dispatch, lambda future: Cancel(request_id, key_id, future))
+    try:
+        reply = await asyncio.wait_for(asked, defaults.OPERATOR_TIMEOUT_MS / 1_000)
+    except TimeoutError:
+        # The log has not confirmed the cancellation.
+        reply = None
     if reply is None:
         reply = await _outcome(front, request_id, key_id)
     return reply_response(reply, front.dispatch.config_version)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,7 +23,7 @@
 from standins.serving import Listener
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import operations, replay
-from tarragoncart.daemon import open_entry
+from tarragoncart.daemon import Entry, open_entry
 from tarragoncart.dispatch import Dispatch
 from tarragoncart.journal import Append, AppendEnded, Chunk, Flush, Journal
 from tarragoncart.mailbox import new_reply
@@ -417,6 +417,7 @@
     worker: str
     actors: list[Any]
     http: aiohttp.ClientSession
+    process: Entry
 
     async def ask(
         self, method: str, path: str, body: Any = None, key: str = "shop-key"
@@ -484,7 +485,7 @@
     )
     running = await open_entry(settings)
     urls = [f"http://{address}" for address in (running.client_address, running.peer_address)]
-    entry = RunningEntry(*urls, worker, running.actors, http)
+    entry = RunningEntry(*urls, worker, running.actors, http, running)
 
     async def has_rights() -> bool:
         _, status = await entry.ask("GET", "/v1/status")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -9,6 +9,8 @@
 import pytest
 
 from tarragoncart import defaults
+from tarragoncart.mailbox import new_reply
+from tarragoncart.membership import Terminate
 
 JOB = {"payload": {"run_ms": 1}, "deadline_ms": 2_000}
 JOBS = "/v1/queues/holds/jobs"
@@ -174,7 +176,7 @@
 
 
 @pytest.mark.parametrize("close", [True, False])
-async def test_a_body_shorter_than_announced_starts_nothing(entry, monkeypatch, close):
+async def test_a_body_shorter_than_announced_starts_nothing(entry, monkeypatch, caplog, close):
     """Guards against half a job that is started, and a handler that waits for ever."""
     monkeypatch.setattr(defaults, "BODY_TIMEOUT_MS", 50)
     url = urlsplit(entry.url)
@@ -189,6 +191,27 @@
     writer.close()
     assert (await entry.submit("holds", JOB))[0] == 200
     assert await entry.started_count() == 1
+    assert not [record for record in caplog.records if record.levelname == "ERROR"]
+
+
+async def test_a_request_on_its_way_at_a_stop_is_refused(entry):
+    """Guards against a planned stop that loses a request whose body comes a moment later."""
+    url = urlsplit(entry.url)
+    reader, writer = await asyncio.open_connection(url.hostname, url.port)
+    body = json.dumps(JOB).encode()
+    head = f"POST {JOBS} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer shop-key\r\n"
+    writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode())
+    await writer.drain()
+    terminated = new_reply()
+    entry.process.membership.tell(Terminate(terminated))
+    await terminated
+    stop = asyncio.create_task(entry.process.stop())
+    await asyncio.sleep(0.05)
+    writer.write(body)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    assert answer.startswith(b"HTTP/1.1 503") and b"draining" in answer
+    assert b"Connection: close" in answer
+    await stop
 
 
 async def test_a_repeated_request_id_runs_once(entry):
