Cancel deferred jobs through the log, and do not tell unrecorded jobs as accepted

Cause of not_run_true: entry-2 answered cancelled for a deferred job in its queue at 2391173 ms, but entry-1 had adopted and claimed it at 2390954 ms and ran it. Cause of whole_answer: a query was answered accepted for a job whose record was under way; the log refused the record later. Change: a cancellation is a cancel record, and its ruling is the answer. Queries tell accepted only for recorded deferred jobs.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -275,6 +275,11 @@
         """Version of the configuration in force here."""
         return self._view.config_version
 
+    @property
+    def draining(self) -> bool:
+        """Whether this entry VM refuses new work because it is about to stop."""
+        return self._is_draining
+
     @property
     def view_age_ms(self) -> float:
         """Age of the view."""
@@ -452,6 +457,22 @@
             self._follow_logged(job)
         self._pump(job.job.pool)
 
+    @_record_ended.register
+    def _cancel_ended(
+        self, record: records.CancelJob, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        job = self._jobs.get(record.request_id)
+        if job is None or job.state != "cancelling":
+            return
+        if isinstance(entry, LogUnavailableError):
+            self._step(job, "log_unavailable")
+            self._pump(job.job.pool)
+        elif entry.accepted:
+            self._step(job, "cancelled", error=_cancelled())
+        else:
+            self._step(job, "claim_lost")
+            self._follow_logged(job)
+
     def _is_usable(self, entry: JobEntry) -> bool:
         """Tell whether the worker of a claim can still take the job; an append may take seconds."""
         pool = self._pool(entry.job.pool)
@@ -523,6 +544,11 @@
         )
         self._append(record, job.deadline_ms)
 
+    @carries_out("append_cancel")
+    def _append_cancel(self, entry: JobEntry, **_: Any) -> None:
+        expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+        self._append(records.CancelJob(entry.job.request_id), expires_ms)
+
     @carries_out("append_claim")
     def _append_claim(self, entry: JobEntry, **_: Any) -> None:
         job = entry.job
@@ -1083,11 +1109,8 @@
             resolve(message.reply, None)
         elif entry.reply is not None:
             resolve(message.reply, entry.reply)
-        elif entry.state in ("unresolved", "lost"):
-            resolve(message.reply, unknown(message.request_id, "no_answer", "query"))
         else:
-            reply = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
-            resolve(message.reply, reply)
+            resolve(message.reply, _pending(entry))
 
     @receives(Cancel)
     def _on_cancel(self, message: Cancel) -> None:
@@ -1095,14 +1118,16 @@
         if entry is None:
             resolve(message.reply, None)
             return
-        if entry.state == "queued":
+        if entry.state == "queued" and entry.job.mode is not Mode.DEFERRED:
             self._unqueue(entry)
-            error = RequestError(
-                "cancelled by the caller", code="cancelled", status=200, step="cancel"
-            )
-            self._step(entry, "cancel", error=error)
-        pending = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
-        resolve(message.reply, entry.reply or pending)
+            self._step(entry, "cancel", error=_cancelled())
+        elif entry.state == "queued" and not entry.claim_epoch:
+            # Another entry VM may have adopted the job, so only the log can tell.
+            self._unqueue(entry)
+            entry.waiters.append(message.reply)
+            self._step(entry, "cancel_recorded")
+            return
+        resolve(message.reply, entry.reply or _pending(entry))
 
     @receives(ReadLogged)
     def _on_read_logged(self, message: ReadLogged) -> None:
@@ -1227,6 +1252,18 @@
     )
 
 
+def _pending(entry: JobEntry) -> Reply:
+    """Return the reply for a job that has not ended; only a recorded deferred one is accepted."""
+    recorded = entry.job.mode is Mode.DEFERRED and entry.state not in ("recording", "unconfirmed")
+    if recorded and entry.state != "lost":
+        return Reply(entry.job.request_id, Outcome.ACCEPTED, code="pending", status=202)
+    return unknown(entry.job.request_id, "no_answer", "query")
+
+
+def _cancelled() -> RequestError:
+    return RequestError("cancelled by the caller", code="cancelled", status=200, step="cancel")
+
+
 def unknown(request_id: str, code: str, step: str, peer: str = "") -> Reply:
     """Return the reply for a request that may have run."""
     return Reply(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -175,9 +175,13 @@
     desk.show()
     await desk.submit(queue="packs")
     await desk.log()
-    desk.handle(module.Cancel("r", "k", new_reply()))
-    finish = [record for record in await desk.log() if isinstance(record, records.FinishJob)]
-    assert [(record.outcome, record.code) for record in finish] == [(Outcome.NOT_RUN, "cancelled")]
+    reply = new_reply()
+    desk.handle(module.Cancel("r", "k", reply))
+    assert not reply.done()
+    await desk.log()
+    assert (reply.result().outcome, reply.result().code) == (Outcome.NOT_RUN, "cancelled")
+    logged = desk.state.jobs["r"]
+    assert (logged.outcome, logged.code) == (Outcome.NOT_RUN, "cancelled")
 
 
 async def test_a_new_incarnation_asks_the_guards_about_its_attempts(desk):
@@ -296,3 +300,27 @@
     assert await count({0: None, 1: 3}) == (None, len(desk.upstreams))
     assert await count({0: 0, 1: 2}) == (2, 2)
     assert await count({1: 0}) == (0, 1)
+
+
+async def test_a_cancellation_loses_against_a_claim_of_an_adopter(desk):
+    """Guards against "not run" for a deferred job that another entry VM has claimed meanwhile."""
+    desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    await desk.submit(queue="packs")
+    await desk.log()
+    reply = new_reply()
+    desk.handle(module.Cancel("r", "k", reply))
+    desk.apply(Append(records.ClaimJob("r", 1, "b", "vm-0", "boot"), "b"), "b")
+    await desk.log()
+    assert reply.result().outcome is Outcome.ACCEPTED
+    assert desk.state.jobs["r"].outcome is None
+
+
+@pytest.mark.parametrize("queue", ["packs", "holds"])
+async def test_a_job_that_is_not_recorded_is_not_told_as_accepted(desk, queue):
+    """Guards against an acceptance that is taken back when the log refuses the record."""
+    await desk.submit("own", queue=queue)
+    reply = new_reply()
+    desk.handle(module.Query("own", "k", reply))
+    await desk.settle()
+    assert reply.result().outcome is Outcome.OUTCOME_UNKNOWN
