--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -208,6 +208,8 @@
     excluded: set[str] = Factory(set)
     claim_epoch: int = 0
     answer: Answer | None = field(default=None, repr=False)
+    # An attempt that was not the last has started, or may have.
+    may_have_run: bool = False
 
 
 class Dispatch(Actor):
@@ -672,7 +674,11 @@
             step="queue",
             limit="deadline_ms",
         )
-        self._answer(entry, refusal(entry.job.request_id, error))
+        if entry.may_have_run:
+            reply = unknown(entry.job.request_id, error.code, error.step, error.peer)
+        else:
+            reply = refusal(entry.job.request_id, error)
+        self._answer(entry, reply)
 
     @carries_out("reply_unknown")
     def _reply_unknown(self, entry: JobEntry, **_: Any) -> None:
@@ -797,6 +803,7 @@
         if allowed:
             metrics.RETRIES.add(1)
             entry.excluded.add(entry.placed_on)
+            entry.may_have_run = True
         return allowed
 
     def _strand(self, entry: JobEntry) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -324,3 +324,23 @@
     desk.handle(module.Query("own", "k", reply))
     await desk.settle()
     assert reply.result().outcome is Outcome.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("ending", ["key_refused", "deadline"])
+async def test_a_retried_job_is_never_told_as_not_run(desk, ending):
+    """Guards against "not run" for an idempotent job of which an attempt has failed."""
+    queues = (*desk.state.config.queues, QueueSpec("events", "holds"))
+    desk.state.config = evolve(desk.state.config, queues=queues)
+    desk.show()
+    reply = await desk.submit("own", queue="events")
+    (attempt,) = desk.sent()
+    if ending == "key_refused":
+        del desk.state.keys["k"]
+    else:
+        desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    desk.handle(AttemptEnded(attempt, Evidence("result", answer=Answer({}, succeeded=False))))
+    desk.timer.advance(1_000)
+    desk.handle(module.SweepDeadlines())
+    await desk.settle()
+    assert (reply.result().outcome, reply.result().code) == (Outcome.OUTCOME_UNKNOWN, ending)
