--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -203,7 +203,7 @@
 
     job: Job
     state: str = JOB_CHART.initial
-    waiters: list[asyncio.Future[Reply]] = Factory(list)
+    waiters: list[asyncio.Future[Any]] = Factory(list)
     admitted_ms: float = 0.0
     reply: Reply | None = None
     attempt: Attempt | None = None
@@ -217,6 +217,8 @@
     excluded: set[str] = Factory(set)
     claim_epoch: int = 0
     answer: Answer | None = field(default=None, repr=False)
+    # An attempt that was not the last has started, or may have.
+    may_have_run: bool = False
 
 
 class Dispatch(Actor):
@@ -285,6 +287,11 @@
         """Version of the configuration in force here."""
         return self._view.config_version
 
+    @property
+    def draining(self) -> bool:
+        """Whether this entry VM refuses new work because it is about to stop."""
+        return self._is_draining
+
     @property
     def view_age_ms(self) -> float:
         """Age of the view."""
@@ -472,6 +479,22 @@
             self._follow_logged(job)
         self._pump(job.job.pool)
 
+    @_record_ended.register
+    def _cancel_ended(
+        self, record: records.CancelJob, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        job = self._jobs.get(record.request_id)
+        if job is None or job.state != "cancelling":
+            return
+        if isinstance(entry, LogUnavailableError):
+            self._step(job, "log_unavailable")
+            self._pump(job.job.pool)
+        elif entry.accepted:
+            self._step(job, "cancelled", error=_cancelled())
+        else:
+            self._step(job, "claim_lost")
+            self._follow_logged(job)
+
     def _is_usable(self, entry: JobEntry) -> bool:
         """Tell whether the worker of a claim can still take the job; an append may take seconds."""
         pool = self._pool(entry.job.pool)
@@ -487,7 +510,7 @@
         """
         self._step(entry, "refuse", error=_different_body())
         self._jobs.pop(entry.job.request_id, None)
-        del self._finished[entry.job.request_id]
+        self._finished.pop(entry.job.request_id, None)
 
     def _follow_logged(self, entry: JobEntry) -> None:
         """Take the state of a job of another entry VM from the log; it may have ended there."""
@@ -549,6 +572,11 @@
         )
         self._append(record, job.deadline_ms)
 
+    @carries_out("append_cancel")
+    def _append_cancel(self, entry: JobEntry, **_: Any) -> None:
+        expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
+        self._append(records.CancelJob(entry.job.request_id), expires_ms)
+
     @carries_out("append_claim")
     def _append_claim(self, entry: JobEntry, **_: Any) -> None:
         job = entry.job
@@ -681,7 +709,8 @@
         )
         request_id = entry.job.request_id
         # A claim excludes other starters as well; without either, this entry VM speaks for itself.
-        certain = recorded or entry.claim_epoch > 0 or self._is_sole_starter(request_id)
+        alone = recorded or entry.claim_epoch > 0 or self._is_sole_starter(request_id)
+        certain = alone and not entry.may_have_run
         self._answer(entry, refusal(request_id, error, certain=certain), final=certain)
         if not certain and entry.state == "not_run":
             # The same ID may be submitted again, and the log tells its outcome.
@@ -810,6 +839,7 @@
         if allowed:
             metrics.RETRIES.add(1)
             entry.excluded.add(entry.placed_on)
+            entry.may_have_run = True
         return allowed
 
     def _strand(self, entry: JobEntry) -> None:
@@ -1131,11 +1161,8 @@
             resolve(message.reply, None)
         elif entry.reply is not None:
             resolve(message.reply, entry.reply)
-        elif entry.state in ("unresolved", "lost"):
-            resolve(message.reply, unknown(message.request_id, "no_answer", "query"))
         else:
-            reply = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
-            resolve(message.reply, reply)
+            resolve(message.reply, _pending(entry))
 
     @receives(Cancel)
     def _on_cancel(self, message: Cancel) -> None:
@@ -1143,14 +1170,16 @@
         if entry is None:
             resolve(message.reply, None)
             return
-        if entry.state == "queued":
+        if entry.state == "queued" and entry.job.mode is not Mode.DEFERRED:
             self._unqueue(entry)
-            error = RequestError(
-                "cancelled by the caller", code="cancelled", status=200, step="cancel"
-            )
-            self._step(entry, "cancel", error=error)
-        pending = Reply(message.request_id, Outcome.ACCEPTED, code="pending", status=202)
-        resolve(message.reply, entry.reply or pending)
+            self._step(entry, "cancel", error=_cancelled())
+        elif entry.state == "queued" and not entry.claim_epoch:
+            # Another entry VM may have adopted the job, so only the log can tell.
+            self._unqueue(entry)
+            entry.waiters.append(message.reply)
+            self._step(entry, "cancel_recorded")
+            return
+        resolve(message.reply, entry.reply or _pending(entry))
 
     @receives(ReadLogged)
     def _on_read_logged(self, message: ReadLogged) -> None:
@@ -1294,6 +1323,18 @@
     )
 
 
+def _pending(entry: JobEntry) -> Reply:
+    """Return the reply for a job that has not ended; only a recorded deferred one is accepted."""
+    recorded = entry.job.mode is Mode.DEFERRED and entry.state not in ("recording", "unconfirmed")
+    if recorded and entry.state != "lost":
+        return Reply(entry.job.request_id, Outcome.ACCEPTED, code="pending", status=202)
+    return unknown(entry.job.request_id, "no_answer", "query")
+
+
+def _cancelled() -> RequestError:
+    return RequestError("cancelled by the caller", code="cancelled", status=200, step="cancel")
+
+
 def unknown(request_id: str, code: str, step: str, peer: str = "") -> Reply:
     """Return the reply for a request that may have run."""
     return Reply(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,7 +24,7 @@
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import defaults, operations, replay
 from tarragoncart.attempts import Evidence
-from tarragoncart.daemon import open_entry
+from tarragoncart.daemon import Entry, open_entry
 from tarragoncart.dispatch import Dispatch
 from tarragoncart.journal import Append, AppendEnded, Chunk, Flush, Journal
 from tarragoncart.mailbox import Actor, new_reply
@@ -419,6 +419,7 @@
     worker: str
     actors: list[Any]
     http: aiohttp.ClientSession
+    process: Entry
 
     async def ask(
         self, method: str, path: str, body: Any = None, key: str = "shop-key"
@@ -493,7 +494,7 @@
     monkeypatch.setattr(defaults, "RIGHTS_REBALANCE_MS", 20)
     running = await open_entry(settings)
     urls = [f"http://{address}" for address in (running.client_address, running.peer_address)]
-    entry = RunningEntry(*urls, worker, running.actors, http)
+    entry = RunningEntry(*urls, worker, running.actors, http, running)
 
     async def has_rights() -> bool:
         _, status = await entry.ask("GET", "/v1/status")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -180,9 +180,13 @@
     desk.show()
     await desk.submit(queue="packs")
     await desk.log()
-    desk.handle(module.Cancel("r", "k", new_reply()))
-    finish = [record for record in await desk.log() if isinstance(record, records.FinishJob)]
-    assert [(record.outcome, record.code) for record in finish] == [(Outcome.NOT_RUN, "cancelled")]
+    reply = new_reply()
+    desk.handle(module.Cancel("r", "k", reply))
+    assert not reply.done()
+    await desk.log()
+    assert (reply.result().outcome, reply.result().code) == (Outcome.NOT_RUN, "cancelled")
+    logged = desk.state.jobs["r"]
+    assert (logged.outcome, logged.code) == (Outcome.NOT_RUN, "cancelled")
 
 
 async def test_a_new_incarnation_asks_the_guards_about_its_attempts(desk):
@@ -320,3 +324,47 @@
     desk.handle(UpstreamChanged("vm-0", leased=True, slot_count=8, boot_id="later boot"))
     assert await count({5: idle}) == ([0, 5], None)
     assert await count({0: (0, "later boot")}) == ([0], 0)
+
+
+async def test_a_cancellation_loses_against_a_claim_of_an_adopter(desk):
+    """Guards against "not run" for a deferred job that another entry VM has claimed meanwhile."""
+    desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    await desk.submit(queue="packs")
+    await desk.log()
+    reply = new_reply()
+    desk.handle(module.Cancel("r", "k", reply))
+    desk.apply(Append(records.ClaimJob("r", 1, "b", "vm-0", "boot"), "b"), "b")
+    await desk.log()
+    assert reply.result().outcome is Outcome.ACCEPTED
+    assert desk.state.jobs["r"].outcome is None
+
+
+@pytest.mark.parametrize("queue", ["packs", "holds"])
+async def test_a_job_that_is_not_recorded_is_not_told_as_accepted(desk, queue):
+    """Guards against an acceptance that is taken back when the log refuses the record."""
+    await desk.submit("own", queue=queue)
+    reply = new_reply()
+    desk.handle(module.Query("own", "k", reply))
+    await desk.settle()
+    assert reply.result().outcome is Outcome.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("ending", ["key_refused", "deadline"])
+async def test_a_retried_job_is_never_told_as_not_run(desk, ending):
+    """Guards against "not run" for an idempotent job of which an attempt has failed."""
+    queues = (*desk.state.config.queues, QueueSpec("events", "holds"))
+    desk.state.config = evolve(desk.state.config, queues=queues)
+    desk.show()
+    reply = await desk.submit("own", queue="events")
+    (attempt,) = desk.sent()
+    if ending == "key_refused":
+        del desk.state.keys["k"]
+    else:
+        desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    desk.handle(AttemptEnded(attempt, Evidence("result", answer=Answer({}, succeeded=False))))
+    desk.timer.advance(1_000)
+    desk.handle(module.SweepDeadlines())
+    await desk.settle()
+    assert (reply.result().outcome, reply.result().code) == (Outcome.OUTCOME_UNKNOWN, ending)
