--- a/src/bench/simulate.py
+++ b/src/bench/simulate.py
@@ -412,9 +412,6 @@
         if vm.name not in self.views[vm.pool]:
             return
         health = self.health[vm.pool]
-        if verdict is Verdict.RESULT:
-            health.record(vm.name, verdict, self.now_ms)
-            return
         before = health.ejected(self.now_ms)
         health.record(vm.name, verdict, self.now_ms)
         for name in health.ejected(self.now_ms) - before:
