--- a/src/bench/snapshot_cost.py
+++ b/src/bench/snapshot_cost.py
@@ -6,7 +6,7 @@
 import random
 import statistics
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from attrs import frozen
@@ -45,8 +45,8 @@
 )
 
 
-def build_state(size: Size, seed: int = 1) -> replay.FleetState:
-    """Return the state of a fleet of that size, by replay of its records."""
+def build_records(size: Size, seed: int = 1) -> Iterator[records.Envelope]:
+    """Yield the records that bring a fleet to that size."""
     rng = random.Random(seed)
     pools = [f"pool-{n}" for n in range(size.pool_count)]
     teams = [f"team-{n}" for n in range(size.team_count)]
@@ -75,10 +75,16 @@
         written.append(records.ClaimJob(request_id, 1, member, f"vm-{n % size.vm_count}"))
         if n % 2:
             written.append(records.FinishJob(request_id, Outcome.ANSWERED, 1, payload))
-    state = replay.FleetState()
-    for offset, record in enumerate(written):
+    for at_ms, record in enumerate(written):
         batch_id = f"{rng.getrandbits(128):032x}"
-        replay.apply(state, offset, records.Envelope(batch_id, 0, "entry-0", offset, record))
+        yield records.Envelope(batch_id, 0, "entry-0", at_ms, record)
+
+
+def build_state(size: Size, seed: int = 1) -> replay.FleetState:
+    """Return the state of a fleet of that size, by replay of its records."""
+    state = replay.FleetState()
+    for offset, envelope in enumerate(build_records(size, seed)):
+        replay.apply(state, offset, envelope)
     return state
 
 
