Start entry processes without the operators' modules

Change: __main__ starts the daemon directly when the arguments are exactly 'entry SETTINGS'; wrong settings are still reported by the command line. json5 is imported for files with comments only. aiohttp finds no certificates to load.

--- a/src/tarragoncart/__main__.py
+++ b/src/tarragoncart/__main__.py
@@ -1,5 +1,36 @@
-"""Entry point of ``python -m tarragoncart``."""
+"""Entry point of ``python -m tarragoncart`` and of the ``tarragoncart`` command."""
 
-from .cli import main
+from __future__ import annotations
 
-main()
+import importlib
+import os
+import sys
+
+
+def main() -> None:
+    """Run the command; an entry VM starts without the operators' modules."""
+    match sys.argv[1:]:
+        case ["entry", path] if not path.startswith("-"):
+            run_entry(path)
+        case _:
+            importlib.import_module("tarragoncart.cli").main()
+
+
+def run_entry(path: str) -> None:
+    """Run an entry VM without loading ``typer`` and the operators' client."""
+    # An entry VM makes no TLS connection, but aiohttp loads the system's certificates when it is
+    # imported, which takes 1.5 MiB.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    os.environ.setdefault("SSL_CERT_DIR", os.devnull)
+    settings = importlib.import_module("tarragoncart.settings")
+    try:
+        loaded = settings.load_entry_settings(path)
+    except ExceptionGroup:
+        # The command line prints the problems and sets the exit status.
+        importlib.import_module("tarragoncart.cli").main()
+        return
+    importlib.import_module("tarragoncart.daemon").run(loaded)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -22,7 +22,6 @@
 
 import attrs
 import cattrs
-import json5
 from attrs import frozen
 from cattrs.errors import (
     AttributeValidationNote,
@@ -158,6 +157,9 @@
     try:
         return json.loads(text, object_pairs_hook=_unique_keys)
     except json.JSONDecodeError:
+        # An entry VM whose settings have no comments does without the parser's memory.
+        import json5
+
         return json5.loads(text, allow_duplicate_keys=False)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -262,3 +262,27 @@
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.split() == [str(loaded), str(loaded)]
+
+
+ENTRY_PROGRAM = """
+import sys
+from tarragoncart import __main__, daemon
+daemon.run = lambda settings: print(settings.name)
+__main__.main()
+print(sorted(sys.modules.keys() & set("typer rich pydantic json5 opentelemetry.sdk"
+    " tarragoncart.cli tarragoncart.operator_api".split())))
+"""
+
+
+@pytest.mark.parametrize("name", ["entry-1", "a.b"])
+def test_entry_loads_no_modules_of_operators(name, tmp_path, entry_data):
+    """Guards the memory of an entry VM, and the report of wrong settings on its short way."""
+    path = tmp_path / "entry.json"
+    path.write_text(json.dumps({**entry_data, "name": name}))
+    command = [sys.executable, "-c", ENTRY_PROGRAM, "entry", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    if name == "entry-1":
+        assert done.stdout.split("\n")[:2] == ["entry-1", "[]"]
+    else:
+        assert (done.returncode, done.stdout) == (2, "")
+        assert "name:" in done.stderr
