--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -247,6 +247,7 @@
         self._log_jobs: dict[str, JobState] = {}
         self._finished: dict[str, float] = {}
         self._deadlines: list[tuple[float, str]] = []
+        self._sweep_due_ms = float("inf")
         self._pools: dict[str, PoolPlacement] = {}
         self._slot_use = fairqueue.Ledger()
         self._upstreams: dict[str, Upstream] = {}
@@ -277,7 +278,6 @@
 
     async def opened(self) -> None:
         """Subscribe to the timer."""
-        self.subscribe(self._timer.every(defaults.DEADLINE_SWEEP_MS), SweepDeadlines())
         self.subscribe(self._timer.every(defaults.RIGHTS_REBALANCE_MS), Rebalance())
 
     async def closed(self) -> None:
@@ -376,6 +376,7 @@
             )
         self._jobs[job.request_id] = entry
         heapq.heappush(self._deadlines, (job.deadline_ms, job.request_id))
+        self._plan_sweep()
         if known is not None:
             self._step(entry, "known_elsewhere")
             self._follow_log(entry, known)
@@ -750,6 +751,19 @@
             entry = self._jobs.get(request_id)
             if entry is not None:
                 self._expire(entry)
+        if now_ms >= self._sweep_due_ms:
+            self._sweep_due_ms = float("inf")
+        self._plan_sweep()
+
+    def _plan_sweep(self) -> None:
+        # A periodic sweep would wake an idle process 50 times a second.
+        if not self._deadlines:
+            return
+        now_ms = self._timer.now_ms()
+        due_ms = max(self._deadlines[0][0], now_ms + defaults.DEADLINE_SWEEP_MS)
+        if due_ms < self._sweep_due_ms:
+            self._sweep_due_ms = due_ms
+            self.subscribe_once(self._timer.after(due_ms - now_ms), SweepDeadlines())
 
     def _expire(self, entry: JobEntry) -> None:
         if entry.job.mode is Mode.DEFERRED and entry.state not in ("recording", "elsewhere"):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -204,3 +204,26 @@
     asked.reply.set_result(desk.state.jobs["own"])
     await desk.settle()
     assert reply.result().outcome is Outcome.ANSWERED
+
+
+async def test_each_deadline_is_swept_with_no_timer_in_between(desk: Desk) -> None:
+    """Guards against jobs kept past an earlier deadline, and wake-ups of an idle process."""
+    swept: list[float] = []
+
+    def handle() -> None:
+        for message in desk.dispatch.take_messages():
+            swept.append(desk.timer.now_ms())
+            desk.handle(message)
+
+    desk.state.rights["shop"] = replay.TeamRights(10, 10)
+    desk.show()
+    replies = []
+    for request_id, deadline_ms in (("r1", 5_000), ("r2", 1_000)):
+        replies.append(new_reply())
+        submission = Submission(request_id, "holds", "k", {}, request_id, deadline_ms, 10)
+        desk.handle(Submit(submission, replies[-1]))
+    for _ in range(100):
+        desk.timer.advance(100)
+        handle()
+    assert [reply.result().outcome for reply in replies] == [Outcome.NOT_RUN] * 2
+    assert len(swept) <= 3 and swept[0] <= 1_100 and 5_000 <= swept[-1] <= 5_100
