--- a/src/bench/slopes.py
+++ b/src/bench/slopes.py
@@ -8,6 +8,7 @@
 import asyncio
 import gc
 import json
+import random
 import signal
 import socket
 import statistics
@@ -30,9 +31,12 @@
 
 from tarragoncart import limits, operations, records, replay, settings, snapshots
 from tarragoncart.capacity import CAPACITY
+from tarragoncart.dispatch import Dispatch
+from tarragoncart.journal import Journal, ViewChanged
 from tarragoncart.model import FleetConfig, PoolSpec, QueueSpec, TeamSpec, VmSpec
 from tarragoncart.operator_api import Operator
 from tarragoncart.registry import Registry
+from tarragoncart.timer import ManualTimer
 
 from .processes import Deployment
 from .snapshot_cost import Size, assemble, build_records, build_state, median_ms
@@ -187,6 +191,52 @@
     yield row("finished job", "bytes", [claimed / job_count + ended / (job_count / 2)])
 
 
+@PARTS.register("tail")
+def tail() -> Iterator[Row]:
+    """Heap of a publish record as the journal keeps it for peers, at the projected size."""
+    text = json.dumps(_publish_record(1_300))
+    gc.collect()
+    tracemalloc.start()
+    items = [json.loads(text) for _ in range(10)]
+    size_bytes = tracemalloc.get_traced_memory()[0] / len(items)
+    tracemalloc.stop()
+    yield row("publish record, 1,300 VMs, 68 pools, 81 teams", "bytes", [size_bytes])
+
+
+def _publish_record(vm_count: int) -> dict[str, Any]:
+    config = fleet_config(vm_count, max(1, vm_count // 19), max(1, vm_count // 16))
+    envelope = records.Envelope("0" * 16, 0, "entry-0", 1, records.Publish(0, config))
+    return records.encode_record(envelope)
+
+
+@PARTS.register("vm-change")
+def vm_change() -> Iterator[Row]:
+    """Time of the dispatcher and the driver for one changed VM, at shares of the fleet."""
+    for share in SHARES:
+        values = [asyncio.run(_vm_change_ms(share)) for _ in range(RUN_COUNT)]
+        yield row(f"{share:.0%}: dispatcher", "ms", values)
+
+
+async def _vm_change_ms(share: float) -> float:
+    size = projected(share)
+    state = build_state(Size(size.name, *list(asdict(size).values())[1:5], 0))
+    journal = Journal("entry-0", "127.0.0.1:1", ManualTimer())
+    desk = Dispatch("entry-0", "dc-0", "0" * 16, journal, ManualTimer(), random.Random(1))
+    sections = frozenset(("config", "members", "rights", "vms"))
+    view = replay.view_of(state, replay.FleetView(), sections)
+    # Without sockets: the actors of the upstreams are made, but nothing runs them.
+    desk.handle(ViewChanged(view, 0.0, log_available=True, loaded=True))
+    changed = replay.view_of(state, view, frozenset(("vms",)))
+    message = ViewChanged(changed, 0.0, log_available=True, loaded=True)
+    started_ns = time.process_time_ns()
+    desk.handle(message)
+    spent_ms = (time.process_time_ns() - started_ns) / 1e6
+    for upstream in desk._upstreams.values():
+        assert upstream._runner is not None
+        upstream._runner.cancel()
+    return spent_ms
+
+
 def _texts(size: Size) -> list[str]:
     return [json.dumps(records.encode_record(envelope)) for envelope in build_records(size)]
 
