--- a/src/bench/slopes.py
+++ b/src/bench/slopes.py
@@ -237,6 +237,20 @@
     return spent_ms
 
 
+@PARTS.register("vm-list")
+def vm_list() -> Iterator[Row]:
+    """Size of the platform's list of VMs, which each entry VM reads every second, and decoding."""
+    for share in SHARES:
+        count = projected(share).vm_count
+        listed = [
+            {"name": f"vm-{n}", "address": "10.0.0.1:8000", "state": "live"} for n in range(count)
+        ]
+        text = json.dumps({"vms": listed})
+        yield row(f"{count} VMs: size", "bytes", [len(text)])
+        values = [median_ms(lambda text=text: json.loads(text)) for _ in range(RUN_COUNT)]
+        yield row(f"{count} VMs: decode", "ms", values)
+
+
 def _texts(size: Size) -> list[str]:
     return [json.dumps(records.encode_record(envelope)) for envelope in build_records(size)]
 
