--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -237,6 +237,18 @@
             reply(4, "not_run"),
             submit(5),
         ],
+        "another entry VM ran its own submission": [
+            *TWO_SUBMISSIONS,
+            start(2, incarnation="i-o"),
+            reply(3, "not_run"),
+        ],
+        "another body ran": [
+            submit(1),
+            submit(1, payload_token="R2"),
+            start(2),
+            reply(3, "not_run", code="different_body", payload_token="R2"),
+            reply(4),
+        ],
         "started by the entry VM that replied": [
             *TWO_SUBMISSIONS,
             start(2, incarnation="i-e"),
@@ -414,18 +426,6 @@
         ],
     },
     "not_run_true": {
-        "another entry VM ran its own submission": [
-            *TWO_SUBMISSIONS,
-            start(2, incarnation="i-o"),
-            reply(3, "not_run"),
-        ],
-        "another body ran": [
-            submit(1),
-            submit(1, payload_token="R2"),
-            start(2),
-            reply(3, "not_run", code="different_body", payload_token="R2"),
-            reply(4),
-        ],
         "never started": [submit(1), reply(2, "not_run")],
         "submitted again": [submit(1), reply(2, "not_run"), submit(3), start(4)],
     },
