Count a VM that the platform drains against its pool's budget

Cause: the platform drained events-3 at 2528080 ms; the log had it in service, so at 2530745 ms the driver began a stop of events-2 and 2 of 3 VMs of a pool with a budget of 1 were out. Change: the driver records a VM that leaves without a plan as failed, and as back when it no longer leaves. It still makes no call about such a VM. test_a_platform_drain_is_left_alone asked for no step at all; it now asks for 60 s without an undrain, and a second test asks for the record's effect.

--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -161,8 +161,12 @@
     """Notice a failure; end the drain that a finished or abandoned operation has left."""
     if case.is_lost(case.bounds.silence_ms):
         return case.fail("in service")
-    if not case.vm.drain_asked or not case.fresh:
+    if not case.fresh:
         return None
+    if not case.vm.drain_asked:
+        # A VM that the platform drains for its own reasons counts against the budget.
+        cause = "leaves without a plan"
+        return case.append(records.VmFailed, cause=cause) if case.worker.leaving else None
     if case.worker.leaving:
         return case.call("undrain")
     return case.append(records.VmBack, cause="no longer drained")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -186,8 +186,23 @@
 
 def test_a_platform_drain_is_left_alone(operated, new_driver):
     """Guards against a driver that undoes what the platform does for its own reasons."""
+    driver = new_driver()
     operated.workers["vm-1"].leaving = True
-    assert not operated.plan(new_driver())
+    assert not operated.run(driver, 60_000, lambda: operated.fleet.vms["vm-1"].drain_asked)
+    assert operated.workers["vm-1"].leaving
+    assert not operated.plan(driver)
+
+
+def test_a_platform_drain_counts_against_the_budget(operated, wave, new_driver):
+    """Guards against a planned stop beside a VM that the platform has taken out of service."""
+    driver = new_driver()
+    operated.workers["vm-1"].leaving = True
+    vms = operated.fleet.vms
+    assert operated.run(driver, 2_000, lambda: vms["vm-1"].state == "failed")
+    planned = ("reserved", "stopping")
+    assert not operated.run(driver, 20_000, lambda: any(vm.state in planned for vm in vms.values()))
+    operated.workers["vm-1"].leaving = False
+    assert operated.run(driver, 2_000, lambda: vms["vm-1"].state == "in_service")
 
 
 def test_a_copy_of_a_step_is_rejected(operated, submit, wave):
