Tell no configuration version before one has been loaded

Cause: the refusal of a replacement that still starts said version 0, which is no version in force. Change: the field is null until the state is loaded.

--- a/src/bench/callers.py
+++ b/src/bench/callers.py
@@ -189,7 +189,6 @@
             code=result.code,
             echo=echo_of(result.answer),
             truncated=False,
-            # Without a status there was no reply, and so no version in it.
-            config_version=result.config_version if result.status else None,
+            config_version=result.config_version,
             entry=self.entry_names.get(result.entry, result.entry),
         )
--- a/src/tarragoncart/client.py
+++ b/src/tarragoncart/client.py
@@ -28,6 +28,8 @@
 
     :param answer: the worker's answer if ``outcome`` is ``answered``.
     :param code: error code otherwise.
+    :param config_version: in force where the reply comes from; None without a reply, or if the
+        entry VM has no configuration yet.
     """
 
     request_id: str
@@ -38,7 +40,7 @@
     message: str = ""
     status: int = 0
     entry: str = ""
-    config_version: int = 0
+    config_version: int | None = None
 
 
 class EntryUnreachableError(TarragoncartError):
@@ -224,5 +226,5 @@
         message=error.get("message", ""),
         status=status,
         entry=entry,
-        config_version=data.get("config_version", 0),
+        config_version=data.get("config_version"),
     )
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -273,9 +273,9 @@
         return self._view
 
     @property
-    def config_version(self) -> int:
+    def config_version(self) -> int | None:
         """Version of the configuration in force here."""
-        return self._view.config_version
+        return self._view.config_version if self._loaded else None
 
     @property
     def draining(self) -> bool:
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -309,7 +309,7 @@
     )
 
 
-def reply_response(reply: Reply, config_version: int) -> web.Response:
+def reply_response(reply: Reply, config_version: int | None) -> web.Response:
     """Encode a reply."""
     body: dict[str, Any]
     if reply.answer is not None:
