--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -6,6 +6,8 @@
 # does not expire it.
 LEASE_DURATION_MS = 3_000
 LEASE_RENEWAL_MS = 1_000
+# A guard keeps results for 15 min; the rest is for clocks of entry VMs that differ.
+GUARD_RETENTION_MS = 14 * 60 * 1_000
 
 # A withdrawn key is refused everywhere at most this long after its withdrawal was accepted.
 KEY_FRESHNESS_MS = 5_000
@@ -93,6 +95,10 @@
 
 # Operations: how often the driver looks, and how long it waits before it repeats a call.
 OPERATIONS_PERIOD_MS = 250
+OPERATIONS_GAP_MS = 50
+# VMs in a stop or move that the driver asks at each look; others tell their state with the next
+# renewal of the lease.
+OPERATIONS_PROBE_COUNT = 16
 PLATFORM_CALL_RETRY_MS = 1_000
 # Longer than the platform waits for a worker, so that its answer is not lost.
 PLATFORM_CALL_TIMEOUT_MS = 3_000
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -22,7 +22,7 @@
 from .errors import LogUnavailableError, RequestError
 from .journal import Append, JobChanged, Journal, ReadJob, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
-from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec
+from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec, issuer_of
 from .placement import PoolPlacement, UpstreamFacts
 from .replay import AuditEntry, FleetView, JobState
 from .timer import Timer
@@ -165,7 +165,9 @@
 class CountTasks:
     """Fence an incarnation at every worker.
 
-    The reply is the number of its tasks that still run, None if a worker did not answer.
+    The reply is the number of its tasks that still run, None if a worker has not answered. What
+    a worker has answered once stays true until it reboots, so that the answers of all workers
+    need not come at the same time: during a wave there may always be one that reboots.
     """
 
     incarnation: str
@@ -179,6 +181,13 @@
     reply: asyncio.Future[Usage]
 
 
+@frozen
+class ReadReach:
+    """Ask whether any upstream answers; the reply is False if all are silent."""
+
+    reply: asyncio.Future[bool]
+
+
 @frozen
 class Usage:
     """Jobs of this entry VM per team, and its rights."""
@@ -259,11 +268,12 @@
         self._waiting: Counter[str] = Counter()
         # Attempts of retried idempotent jobs that may still run; they keep their right.
         self._stranded: dict[str, tuple[Attempt, str]] = {}
+        # Boot IDs of the workers at which a retired incarnation is fenced and runs nothing.
+        self._fenced: dict[str, dict[str, str]] = {}
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
         # Workers at which a retired incarnation is fenced and runs nothing.
-        self._fenced: dict[str, set[str]] = {}
         self._swept_ms = timer.now_ms()
         self._resumed_ms = float("-inf")
 
@@ -305,7 +315,12 @@
             job = admission.admit(submission, self._standing())
             self._take(job, submission, message.reply)
         except RequestError as error:
-            resolve(message.reply, refusal(submission.request_id, error))
+            certain = self._is_sole_starter(submission.request_id)
+            resolve(message.reply, refusal(submission.request_id, error, certain=certain))
+
+    def _is_sole_starter(self, request_id: str) -> bool:
+        """Tell whether no other entry VM can have started this request ID."""
+        return issuer_of(request_id) == (self.entry, self.incarnation)
 
     def _standing(self) -> Standing:
         now_ms = self._timer.now_ms()
@@ -358,8 +373,13 @@
             )
         if known.reply is not None:
             resolve(reply, known.reply)
+        elif known.state in ("unresolved", "lost"):
+            resolve(reply, unknown(job.request_id, "no_answer", "attempt"))
+        elif job.mode is Mode.DEFERRED and known.state not in ("recording", "unconfirmed"):
+            resolve(reply, Reply(job.request_id, Outcome.ACCEPTED, status=202))
         else:
             known.waiters.append(reply)
+            heapq.heappush(self._deadlines, (job.deadline_ms, job.request_id))
 
     def _check_issue_time(self, request_id: str) -> None:
         age_ms = self._timer.now_ms() - issue_time_ms(request_id)
@@ -399,7 +419,7 @@
 
     def _step(self, entry: JobEntry, event: str, **details: Any) -> None:
         self.step(JOB_CHART, entry, event, **details)
-        if JOB_CHART.is_final(entry.state):
+        if JOB_CHART.is_final(entry.state) and entry is self._jobs.get(entry.job.request_id):
             self._finished[entry.job.request_id] = self._timer.now_ms()
 
     # Records
@@ -489,8 +509,8 @@
         The refusal is about this body only, so later questions about the ID must not get it.
         """
         self._step(entry, "refuse", error=_different_body())
-        del self._jobs[entry.job.request_id]
-        del self._finished[entry.job.request_id]
+        self._jobs.pop(entry.job.request_id, None)
+        self._finished.pop(entry.job.request_id, None)
 
     def _follow_logged(self, entry: JobEntry) -> None:
         """Take the state of a job of another entry VM from the log; it may have ended there."""
@@ -507,13 +527,19 @@
     def _transfer_ended(
         self, record: records.TransferRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.given[record.team] -= record.count
+        self._ledger.ended(record)
+
+    @_record_ended.register
+    def _settle_ended(
+        self, record: records.SettleRights, entry: AuditEntry | LogUnavailableError
+    ) -> None:
+        self._ledger.ended(record)
 
     @_record_ended.register
     def _take_ended(
         self, record: records.TakeRights, entry: AuditEntry | LogUnavailableError
     ) -> None:
-        self._ledger.asked[record.team] -= 1
+        self._ledger.ended(record)
 
     # Actions of the job chart
 
@@ -584,6 +610,7 @@
             # The deadline of a deferred job is for its acceptance only.
             deadline_ms=float("inf") if job.mode is Mode.DEFERRED else job.deadline_ms,
             number=entry.attempt_count,
+            placed_at_ms=entry.placed_at_ms,
         )
         upstream = self._upstreams.get(entry.placed_on)
         if upstream is None:
@@ -627,7 +654,7 @@
         pool.release(entry.placed_on)
         ran_ms = self._timer.now_ms() - entry.placed_at_ms if JOB_CHART.is_final(entry.state) else 0
         pool.charge(entry.job, ran_ms)
-        self._ledger.running[entry.job.team] -= 1
+        self._ledger.job_ended(entry.job.team)
         entry.placed_on = ""
 
     @carries_out("record_result")
@@ -666,7 +693,13 @@
         self._answer(entry, Reply(entry.job.request_id, Outcome.ANSWERED, entry.answer))
 
     @carries_out("reply_not_run")
-    def _reply_not_run(self, entry: JobEntry, error: RequestError | None = None, **_: Any) -> None:
+    def _reply_not_run(
+        self,
+        entry: JobEntry,
+        error: RequestError | None = None,
+        recorded: bool = False,
+        **_: Any,
+    ) -> None:
         error = error or RequestError(
             "deadline passed before the job could start",
             code="deadline",
@@ -676,9 +709,15 @@
         )
         if entry.may_have_run:
             reply = unknown(entry.job.request_id, error.code, error.step, error.peer)
-        else:
-            reply = refusal(entry.job.request_id, error)
-        self._answer(entry, reply)
+            self._answer(entry, reply)
+            return
+        request_id = entry.job.request_id
+        # A claim excludes other starters as well; without either, this entry VM speaks for itself.
+        certain = recorded or entry.claim_epoch > 0 or self._is_sole_starter(request_id)
+        self._answer(entry, refusal(request_id, error, certain=certain), final=certain)
+        if not certain and entry.state == "not_run":
+            # The same ID may be submitted again, and the log tells its outcome.
+            self._jobs.pop(request_id, None)
 
     @carries_out("reply_unknown")
     def _reply_unknown(self, entry: JobEntry, **_: Any) -> None:
@@ -816,7 +855,7 @@
         ended = message.evidence.event in ("result", "not_started", "guard_lost")
         if ended and message.attempt.attempt_id in self._stranded:
             del self._stranded[message.attempt.attempt_id]
-            self._ledger.running[message.attempt.team] -= 1
+            self._ledger.job_ended(message.attempt.team)
 
     # Deadlines
 
@@ -853,7 +892,7 @@
         self._fresh_as_of_ms = message.fresh_as_of_ms
         self._log_available = message.log_available
         self._loaded = message.loaded
-        self._ledger.rights = message.view.rights
+        self._ledger.update(message.view.rights)
         if previous.config is not message.view.config or previous.members is not (
             message.view.members
         ):
@@ -991,7 +1030,9 @@
         elif known.outcome is Outcome.NOT_RUN and JOB_CHART.accepts(
             entry.state, "recorded_not_run"
         ):
-            self._step(entry, "recorded_not_run", error=_recorded_not_run(known.code))
+            self._step(
+                entry, "recorded_not_run", error=_recorded_not_run(known.code), recorded=True
+            )
         elif entry.state == "queued" and known.claimed_by not in ("", self.incarnation):
             self._unqueue(entry)
             self._step(entry, "claim_lost")
@@ -1008,8 +1049,16 @@
         if self._log_available and self._loaded and self.incarnation in self._view.members:
             self._move_rights()
             self._adopt_jobs()
+        else:
+            # No rights move, so none is kept free for others.
+            self._ledger.withheld.clear()
         if self.peers is not None:
-            wanted = {team: n for team, n in self._waiting.items() if team and n > 0}
+            lacking = {
+                team: limits.lacking_count(self._ledger, team, count)
+                for team, count in self._waiting.items()
+                if team
+            }
+            wanted = {team: count for team, count in lacking.items() if count}
             self.peers.tell(OwnDemand(wanted, self._loads()))
         self._evict_finished()
         self._pump_all()
@@ -1029,17 +1078,11 @@
     def _move_rights(self) -> None:
         members_count = len(self._view.members)
         waiting = {team: n for team, n in self._waiting.items() if n > 0}
-        if self._is_draining:
-            waiting = {}
-        for record in limits.plan_rights(self._ledger, waiting, self._wants, members_count):
+        for record in limits.plan_rights(
+            self._ledger, waiting, self._wants, members_count, draining=self._is_draining
+        ):
             metrics.RIGHTS_MOVED.add(record.count)
-            if isinstance(record, records.TransferRights):
-                # The giver lets go before the receiver may use the rights.
-                self._ledger.given[record.team] += record.count
-            elif self._is_draining:
-                continue
-            else:
-                self._ledger.asked[record.team] += 1
+            self._ledger.sent(record)
             self._append(record, self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS)
 
     def _adopt_jobs(self) -> None:
@@ -1084,8 +1127,13 @@
             self._step(entry, "adopt")
             return
         entry.boot_id = known.claimed_boot_id
+        age_ms = max(0, self._timer.wall_ms() - known.claimed_at_ms)
         entry.attempt = Attempt(
-            f"claim-{known.claim_epoch}", job.request_id, known.claimed_worker, team=job.team
+            f"claim-{known.claim_epoch}",
+            job.request_id,
+            known.claimed_worker,
+            team=job.team,
+            placed_at_ms=self._timer.now_ms() - age_ms,
         )
         self._step(entry, "adopt_claimed")
 
@@ -1185,20 +1233,27 @@
         self.spawn(self._count_tasks(message))
 
     async def _count_tasks(self, message: CountTasks) -> None:
-        # A fence lasts, so a worker that has confirmed it once need not answer at the same time as
-        # all others: during waves there is always one that does not.
-        fenced = self._fenced.setdefault(message.incarnation, set())
-        asked: dict[str, asyncio.Future[int | None]] = {}
+        idle = self._fenced.setdefault(message.incarnation, {})
+        replies: dict[str, asyncio.Future[tuple[int, str] | None]] = {}
         for name, upstream in self._upstreams.items():
-            if name not in fenced:
-                asked[name] = new_reply()
-                upstream.tell(FenceIncarnation(message.incarnation, asked[name]))
-        counts = await _replies_in_time(list(asked.values()))
-        fenced |= {name for name, count in zip(asked, counts, strict=True) if count == 0}
-        total = None if None in counts else sum(counts)
-        if total == 0:
+            if name not in idle or idle[name] != self._facts[name].boot_id:
+                replies[name] = new_reply()
+                upstream.tell(FenceIncarnation(message.incarnation, replies[name]))
+        if replies:
+            # An upstream that is removed meanwhile never replies.
+            await asyncio.wait(replies.values(), timeout=2 * defaults.CONTROL_TIMEOUT_MS / 1_000)
+        running_count: int | None = 0
+        for name, reply in replies.items():
+            found = reply.result() if reply.done() else None
+            if found is None or running_count is None:
+                running_count = None
+            else:
+                running_count += found[0]
+            if found is not None and not found[0]:
+                idle[name] = found[1]
+        if running_count == 0:
             self._fenced.pop(message.incarnation, None)
-        resolve(message.reply, total)
+        resolve(message.reply, running_count)
 
     @receives(ReadUsage)
     def _on_read_usage(self, message: ReadUsage) -> None:
@@ -1206,6 +1261,13 @@
         usage = Usage(dict(self._ledger.running), dict(self._waiting), rights)
         resolve(message.reply, usage)
 
+    @receives(ReadReach)
+    def _on_read_reach(self, message: ReadReach) -> None:
+        now_ms = self._timer.now_ms()
+        pools = [pool for pool in self._pools.values() if pool.upstreams]
+        silent = pools and all(pool.health.unreachable(now_ms) for pool in pools)
+        resolve(message.reply, not silent)
+
     # Shutdown and new incarnations
 
     @receives(Drain)
@@ -1216,7 +1278,7 @@
             if entry.state == "queued" and entry.job.mode is Mode.DEFERRED:
                 # Another entry VM adopts it once this incarnation is retired.
                 self._unqueue(entry)
-                del self._jobs[entry.job.request_id]
+                self._jobs.pop(entry.job.request_id, None)
         self._check_drained()
 
     def _check_drained(self) -> None:
@@ -1244,9 +1306,14 @@
     return [reply.result() if reply.done() else None for reply in replies]
 
 
-def refusal(request_id: str, error: RequestError) -> Reply:
-    """Return the reply for a request that did not run, or whose ID was too old to tell."""
-    outcome = Outcome.OUTCOME_UNKNOWN if error.status == 504 else Outcome.NOT_RUN
+def refusal(request_id: str, error: RequestError, *, certain: bool = True) -> Reply:
+    """Return the reply for a request that this entry VM did not run.
+
+    :param certain: nothing else can have run it under this request ID; otherwise the outcome is
+        unknown, because the same ID may have been submitted to another entry VM.
+    """
+    known = certain and error.status != 504 and error.code != "different_body"
+    outcome = Outcome.NOT_RUN if known else Outcome.OUTCOME_UNKNOWN
     return Reply(
         request_id,
         outcome,
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -13,9 +13,12 @@
 from .charts import load_chart
 from .model import FleetConfig, KeyGrant, Member, Outcome, VmSpec
 from .records import Envelope
+from .registry import Registry
 
 VM_CHART = load_chart("vm")
 WAVE_CHART = load_chart("wave")
+VM_ACTIONS: Registry[Callable[[FleetState, VmState], None]] = Registry("VM action")
+WAVE_ACTIONS: Registry[Callable[[WaveState], WaveState]] = Registry("wave action")
 
 
 @frozen
@@ -23,7 +26,8 @@
     """Division of a team's upper limit.
 
     :param holders: rights of live incarnations.
-    :param held: rights of retired incarnations whose tasks may still run.
+    :param held: rights under which tasks may still run although nothing may start: those of
+        retired incarnations, and those that a lower limit has taken from live ones.
     """
 
     limit_count: int
@@ -78,6 +82,7 @@
     claimed_by: str = ""
     claimed_worker: str = ""
     claimed_boot_id: str = ""
+    claimed_at_ms: int = 0
     outcome: Outcome | None = None
     body: Any = field(repr=False, default=None)
     succeeded: bool = True
@@ -252,6 +257,10 @@
         _set_rights(state, team, resize_rights(known, limits.get(team, 0)), team in limits)
 
 
+def _team_names(state: FleetState) -> set[str]:
+    return {team.name for team in state.config.teams}
+
+
 def _set_rights(state: FleetState, team: str, rights: TeamRights, configured: bool) -> None:
     # Held rights outlast their team: if it is configured again, the tasks that may still run
     # count against its new limit.
@@ -264,20 +273,22 @@
 def resize_rights(rights: TeamRights, limit_count: int) -> TeamRights:
     """Return the division under a new limit.
 
-    A lower limit takes from the unassigned rights first, then from each holder in proportion.
-    Held rights stay, because tasks may still run under them.
+    A limit below what is assigned holds back all rights: jobs may run under each of them, and
+    only their holders know how many do. What a holder settles becomes unassigned again.
     """
-    available = max(0, limit_count - sum(rights.held.values()))
-    assigned = sum(rights.holders.values())
-    if assigned <= available:
-        return evolve(rights, limit_count=limit_count, unassigned_count=available - assigned)
-    holders = {name: count * available // assigned for name, count in rights.holders.items()}
-    remainder = available - sum(holders.values())
-    for name in sorted(holders)[:remainder]:
-        holders[name] += 1
-    # An entry of 0 would outlast its incarnation and get a share of a later remainder.
-    holders = {name: count for name, count in holders.items() if count}
-    return evolve(rights, limit_count=limit_count, unassigned_count=0, holders=holders)
+    held = rights.held
+    holders = rights.holders
+    if sum(holders.values()) + sum(held.values()) > limit_count:
+        held = {name: held.get(name, 0) + holders.get(name, 0) for name in {**held, **holders}}
+        holders = {}
+    assigned = sum(holders.values()) + sum(held.values())
+    return evolve(
+        rights,
+        limit_count=limit_count,
+        unassigned_count=max(0, limit_count - assigned),
+        holders=holders,
+        held=held,
+    )
 
 
 @handles(records.GrantKey, "keys")
@@ -316,7 +327,7 @@
         holders = dict(rights.holders)
         count = holders.pop(record.incarnation, 0)
         if count:
-            held = {**rights.held, record.incarnation: count}
+            held = _add(rights.held, record.incarnation, count)
             state.rights[team] = evolve(rights, holders=holders, held=held)
     return Ruling((member.name, record.incarnation), reason=record.cause)
 
@@ -325,7 +336,7 @@
 def _release(state: FleetState, record: records.ReleaseRights, _: Envelope) -> Ruling:
     if record.incarnation not in state.retired:
         return _rejected("incarnation is not retired", record.incarnation)
-    configured = {team.name for team in state.config.teams}
+    configured = _team_names(state)
     for team, rights in list(state.rights.items()):
         if record.incarnation in rights.held:
             held = {k: v for k, v in rights.held.items() if k != record.incarnation}
@@ -334,6 +345,20 @@
     return Ruling((state.retired[record.incarnation], record.incarnation))
 
 
+@handles(records.SettleRights, "rights")
+def _settle(state: FleetState, record: records.SettleRights, _: Envelope) -> Ruling:
+    rights = state.rights.get(record.team)
+    held_count = rights.held.get(record.incarnation, 0) if rights else 0
+    if rights is None or record.incarnation not in state.members:
+        return _rejected("unknown team or incarnation", record.team, record.incarnation)
+    if record.held_count != held_count or not 0 < record.count <= held_count:
+        return _rejected(f"{held_count} rights are held", record.team, record.incarnation)
+    held = _add(rights.held, record.incarnation, -record.count)
+    rights = resize_rights(evolve(rights, held=held), rights.limit_count)
+    _set_rights(state, record.team, rights, record.team in _team_names(state))
+    return Ruling((record.team, record.incarnation), reason=f"{record.count} rights")
+
+
 @handles(records.TakeRights, "rights")
 def _take(state: FleetState, record: records.TakeRights, _: Envelope) -> Ruling:
     rights = state.rights.get(record.team)
@@ -422,6 +447,7 @@
         claimed_by=record.incarnation,
         claimed_worker=record.worker,
         claimed_boot_id=record.boot_id,
+        claimed_at_ms=envelope.at_ms,
     )
     return Ruling(subjects)
 
@@ -530,10 +556,7 @@
     revision = vm.revision + (step.state != vm.state)
     state.vms[name] = evolve(vm, state=step.state, revision=revision, **changes)
     for action in step.actions:
-        if action == "count_wave_failure":
-            _count_wave_failure(state, vm.wave, name)
-        elif action == "count_wave_done":
-            _count_wave_done(state, vm.wave, name)
+        VM_ACTIONS.get(action)(state, vm)
     return Ruling((name, vm.pool), reason=reason or str(changes.get("cause", "")))
 
 
@@ -602,7 +625,7 @@
         cause = f"cancelled: unknown pool {vm.target_pool}"
         return _step_vm(state, record, "cancel_stop", cause=cause, target_pool="")
     reason = f"joins {vm.target_pool}: {record.cause}" if record.cause else ""
-    return _step_vm(state, record, "drained", reason, pool=vm.target_pool, target_pool="")
+    return _step_vm(state, record, "drained", reason)
 
 
 @handles(records.VmFailed, "vms", "waves")
@@ -645,43 +668,64 @@
         return _rejected("unknown wave or event", record.wave)
     if not WAVE_CHART.accepts(wave.state, record.event):
         return _rejected(f"wave is {wave.state}", record.wave)
-    step = WAVE_CHART.step(wave.state, record.event)
-    failure_count = 0 if "reset_failures" in step.actions else wave.failure_count
-    wave = evolve(wave, state=step.state, failure_count=failure_count)
-    state.waves[record.wave] = _finish_wave(wave)
+    state.waves[record.wave] = _finish_wave(_step_wave(wave, record.event))
     return Ruling((record.wave,), reason=record.event)
 
 
-def _count_wave_failure(state: FleetState, name: str, vm: str) -> None:
-    wave = state.waves.get(name)
+def _step_wave(wave: WaveState, event: str) -> WaveState:
+    step = WAVE_CHART.step(wave.state, event)
+    wave = evolve(wave, state=step.state)
+    for action in step.actions:
+        wave = WAVE_ACTIONS.get(action)(wave)
+    return wave
+
+
+@WAVE_ACTIONS.register("count_failure")
+def _count_failure(wave: WaveState) -> WaveState:
+    return evolve(wave, failure_count=wave.failure_count + 1)
+
+
+@WAVE_ACTIONS.register("reset_failures")
+def _reset_failures(wave: WaveState) -> WaveState:
+    return evolve(wave, failure_count=0)
+
+
+@VM_ACTIONS.register("change_pool")
+def _change_pool(state: FleetState, vm: VmState) -> None:
+    moved = state.vms[vm.spec.name]
+    state.vms[vm.spec.name] = evolve(moved, pool=vm.target_pool, target_pool="")
+
+
+@VM_ACTIONS.register("count_wave_failure")
+def _count_wave_failure(state: FleetState, vm: VmState) -> None:
+    wave = state.waves.get(vm.wave)
     if wave is None or WAVE_CHART.is_final(wave.state):
         return
-    wave = evolve(
-        wave,
-        pending=tuple(other for other in wave.pending if other != vm),
-        failed=(*wave.failed, vm),
-        failure_count=wave.failure_count + 1,
-        state=WAVE_CHART.step(wave.state, "vm_failed").state,
-    )
+    wave = evolve(_step_wave(wave, "vm_failed"), failed=(*wave.failed, vm.spec.name))
     limit_met = wave.failure_count >= defaults.WAVE_FAILURE_LIMIT_COUNT
     if limit_met and WAVE_CHART.accepts(wave.state, "failure_limit"):
-        wave = evolve(wave, state=WAVE_CHART.step(wave.state, "failure_limit").state)
-    state.waves[name] = _finish_wave(wave)
+        wave = _step_wave(wave, "failure_limit")
+    state.waves[vm.wave] = _without(wave, vm)
 
 
-def _count_wave_done(state: FleetState, name: str, vm: str) -> None:
-    wave = state.waves.get(name)
-    if wave is None or WAVE_CHART.is_final(wave.state):
-        return
-    pending = tuple(other for other in wave.pending if other != vm)
-    step = WAVE_CHART.step(wave.state, "vm_done")
-    state.waves[name] = _finish_wave(evolve(wave, pending=pending, state=step.state))
+@VM_ACTIONS.register("count_wave_done")
+def _count_wave_done(state: FleetState, vm: VmState) -> None:
+    wave = state.waves.get(vm.wave)
+    if wave is not None and not WAVE_CHART.is_final(wave.state):
+        state.waves[vm.wave] = _without(_step_wave(wave, "vm_done"), vm)
+
+
+def _without(wave: WaveState, vm: VmState) -> WaveState:
+    """Take a VM off the pending ones, and finish the wave with the last of them."""
+    pending = tuple(name for name in wave.pending if name != vm.spec.name)
+    return _finish_wave(evolve(wave, pending=pending))
 
 
 def _finish_wave(wave: WaveState) -> WaveState:
+    """Finish a wave that has no VM left to come."""
     if wave.pending or not WAVE_CHART.accepts(wave.state, "all_done"):
         return wave
-    return evolve(wave, state=WAVE_CHART.step(wave.state, "all_done").state)
+    return _step_wave(wave, "all_done")
 
 
 @handles(records.SnapshotPart)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,11 +22,13 @@
 from standins.platform import make_app as make_platform_app
 from standins.serving import Listener
 from standins.worker import Worker, WorkerSettings
-from tarragoncart import operations, replay
+from tarragoncart import defaults, operations, replay
+from tarragoncart.attempts import Evidence
 from tarragoncart.daemon import Entry, open_entry
 from tarragoncart.dispatch import Dispatch
 from tarragoncart.journal import Append, AppendEnded, Chunk, Flush, Journal
-from tarragoncart.mailbox import new_reply
+from tarragoncart.mailbox import Actor, new_reply
+from tarragoncart.model import Attempt as ModelAttempt
 from tarragoncart.model import (
     FleetConfig,
     KeyGrant,
@@ -43,7 +45,7 @@
 from tarragoncart.records import Envelope, GrantKey, Join, Publish, WithdrawKey, encode_record
 from tarragoncart.settings import EntrySettings
 from tarragoncart.timer import LoopTimer, ManualTimer
-from tarragoncart.upstream import UpstreamChanged
+from tarragoncart.upstream import AttemptEnded, FenceRequest, Transmit, Upstream, UpstreamChanged
 
 
 @pytest.fixture
@@ -461,7 +463,12 @@
 
 @pytest.fixture
 async def entry(
-    append: Any, platform: str, worker: str, http: aiohttp.ClientSession, wait_until: Any
+    append: Any,
+    platform: str,
+    worker: str,
+    http: aiohttp.ClientSession,
+    wait_until: Any,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> AsyncIterator[RunningEntry]:
     """A ready entry VM; teams shop and studio have keys named after them, ``old-key`` is gone."""
     queues = (
@@ -483,6 +490,8 @@
     settings = EntrySettings(
         "entry-1", "dc-1", "127.0.0.1:0", "127.0.0.1:0", platform.removeprefix("http://")
     )
+    # Rights are what the fixture waits for.
+    monkeypatch.setattr(defaults, "RIGHTS_REBALANCE_MS", 20)
     running = await open_entry(settings)
     urls = [f"http://{address}" for address in (running.client_address, running.peer_address)]
     entry = RunningEntry(*urls, worker, running.actors, http, running)
@@ -566,3 +575,80 @@
     journal.start()
     yield journal
     await journal.stop()
+
+
+class Owner(Actor):
+    """Keeps what an upstream's actor reports."""
+
+    def __init__(self) -> None:
+        super().__init__("owner")
+        self.ended: asyncio.Queue[AttemptEnded] = asyncio.Queue()
+        self.changes: list[UpstreamChanged] = []
+
+    def tell(self, message: Any) -> None:
+        """Keep a report."""
+        if isinstance(message, AttemptEnded):
+            self.ended.put_nowait(message)
+        else:
+            self.changes.append(message)
+
+
+@define
+class UpstreamBench:
+    """An upstream's actor with a lease, and the time in the test's hands."""
+
+    upstream: Upstream
+    owner: Owner
+    timer: ManualTimer
+
+    async def send(self, request_id: str = "r", **payload: Any) -> Evidence:
+        """Send an attempt that runs for 1 ms and return the evidence."""
+        self.transmit(request_id, **payload)
+        return await self.report()
+
+    def transmit(self, request_id: str, deadline_ms: float = 2_500, **payload: Any) -> None:
+        """Send an attempt."""
+        attempt = ModelAttempt(
+            f"a-{request_id}", request_id, "w", {"run_ms": 1} | payload, True, "shop"
+        )
+        self.upstream.tell(Transmit(evolve(attempt, deadline_ms=deadline_ms)))
+
+    async def fence(self, request_id: str, boot_id: str, placed_at_ms: float = 0.0) -> Evidence:
+        """Ask the guard about an attempt and return the evidence."""
+        attempt = ModelAttempt(f"a-{request_id}", request_id, "w", placed_at_ms=placed_at_ms)
+        self.upstream.tell(FenceRequest(attempt, boot_id))
+        return await self.report()
+
+    async def report(self) -> Evidence:
+        """Return the evidence of the next report."""
+        return (await asyncio.wait_for(self.owner.ended.get(), 5)).evidence
+
+
+@pytest.fixture
+async def open_upstream(wait_until: Any) -> AsyncIterator[Callable[..., Awaitable[UpstreamBench]]]:
+    """Start the actor of an upstream and wait for its first lease call to end."""
+    opened: list[Upstream] = []
+
+    async def start(url: str, connection_count: int = 4) -> UpstreamBench:
+        owner, timer = Owner(), ManualTimer()
+        upstream = Upstream(
+            "w",
+            url.removeprefix("http://"),
+            entry="entry-1",
+            incarnation="i",
+            owner=owner,
+            timer=timer,
+            connection_count=connection_count,
+        )
+        opened.append(upstream)
+        upstream.start()
+
+        async def has_asked() -> bool:
+            return bool(owner.changes)
+
+        await wait_until(has_asked)
+        return UpstreamBench(upstream, owner, timer)
+
+    yield start
+    for upstream in opened:
+        await upstream.stop()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,14 +9,15 @@
 import pytest
 from attrs import Factory, define, evolve
 
+from tarragoncart import defaults, records, replay
 from tarragoncart import dispatch as module
-from tarragoncart import records, replay
 from tarragoncart.admission import Submission
 from tarragoncart.attempts import Evidence
 from tarragoncart.dispatch import Dispatch, Submit
 from tarragoncart.journal import Append, ViewChanged
 from tarragoncart.mailbox import new_reply
-from tarragoncart.model import Answer, KeyGrant, Mode, Outcome, QueueSpec, Reply
+from tarragoncart.membership import CheckMembers, Membership
+from tarragoncart.model import Answer, KeyGrant, Member, Mode, Outcome, QueueSpec, Reply, Verdict
 from tarragoncart.timer import ManualTimer
 from tarragoncart.upstream import (
     AttemptEnded,
@@ -66,6 +67,10 @@
             for message in self.dispatch.take_messages():
                 self.handle(message)
 
+    def tell(self, message: Any) -> None:
+        """Handle one message from another actor at once."""
+        self.handle(message)
+
     def handle(self, message: Any) -> None:
         """Handle one message."""
         result = self.dispatch.handle(message)
@@ -282,24 +287,43 @@
     assert (again.worker != claim.record.worker) or "boot_id" in change
 
 
-async def test_workers_may_confirm_a_fence_one_after_the_other(desk):
-    """Guards against rights that stay held because some worker always reboots in a wave."""
+async def test_silence_of_all_upstreams_makes_an_entry_vm_not_ready(desk):
+    """Guards against callers being sent to an entry VM that is cut off from every upstream."""
+    member = Member("a", "a", "dc-1", "", "")
+    membership = Membership(member, desk.journal, desk, ActorStub(), desk.timer)
+    membership.handle(ViewChanged(replay.FleetView(), 0.0, log_available=False, loaded=True))
+    states = []
+    for verdict, answering in (Verdict.NO_ANSWER, 0), (Verdict.RESULT, 1), (Verdict.NO_ANSWER, 0):
+        desk.timer.advance(2 * defaults.EJECT_WINDOW_MS)
+        for number, name in enumerate(desk.state.vms):
+            changed = Verdict.NO_ANSWER if number >= answering else verdict
+            desk.handle(UpstreamChanged(name, leased=False, verdict=changed, boot_id="boot"))
+        await membership.handle(CheckMembers())
+        states.append(membership.state)
+    assert states == ["isolated", "ready", "isolated"]
+
+
+async def test_workers_tell_of_a_retired_incarnation_one_after_the_other(desk):
+    """Guards against rights that stay held while in a wave one worker or another reboots."""
 
-    async def count(answers: dict[int, int | None]) -> tuple[int | None, int]:
+    async def count(answers: dict[int, tuple[int, str]]) -> tuple[list[int], int | None]:
         reply = new_reply()
         desk.handle(module.CountTasks("gone", reply))
-        await asyncio.sleep(0)
-        asked = 0
+        await desk.settle()
+        asked = []
         for number, stub in enumerate(desk.upstreams):
             for fence in stub.of(FenceIncarnation):
-                asked += 1
-                fence.reply.set_result(answers.get(number, 0))
-            stub.messages.clear()
-        return await reply, asked
-
-    assert await count({0: None, 1: 3}) == (None, len(desk.upstreams))
-    assert await count({0: 0, 1: 2}) == (2, 2)
-    assert await count({1: 0}) == (0, 1)
+                asked.append(number)
+                stub.messages.remove(fence)
+                fence.reply.set_result(answers.get(number))
+        return asked, await reply
+
+    idle = (0, "boot")
+    assert await count(dict.fromkeys(range(5), idle)) == ([0, 1, 2, 3, 4, 5], None)
+    assert await count({5: (1, "boot")}) == ([5], 1)
+    desk.handle(UpstreamChanged("vm-0", leased=True, slot_count=8, boot_id="later boot"))
+    assert await count({5: idle}) == ([0, 5], None)
+    assert await count({0: (0, "later boot")}) == ([0], 0)
 
 
 async def test_a_cancellation_loses_against_a_claim_of_an_adopter(desk):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,7 +11,7 @@
 from tarragoncart import operations, records
 from tarragoncart.journal import ViewChanged
 from tarragoncart.membership import DriverChosen, is_driver
-from tarragoncart.model import Member
+from tarragoncart.model import Member, PolicySpec
 from tarragoncart.peers import PeerStatus
 from tarragoncart.timer import ManualTimer
 from tarragoncart.upstream import UpstreamChanged
@@ -205,6 +205,29 @@
     assert operated.run(driver, 2_000, lambda: vms["vm-1"].state == "in_service")
 
 
+def test_a_capacity_pass_asks_for_moves_with_their_cause(operated, new_driver):
+    """Guards against a move of a VM that is not at rest, or one that nobody can explain."""
+    policies = PolicySpec(capacity="reactive_threshold")
+    operated.submit(records.Publish(1, evolve(operated.fleet.config, policies=policies)))
+    driver = new_driver()
+    operated.workers["vm-4"].leaving = True
+    operated.plan(driver)
+    facts = operations.Facts(driver.workers, driver.since_ms)
+    loads = operations.pool_loads(operated.view(), facts, {"holds": (40.0, 8)})
+    assert [(p.name, len(p.vms), p.demand_count, p.waiting_count) for p in loads] == [
+        ("holds", 4, 40.0, 8),
+        ("spare", 1, 0.0, 0),
+    ]
+    operated.workers["vm-4"].leaving = False
+    operated.plan(driver)
+    loads = operations.pool_loads(operated.view(), facts, {"holds": (40.0, 8)})
+    steps, _ = operations.plan_moves(operated.view(), loads, 0.0, None)
+    assert kinds(steps) == ["move"]
+    assert operated.submit(steps[0].record).reason == (
+        "to holds: high use, by policy reactive_threshold"
+    )
+
+
 def test_a_copy_of_a_step_is_rejected(operated, submit, wave):
     """Guards against a late record that ends a later operation of the same VM."""
     submit(records.ReserveStop("vm-0", "w", "kernel", revision=0))
@@ -268,6 +291,8 @@
     for name in operated.workers:
         actor.handle(UpstreamChanged(name, True, boot_id="boot-0"))
     actor.handle(operations.LookDue())
+    actor.handle(evolve(changed, log_available=True, fresh_as_of_ms=-3_000.0))
+    actor.handle(operations.LookDue())
     assert not told
     actor.handle(evolve(changed, log_available=True))
     actor.handle(operations.LookDue())
