--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -162,8 +162,12 @@
     """Notice a failure; end the drain that a finished or abandoned operation has left."""
     if case.is_lost(case.bounds.silence_ms):
         return case.fail("in service")
-    if not case.vm.drain_asked or not case.fresh:
+    if not case.fresh:
         return None
+    if not case.vm.drain_asked:
+        # A VM that the platform drains for its own reasons counts against the budget.
+        cause = "leaves without a plan"
+        return case.append(records.VmFailed, cause=cause) if case.worker.leaving else None
     if case.worker.leaving:
         return case.call("undrain")
     return case.append(records.VmBack, cause="no longer drained")
@@ -270,7 +274,8 @@
         vm, worker = view.vms.get(name), facts.workers[name]
         if vm is None:
             continue
-        if vm.state == "in_service" and not vm.drain_asked and not worker.unanswered_count:
+        quiet = not (vm.drain_asked or worker.unanswered_count or worker.leaving)
+        if vm.state == "in_service" and quiet:
             continue
         since_ms = facts.since_ms.get(name, now_ms)
         yield Case(
