Return the memory that the start of an entry process has freed

Cause: glibc keeps what imports and the parsing of settings have freed. Change: collect and call malloc_trim once before serving; other C libraries lack the call.

--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import gc
 import json
 import random
@@ -64,7 +65,9 @@
     addresses = {"client_address": entry.client_address, "peer_address": entry.peer_address}
     print(json.dumps(addresses), flush=True)
     # What has been loaded stays; collections need not look at it again.
+    gc.collect()
     gc.freeze()
+    _return_free_memory()
     await _wait_for_signal()
     terminated = new_reply()
     entry.membership.tell(Terminate(terminated))
@@ -72,6 +75,13 @@
     await entry.close()
 
 
+def _return_free_memory() -> None:
+    """Return to the system what the start has freed; only glibc has the call."""
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
+
+
 async def open_entry(settings: EntrySettings) -> Entry:
     """Bind the listeners and start the actors."""
     timer = LoopTimer()
