Remember the request IDs of dropped jobs

Cause: finished jobs leave the state by count; after 10,000 others, a claim or an acceptance of an old request ID was taken as new, and the job could run a second time. Change: eviction is by count only and leaves a digest of the ID behind, the latest 50,000 of them; such an ID is refused as expired, with outcome_unknown. Conclusion: the window of at-most-once for callers' own IDs is the latest 60,000 ended jobs.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -462,6 +462,8 @@
             self._pump(job.job.pool)
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
+        elif entry.reason == "expired":
+            self._step(job, "refuse", error=_expired())
         else:
             self._step(job, "record_rejected")
             self._follow_logged(job)
@@ -482,6 +484,8 @@
             self._step(job, "worker_left" if left else "claimed")
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
+        elif entry.reason == "expired":
+            self._step(job, "refuse", error=_expired())
         else:
             self._step(job, "claim_lost")
             self._follow_logged(job)
@@ -1415,6 +1419,15 @@
     )
 
 
+def _expired() -> RequestError:
+    return RequestError(
+        "request ID is too old to be started; its job may have run",
+        code="request_id_expired",
+        status=504,
+        step="admission",
+    )
+
+
 def _different_body() -> RequestError:
     return RequestError(
         "request ID was used with another body", code="different_body", status=409, step="replay"
--- a/src/tarragoncart/replay.py
+++ b/src/tarragoncart/replay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
@@ -113,7 +114,12 @@
 
 @define
 class FleetState:
-    """All state that replay derives from the log."""
+    """All state that replay derives from the log.
+
+    :param finished: request IDs of ended jobs, oldest first.
+    :param expired: digests of request IDs whose jobs have been dropped, so that none of them
+        starts a second time.
+    """
 
     offset: int = -1
     config_version: int = 0
@@ -125,7 +131,8 @@
     vms: dict[str, VmState] = Factory(dict)
     waves: dict[str, WaveState] = Factory(dict)
     jobs: dict[str, JobState] = Factory(dict)
-    finished: deque[tuple[str, int]] = Factory(deque)
+    finished: deque[str] = Factory(deque)
+    expired: dict[str, None] = Factory(dict)
     batches: dict[str, int] = Factory(dict)
     audit: deque[AuditEntry] = Factory(lambda: deque(maxlen=defaults.AUDIT_ENTRY_COUNT))
 
@@ -410,6 +417,8 @@
     if known is not None:
         same = (known.body_digest, known.team) == (record.body_digest, record.team)
         return _rejected("duplicate" if same else "different_body", record.request_id)
+    if _short_digest(record.request_id) in state.expired:
+        return _rejected("expired", record.request_id)
     state.jobs[record.request_id] = JobState(
         request_id=record.request_id,
         queue=record.queue,
@@ -419,7 +428,7 @@
         declared_run_ms=record.declared_run_ms,
         owner=record.incarnation,
     )
-    _evict_finished(state, envelope.at_ms)
+    _evict_finished(state)
     return Ruling((record.request_id, record.team))
 
 
@@ -432,10 +441,12 @@
     if job is None:
         if not record.body_digest:
             return _rejected("unknown job", *subjects)
+        if _short_digest(record.request_id) in state.expired:
+            return _rejected("expired", *subjects)
         job = JobState(
             record.request_id, queue="", team=record.team, body_digest=record.body_digest
         )
-        _evict_finished(state, envelope.at_ms)
+        _evict_finished(state)
     elif record.body_digest and (record.body_digest, record.team) != (job.body_digest, job.team):
         return _rejected("different_body", *subjects)
     refusal = _claim_refusal(state, job, record)
@@ -480,8 +491,9 @@
         code=record.code,
         payload=None,
     )
-    state.finished.append((record.request_id, envelope.at_ms))
-    _evict_finished(state, envelope.at_ms)
+    if job.outcome is None:
+        state.finished.append(record.request_id)
+    _evict_finished(state)
     return Ruling((record.request_id,), reason=record.outcome)
 
 
@@ -495,18 +507,22 @@
     state.jobs[record.request_id] = evolve(
         job, outcome=Outcome.NOT_RUN, code="cancelled", payload=None
     )
-    state.finished.append((record.request_id, envelope.at_ms))
+    state.finished.append(record.request_id)
     return Ruling((record.request_id,))
 
 
-def _evict_finished(state: FleetState, now_ms: int) -> None:
-    while state.finished:
-        request_id, at_ms = state.finished[0]
-        old = now_ms - at_ms > defaults.FINISHED_JOB_MS
-        if not old and len(state.finished) <= defaults.FINISHED_JOB_COUNT:
-            return
-        state.finished.popleft()
-        state.jobs.pop(request_id, None)
+def _evict_finished(state: FleetState) -> None:
+    # By count and not by time: the clock of one entry VM must not make all others forget.
+    while len(state.finished) > defaults.FINISHED_JOB_COUNT:
+        request_id = state.finished.popleft()
+        del state.jobs[request_id]
+        state.expired[_short_digest(request_id)] = None
+    while len(state.expired) > defaults.EXPIRED_JOB_COUNT:
+        del state.expired[next(iter(state.expired))]
+
+
+def _short_digest(request_id: str) -> str:
+    return hashlib.blake2b(request_id.encode(), digest_size=8).hexdigest()
 
 
 # VMs and waves
--- a/src/tarragoncart/snapshots.py
+++ b/src/tarragoncart/snapshots.py
@@ -18,7 +18,7 @@
 from .replay import FleetState, JobState
 
 # A reader ignores any other format and waits for a snapshot that it knows.
-FORMAT_NUMBER = 1
+FORMAT_NUMBER = 2
 # Newest part of the audit trail that a new entry VM can still explain; the rest stays with the
 # entry VMs that have it.
 AUDIT_ENTRY_COUNT = 2_000
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,7 +5,7 @@
 import pytest
 from attrs import evolve
 
-from tarragoncart import records, replay
+from tarragoncart import defaults, records, replay
 from tarragoncart.model import KeyGrant, Outcome, TeamSpec
 
 
@@ -189,3 +189,15 @@
     submit(records.WithdrawKey("k"))
     assert "k" not in fleet.keys
     assert not submit(records.WithdrawKey("k")).accepted
+
+
+def test_a_job_that_was_dropped_is_not_run_again(fleet, submit, monkeypatch):
+    """Guards against a second run of a job that the state no longer holds."""
+    monkeypatch.setattr(defaults, "FINISHED_JOB_COUNT", 1)
+    for name in ("r1", "r2", "r3"):
+        submit(records.ClaimJob(name, 1, "a", "vm-0", "boot", "d"))
+        submit(records.FinishJob(name, Outcome.OUTCOME_UNKNOWN, 1))
+        submit(records.FinishJob(name, Outcome.ANSWERED, 1))
+    assert list(fleet.jobs) == ["r3"]
+    assert submit(records.ClaimJob("r1", 1, "b", "vm-1", "boot", "d")).reason == "expired"
+    assert submit(records.AcceptJob("r2", "holds", "shop", "d", {}, 1.0)).reason == "expired"
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -57,7 +57,8 @@
     vms=mapped(built(replay.VmState)),
     waves=mapped(built(replay.WaveState)),
     jobs=mapped(built(replay.JobState)),
-    finished=st.lists(st.tuples(NAMES, COUNTS), max_size=3).map(deque),
+    finished=st.lists(NAMES, max_size=3).map(deque),
+    expired=st.lists(NAMES, max_size=3).map(dict.fromkeys),
     batches=mapped(COUNTS),
     audit=st.lists(built(replay.AuditEntry), max_size=3).map(
         lambda entries: deque(entries, defaults.AUDIT_ENTRY_COUNT)
@@ -120,7 +121,7 @@
 
 def test_another_format_is_ignored(monkeypatch, fleet):
     """Guards against an old entry VM that misreads a newer one's snapshot."""
-    monkeypatch.setattr(snapshots, "FORMAT_NUMBER", 2)
+    monkeypatch.setattr(snapshots, "FORMAT_NUMBER", snapshots.FORMAT_NUMBER + 1)
     parts = snapshots.encode_snapshot(fleet, "s")
     monkeypatch.undo()
     assert not any(assemble(parts))
