--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -212,6 +212,22 @@
             worker(4, "rebooted"),
             query(5, "outcome_unknown"),
         ],
+        "claimed at a worker that rebooted before its claimant was killed": [
+            *GUARDED_DEFERRED,
+            joined(2, "e", "i"),
+            claim(3, "v0"),
+            worker(4, "rebooted"),
+            runner(5, "kill", "e"),
+            query(6, "outcome_unknown"),
+        ],
+        "claimed at a worker that rebooted after another entry VM was killed": [
+            *GUARDED_DEFERRED,
+            joined(2, "e", "i"),
+            claim(3, "v0"),
+            runner(4, "kill", "other"),
+            worker(5, "rebooted"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker that rebooted after the cut": [
             *GUARDED_DEFERRED,
             runner(2, "cut", "dc", **{"from": ["other"]}),
@@ -398,6 +414,14 @@
             start(3),
             query(4, "outcome_unknown"),
         ],
+        "claimed by a killed entry VM at a worker that rebooted then": [
+            *GUARDED_DEFERRED,
+            joined(2, "e", "i"),
+            claim(3, "v0"),
+            runner(4, "kill", "e"),
+            worker(5, "rebooted"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker that rebooted behind a cut link": [
             *GUARDED_DEFERRED,
             runner(2, "cut", "dc", **{"from": ["other"]}),
