--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -641,9 +641,11 @@
     The log's records up to then, replayed by a model of its own, must have permitted it: a begun
     stop or a move within the pool's budget. Besides, the pool's VMs that have departed by plan
     and are not back must fit the budget. Departures that the runner caused by ``planned_stop``,
-    ``kill`` or ``fault`` are not judged, but those by plan count.
+    ``kill`` or ``fault`` are not judged, but those by plan count: from when the log has the VM out
+    of service, at the latest ``LEAVING_BOUND_MS`` after it left. Nobody knows of them at once.
     """
     caused: set[str] = set()
+    unnoticed: dict[str, float] = {}
     out: set[str] = set()
     serving: set[str] = set()
     judged: list[str] = []
@@ -661,10 +663,19 @@
         if not departs:
             out.discard(name)
             caused.discard(name)
+            unnoticed.pop(name, None)
         elif name not in out:
             out.add(name)
-            if name not in caused:
-                judged.append(_departure_fault(model, out, name))
+            if name in caused:
+                unnoticed[name] = event.at_ms
+                continue
+            known = {
+                vm
+                for vm in out
+                if model.vms[vm].state != "in_service"
+                or event.at_ms - unnoticed.get(vm, -math.inf) > LEAVING_BOUND_MS
+            }
+            judged.append(_departure_fault(model, known, name))
     return conclude("availability_budget", judged)
 
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -153,6 +153,20 @@
             STOP[-1],
             worker(40, "leaving"),
         ],
+        "stop beside a drain that the log knows": [
+            *SETUP,
+            runner(5, "planned_stop", "v1"),
+            worker(6, "leaving", "v1"),
+            *STOP[1:],
+            append(35, VmFailed("v1", "x")),
+            worker(40, "leaving"),
+        ],
+        "stop long after a drain": [
+            *STOP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(5_037, "leaving"),
+        ],
         "the permitted stop is used twice": [
             *STOP,
             worker(40, "leaving"),
@@ -331,6 +345,12 @@
 
 HELD = {
     "availability_budget": {
+        "stop right after a drain": [
+            *STOP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(5_036, "leaving"),
+        ],
         "begun stop": [*STOP, worker(40, "leaving"), vm_state(41, "v0", "rebooting")],
         "failed while stopping": [
             *STOP,
