--- a/src/bench/prove.py
+++ b/src/bench/prove.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -217,7 +217,7 @@
         rng = random.Random(f"operators-{self.seed}")
         log = self._log(name)
         ends_s = time.monotonic() + self.active_s
-        steps: list[Callable[[Operator, random.Random, HistoryWriter], Awaitable[None]]]
+        steps: list[Callable[[Operator, random.Random, HistoryWriter], Coroutine[Any, Any, None]]]
         steps = [self._publish, self._withdraw, self._publish, self._start_wave, self._move]
         async with self._operator(name) as operator, asyncio.TaskGroup() as group:
             for number in range(1_000):
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -203,7 +203,7 @@
 
     job: Job
     state: str = JOB_CHART.initial
-    waiters: list[asyncio.Future[Reply]] = Factory(list)
+    waiters: list[asyncio.Future[Any]] = Factory(list)
     admitted_ms: float = 0.0
     reply: Reply | None = None
     attempt: Attempt | None = None
