--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -153,6 +153,20 @@
             STOP[-1],
             worker(40, "leaving"),
         ],
+        "stop beside a drain that the log knows": [
+            *SETUP,
+            runner(5, "planned_stop", "v1"),
+            worker(6, "leaving", "v1"),
+            *STOP[1:],
+            append(35, VmFailed("v1", "x")),
+            worker(40, "leaving"),
+        ],
+        "stop long after a drain": [
+            *STOP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(5_037, "leaving"),
+        ],
         "the permitted stop is used twice": [
             *STOP,
             worker(40, "leaving"),
@@ -212,6 +226,22 @@
             worker(4, "rebooted"),
             query(5, "outcome_unknown"),
         ],
+        "claimed at a worker that rebooted before its claimant was killed": [
+            *GUARDED_DEFERRED,
+            joined(2, "e", "i"),
+            claim(3, "v0"),
+            worker(4, "rebooted"),
+            runner(5, "kill", "e"),
+            query(6, "outcome_unknown"),
+        ],
+        "claimed at a worker that rebooted after another entry VM was killed": [
+            *GUARDED_DEFERRED,
+            joined(2, "e", "i"),
+            claim(3, "v0"),
+            runner(4, "kill", "other"),
+            worker(5, "rebooted"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker that rebooted after the cut": [
             *GUARDED_DEFERRED,
             runner(2, "cut", "dc", **{"from": ["other"]}),
@@ -327,6 +357,12 @@
 
 HELD = {
     "availability_budget": {
+        "stop right after a drain": [
+            *STOP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(5_036, "leaving"),
+        ],
         "begun stop": [*STOP, worker(40, "leaving"), vm_state(41, "v0", "rebooting")],
         "failed while stopping": [
             *STOP,
@@ -410,6 +446,14 @@
             start(3),
             query(4, "outcome_unknown"),
         ],
+        "claimed by a killed entry VM at a worker that rebooted then": [
+            *GUARDED_DEFERRED,
+            joined(2, "e", "i"),
+            claim(3, "v0"),
+            runner(4, "kill", "e"),
+            worker(5, "rebooted"),
+            query(6, "outcome_unknown"),
+        ],
         "claimed at a worker that rebooted behind a cut link": [
             *GUARDED_DEFERRED,
             runner(2, "cut", "dc", **{"from": ["other"]}),
