--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -402,6 +402,12 @@
     return conclude("whole_answer", judged, lost=lost_count)
 
 
+def _entries_of_incarnations(history: History) -> dict[str, str]:
+    joins = log_records(history.select("platform", "append"))
+    members = (join.record["member"] for join in joins if join.kind == "join")
+    return {member["incarnation"]: member["name"] for member in members}
+
+
 def _claimed_at_lost_guards(history: History) -> frozenset[str]:
     """Return the requests whose attempt may have been lost with a worker's guard.
 
