Keep the workers' addresses when the time in force is measured

Cause: the published configuration had addresses in 10.0.0.0/8 instead of the stand-ins', so that the entry processes tried to connect there, outside loopback, and dropped their workers. Change: the fleet's addresses are kept, and unused ones are on loopback; 390 VMs at three processes.

--- a/src/bench/slopes.py
+++ b/src/bench/slopes.py
@@ -50,8 +50,8 @@
 WORKER_COUNTS = (0, 10, 30, 60, 120)
 ENTRY_COUNTS = (1, 3, 9, 18)
 VM_COUNTS = (30, 130, 390, 1_300)
-IN_FORCE_VM_COUNTS = (30, 130)
-IN_FORCE_ENTRY_COUNT = 9
+# VMs and entry processes: no more than 1,170 lease calls a second on this machine.
+IN_FORCE_COUNTS = ((30, 9), (130, 9), (390, 3))
 SHARES = (0.1, 0.3, 1.0)
 IMPORTS = (
     "",
@@ -119,7 +119,7 @@
                 pools[n % pool_count],
                 f"dc-{n % 11}",
                 f"rack-{n // 4}",
-                address.get(n, f"10.0.{n // 250}.{n % 250 + 1}:8000"),
+                address.get(n, f"127.0.0.1:{n + 1}"),
             )
             for n in range(vm_count)
         ),
@@ -331,7 +331,7 @@
     """
 
     deployment: Deployment
-    worker_ports: frozenset[str]
+    addresses: tuple[str, ...]
     product_ids: tuple[int, ...]
     counted_name: str
 
@@ -345,12 +345,13 @@
         kinds: Counter[str] = Counter()
         platform_port = self.deployment.platform_address.rpartition(":")[2]
         client_port = self.deployment.client_addresses[self.counted_name].rpartition(":")[2]
+        worker_ports = {address.rpartition(":")[2] for address in self.addresses}
         for ports, size_bytes in json.loads(path.read_text()).items():
             local, remote = ports.split()
             if local == client_port:
                 continue
             kind = "platform" if remote == platform_port else "entries"
-            kinds["workers" if remote in self.worker_ports else kind] += size_bytes
+            kinds["workers" if remote in worker_ports else kind] += size_bytes
         return kinds
 
 
@@ -381,8 +382,7 @@
             await asyncio.sleep(SETTLE_S)
             product = names[:-1] if with_counter else names
             ids = tuple(group.started[entry].process.pid for entry in product)
-            ports = frozenset(address.rpartition(":")[2] for address in addresses)
-            yield Fleet(deployment, ports, ids, names[-1])
+            yield Fleet(deployment, tuple(addresses), ids, names[-1])
         finally:
             await deployment.stop()
 
@@ -502,9 +502,9 @@
     """Cost of a configuration at one entry VM, and its time in force over several processes."""
     for vm_count in VM_COUNTS:
         yield from _publish_costs(vm_count)
-    for vm_count in IN_FORCE_VM_COUNTS:
-        times = asyncio.run(_times_in_force(vm_count))
-        name = f"{vm_count} VMs: in force at {IN_FORCE_ENTRY_COUNT} entries"
+    for vm_count, entry_count in IN_FORCE_COUNTS:
+        times = asyncio.run(_times_in_force(vm_count, entry_count))
+        name = f"{vm_count} VMs: in force at {entry_count} entries"
         yield row(name, "ms wall", times)
 
 
@@ -535,17 +535,17 @@
         yield row(f"{vm_count} VMs: {name}", "ms", values)
 
 
-async def _times_in_force(vm_count: int) -> list[float]:
+async def _times_in_force(vm_count: int, entry_count: int) -> list[float]:
     times = []
     async with (
-        running_fleet(vm_count, IN_FORCE_ENTRY_COUNT, with_counter=False) as fleet,
+        running_fleet(vm_count, entry_count, with_counter=False) as fleet,
         aiohttp.ClientSession() as session,
     ):
         addresses = list(fleet.deployment.client_addresses.values())
         async with Operator((addresses[0],), "slopes") as operator:
             for _ in range(RUN_COUNT):
                 status = await operator.status()
-                config = fleet_config(vm_count, max(1, vm_count // 19), 8)
+                config = fleet_config(vm_count, max(1, vm_count // 19), 8, fleet.addresses)
                 started_s = time.monotonic()
                 answer = await operator.publish(config, status["config_version"])
                 waits = (_wait_for(session, a, answer["version"]) for a in addresses)
