--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -436,6 +436,12 @@
     return frozenset(c.record["request_id"] for c in claims if c.kind == "claim" and lost(c))
 
 
+def _entries_of_incarnations(history: History) -> dict[str, str]:
+    joins = log_records(history.select("platform", "append"))
+    members = (join.record["member"] for join in joins if join.kind == "join")
+    return {member["incarnation"]: member["name"] for member in members}
+
+
 def _link_cuts(history: History) -> list[tuple[float, float]]:
     """Return when links between data centres were cut."""
     spans = []
