Ask peers in rotation, each at least every 2 s

Cause: with more than five peers most had been silent for 1 s at each round, so that every peer got a heartbeat of its own each second and the cost grew with the square of the members. Change: the two peers that were asked least recently are asked each 500 ms, and any not asked for 2 s; unreachable peers are not asked more often than others.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -14,7 +14,9 @@
 
 HEARTBEAT_PERIOD_MS = 500
 HEARTBEAT_FANOUT_COUNT = 2
-PEER_SILENCE_MS = 1_000
+# Every peer is asked at least this often; one lost answer leaves time for another within the bound
+# for the freshness of keys.
+PEER_SILENCE_MS = 2_000
 # A member is retired after this silence; it is longer than a lease plus a slow log append.
 MEMBER_RETIRE_MS = 10_000
 PEER_TIMEOUT_MS = 800
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -137,6 +137,7 @@
     offset: int = -1
     log_available: bool = True
     heard_at_ms: float = float("-inf")
+    tried_at_ms: float = float("-inf")
     in_flight: bool = False
     wanted: dict[str, int] = Factory(dict)
     loads: dict[str, tuple[int, int]] = Factory(dict)
@@ -198,9 +199,17 @@
     def _on_beat_due(self, _: BeatDue) -> None:
         now_ms = self._timer.now_ms()
         contacts = [c for c in self._contacts.values() if not c.in_flight]
-        chosen = self._rng.sample(contacts, min(defaults.HEARTBEAT_FANOUT_COUNT, len(contacts)))
-        silent = [c for c in contacts if now_ms - c.heard_at_ms > defaults.PEER_SILENCE_MS]
-        for contact in {c.address: c for c in (*chosen, *silent)}.values():
+        # Shuffled first, so that entry VMs that start together do not ask in step.
+        self._rng.shuffle(contacts)
+        contacts.sort(key=lambda contact: contact.tried_at_ms)
+        due = [
+            contact
+            for number, contact in enumerate(contacts)
+            if number < defaults.HEARTBEAT_FANOUT_COUNT
+            or now_ms - contact.tried_at_ms > defaults.PEER_SILENCE_MS
+        ]
+        for contact in due:
+            contact.tried_at_ms = now_ms
             contact.in_flight = True
             self.spawn(self._beat(contact.address, self._own_beat()))
 
