Probe an ejected upstream that is the only one left; linger longer at a planned stop

Change: a due probe counts as a candidate; late requests are refused for 2 s, and the client asks a draining entry VM last for 5 s; a planned stop ends a second after the runner saw the process end; a known request ID is never refused as not run.

--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -39,6 +39,8 @@
 LEASE_MS = 3_000
 # An entry VM that is stopped has this long to finish; what its callers lose meanwhile counts.
 STOP_DURATION_MS = 30_000
+# A caller may record a lost connection this long after the process that closed it has ended.
+STOP_MARGIN_MS = 1_000
 
 LIVE_VM_STATES = frozenset({"live", "in_service", "up"})
 FAILED_VM_STATES = frozenset({"down", "dead", "failed"})
@@ -572,7 +574,8 @@
 
     Three things are an interruption: a task that the worker reports as cut; a task that still ran
     when its worker rebooted; and a connection that a caller lost to an entry VM between its
-    planned stop and ``STOP_DURATION_MS`` later, unless the runner has killed, paused or cut off
+    planned stop and ``STOP_DURATION_MS`` later, or a second after the runner saw its process end
+    (what serves there later is a replacement), unless the runner has killed, paused or cut off
     that entry VM since the submission. A caller records a refused connection as ``not_run``, not
     as a lost one.
     """
@@ -589,7 +592,8 @@
         entry = lost.get("entry") or (sent[-1].get("entry") if sent else None)
         sent_ms = sent[-1].at_ms if sent else lost.at_ms
         stopped = any(
-            entry in targets_of(stop) and 0 <= lost.at_ms - stop.at_ms <= STOP_DURATION_MS
+            entry in targets_of(stop)
+            and stop.at_ms <= lost.at_ms <= _stop_end_ms(history, stop, entry)
             for stop in stops
         )
         excused = any(
@@ -601,6 +605,16 @@
     return conclude("graceful_stop", [*cuts, *[""] * stop_count], cut_by_planned_stop=len(cuts))
 
 
+def _stop_end_ms(history: History, stop: Event, entry: str) -> float:
+    """Return until when a lost connection counts for a planned stop of an entry VM."""
+    ends = (
+        event.at_ms + STOP_MARGIN_MS
+        for event in history.select("runner", "stopped")
+        if entry in targets_of(event) and event.at_ms >= stop.at_ms
+    )
+    return min(stop.at_ms + STOP_DURATION_MS, min(ends, default=math.inf))
+
+
 @check("availability_budget")
 def availability_budget(history: History) -> Finding:
     """Judge every planned departure of a VM: a worker's ``leaving`` or a platform state.
--- a/src/tarragoncart/client.py
+++ b/src/tarragoncart/client.py
@@ -20,6 +20,8 @@
 # Block of request IDs fetched at once; small enough to be used before it expires.
 ID_BLOCK_COUNT = 50
 ID_MARGIN_MS = 20_000
+# An entry VM that drains is asked last for this long; it closes its connections within seconds.
+AVOID_MS = 5_000
 
 
 @frozen
@@ -74,6 +76,7 @@
     source_address: str = ""
     rng: random.Random = field(factory=random.Random)
     _blocks: dict[str, _Block] = field(init=False, factory=dict)
+    _avoided: dict[str, float] = field(init=False, factory=dict)
     _session: aiohttp.ClientSession | None = field(init=False, default=None)
 
     async def __aenter__(self) -> Client:
@@ -128,6 +131,8 @@
                 self.observer("connection_lost", {"request_id": request_id, "sent": True})
                 self._blocks.pop(address, None)
                 return await self.find(request_id, wait_ms=max(0.0, ends_ms - _now_ms()))
+            if result.code == "draining":
+                self._avoided[address] = _now_ms() + AVOID_MS
             self._observe("reply", result)
             return result
         raise EntryUnreachableError("no entry VM could be reached", step="submit")
@@ -201,7 +206,9 @@
         return _Block(deque(data["request_ids"]), expires_ms)
 
     def _in_random_order(self) -> list[str]:
-        return self.rng.sample(list(self.addresses), len(self.addresses))
+        shuffled = self.rng.sample(list(self.addresses), len(self.addresses))
+        now_ms = _now_ms()
+        return sorted(shuffled, key=lambda address: self._avoided.get(address, 0) > now_ms)
 
     def _observe(self, event: str, result: Result) -> None:
         self.observer(event, {"result": result, "request_id": result.request_id})
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -79,7 +79,8 @@
 
 SHUTDOWN_TIMEOUT_MS = 30_000
 # After the last job, requests that come late are still refused; then the last answers go out.
-LINGER_MS = 500
+# Long enough for callers with open connections to have learned of it from a refusal.
+LINGER_MS = 2_000
 LINGER_CLOSED_MS = 200
 WAVE_FAILURE_LIMIT_COUNT = 2
 INBOX_COUNT = 50_000
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -280,7 +280,6 @@
         self._wants: list[limits.PeerWants] = []
         self._withdrawn: frozenset[str] = frozenset()
         self._attempt_number = 0
-        # Workers at which a retired incarnation is fenced and runs nothing.
         self._ticked_ms = timer.now_ms()
         self._resumed_ms = float("-inf")
 
@@ -321,9 +320,16 @@
             job = admission.admit(submission, self._standing())
             self._take(job, submission, message.reply)
         except RequestError as error:
-            certain = self._is_sole_starter(submission.request_id)
+            certain = self._has_not_started(submission.request_id)
             resolve(message.reply, refusal(submission.request_id, error, certain=certain))
 
+    def _has_not_started(self, request_id: str) -> bool:
+        """Tell whether nothing can have started this request ID, which is not among the jobs."""
+        if not self._is_sole_starter(request_id) or request_id in self._jobs:
+            return False
+        # Jobs stay known for longer than their IDs may be submitted.
+        return self._timer.now_ms() - issue_time_ms(request_id) <= defaults.REQUEST_ID_VALIDITY_MS
+
     def _is_sole_starter(self, request_id: str) -> bool:
         """Tell whether no other entry VM can have started this request ID."""
         return issuer_of(request_id) == (self.entry, self.incarnation)
--- a/src/tarragoncart/placement.py
+++ b/src/tarragoncart/placement.py
@@ -147,7 +147,8 @@
         if not len(self.order):
             return None
         candidates = list(self.views(now_ms))
-        if not any(routing.usable(candidates)):
+        # Without the second check, a pool whose only upstream is ejected would never probe it.
+        if not any(routing.usable(candidates)) and not self.health.probe_is_due(now_ms):
             return None
         job_id = self.order.pop(may_start)
         if job_id is None:
--- a/src/tarragoncart/routing.py
+++ b/src/tarragoncart/routing.py
@@ -340,6 +340,10 @@
                 health.probe_ms = now_ms
         return {n for n, h in self.upstreams.items() if h.state in ("ejected", "probing")}
 
+    def probe_is_due(self, now_ms: float) -> bool:
+        """Tell whether an ejected upstream waits for its single probing job."""
+        return any(h.state == "ejected" and now_ms >= h.probe_ms for h in self.upstreams.values())
+
     def claim_probe(self, now_ms: float) -> str | None:
         """Return an ejected upstream that is due for its single probing job, None if none is."""
         for name, health in self.upstreams.items():
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -335,6 +335,12 @@
             runner(2, "planned_stop", "e"),
             Event(3, "caller", "c", "connection_lost", {"request_id": "r"}),
         ],
+        "connection lost as the process ends": [
+            submit(1),
+            runner(2, "planned_stop", "e"),
+            runner(3, "stopped", "e"),
+            Event(1_000, "caller", "c", "connection_lost", {"request_id": "r"}),
+        ],
     },
     "config_in_force": {
         "late": [status(1, 0), *SETUP, status(5_000, 0), status(9_011, 1)],
@@ -484,6 +490,12 @@
     },
     "graceful_stop": {
         "finished first": [worker(1, "leaving"), FIRST, end(20, FIRST), worker(21, "rebooted")],
+        "lost by a replacement": [
+            runner(1, "planned_stop", "e"),
+            runner(2, "stopped", "e"),
+            submit(2_000),
+            Event(2_001, "caller", "c", "connection_lost", {"request_id": "r"}),
+        ],
         "lost to a kill": [
             runner(1, "planned_stop", "e"),
             submit(2),
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -391,3 +391,15 @@
         handle()
     assert [reply.result().outcome for reply in replies] == [Outcome.OUTCOME_UNKNOWN] * 2
     assert len(swept) <= 3 and swept[0] <= 1_100 and 5_000 <= swept[-1] <= 5_100
+
+
+async def test_a_refusal_of_a_known_request_is_not_told_as_not_run(desk):
+    """Guards against "not run" for an issued ID that has run before its key was withdrawn."""
+    desk.dispatch.incarnation = "a" * 16
+    (request_id,) = module.issue_request_ids("a", "a" * 16, desk.timer.now_ms(), 1)
+    fresh = await desk.submit(request_id, key="other")
+    assert fresh.result().outcome is Outcome.NOT_RUN
+    await desk.submit(request_id)
+    assert desk.sent()
+    again = await desk.submit(request_id, key="other")
+    assert (again.result().status, again.result().outcome) == (401, Outcome.OUTCOME_UNKNOWN)
