--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -8,23 +8,56 @@
 import heapq
 import logging
 import random
-import secrets
 from collections import Counter
-from collections.abc import Mapping
 from typing import Any
 
-from attrs import Factory, define, evolve, field, frozen
+from attrs import evolve
 
 from . import admission, defaults, fairqueue, limits, metrics, records
 from .admission import Standing, Submission
 from .attempts import Evidence
-from .charts import load_chart
 from .errors import LogUnavailableError, RequestError
+from .jobs import (
+    JOB_CHART,
+    Cancel,
+    CountTasks,
+    Drain,
+    FenceDue,
+    ForwardSubmission,
+    JobEntry,
+    OwnDemand,
+    PeersChanged,
+    PlaceWaiting,
+    ProbeUpstreams,
+    Query,
+    ReadLogged,
+    ReadReach,
+    ReadUsage,
+    Rebalance,
+    RecordEnded,
+    Submit,
+    SweepDeadlines,
+    Usage,
+    UseIncarnation,
+    VmsListed,
+)
 from .journal import Append, JobChanged, Journal, ReadJob, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .model import Answer, Attempt, Job, Mode, Outcome, Reply, VmSpec, issuer_of
 from .placement import PoolPlacement, UpstreamFacts
 from .replay import AuditEntry, FleetView, JobState
+from .replies import (
+    cancelled,
+    different_body,
+    expired,
+    issue_time_ms,
+    log_refused,
+    logged_reply,
+    pending,
+    recorded_not_run,
+    refusal,
+    unknown,
+)
 from .timer import Timer
 from .upstream import (
     AttemptEnded,
@@ -38,192 +71,6 @@
 )
 
 logger = logging.getLogger(__name__)
-JOB_CHART = load_chart("job")
-
-
-@frozen
-class Submit:
-    """A decoded submission; the reply is a :class:`Reply`."""
-
-    submission: Submission
-    reply: asyncio.Future[Reply]
-
-
-@frozen
-class Query:
-    """Ask for the outcome of a request; the reply is a :class:`Reply` or None if unknown here.
-
-    A job that does not belong to the team of the key is unknown.
-    """
-
-    request_id: str
-    key_id: str
-    reply: asyncio.Future[Reply | None]
-
-
-@frozen
-class Cancel:
-    """A caller no longer wants a job; the reply is as for :class:`Query`."""
-
-    request_id: str
-    key_id: str
-    reply: asyncio.Future[Reply | None]
-
-
-@frozen
-class ReadLogged:
-    """Ask for the outcome of a job in the log; the reply is as for :class:`Query`."""
-
-    request_id: str
-    key_id: str
-    reply: asyncio.Future[Reply | None]
-
-
-@frozen
-class ForwardSubmission:
-    """For the peers' actor: let the incarnation that issued the request ID handle it."""
-
-    submission: Submission
-    incarnation: str
-    reply: asyncio.Future[Reply]
-
-
-@frozen
-class OwnDemand:
-    """For the peers' actor: rights that this entry VM wants, and its load in each pool.
-
-    :param loads: running and waiting jobs by pool.
-    """
-
-    wanted_count: Mapping[str, int]
-    loads: Mapping[str, tuple[int, int]] = Factory(dict)
-
-
-@frozen
-class PeersChanged:
-    """What peers want, and the keys withdrawn through them."""
-
-    wants: list[limits.PeerWants]
-    withdrawn: frozenset[str]
-
-
-@frozen
-class VmsListed:
-    """The platform's list of VMs, which lags: names of the leaving ones."""
-
-    leaving: frozenset[str]
-
-
-@frozen
-class ProbeUpstreams:
-    """Ask some workers for their state now rather than at the next renewal of the lease."""
-
-    names: tuple[str, ...]
-
-
-@frozen
-class RecordEnded:
-    """A record that this actor appended has been replayed, or was not written."""
-
-    record: Any
-    entry: AuditEntry | LogUnavailableError
-
-
-@frozen
-class FenceDue:
-    """Time to ask a guard again."""
-
-    request_id: str
-    attempt_id: str
-
-
-@frozen
-class SweepDeadlines:
-    """Expire jobs whose deadline has passed."""
-
-
-@frozen
-class PlaceWaiting:
-    """Try again to place waiting jobs, because a worker may no longer be full."""
-
-
-@frozen
-class Rebalance:
-    """Move rights and adopt jobs of retired incarnations."""
-
-
-@frozen
-class Drain:
-    """Refuse new work; the reply comes when no job is left."""
-
-    reply: asyncio.Future[None]
-
-
-@frozen
-class UseIncarnation:
-    """Start a new incarnation after this one was retired."""
-
-    incarnation: str
-
-
-@frozen
-class CountTasks:
-    """Fence an incarnation at every worker.
-
-    The reply is the number of its tasks that still run, None if a worker has not answered. What
-    a worker has answered once stays true until it reboots, so that the answers of all workers
-    need not come at the same time: during a wave there may always be one that reboots.
-    """
-
-    incarnation: str
-    reply: asyncio.Future[int | None]
-
-
-@frozen
-class ReadUsage:
-    """Ask for running and waiting jobs per team; the reply is a :class:`Usage`."""
-
-    reply: asyncio.Future[Usage]
-
-
-@frozen
-class ReadReach:
-    """Ask whether any upstream answers; the reply is False if all are silent."""
-
-    reply: asyncio.Future[bool]
-
-
-@frozen
-class Usage:
-    """Jobs of this entry VM per team, and its rights."""
-
-    running: Mapping[str, int]
-    waiting: Mapping[str, int]
-    rights: Mapping[str, int]
-
-
-@define
-class JobEntry:
-    """A job and where it is; ``state`` is a state of the job chart."""
-
-    job: Job
-    state: str = JOB_CHART.initial
-    waiters: list[asyncio.Future[Any]] = Factory(list)
-    admitted_ms: float = 0.0
-    reply: Reply | None = None
-    attempt: Attempt | None = None
-    attempt_count: int = 0
-    failure_count: int = 0
-    placed_on: str = ""
-    placed_at_ms: float = 0.0
-    boot_id: str = ""
-    fence_delay_ms: float = defaults.GUARD_QUERY_FIRST_MS
-    no_answer_at_ms: float | None = None
-    excluded: set[str] = Factory(set)
-    claim_epoch: int = 0
-    answer: Answer | None = field(default=None, repr=False)
-    # An attempt that was not the last has started, or may have.
-    may_have_run: bool = False
 
 
 class Dispatch(Actor):
@@ -410,7 +257,7 @@
         entry = JobEntry(job, waiters=[reply], admitted_ms=self._timer.now_ms())
         known = self._log_jobs.get(job.request_id)
         if known is not None and (known.body_digest, known.team) != (job.body_digest, job.team):
-            raise _different_body()
+            raise different_body()
         if known is None and admission.needs_claim(job) and not self._log_available:
             raise RequestError(
                 "the log is unavailable",
@@ -462,14 +309,14 @@
     ) -> None:
         job = self._jobs[record.request_id]
         if isinstance(entry, LogUnavailableError):
-            self._step(job, "refuse", error=_log_error(entry))
+            self._step(job, "refuse", error=log_refused(entry))
         elif entry.accepted:
             self._step(job, "recorded")
             self._pump(job.job.pool)
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
         elif entry.reason == "expired":
-            self._step(job, "refuse", error=_expired())
+            self._step(job, "refuse", error=expired())
         else:
             self._step(job, "record_rejected")
             self._follow_logged(job)
@@ -483,7 +330,7 @@
             if job.job.mode is Mode.DEFERRED or job.state == "abandoned":
                 self._step(job, "log_unavailable")
             else:
-                self._step(job, "refuse", error=_log_error(entry))
+                self._step(job, "refuse", error=log_refused(entry))
         elif entry.accepted:
             job.claim_epoch = record.epoch
             left = job.state == "claiming" and not self._is_usable(job)
@@ -491,7 +338,7 @@
         elif entry.reason == "different_body":
             self._forget_conflicting(job)
         elif entry.reason == "expired":
-            self._step(job, "refuse", error=_expired())
+            self._step(job, "refuse", error=expired())
         else:
             self._step(job, "claim_lost")
             self._follow_logged(job)
@@ -508,7 +355,7 @@
             self._step(job, "log_unavailable")
             self._pump(job.job.pool)
         elif entry.accepted:
-            self._step(job, "cancelled", error=_cancelled())
+            self._step(job, "cancelled", error=cancelled())
         else:
             self._step(job, "claim_lost")
             self._follow_logged(job)
@@ -526,7 +373,7 @@
 
         The refusal is about this body only, so later questions about the ID must not get it.
         """
-        self._step(entry, "refuse", error=_different_body())
+        self._step(entry, "refuse", error=different_body())
         self._jobs.pop(entry.job.request_id, None)
         self._finished.pop(entry.job.request_id, None)
 
@@ -1060,9 +907,7 @@
         elif known.outcome is Outcome.NOT_RUN and JOB_CHART.accepts(
             entry.state, "recorded_not_run"
         ):
-            self._step(
-                entry, "recorded_not_run", error=_recorded_not_run(known.code), recorded=True
-            )
+            self._step(entry, "recorded_not_run", error=recorded_not_run(known.code), recorded=True)
         elif entry.state == "queued" and known.claimed_by not in ("", self.incarnation):
             self._unqueue(entry)
             self._step(entry, "claim_lost")
@@ -1202,7 +1047,7 @@
         elif entry.reply is not None:
             resolve(message.reply, entry.reply)
         else:
-            resolve(message.reply, _pending(entry))
+            resolve(message.reply, pending(entry))
 
     @receives(Cancel)
     def _on_cancel(self, message: Cancel) -> None:
@@ -1212,14 +1057,14 @@
             return
         if entry.state == "queued" and entry.job.mode is not Mode.DEFERRED:
             self._unqueue(entry)
-            self._step(entry, "cancel", error=_cancelled())
+            self._step(entry, "cancel", error=cancelled())
         elif entry.state == "queued" and not entry.claim_epoch:
             # Another entry VM may have adopted the job, so only the log can tell.
             self._unqueue(entry)
             entry.waiters.append(message.reply)
             self._step(entry, "cancel_recorded")
             return
-        resolve(message.reply, entry.reply or _pending(entry))
+        resolve(message.reply, entry.reply or pending(entry))
 
     @receives(ReadLogged)
     def _on_read_logged(self, message: ReadLogged) -> None:
@@ -1343,102 +1188,6 @@
     return [reply.result() if reply.done() else None for reply in replies]
 
 
-def refusal(request_id: str, error: RequestError, *, certain: bool = True) -> Reply:
-    """Return the reply for a request that this entry VM did not run.
-
-    :param certain: nothing else can have run it under this request ID; otherwise the outcome is
-        unknown, because the same ID may have been submitted to another entry VM.
-    """
-    known = certain and error.status != 504 and error.code != "different_body"
-    outcome = Outcome.NOT_RUN if known else Outcome.OUTCOME_UNKNOWN
-    return Reply(
-        request_id,
-        outcome,
-        code=error.code,
-        message=error.message,
-        step=error.step,
-        peer=error.peer,
-        limit=error.limit,
-        status=error.status,
-    )
-
-
-def _pending(entry: JobEntry) -> Reply:
-    """Return the reply for a job that has not ended; only a recorded deferred one is accepted."""
-    recorded = entry.job.mode is Mode.DEFERRED and entry.state not in ("recording", "unconfirmed")
-    if recorded and entry.state != "lost":
-        return Reply(entry.job.request_id, Outcome.ACCEPTED, code="pending", status=202)
-    return unknown(entry.job.request_id, "no_answer", "query")
-
-
-def _cancelled() -> RequestError:
-    return RequestError("cancelled by the caller", code="cancelled", status=200, step="cancel")
-
-
-def unknown(request_id: str, code: str, step: str, peer: str = "") -> Reply:
-    """Return the reply for a request that may have run."""
-    return Reply(
-        request_id,
-        Outcome.OUTCOME_UNKNOWN,
-        code=code,
-        message="the job may have run; ask again by request ID",
-        step=step,
-        peer=peer,
-        status=504,
-    )
-
-
-def logged_reply(known: JobState) -> Reply:
-    """Return the reply for a job that the log knows."""
-    if known.outcome is Outcome.ANSWERED:
-        answer = Answer(known.body, known.succeeded, known.claimed_worker)
-        return Reply(known.request_id, Outcome.ANSWERED, answer)
-    if known.outcome is Outcome.NOT_RUN:
-        return refusal(known.request_id, _recorded_not_run(known.code))
-    if known.outcome is Outcome.OUTCOME_UNKNOWN:
-        return unknown(known.request_id, known.code, "attempt", known.claimed_worker)
-    if not known.queue:
-        # Only deferred jobs have been accepted; of the others the log knows the claim alone.
-        return unknown(known.request_id, "no_answer", "attempt", known.claimed_worker)
-    return Reply(known.request_id, Outcome.ACCEPTED, code="pending", status=202)
-
-
-def issue_request_ids(entry: str, incarnation: str, now_ms: float, count: int) -> list[str]:
-    """Return fresh request IDs; each holds the time of issue and 40 random bits."""
-    issued_ms = int(now_ms)
-    return [f"{entry}.{incarnation}.{issued_ms << 40 | secrets.randbits(40)}" for _ in range(count)]
-
-
-def issue_time_ms(request_id: str) -> float:
-    """Return when a request ID was issued, on the issuer's monotonic clock."""
-    return int(request_id.rsplit(".", 1)[1]) >> 40
-
-
 def _rendezvous(request_id: str, incarnation: str) -> int:
     digest = hashlib.blake2b(f"{request_id}/{incarnation}".encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
-
-
-def _log_error(error: LogUnavailableError) -> RequestError:
-    return RequestError(
-        error.message, code="log_unavailable", status=503, step=error.step, peer=error.peer
-    )
-
-
-def _expired() -> RequestError:
-    return RequestError(
-        "request ID is too old to be started; its job may have run",
-        code="request_id_expired",
-        status=504,
-        step="admission",
-    )
-
-
-def _different_body() -> RequestError:
-    return RequestError(
-        "request ID was used with another body", code="different_body", status=409, step="replay"
-    )
-
-
-def _recorded_not_run(code: str) -> RequestError:
-    return RequestError("the job was not run", code=code or "not_run", status=503, step="replay")
--- a/src/tarragoncart/inventory.py
+++ b/src/tarragoncart/inventory.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from . import defaults
-from .dispatch import VmsListed
+from .jobs import VmsListed
 from .mailbox import Actor, receives
 from .timer import Timer
 
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -11,7 +11,8 @@
 
 from . import defaults, records
 from .charts import load_chart
-from .dispatch import CountTasks, Dispatch, Drain, ReadReach, UseIncarnation
+from .dispatch import Dispatch
+from .jobs import CountTasks, Drain, ReadReach, UseIncarnation
 from .journal import Append, Journal, ViewChanged
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .model import Member
--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -20,8 +20,9 @@
 
 from . import capacity, defaults, records
 from .capacity import PoolLoad, VmLoad
-from .dispatch import Dispatch, ProbeUpstreams
+from .dispatch import Dispatch
 from .errors import LogUnavailableError
+from .jobs import ProbeUpstreams
 from .journal import Append, Journal, ViewChanged
 from .mailbox import Actor, new_reply, receives
 from .membership import DriverChosen
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -14,16 +14,12 @@
 
 from . import defaults, limits, metrics, records, snapshots
 from .attempts import Evidence
-from .dispatch import (
-    ForwardSubmission,
-    OwnDemand,
-    PeersChanged,
-    unknown,
-)
+from .jobs import ForwardSubmission, OwnDemand, PeersChanged
 from .journal import AdoptState, Append, Chunk, Journal, ReadTail, ViewChanged
 from .mailbox import Actor, new_reply, receives, resolve
 from .model import Member, Outcome, Reply
 from .replay import FleetView
+from .replies import unknown
 from .timer import Timer
 from .upstream import FindResult
 
--- /dev/null
+++ b/src/tarragoncart/replies.py
@@ -0,0 +1,106 @@
+"""Replies to callers, and the request IDs that entry VMs issue."""
+
+from __future__ import annotations
+
+import secrets
+
+from .errors import LogUnavailableError, RequestError
+from .jobs import JobEntry
+from .model import Answer, Mode, Outcome, Reply
+from .replay import JobState
+
+
+def refusal(request_id: str, error: RequestError, *, certain: bool = True) -> Reply:
+    """Return the reply for a request that this entry VM did not run.
+
+    :param certain: nothing else can have run it under this request ID; otherwise the outcome is
+        unknown, because the same ID may have been submitted to another entry VM.
+    """
+    known = certain and error.status != 504 and error.code != "different_body"
+    outcome = Outcome.NOT_RUN if known else Outcome.OUTCOME_UNKNOWN
+    return Reply(
+        request_id,
+        outcome,
+        code=error.code,
+        message=error.message,
+        step=error.step,
+        peer=error.peer,
+        limit=error.limit,
+        status=error.status,
+    )
+
+
+def pending(entry: JobEntry) -> Reply:
+    """Return the reply for a job that has not ended; only a recorded deferred one is accepted."""
+    recorded = entry.job.mode is Mode.DEFERRED and entry.state not in ("recording", "unconfirmed")
+    if recorded and entry.state != "lost":
+        return Reply(entry.job.request_id, Outcome.ACCEPTED, code="pending", status=202)
+    return unknown(entry.job.request_id, "no_answer", "query")
+
+
+def cancelled() -> RequestError:
+    return RequestError("cancelled by the caller", code="cancelled", status=200, step="cancel")
+
+
+def unknown(request_id: str, code: str, step: str, peer: str = "") -> Reply:
+    """Return the reply for a request that may have run."""
+    return Reply(
+        request_id,
+        Outcome.OUTCOME_UNKNOWN,
+        code=code,
+        message="the job may have run; ask again by request ID",
+        step=step,
+        peer=peer,
+        status=504,
+    )
+
+
+def logged_reply(known: JobState) -> Reply:
+    """Return the reply for a job that the log knows."""
+    if known.outcome is Outcome.ANSWERED:
+        answer = Answer(known.body, known.succeeded, known.claimed_worker)
+        return Reply(known.request_id, Outcome.ANSWERED, answer)
+    if known.outcome is Outcome.NOT_RUN:
+        return refusal(known.request_id, recorded_not_run(known.code))
+    if known.outcome is Outcome.OUTCOME_UNKNOWN:
+        return unknown(known.request_id, known.code, "attempt", known.claimed_worker)
+    if not known.queue:
+        # Only deferred jobs have been accepted; of the others the log knows the claim alone.
+        return unknown(known.request_id, "no_answer", "attempt", known.claimed_worker)
+    return Reply(known.request_id, Outcome.ACCEPTED, code="pending", status=202)
+
+
+def issue_request_ids(entry: str, incarnation: str, now_ms: float, count: int) -> list[str]:
+    """Return fresh request IDs; each holds the time of issue and 40 random bits."""
+    issued_ms = int(now_ms)
+    return [f"{entry}.{incarnation}.{issued_ms << 40 | secrets.randbits(40)}" for _ in range(count)]
+
+
+def issue_time_ms(request_id: str) -> float:
+    """Return when a request ID was issued, on the issuer's monotonic clock."""
+    return int(request_id.rsplit(".", 1)[1]) >> 40
+
+
+def log_refused(error: LogUnavailableError) -> RequestError:
+    return RequestError(
+        error.message, code="log_unavailable", status=503, step=error.step, peer=error.peer
+    )
+
+
+def expired() -> RequestError:
+    return RequestError(
+        "request ID is too old to be started; its job may have run",
+        code="request_id_expired",
+        status=504,
+        step="admission",
+    )
+
+
+def different_body() -> RequestError:
+    return RequestError(
+        "request ID was used with another body", code="different_body", status=409, step="replay"
+    )
+
+
+def recorded_not_run(code: str) -> RequestError:
+    return RequestError("the job was not run", code=code or "not_run", status=503, step="replay")
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -18,8 +18,9 @@
 from . import defaults, metrics, records
 from .admission import Submission
 from .audit import entries_about, entry_json
-from .dispatch import Cancel, Dispatch, Query, ReadLogged, ReadUsage, Submit, issue_request_ids
+from .dispatch import Dispatch
 from .errors import InboxFullError, RequestError, SettingsError
+from .jobs import Cancel, Query, ReadLogged, ReadUsage, Submit
 from .journal import Append, Journal, ReadAudit, ReadState
 from .mailbox import Actor, new_reply
 from .membership import Membership, ReadEntry
@@ -37,6 +38,7 @@
 )
 from .registry import Registry
 from .replay import AuditEntry, FleetView, VmState, unavailable_count
+from .replies import issue_request_ids
 from .settings import parse_fleet_config
 from .timer import Timer
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,11 +9,12 @@
 import pytest
 from attrs import Factory, define, evolve
 
-from tarragoncart import defaults, records, replay
+from tarragoncart import defaults, records, replay, replies
 from tarragoncart import dispatch as module
 from tarragoncart.admission import Submission
 from tarragoncart.attempts import Evidence
-from tarragoncart.dispatch import Dispatch, Submit
+from tarragoncart.dispatch import Dispatch
+from tarragoncart.jobs import Submit
 from tarragoncart.journal import Append, ViewChanged
 from tarragoncart.mailbox import new_reply
 from tarragoncart.membership import CheckMembers, Membership
@@ -396,7 +397,7 @@
 async def test_a_refusal_of_a_known_request_is_not_told_as_not_run(desk):
     """Guards against "not run" for an issued ID that has run before its key was withdrawn."""
     desk.dispatch.incarnation = "a" * 16
-    (request_id,) = module.issue_request_ids("a", "a" * 16, desk.timer.now_ms(), 1)
+    (request_id,) = replies.issue_request_ids("a", "a" * 16, desk.timer.now_ms(), 1)
     fresh = await desk.submit(request_id, key="other")
     assert fresh.result().outcome is Outcome.NOT_RUN
     await desk.submit(request_id)
