Never give up an accepted idempotent deferred job because its attempts were lost

Change: lost attempts of deferred idempotent jobs are repeated without limit and outside the retry budget; each waits for its fence, so the pace is bounded. Failed results still count.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -685,21 +685,25 @@
                 self.subscribe_once(self._timer.after(defaults.UPSTREAM_BUSY_MS), PlaceWaiting())
             else:
                 entry.excluded.add(entry.placed_on)
-        elif evidence.event == "guard_lost" and self._may_retry(entry, pool):
+        elif evidence.event == "guard_lost" and self._may_retry(entry, pool, lost=True):
             return "retry"
         elif evidence.event == "no_answer" and fenced and not evidence.running:
             waited_ms = now_ms - (entry.no_answer_at_ms or now_ms)
-            if waited_ms >= defaults.IDEMPOTENT_FENCE_MS and self._may_retry(entry, pool):
+            waited = waited_ms >= defaults.IDEMPOTENT_FENCE_MS
+            if waited and self._may_retry(entry, pool, lost=True):
                 self._strand(entry)
                 return "retry"
         return evidence.event
 
-    def _may_retry(self, entry: JobEntry, pool: PoolPlacement) -> bool:
+    def _may_retry(self, entry: JobEntry, pool: PoolPlacement, *, lost: bool = False) -> bool:
+        # An accepted deferred job has no deadline; giving it up because its attempts were lost
+        # would break its acceptance.
+        unlimited = lost and entry.job.mode is Mode.DEFERRED
         allowed = (
             not entry.job.guarded
             and entry.state in ("attempting", "resolving")
-            and entry.attempt_count < defaults.ATTEMPT_COUNT
-            and pool.retries.take()
+            and (unlimited or entry.attempt_count < defaults.ATTEMPT_COUNT)
+            and (unlimited or pool.retries.take())
         )
         if allowed:
             metrics.RETRIES.add(1)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -404,3 +404,19 @@
     assert desk.sent()
     again = await desk.submit(request_id, key="other")
     assert (again.result().status, again.result().outcome) == (401, Outcome.OUTCOME_UNKNOWN)
+
+
+async def test_an_idempotent_deferred_job_survives_any_number_of_lost_guards(desk):
+    """Guards against an accepted job that is given up because its workers keep dying."""
+    queue = QueueSpec("cleaning", "holds", Mode.DEFERRED)
+    desk.state.config = evolve(desk.state.config, queues=(*desk.state.config.queues, queue))
+    desk.show()
+    await desk.submit(queue="cleaning")
+    await desk.log()
+    for _ in range(defaults.ATTEMPT_COUNT + 2):
+        attempt = max(desk.sent(), key=lambda attempt: attempt.number)
+        desk.handle(AttemptEnded(attempt, Evidence("no_answer", Verdict.NO_ANSWER)))
+        desk.handle(AttemptEnded(attempt, Evidence("guard_lost"), fenced=True))
+        await desk.log()
+    assert desk.state.jobs["r"].outcome is None
+    assert len(desk.sent()) == defaults.ATTEMPT_COUNT + 3
