Ask guards about idempotent jobs without fencing them; pace repeated refusals

Change: the guard is asked about idempotent jobs by GET; an attempt that never arrived frees its right after the attempt timeout; from the fourth refusal on a job is placed again after a delay that grows to 1 s; an adopted attempt carries whether it is guarded.

--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -673,7 +673,7 @@
 
 
 def _departure(event: Event) -> tuple[str, bool] | None:
-    if event.source == "worker" and event.event in ("leaving", "rebooted"):
+    if event.source == "worker" and event.event in ("leaving", "rebooted", "serving"):
         return event.name, event.event == "leaving"
     if event.source == "platform" and event.event == "vm_state":
         if event["state"] in FAILED_VM_STATES:
--- a/src/tarragoncart/attempts.py
+++ b/src/tarragoncart/attempts.py
@@ -84,7 +84,9 @@
         return Evidence("no_answer", running=True)
     if not kept:
         return Evidence("guard_lost")
-    return Evidence("not_started" if state == "fenced" else "no_answer")
+    if state == "fenced":
+        return Evidence("not_started")
+    return Evidence("no_answer", code="unknown" if state == "unknown" else "")
 
 
 def _result(worker: str, data: Mapping[str, Any]) -> Evidence:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -47,6 +47,10 @@
 CONNECT_TIMEOUT_MS = 500
 GUARD_QUERY_FIRST_MS = 50
 GUARD_QUERY_MAX_MS = 1_000
+# After some refusals in a row, a job is placed again only after a growing delay.
+REFUSAL_FREE_COUNT = 3
+REFUSAL_DELAY_MS = 25
+REFUSAL_DELAY_MAX_MS = 1_000
 # Retries may add at most this share of all attempts.
 RETRY_BUDGET_RATIO = 0.1
 RETRY_BUDGET_MIN_COUNT = 10
--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -646,8 +646,9 @@
         entry = self._jobs.get(message.attempt.request_id)
         evidence = message.evidence
         current = entry is not None and entry.attempt is message.attempt
-        self._count_attempt(message)
-        if evidence.verdict is not None and not message.fenced:
+        if not message.delayed:
+            self._count_attempt(message)
+        if evidence.verdict is not None and not message.fenced and not message.delayed:
             pool = self._pool_of_worker(message.attempt.worker)
             if pool is not None:
                 pool.health.record(message.attempt.worker, evidence.verdict, self._timer.now_ms())
@@ -656,10 +657,26 @@
             return
         if JOB_CHART.is_final(entry.state):
             return
+        if self._is_held_back(entry, message):
+            return
         event = self._next_event(entry, evidence, message.fenced)
         self._step(entry, event)
         self._pump(entry.job.pool)
 
+    def _is_held_back(self, entry: JobEntry, message: AttemptEnded) -> bool:
+        """Hold back repeated refusals, so that a job that only one worker could take, and that
+        worker refuses, does not claim it again at once and spend the log's appends."""
+        refused = message.evidence.event == "not_started" and message.evidence.code != "busy"
+        if not refused or message.delayed:
+            return False
+        entry.refusal_count += 1
+        exponent = entry.refusal_count - defaults.REFUSAL_FREE_COUNT
+        if exponent <= 0:
+            return False
+        delay_ms = min(defaults.REFUSAL_DELAY_MS * 2.0**exponent, defaults.REFUSAL_DELAY_MAX_MS)
+        self.subscribe_once(self._timer.after(delay_ms), evolve(message, delayed=True))
+        return True
+
     def _count_attempt(self, message: AttemptEnded) -> None:
         if message.fenced:
             metrics.GUARD_QUERIES.add(1)
@@ -718,7 +735,11 @@
         self._ledger.running[entry.job.team] += 1
 
     def _stranded_ended(self, message: AttemptEnded) -> None:
-        ended = message.evidence.event in ("result", "not_started", "guard_lost")
+        evidence = message.evidence
+        age_ms = self._timer.now_ms() - message.attempt.placed_at_ms
+        # What has not arrived after so long was lost with its connection.
+        never_arrived = evidence.code == "unknown" and age_ms > defaults.ATTEMPT_TIMEOUT_MS
+        ended = evidence.event in ("result", "not_started", "guard_lost") or never_arrived
         if ended and message.attempt.attempt_id in self._stranded:
             del self._stranded[message.attempt.attempt_id]
             self._ledger.job_ended(message.attempt.team)
@@ -1018,6 +1039,7 @@
             f"claim-{known.claim_epoch}",
             job.request_id,
             known.claimed_worker,
+            guarded=job.guarded,
             team=job.team,
             placed_at_ms=self._timer.now_ms() - age_ms,
         )
--- a/src/tarragoncart/jobs.py
+++ b/src/tarragoncart/jobs.py
@@ -190,7 +190,7 @@
     reply: Reply | None = None
     attempt: Attempt | None = None
     attempt_count: int = 0
-    failure_count: int = 0
+    refusal_count: int = 0
     placed_on: str = ""
     placed_at_ms: float = 0.0
     boot_id: str = ""
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -74,11 +74,16 @@
 
 @frozen
 class AttemptEnded:
-    """A call to the worker about an attempt has ended."""
+    """A call to the worker about an attempt has ended.
+
+    :param fenced: the call was to the guard.
+    :param delayed: the message has been held back to pace repeated refusals.
+    """
 
     attempt: Attempt
     evidence: Evidence
     fenced: bool = False
+    delayed: bool = False
 
 
 @frozen
@@ -339,7 +344,11 @@
     async def _ask_guard(self, attempt: Attempt, boot_id: str) -> Evidence:
         request_id = attempt.request_id
         try:
-            status, data = await self._call("POST", "/guard/fence", {"request_id": request_id})
+            if attempt.guarded:
+                status, data = await self._call("POST", "/guard/fence", {"request_id": request_id})
+            else:
+                # A fence would keep an idempotent job, which may be repeated, from this worker.
+                status, data = await self._call("GET", f"/guard/{request_id}", None)
         except (aiohttp.ClientError, TimeoutError):
             return Evidence("no_answer", Verdict.NO_ANSWER)
         if status != 200 or not isinstance(data, dict):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -613,9 +613,13 @@
         )
         self.upstream.tell(Transmit(evolve(attempt, deadline_ms=deadline_ms)))
 
-    async def fence(self, request_id: str, boot_id: str, placed_at_ms: float = 0.0) -> Evidence:
+    async def fence(
+        self, request_id: str, boot_id: str, placed_at_ms: float = 0.0, guarded: bool = True
+    ) -> Evidence:
         """Ask the guard about an attempt and return the evidence."""
-        attempt = ModelAttempt(f"a-{request_id}", request_id, "w", placed_at_ms=placed_at_ms)
+        attempt = ModelAttempt(
+            f"a-{request_id}", request_id, "w", guarded=guarded, placed_at_ms=placed_at_ms
+        )
         self.upstream.tell(FenceRequest(attempt, boot_id))
         return await self.report()
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -369,6 +369,13 @@
             worker(36, "leaving", "v1"),
             worker(5_036, "leaving"),
         ],
+        "stop after a drain that was undone": [
+            *STOP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(37, "serving", "v1"),
+            worker(9_000, "leaving"),
+        ],
         "begun stop": [*STOP, worker(40, "leaving"), vm_state(41, "v0", "rebooting")],
         "failed while stopping": [
             *STOP,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -420,3 +420,17 @@
         await desk.log()
     assert desk.state.jobs["r"].outcome is None
     assert len(desk.sent()) == defaults.ATTEMPT_COUNT + 3
+
+
+async def test_repeated_refusals_are_paced(desk):
+    """Guards against claims without end for a job that its only worker refuses."""
+    await desk.submit(queue="packs")
+    await desk.log()
+    for _ in range(10):
+        attempt = max(desk.sent(), key=lambda attempt: attempt.number)
+        desk.handle(AttemptEnded(attempt, Evidence("not_started", None, "fenced")))
+        await desk.log()
+    assert len(desk.sent()) == 1 + defaults.REFUSAL_FREE_COUNT
+    desk.timer.advance(defaults.REFUSAL_DELAY_MAX_MS)
+    await desk.log()
+    assert len(desk.sent()) == 2 + defaults.REFUSAL_FREE_COUNT
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -72,6 +72,8 @@
     bench = await open_upstream(worker)
     boot_id = bench.upstream._boot_id
     assert (await bench.fence("new", boot_id)).event == "not_started"
+    assert (await bench.fence("new", boot_id, guarded=False)).event == "not_started"
+    assert (await bench.fence("idempotent", boot_id, guarded=False)).code == "unknown"
     old_ms = -defaults.GUARD_RETENTION_MS
     assert (await bench.fence("old", boot_id, placed_at_ms=old_ms)).event == "guard_lost"
     assert (await bench.fence("r", "another boot")).event == "guard_lost"
