Judge a runner's drain and reboot as one failure

The check forgot the runner's cause when the worker served, and took the reboot for a planned stop of the fleet. Change: the cause lasts until the VM has rebooted or the failure ends; a departure after its end is judged, as a new broken history shows.

--- a/src/bench/checks.py
+++ b/src/bench/checks.py
@@ -633,6 +633,10 @@
     for event, model in _replayed(history):
         if event.source == "runner" and event.event in ("planned_stop", "kill", "fault"):
             caused |= targets_of(event)
+        elif event.source == "runner" and event.get("failure") == "upstream_drained":
+            # A failure may drain and then reboot; until it ends, both are its own.
+            if event.event == "failure_ends":
+                caused &= out
         elif event.event == "append":
             before = serving
             serving = {name for name, vm in model.vms.items() if vm.state == "in_service"}
@@ -643,7 +647,8 @@
         name, departs = departure
         if not departs:
             out.discard(name)
-            caused.discard(name)
+            if event.event != "serving":
+                caused.discard(name)
             unnoticed.pop(name, None)
         elif name not in out:
             out.add(name)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -139,6 +139,14 @@
 
 BROKEN = {
     "availability_budget": {
+        "departure after the end of an undone drain": [
+            *SETUP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(37, "serving", "v1"),
+            runner(38, "failure_ends", "", failure="upstream_drained"),
+            worker(39, "leaving", "v1"),
+        ],
         "departed without a stop": [*SETUP, worker(40, "leaving")],
         "departed before the stop began": [*STOP[:-1], vm_state(40, "v0", "draining")],
         "second stop above the budget": [
@@ -369,6 +377,15 @@
             worker(36, "leaving", "v1"),
             worker(5_036, "leaving"),
         ],
+        "drain that is undone before the reboot": [
+            *STOP,
+            runner(35, "planned_stop", "v1"),
+            worker(36, "leaving", "v1"),
+            worker(37, "serving", "v1"),
+            worker(38, "leaving", "v1"),
+            worker(39, "rebooted", "v1"),
+            worker(40, "leaving"),
+        ],
         "stop after a drain that was undone": [
             *STOP,
             runner(35, "planned_stop", "v1"),
