Run the collector after 50,000 new objects in entry processes

Cause: finished jobs stay known for 300 s, and the default threshold of 700 objects made the collector look at all of them again and again. Change: thresholds of 50,000, 20 and 50.

--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -79,6 +79,8 @@
     # What has been loaded stays; collections need not look at it again.
     gc.collect()
     gc.freeze()
+    # Jobs are kept for minutes; the default threshold would look at all of them again and again.
+    gc.set_threshold(defaults.GC_THRESHOLD_COUNT, 20, 50)
     _return_free_memory()
     await _wait_for_signal()
     terminated = new_reply()
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -122,3 +122,4 @@
 VM_DRAIN_TIMEOUT_MS = 600_000
 # Time without an answer after which a VM counts as not back from its reboot.
 VM_RETURN_TIMEOUT_MS = 30_000
+GC_THRESHOLD_COUNT = 50_000
