--- a/src/tarragoncart/client.py
+++ b/src/tarragoncart/client.py
@@ -16,6 +16,7 @@
 from . import defaults
 from .errors import TarragoncartError
 from .model import Outcome
+from .sessions import make_connector
 
 # Block of request IDs fetched at once; small enough to be used before it expires.
 ID_BLOCK_COUNT = 50
@@ -80,10 +81,9 @@
     _session: aiohttp.ClientSession | None = field(init=False, default=None)
 
     async def __aenter__(self) -> Client:
-        local = (self.source_address, 0) if self.source_address else None
         headers = {"Authorization": f"Bearer {self.key}"} if self.key else {}
         self._session = aiohttp.ClientSession(
-            headers=headers, connector=aiohttp.TCPConnector(limit=0, local_addr=local)
+            headers=headers, connector=make_connector(self.source_address, 0)
         )
         return self
 
--- a/src/tarragoncart/inventory.py
+++ b/src/tarragoncart/inventory.py
@@ -8,6 +8,7 @@
 from . import defaults
 from .jobs import VmsListed
 from .mailbox import Actor, receives
+from .sessions import make_connector
 from .timer import Timer
 
 
@@ -35,8 +36,7 @@
 
     async def opened(self) -> None:
         """Open the session and subscribe to the timer."""
-        local = (self._source_address, 0) if self._source_address else None
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=local))
+        self._session = aiohttp.ClientSession(connector=make_connector(self._source_address))
         self.subscribe(self._timer.every(defaults.VM_LIST_POLL_MS), ReadVms())
 
     async def closed(self) -> None:
--- a/src/tarragoncart/journal.py
+++ b/src/tarragoncart/journal.py
@@ -17,6 +17,7 @@
 from .errors import InboxFullError, LogUnavailableError, RecordError
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .replay import AuditEntry, FleetState, FleetView, JobState
+from .sessions import make_connector
 from .timer import Timer
 
 logger = logging.getLogger(__name__)
@@ -233,10 +234,7 @@
 
     async def opened(self) -> None:
         """Open the session and start reading."""
-        local = (self._source_address, 0) if self._source_address else None
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=16, local_addr=local)
-        )
+        self._session = aiohttp.ClientSession(connector=make_connector(self._source_address, 16))
         self.subscribe(self._timer.every(defaults.SNAPSHOT_CHECK_MS), SnapshotDue())
         self.spawn(self._read_forever())
 
--- a/src/tarragoncart/model.py
+++ b/src/tarragoncart/model.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping
 from enum import StrEnum
 from typing import Any
 
@@ -220,19 +219,9 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def digest_body(body: bytes) -> str:
-    """Return the SHA-256 digest of a body in hexadecimal."""
-    return hashlib.sha256(body).hexdigest()
-
-
 def issuer_of(request_id: str) -> tuple[str, str] | None:
     """Return ``(entry, incarnation)`` of an issued request ID, None for any other ID."""
     parts = request_id.split(".")
     if len(parts) != 3 or not parts[2].isdigit() or len(parts[1]) != 16:
         return None
     return parts[0], parts[1]
-
-
-def by_name(items: tuple[Any, ...]) -> Mapping[str, Any]:
-    """Index items by their ``name``."""
-    return {item.name: item for item in items}
--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -30,6 +30,7 @@
 from .peers import Peers, ReadLoads
 from .registry import Registry
 from .replay import AuditEntry, FleetView, VmState
+from .sessions import make_connector
 from .timer import Timer
 from .upstream import UpstreamChanged
 from .waves import WAVES
@@ -476,8 +477,7 @@
 
     async def opened(self) -> None:
         """Open the session and subscribe to the timer."""
-        local = (self._source_address, 0) if self._source_address else None
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=local))
+        self._session = aiohttp.ClientSession(connector=make_connector(self._source_address))
         self.subscribe(self._timer.every(defaults.OPERATIONS_PERIOD_MS), LookDue())
         self.subscribe(self._timer.every(defaults.LOAD_SAMPLE_MS), SampleDue())
         self.subscribe(self._timer.every(defaults.CAPACITY_PERIOD_MS), CapacityDue())
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -20,6 +20,7 @@
 from .model import Member, Outcome, Reply
 from .replay import FleetView
 from .replies import unknown
+from .sessions import make_connector
 from .timer import Timer
 from .upstream import FindResult
 
@@ -176,8 +177,7 @@
 
     async def opened(self) -> None:
         """Open the session and start the heartbeats."""
-        local = (self._source_address, 0) if self._source_address else None
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(local_addr=local))
+        self._session = aiohttp.ClientSession(connector=make_connector(self._source_address))
         self.subscribe(self._timer.every(defaults.HEARTBEAT_PERIOD_MS), BeatDue())
         self.tell(BeatDue())
 
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 import math
 import re
@@ -17,6 +16,7 @@
 
 from . import defaults, metrics, records
 from .admission import Submission
+from .attempts import digest_answer
 from .audit import entries_about, entry_json
 from .dispatch import Dispatch
 from .errors import InboxFullError, RequestError, SettingsError
@@ -302,13 +302,12 @@
     request_id = _take(data, "request_id", str, fresh_id)
     if len(request_id) > defaults.REQUEST_ID_LENGTH or not REQUEST_ID.fullmatch(request_id):
         raise _bad_request("request ID is empty, too long or has unusual characters", "bad_field")
-    canonical = json.dumps(data["payload"], sort_keys=True, separators=(",", ":")).encode()
     return Submission(
         request_id=request_id,
         queue=queue,
         key_id=key_id,
         payload=data["payload"],
-        body_digest=hashlib.sha256(canonical).hexdigest(),
+        body_digest=digest_answer(data["payload"]),
         deadline_ms=_take_number(
             data, "deadline_ms", defaults.DEADLINE_DEFAULT_MS, lowest=-NUMBER_MAX
         ),
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -17,6 +17,7 @@
 from .charts import load_chart
 from .mailbox import Actor, carries_out, receives, resolve
 from .model import Attempt, Verdict
+from .sessions import make_connector
 from .timer import Timer
 
 logger = logging.getLogger(__name__)
@@ -174,15 +175,12 @@
 
     async def opened(self) -> None:
         """Open the session and ask for a lease."""
-        local = (self._source_address, 0) if self._source_address else None
-        connector = aiohttp.TCPConnector(limit=self._connection_count, local_addr=local)
+        connector = make_connector(self._source_address, self._connection_count)
         self._session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar(), timeout=ATTEMPT_TIMEOUT
         )
         # Leases have a session of their own: attempts must not keep a renewal waiting.
-        self._control = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=2, local_addr=local)
-        )
+        self._control = aiohttp.ClientSession(connector=make_connector(self._source_address, 2))
         self.subscribe(self._timer.every(defaults.LEASE_RENEWAL_MS), RenewLease())
         self.tell(RenewLease())
 
