--- a/src/tarragoncart/__main__.py
+++ b/src/tarragoncart/__main__.py
@@ -12,16 +12,28 @@
     match sys.argv[1:]:
         case ["entry", path] if not path.startswith("-"):
             run_entry(path)
+        case ["node"]:
+            run_node()
         case _:
             importlib.import_module("tarragoncart.cli").main()
 
 
-def run_entry(path: str) -> None:
-    """Run an entry VM without loading ``typer`` and the operators' client."""
+def _skip_certificates() -> None:
     # An entry VM makes no TLS connection, but aiohttp loads the system's certificates when it is
     # imported, which takes 1.5 MiB.
     os.environ.setdefault("SSL_CERT_FILE", os.devnull)
     os.environ.setdefault("SSL_CERT_DIR", os.devnull)
+
+
+def run_node() -> None:
+    """Run an entry VM on the users' platform, with the settings that the platform provides."""
+    _skip_certificates()
+    importlib.import_module("tarragoncart.platform.main").main()
+
+
+def run_entry(path: str) -> None:
+    """Run an entry VM without loading ``typer`` and the operators' client."""
+    _skip_certificates()
     settings = importlib.import_module("tarragoncart.settings")
     try:
         loaded = settings.load_entry_settings(path)
--- /dev/null
+++ b/src/tarragoncart/assignment.py
@@ -0,0 +1,298 @@
+"""Decides which waiting task goes to which upstream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+
+from attrs import define, field
+
+from .graph import Demand, StepSpec, UpstreamEntry
+from .ledger import Job, StepRun, Task
+from .registry import Registry
+
+# An upstream whose recent runs failed more often than this share is used last.
+FAILING_RATIO = 0.5
+FAILING_MIN_COUNT = 2
+# Weight of a new outcome in an upstream's share of failures.
+FAILURE_WEIGHT = 0.34
+
+
+@define(eq=False)
+class Slot:
+    """An upstream as the scheduler sees it.
+
+    :param free: capacity that no run has.
+    :param known: its runs have been listed in this epoch.
+    :param cordoned: it gets no new tasks, because of a planned stop.
+    :param failure_ratio: share of its recent runs that failed, newer ones weigh more.
+    """
+
+    entry: UpstreamEntry
+    free: Demand
+    known: bool = False
+    cordoned: bool = False
+    answering: bool = True
+    listed: bool = True
+    failure_ratio: float = 0.0
+    full_until_ms: float = 0.0
+    tasks: dict[str, Task] = field(factory=dict)
+    serving_count: int = 0
+    filling_count: int = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get new tasks."""
+        return (
+            self.known
+            and self.answering
+            and self.listed
+            and not self.cordoned
+            and not self.entry.draining
+        )
+
+    def note_outcome(self, failed: bool) -> None:
+        """Take the end of a run into the share of failures."""
+        value = 1.0 if failed else 0.0
+        self.failure_ratio += FAILURE_WEIGHT * (value - self.failure_ratio)
+
+
+@define
+class Usage:
+    """What an account has running, across all pools."""
+
+    running: Demand = field(factory=Demand)
+    limit: Demand = field(factory=Demand)
+    weight: float = 1.0
+
+    def allows(self, demand: Demand) -> bool:
+        """Tell whether the account stays within its limit with one task more."""
+        after, limit = self.running.plus(demand), self.limit
+        return (
+            (not limit.cpu_millicores or after.cpu_millicores <= limit.cpu_millicores)
+            and (not limit.memory_mb or after.memory_mb <= limit.memory_mb)
+            and (not limit.gpu_count or after.gpu_count <= limit.gpu_count)
+        )
+
+    @property
+    def dominant_share(self) -> float:
+        """Running cpu by weight, to compare accounts."""
+        return self.running.cpu_millicores / max(self.weight, 0.001)
+
+
+Order = Callable[[StepRun, float], tuple[float, ...]]
+ORDERS: Registry[Order] = Registry("order of steps")
+Ranking = Callable[[Slot, StepRun], tuple[float, ...]]
+RANKINGS: Registry[Ranking] = Registry("ranking of upstreams")
+
+
+@ORDERS.register("first_come")
+def first_come(step: StepRun, now_ms: float) -> tuple[float, ...]:
+    """Baseline: priority class, then the time of acceptance."""
+    submission = step.job.submission
+    return (submission.priority, submission.accepted_ms, step.number)
+
+
+@ORDERS.register("deadline")
+def by_deadline(step: StepRun, now_ms: float) -> tuple[float, ...]:
+    """Priority class, then jobs that can still be on time by deadline, then the late ones.
+
+    Answers overload: a job that is late anyway must not make others late as well.
+    """
+    job = step.job
+    objective_ms = job.objective_ms()
+    due_ms = job.due_ms(step.occurrence) + objective_ms
+    remaining_ms = sum(
+        spec.estimate_ms
+        for number, spec in enumerate(job.submission.spec.steps)
+        if number >= step.number
+    )
+    lateness = 0.0
+    if not step.spec.long_running and now_ms + 0.5 * remaining_ms > due_ms:
+        lateness = 1.0 if now_ms < due_ms + 2 * objective_ms else 2.0
+    return (job.submission.priority, lateness, due_ms, step.number)
+
+
+@RANKINGS.register("spread")
+def spread(slot: Slot, step: StepRun) -> tuple[float, ...]:
+    """Prefer sound upstreams, then those with most free cpu."""
+    failing = slot.failure_ratio >= FAILING_RATIO
+    return (float(failing), -slot.free.cpu_millicores)
+
+
+@RANKINGS.register("pack")
+def pack(slot: Slot, step: StepRun) -> tuple[float, ...]:
+    """Baseline: prefer sound upstreams, then those with least free cpu."""
+    failing = slot.failure_ratio >= FAILING_RATIO
+    return (float(failing), float(slot.free.cpu_millicores))
+
+
+def admits(slot: Slot, spec: StepSpec, now_ms: float) -> bool:
+    """Tell whether an upstream may run a task of the step now."""
+    if not slot.usable or slot.full_until_ms > now_ms:
+        return False
+    if spec.label and spec.label not in slot.entry.labels:
+        return False
+    return spec.counted.fits(slot.free)
+
+
+def ever_admits(slot: Slot, spec: StepSpec) -> bool:
+    """Tell whether the upstream could run a task of the step if it were empty."""
+    if spec.label and spec.label not in slot.entry.labels:
+        return False
+    return spec.counted.fits(slot.entry.capacity)
+
+
+def choose_slot(
+    task: Task,
+    slots: Iterable[Slot],
+    counts: dict[str, int],
+    now_ms: float,
+    ranking: Ranking,
+) -> Slot | None:
+    """Return the upstream for a task, None if there is none now.
+
+    Upstreams on which the task failed come last; a rack with its data comes first.
+    """
+    step = task.step
+    spec = step.spec
+    best: Slot | None = None
+    best_rank: tuple[float, ...] = ()
+    for slot in slots:
+        if not admits(slot, spec, now_ms):
+            continue
+        upstream_id = slot.entry.upstream_id
+        most_count = spec.max_per_upstream_count
+        if most_count and counts.get(upstream_id, 0) >= most_count:
+            continue
+        rank = (
+            float(upstream_id in task.failed_on),
+            float(bool(spec.rack) and spec.rack not in slot.entry.labels),
+            *ranking(slot, step),
+        )
+        if best is None or rank < best_rank:
+            best, best_rank = slot, rank
+    return best
+
+
+def plan(
+    steps: Iterable[StepRun],
+    slots: list[Slot],
+    usages: dict[str, Usage],
+    now_ms: float,
+    reserve: Callable[[Task, Slot], None],
+    ranking: Ranking = spread,
+) -> Iterator[Task]:
+    """Assign waiting tasks to upstreams, in the order of the steps.
+
+    :param reserve: takes the capacity; called before the next choice.
+    """
+    refused: list[tuple[StepSpec, Demand]] = []
+    for step in steps:
+        spec = step.spec
+        if any(_at_least(spec, other) for other, _ in refused):
+            continue
+        if spec.gang:
+            yield from _plan_gang(step, slots, usages, now_ms, reserve, ranking)
+            continue
+        counts = step.upstream_counts()
+        usage = usages.get(step.job.submission.account)
+        for task in list(step.waiting()):
+            if task.retry_ms > now_ms:
+                continue
+            if usage is not None and not usage.allows(spec.demand):
+                break
+            slot = choose_slot(task, slots, counts, now_ms, ranking)
+            if slot is None:
+                if not spec.max_per_upstream_count and not spec.label:
+                    refused.append((spec, spec.counted))
+                break
+            reserve(task, slot)
+            counts[slot.entry.upstream_id] = counts.get(slot.entry.upstream_id, 0) + 1
+            yield task
+
+
+def _at_least(spec: StepSpec, other: StepSpec) -> bool:
+    """Tell whether a step needs at least as much as one that found no upstream."""
+    return other.counted.fits(spec.counted)
+
+
+def _plan_gang(
+    step: StepRun,
+    slots: list[Slot],
+    usages: dict[str, Usage],
+    now_ms: float,
+    reserve: Callable[[Task, Slot], None],
+    ranking: Ranking,
+) -> Iterator[Task]:
+    """Assign all tasks of a gang or none; those of one rack if the step asks for it."""
+    tasks = step.tasks
+    if any(task.state != "waiting" or task.retry_ms > now_ms for task in tasks):
+        return
+    usage = usages.get(step.job.submission.account)
+    total = Demand().plus(step.spec.demand, len(tasks))
+    if usage is not None and not usage.allows(total):
+        return
+    for group in _gang_groups(step.spec, slots):
+        places = _gang_places(step, group, now_ms, ranking)
+        if places is not None:
+            run = max(task.run for task in tasks)
+            for task, slot in zip(tasks, places, strict=True):
+                # The members of one gang share the number of their run.
+                task.run = run
+                reserve(task, slot)
+                yield task
+            return
+
+
+def _gang_groups(spec: StepSpec, slots: list[Slot]) -> Iterator[list[Slot]]:
+    if not spec.same_rack:
+        yield slots
+        return
+    racks: dict[frozenset[str], list[Slot]] = {}
+    for slot in slots:
+        racks.setdefault(slot.entry.labels, []).append(slot)
+    yield from sorted(racks.values(), key=len, reverse=True)
+    yield slots
+
+
+def _gang_places(
+    step: StepRun, slots: list[Slot], now_ms: float, ranking: Ranking
+) -> list[Slot] | None:
+    spec = step.spec
+    free = {slot.entry.upstream_id: slot.free for slot in slots}
+    counts: dict[str, int] = {}
+    places: list[Slot] = []
+    candidates = sorted(
+        (slot for slot in slots if admits(slot, spec, now_ms)), key=lambda s: ranking(s, step)
+    )
+    for _ in step.tasks:
+        for slot in candidates:
+            upstream_id = slot.entry.upstream_id
+            most_count = spec.max_per_upstream_count
+            if most_count and counts.get(upstream_id, 0) >= most_count:
+                continue
+            if spec.counted.fits(free[upstream_id]):
+                free[upstream_id] = free[upstream_id].plus(spec.counted, -1)
+                counts[upstream_id] = counts.get(upstream_id, 0) + 1
+                places.append(slot)
+                break
+        else:
+            return None
+    return places
+
+
+def can_ever_run(job: Job, slots: Iterable[Slot]) -> bool:
+    """Tell whether each step fits some upstream; True if no upstream is known."""
+    known = list(slots)
+    if not known:
+        return True
+    return all(any(ever_admits(slot, spec) for slot in known) for spec in job.submission.spec.steps)
+
+
+def may_take_away(task: Task, now_ms: float, notice_ms: float) -> bool:
+    """Tell whether planned work may end a task without breaking its step's budget."""
+    budget = task.step.spec.max_away_count
+    if budget is None or not task.at_work:
+        return True
+    away_count = sum(1 for other in task.step.tasks if other is not task and not other.at_work)
+    return away_count < max(budget, 1)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -122,3 +122,51 @@
 # Time without an answer after which a VM counts as not back from its reboot.
 VM_RETURN_TIMEOUT_MS = 30_000
 GC_THRESHOLD_COUNT = 50_000
+
+# The platform's store.
+STORE_CALL_BYTES = 1_000_000
+STORE_RETRY_MS = 100
+STORE_RETRY_MAX_MS = 400
+# Without progress of the append under way for this long, new submissions are refused at once.
+STORE_STALL_MS = 800
+RULES_WAIT_MS = 1_500
+INTAKE_WAIT_MS = 1_500
+UPSTREAM_LIST_PAUSE_MS = 250
+
+# A member of the group is replaced after this silence; it tells of itself some times as often.
+MEMBERSHIP_TTL_MS = 1_200
+JOINS_PER_TTL_COUNT = 3
+# A leader that the store has not confirmed for this long gives no more orders. Its successor
+# waits this long, and a lease, before it gives up on tasks at an upstream that it cannot reach.
+LEADERSHIP_VALID_MS = 3_000
+LEADERSHIP_CHECK_MS = 250
+LEADER_LOOKUP_PAUSE_MS = 250
+
+# Lease of all runs at an upstream, renewed with each look at it.
+UPSTREAM_LEASE_MS = 4_500
+# An upstream's steady clock may be this much slow; the rest is for the estimate.
+CLOCK_DRIFT_RATIO = 0.02
+LEASE_MARGIN_MS = 300
+UPSTREAM_WAIT_MS = 1_000
+# An upstream without an answer for this long gets no new tasks.
+UPSTREAM_SILENT_MS = 2_300
+ACKNOWLEDGE_WAIT_MS = 400
+PLACEMENT_DELAY_MS = 4
+SCHEDULER_TICK_MS = 250
+# A submission is answered as unknown after this long without an outcome.
+SUBMIT_TIMEOUT_MS = 1_800
+LOOKUP_TIMEOUT_MS = 900
+# Older views of the leader prove nothing about jobs that it does not know.
+INTAKE_FRESH_MS = 2_500
+RETRY_AFTER_S = 1
+START_RETRY_MS = 100
+# An upstream that had no room or called itself unhealthy gets nothing for this long.
+UPSTREAM_FULL_MS = 300
+STEP_ORDER = "deadline"
+# Part of the bound for withdrawn keys up to which a configuration may be old.
+KEY_FRESHNESS_RATIO = 0.85
+READY_RULES_AGE_MS = 4_000
+LOOKUP_TRY_COUNT = 3
+LOOKUP_RETRY_MS = 150
+DRAIN_SERVE_MS = 3_000
+DRAIN_CLOSE_MS = 700
--- /dev/null
+++ b/src/tarragoncart/election.py
@@ -0,0 +1,295 @@
+"""Chooses the entry VM that schedules: membership in a group of the store, and claimed epochs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from typing import Any, Protocol
+
+from attrs import define, frozen
+
+from . import defaults
+from .charts import load_chart
+from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from .follower import ReadStore, read_newest
+from .mailbox import Actor, carries_out, receives
+from .storage import Appended, Membership
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+
+GROUP = "schedulers"
+TOPIC = "keyed.leader"
+LEADER_KEY = "leader"
+# Owner of this partition of the topic schedules.
+LEADER_PART = 0
+
+
+class GroupStore(ReadStore, Protocol):
+    """The part of the store's client that an election uses."""
+
+    async def append(
+        self, topic: str, records: Any, *, part: int = 0, expected_end: int | None = None
+    ) -> Appended: ...
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_ms: int, generation: int
+    ) -> Membership: ...
+
+    async def leave(self, group: str, member: str) -> None: ...
+
+
+@frozen
+class Leader:
+    """The entry VM that schedules, with the epoch that fences earlier ones."""
+
+    name: str
+    address: str
+    epoch: int
+
+
+@frozen
+class LeadershipGained:
+    """This entry VM has claimed an epoch."""
+
+    epoch: int
+
+
+@frozen
+class LeadershipConfirmed:
+    """The store has confirmed the leadership; orders may be given until then."""
+
+    valid_until_ms: float
+
+
+@frozen
+class LeadershipLost:
+    """This entry VM must stop scheduling."""
+
+    epoch: int
+    reason: str
+
+
+@frozen
+class LeaderSeen:
+    """The leader according to the store."""
+
+    leader: Leader
+
+
+@frozen
+class FindLeader:
+    """Read again who leads: the one known does not answer or does not lead."""
+
+
+@frozen
+class Fenced:
+    """The store or an upstream has seen a higher epoch than this one."""
+
+    epoch: int
+
+
+@frozen
+class Leave:
+    """Leave the group at once, for a planned stop."""
+
+    reply: asyncio.Future[None]
+
+
+@frozen
+class _Joined:
+    membership: Membership
+    sent_ms: float
+
+
+@frozen
+class _Claimed:
+    epoch: int
+
+
+@frozen
+class _ClaimFailed:
+    reason: str
+
+
+@frozen
+class _Tick:
+    """Time to see whether the confirmation has expired."""
+
+
+@define
+class _Candidate:
+    state: str
+
+
+class Election(Actor):
+    """Owns the membership of this entry VM.
+
+    :param name: name of this start of the entry VM, unique among all starts.
+    :param address: where the others reach it.
+    :param listener: gets the messages about the leadership.
+    """
+
+    chart = load_chart("leadership")
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        store: GroupStore,
+        listener: Actor,
+        timer: Timer,
+        *,
+        ttl_ms: int = defaults.MEMBERSHIP_TTL_MS,
+    ) -> None:
+        super().__init__("election")
+        self._member = name
+        self._address = address
+        self._store = store
+        self._listener = listener
+        self._timer = timer
+        self._ttl_ms = ttl_ms
+        self._candidate = _Candidate(self.chart.initial)
+        self._generation = 0
+        self._epoch = 0
+        self._confirmed_ms = 0.0
+        self._finding = False
+        self._leaving = False
+
+    async def opened(self) -> None:
+        """Start joining."""
+        self.spawn(self._keep_joined())
+        self.subscribe(self._timer.every(defaults.LEADERSHIP_CHECK_MS), _Tick())
+
+    async def _keep_joined(self) -> None:
+        while not self._leaving:
+            sent_ms = self._timer.now_ms()
+            try:
+                membership = await self._store.join(
+                    GROUP, self._member, TOPIC, self._ttl_ms, self._generation
+                )
+            except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+                logger.warning("group cannot be joined", extra={"reason": str(error)})
+            else:
+                self.tell(_Joined(membership, sent_ms))
+            await asyncio.sleep(self._ttl_ms / defaults.JOINS_PER_TTL_COUNT / 1_000)
+
+    @receives(_Joined)
+    def on_joined(self, message: _Joined) -> None:
+        """Compare the partitions owned with what this entry VM does."""
+        if self._leaving:
+            return
+        membership = message.membership
+        if membership.generation != self._generation:
+            logger.info(
+                "group has changed",
+                extra={"generation": membership.generation, "parts": sorted(membership.parts)},
+            )
+            self._generation = membership.generation
+            self._find_leader()
+        self._confirmed_ms = message.sent_ms
+        owned = LEADER_PART in membership.parts
+        self.step(self.chart, self._candidate, "owned" if owned else "disowned")
+
+    @receives(_Tick)
+    def on_tick(self, message: _Tick) -> None:
+        """Give up a leadership that the store has not confirmed for too long."""
+        age_ms = self._timer.now_ms() - self._confirmed_ms
+        if self._candidate.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
+            self.step(self.chart, self._candidate, "expired")
+
+    @carries_out("claim")
+    def _start_claim(self, candidate: _Candidate) -> None:
+        self.spawn(self._claim())
+
+    async def _claim(self) -> None:
+        value = json.dumps({"name": self._member, "address": self._address}).encode()
+        try:
+            end_offset = (await read_newest(self._store, TOPIC)).end_offset
+            appended = await self._store.append(
+                TOPIC, [(LEADER_KEY, value)], part=LEADER_PART, expected_end=end_offset
+            )
+        except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+            self.tell(_ClaimFailed(str(error)))
+            return
+        self.tell(_Claimed(appended.offset + 1))
+
+    @receives(_Claimed)
+    def on_claimed(self, message: _Claimed) -> None:
+        """Lead, unless the partition was lost meanwhile."""
+        self._epoch = message.epoch
+        if self._candidate.state == "claiming":
+            self.step(self.chart, self._candidate, "claimed")
+
+    @receives(_ClaimFailed)
+    def on_claim_failed(self, message: _ClaimFailed) -> None:
+        """Try again with the next confirmation of the ownership."""
+        logger.warning("epoch was not claimed", extra={"reason": message.reason})
+        if self._candidate.state == "claiming":
+            self.step(self.chart, self._candidate, "claim_failed")
+
+    @carries_out("take_over")
+    def _take_over(self, candidate: _Candidate) -> None:
+        logger.info("leadership gained", extra={"epoch": self._epoch})
+        self._listener.tell(LeaderSeen(Leader(self._member, self._address, self._epoch)))
+        self._listener.tell(LeadershipGained(self._epoch))
+        self._confirm(candidate)
+
+    @carries_out("confirm")
+    def _confirm(self, candidate: _Candidate) -> None:
+        self._listener.tell(LeadershipConfirmed(self._confirmed_ms + defaults.LEADERSHIP_VALID_MS))
+
+    @carries_out("resign")
+    def _resign(self, candidate: _Candidate) -> None:
+        age_ms = round(self._timer.now_ms() - self._confirmed_ms)
+        logger.info("leadership lost", extra={"epoch": self._epoch, "confirmation_age_ms": age_ms})
+        self._listener.tell(LeadershipLost(self._epoch, "not confirmed by the store"))
+
+    @receives(Fenced)
+    def on_fenced(self, message: Fenced) -> None:
+        """Resign: another entry VM has a higher epoch."""
+        if self._candidate.state == "leader" and message.epoch == self._epoch:
+            self.step(self.chart, self._candidate, "fenced")
+
+    @receives(FindLeader)
+    def on_find_leader(self, message: FindLeader) -> None:
+        """Read who leads, at most one read at a time."""
+        self._find_leader()
+
+    def _find_leader(self) -> None:
+        if not self._finding:
+            self._finding = True
+            self.spawn(self._read_leader())
+
+    async def _read_leader(self) -> None:
+        try:
+            entries = (await read_newest(self._store, TOPIC)).entries
+        except (StoreUnknownError, StoreRefusedError) as error:
+            logger.warning("leader cannot be read", extra={"reason": str(error)})
+            return
+        finally:
+            await asyncio.sleep(defaults.LEADER_LOOKUP_PAUSE_MS / 1_000)
+            self._finding = False
+        for entry in entries:
+            if entry.key == LEADER_KEY:
+                data = json.loads(entry.value)
+                leader = Leader(data["name"], data["address"], entry.offset + 1)
+                self._listener.tell(LeaderSeen(leader))
+
+    @receives(Leave)
+    async def on_leave(self, message: Leave) -> None:
+        """Resign and leave, so that another entry VM takes over at once."""
+        self._leaving = True
+        if self._candidate.state == "leader":
+            self.step(self.chart, self._candidate, "disowned")
+        try:
+            await self._store.leave(GROUP, self._member)
+        except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+            logger.warning("group was not left", extra={"reason": str(error)})
+        if not message.reply.done():
+            message.reply.set_result(None)
+
+    async def closed(self) -> None:
+        """Close the connections to the store."""
+        await self._store.close()
--- /dev/null
+++ b/src/tarragoncart/entrance.py
@@ -0,0 +1,373 @@
+"""Decides on callers' requests: accepts jobs, cancels them and answers questions about them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from attrs import frozen
+
+from . import defaults, intake, metrics
+from .election import FindLeader, Leader
+from .errors import RequestError, TarragoncartError
+from .graph import JobSpec, QueueRule, Rules, Submission
+from .mailbox import Actor, new_reply, receives, resolve
+from .scheduler import CountPending, JobView, Lookup, Scheduler
+from .timer import Timer
+from .writer import STORED, Write, Writer
+
+logger = logging.getLogger(__name__)
+
+
+class PeerCalls(Protocol):
+    """Questions to the leader."""
+
+    async def lookup(self, address: str, job_id: str) -> JobView: ...
+
+    async def count_pending(self, address: str, queue: str) -> int: ...
+
+    async def close(self) -> None: ...
+
+
+@frozen
+class RulesInForce:
+    """The configuration this entry VM knows.
+
+    :param as_of_ms: it is at least as new as this time.
+    """
+
+    rules: Rules
+    as_of_ms: float
+
+
+@frozen
+class LeaderKnown:
+    """Who leads.
+
+    :param scheduler: set on the leader itself.
+    """
+
+    leader: Leader | None
+    scheduler: Scheduler | None
+
+
+@frozen
+class Caller:
+    """What a request says of itself.
+
+    :param request_id: the caller's ID of the job, empty if the request is about the queue.
+    :param deadline_ms: how long the caller waits, 0 if it does not say.
+    """
+
+    hostname: str
+    path: str
+    key: str
+    received_ms: float
+    deadline_ms: int = 0
+
+
+@frozen
+class Submit:
+    """Accept a job."""
+
+    caller: Caller
+    spec: JobSpec
+    reply: asyncio.Future[Any]
+
+
+@frozen
+class Ask:
+    """Tell the phase of a job, or of a queue how many of its jobs have not begun."""
+
+    caller: Caller
+    reply: asyncio.Future[Any]
+
+
+@frozen
+class Cancel:
+    """Cancel a job."""
+
+    caller: Caller
+    reply: asyncio.Future[Any]
+
+
+@frozen
+class Accepted:
+    """The job is stored."""
+
+
+@frozen
+class Phase:
+    """Phase of a job."""
+
+    phase: str
+
+
+@frozen
+class PendingCount:
+    """Jobs of a queue that have not begun."""
+
+    count: int
+
+
+class Entrance(Actor):
+    """Answers callers of one entry VM.
+
+    :param writer: appends to the topic of accepted jobs.
+    :param key_freshness_ms: a withdrawn key must not work for longer than this.
+    :param config_freshness_ms: a configuration must be in force after this time.
+    """
+
+    def __init__(
+        self,
+        writer: Writer,
+        peers: PeerCalls,
+        election: Actor,
+        timer: Timer,
+        *,
+        key_freshness_ms: int,
+        config_freshness_ms: int,
+    ) -> None:
+        super().__init__("entrance")
+        self._writer = writer
+        self._peers = peers
+        self._election = election
+        self._timer = timer
+        self._key_freshness_ms = key_freshness_ms * defaults.KEY_FRESHNESS_RATIO
+        self._config_freshness_ms = config_freshness_ms
+        self._rules: Rules | None = None
+        self._as_of_ms = 0.0
+        self._known = LeaderKnown(None, None)
+
+    @receives(RulesInForce)
+    def on_rules(self, message: RulesInForce) -> None:
+        """Keep the configuration and its age."""
+        self._rules = message.rules
+        self._as_of_ms = message.as_of_ms
+
+    @receives(LeaderKnown)
+    def on_leader(self, message: LeaderKnown) -> None:
+        """Keep who leads."""
+        self._known = message
+
+    @property
+    def rules_age_ms(self) -> float:
+        """Age of the configuration known; infinite before the first."""
+        if self._rules is None:
+            return float("inf")
+        return self._timer.now_ms() - self._as_of_ms
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers should come here."""
+        return (
+            self.rules_age_ms < defaults.READY_RULES_AGE_MS
+            and self._writer.stalled_ms < defaults.STORE_STALL_MS
+        )
+
+    # Who may do what.
+
+    def _authorize(self, caller: Caller) -> tuple[QueueRule, str, str]:
+        """Return queue, account and the rest of the path.
+
+        :raises RequestError: if the request is refused.
+        """
+        rules, age_ms = self._rules, self.rules_age_ms
+        if rules is None:
+            raise _refusal("no configuration yet", "no_configuration", 503)
+        fresh = age_ms <= self._config_freshness_ms
+        queue = rules.find_queue(caller.hostname, caller.path)
+        if queue is None:
+            if not fresh:
+                raise _refusal("configuration is too old to tell", "view_too_old", 503)
+            raise _refusal("there is no such queue", "unknown_queue", 404)
+        account = rules.accounts_by_key.get(caller.key, "")
+        if not queue.public:
+            if age_ms > self._key_freshness_ms:
+                raise _refusal("configuration is too old for keys", "view_too_old", 503)
+            if not account:
+                if not fresh:
+                    raise _refusal("configuration is too old to tell", "view_too_old", 503)
+                raise _refusal("key is not valid", "unknown_key", 401)
+        return queue, account, caller.path[len(queue.path_prefix) :]
+
+    # Submissions.
+
+    @receives(Submit)
+    def on_submit(self, message: Submit) -> None:
+        """Store a job, or refuse it."""
+        caller = message.caller
+        try:
+            queue, account, job_id = self._authorize(caller)
+            if self._writer.stalled_ms > defaults.STORE_STALL_MS:
+                raise _refusal("the store does not answer", "store_unavailable", 503)
+        except RequestError as error:
+            self._refuse(caller, error, message.reply)
+            return
+        submission = Submission(
+            job_id=job_id,
+            queue=queue.name,
+            pool=queue.pool,
+            account=account,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            target_latency_ms=queue.target_latency_ms,
+            accepted_ms=self._timer.wall_ms(),
+            spec=message.spec,
+            needs_advice=queue.needs_advice,
+        )
+        self._work_on(self._store(caller, submission, message.reply), caller, message.reply)
+
+    async def _store(
+        self, caller: Caller, submission: Submission, reply: asyncio.Future[Any]
+    ) -> None:
+        record = intake.submission_record(submission)
+        await self._write(record, caller)
+        logger.info(
+            "job accepted",
+            extra={
+                "job": submission.job_id,
+                "queue": submission.queue,
+                "account": submission.account,
+                "rules_version": self._rules.version if self._rules else 0,
+                "rules_age_ms": round(self.rules_age_ms),
+                "after_ms": round(self._timer.now_ms() - caller.received_ms),
+            },
+        )
+        resolve(reply, Accepted())
+
+    async def _write(self, record: tuple[str, bytes], caller: Caller) -> None:
+        """Store a record.
+
+        :raises RequestError: 503 if it is not and will not be stored, 504 if that is not known.
+        """
+        stored = new_reply()
+        self._writer.tell(Write((record,), stored))
+        timeout_ms = defaults.SUBMIT_TIMEOUT_MS
+        try:
+            outcome = await asyncio.wait_for(asyncio.shield(stored), timeout_ms / 1_000)
+        except TimeoutError:
+            if self._writer.withdraw(stored):
+                raise _refusal("the store does not answer", "store_unavailable", 503) from None
+            raise _refusal("the store has not answered", "outcome_unknown", 504) from None
+        if outcome != STORED:
+            raise _refusal("the store refused the job", "store_unavailable", 503)
+
+    # Questions and cancels.
+
+    @receives(Ask)
+    def on_ask(self, message: Ask) -> None:
+        """Ask the leader about a job or a queue."""
+        caller = message.caller
+        try:
+            queue, _, job_id = self._authorize(caller)
+        except RequestError as error:
+            self._refuse(caller, error, message.reply)
+            return
+        work = self._tell_phase(job_id) if job_id else self._tell_pending(queue.name)
+        self._work_on(self._answer(work, message.reply), caller, message.reply)
+
+    async def _answer(self, work: Coroutine[Any, Any, Any], reply: asyncio.Future[Any]) -> None:
+        resolve(reply, await work)
+
+    async def _tell_phase(self, job_id: str) -> Phase:
+        return Phase(await self._find_phase(job_id))
+
+    async def _find_phase(self, job_id: str) -> str:
+        """Return the phase of a job.
+
+        :raises RequestError: 410 if there is no such job, 503 if nobody can tell.
+        """
+        view = await self._ask_leader(
+            lambda scheduler, reply: scheduler.tell(Lookup(job_id, reply)),
+            lambda address: self._peers.lookup(address, job_id),
+        )
+        if view.phase:
+            return view.phase
+        if view.view_age_ms > defaults.INTAKE_FRESH_MS:
+            raise _refusal("the leader's view of jobs is too old", "view_too_old", 503)
+        raise _refusal("there is no such job", "unknown_job", 410)
+
+    async def _tell_pending(self, queue: str) -> PendingCount:
+        count = await self._ask_leader(
+            lambda scheduler, reply: scheduler.tell(CountPending(queue, reply)),
+            lambda address: self._peers.count_pending(address, queue),
+        )
+        return PendingCount(count)
+
+    async def _ask_leader(self, tell: Any, call: Any) -> Any:
+        for _ in range(defaults.LOOKUP_TRY_COUNT):
+            leader, scheduler = self._known.leader, self._known.scheduler
+            reason = "no leader is known"
+            try:
+                if scheduler is not None:
+                    reply = new_reply()
+                    tell(scheduler, reply)
+                    return await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
+                if leader is not None:
+                    return await call(leader.address)
+            except (TarragoncartError, TimeoutError) as error:
+                reason = str(error)
+            logger.info(
+                "leader did not answer",
+                extra={"leader": leader.name if leader else "", "reason": reason},
+            )
+            self._election.tell(FindLeader())
+            await asyncio.sleep(defaults.LOOKUP_RETRY_MS / 1_000)
+        raise _refusal("the leader cannot be reached", "leader_unavailable", 503)
+
+    @receives(Cancel)
+    def on_cancel(self, message: Cancel) -> None:
+        """Store a cancel."""
+        caller = message.caller
+        try:
+            _, _, job_id = self._authorize(caller)
+        except RequestError as error:
+            self._refuse(caller, error, message.reply)
+            return
+        self._work_on(self._cancel(caller, job_id, message.reply), caller, message.reply)
+
+    async def _cancel(self, caller: Caller, job_id: str, reply: asyncio.Future[Any]) -> None:
+        phase = await self._find_phase(job_id)
+        await self._write(intake.cancel_record(job_id, self._timer.wall_ms()), caller)
+        logger.info("cancel accepted", extra={"job": job_id, "phase": phase})
+        resolve(reply, Accepted())
+
+    # Answers.
+
+    def _work_on(
+        self, work: Coroutine[Any, Any, None], caller: Caller, reply: asyncio.Future[Any]
+    ) -> None:
+        async def guarded() -> None:
+            try:
+                await work
+            except RequestError as error:
+                self._refuse(caller, error, reply)
+
+        self.spawn(guarded())
+
+    def _refuse(self, caller: Caller, error: RequestError, reply: asyncio.Future[Any]) -> None:
+        metrics.REFUSALS.add(1, metrics.labels(code=error.code))
+        logger.info(
+            "request refused",
+            extra={
+                "path": caller.path,
+                "code": error.code,
+                "status": error.status,
+                "rules_age_ms": None if self._rules is None else round(self.rules_age_ms),
+                "rules_version": self._rules.version if self._rules else 0,
+                "after_ms": round(self._timer.now_ms() - caller.received_ms),
+            },
+        )
+        resolve(reply, error)
+
+    async def closed(self) -> None:
+        """Close the connections to other entry VMs."""
+        await self._peers.close()
+
+
+def _refusal(message: str, code: str, status: int) -> RequestError:
+    return RequestError(message, code=code, status=status, step="answer caller")
--- a/src/tarragoncart/errors.py
+++ b/src/tarragoncart/errors.py
@@ -68,3 +68,63 @@
         self.code = code
         self.status = status
         self.limit = limit
+
+
+class StoreRefusedError(TarragoncartError):
+    """The store turned a call away; nothing was done."""
+
+
+class StoreUnknownError(TarragoncartError):
+    """The store did not answer; the call may have taken effect or may do so later."""
+
+
+class StoreConflictError(TarragoncartError):
+    """The store refused a conditional call because another writer was first.
+
+    :param reason: ``fenced`` for a higher epoch, ``seq`` for a gap, ``end`` for another end.
+    :param expected: the sequence number or the end that the store has.
+    """
+
+    def __init__(self, reason: str, expected: int, *, step: str, peer: str = "") -> None:
+        super().__init__(f"conflict: {reason}", step=step, peer=peer)
+        self.reason = reason
+        self.expected = expected
+
+
+class UpstreamRefusedError(TarragoncartError):
+    """An upstream answered a call with a refusal; nothing was started.
+
+    :param reason: ``fence``, ``old``, ``late``, ``room``, ``ticket``, ``instance``, ``invalid``
+        or ``unhealthy``.
+    """
+
+    def __init__(self, reason: str, *, step: str, peer: str = "") -> None:
+        super().__init__(f"refused: {reason}", step=step, peer=peer)
+        self.reason = reason
+
+
+class UpstreamUnknownError(TarragoncartError):
+    """An upstream did not answer; the call may have taken effect or may do so later."""
+
+
+class UpstreamUnreachableError(TarragoncartError):
+    """No connection to an upstream could be opened; the call was not sent."""
+
+
+class FleetRefusedError(TarragoncartError):
+    """The platform refused an order for a VM; nothing was done.
+
+    :param reason: ``fence``, ``busy``, ``wave`` or the status.
+    """
+
+    def __init__(self, reason: str, *, step: str, peer: str = "") -> None:
+        super().__init__(f"refused: {reason}", step=step, peer=peer)
+        self.reason = reason
+
+
+class FleetUnknownError(TarragoncartError):
+    """The platform did not answer an order for a VM; it may have been carried out."""
+
+
+class PeerError(TarragoncartError):
+    """Another entry VM did not answer, or does not lead."""
--- /dev/null
+++ b/src/tarragoncart/follower.py
@@ -0,0 +1,147 @@
+"""Follows a topic of the store that keeps the newest record of each key."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from attrs import frozen
+
+from . import defaults
+from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from .mailbox import Actor
+from .storage import Chunk, Entry, Expired
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+
+
+class ReadStore(Protocol):
+    """The part of the store's client that a follower uses."""
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int, part: int = 0
+    ) -> Chunk | Expired: ...
+
+    def newest(self, topic: str, part: int = 0) -> AsyncIterator[Chunk]: ...
+
+    async def close(self) -> None: ...
+
+
+@frozen
+class TopicSnapshot:
+    """All keys of a topic, each with its newest record.
+
+    :param as_of_ms: the records are at least as new as this time.
+    """
+
+    topic: str
+    entries: tuple[Entry, ...]
+    as_of_ms: float
+
+
+@frozen
+class TopicChanges:
+    """Records appended since the last message; possibly none.
+
+    :param as_of_ms: the records are at least as new as this time.
+    """
+
+    topic: str
+    entries: tuple[Entry, ...]
+    as_of_ms: float
+
+
+class Follower(Actor):
+    """Reads a topic and passes its records on to another actor.
+
+    :param wait_ms: how long the store may wait for the next record.
+    :param pause_ms: pause between two reads.
+    """
+
+    def __init__(
+        self,
+        store: ReadStore,
+        topic: str,
+        listener: Actor,
+        timer: Timer,
+        *,
+        wait_ms: int,
+        pause_ms: int = 0,
+    ) -> None:
+        super().__init__(f"follower {topic}")
+        self._store = store
+        self._topic = topic
+        self._listener = listener
+        self._timer = timer
+        self._wait_ms = wait_ms
+        self._pause_ms = pause_ms
+
+    async def opened(self) -> None:
+        """Start reading."""
+        self.spawn(self._follow())
+
+    async def _follow(self) -> None:
+        offset = -1
+        failed = False
+        while True:
+            try:
+                if offset < 0:
+                    offset = await self._read_newest()
+                else:
+                    offset = await self._read_changes(offset)
+            except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+                if not failed:
+                    logger.warning(
+                        "topic cannot be read",
+                        extra={"topic": self._topic, "offset": offset, "reason": str(error)},
+                    )
+                failed = True
+                await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
+                continue
+            if failed:
+                logger.info("topic can be read again", extra={"topic": self._topic})
+                failed = False
+            if self._pause_ms:
+                await asyncio.sleep(self._pause_ms / 1_000)
+
+    async def _read_newest(self) -> int:
+        sent_ms = self._timer.now_ms()
+        snapshot = await read_newest(self._store, self._topic)
+        self._listener.tell(TopicSnapshot(self._topic, snapshot.entries, sent_ms))
+        return snapshot.end_offset
+
+    async def _read_changes(self, offset: int) -> int:
+        sent_ms = self._timer.now_ms()
+        chunk = await self._store.read(self._topic, offset, self._wait_ms)
+        if isinstance(chunk, Expired) or chunk.end_offset < offset:
+            logger.info(
+                "records have expired; reading the newest of each key",
+                extra={"topic": self._topic, "offset": offset},
+            )
+            return -1
+        self._listener.tell(TopicChanges(self._topic, chunk.entries, sent_ms))
+        return offset + len(chunk.entries) if chunk.entries else offset
+
+    async def closed(self) -> None:
+        """Close the connections to the store."""
+        await self._store.close()
+
+
+async def read_newest(store: ReadStore, topic: str) -> Chunk:
+    """Read the newest record of each key.
+
+    The returned end is that of the first page, so that changes between the pages are read again.
+
+    :raises StoreRefusedError: the store turned a call away.
+    :raises StoreUnknownError: no answer.
+    """
+    entries: list[Entry] = []
+    end_offset = -1
+    async for page in store.newest(topic):
+        entries.extend(page.entries)
+        if end_offset < 0:
+            end_offset = page.end_offset
+    return Chunk(0, max(end_offset, 0), tuple(entries))
--- /dev/null
+++ b/src/tarragoncart/leaderapi.py
@@ -0,0 +1,98 @@
+"""HTTP with JSON between entry VMs: questions to the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from . import defaults
+from .errors import PeerError
+from .mailbox import new_reply
+from .scheduler import CountPending, JobView, Lookup, Scheduler
+
+NOT_LEADING_STATUS = 409
+
+
+class PeerClient:
+    """Asks the leader; owned by one task."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def lookup(self, address: str, job_id: str) -> JobView:
+        """Ask for a job.
+
+        :raises PeerError: if the peer does not answer or does not lead.
+        """
+        data = await self._get(address, f"/jobs/{job_id}")
+        return JobView(data["phase"], data["view_age_ms"])
+
+    async def count_pending(self, address: str, queue: str) -> int:
+        """Ask how many jobs of a queue have not begun.
+
+        :raises PeerError: if the peer does not answer or does not lead.
+        """
+        return (await self._get(address, f"/queues/{queue}"))["pending_count"]
+
+    async def _get(self, address: str, path: str) -> dict[str, Any]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=8, keepalive_timeout=15),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+                timeout=aiohttp.ClientTimeout(total=defaults.LOOKUP_TIMEOUT_MS / 1_000),
+            )
+        try:
+            async with self._session.get(f"http://{address}{path}") as response:
+                status, body = response.status, await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise PeerError(repr(error), step="ask leader", peer=address) from error
+        if status != 200:
+            raise PeerError(f"status {status}", step="ask leader", peer=address)
+        return json.loads(body)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+
+class PeerServer:
+    """Answers other entry VMs.
+
+    :param scheduler: returns the scheduler if this entry VM leads.
+    """
+
+    def __init__(self, scheduler: Callable[[], Scheduler | None]) -> None:
+        self._scheduler = scheduler
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a question."""
+        scheduler = self._scheduler()
+        if scheduler is None:
+            return web.Response(status=NOT_LEADING_STATUS)
+        reply = new_reply()
+        kind, _, name = request.path.lstrip("/").partition("/")
+        if kind == "jobs":
+            scheduler.tell(Lookup(name, reply))
+        elif kind == "queues":
+            scheduler.tell(CountPending(name, reply))
+        else:
+            return web.Response(status=404)
+        try:
+            answer = await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
+        except TimeoutError:
+            return web.Response(status=503)
+        if isinstance(answer, JobView):
+            # JSON has no infinity.
+            age_ms = min(answer.view_age_ms, 1e9)
+            data = {"phase": answer.phase, "view_age_ms": round(age_ms)}
+        else:
+            data = {"pending_count": answer}
+        return web.Response(body=json.dumps(data).encode(), content_type="application/json")
--- /dev/null
+++ b/src/tarragoncart/ledger.py
@@ -0,0 +1,258 @@
+"""Jobs with their steps and tasks, as the leader knows them, and their records in the store."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from attrs import define, field
+
+from .charts import load_chart
+from .graph import StepSpec, Submission
+
+TASK_CHART = load_chart("task")
+
+# States of a task that has a run at an upstream.
+PLACED = frozenset(("assigned", "starting", "started", "unsure", "running", "stopping"))
+
+QUEUED = "queued"
+RUNNING = "running"
+COMPLETED = "completed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+ENDED = frozenset((COMPLETED, FAILED, CANCELLED))
+
+
+@define(eq=False)
+class Task:
+    """A task of one occurrence of a step.
+
+    :param run: number of its latest run, 0 before the first.
+    :param upstream_id: where that run is or was.
+    :param failed_count: runs that ended as failed and count against the queue's attempts.
+    :param failed_on: upstreams on which a run failed.
+    :param percent: share of full speed that the upstream reports.
+    :param load: tail latency in ms of a serving task, otherwise cpu in millicores.
+    :param confirmed_ms: time of the upstream's answer to the start; reports that were asked for
+        before then need not list the run.
+    """
+
+    step: StepRun
+    index: int
+    state: str = TASK_CHART.initial
+    run: int = 0
+    upstream_id: str = ""
+    failed_count: int = 0
+    checkpoint: str = ""
+    failed_on: set[str] = field(factory=set)
+    percent: int = 0
+    pace: int = 100
+    load: int = 0
+    assigned_ms: float = 0.0
+    confirmed_ms: float = 0.0
+    at_work_ms: float = 0.0
+    away_ms: float = 0.0
+    over_target_ms: float = 0.0
+    retry_ms: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """Name of the task at upstreams."""
+        return f"{self.step.name}.{self.index}"
+
+    @property
+    def placed(self) -> bool:
+        """Whether a run of it is at an upstream or on its way there."""
+        return self.state in PLACED
+
+    @property
+    def at_work(self) -> bool:
+        """Whether it works at full speed as far as known."""
+        return self.state == "running" and self.percent >= 100
+
+
+@define(eq=False)
+class StepRun:
+    """One occurrence of a step."""
+
+    job: Job
+    occurrence: int
+    number: int
+    spec: StepSpec
+    tasks: list[Task] = field(factory=list)
+    done_count: int = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the step, a prefix of its tasks' names."""
+        return f"{self.job.job_id}.{self.occurrence}.{self.number}"
+
+    @property
+    def done(self) -> bool:
+        """Whether all its tasks are done."""
+        return self.done_count == len(self.tasks) and not self.spec.long_running
+
+    @property
+    def ready(self) -> bool:
+        """Whether the steps that it depends on are done."""
+        steps = self.job.steps
+        return all(steps[self.occurrence, number].done for number in self.spec.depends_on)
+
+    def waiting(self) -> Iterator[Task]:
+        """Yield the tasks that have no run and want one."""
+        return (task for task in self.tasks if task.state == "waiting")
+
+    def upstream_counts(self) -> dict[str, int]:
+        """Return how many of its tasks each upstream has."""
+        counts: dict[str, int] = {}
+        for task in self.tasks:
+            if task.state in PLACED:
+                counts[task.upstream_id] = counts.get(task.upstream_id, 0) + 1
+        return counts
+
+
+@define(eq=False)
+class Job:
+    """An accepted job.
+
+    :param steps: step runs by occurrence and number of the step.
+    :param stored: its end is in the store and may be shown.
+    :param released_count: occurrences whose steps have been made.
+    """
+
+    submission: Submission
+    cancelled: bool = False
+    phase: str = QUEUED
+    ended_ms: int = 0
+    stored: bool = False
+    steps: dict[tuple[int, int], StepRun] = field(factory=dict)
+    released_count: int = 0
+
+    @property
+    def job_id(self) -> str:
+        """The caller's ID of the job."""
+        return self.submission.job_id
+
+    @property
+    def pool(self) -> str:
+        """Pool of upstreams that runs it."""
+        return self.submission.pool
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing of it may run any more."""
+        return self.phase in ENDED
+
+    @property
+    def occurrence_count(self) -> int:
+        """How often its steps run."""
+        return max(1, self.submission.spec.occurrence_count)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return the Unix time at which an occurrence may start."""
+        spec = self.submission.spec
+        if not spec.scheduled:
+            return self.submission.accepted_ms
+        return spec.first_due_ms + occurrence * spec.interval_ms
+
+    def release(self, occurrence: int) -> list[StepRun]:
+        """Make the steps of an occurrence."""
+        made = []
+        for number, spec in enumerate(self.submission.spec.steps):
+            step = StepRun(self, occurrence, number, spec)
+            step.tasks = [Task(step, index) for index in range(spec.task_count)]
+            self.steps[occurrence, number] = step
+            made.append(step)
+        self.released_count = max(self.released_count, occurrence + 1)
+        return made
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield all tasks that have been made."""
+        return (task for step in self.steps.values() for task in step.tasks)
+
+    def chain_ms(self) -> float:
+        """Return the estimate of its longest chain of work."""
+        lengths: list[float] = []
+        for spec in self.submission.spec.steps:
+            before = max((lengths[number] for number in spec.depends_on), default=0.0)
+            lengths.append(before + spec.estimate_ms)
+        return max(lengths, default=0.0)
+
+    def objective_ms(self) -> float:
+        """Return how long the job may take to be on time."""
+        submission = self.submission
+        return submission.stretch * self.chain_ms() + submission.target_latency_ms
+
+
+def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
+    """Split a task's name into job ID, occurrence, step and index; None if it is none."""
+    parts = name.rsplit(".", 3)
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+
+
+# Records of the topic of states: key ``ID`` holds the phase of an ended job, key ``ID.K.S`` rows
+# of [index, state, run, upstream, failures, checkpoint] of the tasks that have had a run.
+_STATE_CODES = {"done": "d", "exhausted": "x"}
+_PLACED_CODE = "p"
+_WAITING_CODE = "w"
+
+
+def encode_step(step: StepRun) -> bytes:
+    """Encode the state of a step's tasks."""
+    rows: list[list[Any]] = []
+    for task in step.tasks:
+        if not task.run and task.state == TASK_CHART.initial:
+            continue
+        placed = task.state in PLACED
+        code = _PLACED_CODE if placed else _STATE_CODES.get(task.state, _WAITING_CODE)
+        row: list[Any] = [task.index, code, task.run]
+        if code != "d":
+            row += [task.upstream_id if placed else "", task.failed_count, task.checkpoint]
+            while row[-1] in ("", 0) and len(row) > 3:
+                row.pop()
+        rows.append(row)
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def decode_step(step: StepRun, value: bytes) -> None:
+    """Set the state of a step's tasks from a record; runs that were placed count as assigned."""
+    states = {"d": "done", "x": "exhausted", _WAITING_CODE: "waiting", _PLACED_CODE: "started"}
+    for index, code, run, *rest in json.loads(value):
+        task = step.tasks[index]
+        upstream_id, failed_count, checkpoint = (*rest, *("", 0, "")[len(rest) :])
+        task.state = states[code]
+        task.run = run
+        task.upstream_id = upstream_id
+        task.failed_count = failed_count
+        task.checkpoint = checkpoint
+    step.done_count = sum(task.state == "done" for task in step.tasks)
+
+
+def encode_phase(job: Job) -> bytes:
+    """Encode the phase of an ended job."""
+    return json.dumps({"phase": job.phase, "at": job.ended_ms}, separators=(",", ":")).encode()
+
+
+def restore(jobs: dict[str, Job], entries: Iterable[tuple[str, bytes]]) -> list[str]:
+    """Apply the records of the topic of states to the accepted jobs.
+
+    :returns: keys that belong to no accepted job.
+    """
+    unknown: list[str] = []
+    for key, value in entries:
+        job_id, _, rest = key.partition(".")
+        job = jobs.get(job_id)
+        if job is None:
+            unknown.append(key)
+        elif not rest:
+            data = json.loads(value)
+            job.phase, job.ended_ms, job.stored = data["phase"], data["at"], True
+        else:
+            occurrence, number = (int(part) for part in rest.split("."))
+            while job.released_count <= occurrence:
+                job.release(job.released_count)
+            decode_step(job.steps[occurrence, number], value)
+    return unknown
--- /dev/null
+++ b/src/tarragoncart/link.py
@@ -0,0 +1,310 @@
+"""Link to one upstream: gives it orders, renews its lease and looks at its runs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import frozen
+
+from . import defaults
+from .errors import (
+    TarragoncartError,
+    UpstreamRefusedError,
+    UpstreamUnknownError,
+    UpstreamUnreachableError,
+)
+from .graph import UpstreamEntry
+from .mailbox import Actor, receives
+from .runs import StartOrder, UpstreamReport
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+
+
+class UpstreamCalls(Protocol):
+    """The calls to an upstream that a link uses."""
+
+    async def start(self, order: StartOrder, until_ms: int, epoch: int) -> int: ...
+
+    async def stop(self, task_name: str, run: int, epoch: int) -> int: ...
+
+    async def pace(self, task_name: str, run: int, percent: int, epoch: int) -> int: ...
+
+    async def hold(
+        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, epoch: int
+    ) -> UpstreamReport: ...
+
+    async def close(self) -> None: ...
+
+
+ClientFactory = Callable[[str, str], UpstreamCalls]
+
+
+@frozen
+class Start:
+    """Start a run."""
+
+    order: StartOrder
+
+
+@frozen
+class Stop:
+    """Stop a run, until the upstream has confirmed it."""
+
+    task_name: str
+    run: int
+
+
+@frozen
+class Pace:
+    """Let a run work at a share of its speed."""
+
+    task_name: str
+    run: int
+    percent: int
+
+
+@frozen
+class Acknowledge:
+    """The ends up to this number are stored."""
+
+    number: int
+
+
+@frozen
+class Permit:
+    """Orders may be given until then."""
+
+    valid_until_ms: float
+
+
+@frozen
+class Reported:
+    """An upstream has listed its runs.
+
+    :param asked_ms: when it was asked.
+    :param lease_end_ms: when all its runs have ended if it is not reached any more.
+    """
+
+    upstream_id: str
+    report: UpstreamReport
+    asked_ms: float
+    lease_end_ms: float
+
+
+@frozen
+class Silent:
+    """An upstream did not answer a look.
+
+    :param reason: the error's text.
+    :param gone: another incarnation answered at its address.
+    """
+
+    upstream_id: str
+    reason: str
+    gone: bool
+    lease_end_ms: float
+
+
+@frozen
+class StartEnded:
+    """Outcome of a start.
+
+    :param outcome: ``accepted``, ``refused`` or ``unanswered``.
+    """
+
+    upstream_id: str
+    task_name: str
+    run: int
+    outcome: str
+    reason: str = ""
+
+
+@frozen
+class StopEnded:
+    """The upstream has confirmed a stop."""
+
+    upstream_id: str
+    task_name: str
+    run: int
+
+
+@frozen
+class FencedByUpstream:
+    """An upstream has seen a higher epoch."""
+
+    upstream_id: str
+
+
+class Link(Actor):
+    """Owns the connections to one upstream.
+
+    :param epoch: fences the orders of earlier leaders.
+    :param listener: gets reports and outcomes.
+    """
+
+    def __init__(
+        self,
+        entry: UpstreamEntry,
+        epoch: int,
+        lease_ms: int,
+        make_client: ClientFactory,
+        listener: Actor,
+        timer: Timer,
+    ) -> None:
+        super().__init__(f"link {entry.upstream_id}")
+        self._id = entry.upstream_id
+        self._epoch = epoch
+        self._lease_ms = lease_ms
+        self._client = make_client(entry.upstream_id, entry.address)
+        self._listener = listener
+        self._timer = timer
+        self._permitted_ms = 0.0
+        self._acknowledged = 0
+        self._reported = 0
+        self._wake = asyncio.Event()
+        # The upstream's clock when it last said it, and our time when it was asked.
+        self._clock: tuple[int, float] | None = None
+        self._lease_end_ms = 0.0
+
+    async def opened(self) -> None:
+        """Start looking at the upstream."""
+        self.spawn(self._watch())
+
+    @receives(Permit)
+    def on_permit(self, message: Permit) -> None:
+        """Keep until when orders may be given."""
+        self._permitted_ms = message.valid_until_ms
+
+    @receives(Acknowledge)
+    def on_acknowledge(self, message: Acknowledge) -> None:
+        """Take note of stored ends with the next look."""
+        if message.number > self._acknowledged:
+            self._acknowledged = message.number
+            self._wake.set()
+
+    @receives(Start)
+    def on_start(self, message: Start) -> None:
+        """Send a start."""
+        self.spawn(self._start(message.order))
+
+    @receives(Stop)
+    def on_stop(self, message: Stop) -> None:
+        """Send a stop."""
+        self.spawn(self._stop(message.task_name, message.run))
+
+    @receives(Pace)
+    def on_pace(self, message: Pace) -> None:
+        """Send a change of pace."""
+        self.spawn(self._pace(message))
+
+    def _permitted(self) -> bool:
+        return self._timer.now_ms() < self._permitted_ms
+
+    def _until_ms(self) -> int | None:
+        """Return the end of a new lease on the upstream's clock, None before it has said it."""
+        if self._clock is None:
+            return None
+        now_ms = self._timer.now_ms()
+        clock_ms, asked_ms = self._clock
+        drifted_ms = self._lease_ms / (1 - defaults.CLOCK_DRIFT_RATIO) + defaults.LEASE_MARGIN_MS
+        self._lease_end_ms = max(self._lease_end_ms, now_ms + drifted_ms)
+        return int(clock_ms + (now_ms - asked_ms) + self._lease_ms)
+
+    async def _start(self, order: StartOrder) -> None:
+        outcome, reason = "accepted", ""
+        until_ms = self._until_ms()
+        if until_ms is None or not self._permitted():
+            outcome, reason = "refused", "not permitted"
+        else:
+            try:
+                await self._client.start(order, until_ms, self._epoch)
+            except UpstreamRefusedError as error:
+                outcome, reason = "refused", error.reason
+            except UpstreamUnreachableError as error:
+                outcome, reason = "refused", str(error)
+            except UpstreamUnknownError as error:
+                outcome, reason = "unanswered", str(error)
+        self._note_fence(reason)
+        self._listener.tell(StartEnded(self._id, order.task_name, order.run, outcome, reason))
+
+    async def _stop(self, task_name: str, run: int) -> None:
+        delay_ms = defaults.STORE_RETRY_MS
+        while self._permitted():
+            try:
+                await self._client.stop(task_name, run, self._epoch)
+            except TarragoncartError as error:
+                reason = getattr(error, "reason", "")
+                self._note_fence(reason)
+                if reason in ("fence", "instance"):
+                    return
+                await asyncio.sleep(delay_ms / 1_000)
+                delay_ms = min(2 * delay_ms, 1_000)
+            else:
+                self._listener.tell(StopEnded(self._id, task_name, run))
+                return
+
+    async def _pace(self, order: Pace) -> None:
+        if not self._permitted():
+            return
+        try:
+            await self._client.pace(order.task_name, order.run, order.percent, self._epoch)
+        except TarragoncartError as error:
+            # The next report shows the pace in force, and the decision is taken again.
+            logger.info(
+                "pace was not set",
+                extra={"task": order.task_name, "upstream": self._id, "reason": str(error)},
+            )
+
+    def _note_fence(self, reason: str) -> None:
+        if reason == "fence":
+            self._listener.tell(FencedByUpstream(self._id))
+
+    async def _watch(self) -> None:
+        wait_ms = 0
+        while True:
+            if not self._permitted():
+                await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
+                continue
+            asked_ms = self._timer.now_ms()
+            try:
+                report = await self._client.hold(
+                    until_ms=self._until_ms(),
+                    acknowledged=self._acknowledged,
+                    wait_ms=wait_ms,
+                    epoch=self._epoch,
+                )
+            except TarragoncartError as error:
+                reason = getattr(error, "reason", "") or str(error)
+                self._note_fence(reason)
+                self._listener.tell(
+                    Silent(self._id, reason, reason == "instance", self._lease_end_ms)
+                )
+                await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
+                continue
+            first = self._clock is None
+            self._clock = (report.clock_ms, asked_ms)
+            self._listener.tell(Reported(self._id, report, asked_ms, self._lease_end_ms))
+            wait_ms = 0 if first else defaults.UPSTREAM_WAIT_MS
+            await self._wait_for_acknowledgement(report)
+
+    async def _wait_for_acknowledgement(self, report: UpstreamReport) -> None:
+        """Wait until the ends listed are stored: the next look would list them again at once."""
+        if not report.ended:
+            return
+        last = report.ended[-1].number
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + defaults.ACKNOWLEDGE_WAIT_MS / 1_000
+        while self._acknowledged < last:
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), max(0.0, deadline_s - loop.time()))
+            except TimeoutError:
+                return
+
+    async def closed(self) -> None:
+        """Close the connections."""
+        await self._client.close()
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -133,6 +133,8 @@
     def start(self) -> None:
         """Start the task."""
         self._runner = asyncio.get_running_loop().create_task(self._run(), name=self.name)
+        # An actor whose sockets cannot be opened must not fail in silence.
+        self._runner.add_done_callback(self._child_done)
 
     async def _run(self) -> None:
         await self.opened()
--- /dev/null
+++ b/src/tarragoncart/node.py
@@ -0,0 +1,350 @@
+"""Wiring of an entry VM on a platform whose store keeps all that must last."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import secrets
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from aiohttp import web
+from attrs import frozen
+
+from . import defaults, intake, logs
+from .election import (
+    Election,
+    Leader,
+    LeaderSeen,
+    LeadershipConfirmed,
+    LeadershipGained,
+    LeadershipLost,
+    Leave,
+)
+from .entrance import Entrance, LeaderKnown, RulesInForce
+from .follower import Follower, TopicChanges, TopicSnapshot
+from .graph import Rules, UpstreamEntry, VmEntry, WaveRequest
+from .leaderapi import PeerClient, PeerServer
+from .link import ClientFactory
+from .mailbox import Actor, new_reply, receives
+from .scheduler import PRODUCER, STATE_TOPIC, RulesChanged, Scheduler, WaveAsked
+from .storage import Entry
+from .timer import LoopTimer, Timer
+from .writer import Writer
+
+logger = logging.getLogger(__name__)
+
+
+@frozen
+class NodeSettings:
+    """Settings of an entry VM.
+
+    :param key_freshness_ms: a withdrawn key must not work for longer.
+    :param config_freshness_ms: a configuration must be in force by then.
+    :param lease_max_ms: longest lease that an upstream grants.
+    :param fence_quiet_ms: pause between the orders of two leaders for one VM.
+    :param retention_ms: how long the end of a job is told.
+    :param away_notice_ms: a task away for this long counts as away from its step.
+    """
+
+    name: str
+    data_centre: str
+    peer_address: str
+    caller_address: str
+    ready_address: str
+    store_address: str
+    fleet_address: str
+    advice_address: str
+    key_freshness_ms: int
+    config_freshness_ms: int
+    lease_max_ms: int
+    stop_ms: int
+    fence_quiet_ms: int
+    retention_ms: int
+    shutdown_ms: int
+    away_notice_ms: int
+    gang_ms: int
+    far_factor: float
+    early_ms: int
+    store_record_bytes: int
+    store_call_bytes: int
+    membership_ttl_min_ms: int
+
+
+class FleetCalls(Protocol):
+    """The calls for VMs that the scheduler uses."""
+
+    async def list_vms(self) -> tuple[VmEntry, ...]: ...
+
+    async def move(self, vm_id: str, pool: str, epoch: int) -> None: ...
+
+    async def maintain(self, vm_id: str, wave: int, epoch: int) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+@frozen
+class Adapter:
+    """What an entry VM needs of a platform: its clients, topics and codecs."""
+
+    make_store: Callable[[], Any]
+    make_client: ClientFactory
+    make_fleet: Callable[[], FleetCalls] | None
+    operator_topic: str
+    upstream_topic: str
+    status_topic: str
+    config_key: str
+    wave_prefix: str
+    decode_rules: Callable[[bytes], Rules]
+    decode_wave: Callable[[bytes], WaveRequest]
+    decode_upstream: Callable[[str, bytes], UpstreamEntry]
+    wave_status_record: Callable[[int, bool], tuple[str, bytes]]
+    make_caller_server: Callable[[Entrance, Timer], Any]
+
+
+class Node(Actor):
+    """Follows the operators' records and the leadership, and runs the scheduler while leading."""
+
+    def __init__(self, settings: NodeSettings, adapter: Adapter, timer: Timer) -> None:
+        super().__init__("node")
+        self._settings = settings
+        self._adapter = adapter
+        self._timer = timer
+        self.incarnation = f"{settings.name}/{secrets.token_hex(4)}"
+        self._rules: Rules | None = None
+        self._waves: dict[str, WaveRequest] = {}
+        self._leader: Leader | None = None
+        self.scheduler: Scheduler | None = None
+        self.intake_writer = Writer(
+            "intake writer",
+            adapter.make_store(),
+            intake.TOPIC,
+            self.incarnation,
+            1,
+            timer,
+            call_bytes=settings.store_call_bytes // 2,
+        )
+        self.election = Election(
+            self.incarnation,
+            settings.peer_address,
+            adapter.make_store(),
+            self,
+            timer,
+            ttl_ms=max(defaults.MEMBERSHIP_TTL_MS, settings.membership_ttl_min_ms),
+        )
+        self.entrance = Entrance(
+            self.intake_writer,
+            PeerClient(),
+            self.election,
+            timer,
+            key_freshness_ms=settings.key_freshness_ms,
+            config_freshness_ms=settings.config_freshness_ms,
+        )
+        self._follower = Follower(
+            adapter.make_store(),
+            adapter.operator_topic,
+            self,
+            timer,
+            wait_ms=defaults.RULES_WAIT_MS,
+        )
+
+    async def opened(self) -> None:
+        """Start the parts; the election starts with the first configuration."""
+        for actor in (self.intake_writer, self.entrance, self._follower):
+            actor.start()
+
+    async def closed(self) -> None:
+        """Stop the parts."""
+        scheduler = [self.scheduler] if self.scheduler else []
+        parts = (*scheduler, self.election, self._follower, self.entrance, self.intake_writer)
+        for part in parts:
+            await part.stop()
+
+    @receives(TopicSnapshot)
+    def on_snapshot(self, message: TopicSnapshot) -> None:
+        """Take in all that operators have written."""
+        self._take(message.entries, message.as_of_ms)
+
+    @receives(TopicChanges)
+    def on_changes(self, message: TopicChanges) -> None:
+        """Take in what operators have written since."""
+        self._take(message.entries, message.as_of_ms)
+
+    def _take(self, entries: tuple[Entry, ...], as_of_ms: float) -> None:
+        for entry in entries:
+            if not entry.value:
+                continue
+            try:
+                if entry.key == self._adapter.config_key:
+                    self._take_rules(self._adapter.decode_rules(entry.value), entry)
+                elif entry.key.startswith(self._adapter.wave_prefix):
+                    self._take_wave(entry.key, self._adapter.decode_wave(entry.value))
+            except (ValueError, TypeError, KeyError, AttributeError) as error:
+                logger.error(
+                    "operators' record skipped",
+                    extra={"key": entry.key, "offset": entry.offset, "reason": repr(error)},
+                )
+        if self._rules is not None:
+            self.entrance.tell(RulesInForce(self._rules, as_of_ms))
+
+    def _take_rules(self, rules: Rules, entry: Entry) -> None:
+        if self._rules is not None and rules.version <= self._rules.version:
+            return
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": rules.version,
+                "offset": entry.offset,
+                "queue_count": len(rules.queues),
+                "account_count": len(rules.accounts),
+            },
+        )
+        first = self._rules is None
+        self._rules = rules
+        if first:
+            self.election.start()
+        elif self.scheduler is not None:
+            self.scheduler.tell(RulesChanged(rules))
+
+    def _take_wave(self, key: str, wave: WaveRequest) -> None:
+        if self._waves.get(key) == wave:
+            return
+        self._waves[key] = wave
+        logger.info(
+            "maintenance asked for",
+            extra={
+                "wave": wave.number,
+                "vm_count": len(wave.vm_ids),
+                "within_s": wave.within_s,
+                "concurrent_count": wave.concurrent_count,
+            },
+        )
+        if self.scheduler is not None:
+            self.scheduler.tell(WaveAsked(wave))
+
+    @receives(LeadershipGained)
+    def on_gained(self, message: LeadershipGained) -> None:
+        """Start scheduling."""
+        assert self._rules is not None
+        adapter, settings = self._adapter, self._settings
+        writer = Writer(
+            "state writer",
+            adapter.make_store(),
+            STATE_TOPIC,
+            PRODUCER,
+            message.epoch,
+            self._timer,
+            persistent=True,
+            call_bytes=settings.store_call_bytes // 2,
+        )
+        self.scheduler = Scheduler(
+            message.epoch,
+            self._rules,
+            adapter.make_store,
+            writer,
+            self.intake_writer,
+            self.election,
+            adapter.make_client,
+            adapter.upstream_topic,
+            adapter.decode_upstream,
+            self._timer,
+            lease_ms=min(settings.lease_max_ms, defaults.UPSTREAM_LEASE_MS),
+            retention_ms=settings.retention_ms,
+            away_notice_ms=settings.away_notice_ms,
+        )
+        self.scheduler.start()
+        for wave in self._waves.values():
+            self.scheduler.tell(WaveAsked(wave))
+        self._tell_leader()
+
+    @receives(LeadershipConfirmed)
+    def on_confirmed(self, message: LeadershipConfirmed) -> None:
+        """Let the scheduler go on."""
+        if self.scheduler is not None:
+            self.scheduler.tell(message)
+
+    @receives(LeadershipLost)
+    def on_lost(self, message: LeadershipLost) -> None:
+        """Stop scheduling."""
+        scheduler, self.scheduler = self.scheduler, None
+        if scheduler is not None:
+            self.spawn(scheduler.stop())
+        self._tell_leader()
+
+    @receives(LeaderSeen)
+    def on_leader_seen(self, message: LeaderSeen) -> None:
+        """Keep the leader with the highest epoch."""
+        if self._leader is not None and message.leader.epoch <= self._leader.epoch:
+            return
+        self._leader = message.leader
+        logger.info(
+            "leader known", extra={"leader": message.leader.name, "epoch": message.leader.epoch}
+        )
+        self._tell_leader()
+
+    def _tell_leader(self) -> None:
+        self.entrance.tell(LeaderKnown(self._leader, self.scheduler))
+
+
+async def _listen(
+    address: str, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+) -> web.ServerRunner:
+    """Serve HTTP on an address, without the router of a whole application."""
+    host, _, port = address.rpartition(":")
+    runner = web.ServerRunner(web.Server(handler, access_log=None))
+    await runner.setup()
+    listener = socket.create_server((host, int(port)), backlog=1_024)
+    await web.SockSite(runner, listener).start()
+    return runner
+
+
+async def serve(settings: NodeSettings, adapter: Adapter) -> None:
+    """Run an entry VM until SIGTERM or SIGINT."""
+    timer = LoopTimer()
+    node = Node(settings, adapter, timer)
+    callers = adapter.make_caller_server(node.entrance, timer)
+    peers = PeerServer(lambda: node.scheduler)
+    runners = [
+        await _listen(settings.ready_address, callers.handle_ready),
+        await _listen(settings.peer_address, peers.handle),
+        await _listen(settings.caller_address, callers.handle),
+    ]
+    node.start()
+    logger.info(
+        "started",
+        extra={"incarnation": node.incarnation, "data_centre": settings.data_centre},
+    )
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(defaults.GC_THRESHOLD_COUNT, 20, 50)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_hangup)
+    await stopped.wait()
+    logger.info("stopping", extra={"incarnation": node.incarnation})
+    callers.draining = True
+    left = new_reply()
+    node.election.tell(Leave(left))
+    # The load balancer needs two looks to send new callers elsewhere.
+    await asyncio.sleep(min(defaults.DRAIN_SERVE_MS, settings.shutdown_ms / 2) / 1_000)
+    for runner in runners:
+        for site in tuple(runner.sites):
+            await site.stop()
+    await asyncio.sleep(defaults.DRAIN_CLOSE_MS / 1_000)
+    await node.stop()
+    logger.info("stopped", extra={"incarnation": node.incarnation})
+
+
+def _note_hangup() -> None:
+    logger.info("settings may have changed; none of them can change while running")
+
+
+def run(settings: NodeSettings, adapter: Adapter) -> None:
+    """Run an entry VM."""
+    logs.setup_logging("info", settings.name)
+    asyncio.run(serve(settings, adapter))
--- /dev/null
+++ b/src/tarragoncart/platform/boot.py
@@ -0,0 +1,68 @@
+"""Reads the settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from ..errors import SettingsError
+from ..node import NodeSettings
+
+SETTINGS_VARIABLE = "TARRAGONCART_SETTINGS"
+
+
+def load_settings(environ: Mapping[str, str] = os.environ) -> NodeSettings:
+    """Read the settings that the environment points to.
+
+    :raises SettingsError: if the file is missing, unreadable or lacks a field.
+    """
+    path = environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise SettingsError("variable is not set", step="load settings", peer=SETTINGS_VARIABLE)
+    try:
+        with open(path, "rb") as file:
+            return decode_settings(tomllib.load(file))
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(str(error), step="load settings", peer=path) from error
+
+
+def decode_settings(data: Mapping[str, Any]) -> NodeSettings:
+    """Turn the decoded file into settings; unknown fields are ignored.
+
+    :raises SettingsError: naming the missing or malformed field.
+    """
+    try:
+        bounds = data["bounds"]
+        inner_port = int(data["port-range"][0])
+        return NodeSettings(
+            name=data["node"],
+            data_centre=data["zone"],
+            # The first of the ports that are free for use between our own processes.
+            peer_address=f"{data['ip']}:{inner_port}",
+            caller_address=data["listen-addrs"]["front"],
+            ready_address=data["listen-addrs"]["ready"],
+            store_address=data["platform"]["address"],
+            store_record_bytes=int(data["platform"].get("record-bytes", 262_144)),
+            store_call_bytes=int(data["platform"].get("call-bytes", 2_097_152)),
+            membership_ttl_min_ms=int(data["platform"].get("ttl-min-ms", 1_000)),
+            fleet_address=data.get("cloud", {}).get("address", ""),
+            advice_address=data.get("advice", ""),
+            key_freshness_ms=int(bounds["revoke-ms"]),
+            config_freshness_ms=int(bounds["config-ms"]),
+            # Longest lease that an upstream grants.
+            lease_max_ms=int(bounds["hold-max-ms"]),
+            stop_ms=int(bounds["stop-ms"]),
+            fence_quiet_ms=int(bounds["lease-ms"]),
+            retention_ms=int(bounds["status_s"] * 1_000),
+            shutdown_ms=int(bounds["grace-s"] * 1_000),
+            away_notice_ms=int(bounds.get("notice-ms", 4_500)),
+            gang_ms=int(bounds.get("gang-ms", 3_000)),
+            far_factor=float(bounds.get("far-x", 1.0)),
+            early_ms=int(bounds.get("early_ms", 0)),
+        )
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        raise SettingsError(
+            f"missing or malformed field: {error!r}", step="load settings", peer="settings"
+        ) from error
--- /dev/null
+++ b/src/tarragoncart/platform/callers.py
@@ -0,0 +1,149 @@
+"""Speaks to callers: decodes their requests and encodes the answers."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from aiohttp import web
+
+from .. import defaults
+from ..entrance import Accepted, Ask, Caller, Cancel, Entrance, PendingCount, Phase, Submit
+from ..errors import InboxFullError, RequestError
+from ..graph import JobSpec, StepSpec
+from ..mailbox import new_reply
+from ..timer import Timer
+from .operator import decode_demand
+from .wire import dump_json, flag, load_json, text, whole
+
+logger = logging.getLogger(__name__)
+
+TASK_LIMIT_COUNT = 20_000
+
+
+def decode_job(body: bytes) -> JobSpec:
+    """Decode a submitted job.
+
+    :raises ValueError: if it is malformed.
+    """
+    data = load_json(body)
+    if not isinstance(data, dict) or not isinstance(data.get("steps"), list):
+        raise ValueError("a job needs steps")
+    steps = tuple(_decode_step(number, step) for number, step in enumerate(data["steps"]))
+    if not steps or sum(step.task_count for step in steps) > TASK_LIMIT_COUNT:
+        raise ValueError("a job needs some tasks, and not too many")
+    return JobSpec(
+        text=text(data, "spec"),
+        steps=steps,
+        occurrence_count=whole(data, "times"),
+        first_due_ms=whole(data, "first-ms"),
+        interval_ms=whole(data, "interval-ms"),
+    )
+
+
+def _decode_step(number: int, data: Any) -> StepSpec:
+    if not isinstance(data, dict):
+        raise ValueError(f"step {number} is no table")
+    depends_on = tuple(int(other) for other in data.get("depends-on") or ())
+    if any(not 0 <= other < number for other in depends_on):
+        raise ValueError(f"step {number} depends on a step that is not before it")
+    return StepSpec(
+        task_count=max(1, whole(data, "count", 1)),
+        demand=decode_demand(data),
+        estimate_ms=whole(data, "est-ms"),
+        depends_on=depends_on,
+        gang=flag(data, "gang"),
+        same_rack=flag(data, "same-rack"),
+        # ``affinity`` names the rack with the data.
+        rack=text(data, "affinity"),
+        label=text(data, "requirements"),
+        # ``anti-affinity`` is a number: most tasks on one upstream.
+        max_per_upstream_count=whole(data, "anti-affinity"),
+        speculative=flag(data, "speculative"),
+        checkpointing=flag(data, "checkpointing"),
+        long_running=flag(data, "long-running"),
+        image=text(data, "image"),
+        target_tail_ms=whole(data, "target-ms"),
+        fills=flag(data, "fills"),
+        max_away_count=whole(data, "may-miss") if "may-miss" in data else None,
+    )
+
+
+class CallerServer:
+    """Handlers of the callers' interface."""
+
+    def __init__(self, entrance: Entrance, timer: Timer) -> None:
+        self._entrance = entrance
+        self._timer = timer
+        self.draining = False
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request."""
+        try:
+            answer = await self._dispatch(request)
+        except RequestError as error:
+            answer = error
+        except InboxFullError as error:
+            logger.warning("request refused: too many wait", extra={"reason": str(error)})
+            answer = RequestError("busy", code="busy", status=503, step="answer caller")
+        response = _encode(answer)
+        if self.draining:
+            response.force_close()
+        return response
+
+    async def _dispatch(self, request: web.BaseRequest) -> Any:
+        caller = Caller(
+            hostname=request.headers.get("Host", "").partition(":")[0],
+            path=request.path,
+            key=request.headers.get("Api-Key", ""),
+            received_ms=self._timer.now_ms(),
+            deadline_ms=_number(request.headers.get("Deadline-Ms", "")),
+        )
+        reply = new_reply()
+        if request.method == "POST":
+            body = await request.read()
+            try:
+                spec = decode_job(body)
+            except (ValueError, TypeError, AttributeError) as error:
+                raise RequestError(
+                    str(error), code="invalid", status=400, step="decode job"
+                ) from error
+            self._entrance.tell(Submit(caller, spec, reply))
+        elif request.method == "GET":
+            self._entrance.tell(Ask(caller, reply))
+        elif request.method == "DELETE":
+            self._entrance.tell(Cancel(caller, reply))
+        else:
+            raise RequestError("no such call", code="invalid", status=405, step="answer caller")
+        return await reply
+
+    async def handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell the load balancer whether new callers should come here."""
+        ready = self._entrance.ready and not self.draining
+        return web.Response(status=200 if ready else 503)
+
+
+def _number(value: str) -> int:
+    return int(value) if value.isdigit() else 0
+
+
+def _encode(answer: Any) -> web.Response:
+    match answer:
+        case Accepted():
+            return _json(200, {})
+        case Phase(phase):
+            return _json(200, {"phase": phase})
+        case PendingCount(count):
+            return _json(200, {"pending": count})
+        case RequestError():
+            headers = {}
+            if answer.status in (429, 503):
+                headers["Retry-After"] = str(defaults.RETRY_AFTER_S)
+            return _json(answer.status, {"error": answer.code}, headers)
+    raise TypeError(f"no encoding for {answer!r}")
+
+
+def _json(status: int, data: Any, headers: dict[str, str] | None = None) -> web.Response:
+    return web.Response(
+        status=status, body=dump_json(data), content_type="application/json", headers=headers
+    )
--- /dev/null
+++ b/src/tarragoncart/platform/main.py
@@ -0,0 +1,42 @@
+"""Starts an entry VM on the users' platform."""
+
+from __future__ import annotations
+
+from .. import node
+from . import operator
+from .boot import load_settings
+from .callers import CallerServer
+from .store import Store
+from .upstreams import UpstreamClient
+from .vms import VmClient
+
+
+def make_adapter(settings: node.NodeSettings) -> node.Adapter:
+    """Return the platform's clients and codecs for an entry VM."""
+    fleet = None
+    if settings.fleet_address:
+
+        def fleet() -> VmClient:
+            return VmClient(settings.fleet_address, settings.name)
+
+    return node.Adapter(
+        make_store=lambda: Store(settings.store_address),
+        make_client=UpstreamClient,
+        make_fleet=fleet,
+        operator_topic=operator.OPERATOR_TOPIC,
+        upstream_topic=operator.UPSTREAM_TOPIC,
+        status_topic=operator.STATUS_TOPIC,
+        config_key=operator.CONFIG_KEY,
+        wave_prefix=operator.WAVE_PREFIX,
+        decode_rules=operator.decode_rules,
+        decode_wave=operator.decode_wave,
+        decode_upstream=operator.decode_upstream,
+        wave_status_record=operator.wave_status_record,
+        make_caller_server=CallerServer,
+    )
+
+
+def main() -> None:
+    """Run an entry VM with the settings that the platform provides."""
+    settings = load_settings()
+    node.run(settings, make_adapter(settings))
--- /dev/null
+++ b/src/tarragoncart/platform/operator.py
@@ -0,0 +1,135 @@
+"""Decodes what operators and upstreams write into the store, and encodes our status there."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..graph import (
+    AccountRule,
+    Demand,
+    PoolRule,
+    QueueRule,
+    Rules,
+    UpstreamEntry,
+    WaveRequest,
+)
+from .wire import dump_json, flag, load_json, text, whole
+
+OPERATOR_TOPIC = "keyed.op"
+UPSTREAM_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+CONFIG_KEY = "config"
+WAVE_PREFIX = "wave/"
+
+
+def decode_demand(data: Any) -> Demand:
+    """Decode resources; fields left out are zero.
+
+    :raises ValueError: for fields of another type.
+    """
+    if not isinstance(data, dict):
+        raise ValueError(f"no table of resources: {data!r}")
+    return Demand(whole(data, "cpu"), whole(data, "mem-mb"), whole(data, "gpu"))
+
+
+def decode_rules(body: bytes) -> Rules:
+    """Decode a configuration.
+
+    :raises ValueError: if it is malformed.
+    """
+    data = load_json(body)
+    if not isinstance(data, dict):
+        raise ValueError("configuration is no table")
+    tenants = data.get("tenants", ())
+    return Rules(
+        version=whole(data, "version"),
+        queues=tuple(_decode_queue(route) for route in data.get("routes", ())),
+        pools={
+            service["name"]: PoolRule(
+                service["name"], flag(service, "spare"), flag(service, "admission-check")
+            )
+            for service in data.get("services", ())
+        },
+        accounts={
+            tenant["name"]: AccountRule(
+                tenant["name"],
+                float(tenant.get("weight", 1) or 1),
+                decode_demand(tenant.get("cap") or {}),
+            )
+            for tenant in tenants
+        },
+        accounts_by_key={
+            key: tenant["name"] for tenant in tenants for key in tenant.get("api-keys", ())
+        },
+        body_size_bytes=whole(data.get("limits", {}), "max-body-bytes", 256 * 1024),
+    )
+
+
+def _decode_queue(route: dict[str, Any]) -> QueueRule:
+    return QueueRule(
+        name=route["name"],
+        pool=text(route, "backend"),
+        hostname=text(route, "hostname"),
+        path_prefix=text(route, "path-prefix"),
+        priority=whole(route, "priority-class"),
+        max_attempts=max(1, whole(route, "max-attempts", 1)),
+        stretch=float(route.get("stretch", 1) or 1),
+        target_latency_ms=whole(route, "target-latency-ms"),
+        public=flag(route, "public"),
+        needs_advice=bool(route.get("advice")),
+    )
+
+
+def decode_wave(body: bytes) -> WaveRequest:
+    """Decode a request for maintenance.
+
+    :raises ValueError: if it is malformed.
+    """
+    data = load_json(body)
+    return WaveRequest(
+        number=whole(data, "wave"),
+        vm_ids=tuple(str(vm) for vm in data.get("machines", ())),
+        within_s=float(data.get("within-s", 0)),
+        # ``cap`` is here the number of VMs that may be down at once.
+        concurrent_count=max(1, whole(data, "cap", 1)),
+    )
+
+
+def wave_status_record(number: int, completed: bool) -> tuple[str, bytes]:
+    """Return the status record of a wave."""
+    phase = "completed" if completed else "running"
+    return f"wave/{number}", dump_json({"wave": number, "phase": phase})
+
+
+def decode_upstream(upstream_id: str, body: bytes) -> UpstreamEntry:
+    """Decode an upstream's registration.
+
+    :raises ValueError: if fields are missing, of another type or have unknown words.
+    """
+    data = load_json(body)
+    if not isinstance(data, dict):
+        raise ValueError("entry is no table")
+    phase = text(data, "phase")
+    if phase not in ("ready", "draining"):
+        raise ValueError(f"unknown phase {phase!r}")
+    address = text(data, "address")
+    if ":" not in address:
+        raise ValueError(f"no address: {address!r}")
+    pool = text(data, "backend")
+    if not pool:
+        raise ValueError("no backend")
+    labels = data.get("labels", ())
+    if not isinstance(labels, list):
+        raise ValueError("labels is no list")
+    return UpstreamEntry(
+        upstream_id=upstream_id,
+        pool=pool,
+        address=address,
+        data_centre=text(data, "zone"),
+        draining=phase == "draining",
+        capacity=decode_demand(data.get("capacity")),
+        labels=frozenset(str(label) for label in labels),
+        born_ms=whole(data, "born"),
+        leaving_ms=whole(data, "remaining-ms"),
+        cold_left_ms=whole(data, "cold-left-ms"),
+    )
--- /dev/null
+++ b/src/tarragoncart/platform/upstreams.py
@@ -0,0 +1,132 @@
+"""Client of one upstream: starts, stops and paces tasks, renews its lease, lists its runs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+
+from ..errors import UpstreamRefusedError, UpstreamUnknownError, UpstreamUnreachableError
+from ..runs import EndedRun, LiveRun, StartOrder, UpstreamReport
+from .wire import dump_json, load_json, whole
+
+CALL_TIMEOUT_MS = 1_500
+CONNECT_TIMEOUT_MS = 800
+CONNECTION_COUNT = 8
+# Codes of the platform for why a task ended, by our names.
+_OUTCOMES = {
+    "done": "done",
+    "failed": "failed",
+    "stopped": "stopped",
+    "lapsed": "lapsed",
+    "broken": "broken",
+    "alone": "alone",
+}
+
+
+class UpstreamClient:
+    """HTTP calls to one upstream, owned by one task.
+
+    :param upstream_id: incarnation that the calls are meant for; any other one refuses them.
+    """
+
+    def __init__(self, upstream_id: str, address: str) -> None:
+        self.upstream_id = upstream_id
+        self.address = address
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+        self._headers = {"Expect-Instance": upstream_id, "Content-Type": "application/json"}
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def start(self, order: StartOrder, until_ms: int, epoch: int) -> int:
+        """Start a task and return the upstream's clock.
+
+        :raises UpstreamRefusedError: it was not started.
+        :raises UpstreamUnknownError: it may have been started, or may be later.
+        """
+        body: dict[str, Any] = {
+            "task": order.task_name,
+            "run": order.run,
+            "spec": order.text,
+            "until-ms": until_ms,
+            "fencing-token": epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return whole(await self._call("start", "/run-start", body), "clock-ms")
+
+    async def stop(self, task_name: str, run: int, epoch: int) -> int:
+        """Stop a run, also one that has not arrived yet, and return the upstream's clock."""
+        body = {"task": task_name, "run": run, "fencing-token": epoch}
+        return whole(await self._call("stop", "/run-stop", body), "clock-ms")
+
+    async def pace(self, task_name: str, run: int, percent: int, epoch: int) -> int:
+        """Let a run work at a share of its speed and return the upstream's clock."""
+        body = {"task": task_name, "run": run, "percent": percent, "fencing-token": epoch}
+        return whole(await self._call("pace", "/pace", body), "clock-ms")
+
+    async def hold(
+        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, epoch: int
+    ) -> UpstreamReport:
+        """Renew the lease of all runs, acknowledge ends and list runs and new ends.
+
+        :param wait_ms: how long the upstream may wait for an end.
+        """
+        body: dict[str, Any] = {"fencing-token": epoch, "ack-cursor": acknowledged}
+        if until_ms is not None:
+            body["until-ms"] = until_ms
+        if wait_ms:
+            body["wait-ms"] = wait_ms
+        data = await self._call("hold", "/hold", body, wait_ms)
+        return UpstreamReport(
+            clock_ms=whole(data, "clock-ms"),
+            born_ms=whole(data, "born"),
+            live=tuple(
+                LiveRun(row[0], int(row[1]), row[2], int(row[3]), int(row[4]) if row[4:] else 0)
+                for row in data.get("running", ())
+            ),
+            ended=tuple(
+                EndedRun(int(row[0]), row[1], int(row[2]), _OUTCOMES.get(row[3], row[3]), row[4])
+                for row in data.get("finished", ())
+            ),
+        )
+
+    async def _call(
+        self, step: str, path: str, body: dict[str, Any], wait_ms: int = 0
+    ) -> dict[str, Any]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=CONNECTION_COUNT, keepalive_timeout=10),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            )
+        timeout = aiohttp.ClientTimeout(
+            total=(CALL_TIMEOUT_MS + wait_ms) / 1_000, sock_connect=CONNECT_TIMEOUT_MS / 1_000
+        )
+        try:
+            async with self._session.post(
+                self._base + path, data=dump_json(body), headers=self._headers, timeout=timeout
+            ) as response:
+                status, content = response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamUnreachableError(str(error), step=step, peer=self.address) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise UpstreamUnknownError(repr(error), step=step, peer=self.address) from error
+        try:
+            data = load_json(content) if content else {}
+        except ValueError as error:
+            raise UpstreamUnknownError(repr(error), step=step, peer=self.address) from error
+        if status == 200:
+            return data
+        reasons = {421: "instance", 400: "invalid", 429: "unhealthy", 503: "unhealthy"}
+        reason = data.get("reason") if status == 409 else reasons.get(status)
+        if not reason:
+            raise UpstreamUnknownError(f"status {status}", step=step, peer=self.address)
+        raise UpstreamRefusedError(reason, step=step, peer=self.address)
--- /dev/null
+++ b/src/tarragoncart/platform/vms.py
@@ -0,0 +1,120 @@
+"""Client of the platform's list of VMs: reads it, moves VMs between pools, reboots them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+
+from ..errors import FleetRefusedError, FleetUnknownError
+from ..graph import VmEntry
+from .operator import decode_demand
+from .wire import dump_json, load_json, text
+
+CALL_TIMEOUT_MS = 2_000
+RACK_PREFIX = "r"
+
+
+class VmClient:
+    """HTTP calls to the platform's fleet interface, owned by one task.
+
+    :param holder: name under which orders are given.
+    """
+
+    def __init__(self, address: str, holder: str) -> None:
+        self.address = address
+        self._holder = holder
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def list_vms(self) -> tuple[VmEntry, ...]:
+        """Read the whole list of VMs.
+
+        :raises FleetRefusedError: the platform turned the call away.
+        :raises FleetUnknownError: no answer.
+        """
+        entries: list[VmEntry] = []
+        token = ""
+        while True:
+            path = "/machines" + (f"?page-token={token}" if token else "")
+            data = await self._call("list VMs", "GET", path, None, {})
+            entries.extend(_decode_vm(item) for item in data.get("machines", ()))
+            token = data.get("next-token") or ""
+            if not token:
+                return tuple(entries)
+
+    async def move(self, vm_id: str, pool: str, epoch: int) -> None:
+        """Move a VM to another pool; everything on it ends.
+
+        :raises FleetRefusedError: with the reason; nothing was done.
+        :raises FleetUnknownError: it may have been moved.
+        """
+        body = {"host-machine": vm_id, "pool": pool}
+        await self._call("move VM", "POST", "/machine-move", body, self._fence(epoch))
+
+    async def maintain(self, vm_id: str, wave: int, epoch: int) -> None:
+        """Take a VM down for its maintenance; everything on it ends.
+
+        :raises FleetRefusedError: with the reason; nothing was done.
+        :raises FleetUnknownError: it may have been taken down.
+        """
+        body = {"host-machine": vm_id, "wave": wave}
+        await self._call("maintain VM", "POST", "/machine-upkeep", body, self._fence(epoch))
+
+    def _fence(self, epoch: int) -> dict[str, str]:
+        return {"Lease-Holder": self._holder, "Fencing-Token": str(epoch)}
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        headers: dict[str, str],
+    ) -> dict[str, Any]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=2, keepalive_timeout=30),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_MS / 1_000),
+            )
+        if body is not None:
+            headers = {**headers, "Content-Type": "application/json"}
+        try:
+            async with self._session.request(
+                method,
+                f"http://{self.address}{path}",
+                data=None if body is None else dump_json(body),
+                headers=headers,
+            ) as response:
+                status, content = response.status, await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise FleetUnknownError(repr(error), step=step, peer=self.address) from error
+        try:
+            data = load_json(content) if content else {}
+        except ValueError as error:
+            raise FleetUnknownError(repr(error), step=step, peer=self.address) from error
+        if status == 200:
+            return data
+        reason = str(data.get("reason", "")) or f"status {status}"
+        raise FleetRefusedError(reason, step=step, peer=self.address)
+
+
+def _decode_vm(item: dict[str, Any]) -> VmEntry:
+    labels = [str(label) for label in item.get("labels", ())]
+    # The second label of a VM names its rack; the first one is its kind.
+    rack = labels[1] if len(labels) > 1 else ""
+    return VmEntry(
+        vm_id=text(item, "host-machine"),
+        pool=text(item, "pool"),
+        state=text(item, "phase"),
+        data_centre=text(item, "zone"),
+        rack=rack,
+        capacity=decode_demand(item.get("capacity") or {}),
+        upstream_id=item.get("id") or "",
+    )
--- a/src/tarragoncart/timer.py
+++ b/src/tarragoncart/timer.py
@@ -39,8 +39,8 @@
         self._scheduler = AsyncIOScheduler(asyncio.get_running_loop())
 
     def now_ms(self) -> float:
-        """Return the current time."""
-        return time.monotonic() * 1_000
+        """Return the current time; it goes on while the VM is suspended, as leases do."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1_000
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
--- /dev/null
+++ b/src/tarragoncart/writer.py
@@ -0,0 +1,207 @@
+"""Group commit: one task that appends to a partition of the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any, Protocol
+
+from attrs import define, evolve, frozen
+
+from . import defaults, metrics
+from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from .mailbox import Actor, receives, resolve
+from .storage import Appended, Producer
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+
+STORED = "stored"
+REFUSED = "refused"
+FENCED = "fenced"
+
+Record = tuple[str, bytes]
+
+
+class AppendStore(Protocol):
+    """The part of the store's client that a writer uses."""
+
+    async def append(
+        self,
+        topic: str,
+        records: Any,
+        *,
+        part: int = 0,
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+    ) -> Appended: ...
+
+    async def close(self) -> None: ...
+
+
+@frozen
+class Write:
+    """Store some records in order.
+
+    :param reply: resolved with ``stored``, ``refused`` (nothing was done) or ``fenced``.
+    """
+
+    records: tuple[Record, ...]
+    reply: asyncio.Future[str]
+
+
+@frozen
+class FlushEnded:
+    """An append has ended with this outcome."""
+
+    outcome: str
+
+
+@define
+class _Batch:
+    writes: list[Write]
+    sequence: int
+    sent_ms: float
+    unknown: bool = False
+
+
+class Writer(Actor):
+    """Appends to one topic; at most one append is under way.
+
+    An append without an answer is repeated with the same number, which the store carries out
+    once. Until its outcome is known nothing else is sent.
+
+    :param epoch: fences writers of the same producer with a lower one.
+    :param persistent: repeat refused appends as well, instead of passing the refusal on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: AppendStore,
+        topic: str,
+        producer: str,
+        epoch: int,
+        timer: Timer,
+        *,
+        persistent: bool = False,
+        call_bytes: int = defaults.STORE_CALL_BYTES,
+    ) -> None:
+        super().__init__(name)
+        self._store = store
+        self._topic = topic
+        self._producer = Producer(producer, epoch, 0)
+        self._timer = timer
+        self._persistent = persistent
+        self._call_bytes = call_bytes
+        self._waiting: list[Write] = []
+        self._batch: _Batch | None = None
+        self._fenced = False
+
+    @property
+    def stalled_ms(self) -> float:
+        """How long the append under way has been without an answer; 0 if there is none."""
+        return 0.0 if self._batch is None else self._timer.now_ms() - self._batch.sent_ms
+
+    @receives(Write)
+    def on_write(self, message: Write) -> None:
+        """Queue records for the next append."""
+        if self._fenced:
+            resolve(message.reply, FENCED)
+            return
+        self._waiting.append(message)
+        if self._batch is None:
+            self._flush()
+
+    def _flush(self) -> None:
+        size_bytes = 0
+        count = 0
+        for write in self._waiting:
+            size_bytes += sum(len(key) + len(value) + 5 for key, value in write.records)
+            if count and size_bytes > self._call_bytes:
+                break
+            count += 1
+        writes, self._waiting = self._waiting[:count], self._waiting[count:]
+        self._batch = _Batch(writes, self._producer.sequence, self._timer.now_ms())
+        self.spawn(self._append(self._batch))
+
+    async def _append(self, batch: _Batch) -> None:
+        delay_ms = defaults.STORE_RETRY_MS
+        while True:
+            outcome = await self._try(batch)
+            if outcome:
+                self.tell(FlushEnded(outcome))
+                return
+            await asyncio.sleep(delay_ms / 1_000)
+            delay_ms = min(2 * delay_ms, defaults.STORE_RETRY_MAX_MS)
+
+    async def _try(self, batch: _Batch) -> str:
+        records = [record for write in batch.writes for record in write.records]
+        producer = evolve(self._producer, sequence=batch.sequence)
+        try:
+            await self._store.append(self._topic, records, producer=producer)
+        except StoreUnknownError as error:
+            batch.unknown = True
+            self._log("append has no answer", error, batch)
+            return ""
+        except StoreRefusedError as error:
+            self._log("append refused", error, batch)
+            # After a lost answer a refusal says nothing about the earlier try.
+            return "" if self._persistent or batch.unknown else REFUSED
+        except StoreConflictError as error:
+            self._log("append conflicts", error, batch)
+            return self._resolve_conflict(error, batch)
+        metrics.APPENDS.add(1, metrics.labels(result=STORED))
+        return STORED
+
+    def _resolve_conflict(self, error: StoreConflictError, batch: _Batch) -> str:
+        if error.reason == "fenced":
+            return FENCED
+        if error.expected > batch.sequence and batch.unknown:
+            return STORED
+        batch.sequence = error.expected
+        return ""
+
+    def _log(self, text: str, error: Exception, batch: _Batch) -> None:
+        metrics.APPENDS.add(1, metrics.labels(result=type(error).__name__))
+        logger.warning(
+            text,
+            extra={
+                "topic": self._topic,
+                "sequence": batch.sequence,
+                "write_count": len(batch.writes),
+                "age_ms": round(self._timer.now_ms() - batch.sent_ms),
+                "reason": str(error),
+            },
+        )
+
+    @receives(FlushEnded)
+    def on_flush_ended(self, message: FlushEnded) -> None:
+        """Tell the askers, then append what has arrived meanwhile."""
+        batch, self._batch = self._batch, None
+        if batch is None:
+            return
+        if message.outcome != REFUSED:
+            self._producer = evolve(self._producer, sequence=batch.sequence + 1)
+        for write in batch.writes:
+            resolve(write.reply, message.outcome)
+        if message.outcome == FENCED:
+            self._fenced = True
+            self._refuse_waiting(FENCED)
+        elif self._waiting:
+            self._flush()
+
+    def _refuse_waiting(self, outcome: str) -> None:
+        waiting, self._waiting = self._waiting, []
+        for write in waiting:
+            resolve(write.reply, outcome)
+
+    def withdraw(self, reply: asyncio.Future[str]) -> bool:
+        """Take back a write that has not been sent; returns whether it was still waiting."""
+        before_count = len(self._waiting)
+        self._waiting = [write for write in self._waiting if write.reply is not reply]
+        return len(self._waiting) < before_count
+
+    async def closed(self) -> None:
+        """Close the connections to the store."""
+        await self._store.close()
