Drive maintenance waves; count leases from the answer's arrival

Change: an actor for the VMs with its state chart; upstreams are vacated before their VM goes down. The clock is taken with the time of the answer.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -170,3 +170,7 @@
 LOOKUP_RETRY_MS = 150
 DRAIN_SERVE_MS = 3_000
 DRAIN_CLOSE_MS = 700
+FLEET_TICK_MS = 300
+FLEET_RETRY_MS = 500
+# A task without saved progress is waited for this long before its upstream goes down.
+VACATE_PATIENCE_MS = 3_500
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -166,7 +166,7 @@
         self._acknowledged = 0
         self._reported = 0
         self._wake = asyncio.Event()
-        # The upstream's clock when it last said it, and our time when it was asked.
+        # The upstream's clock when it last said it, and our time when the answer came.
         self._clock: tuple[int, float] | None = None
         self._lease_end_ms = 0.0
 
@@ -209,10 +209,10 @@
         if self._clock is None:
             return None
         now_ms = self._timer.now_ms()
-        clock_ms, asked_ms = self._clock
+        clock_ms, read_ms = self._clock
         drifted_ms = self._lease_ms / (1 - defaults.CLOCK_DRIFT_RATIO) + defaults.LEASE_MARGIN_MS
         self._lease_end_ms = max(self._lease_end_ms, now_ms + drifted_ms)
-        return int(clock_ms + (now_ms - asked_ms) + self._lease_ms)
+        return int(clock_ms + (now_ms - read_ms) + self._lease_ms)
 
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
@@ -286,7 +286,9 @@
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
             first = self._clock is None
-            self._clock = (report.clock_ms, asked_ms)
+            # The clock was read when the answer was sent. Taken with the time of the question, it
+            # would seem ahead by the wait, and a lease would outlast what we count with.
+            self._clock = (report.clock_ms, self._timer.now_ms())
             self._listener.tell(Reported(self._id, report, asked_ms, self._lease_end_ms))
             wait_ms = 0 if first else defaults.UPSTREAM_WAIT_MS
             await self._wait_for_acknowledgement(report)
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any
 
 from aiohttp import web
 from attrs import frozen
@@ -26,13 +26,14 @@
 )
 from .entrance import Entrance, LeaderKnown, RulesInForce
 from .follower import Follower, TopicChanges, TopicSnapshot
-from .graph import Rules, UpstreamEntry, VmEntry, WaveRequest
+from .graph import Rules, UpstreamEntry, WaveRequest
 from .leaderapi import PeerClient, PeerServer
 from .link import ClientFactory
 from .mailbox import Actor, new_reply, receives
-from .scheduler import PRODUCER, STATE_TOPIC, RulesChanged, Scheduler, WaveAsked
+from .scheduler import PRODUCER, STATE_TOPIC, RulesChanged, Scheduler
 from .storage import Entry
 from .timer import LoopTimer, Timer
+from .vms import Fleet, FleetCalls, WaveAsked
 from .writer import Writer
 
 logger = logging.getLogger(__name__)
@@ -74,18 +75,6 @@
     membership_ttl_min_ms: int
 
 
-class FleetCalls(Protocol):
-    """The calls for VMs that the scheduler uses."""
-
-    async def list_vms(self) -> tuple[VmEntry, ...]: ...
-
-    async def move(self, vm_id: str, pool: str, epoch: int) -> None: ...
-
-    async def maintain(self, vm_id: str, wave: int, epoch: int) -> None: ...
-
-    async def close(self) -> None: ...
-
-
 @frozen
 class Adapter:
     """What an entry VM needs of a platform: its clients, topics and codecs."""
@@ -254,12 +243,49 @@
             lease_ms=min(settings.lease_max_ms, defaults.UPSTREAM_LEASE_MS),
             retention_ms=settings.retention_ms,
             away_notice_ms=settings.away_notice_ms,
+            make_fleet=self._fleet_factory(message.epoch, writer),
         )
         self.scheduler.start()
         for wave in self._waves.values():
             self.scheduler.tell(WaveAsked(wave))
         self._tell_leader()
 
+    def _fleet_factory(
+        self, epoch: int, state_writer: Writer
+    ) -> Callable[[Scheduler, dict[str, bytes]], Fleet] | None:
+        adapter, settings = self._adapter, self._settings
+        make_calls = adapter.make_fleet
+        if make_calls is None:
+            return None
+        # The first leader of all has no predecessor to take turns with.
+        quiet_ms = 0.0 if epoch == 1 else settings.fence_quiet_ms
+        quiet_until_ms = self._timer.now_ms() + quiet_ms
+
+        def make(scheduler: Scheduler, restored: dict[str, bytes]) -> Fleet:
+            status_writer = Writer(
+                "status writer",
+                adapter.make_store(),
+                adapter.status_topic,
+                PRODUCER,
+                epoch,
+                self._timer,
+                persistent=True,
+            )
+            return Fleet(
+                epoch,
+                make_calls(),
+                scheduler,
+                self.election,
+                state_writer,
+                status_writer,
+                adapter.wave_status_record,
+                restored,
+                self._timer,
+                quiet_until_ms,
+            )
+
+        return make
+
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Let the scheduler go on."""
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -15,7 +15,7 @@
 from .election import Fenced, LeadershipConfirmed
 from .errors import StoreRefusedError, StoreUnknownError
 from .follower import Follower, ReadStore, TopicChanges, TopicSnapshot, read_newest
-from .graph import Demand, Rules, UpstreamEntry, WaveRequest
+from .graph import Demand, Rules, UpstreamEntry
 from .ledger import TASK_CHART, Job, StepRun, Task
 from .link import (
     Acknowledge,
@@ -34,6 +34,8 @@
 from .runs import EndedRun, LiveRun, StartOrder
 from .storage import Entry
 from .timer import Timer
+from .upkeep import UpstreamLoad
+from .vms import WAVE_KEY_PREFIX, Loads, Readmit, Vacate, Vacated, WaveAsked
 from .writer import FENCED, STORED, Write, Writer
 
 logger = logging.getLogger(__name__)
@@ -51,13 +53,6 @@
     rules: Rules
 
 
-@frozen
-class WaveAsked:
-    """Operators ask for maintenance."""
-
-    wave: WaveRequest
-
-
 @frozen
 class JobView:
     """What the leader says of a job.
@@ -118,6 +113,8 @@
     :param link: None for one that is only known from the runs that it had.
     :param ended_seen: number of the last end taken in.
     :param lease_end_ms: when all its runs have ended if it is not reached any more.
+    :param vacate_ms: since when it is being emptied for a planned stop, 0 if it is not.
+    :param closing: what still runs there counts as away: its VM may go down any moment.
     """
 
     slot: Slot
@@ -126,6 +123,8 @@
     born_ms: int = 0
     ended_seen: int = 0
     reported_ms: float = 0.0
+    vacate_ms: float = 0.0
+    closing: bool = False
     strays: set[tuple[str, int]] = field(factory=set)
 
 
@@ -152,6 +151,7 @@
         lease_ms: int,
         retention_ms: int,
         away_notice_ms: int = 4_500,
+        make_fleet: Callable[[Scheduler, dict[str, bytes]], Actor] | None = None,
     ) -> None:
         super().__init__("scheduler")
         self._epoch = epoch
@@ -167,6 +167,8 @@
         self._lease_ms = lease_ms
         self._retention_ms = retention_ms
         self._away_notice_ms = away_notice_ms
+        self._make_fleet = make_fleet
+        self._fleet: Actor | None = None
         self._permitted_ms = 0.0
         self._jobs: dict[str, Job] = {}
         self._early_cancels: set[str] = set()
@@ -198,6 +200,10 @@
             self._election.tell(Fenced(self._epoch))
             return
         self._restored = await self._read_state()
+        if self._make_fleet is not None:
+            waves = {e.key: e.value for e in self._restored if e.key.startswith(WAVE_KEY_PREFIX)}
+            self._fleet = self._make_fleet(self, waves)
+            self._fleet.start()
         for topic, wait_ms, pause_ms in (
             (intake.TOPIC, defaults.INTAKE_WAIT_MS, 0),
             (self._upstream_topic, 0, defaults.UPSTREAM_LIST_PAUSE_MS),
@@ -224,8 +230,9 @@
     async def closed(self) -> None:
         """Stop what belongs to this epoch."""
         links = [upstream.link for upstream in self._upstreams.values() if upstream.link]
+        fleet = [self._fleet] if self._fleet else []
         await asyncio.gather(
-            *(actor.stop() for actor in (*self._followers, *links, self._writer)),
+            *(actor.stop() for actor in (*self._followers, *links, *fleet, self._writer)),
             return_exceptions=True,
         )
 
@@ -237,6 +244,12 @@
             if upstream.link is not None:
                 upstream.link.tell(Permit(message.valid_until_ms))
 
+    @receives(WaveAsked)
+    def on_wave(self, message: WaveAsked) -> None:
+        """Pass a request for maintenance on."""
+        if self._fleet is not None:
+            self._fleet.tell(message)
+
     @receives(FencedByUpstream)
     def on_fenced(self, message: FencedByUpstream) -> None:
         """Another leader has reached an upstream: resign."""
@@ -329,7 +342,7 @@
         """Apply the state that the store has to the jobs read."""
         self._loaded = True
         entries = self._restored or ()
-        unknown = ledger.restore(self._jobs, ((e.key, e.value) for e in entries if e.value))
+        unknown = ledger.restore(self._jobs, _job_records(entries))
         self._dropped_keys.extend(unknown)
         self._restored = None
         placed_count = 0
@@ -700,7 +713,8 @@
             return
         if live.checkpoint:
             task.checkpoint = live.checkpoint
-        task.percent, task.load = live.percent, live.load
+        task.percent = 0 if upstream.closing else live.percent
+        task.load = live.load
         if task.at_work and not task.at_work_ms:
             task.at_work_ms = self._timer.now_ms()
         if task.state != "running":
@@ -921,6 +935,8 @@
         for job in list(self._unfinished.values()):
             if job.released_count < job.occurrence_count:
                 self._admit(job)
+        if self._fleet is not None:
+            self._fleet.tell(Loads({load.upstream_id: load for load in self._loads()}))
         if any(self._ready.values()):
             self._request_pass()
 
@@ -930,6 +946,7 @@
             if now_ms - upstream.reported_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
                 slot.answering = False
             self._evacuate(upstream)
+            self._vacate(upstream, now_ms)
             return
         if now_ms < upstream.lease_end_ms:
             return
@@ -948,6 +965,101 @@
             if task.state == "running" and (spec.long_running or spec.checkpointing):
                 self._stop(task)
 
+    # Planned stops of VMs.
+
+    def _loads(self) -> Iterator[UpstreamLoad]:
+        waiting: Counter[str] = Counter()
+        for pool, steps in self._ready.items():
+            waiting[pool] = sum(1 for step in steps for _ in step.waiting())
+        for upstream_id, upstream in self._upstreams.items():
+            slot = upstream.slot
+            pool = slot.entry.pool
+            tasks = slot.tasks.values()
+            yield UpstreamLoad(
+                upstream_id,
+                pool,
+                len(slot.tasks),
+                sum(task.step.spec.long_running for task in tasks),
+                sum(task.step.spec.counted.cpu_millicores for task in tasks),
+                waiting[pool],
+            )
+
+    @receives(Vacate)
+    def on_vacate(self, message: Vacate) -> None:
+        """Give an upstream nothing new and move away what can be moved."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is None:
+            self._tell_vacated(message.upstream_id)
+            return
+        upstream.slot.cordoned = True
+        upstream.vacate_ms = self._timer.now_ms()
+        self._vacate(upstream, upstream.vacate_ms)
+
+    @receives(Readmit)
+    def on_readmit(self, message: Readmit) -> None:
+        """Let an upstream run tasks again."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            upstream.slot.cordoned = upstream.closing = False
+            upstream.vacate_ms = 0.0
+            self._request_pass()
+
+    def _vacate(self, upstream: _Upstream, now_ms: float) -> None:
+        if not upstream.vacate_ms:
+            return
+        slot = upstream.slot
+        patient = now_ms - upstream.vacate_ms < defaults.VACATE_PATIENCE_MS
+        slots = [u.slot for u in self._upstreams.values() if u.slot.entry.pool == slot.entry.pool]
+        waited_for = 0
+        for task in list(slot.tasks.values()):
+            if task.state == "assigned":
+                self._event(task, "withdraw")
+            elif task.state == "stopping" or self._move_away(task, slots, now_ms):
+                waited_for += 1
+            elif patient and not task.step.spec.long_running:
+                waited_for += 1
+        if waited_for and patient:
+            return
+        if upstream.closing or self._may_end(slot):
+            upstream.closing = True
+            for task in slot.tasks.values():
+                task.percent = 0
+            self._tell_vacated(slot.entry.upstream_id)
+
+    def _move_away(self, task: Task, slots: list[Slot], now_ms: float) -> bool:
+        """Stop a task that can go on elsewhere; returns whether it was stopped."""
+        spec = task.step.spec
+        movable = spec.long_running or spec.checkpointing
+        if task.state != "running" or not movable:
+            return False
+        if not assignment.may_take_away(task, now_ms, self._away_notice_ms):
+            return False
+        counts = task.step.upstream_counts()
+        if assignment.choose_slot(task, slots, counts, now_ms, assignment.spread) is None:
+            return False
+        logger.info(
+            "task moves away from its upstream",
+            extra={"task": task.name, "run": task.run, "upstream": task.upstream_id},
+        )
+        self._stop(task)
+        return True
+
+    def _may_end(self, slot: Slot) -> bool:
+        """Tell whether all that still runs at an upstream may be ended at once."""
+        here: Counter[StepRun] = Counter()
+        for task in slot.tasks.values():
+            if task.at_work and task.step.spec.max_away_count is not None:
+                here[task.step] += 1
+        return all(
+            sum(not task.at_work for task in step.tasks) + count
+            <= max(1, step.spec.max_away_count or 0)
+            for step, count in here.items()
+        )
+
+    def _tell_vacated(self, upstream_id: str) -> None:
+        if self._fleet is not None:
+            self._fleet.tell(Vacated(upstream_id))
+
     # Questions.
 
     @receives(Lookup)
@@ -971,3 +1083,10 @@
             for job in self._unfinished.values()
         )
         resolve(message.reply, count)
+
+
+def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
+    """Yield the records of jobs among those of the leader's state."""
+    for entry in entries:
+        if entry.value and not entry.key.startswith(WAVE_KEY_PREFIX):
+            yield entry.key, entry.value
--- /dev/null
+++ b/src/tarragoncart/vms.py
@@ -0,0 +1,323 @@
+"""Owns the VMs: lists them, drives maintenance waves and moves between pools."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from attrs import frozen
+
+from . import defaults
+from .election import Fenced
+from .errors import FleetRefusedError, FleetUnknownError
+from .graph import VmEntry, WaveRequest
+from .mailbox import Actor, carries_out, new_reply, receives
+from .timer import Timer
+from .upkeep import UPKEEP_CHART, UpstreamLoad, VmUpkeep, Wave, next_vms
+from .writer import Write
+
+logger = logging.getLogger(__name__)
+
+WAVE_KEY_PREFIX = "wave/"
+
+
+class FleetCalls(Protocol):
+    """The calls for VMs."""
+
+    async def list_vms(self) -> tuple[VmEntry, ...]: ...
+
+    async def move(self, vm_id: str, pool: str, epoch: int) -> None: ...
+
+    async def maintain(self, vm_id: str, wave: int, epoch: int) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+@frozen
+class WaveAsked:
+    """Operators ask for maintenance."""
+
+    wave: WaveRequest
+
+
+@frozen
+class Loads:
+    """What runs where."""
+
+    loads: Mapping[str, UpstreamLoad]
+
+
+@frozen
+class Vacate:
+    """Empty an upstream: its VM is about to go down."""
+
+    upstream_id: str
+
+
+@frozen
+class Readmit:
+    """The VM stays: its upstream may run tasks again."""
+
+    upstream_id: str
+
+
+@frozen
+class Vacated:
+    """What still runs at the upstream may be ended."""
+
+    upstream_id: str
+
+
+@frozen
+class _Listed:
+    vms: tuple[VmEntry, ...]
+    asked_ms: float
+
+
+@frozen
+class _OrderEnded:
+    wave: int
+    vm_id: str
+    event: str
+    reason: str
+
+
+@frozen
+class _Tick:
+    """Time to see what can be done next."""
+
+
+class Fleet(Actor):
+    """Gives the orders for VMs in one epoch.
+
+    :param scheduler: empties upstreams on demand.
+    :param restored: records of waves that an earlier leader has stored.
+    :param status_record: encodes the status that operators read.
+    :param quiet_until_ms: no orders before, so that two leaders do not take turns.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        calls: FleetCalls,
+        scheduler: Actor,
+        election: Actor,
+        state_writer: Actor,
+        status_writer: Actor,
+        status_record: Callable[[int, bool], tuple[str, bytes]],
+        restored: Mapping[str, bytes],
+        timer: Timer,
+        quiet_until_ms: float,
+    ) -> None:
+        super().__init__("fleet")
+        self._epoch = epoch
+        self._calls = calls
+        self._scheduler = scheduler
+        self._election = election
+        self._state_writer = state_writer
+        self._status_writer = status_writer
+        self._status_record = status_record
+        self._restored = restored
+        self._timer = timer
+        self._quiet_until_ms = quiet_until_ms
+        self._waves: dict[int, Wave] = {}
+        self._vms: dict[str, VmEntry] = {}
+        self._loads: Mapping[str, UpstreamLoad] = {}
+        self._listed_ms = 0.0
+        self._listing = False
+
+    async def opened(self) -> None:
+        """Start the clock and the writer of the status."""
+        self._status_writer.start()
+        self.subscribe(self._timer.every(defaults.FLEET_TICK_MS), _Tick())
+
+    async def closed(self) -> None:
+        """Close the connections."""
+        await self._status_writer.stop()
+        await self._calls.close()
+
+    @receives(Loads)
+    def on_loads(self, message: Loads) -> None:
+        """Keep what runs where."""
+        self._loads = message.loads
+
+    @receives(WaveAsked)
+    def on_wave(self, message: WaveAsked) -> None:
+        """Take on a wave, or what an earlier leader has left of it."""
+        request = message.wave
+        if request.number in self._waves:
+            return
+        wave = Wave(request, self._timer.now_ms() + request.within_s * 1_000)
+        begun: set[str] = set()
+        value = self._restored.get(f"{WAVE_KEY_PREFIX}{request.number}")
+        if value:
+            begun = set(json.loads(value)["begun"])
+        for vm_id in request.vm_ids:
+            state = "done" if vm_id in begun else UPKEEP_CHART.initial
+            wave.vms[vm_id] = VmUpkeep(vm_id, state)
+        self._waves[request.number] = wave
+        self._store_status(wave)
+
+    @receives(_Tick)
+    def on_tick(self, message: _Tick) -> None:
+        """List the VMs while some wave is under way."""
+        if all(self._settled(wave) for wave in self._waves.values()) or self._listing:
+            return
+        self._listing = True
+        self.spawn(self._list())
+
+    def _settled(self, wave: Wave) -> bool:
+        return all(vm.state == "done" for vm in wave.vms.values())
+
+    async def _list(self) -> None:
+        asked_ms = self._timer.now_ms()
+        try:
+            vms = await self._calls.list_vms()
+        except (FleetRefusedError, FleetUnknownError, ValueError) as error:
+            logger.warning("VMs cannot be listed", extra={"reason": str(error)})
+            return
+        finally:
+            self._listing = False
+        self.tell(_Listed(vms, asked_ms))
+
+    @receives(_Listed)
+    def on_listed(self, message: _Listed) -> None:
+        """Take the next steps of all waves."""
+        self._vms = {vm.vm_id: vm for vm in message.vms}
+        self._listed_ms = message.asked_ms
+        for wave in self._waves.values():
+            for vm in wave.vms.values():
+                self._compare(wave, vm)
+            self._advance(wave)
+
+    def _compare(self, wave: Wave, vm: VmUpkeep) -> None:
+        """See whether a VM has left for good or has come back."""
+        entry = self._vms.get(vm.vm_id)
+        if entry is None:
+            if vm.state != "done":
+                self._event(wave, vm, "gone")
+            return
+        if vm.state != "down" or self._listed_ms <= vm.since_ms:
+            return
+        pool_is_off = not entry.upstream_id and not vm.upstream_id
+        if entry.state == "up" and (pool_is_off or entry.upstream_id != vm.upstream_id):
+            self._event(wave, vm, "returned")
+
+    def _advance(self, wave: Wave) -> None:
+        if self._timer.now_ms() < self._quiet_until_ms:
+            return
+        sizes = Counter(vm.pool for vm in self._vms.values())
+        for vm in list(next_vms(wave, self._vms, self._loads, sizes)):
+            entry = self._vms[vm.vm_id]
+            vm.upstream_id = entry.upstream_id
+            if entry.upstream_id:
+                self._event(wave, vm, "select")
+            elif wave.away_count() < wave.request.concurrent_count:
+                self._event(wave, vm, "already_off")
+
+    def _event(self, wave: Wave, vm: VmUpkeep, event: str, **details: Any) -> None:
+        self.step(UPKEEP_CHART, vm, event, wave=wave, **details)
+
+    @carries_out("vacate")
+    def _vacate(self, vm: VmUpkeep, wave: Wave) -> None:
+        logger.info(
+            "VM selected for maintenance",
+            extra={
+                "wave": wave.request.number,
+                "vm": vm.vm_id,
+                "upstream": vm.upstream_id,
+                "list_age_ms": round(self._timer.now_ms() - self._listed_ms),
+                "left_ms": round(wave.deadline_ms - self._timer.now_ms()),
+            },
+        )
+        vm.since_ms = self._timer.now_ms()
+        self._scheduler.tell(Vacate(vm.upstream_id))
+
+    @carries_out("readmit")
+    def _readmit(self, vm: VmUpkeep, wave: Wave) -> None:
+        if vm.upstream_id:
+            self._scheduler.tell(Readmit(vm.upstream_id))
+
+    @receives(Vacated)
+    def on_vacated(self, message: Vacated) -> None:
+        """Order the maintenance, as far as not too many VMs are down."""
+        for wave in self._waves.values():
+            for vm in wave.vms.values():
+                if vm.upstream_id != message.upstream_id or vm.state != "vacating":
+                    continue
+                if wave.away_count() < wave.request.concurrent_count:
+                    self._event(wave, vm, "vacated")
+                return
+
+    @carries_out("order")
+    def _order(self, vm: VmUpkeep, wave: Wave) -> None:
+        self.spawn(self._maintain(wave.request.number, vm.vm_id, 0))
+
+    @carries_out("order_again")
+    def _order_again(self, vm: VmUpkeep, wave: Wave) -> None:
+        self.spawn(self._maintain(wave.request.number, vm.vm_id, defaults.FLEET_RETRY_MS))
+
+    async def _maintain(self, wave: int, vm_id: str, delay_ms: float) -> None:
+        if delay_ms:
+            await self._timer_sleep(delay_ms)
+        event, reason = "accepted", ""
+        try:
+            await self._calls.maintain(vm_id, wave, self._epoch)
+        except FleetRefusedError as error:
+            event, reason = "refused", error.reason
+            # Beyond its rate the platform answers 429, and 503 while it is down.
+            if reason.startswith("status"):
+                event = "unanswered"
+        except FleetUnknownError as error:
+            event, reason = "unanswered", str(error)
+        self.tell(_OrderEnded(wave, vm_id, event, reason))
+
+    async def _timer_sleep(self, delay_ms: float) -> None:
+        done = new_reply()
+        self._timer.after(delay_ms).subscribe(lambda _: done.done() or done.set_result(None))
+        await done
+
+    @receives(_OrderEnded)
+    def on_order_ended(self, message: _OrderEnded) -> None:
+        """Take in the answer to an order."""
+        wave = self._waves[message.wave]
+        vm = wave.vms[message.vm_id]
+        logger.info(
+            "maintenance ordered",
+            extra={
+                "wave": message.wave,
+                "vm": message.vm_id,
+                "upstream": vm.upstream_id,
+                "outcome": message.event,
+                "reason": message.reason,
+                "after_ms": round(self._timer.now_ms() - vm.since_ms),
+                "epoch": self._epoch,
+            },
+        )
+        if message.reason == "fence":
+            self._election.tell(Fenced(self._epoch))
+            return
+        if vm.state == "ordered":
+            vm.since_ms = self._timer.now_ms()
+            self._event(wave, vm, message.event)
+
+    @carries_out("note_done")
+    def _note_done(self, vm: VmUpkeep, wave: Wave) -> None:
+        begun = [other.vm_id for other in wave.vms.values() if other.state in ("down", "done")]
+        value = json.dumps({"begun": begun}, separators=(",", ":")).encode()
+        key = f"{WAVE_KEY_PREFIX}{wave.request.number}"
+        self._state_writer.tell(Write(((key, value),), new_reply()))
+        self._store_status(wave)
+
+    def _store_status(self, wave: Wave) -> None:
+        status = "completed" if wave.completed else "running"
+        if wave.status_stored != status:
+            wave.status_stored = status
+            logger.info(
+                "status of maintenance", extra={"wave": wave.request.number, "status": status}
+            )
+            record = self._status_record(wave.request.number, wave.completed)
+            self._status_writer.tell(Write((record,), new_reply()))
