Stop renewing the lease of a silent upstream; date empty waits by their end

A wait that ended without records was dated by its start, so configurations seemed up to 3 s old and questions about unknown queues were refused as 503. Change: only an upstream that answered gets renewals; an upstream whose VM is down is forgotten at once; an empty wait is as new as its end.

--- a/src/tarragoncart/follower.py
+++ b/src/tarragoncart/follower.py
@@ -122,7 +122,11 @@
                 extra={"topic": self._topic, "offset": offset},
             )
             return -1
-        self._listener.tell(TopicChanges(self._topic, chunk.entries, sent_ms))
+        as_of_ms = sent_ms
+        if not chunk.entries:
+            # The store answers without records only once the wait is over.
+            as_of_ms = min(sent_ms + self._wait_ms, self._timer.now_ms())
+        self._listener.tell(TopicChanges(self._topic, chunk.entries, as_of_ms))
         return offset + len(chunk.entries) if chunk.entries else offset
 
     async def closed(self) -> None:
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -265,6 +265,7 @@
 
     async def _watch(self) -> None:
         wait_ms = 0
+        answered = True
         while True:
             if not self._permitted():
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
@@ -272,7 +273,9 @@
             asked_ms = self._timer.now_ms()
             try:
                 report = await self._client.hold(
-                    until_ms=self._until_ms(),
+                    # A lost renewal may have taken effect. Renewing again and again would put off
+                    # for ever the time from which the runs count as ended.
+                    until_ms=self._until_ms() if answered else None,
                     acknowledged=self._acknowledged,
                     wait_ms=wait_ms,
                     epoch=self._epoch,
@@ -280,17 +283,19 @@
             except TarragoncartError as error:
                 reason = getattr(error, "reason", "") or str(error)
                 self._note_fence(reason)
+                answered = False
                 self._listener.tell(
                     Silent(self._id, reason, reason == "instance", self._lease_end_ms)
                 )
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
-            first = self._clock is None
+            renew_now = self._clock is None or not answered
+            answered = True
             # The clock was read when the answer was sent. Taken with the time of the question, it
             # would seem ahead by the wait, and a lease would outlast what we count with.
             self._clock = (report.clock_ms, self._timer.now_ms())
             self._listener.tell(Reported(self._id, report, asked_ms, self._lease_end_ms))
-            wait_ms = 0 if first else defaults.UPSTREAM_WAIT_MS
+            wait_ms = 0 if renew_now else defaults.UPSTREAM_WAIT_MS
             await self._wait_for_acknowledgement(report)
 
     async def _wait_for_acknowledgement(self, report: UpstreamReport) -> None:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -35,7 +35,7 @@
 from .storage import Entry
 from .timer import Timer
 from .upkeep import UpstreamLoad
-from .vms import WAVE_KEY_PREFIX, Loads, Readmit, Vacate, Vacated, WaveAsked
+from .vms import WAVE_KEY_PREFIX, Ended, Loads, Readmit, Vacate, Vacated, WaveAsked
 from .writer import FENCED, STORED, Write, Writer
 
 logger = logging.getLogger(__name__)
@@ -187,6 +187,8 @@
         self._pass_due = False
         self._followers: list[Follower] = []
         self._malformed: set[str] = set()
+        # Registrations of these linger in the store; another life gets another id.
+        self._ended_ids: set[str] = set()
         self._gained_ms = timer.now_ms()
 
     # Start and stop.
@@ -395,6 +397,8 @@
 
     def _list(self, entry: UpstreamEntry) -> None:
         upstream = self._upstreams.get(entry.upstream_id)
+        if entry.upstream_id in self._ended_ids:
+            return
         if upstream is None or upstream.link is None:
             self._open(entry, upstream)
             return
@@ -1004,6 +1008,14 @@
             upstream.vacate_ms = 0.0
             self._request_pass()
 
+    @receives(Ended)
+    def on_vm_ended(self, message: Ended) -> None:
+        """Forget an upstream whose VM is down."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            self._ended_ids.add(message.upstream_id)
+            self._remove(upstream, "its VM is down")
+
     def _vacate(self, upstream: _Upstream, now_ms: float) -> None:
         if not upstream.vacate_ms:
             return
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -71,6 +71,13 @@
     upstream_id: str
 
 
+@frozen
+class Ended:
+    """The VM is down: everything that ran at its upstream has ended."""
+
+    upstream_id: str
+
+
 @frozen
 class _Listed:
     vms: tuple[VmEntry, ...]
@@ -302,6 +309,8 @@
             return
         if vm.state == "ordered":
             vm.since_ms = self._timer.now_ms()
+            if message.event == "accepted" and vm.upstream_id:
+                self._scheduler.tell(Ended(vm.upstream_id))
             self._event(wave, vm, message.event)
 
     @carries_out("note_done")
