Move VMs between pools as demand turns

Change: a pool policy that gives short pools spare or idle VMs and sends idle ones back; relocations have a state chart of their own and use the same vacating as maintenance.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -180,16 +180,19 @@
     usages: dict[str, Usage],
     now_ms: float,
     reserve: Callable[[Task, Slot], None],
+    short: Callable[[StepRun], None],
     ranking: Ranking = spread,
 ) -> Iterator[Task]:
     """Assign waiting tasks to upstreams, in the order of the steps.
 
     :param reserve: takes the capacity; called before the next choice.
+    :param short: called for a step that found no upstream for some task.
     """
     refused: list[tuple[StepSpec, Demand]] = []
     for step in steps:
         spec = step.spec
         if any(_at_least(spec, other) for other, _ in refused):
+            short(step)
             continue
         if spec.gang:
             yield from _plan_gang(step, slots, usages, now_ms, reserve, ranking)
@@ -205,6 +208,7 @@
             if slot is None:
                 if not spec.max_per_upstream_count and not spec.label:
                     refused.append((spec, spec.counted))
+                short(step)
                 break
             reserve(task, slot)
             counts[slot.entry.upstream_id] = counts.get(slot.entry.upstream_id, 0) + 1
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -174,3 +174,8 @@
 FLEET_RETRY_MS = 500
 # A task without saved progress is waited for this long before its upstream goes down.
 VACATE_PATIENCE_MS = 3_500
+# A task without cpu of its own that finds no upstream counts as this much.
+SHORT_MIN_MILLICORES = 500
+POOL_POLICY = "follow_demand"
+FLEET_LIST_MS = 500
+MOVE_GIVE_UP_MS = 4_000
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -282,10 +282,15 @@
                 restored,
                 self._timer,
                 quiet_until_ms,
+                self._is_spare,
             )
 
         return make
 
+    def _is_spare(self, pool: str) -> bool:
+        rule = self._rules.pools.get(pool) if self._rules else None
+        return rule is not None and rule.spare
+
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Let the scheduler go on."""
--- /dev/null
+++ b/src/tarragoncart/pools.py
@@ -0,0 +1,136 @@
+"""Decides which VMs change their pool as demand turns."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator, Mapping, Sequence
+
+from attrs import frozen
+
+from .registry import Registry
+
+# A pool keeps at least this many VMs, for what may come and for its tasks that must stay apart.
+POOL_MIN_COUNT = 3
+# A VM without runs goes back to the spare pool after this time; a move costs about as much as a
+# VM in a pool for one second, and its return as much again.
+IDLE_RETURN_MS = 3_000
+# A pool that was short keeps its VMs for this long: bursts come with gaps.
+SHORT_MEMORY_MS = 5_000
+# Free share of a pool's cpu that stays after a VM has gone back.
+KEPT_FREE_RATIO = 0.4
+
+
+@frozen
+class PoolVm:
+    """A VM as far as moves are concerned.
+
+    :param idle_ms: how long it has had no runs; 0 if it has some.
+    :param movable: it is up and no other plan concerns it.
+    """
+
+    vm_id: str
+    pool: str
+    cpu_millicores: int
+    idle_ms: float
+    movable: bool
+
+
+@frozen
+class PoolDemand:
+    """A pool's demand.
+
+    :param short_millicores: cpu of ready tasks that found no upstream.
+    :param free_millicores: cpu that no run has.
+    :param incoming_millicores: cpu of VMs on their way here.
+    :param short_age_ms: time since it was short last.
+    """
+
+    pool: str
+    spare: bool
+    short_millicores: int
+    free_millicores: int
+    total_millicores: int
+    incoming_millicores: int
+    vm_count: int
+    short_age_ms: float
+
+
+@frozen
+class Relocation:
+    """A decision to move a VM."""
+
+    vm_id: str
+    from_pool: str
+    to_pool: str
+    reason: str
+
+
+Policy = Callable[[Sequence[PoolDemand], Sequence[PoolVm]], Iterator[Relocation]]
+POLICIES: Registry[Policy] = Registry("pool policy")
+
+
+@POLICIES.register("static")
+def static(pools: Sequence[PoolDemand], vms: Sequence[PoolVm]) -> Iterator[Relocation]:
+    """Baseline: no VM moves."""
+    return iter(())
+
+
+@POLICIES.register("follow_demand")
+def follow_demand(pools: Sequence[PoolDemand], vms: Sequence[PoolVm]) -> Iterator[Relocation]:
+    """Give short pools spare VMs, then idle ones of others; send idle VMs back.
+
+    Answers bursts that exceed a pool while other pools have little to do.
+    """
+    by_name = {pool.pool: pool for pool in pools}
+    donors = list(_donors(by_name, vms))
+    taken: set[str] = set()
+    for pool in sorted(pools, key=lambda p: p.short_millicores, reverse=True):
+        missing = pool.short_millicores - pool.incoming_millicores
+        if pool.spare or missing <= 0:
+            continue
+        for vm in donors:
+            if missing <= 0:
+                break
+            if vm.vm_id in taken or vm.pool == pool.pool:
+                continue
+            taken.add(vm.vm_id)
+            missing -= vm.cpu_millicores
+            yield Relocation(vm.vm_id, vm.pool, pool.pool, "tasks wait for room")
+    yield from _returns(by_name, vms, taken)
+
+
+def _donors(by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm]) -> Iterator[PoolVm]:
+    """Yield VMs that may leave their pool: spare ones first."""
+    movable = [vm for vm in vms if vm.movable and vm.pool in by_name]
+    yield from (vm for vm in movable if by_name[vm.pool].spare)
+    counts = {name: pool.vm_count for name, pool in by_name.items()}
+    for vm in movable:
+        pool = by_name[vm.pool]
+        if pool.spare or vm.idle_ms <= 0 or pool.short_age_ms < SHORT_MEMORY_MS:
+            continue
+        if counts[vm.pool] > POOL_MIN_COUNT:
+            counts[vm.pool] -= 1
+            yield vm
+
+
+def _returns(
+    by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm], taken: set[str]
+) -> Iterator[Relocation]:
+    spare = next((pool.pool for pool in by_name.values() if pool.spare), None)
+    if spare is None:
+        return
+    free = {name: pool.free_millicores for name, pool in by_name.items()}
+    counts = {name: pool.vm_count for name, pool in by_name.items()}
+    for vm in vms:
+        pool = by_name.get(vm.pool)
+        if pool is None or pool.spare or not vm.movable or vm.vm_id in taken:
+            continue
+        if vm.idle_ms < IDLE_RETURN_MS or pool.short_age_ms < SHORT_MEMORY_MS:
+            continue
+        left_millicores = free[vm.pool] - vm.cpu_millicores
+        kept_millicores = math.ceil(KEPT_FREE_RATIO * pool.total_millicores)
+        if counts[vm.pool] <= POOL_MIN_COUNT or left_millicores < kept_millicores:
+            continue
+        free[vm.pool] = left_millicores
+        counts[vm.pool] -= 1
+        yield Relocation(vm.vm_id, vm.pool, spare, "idle")
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -30,12 +30,12 @@
     Stop,
     StopEnded,
 )
+from .loads import Loads, UpstreamLoad
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .runs import EndedRun, LiveRun, StartOrder
 from .storage import Entry
 from .timer import Timer
-from .upkeep import UpstreamLoad
-from .vms import WAVE_KEY_PREFIX, Ended, Loads, Readmit, Vacate, Vacated, WaveAsked
+from .vms import WAVE_KEY_PREFIX, Ended, Readmit, Vacate, Vacated, WaveAsked
 from .writer import FENCED, STORED, Write, Writer
 
 logger = logging.getLogger(__name__)
@@ -186,6 +186,7 @@
         self._committing = False
         self._pass_due = False
         self._followers: list[Follower] = []
+        self._short_millicores: Counter[str] = Counter()
         self._malformed: set[str] = set()
         # Registrations of these linger in the store; another life gets another id.
         self._ended_ids: set[str] = set()
@@ -857,20 +858,29 @@
         for upstream in self._upstreams.values():
             if upstream.slot.usable:
                 slots_by_pool.setdefault(upstream.slot.entry.pool, []).append(upstream.slot)
+        self._short_millicores = Counter()
         for pool, steps in self._ready.items():
             for step in [s for s in steps if not any(True for _ in s.waiting())]:
                 del steps[step]
-            slots = slots_by_pool.get(pool)
-            if not steps or not slots:
+            slots = slots_by_pool.get(pool, [])
+            if not steps:
                 continue
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
-            placed = assignment.plan(ordered, slots, self._usages, now_ms, self._reserve)
+            placed = assignment.plan(
+                ordered, slots, self._usages, now_ms, self._reserve, self._note_short
+            )
             for name, count in Counter(task.step.name for task in placed).items():
                 logger.info(
                     "tasks assigned",
                     extra={"step": name, "count": count, "pool": pool, "upstreams": len(slots)},
                 )
 
+    def _note_short(self, step: StepRun) -> None:
+        """Count what found no upstream, for the pools' sizes."""
+        waiting_count = sum(1 for _ in step.waiting())
+        cpu_millicores = max(step.spec.counted.cpu_millicores, defaults.SHORT_MIN_MILLICORES)
+        self._short_millicores[step.job.pool] += waiting_count * cpu_millicores
+
     def _commit(self) -> None:
         effects = self._effects
         if self._committing:
@@ -940,7 +950,8 @@
             if job.released_count < job.occurrence_count:
                 self._admit(job)
         if self._fleet is not None:
-            self._fleet.tell(Loads({load.upstream_id: load for load in self._loads()}))
+            loads = {load.upstream_id: load for load in self._loads()}
+            self._fleet.tell(Loads(loads, dict(self._short_millicores)))
         if any(self._ready.values()):
             self._request_pass()
 
@@ -985,6 +996,7 @@
                 len(slot.tasks),
                 sum(task.step.spec.long_running for task in tasks),
                 sum(task.step.spec.counted.cpu_millicores for task in tasks),
+                slot.entry.capacity.cpu_millicores,
                 waiting[pool],
             )
 
--- a/src/tarragoncart/upkeep.py
+++ b/src/tarragoncart/upkeep.py
@@ -5,10 +5,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from .charts import load_chart
 from .graph import VmEntry, WaveRequest
+from .loads import UpstreamLoad
 from .registry import Registry
 
 UPKEEP_CHART = load_chart("upkeep")
@@ -17,21 +18,6 @@
 POOL_AWAY_RATIO = 1 / 3
 
 
-@frozen
-class UpstreamLoad:
-    """What runs at an upstream.
-
-    :param pool_waiting_count: waiting tasks of its pool.
-    """
-
-    upstream_id: str
-    pool: str
-    run_count: int
-    lasting_count: int
-    busy_millicores: int
-    pool_waiting_count: int
-
-
 @define(eq=False)
 class VmUpkeep:
     """Maintenance of one VM.
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -5,23 +5,27 @@
 import json
 import logging
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any, Protocol
 
-from attrs import frozen
+from attrs import define, frozen
 
 from . import defaults
+from .charts import load_chart
 from .election import Fenced
 from .errors import FleetRefusedError, FleetUnknownError
 from .graph import VmEntry, WaveRequest
+from .loads import Loads
 from .mailbox import Actor, carries_out, new_reply, receives
+from .pools import POLICIES, PoolDemand, PoolVm, Relocation
 from .timer import Timer
-from .upkeep import UPKEEP_CHART, UpstreamLoad, VmUpkeep, Wave, next_vms
+from .upkeep import UPKEEP_CHART, VmUpkeep, Wave, next_vms
 from .writer import Write
 
 logger = logging.getLogger(__name__)
 
 WAVE_KEY_PREFIX = "wave/"
+RELOCATION_CHART = load_chart("relocation")
 
 
 class FleetCalls(Protocol):
@@ -43,13 +47,6 @@
     wave: WaveRequest
 
 
-@frozen
-class Loads:
-    """What runs where."""
-
-    loads: Mapping[str, UpstreamLoad]
-
-
 @frozen
 class Vacate:
     """Empty an upstream: its VM is about to go down."""
@@ -84,6 +81,21 @@
     asked_ms: float
 
 
+@frozen
+class _MoveEnded:
+    vm_id: str
+    event: str
+    reason: str
+
+
+@define(eq=False)
+class _Move:
+    plan: Relocation
+    state: str
+    upstream_id: str
+    since_ms: float
+
+
 @frozen
 class _OrderEnded:
     wave: int
@@ -100,6 +112,8 @@
 class Fleet(Actor):
     """Gives the orders for VMs in one epoch.
 
+    :param spare_pool: tells whether a pool is spare.
+
     :param scheduler: empties upstreams on demand.
     :param restored: records of waves that an earlier leader has stored.
     :param status_record: encodes the status that operators read.
@@ -118,6 +132,7 @@
         restored: Mapping[str, bytes],
         timer: Timer,
         quiet_until_ms: float,
+        spare_pool: Callable[[str], bool],
     ) -> None:
         super().__init__("fleet")
         self._epoch = epoch
@@ -132,7 +147,11 @@
         self._quiet_until_ms = quiet_until_ms
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
-        self._loads: Mapping[str, UpstreamLoad] = {}
+        self._spare_pool = spare_pool
+        self._loads = Loads({}, {})
+        self._moves: dict[str, _Move] = {}
+        self._idle_since_ms: dict[str, float] = {}
+        self._short_ms: dict[str, float] = {}
         self._listed_ms = 0.0
         self._listing = False
 
@@ -149,7 +168,13 @@
     @receives(Loads)
     def on_loads(self, message: Loads) -> None:
         """Keep what runs where."""
-        self._loads = message.loads
+        self._loads = message
+        now_ms = self._timer.now_ms()
+        for pool, millicores in message.short_millicores.items():
+            if millicores:
+                self._short_ms[pool] = now_ms
+        idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
+        self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
 
     @receives(WaveAsked)
     def on_wave(self, message: WaveAsked) -> None:
@@ -170,8 +195,10 @@
 
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
-        """List the VMs while some wave is under way."""
-        if all(self._settled(wave) for wave in self._waves.values()) or self._listing:
+        """List the VMs: often while some wave is under way, otherwise from time to time."""
+        settled = all(self._settled(wave) for wave in self._waves.values())
+        age_ms = self._timer.now_ms() - self._listed_ms
+        if self._listing or (settled and age_ms < defaults.FLEET_LIST_MS):
             return
         self._listing = True
         self.spawn(self._list())
@@ -199,6 +226,8 @@
             for vm in wave.vms.values():
                 self._compare(wave, vm)
             self._advance(wave)
+        self._follow_moves()
+        self._plan_moves()
 
     def _compare(self, wave: Wave, vm: VmUpkeep) -> None:
         """See whether a VM has left for good or has come back."""
@@ -217,7 +246,7 @@
         if self._timer.now_ms() < self._quiet_until_ms:
             return
         sizes = Counter(vm.pool for vm in self._vms.values())
-        for vm in list(next_vms(wave, self._vms, self._loads, sizes)):
+        for vm in list(next_vms(wave, self._vms, self._loads.upstreams, sizes)):
             entry = self._vms[vm.vm_id]
             vm.upstream_id = entry.upstream_id
             if entry.upstream_id:
@@ -225,11 +254,143 @@
             elif wave.away_count() < wave.request.concurrent_count:
                 self._event(wave, vm, "already_off")
 
+    # Moves between pools.
+
+    def _follow_moves(self) -> None:
+        now_ms = self._timer.now_ms()
+        for vm_id, move in list(self._moves.items()):
+            entry = self._vms.get(vm_id)
+            if move.state == "vacating" and now_ms - move.since_ms > defaults.MOVE_GIVE_UP_MS:
+                self._move_event(move, "give_up")
+            elif entry is None and move.state in ("ordered", "moving"):
+                self._move_event(move, "gone")
+            elif move.state == "moving" and self._listed_ms > move.since_ms:
+                assert entry is not None
+                if entry.state == "up":
+                    self._move_event(move, "returned")
+            if move.state == "done":
+                del self._moves[vm_id]
+
+    def _plan_moves(self) -> None:
+        if self._timer.now_ms() < self._quiet_until_ms:
+            return
+        policy = POLICIES.get(defaults.POOL_POLICY)
+        for plan in policy(list(self._demands()), list(self._pool_vms())):
+            entry = self._vms[plan.vm_id]
+            move = _Move(plan, "due", entry.upstream_id, self._timer.now_ms())
+            self._moves[plan.vm_id] = move
+            logger.info(
+                "VM moves",
+                extra={
+                    "vm": plan.vm_id,
+                    "from_pool": plan.from_pool,
+                    "to_pool": plan.to_pool,
+                    "reason": plan.reason,
+                    "short_millicores": self._loads.short_millicores.get(plan.to_pool, 0),
+                    "list_age_ms": round(self._timer.now_ms() - self._listed_ms),
+                },
+            )
+            self._move_event(move, "vacate" if entry.upstream_id else "already_off")
+
+    def _demands(self) -> Iterator[PoolDemand]:
+        now_ms = self._timer.now_ms()
+        free: Counter[str] = Counter()
+        total: Counter[str] = Counter()
+        for load in self._loads.upstreams.values():
+            total[load.pool] += load.capacity_millicores
+            free[load.pool] += load.capacity_millicores - load.busy_millicores
+        counts = Counter(vm.pool for vm in self._vms.values())
+        incoming: Counter[str] = Counter()
+        for vm_id, move in self._moves.items():
+            if vm_id in self._vms and move.state != "done":
+                incoming[move.plan.to_pool] += self._vms[vm_id].capacity.cpu_millicores
+        for vm in self._vms.values():
+            arriving = vm.state == "up" and vm.upstream_id not in self._loads.upstreams
+            if arriving and vm.vm_id not in self._moves and not self._spare_pool(vm.pool):
+                incoming[vm.pool] += vm.capacity.cpu_millicores
+        for pool in counts:
+            yield PoolDemand(
+                pool,
+                self._spare_pool(pool),
+                self._loads.short_millicores.get(pool, 0),
+                free[pool],
+                total[pool],
+                incoming[pool],
+                counts[pool],
+                now_ms - self._short_ms.get(pool, 0.0),
+            )
+
+    def _pool_vms(self) -> Iterator[PoolVm]:
+        now_ms = self._timer.now_ms()
+        in_waves = {
+            vm.vm_id
+            for wave in self._waves.values()
+            for vm in wave.vms.values()
+            if vm.state in ("vacating", "ordered", "down")
+        }
+        for vm in self._vms.values():
+            idle_since_ms = self._idle_since_ms.get(vm.upstream_id)
+            yield PoolVm(
+                vm.vm_id,
+                vm.pool,
+                vm.capacity.cpu_millicores,
+                0.0 if idle_since_ms is None else now_ms - idle_since_ms,
+                vm.state == "up" and vm.vm_id not in in_waves and vm.vm_id not in self._moves,
+            )
+
+    def _move_event(self, move: _Move, event: str) -> None:
+        self.step(RELOCATION_CHART, move, event)
+
+    @carries_out("order_move")
+    def _order_move(self, move: _Move) -> None:
+        self.spawn(self._relocate(move.plan, 0))
+
+    @carries_out("order_move_again")
+    def _order_move_again(self, move: _Move) -> None:
+        self.spawn(self._relocate(move.plan, defaults.FLEET_RETRY_MS))
+
+    async def _relocate(self, plan: Relocation, delay_ms: float) -> None:
+        event, reason = await self._call(
+            lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch), delay_ms
+        )
+        self.tell(_MoveEnded(plan.vm_id, event, reason))
+
+    @receives(_MoveEnded)
+    def on_move_ended(self, message: _MoveEnded) -> None:
+        """Take in the answer to a move."""
+        move = self._moves.get(message.vm_id)
+        if move is None or move.state != "ordered":
+            return
+        logger.info(
+            "move ordered",
+            extra={
+                "vm": message.vm_id,
+                "to_pool": move.plan.to_pool,
+                "outcome": message.event,
+                "reason": message.reason,
+                "after_ms": round(self._timer.now_ms() - move.since_ms),
+                "epoch": self._epoch,
+            },
+        )
+        if message.reason == "fence":
+            self._election.tell(Fenced(self._epoch))
+            return
+        move.since_ms = self._timer.now_ms()
+        if message.event == "accepted" and move.upstream_id:
+            self._scheduler.tell(Ended(move.upstream_id))
+        self._move_event(move, message.event)
+
+    # Waves.
+
     def _event(self, wave: Wave, vm: VmUpkeep, event: str, **details: Any) -> None:
         self.step(UPKEEP_CHART, vm, event, wave=wave, **details)
 
     @carries_out("vacate")
-    def _vacate(self, vm: VmUpkeep, wave: Wave) -> None:
+    def _vacate(self, vm: VmUpkeep | _Move, wave: Wave | None = None) -> None:
+        vm.since_ms = self._timer.now_ms()
+        self._scheduler.tell(Vacate(vm.upstream_id))
+        if wave is None or isinstance(vm, _Move):
+            return
         logger.info(
             "VM selected for maintenance",
             extra={
@@ -240,11 +401,9 @@
                 "left_ms": round(wave.deadline_ms - self._timer.now_ms()),
             },
         )
-        vm.since_ms = self._timer.now_ms()
-        self._scheduler.tell(Vacate(vm.upstream_id))
 
     @carries_out("readmit")
-    def _readmit(self, vm: VmUpkeep, wave: Wave) -> None:
+    def _readmit(self, vm: VmUpkeep | _Move, wave: Wave | None = None) -> None:
         if vm.upstream_id:
             self._scheduler.tell(Readmit(vm.upstream_id))
 
@@ -258,6 +417,9 @@
                 if wave.away_count() < wave.request.concurrent_count:
                     self._event(wave, vm, "vacated")
                 return
+        for move in self._moves.values():
+            if move.upstream_id == message.upstream_id and move.state == "vacating":
+                self._move_event(move, "vacated")
 
     @carries_out("order")
     def _order(self, vm: VmUpkeep, wave: Wave) -> None:
@@ -268,19 +430,24 @@
         self.spawn(self._maintain(wave.request.number, vm.vm_id, defaults.FLEET_RETRY_MS))
 
     async def _maintain(self, wave: int, vm_id: str, delay_ms: float) -> None:
+        event, reason = await self._call(
+            lambda: self._calls.maintain(vm_id, wave, self._epoch), delay_ms
+        )
+        self.tell(_OrderEnded(wave, vm_id, event, reason))
+
+    async def _call(self, call: Callable[[], Awaitable[None]], delay_ms: float) -> tuple[str, str]:
+        """Give an order and return the chart's event for its outcome, with the reason."""
         if delay_ms:
             await self._timer_sleep(delay_ms)
-        event, reason = "accepted", ""
         try:
-            await self._calls.maintain(vm_id, wave, self._epoch)
+            await call()
         except FleetRefusedError as error:
-            event, reason = "refused", error.reason
             # Beyond its rate the platform answers 429, and 503 while it is down.
-            if reason.startswith("status"):
-                event = "unanswered"
+            event = "unanswered" if error.reason.startswith("status") else "refused"
+            return event, error.reason
         except FleetUnknownError as error:
-            event, reason = "unanswered", str(error)
-        self.tell(_OrderEnded(wave, vm_id, event, reason))
+            return "unanswered", str(error)
+        return "accepted", ""
 
     async def _timer_sleep(self, delay_ms: float) -> None:
         done = new_reply()
