Size pools by the work offered, and pack them so that VMs come free

Cause: a move was planned only after tasks had waited for a list of VMs, a pool in surplus did not count as one (its shortage of 0 hid the surplus), and tasks spread over all VMs kept each of them busy. Change: the need is the work of the last 1.5 s and the lasting tasks; moves are planned when a shortage shows; tasks that last share VMs, short tasks fill one VM after the other; a move waits for short tasks, however long. Tasks that may run twice are run again before a silent upstream's lease ends; leases last 3.5 s.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -36,8 +36,7 @@
     failure_ratio: float = 0.0
     full_until_ms: float = 0.0
     tasks: dict[str, Task] = field(factory=dict)
-    serving_count: int = 0
-    filling_count: int = 0
+    lasting_count: int = 0
 
     @property
     def usable(self) -> bool:
@@ -119,6 +118,19 @@
     return (float(failing), -slot.free.cpu_millicores)
 
 
+@RANKINGS.register("home_first")
+def home_first(slot: Slot, step: StepRun) -> tuple[float, ...]:
+    """Prefer sound upstreams, then those with most tasks that last.
+
+    VMs that came for a burst stay free of tasks that last and can leave when it is over; short
+    tasks fill one VM after the other for the same reason.
+    """
+    failing = slot.failure_ratio >= FAILING_RATIO
+    if step.spec.long_running:
+        return (float(failing), -float(slot.lasting_count), -slot.free.cpu_millicores)
+    return (float(failing), -float(slot.lasting_count > 0), slot.free.cpu_millicores)
+
+
 @RANKINGS.register("pack")
 def pack(slot: Slot, step: StepRun) -> tuple[float, ...]:
     """Baseline: prefer sound upstreams, then those with least free cpu."""
@@ -181,7 +193,7 @@
     now_ms: float,
     reserve: Callable[[Task, Slot], None],
     short: Callable[[StepRun], None],
-    ranking: Ranking = spread,
+    ranking: Ranking = home_first,
 ) -> Iterator[Task]:
     """Assign waiting tasks to upstreams, in the order of the steps.
 
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -131,7 +131,7 @@
 STORE_STALL_MS = 800
 RULES_WAIT_MS = 1_500
 INTAKE_WAIT_MS = 1_500
-UPSTREAM_LIST_PAUSE_MS = 250
+UPSTREAM_LIST_PAUSE_MS = 150
 
 # A member of the group is replaced after this silence; it tells of itself some times as often.
 MEMBERSHIP_TTL_MS = 1_200
@@ -143,7 +143,7 @@
 LEADER_LOOKUP_PAUSE_MS = 250
 
 # Lease of all runs at an upstream, renewed with each look at it.
-UPSTREAM_LEASE_MS = 4_500
+UPSTREAM_LEASE_MS = 3_500
 # An upstream's steady clock may be this much slow; the rest is for the estimate.
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 300
@@ -177,5 +177,8 @@
 # A task without cpu of its own that finds no upstream counts as this much.
 SHORT_MIN_MILLICORES = 500
 POOL_POLICY = "follow_demand"
-FLEET_LIST_MS = 500
+FLEET_LIST_MS = 300
 MOVE_GIVE_UP_MS = 4_000
+OFFERED_WINDOW_MS = 1_500
+# A task that may run twice is run again after its upstream has been silent for this long.
+SPECULATE_AFTER_MS = 1_500
--- a/src/tarragoncart/graph.py
+++ b/src/tarragoncart/graph.py
@@ -90,6 +90,13 @@
         """Whether the job runs at given times."""
         return self.occurrence_count > 0
 
+    @property
+    def work_millicore_ms(self) -> float:
+        """Estimate of the work of one occurrence."""
+        return sum(
+            step.task_count * step.counted.cpu_millicores * step.estimate_ms for step in self.steps
+        )
+
     @property
     def long_running(self) -> bool:
         """Whether some step runs until the job is cancelled."""
--- a/src/tarragoncart/loads.py
+++ b/src/tarragoncart/loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter, deque
 from collections.abc import Mapping
 
 from attrs import frozen
@@ -19,6 +20,7 @@
     pool: str
     run_count: int
     lasting_count: int
+    lasting_millicores: int
     busy_millicores: int
     capacity_millicores: int
     pool_waiting_count: int
@@ -29,7 +31,34 @@
     """What runs where.
 
     :param short_millicores: by pool, cpu of ready tasks that found no upstream.
+    :param offered_millicores: by pool, cpu that the jobs of the last seconds need to be kept up
+        with: their work by the time in which they came.
     """
 
     upstreams: Mapping[str, UpstreamLoad]
     short_millicores: Mapping[str, int]
+    offered_millicores: Mapping[str, int]
+
+
+class Offered:
+    """Work that callers have handed in lately, by pool.
+
+    :param window_ms: how far back it looks.
+    """
+
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms = window_ms
+        self._arrivals: deque[tuple[float, str, float]] = deque()
+
+    def add(self, now_ms: float, pool: str, work_millicore_ms: float) -> None:
+        """Take in a job."""
+        self._arrivals.append((now_ms, pool, work_millicore_ms))
+
+    def rates(self, now_ms: float) -> dict[str, int]:
+        """Return the millicores that keep up with the jobs of the window."""
+        while self._arrivals and self._arrivals[0][0] < now_ms - self._window_ms:
+            self._arrivals.popleft()
+        totals: Counter[str] = Counter()
+        for _, pool, work_millicore_ms in self._arrivals:
+            totals[pool] += work_millicore_ms  # type: ignore[assignment]
+        return {pool: int(total / self._window_ms) for pool, total in totals.items()}
--- a/src/tarragoncart/pools.py
+++ b/src/tarragoncart/pools.py
@@ -10,12 +10,14 @@
 from .registry import Registry
 
 # A pool keeps at least this many VMs, for what may come and for its tasks that must stay apart.
-POOL_MIN_COUNT = 3
+POOL_MIN_COUNT = 4
 # A VM without runs goes back to the spare pool after this time; a move costs about as much as a
 # VM in a pool for one second, and its return as much again.
 IDLE_RETURN_MS = 3_000
-# A pool that was short keeps its VMs for this long: bursts come with gaps.
+# A pool that was short sends none back for this long: bursts come with gaps.
 SHORT_MEMORY_MS = 5_000
+# A pool that was short so long ago may give VMs to one that is short now.
+DONOR_CALM_MS = 700
 # Free share of a pool's cpu that stays after a VM has gone back.
 KEPT_FREE_RATIO = 0.4
 
@@ -25,6 +27,7 @@
     """A VM as far as moves are concerned.
 
     :param idle_ms: how long it has had no runs; 0 if it has some.
+    :param lasting_count: runs on it that last.
     :param movable: it is up and no other plan concerns it.
     """
 
@@ -32,6 +35,7 @@
     pool: str
     cpu_millicores: int
     idle_ms: float
+    lasting_count: int
     movable: bool
 
 
@@ -42,6 +46,8 @@
     :param short_millicores: cpu of ready tasks that found no upstream.
     :param free_millicores: cpu that no run has.
     :param incoming_millicores: cpu of VMs on their way here.
+    :param offered_millicores: cpu needed to keep up with the jobs of the last seconds.
+    :param lasting_millicores: cpu of the runs that last.
     :param short_age_ms: time since it was short last.
     """
 
@@ -52,8 +58,18 @@
     total_millicores: int
     incoming_millicores: int
     vm_count: int
+    offered_millicores: int
+    lasting_millicores: int
     short_age_ms: float
 
+    @property
+    def missing_millicores(self) -> int:
+        """Cpu that it lacks, as far as nothing is on its way; negative if it has too much."""
+        needed = self.offered_millicores + self.lasting_millicores - self.total_millicores
+        if self.short_millicores:
+            needed = max(self.short_millicores, needed)
+        return needed - self.incoming_millicores
+
 
 @frozen
 class Relocation:
@@ -84,8 +100,8 @@
     by_name = {pool.pool: pool for pool in pools}
     donors = list(_donors(by_name, vms))
     taken: set[str] = set()
-    for pool in sorted(pools, key=lambda p: p.short_millicores, reverse=True):
-        missing = pool.short_millicores - pool.incoming_millicores
+    for pool in sorted(pools, key=lambda p: p.missing_millicores, reverse=True):
+        missing = pool.missing_millicores
         if pool.spare or missing <= 0:
             continue
         for vm in donors:
@@ -100,13 +116,15 @@
 
 
 def _donors(by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm]) -> Iterator[PoolVm]:
-    """Yield VMs that may leave their pool: spare ones first."""
+    """Yield VMs that may leave their pool: spare ones, idle ones, those with short runs only."""
     movable = [vm for vm in vms if vm.movable and vm.pool in by_name]
     yield from (vm for vm in movable if by_name[vm.pool].spare)
     counts = {name: pool.vm_count for name, pool in by_name.items()}
-    for vm in movable:
+    for vm in sorted(movable, key=lambda vm: vm.idle_ms, reverse=True):
         pool = by_name[vm.pool]
-        if pool.spare or vm.idle_ms <= 0 or pool.short_age_ms < SHORT_MEMORY_MS:
+        if pool.spare or vm.lasting_count or pool.short_age_ms < DONOR_CALM_MS:
+            continue
+        if pool.missing_millicores > -2 * vm.cpu_millicores:
             continue
         if counts[vm.pool] > POOL_MIN_COUNT:
             counts[vm.pool] -= 1
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -30,7 +30,7 @@
     Stop,
     StopEnded,
 )
-from .loads import Loads, UpstreamLoad
+from .loads import Loads, Offered, UpstreamLoad
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .runs import EndedRun, LiveRun, StartOrder
 from .storage import Entry
@@ -114,6 +114,7 @@
     :param ended_seen: number of the last end taken in.
     :param lease_end_ms: when all its runs have ended if it is not reached any more.
     :param vacate_ms: since when it is being emptied for a planned stop, 0 if it is not.
+    :param patience_ms: how long tasks without saved progress are waited for, None for any time.
     :param closing: what still runs there counts as away: its VM may go down any moment.
     """
 
@@ -124,6 +125,7 @@
     ended_seen: int = 0
     reported_ms: float = 0.0
     vacate_ms: float = 0.0
+    patience_ms: float | None = None
     closing: bool = False
     strays: set[tuple[str, int]] = field(factory=set)
 
@@ -187,6 +189,7 @@
         self._pass_due = False
         self._followers: list[Follower] = []
         self._short_millicores: Counter[str] = Counter()
+        self._offered = Offered(defaults.OFFERED_WINDOW_MS)
         self._malformed: set[str] = set()
         # Registrations of these linger in the store; another life gets another id.
         self._ended_ids: set[str] = set()
@@ -331,6 +334,9 @@
         job = Job(submission)
         self._jobs[job_id] = job
         if self._loaded:
+            if not submission.spec.long_running:
+                work = submission.spec.work_millicore_ms
+                self._offered.add(self._timer.now_ms(), submission.pool, work)
             self._admit(job)
             if job_id in self._early_cancels:
                 self._early_cancels.discard(job_id)
@@ -513,6 +519,7 @@
         spec = task.step.spec
         slot.free = slot.free.plus(spec.counted, -1)
         slot.tasks[task.name] = task
+        slot.lasting_count += spec.long_running
         if not again:
             usage = self._usage(task.step.job.submission.account)
             usage.running = usage.running.plus(spec.demand)
@@ -540,6 +547,7 @@
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is not None and upstream.slot.tasks.pop(task.name, None) is not None:
             upstream.slot.free = upstream.slot.free.plus(spec.counted)
+            upstream.slot.lasting_count -= spec.long_running
         task.percent = 0
         self._dirty_steps[task.step] = None
         self._wake_step(task)
@@ -951,7 +959,8 @@
                 self._admit(job)
         if self._fleet is not None:
             loads = {load.upstream_id: load for load in self._loads()}
-            self._fleet.tell(Loads(loads, dict(self._short_millicores)))
+            short = dict(self._short_millicores)
+            self._fleet.tell(Loads(loads, short, self._offered.rates(now_ms)))
         if any(self._ready.values()):
             self._request_pass()
 
@@ -960,10 +969,13 @@
         if slot.answering:
             if now_ms - upstream.reported_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
                 slot.answering = False
+                return
             self._evacuate(upstream)
             self._vacate(upstream, now_ms)
             return
         if now_ms < upstream.lease_end_ms:
+            if now_ms - upstream.reported_ms > defaults.SPECULATE_AFTER_MS:
+                self._speculate(upstream)
             return
         for task in list(slot.tasks.values()):
             if task.state != "assigned":
@@ -971,6 +983,12 @@
         if (upstream.link is None or not slot.listed) and not slot.tasks:
             self._remove(upstream, "not listed and silent")
 
+    def _speculate(self, upstream: _Upstream) -> None:
+        """Run tasks again that may run twice, without waiting for the end of the lease."""
+        for task in list(upstream.slot.tasks.values()):
+            if task.step.spec.speculative and task.state not in ("assigned", "stopping"):
+                self._vanish(task, "its upstream is silent and a copy may run")
+
     def _evacuate(self, upstream: _Upstream) -> None:
         """Move tasks that last off an upstream that is leaving."""
         if not upstream.slot.entry.draining:
@@ -990,11 +1008,13 @@
             slot = upstream.slot
             pool = slot.entry.pool
             tasks = slot.tasks.values()
+            lasting = [task.step.spec for task in tasks if task.step.spec.long_running]
             yield UpstreamLoad(
                 upstream_id,
                 pool,
                 len(slot.tasks),
-                sum(task.step.spec.long_running for task in tasks),
+                len(lasting),
+                sum(spec.counted.cpu_millicores for spec in lasting),
                 sum(task.step.spec.counted.cpu_millicores for task in tasks),
                 slot.entry.capacity.cpu_millicores,
                 waiting[pool],
@@ -1009,6 +1029,7 @@
             return
         upstream.slot.cordoned = True
         upstream.vacate_ms = self._timer.now_ms()
+        upstream.patience_ms = message.patience_ms
         self._vacate(upstream, upstream.vacate_ms)
 
     @receives(Readmit)
@@ -1032,7 +1053,8 @@
         if not upstream.vacate_ms:
             return
         slot = upstream.slot
-        patient = now_ms - upstream.vacate_ms < defaults.VACATE_PATIENCE_MS
+        patience_ms = upstream.patience_ms
+        patient = patience_ms is None or now_ms - upstream.vacate_ms < patience_ms
         slots = [u.slot for u in self._upstreams.values() if u.slot.entry.pool == slot.entry.pool]
         waited_for = 0
         for task in list(slot.tasks.values()):
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -49,9 +49,14 @@
 
 @frozen
 class Vacate:
-    """Empty an upstream: its VM is about to go down."""
+    """Empty an upstream: its VM is about to go down.
+
+    :param patience_ms: how long tasks without saved progress are waited for before they may be
+        ended; None for as long as they take.
+    """
 
     upstream_id: str
+    patience_ms: float | None
 
 
 @frozen
@@ -148,7 +153,7 @@
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
         self._spare_pool = spare_pool
-        self._loads = Loads({}, {})
+        self._loads = Loads({}, {}, {})
         self._moves: dict[str, _Move] = {}
         self._idle_since_ms: dict[str, float] = {}
         self._short_ms: dict[str, float] = {}
@@ -173,6 +178,8 @@
         for pool, millicores in message.short_millicores.items():
             if millicores:
                 self._short_ms[pool] = now_ms
+        if any(message.short_millicores.values()) and self._vms:
+            self._plan_moves()
         idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
         self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
 
@@ -275,7 +282,8 @@
         if self._timer.now_ms() < self._quiet_until_ms:
             return
         policy = POLICIES.get(defaults.POOL_POLICY)
-        for plan in policy(list(self._demands()), list(self._pool_vms())):
+        demands, vms = list(self._demands()), list(self._pool_vms())
+        for plan in policy(demands, vms):
             entry = self._vms[plan.vm_id]
             move = _Move(plan, "due", entry.upstream_id, self._timer.now_ms())
             self._moves[plan.vm_id] = move
@@ -296,9 +304,11 @@
         now_ms = self._timer.now_ms()
         free: Counter[str] = Counter()
         total: Counter[str] = Counter()
+        lasting: Counter[str] = Counter()
         for load in self._loads.upstreams.values():
             total[load.pool] += load.capacity_millicores
             free[load.pool] += load.capacity_millicores - load.busy_millicores
+            lasting[load.pool] += load.lasting_millicores
         counts = Counter(vm.pool for vm in self._vms.values())
         incoming: Counter[str] = Counter()
         for vm_id, move in self._moves.items():
@@ -317,6 +327,8 @@
                 total[pool],
                 incoming[pool],
                 counts[pool],
+                self._loads.offered_millicores.get(pool, 0),
+                lasting[pool],
                 now_ms - self._short_ms.get(pool, 0.0),
             )
 
@@ -329,12 +341,14 @@
             if vm.state in ("vacating", "ordered", "down")
         }
         for vm in self._vms.values():
+            load = self._loads.upstreams.get(vm.upstream_id)
             idle_since_ms = self._idle_since_ms.get(vm.upstream_id)
             yield PoolVm(
                 vm.vm_id,
                 vm.pool,
                 vm.capacity.cpu_millicores,
                 0.0 if idle_since_ms is None else now_ms - idle_since_ms,
+                load.lasting_count if load else 0,
                 vm.state == "up" and vm.vm_id not in in_waves and vm.vm_id not in self._moves,
             )
 
@@ -388,7 +402,9 @@
     @carries_out("vacate")
     def _vacate(self, vm: VmUpkeep | _Move, wave: Wave | None = None) -> None:
         vm.since_ms = self._timer.now_ms()
-        self._scheduler.tell(Vacate(vm.upstream_id))
+        # A move is no reason to end a task; maintenance has a deadline.
+        patience_ms = None if wave is None else defaults.VACATE_PATIENCE_MS
+        self._scheduler.tell(Vacate(vm.upstream_id, patience_ms))
         if wave is None or isinstance(vm, _Move):
             return
         logger.info(
