--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -26,7 +26,7 @@
 )
 from .entrance import Entrance, LeaderKnown, RulesInForce
 from .follower import Follower, TopicChanges, TopicSnapshot
-from .graph import Rules, UpstreamEntry, WaveRequest
+from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
 from .leaderapi import PeerClient, PeerServer
 from .link import ClientFactory
 from .mailbox import Actor, new_reply, receives
@@ -282,14 +282,13 @@
                 restored,
                 self._timer,
                 quiet_until_ms,
-                self._is_spare,
+                self._pool_rules,
             )
 
         return make
 
-    def _is_spare(self, pool: str) -> bool:
-        rule = self._rules.pools.get(pool) if self._rules else None
-        return rule is not None and rule.spare
+    def _pool_rules(self) -> dict[str, PoolRule]:
+        return self._rules.pools if self._rules else {}
 
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -14,7 +14,7 @@
 from .charts import load_chart
 from .election import Fenced
 from .errors import FleetRefusedError, FleetUnknownError
-from .graph import VmEntry, WaveRequest
+from .graph import PoolRule, VmEntry, WaveRequest
 from .loads import Loads
 from .mailbox import Actor, carries_out, new_reply, receives
 from .pools import POLICIES, PoolDemand, PoolVm, Relocation
@@ -117,7 +117,7 @@
 class Fleet(Actor):
     """Gives the orders for VMs in one epoch.
 
-    :param spare_pool: tells whether a pool is spare.
+    :param pool_rules: returns what the configuration says of the pools.
 
     :param scheduler: empties upstreams on demand.
     :param restored: records of waves that an earlier leader has stored.
@@ -137,7 +137,7 @@
         restored: Mapping[str, bytes],
         timer: Timer,
         quiet_until_ms: float,
-        spare_pool: Callable[[str], bool],
+        pool_rules: Callable[[], Mapping[str, PoolRule]],
     ) -> None:
         super().__init__("fleet")
         self._epoch = epoch
@@ -152,7 +152,7 @@
         self._quiet_until_ms = quiet_until_ms
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
-        self._spare_pool = spare_pool
+        self._pool_rules = pool_rules
         self._loads = Loads({}, {}, {})
         self._moves: dict[str, _Move] = {}
         self._idle_since_ms: dict[str, float] = {}
@@ -318,7 +318,8 @@
             arriving = vm.state == "up" and vm.upstream_id not in self._loads.upstreams
             if arriving and vm.vm_id not in self._moves and not self._spare_pool(vm.pool):
                 incoming[vm.pool] += vm.capacity.cpu_millicores
-        for pool in counts:
+        # A spare pool that has given all its VMs is listed by the configuration only.
+        for pool in counts.keys() | self._pool_rules().keys():
             yield PoolDemand(
                 pool,
                 self._spare_pool(pool),
@@ -332,6 +333,10 @@
                 now_ms - self._short_ms.get(pool, 0.0),
             )
 
+    def _spare_pool(self, pool: str) -> bool:
+        rule = self._pool_rules().get(pool)
+        return rule is not None and rule.spare
+
     def _pool_vms(self) -> Iterator[PoolVm]:
         now_ms = self._timer.now_ms()
         in_waves = {
