Keep pools of at least three VMs and a quarter of their cpu free

Cause: with VMs going back at once and coming early, the minimum is now what keeps VMs in pools. Change: POOL_MIN_COUNT 3, KEPT_FREE_RATIO 0.25.

--- a/src/tarragoncart/pools.py
+++ b/src/tarragoncart/pools.py
@@ -10,7 +10,7 @@
 from .registry import Registry
 
 # A pool keeps at least this many VMs, for what may come and for its tasks that must stay apart.
-POOL_MIN_COUNT = 4
+POOL_MIN_COUNT = 3
 # A VM without runs goes back to the spare pool after this time; a move costs about as much as a
 # VM in a pool for one second, and its return as much again.
 IDLE_RETURN_MS = 1_500
@@ -21,7 +21,7 @@
 # Work comes faster at the start of a burst than the window shows.
 OFFERED_FACTOR = 1.4
 # Free share of a pool's cpu that stays after a VM has gone back.
-KEPT_FREE_RATIO = 0.4
+KEPT_FREE_RATIO = 0.25
 
 
 @frozen
