Look after unanswered starts at once; shorter leases and looks

Change: the runs are listed at once after such a start and after each stop; calls to upstreams time out after 700 ms, looks wait 600 ms, leases last 3 s.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -143,13 +143,13 @@
 LEADER_LOOKUP_PAUSE_MS = 250
 
 # Lease of all runs at an upstream, renewed with each look at it.
-UPSTREAM_LEASE_MS = 3_500
+UPSTREAM_LEASE_MS = 3_000
 # An upstream's steady clock may be this much slow; the rest is for the estimate.
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 300
-UPSTREAM_WAIT_MS = 1_000
+UPSTREAM_WAIT_MS = 600
 # An upstream without an answer for this long gets no new tasks.
-UPSTREAM_SILENT_MS = 2_300
+UPSTREAM_SILENT_MS = 1_800
 ACKNOWLEDGE_WAIT_MS = 400
 PLACEMENT_DELAY_MS = 4
 SCHEDULER_TICK_MS = 250
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -67,6 +67,11 @@
     percent: int
 
 
+@frozen
+class Look:
+    """List the runs now, beside the look that waits for an end."""
+
+
 @frozen
 class Acknowledge:
     """The ends up to this number are stored."""
@@ -169,6 +174,7 @@
         # The upstream's clock when it last said it, and our time when the answer came.
         self._clock: tuple[int, float] | None = None
         self._lease_end_ms = 0.0
+        self._answered = True
 
     async def opened(self) -> None:
         """Start looking at the upstream."""
@@ -196,6 +202,11 @@
         """Send a stop."""
         self.spawn(self._stop(message.task_name, message.run))
 
+    @receives(Look)
+    def on_look(self, message: Look) -> None:
+        """Look once, without waiting for an end."""
+        self.spawn(self._look())
+
     @receives(Pace)
     def on_pace(self, message: Pace) -> None:
         """Send a change of pace."""
@@ -265,39 +276,44 @@
 
     async def _watch(self) -> None:
         wait_ms = 0
-        answered = True
         while True:
             if not self._permitted():
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
-            asked_ms = self._timer.now_ms()
-            try:
-                report = await self._client.hold(
-                    # A lost renewal may have taken effect. Renewing again and again would put off
-                    # for ever the time from which the runs count as ended.
-                    until_ms=self._until_ms() if answered else None,
-                    acknowledged=self._acknowledged,
-                    wait_ms=wait_ms,
-                    epoch=self._epoch,
-                )
-            except TarragoncartError as error:
-                reason = getattr(error, "reason", "") or str(error)
-                self._note_fence(reason)
-                answered = False
-                self._listener.tell(
-                    Silent(self._id, reason, reason == "instance", self._lease_end_ms)
-                )
+            renew_now = self._clock is None or not self._answered
+            report = await self._look(wait_ms)
+            if report is None:
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
-            renew_now = self._clock is None or not answered
-            answered = True
-            # The clock was read when the answer was sent. Taken with the time of the question, it
-            # would seem ahead by the wait, and a lease would outlast what we count with.
-            self._clock = (report.clock_ms, self._timer.now_ms())
-            self._listener.tell(Reported(self._id, report, asked_ms, self._lease_end_ms))
             wait_ms = 0 if renew_now else defaults.UPSTREAM_WAIT_MS
             await self._wait_for_acknowledgement(report)
 
+    async def _look(self, wait_ms: int = 0) -> UpstreamReport | None:
+        """Renew the lease, list the runs and pass them on; None without an answer."""
+        asked_ms = self._timer.now_ms()
+        try:
+            report = await self._client.hold(
+                # A lost renewal may have taken effect. Renewing again and again would put off
+                # for ever the time from which the runs count as ended.
+                until_ms=self._until_ms() if self._answered else None,
+                acknowledged=self._acknowledged,
+                wait_ms=wait_ms,
+                epoch=self._epoch,
+            )
+        except TarragoncartError as error:
+            reason = getattr(error, "reason", "") or str(error)
+            self._note_fence(reason)
+            self._answered = False
+            gone = reason == "instance"
+            self._listener.tell(Silent(self._id, reason, gone, self._lease_end_ms))
+            return None
+        self._answered = True
+        # The clock was read when the answer was sent. Taken with the time of the question, it
+        # would seem ahead by the wait, and a lease would outlast what we count with.
+        self._clock = (report.clock_ms, self._timer.now_ms())
+        self._listener.tell(Reported(self._id, report, asked_ms, self._lease_end_ms))
+        return report
+
     async def _wait_for_acknowledgement(self, report: UpstreamReport) -> None:
         """Wait until the ends listed are stored: the next look would list them again at once."""
         if not report.ended:
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -10,8 +10,8 @@
 from ..runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from .wire import dump_json, load_json, whole
 
-CALL_TIMEOUT_MS = 1_500
-CONNECT_TIMEOUT_MS = 800
+CALL_TIMEOUT_MS = 700
+CONNECT_TIMEOUT_MS = 500
 CONNECTION_COUNT = 8
 # Codes of the platform for why a task ended, by our names.
 _OUTCOMES = {
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -22,6 +22,7 @@
     ClientFactory,
     FencedByUpstream,
     Link,
+    Look,
     Permit,
     Reported,
     Silent,
@@ -644,6 +645,8 @@
             task.confirmed_ms = self._timer.now_ms()
             task.retry_ms = self._timer.now_ms() + defaults.START_RETRY_MS
             self._event(task, message.outcome)
+            if message.outcome == "unanswered":
+                self._look_at(task)
 
     def _note_refusal(self, message: StartEnded) -> None:
         upstream = self._upstreams.get(message.upstream_id)
@@ -665,6 +668,13 @@
         if task is not None and task.run == message.run and task.state == "stopping":
             task.confirmed_ms = self._timer.now_ms()
             self._event(task, "stopped")
+            self._look_at(task)
+
+    def _look_at(self, task: Task) -> None:
+        """Have the runs of a task's upstream listed now."""
+        upstream = self._upstreams.get(task.upstream_id)
+        if upstream is not None and upstream.link is not None:
+            upstream.link.tell(Look())
 
     def _find(self, task_name: str) -> Task | None:
         parsed = ledger.parse_task_name(task_name)
