Wait for the end of a stop before a run in neither list counts as ended

Cause: while a run is being stopped, its upstream lists it neither as running nor as ended. Change: the run counts as present for the time a stop may take; so do the runs that a new leader does not find at its first look, as the old one may have stopped them. Beside it: pace of filling tasks, ended jobs are dropped after their retention, tests bind port 0 (a port was taken between its choice and its use once).

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -30,11 +30,13 @@
     :param silent: calls get no answer.
     :param lose_start_count: so many starts are carried out and not answered.
     :param outcome: how runs end that start from now on.
+    :param stop_ms: how long a stop takes; the run is in neither list meanwhile.
     """
 
     silent: bool = False
     lose_start_count: int = 0
     outcome: str = "done"
+    stop_ms: float = 0.0
 
 
 @define
@@ -57,6 +59,7 @@
     acknowledged: int = 0
     starts: list[tuple[str, int, int]] = Factory(list)
     specs: dict[str, str] = Factory(dict)
+    stopping: set[str] = Factory(set)
     paces: list[tuple[str, int]] = Factory(list)
     faults: WorkerFaults = Factory(WorkerFaults)
     changed: asyncio.Event = Factory(asyncio.Event)
@@ -134,11 +137,17 @@
     async def _stop(self, request: web.BaseRequest, data: Any) -> web.StreamResponse:
         run = self.runs.get(data["task"])
         if run is not None and run.run == data["run"]:
-            self._end(run, "stopped")
+            self.stopping.add(run.task)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.stop_ms / 1_000, self._stopped, run)
         else:
             self.closed[data["task"]] = max(self.closed.get(data["task"], 0), data["run"])
         return _json({"clock-ms": self.clock_ms()})
 
+    def _stopped(self, run: Run) -> None:
+        self.stopping.discard(run.task)
+        self._end(run, "stopped")
+
     async def _hold(self, request: web.BaseRequest, data: Any) -> web.StreamResponse:
         self.acknowledged = max(self.acknowledged, data.get("ack-cursor", 0))
         self.ended = [row for row in self.ended if row[0] > self.acknowledged]
@@ -149,7 +158,11 @@
             except TimeoutError:
                 pass
             self._advance()
-        running = [[run.task, run.run, "", 100, 0] for run in self.runs.values()]
+        running = [
+            [run.task, run.run, "", 100, 0]
+            for run in self.runs.values()
+            if run.task not in self.stopping
+        ]
         answer = {
             "clock-ms": self.clock_ms(),
             "born": self.born_ms,
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -33,7 +33,10 @@
     :param failed_count: runs that ended as failed and count against the queue's attempts.
     :param failed_on: upstreams on which a run failed.
     :param percent: share of full speed that the upstream reports.
+    :param pace: share of full speed that was ordered last.
     :param load: tail latency in ms of a serving task, otherwise cpu in millicores.
+    :param paced_ms: time of the last order on its pace.
+    :param retry_ms: it is not placed before.
     :param confirmed_ms: time of the upstream's answer to the start; reports that were asked for
         before then need not list the run.
     """
@@ -51,9 +54,7 @@
     load: int = 0
     assigned_ms: float = 0.0
     confirmed_ms: float = 0.0
-    at_work_ms: float = 0.0
-    away_ms: float = 0.0
-    over_target_ms: float = 0.0
+    paced_ms: float = 0.0
     retry_ms: float = 0.0
 
     @property
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -69,7 +69,9 @@
 
 @frozen
 class Look:
-    """List the runs now, beside the look that waits for an end."""
+    """List the runs soon, beside the look that waits for an end."""
+
+    delay_ms: float = 0.0
 
 
 @frozen
@@ -205,7 +207,7 @@
     @receives(Look)
     def on_look(self, message: Look) -> None:
         """Look once, without waiting for an end."""
-        self.spawn(self._look())
+        self.spawn(self._look_later(message.delay_ms))
 
     @receives(Pace)
     def on_pace(self, message: Pace) -> None:
@@ -288,6 +290,12 @@
             wait_ms = 0 if renew_now else defaults.UPSTREAM_WAIT_MS
             await self._wait_for_acknowledgement(report)
 
+    async def _look_later(self, delay_ms: float) -> None:
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1_000)
+        if self._permitted():
+            await self._look()
+
     async def _look(self, wait_ms: int = 0) -> UpstreamReport | None:
         """Renew the lease, list the runs and pass them on; None without an answer."""
         asked_ms = self._timer.now_ms()
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from aiohttp import web
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from . import defaults, intake, logs
 from .election import (
@@ -241,6 +241,7 @@
             adapter.decode_upstream,
             self._timer,
             lease_ms=min(settings.lease_max_ms, defaults.UPSTREAM_LEASE_MS),
+            stop_ms=settings.stop_ms,
             retention_ms=settings.retention_ms,
             away_notice_ms=settings.away_notice_ms,
             make_fleet=self._fleet_factory(message.epoch, writer),
@@ -319,21 +320,29 @@
         self.entrance.tell(LeaderKnown(self._leader, self.scheduler))
 
 
+def _bind(address: str) -> tuple[socket.socket, str]:
+    """Bind a listening socket and return it with its address; port 0 takes a free port."""
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=1_024)
+    return listener, f"{host}:{listener.getsockname()[1]}"
+
+
 async def _listen(
-    address: str, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    listener: socket.socket, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ) -> web.ServerRunner:
-    """Serve HTTP on an address, without the router of a whole application."""
-    host, _, port = address.rpartition(":")
+    """Serve HTTP on a socket, without the router of a whole application."""
     runner = web.ServerRunner(web.Server(handler, access_log=None))
     await runner.setup()
-    listener = socket.create_server((host, int(port)), backlog=1_024)
     await web.SockSite(runner, listener).start()
     return runner
 
 
 @define
 class OpenedNode:
-    """A running entry VM with its listeners."""
+    """A running entry VM with its listeners.
+
+    :param settings: with the addresses that were bound.
+    """
 
     settings: NodeSettings
     node: Node
@@ -362,13 +371,22 @@
 async def open_node(settings: NodeSettings, adapter: Adapter) -> OpenedNode:
     """Bind the listeners and start an entry VM."""
     timer = LoopTimer()
+    ready, ready_address = _bind(settings.ready_address)
+    peer, peer_address = _bind(settings.peer_address)
+    caller, caller_address = _bind(settings.caller_address)
+    settings = evolve(
+        settings,
+        ready_address=ready_address,
+        peer_address=peer_address,
+        caller_address=caller_address,
+    )
     node = Node(settings, adapter, timer)
     callers = adapter.make_caller_server(node.entrance, timer)
     peers = PeerServer(lambda: node.scheduler)
     runners = [
-        await _listen(settings.ready_address, callers.handle_ready),
-        await _listen(settings.peer_address, peers.handle),
-        await _listen(settings.caller_address, callers.handle),
+        await _listen(ready, callers.handle_ready),
+        await _listen(peer, peers.handle),
+        await _listen(caller, callers.handle),
     ]
     node.start()
     return OpenedNode(settings, node, callers, runners)
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import logging
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from attrs import define, field, frozen
 
-from . import assignment, defaults, intake, ledger
+from . import assignment, defaults, intake, ledger, pacing
 from .assignment import Slot, Usage
 from .election import Fenced, LeadershipConfirmed
 from .errors import StoreRefusedError, StoreUnknownError
@@ -23,6 +23,7 @@
     FencedByUpstream,
     Link,
     Look,
+    Pace,
     Permit,
     Reported,
     Silent,
@@ -98,6 +99,12 @@
     effects: _Effects
 
 
+@frozen
+class _Dropped:
+    job: Job
+    outcome: str
+
+
 @define
 class _Effects:
     """What may be done once the changes before it are stored."""
@@ -152,6 +159,7 @@
         timer: Timer,
         *,
         lease_ms: int,
+        stop_ms: int,
         retention_ms: int,
         away_notice_ms: int = 4_500,
         make_fleet: Callable[[Scheduler, dict[str, bytes]], Actor] | None = None,
@@ -168,6 +176,7 @@
         self._decode_upstream = decode_upstream
         self._timer = timer
         self._lease_ms = lease_ms
+        self._stop_ms = stop_ms
         self._retention_ms = retention_ms
         self._away_notice_ms = away_notice_ms
         self._make_fleet = make_fleet
@@ -190,6 +199,8 @@
         self._pass_due = False
         self._followers: list[Follower] = []
         self._short_millicores: Counter[str] = Counter()
+        # Jobs whose end is stored, oldest first.
+        self._ended: deque[Job] = deque()
         self._offered = Offered(defaults.OFFERED_WINDOW_MS)
         self._malformed: set[str] = set()
         # Registrations of these linger in the store; another life gets another id.
@@ -364,6 +375,7 @@
             if job.phase == ledger.QUEUED and any(task.run for task in job.tasks()):
                 job.phase = ledger.RUNNING
             self._admit(job)
+        self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
         logger.info(
             "state taken over",
             extra={
@@ -456,6 +468,7 @@
     def _admit(self, job: Job) -> None:
         """Release the due occurrences of a job and see which steps may run."""
         if job.ended:
+            self._ended.append(job)
             return
         self._unfinished[job.job_id] = job
         now_ms = self._timer.wall_ms()
@@ -535,7 +548,8 @@
         task.upstream_id = slot.entry.upstream_id
         task.assigned_ms = self._timer.now_ms()
         task.confirmed_ms = 0.0
-        task.percent, task.pace, task.load = 0, 100, 0
+        task.percent, task.pace, task.load = 0, pacing.FULL_PERCENT, 0
+        task.paced_ms = 0.0
         self._take_capacity(task, slot)
         self._effects.starts.append((task, task.run))
         self._dirty_steps[task.step] = None
@@ -666,15 +680,17 @@
             upstream.strays.discard((message.task_name, message.run))
         task = self._find(message.task_name)
         if task is not None and task.run == message.run and task.state == "stopping":
-            task.confirmed_ms = self._timer.now_ms()
+            # A run that is being stopped is in neither list until it has ended.
+            settle_ms = self._stop_ms + defaults.STOP_MARGIN_MS
+            task.confirmed_ms = self._timer.now_ms() + settle_ms
             self._event(task, "stopped")
-            self._look_at(task)
+            self._look_at(task, settle_ms + 1)
 
-    def _look_at(self, task: Task) -> None:
-        """Have the runs of a task's upstream listed now."""
+    def _look_at(self, task: Task, delay_ms: float = 0.0) -> None:
+        """Have the runs of a task's upstream listed soon."""
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is not None and upstream.link is not None:
-            upstream.link.tell(Look())
+            upstream.link.tell(Look(delay_ms))
 
     def _find(self, task_name: str) -> Task | None:
         parsed = ledger.parse_task_name(task_name)
@@ -706,6 +722,13 @@
         upstream.born_ms = report.born_ms or upstream.born_ms
         upstream.lease_end_ms = message.lease_end_ms
         upstream.reported_ms = self._timer.now_ms()
+        if not slot.known:
+            # An earlier leader may have stopped some of its runs just now.
+            for task in slot.tasks.values():
+                task.confirmed_ms = max(
+                    task.confirmed_ms,
+                    upstream.reported_ms + self._stop_ms + defaults.STOP_MARGIN_MS,
+                )
         if not slot.known or not slot.answering:
             slot.known = slot.answering = True
             self._request_pass()
@@ -722,6 +745,28 @@
             self._request_pass()
         if len(report.ended) < ENDED_PAGE_COUNT:
             self._drop_unlisted(upstream, listed, message.asked_ms)
+        self._set_paces(upstream)
+
+    def _set_paces(self, upstream: _Upstream) -> None:
+        """Slow down or speed up what fills beside what serves."""
+        now_ms = self._timer.now_ms()
+        if upstream.link is None:
+            return
+        for change in list(pacing.pace_changes(upstream.slot.tasks.values(), now_ms)):
+            task = change.task
+            task.pace, task.paced_ms = change.percent, now_ms
+            upstream.link.tell(Pace(task.name, task.run, change.percent))
+            logger.info(
+                "pace changed",
+                extra={
+                    "task": task.name,
+                    "run": task.run,
+                    "upstream": task.upstream_id,
+                    "percent": change.percent,
+                    "tail_ms": change.tail_ms,
+                    "target_ms": change.target_ms,
+                },
+            )
 
     def _take_live(self, upstream: _Upstream, live: LiveRun) -> None:
         task = self._find(live.task_name)
@@ -738,8 +783,6 @@
             task.checkpoint = live.checkpoint
         task.percent = 0 if upstream.closing else live.percent
         task.load = live.load
-        if task.at_work and not task.at_work_ms:
-            task.at_work_ms = self._timer.now_ms()
         if task.state != "running":
             self._event(task, "listed")
             job = task.step.job
@@ -953,6 +996,7 @@
                 upstream.link.tell(Acknowledge(number))
         for job in effects.ended_jobs:
             job.stored = True
+            self._ended.append(job)
 
     # Time.
 
@@ -967,6 +1011,7 @@
         for job in list(self._unfinished.values()):
             if job.released_count < job.occurrence_count:
                 self._admit(job)
+        self._forget_old()
         if self._fleet is not None:
             loads = {load.upstream_id: load for load in self._loads()}
             short = dict(self._short_millicores)
@@ -974,6 +1019,32 @@
         if any(self._ready.values()):
             self._request_pass()
 
+    def _forget_old(self) -> None:
+        """Drop jobs whose end has been told for long enough, here and in the store."""
+        horizon_ms = self._timer.wall_ms() - self._retention_ms - defaults.RETENTION_MARGIN_MS
+        while self._ended and self._ended[0].ended_ms < horizon_ms:
+            self._forget(self._ended.popleft())
+
+    def _forget(self, job: Job) -> None:
+        """Drop a job: its end stays in the store until its acceptance is gone, or it would run."""
+        prefixes = (intake.JOB_PREFIX, intake.CANCEL_PREFIX)
+        records = tuple((prefix + job.job_id, b"") for prefix in prefixes)
+        reply = new_reply()
+        reply.add_done_callback(
+            lambda done: None if done.cancelled() else self.tell(_Dropped(job, done.result()))
+        )
+        self._intake_writer.tell(Write(records, reply))
+
+    @receives(_Dropped)
+    def on_dropped(self, message: _Dropped) -> None:
+        """Forget a job whose acceptance is gone, or try again later."""
+        if message.outcome != STORED:
+            self._ended.append(message.job)
+            return
+        self._jobs.pop(message.job.job_id, None)
+        self._dropped_keys.append(message.job.job_id)
+        self._request_pass()
+
     def _check_upstream(self, upstream: _Upstream, now_ms: float) -> None:
         slot = upstream.slot
         if slot.answering:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,6 @@
 import itertools
 import json
 import random
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -701,14 +700,12 @@
     """Return the settings of an entry VM on free ports."""
 
     def make(name: str) -> NodeSettings:
-        ports = [free_port() for _ in range(3)]
-        peer, caller, ready = (f"127.0.0.1:{port}" for port in ports)
         return NodeSettings(
             name=name,
             data_centre="dc-1",
-            peer_address=peer,
-            caller_address=caller,
-            ready_address=ready,
+            peer_address="127.0.0.1:0",
+            caller_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
             store_address=store.address,
             fleet_address="",
             advice_address="",
@@ -731,12 +728,6 @@
     return make
 
 
-def free_port() -> int:
-    """Return a port on which nothing listens."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
-
-
 @define
 class Caller:
     """Calls an entry VM as the platform's callers do."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins.taskworker import TaskWorker
+from tarragoncart.vms import Vacate
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -272,3 +273,44 @@
     assert await submit(node) == 200
     for body in ({"steps": []}, {"spec": 1, "steps": [TASK]}, [], {"steps": [{"count": "x"}]}):
         assert (await node.caller.call("POST", "/q/00000000000000cc", body))[0] == 400
+
+
+async def test_an_old_job_is_forgotten_and_never_runs_again(run_node, add_worker, store):
+    """Guards against state that grows for ever, and against an end dropped before its job."""
+    worker = await add_worker()
+    node = await run_node()
+    assert await submit(node) == 200
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    node.scheduler._retention_ms = -1_000_000
+    assert await until(lambda: not store.standin.newest("keyed.state"))
+    assert store.standin.newest("keyed.intake") == {}
+    await node.stop()
+    second = await run_node("node-2")
+    assert await until(lambda: second.scheduler is not None, 6.0)
+    assert (await second.caller.call("GET", f"/q/{JOB_ID}"))[0] in (410, 503)
+    await asyncio.sleep(0.3)
+    assert len(worker.starts) == 4
+
+
+async def test_a_run_that_is_being_stopped_still_runs(run_node, add_worker, store):
+    """Guards against a second run while a worker lists a run in neither list during its stop.
+
+    Looking right after the stop's answer broke TWICE (imisatsi-ops, hunt-589b-3).
+    """
+    first = await add_worker("i-1", TaskWorker(work_ms=0))
+    first.faults.stop_ms = 200
+    node = await run_node()
+    job = {"spec": "", "steps": [{**TASK, "count": 1, "long-running": True}]}
+    assert await submit(node, job) == 200
+    assert await until(lambda: len(first.runs) == 1)
+    second = await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await until(lambda: len(node.scheduler._upstreams) == 2)
+    node.scheduler.tell(Vacate("i-1", None))
+    overlapped = False
+    for _ in range(300):
+        overlapped = overlapped or bool(first.runs and second.runs)
+        if second.runs and not first.runs:
+            break
+        await asyncio.sleep(0.005)
+    assert second.runs
+    assert not overlapped
