Keep the leadership where it is while members come and go

Cause: partitions are dealt anew whenever an entry VM joins, and each time the leadership moved with partition 0 (0.9 s without a leader after every restart of all VMs). Change: the owner of partition 0 claims an epoch only if the leader that the store names does not answer or does not lead; a leader stays one while the store confirms its membership.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -93,9 +93,10 @@
 
 @ORDERS.register("deadline")
 def by_deadline(step: StepRun, now_ms: float) -> tuple[float, ...]:
-    """Priority class, then jobs that can still be on time by deadline, then the late ones.
+    """Priority class, jobs within their account's share, those that can be on time, deadline.
 
-    Answers overload: a job that is late anyway must not make others late as well.
+    Answers overload: neither a job that is late anyway nor an account that sends many times its
+    share may make others late.
     """
     job = step.job
     objective_ms = job.objective_ms()
@@ -108,7 +109,7 @@
     lateness = 0.0
     if not step.spec.long_running and now_ms + 0.5 * remaining_ms > due_ms:
         lateness = 1.0 if now_ms < due_ms + 2 * objective_ms else 2.0
-    return (job.submission.priority, lateness, due_ms, step.number)
+    return (job.submission.priority, float(job.beyond_share), lateness, due_ms, step.number)
 
 
 @RANKINGS.register("spread")
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -186,3 +186,6 @@
 RETENTION_MARGIN_MS = 60_000
 # Added to the time that a stop may take before a run in neither list counts as ended.
 STOP_MARGIN_MS = 50
+PROBE_TIMEOUT_MS = 350
+# A leader whose last confirmation is older says that it does not lead, so that another takes over.
+LEADERSHIP_FRESH_MS = 1_100
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -1,17 +1,23 @@
-"""Chooses the entry VM that schedules: membership in a group of the store, and claimed epochs."""
+"""Chooses the entry VM that schedules: membership in a group of the store, and claimed epochs.
+
+The owner of one partition sees to it that somebody leads. It claims an epoch only if the leader
+that the store names does not answer or does not lead, so that members that come and go, and
+partitions that are dealt anew, do not move the leadership.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from attrs import define, frozen
 
 from . import defaults
 from .charts import load_chart
-from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import ReadStore, read_newest
 from .mailbox import Actor, carries_out, receives
 from .storage import Appended, Membership
@@ -22,7 +28,7 @@
 GROUP = "schedulers"
 TOPIC = "keyed.leader"
 LEADER_KEY = "leader"
-# Owner of this partition of the topic schedules.
+# Owner of this partition of the topic sees to it that somebody leads.
 LEADER_PART = 0
 
 
@@ -103,6 +109,12 @@
     sent_ms: float
 
 
+@frozen
+class _Probed:
+    vacant: bool
+    reason: str
+
+
 @frozen
 class _Claimed:
     epoch: int
@@ -129,6 +141,7 @@
     :param name: name of this start of the entry VM, unique among all starts.
     :param address: where the others reach it.
     :param listener: gets the messages about the leadership.
+    :param leads: asks the entry VM at an address whether it leads; raises PeerError.
     """
 
     chart = load_chart("leadership")
@@ -140,6 +153,7 @@
         store: GroupStore,
         listener: Actor,
         timer: Timer,
+        leads: Callable[[str], Awaitable[bool]],
         *,
         ttl_ms: int = defaults.MEMBERSHIP_TTL_MS,
     ) -> None:
@@ -149,6 +163,7 @@
         self._store = store
         self._listener = listener
         self._timer = timer
+        self._leads = leads
         self._ttl_ms = ttl_ms
         self._candidate = _Candidate(self.chart.initial)
         self._generation = 0
@@ -199,6 +214,34 @@
         if self._candidate.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
             self.step(self.chart, self._candidate, "expired")
 
+    @carries_out("probe")
+    def _start_probe(self, candidate: _Candidate) -> None:
+        self.spawn(self._probe())
+
+    async def _probe(self) -> None:
+        """See whether the leader that the store names leads."""
+        try:
+            leader = await self._named_leader()
+            if leader is None:
+                self.tell(_Probed(True, "there has been no leader"))
+            elif await self._leads(leader.address):
+                self.tell(_Probed(False, leader.name))
+            else:
+                self.tell(_Probed(True, f"{leader.name} does not lead"))
+        except PeerError as error:
+            self.tell(_Probed(True, str(error)))
+        except (StoreUnknownError, StoreRefusedError) as error:
+            self.tell(_Probed(False, str(error)))
+
+    @receives(_Probed)
+    def on_probed(self, message: _Probed) -> None:
+        """Claim an epoch if nobody leads."""
+        if self._candidate.state != "probing":
+            return
+        if message.vacant:
+            logger.info("nobody leads", extra={"reason": message.reason})
+        self.step(self.chart, self._candidate, "vacant" if message.vacant else "occupied")
+
     @carries_out("claim")
     def _start_claim(self, candidate: _Candidate) -> None:
         self.spawn(self._claim())
@@ -264,25 +307,29 @@
 
     async def _read_leader(self) -> None:
         try:
-            entries = (await read_newest(self._store, TOPIC)).entries
+            leader = await self._named_leader()
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("leader cannot be read", extra={"reason": str(error)})
             return
         finally:
             await asyncio.sleep(defaults.LEADER_LOOKUP_PAUSE_MS / 1_000)
             self._finding = False
-        for entry in entries:
+        if leader is not None:
+            self._listener.tell(LeaderSeen(leader))
+
+    async def _named_leader(self) -> Leader | None:
+        for entry in (await read_newest(self._store, TOPIC)).entries:
             if entry.key == LEADER_KEY:
                 data = json.loads(entry.value)
-                leader = Leader(data["name"], data["address"], entry.offset + 1)
-                self._listener.tell(LeaderSeen(leader))
+                return Leader(data["name"], data["address"], entry.offset + 1)
+        return None
 
     @receives(Leave)
     async def on_leave(self, message: Leave) -> None:
         """Resign and leave, so that another entry VM takes over at once."""
         self._leaving = True
         if self._candidate.state == "leader":
-            self.step(self.chart, self._candidate, "disowned")
+            self.step(self.chart, self._candidate, "leave")
         try:
             await self._store.leave(GROUP, self._member)
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -226,6 +226,7 @@
     ) -> None:
         record = intake.submission_record(submission)
         await self._write(record, caller)
+        self._note_answer(caller, submission.queue, "accepted")
         logger.info(
             "job accepted",
             extra={
@@ -268,10 +269,13 @@
             self._refuse(caller, error, message.reply)
             return
         work = self._tell_phase(job_id) if job_id else self._tell_pending(queue.name)
-        self._work_on(self._answer(work, message.reply), caller, message.reply)
+        self._work_on(self._answer(work, caller, message.reply), caller, message.reply)
 
-    async def _answer(self, work: Coroutine[Any, Any, Any], reply: asyncio.Future[Any]) -> None:
+    async def _answer(
+        self, work: Coroutine[Any, Any, Any], caller: Caller, reply: asyncio.Future[Any]
+    ) -> None:
         resolve(reply, await work)
+        self._note_answer(caller, "", "told")
 
     async def _tell_phase(self, job_id: str) -> Phase:
         return Phase(await self._find_phase(job_id))
@@ -338,6 +342,11 @@
 
     # Answers.
 
+    def _note_answer(self, caller: Caller, queue: str, outcome: str) -> None:
+        metrics.REQUESTS.add(1, metrics.labels(queue=queue, outcome=outcome))
+        elapsed_ms = self._timer.now_ms() - caller.received_ms
+        metrics.REQUEST_DURATION.record(elapsed_ms, metrics.labels(outcome=outcome))
+
     def _work_on(
         self, work: Coroutine[Any, Any, None], caller: Caller, reply: asyncio.Future[Any]
     ) -> None:
@@ -351,6 +360,7 @@
 
     def _refuse(self, caller: Caller, error: RequestError, reply: asyncio.Future[Any]) -> None:
         metrics.REFUSALS.add(1, metrics.labels(code=error.code))
+        self._note_answer(caller, "", error.code)
         logger.info(
             "request refused",
             extra={
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -39,22 +39,33 @@
         """
         return (await self._get(address, f"/queues/{queue}"))["pending_count"]
 
+    async def leads(self, address: str) -> bool:
+        """Ask whether the peer leads.
+
+        :raises PeerError: if it does not answer.
+        """
+        status, _ = await self._send(address, "/leader", defaults.PROBE_TIMEOUT_MS)
+        return status == 200
+
     async def _get(self, address: str, path: str) -> dict[str, Any]:
+        status, body = await self._send(address, path, defaults.LOOKUP_TIMEOUT_MS)
+        if status != 200:
+            raise PeerError(f"status {status}", step="ask leader", peer=address)
+        return json.loads(body)
+
+    async def _send(self, address: str, path: str, timeout_ms: float) -> tuple[int, bytes]:
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=8, keepalive_timeout=15),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-                timeout=aiohttp.ClientTimeout(total=defaults.LOOKUP_TIMEOUT_MS / 1_000),
             )
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
         try:
-            async with self._session.get(f"http://{address}{path}") as response:
-                status, body = response.status, await response.read()
+            async with self._session.get(f"http://{address}{path}", timeout=timeout) as response:
+                return response.status, await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PeerError(repr(error), step="ask leader", peer=address) from error
-        if status != 200:
-            raise PeerError(f"status {status}", step="ask leader", peer=address)
-        return json.loads(body)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -67,16 +78,22 @@
     """Answers other entry VMs.
 
     :param scheduler: returns the scheduler if this entry VM leads.
+    :param leads: tells whether the store has confirmed that lately.
     """
 
-    def __init__(self, scheduler: Callable[[], Scheduler | None]) -> None:
+    def __init__(
+        self, scheduler: Callable[[], Scheduler | None], leads: Callable[[], bool]
+    ) -> None:
         self._scheduler = scheduler
+        self._leads = leads
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a question."""
         scheduler = self._scheduler()
         if scheduler is None:
             return web.Response(status=NOT_LEADING_STATUS)
+        if request.path == "/leader":
+            return web.Response(status=200 if self._leads() else NOT_LEADING_STATUS)
         reply = new_reply()
         kind, _, name = request.path.lstrip("/").partition("/")
         if kind == "jobs":
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -119,6 +119,7 @@
 
     :param steps: step runs by occurrence and number of the step.
     :param stored: its end is in the store and may be shown.
+    :param beyond_share: its account had used up its share of submissions when it came.
     :param released_count: occurrences whose steps have been made.
     """
 
@@ -127,6 +128,7 @@
     phase: str = QUEUED
     ended_ms: int = 0
     stored: bool = False
+    beyond_share: bool = False
     steps: dict[tuple[int, int], StepRun] = field(factory=dict)
     released_count: int = 0
 
--- a/src/tarragoncart/loads.py
+++ b/src/tarragoncart/loads.py
@@ -62,3 +62,25 @@
         for _, pool, work_millicore_ms in self._arrivals:
             totals[pool] += work_millicore_ms  # type: ignore[assignment]
         return {pool: int(total / self._window_ms) for pool, total in totals.items()}
+
+
+class Shares:
+    """Submissions of each account within the last second.
+
+    An account's weight is the number of jobs a second that it may count on when all is full.
+    """
+
+    WINDOW_MS = 1_000.0
+
+    def __init__(self) -> None:
+        self._arrivals: dict[str, deque[float]] = {}
+
+    def exceeds(self, now_ms: float, account: str, weight: float) -> bool:
+        """Take in a submission and tell whether it is beyond the account's share."""
+        arrivals = self._arrivals.setdefault(account, deque())
+        while arrivals and arrivals[0] <= now_ms - self.WINDOW_MS:
+            arrivals.popleft()
+        if len(arrivals) >= max(1.0, weight):
+            return True
+        arrivals.append(now_ms)
+        return False
--- a/src/tarragoncart/logs.py
+++ b/src/tarragoncart/logs.py
@@ -1,4 +1,4 @@
-"""Log lines as JSON objects on standard error, one for each change of state."""
+"""Log lines as JSON objects, one for each decision or change of state."""
 
 from __future__ import annotations
 
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from opentelemetry import metrics as api
@@ -47,6 +47,14 @@
 APPEND_DURATION = _duration("log.append.duration", "From an append's start to its answer.")
 CONFIG_DURATION = _duration("config.duration", "From a publish to its being in force here.")
 
+# Jobs and tasks on the platform: attributes outcome, phase, queue.
+STARTS = _counter("starts", "start", "Starts answered by upstreams, by outcome.")
+RUNS = _counter("runs", "run", "Runs ended, by outcome.")
+JOBS = _counter("jobs", "job", "Jobs ended, by phase.")
+JOB_DURATION = _duration("job.duration", "From a job's acceptance to its end.")
+TAKEOVERS = _counter("takeovers", "epoch", "Epochs claimed by this entry VM.")
+DROPPED_LINES = _counter("log.lines.dropped", "line", "Log lines dropped because output stalls.")
+
 # Other entry VMs and the fleet.
 HEARTBEATS = _counter("peer.heartbeats", "heartbeat", "Heartbeats sent, by result.")
 RIGHTS_MOVED = _counter("rights.moved", "right", "Rights taken, passed on or returned.")
@@ -101,6 +109,42 @@
     return None
 
 
+def render_text() -> str:
+    """Return all metrics as lines of text: name, attributes, value.
+
+    Histograms give count, sum and cumulative buckets, as in the Prometheus text format.
+    """
+    lines: list[str] = []
+    for reader in _readers:
+        data = reader.get_metrics_data() if hasattr(reader, "get_metrics_data") else None
+        for resource in data.resource_metrics if data else ():
+            for scope in resource.scope_metrics:
+                for metric in scope.metrics:
+                    name = metric.name.replace(".", "_")
+                    for point in metric.data.data_points:
+                        lines.extend(_render_point(name, point))
+    return "\n".join(lines) + "\n"
+
+
+def _render_point(name: str, point: Any) -> Iterator[str]:
+    attributes = [f'{key}="{value}"' for key, value in sorted(point.attributes.items())]
+    if not hasattr(point, "bucket_counts"):
+        yield f"{name}{_braces(attributes)} {point.value}"
+        return
+    total = 0
+    bounds = (*point.explicit_bounds, "+Inf")
+    for bound, count in zip(bounds, point.bucket_counts, strict=True):
+        total += count
+        bucket = _braces([*attributes, f'le="{bound}"'])
+        yield f"{name}_bucket{bucket} {total}"
+    yield f"{name}_count{_braces(attributes)} {point.count}"
+    yield f"{name}_sum{_braces(attributes)} {point.sum}"
+
+
+def _braces(attributes: list[str]) -> str:
+    return "{" + ",".join(attributes) + "}" if attributes else ""
+
+
 def start_metrics(exporter: str, attributes: dict[str, str] | None = None) -> Any:
     """Install the exporter of that name and return its reader, None for ``none``.
 
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -8,15 +8,17 @@
 import secrets
 import signal
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 from attrs import define, evolve, frozen
 
-from . import defaults, intake, logs
+from . import defaults, intake, logs, metrics
 from .election import (
     Election,
+    Fenced,
     Leader,
     LeaderSeen,
     LeadershipConfirmed,
@@ -43,6 +45,7 @@
 class NodeSettings:
     """Settings of an entry VM.
 
+    :param metrics_address: where metrics are told as text.
     :param key_freshness_ms: a withdrawn key must not work for longer.
     :param config_freshness_ms: a configuration must be in force by then.
     :param lease_max_ms: longest lease that an upstream grants.
@@ -56,6 +59,7 @@
     peer_address: str
     caller_address: str
     ready_address: str
+    metrics_address: str
     store_address: str
     fleet_address: str
     advice_address: str
@@ -116,12 +120,15 @@
             timer,
             call_bytes=settings.store_call_bytes // 2,
         )
+        self._probe_client = PeerClient()
+        self._valid_until_ms = 0.0
         self.election = Election(
             self.incarnation,
             settings.peer_address,
             adapter.make_store(),
             self,
             timer,
+            self._probe_client.leads,
             ttl_ms=max(defaults.MEMBERSHIP_TTL_MS, settings.membership_ttl_min_ms),
         )
         self.entrance = Entrance(
@@ -151,6 +158,7 @@
         parts = (*scheduler, self.election, self._follower, self.entrance, self.intake_writer)
         for part in parts:
             await part.stop()
+        await self._probe_client.close()
 
     @receives(TopicSnapshot)
     def on_snapshot(self, message: TopicSnapshot) -> None:
@@ -217,6 +225,7 @@
     @receives(LeadershipGained)
     def on_gained(self, message: LeadershipGained) -> None:
         """Start scheduling."""
+        metrics.TAKEOVERS.add(1)
         assert self._rules is not None
         adapter, settings = self._adapter, self._settings
         writer = Writer(
@@ -288,12 +297,19 @@
 
         return make
 
+    def leads(self) -> bool:
+        """Tell whether this entry VM leads and the store has confirmed that lately."""
+        left_ms = self._valid_until_ms - self._timer.now_ms()
+        age_ms = defaults.LEADERSHIP_VALID_MS - left_ms
+        return self.scheduler is not None and age_ms < defaults.LEADERSHIP_FRESH_MS
+
     def _pool_rules(self) -> dict[str, PoolRule]:
         return self._rules.pools if self._rules else {}
 
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Let the scheduler go on."""
+        self._valid_until_ms = message.valid_until_ms
         if self.scheduler is not None:
             self.scheduler.tell(message)
 
@@ -311,6 +327,8 @@
         if self._leader is not None and message.leader.epoch <= self._leader.epoch:
             return
         self._leader = message.leader
+        if self.scheduler is not None and message.leader.name != self.incarnation:
+            self.election.tell(Fenced(self.scheduler.epoch))
         logger.info(
             "leader known", extra={"leader": message.leader.name, "epoch": message.leader.epoch}
         )
@@ -337,6 +355,10 @@
     return runner
 
 
+async def _tell_metrics(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(text=metrics.render_text())
+
+
 @define
 class OpenedNode:
     """A running entry VM with its listeners.
@@ -374,19 +396,22 @@
     ready, ready_address = _bind(settings.ready_address)
     peer, peer_address = _bind(settings.peer_address)
     caller, caller_address = _bind(settings.caller_address)
+    figures, metrics_address = _bind(settings.metrics_address)
     settings = evolve(
         settings,
         ready_address=ready_address,
         peer_address=peer_address,
         caller_address=caller_address,
+        metrics_address=metrics_address,
     )
     node = Node(settings, adapter, timer)
     callers = adapter.make_caller_server(node.entrance, timer)
-    peers = PeerServer(lambda: node.scheduler)
+    peers = PeerServer(lambda: node.scheduler, node.leads)
     runners = [
         await _listen(ready, callers.handle_ready),
         await _listen(peer, peers.handle),
         await _listen(caller, callers.handle),
+        await _listen(figures, _tell_metrics),
     ]
     node.start()
     return OpenedNode(settings, node, callers, runners)
@@ -418,5 +443,6 @@
 
 def run(settings: NodeSettings, adapter: Adapter) -> None:
     """Run an entry VM."""
-    logs.setup_logging("info", settings.name)
+    logs.setup_logging("info", settings.name, sys.stdout)
+    metrics.start_metrics("memory", {"entry": settings.name})
     asyncio.run(serve(settings, adapter))
--- a/src/tarragoncart/platform/boot.py
+++ b/src/tarragoncart/platform/boot.py
@@ -11,6 +11,8 @@
 from ..node import NodeSettings
 
 SETTINGS_VARIABLE = "TARRAGONCART_SETTINGS"
+# deploy/system.toml names the port that this gives.
+METRICS_PORT_OFFSET = 1
 
 
 def load_settings(environ: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -41,6 +43,7 @@
             data_centre=data["zone"],
             # The first of the ports that are free for use between our own processes.
             peer_address=f"{data['ip']}:{inner_port}",
+            metrics_address=f"{data['ip']}:{inner_port + METRICS_PORT_OFFSET}",
             caller_address=data["listen-addrs"]["front"],
             ready_address=data["listen-addrs"]["ready"],
             store_address=data["platform"]["address"],
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -10,7 +10,7 @@
 
 from attrs import define, field, frozen
 
-from . import assignment, defaults, intake, ledger, pacing
+from . import assignment, defaults, intake, ledger, metrics, pacing
 from .assignment import Slot, Usage
 from .election import Fenced, LeadershipConfirmed
 from .errors import StoreRefusedError, StoreUnknownError
@@ -32,7 +32,7 @@
     Stop,
     StopEnded,
 )
-from .loads import Loads, Offered, UpstreamLoad
+from .loads import Loads, Offered, Shares, UpstreamLoad
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .runs import EndedRun, LiveRun, StartOrder
 from .storage import Entry
@@ -201,12 +201,18 @@
         self._short_millicores: Counter[str] = Counter()
         # Jobs whose end is stored, oldest first.
         self._ended: deque[Job] = deque()
+        self._shares = Shares()
         self._offered = Offered(defaults.OFFERED_WINDOW_MS)
         self._malformed: set[str] = set()
         # Registrations of these linger in the store; another life gets another id.
         self._ended_ids: set[str] = set()
         self._gained_ms = timer.now_ms()
 
+    @property
+    def epoch(self) -> int:
+        """The epoch for which it schedules."""
+        return self._epoch
+
     # Start and stop.
 
     async def opened(self) -> None:
@@ -346,6 +352,10 @@
         job = Job(submission)
         self._jobs[job_id] = job
         if self._loaded:
+            account = submission.account
+            weight = self._usage(account).weight
+            if account and self._shares.exceeds(self._timer.now_ms(), account, weight):
+                job.beyond_share = True
             if not submission.spec.long_running:
                 work = submission.spec.work_millicore_ms
                 self._offered.add(self._timer.now_ms(), submission.pool, work)
@@ -504,6 +514,10 @@
             for task in step.tasks:
                 self._stop(task)
         self._dirty_jobs[job] = None
+        metrics.JOBS.add(1, metrics.labels(phase=phase))
+        metrics.JOB_DURATION.record(
+            job.ended_ms - job.submission.accepted_ms, metrics.labels(phase=phase)
+        )
         logger.info(
             "job has ended",
             extra={
@@ -628,6 +642,7 @@
     @receives(StartEnded)
     def on_start_ended(self, message: StartEnded) -> None:
         """Take in the answer to a start."""
+        metrics.STARTS.add(1, metrics.labels(outcome=message.outcome))
         task = self._find(message.task_name)
         if task is None or task.run != message.run or not task.placed:
             return
@@ -819,6 +834,7 @@
             task.checkpoint = ended.checkpoint
         if ended.outcome in ("done", "failed"):
             upstream.slot.note_outcome(ended.outcome == "failed")
+        metrics.RUNS.add(1, metrics.labels(outcome=ended.outcome))
         event = ended.outcome if ended.outcome in ("done", "failed") else "ended"
         if event != "done":
             logger.info(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -706,6 +706,7 @@
             peer_address="127.0.0.1:0",
             caller_address="127.0.0.1:0",
             ready_address="127.0.0.1:0",
+            metrics_address="127.0.0.1:0",
             store_address=store.address,
             fleet_address="",
             advice_address="",
--- /dev/null
+++ b/tests/test_assignment.py
@@ -0,0 +1,154 @@
+"""Which waiting task goes where."""
+
+from __future__ import annotations
+
+import pytest
+
+from tarragoncart import assignment
+from tarragoncart.assignment import Slot, Usage, by_deadline, choose_slot, may_take_away, plan
+from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
+from tarragoncart.ledger import Job
+from tarragoncart.loads import Shares
+
+CPU = 4_000
+
+
+@pytest.fixture
+def make_job():
+    """Make a job with one step."""
+
+    def make(job_id="1", account="a", priority=0, accepted_ms=0, **step):
+        spec = StepSpec(step.pop("task_count", 2), step.pop("demand", Demand(1_000)), 1_000, **step)
+        submission = Submission(
+            job_id, "q", "pool", account, priority, 2, 2.0, 500, accepted_ms, JobSpec("", (spec,))
+        )
+        job = Job(submission)
+        job.release(0)
+        return job
+
+    return make
+
+
+@pytest.fixture
+def slots():
+    """Two upstreams of four cores, one a rack."""
+    return [
+        Slot(
+            UpstreamEntry(f"i-{n}", "pool", "x:1", "dc", False, Demand(CPU, 99), {"k", f"r{n}"}),
+            Demand(CPU, 99),
+            known=True,
+        )
+        for n in (1, 2)
+    ]
+
+
+@pytest.fixture
+def assign(slots):
+    """Plan the steps of jobs; return where each task went and which steps were short."""
+
+    def run(*jobs, usages=None, now_ms=0.0):
+        places, short = {}, []
+
+        def reserve(task, slot):
+            task.state, task.upstream_id = "assigned", slot.entry.upstream_id
+            slot.free = slot.free.plus(task.step.spec.counted, -1)
+            places[task.name] = task.upstream_id
+
+        steps = [step for job in jobs for step in job.steps.values()]
+        list(plan(steps, slots, usages or {}, now_ms, reserve, short.append))
+        return places, short
+
+    return run
+
+
+def test_no_upstream_gets_more_than_it_has(assign, make_job):
+    """Guards against starts that are rejected for want of room."""
+    places, short = assign(make_job(task_count=12))
+    assert sorted(places.values()) == ["i-1"] * 4 + ["i-2"] * 4
+    assert len(short) == 1
+
+
+def test_an_account_stays_within_its_limit(assign, make_job):
+    """Guards against an account that runs more than its upper limit."""
+    usages = {"a": Usage(Demand(2_000), Demand(2_500))}
+    places, short = assign(make_job(), usages=usages)
+    assert not places
+    # No VM can help here, so the pool does not count as short.
+    assert not short
+
+
+def test_tasks_that_must_stay_apart_do(assign, make_job):
+    """Guards against more tasks of a step on one upstream than it allows."""
+    places, _ = assign(make_job(task_count=3, max_per_upstream_count=1))
+    assert sorted(places.values()) == ["i-1", "i-2"]
+
+
+def test_a_required_label_is_kept(assign, make_job):
+    """Guards against a start on an upstream without the label."""
+    places, _ = assign(make_job(label="r2"))
+    assert set(places.values()) == {"i-2"}
+
+
+def test_a_gang_is_placed_as_a_whole_or_not_at_all(assign, make_job):
+    """Guards against members that hold capacity and wait for others."""
+    assert assign(make_job(task_count=9, gang=True))[0] == {}
+    job = make_job("2", task_count=8, gang=True)
+    assert len(assign(job)[0]) == 8
+    assert len({task.run for task in job.tasks()}) == 1
+
+
+def test_a_smaller_step_passes_one_that_does_not_fit(assign, make_job):
+    """Guards against a large task that blocks a pool with room for others."""
+    places, _ = assign(make_job("1", demand=Demand(9_000)), make_job("2"))
+    assert {name[0] for name in places} == {"2"}
+
+
+def test_an_upstream_on_which_the_task_failed_comes_last(slots, make_job):
+    """Guards against all attempts of a task on one bad upstream."""
+    task = next(make_job().tasks())
+    task.failed_on.add("i-1")
+    slot = choose_slot(task, slots, {}, 0.0, assignment.home_first)
+    assert slot is slots[1]
+
+
+def test_a_draining_or_silent_upstream_gets_nothing(slots, make_job):
+    """Guards against starts on an upstream that leaves or does not answer."""
+    task = next(make_job().tasks())
+    slots[0].cordoned = True
+    slots[1].answering = False
+    assert choose_slot(task, slots, {}, 0.0, assignment.home_first) is None
+
+
+def test_jobs_that_can_be_on_time_come_before_late_ones(make_job):
+    """Guards against a late job that makes others late, on a day with more work than room."""
+    late, timely = make_job("1", accepted_ms=0), make_job("2", accepted_ms=4_000)
+    now_ms = 4_500.0
+    steps = [next(iter(job.steps.values())) for job in (late, timely)]
+    assert sorted(steps, key=lambda step: by_deadline(step, now_ms))[0] is steps[1]
+
+
+def test_an_account_beyond_its_share_waits_for_the_others():
+    """Guards against one account that floods a queue and starves the others."""
+    shares = Shares()
+    assert [shares.exceeds(0.0, "loud", 2.0) for _ in range(4)] == [False, False, True, True]
+    assert not shares.exceeds(0.0, "quiet", 2.0)
+    assert not shares.exceeds(1_001.0, "loud", 2.0)
+
+
+def test_the_order_puts_a_share_before_a_deadline(make_job):
+    """Guards against a flood whose jobs come first because they are older."""
+    flood, other = make_job("1", accepted_ms=0), make_job("2", accepted_ms=100)
+    flood.beyond_share = True
+    steps = [next(iter(job.steps.values())) for job in (flood, other)]
+    assert sorted(steps, key=lambda step: by_deadline(step, 200.0))[0] is steps[1]
+
+
+def test_planned_work_keeps_the_budget_of_a_step(make_job):
+    """Guards against a second task of a step taken away while the first is still away."""
+    job = make_job(task_count=3, long_running=True, max_away_count=1)
+    tasks = list(job.tasks())
+    for task in tasks:
+        task.state, task.percent = "running", 100
+    assert may_take_away(tasks[0], 0.0, 0.0)
+    tasks[1].state = "stopping"
+    assert not may_take_away(tasks[0], 0.0, 0.0)
