--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 lint: $(STAMP)
 	$(VENV)/bin/black --check --quiet src tests
 	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/mypy
 
 format: $(STAMP)
 	$(VENV)/bin/black --quiet src tests
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -223,9 +223,10 @@
 def decode_step(step: StepRun, value: bytes) -> None:
     """Set the state of a step's tasks from a record; runs that were placed count as assigned."""
     states = {"d": "done", "x": "exhausted", _WAITING_CODE: "waiting", _PLACED_CODE: "started"}
-    for index, code, run, *rest in json.loads(value):
+    for row in json.loads(value):
+        index, code, run = row[:3]
         task = step.tasks[index]
-        upstream_id, failed_count, checkpoint = (*rest, *("", 0, "")[len(rest) :])
+        upstream_id, failed_count, checkpoint = (row[3:] + ["", 0, ""][len(row) - 3 :])[:3]
         task.state = states[code]
         task.run = run
         task.upstream_id = upstream_id
--- a/src/tarragoncart/logs.py
+++ b/src/tarragoncart/logs.py
@@ -2,12 +2,69 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+import os
 import sys
 from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from . import metrics
+
+# A process that writes more decisions a second than this drops lines and counts them.
+LINES_PER_S = 800
+
+
+class BoundedHandler(logging.StreamHandler[TextIO]):
+    """Writes lines without blocking and at a bounded rate; counts those that it drops.
+
+    :param lines_per_s: most lines a second; warnings and errors pass this bound.
+    """
+
+    def __init__(self, stream: TextIO, lines_per_s: int = LINES_PER_S) -> None:
+        super().__init__(stream)
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._line_count = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or drop it if the output is full or the rate is reached."""
+        second = int(record.created)
+        if second != self._second:
+            self._second, self._line_count = second, 0
+        self._line_count += 1
+        if self._line_count > self._lines_per_s and record.levelno < logging.WARNING:
+            metrics.DROPPED_LINES.add(1)
+            return
+        try:
+            self.stream.write(self.format(record) + self.terminator)
+            self.stream.flush()
+        except (BlockingIOError, BrokenPipeError):
+            metrics.DROPPED_LINES.add(1)
+
+
+def setup_bounded_logging(level: str, entry: str, stream: TextIO) -> None:
+    """Send the log lines to a stream that never blocks the process.
+
+    :param entry: name of the entry VM, put into every line.
+    """
+    with contextlib.suppress(OSError, ValueError):
+        # Streams without a descriptor, as in tests, do not block anyway.
+        os.set_blocking(stream.fileno(), False)
+    handler = BoundedHandler(stream)
+    handler.setFormatter(_formatter(entry))
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+
+
+def _formatter(entry: str) -> JsonFormatter:
+    return JsonFormatter(
+        "%(levelname)s %(name)s %(message)s",
+        rename_fields={"levelname": "level", "name": "logger"},
+        static_fields={"entry": entry} if entry else {},
+        timestamp="at",
+    )
+
 
 def setup_logging(level: str, entry: str = "", stream: TextIO | None = None) -> logging.Handler:
     """Send the log lines of all modules to a stream; replaces the handlers set before.
@@ -17,13 +74,6 @@
     :param stream: standard error by default.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(levelname)s %(name)s %(message)s",
-            rename_fields={"levelname": "level", "name": "logger"},
-            static_fields={"entry": entry} if entry else {},
-            timestamp="at",
-        )
-    )
+    handler.setFormatter(_formatter(entry))
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     return handler
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -16,7 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
-Handler = Callable[[Any, Any], Any]
+Handler = Callable[..., Any]
 
 
 def receives(message_type: type) -> Callable[[Handler], Handler]:
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -261,7 +261,7 @@
 
     def _fleet_factory(
         self, epoch: int, state_writer: Writer
-    ) -> Callable[[Scheduler, dict[str, bytes]], Fleet] | None:
+    ) -> Callable[[Actor, dict[str, bytes]], Fleet] | None:
         adapter, settings = self._adapter, self._settings
         make_calls = adapter.make_fleet
         if make_calls is None:
@@ -270,7 +270,7 @@
         quiet_ms = 0.0 if epoch == 1 else settings.fence_quiet_ms
         quiet_until_ms = self._timer.now_ms() + quiet_ms
 
-        def make(scheduler: Scheduler, restored: dict[str, bytes]) -> Fleet:
+        def make(scheduler: Actor, restored: dict[str, bytes]) -> Fleet:
             status_writer = Writer(
                 "status writer",
                 adapter.make_store(),
@@ -442,6 +442,6 @@
 
 def run(settings: NodeSettings, adapter: Adapter) -> None:
     """Run an entry VM."""
-    logs.setup_logging("info", settings.name, sys.stdout)
+    logs.setup_bounded_logging("info", settings.name, sys.stdout)
     metrics.start_metrics("memory", {"entry": settings.name})
     asyncio.run(serve(settings, adapter))
--- /dev/null
+++ b/src/tarragoncart/reports.py
@@ -0,0 +1,293 @@
+"""What upstreams register and report, compared with what they should run."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+
+from . import defaults, ledger, metrics, pacing
+from .assignment import Slot
+from .graph import Demand, UpstreamEntry
+from .ledger import TASK_CHART, Task
+from .link import (
+    Link,
+    Pace,
+    Permit,
+    Reported,
+    Silent,
+    Stop,
+)
+from .mailbox import receives
+from .runs import EndedRun, LiveRun
+from .runstate import KnownUpstream, RunState
+from .storage import Entry
+
+logger = logging.getLogger(__name__)
+
+# An upstream lists this many ends at a time; with as many, others may be missing.
+ENDED_PAGE_COUNT = 500
+
+
+class Reports(RunState):
+    """Takes in registrations and reports."""
+
+    def _attach(self, task: Task) -> None:
+        """Count a run of an earlier epoch at its upstream."""
+        upstream = self._upstreams.get(task.upstream_id)
+        if upstream is None:
+            entry = UpstreamEntry(task.upstream_id, task.step.job.pool, "", "", False, Demand())
+            upstream = KnownUpstream(Slot(entry, Demand()), None, self._inherited_lease_end_ms())
+            upstream.slot.answering = False
+            self._upstreams[task.upstream_id] = upstream
+        self._take_capacity(task, upstream.slot)
+
+    def _inherited_lease_end_ms(self) -> float:
+        """Return when runs that an earlier leader may have started have ended for sure."""
+        lease_ms = self._lease_ms / (1 - defaults.CLOCK_DRIFT_RATIO) + defaults.LEASE_MARGIN_MS
+        return self._gained_ms + defaults.LEADERSHIP_VALID_MS + lease_ms
+
+    def _take_upstreams(self, entries: Iterable[Entry]) -> None:
+        for entry in entries:
+            if not entry.value:
+                self._unlist(entry.key)
+                continue
+            try:
+                registered = self._decode_upstream(entry.key, entry.value)
+            except (ValueError, TypeError, AttributeError) as error:
+                self._note_malformed(entry.key, error)
+                continue
+            self._list(registered)
+        self._request_pass()
+
+    def _list(self, entry: UpstreamEntry) -> None:
+        upstream = self._upstreams.get(entry.upstream_id)
+        if entry.upstream_id in self._ended_ids:
+            return
+        if upstream is None or upstream.link is None:
+            self._open(entry, upstream)
+            return
+        slot = upstream.slot
+        if slot.entry.address != entry.address:
+            logger.warning(
+                "upstream has changed its address; the new one is ignored",
+                extra={"upstream": entry.upstream_id, "address": entry.address},
+            )
+            return
+        if entry.draining and not slot.entry.draining:
+            logger.info(
+                "upstream is leaving",
+                extra={
+                    "upstream": entry.upstream_id,
+                    "pool": entry.pool,
+                    "leaving_ms": entry.leaving_ms,
+                    "run_count": len(slot.tasks),
+                },
+            )
+        slot.free = slot.free.plus(entry.capacity).plus(slot.entry.capacity, -1)
+        slot.entry = entry
+        slot.listed = True
+
+    def _open(self, entry: UpstreamEntry, known: KnownUpstream | None) -> None:
+        slot = Slot(entry, entry.capacity)
+        link = Link(entry, self._epoch, self._lease_ms, self._make_client, self, self._timer)
+        upstream = KnownUpstream(slot, link, self._inherited_lease_end_ms())
+        self._upstreams[entry.upstream_id] = upstream
+        if known is not None:
+            for task in known.slot.tasks.values():
+                self._take_capacity(task, slot, again=True)
+        link.start()
+        link.tell(Permit(self._permitted_ms))
+
+    def _unlist(self, upstream_id: str) -> None:
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is not None and upstream.slot.listed:
+            upstream.slot.listed = False
+            logger.info(
+                "upstream is no longer listed",
+                extra={"upstream": upstream_id, "run_count": len(upstream.slot.tasks)},
+            )
+
+    def _note_malformed(self, key: str, error: Exception) -> None:
+        if key not in self._malformed:
+            self._malformed.add(key)
+            logger.warning("record skipped", extra={"key": key, "reason": str(error)})
+
+    # Reports.
+
+    @receives(Reported)
+    def on_reported(self, message: Reported) -> None:
+        """Compare what an upstream lists with what it should run."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is None or not self._loaded:
+            return
+        report = message.report
+        slot = upstream.slot
+        if upstream.born_ms and report.born_ms and report.born_ms != upstream.born_ms:
+            logger.info(
+                "upstream has started again",
+                extra={"upstream": message.upstream_id, "run_count": len(slot.tasks)},
+            )
+            upstream.ended_seen = 0
+        upstream.born_ms = report.born_ms or upstream.born_ms
+        upstream.lease_end_ms = message.lease_end_ms
+        upstream.reported_ms = self._timer.now_ms()
+        if not slot.known:
+            # An earlier leader may have stopped some of its runs just now.
+            for task in slot.tasks.values():
+                task.confirmed_ms = max(
+                    task.confirmed_ms,
+                    upstream.reported_ms + self._stop_ms + defaults.STOP_MARGIN_MS,
+                )
+        if not slot.known or not slot.answering:
+            slot.known = slot.answering = True
+            self._request_pass()
+        listed = {(run.task_name, run.run) for run in report.live}
+        for live in report.live:
+            self._take_live(upstream, live)
+        for ended in report.ended:
+            listed.add((ended.task_name, ended.run))
+            if ended.number > upstream.ended_seen:
+                upstream.ended_seen = ended.number
+                self._take_ended(upstream, ended)
+        if report.ended:
+            self._effects.acknowledgements[message.upstream_id] = report.ended[-1].number
+            self._request_pass()
+        if len(report.ended) < ENDED_PAGE_COUNT:
+            self._drop_unlisted(upstream, listed, message.asked_ms)
+        self._set_paces(upstream)
+
+    def _set_paces(self, upstream: KnownUpstream) -> None:
+        """Slow down or speed up what fills beside what serves."""
+        now_ms = self._timer.now_ms()
+        if upstream.link is None:
+            return
+        for change in list(pacing.pace_changes(upstream.slot.tasks.values(), now_ms)):
+            task = change.task
+            task.pace, task.paced_ms = change.percent, now_ms
+            upstream.link.tell(Pace(task.name, task.run, change.percent))
+            logger.info(
+                "pace changed",
+                extra={
+                    "task": task.name,
+                    "run": task.run,
+                    "upstream": task.upstream_id,
+                    "percent": change.percent,
+                    "tail_ms": change.tail_ms,
+                    "target_ms": change.target_ms,
+                },
+            )
+
+    def _take_live(self, upstream: KnownUpstream, live: LiveRun) -> None:
+        task = self._find(live.task_name)
+        slot = upstream.slot
+        if (
+            task is None
+            or task.run != live.run
+            or task.upstream_id != slot.entry.upstream_id
+            or not task.placed
+        ):
+            self._stop_stray(upstream, live)
+            return
+        if live.checkpoint:
+            task.checkpoint = live.checkpoint
+        task.percent = 0 if upstream.closing else live.percent
+        task.load = live.load
+        if task.state != "running":
+            # Looks overlap: one that was asked for before now says nothing about the run.
+            task.confirmed_ms = max(task.confirmed_ms, self._timer.now_ms())
+            self._event(task, "listed")
+            job = task.step.job
+            if job.phase == ledger.QUEUED:
+                job.phase = ledger.RUNNING
+            if job.ended:
+                self._stop(task)
+
+    def _stop_stray(self, upstream: KnownUpstream, live: LiveRun) -> None:
+        key = (live.task_name, live.run)
+        if key in upstream.strays or upstream.link is None:
+            return
+        upstream.strays.add(key)
+        logger.warning(
+            "upstream runs what is not wanted there; stopping it",
+            extra={
+                "task": live.task_name,
+                "run": live.run,
+                "upstream": upstream.slot.entry.upstream_id,
+            },
+        )
+        upstream.link.tell(Stop(live.task_name, live.run))
+
+    def _take_ended(self, upstream: KnownUpstream, ended: EndedRun) -> None:
+        task = self._find(ended.task_name)
+        upstream_id = upstream.slot.entry.upstream_id
+        if task is None or task.run != ended.run or task.upstream_id != upstream_id:
+            logger.info(
+                "end of another run ignored",
+                extra={"task": ended.task_name, "run": ended.run, "outcome": ended.outcome},
+            )
+            return
+        if ended.checkpoint:
+            task.checkpoint = ended.checkpoint
+        if ended.outcome in ("done", "failed"):
+            upstream.slot.note_outcome(ended.outcome == "failed")
+        metrics.RUNS.add(1, metrics.labels(outcome=ended.outcome))
+        event = ended.outcome if ended.outcome in ("done", "failed") else "ended"
+        if event != "done":
+            logger.info(
+                "run has ended without a result",
+                extra={
+                    "job": task.step.job.job_id,
+                    "task": task.name,
+                    "run": task.run,
+                    "upstream": upstream_id,
+                    "outcome": ended.outcome,
+                    "failed_count": task.failed_count,
+                },
+            )
+        if (task.placed or event == "done") and TASK_CHART.accepts(task.state, event):
+            self._event(task, event)
+
+    def _drop_unlisted(
+        self, upstream: KnownUpstream, listed: set[tuple[str, int]], asked_ms: float
+    ) -> None:
+        for task in list(upstream.slot.tasks.values()):
+            if (task.name, task.run) in listed or task.state in ("assigned", "starting"):
+                continue
+            if asked_ms <= task.confirmed_ms:
+                continue
+            if task.state == "unsure":
+                self._event(task, "unlisted")
+                task.confirmed_ms = float("inf")
+            else:
+                self._vanish(task, "not listed by its upstream")
+
+    @receives(Silent)
+    def on_silent(self, message: Silent) -> None:
+        """An upstream did not answer: give it nothing new."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is None:
+            return
+        slot = upstream.slot
+        if slot.answering:
+            slot.answering = False
+            logger.info(
+                "upstream does not answer",
+                extra={
+                    "upstream": message.upstream_id,
+                    "reason": message.reason,
+                    "run_count": len(slot.tasks),
+                    "report_age_ms": round(self._timer.now_ms() - upstream.reported_ms),
+                },
+            )
+        upstream.lease_end_ms = max(upstream.lease_end_ms, message.lease_end_ms)
+        if message.gone:
+            self._remove(upstream, "another incarnation answers at its address")
+
+    def _remove(self, upstream: KnownUpstream, reason: str) -> None:
+        upstream_id = upstream.slot.entry.upstream_id
+        for task in list(upstream.slot.tasks.values()):
+            self._vanish(task, reason)
+        self._upstreams.pop(upstream_id, None)
+        if upstream.link is not None:
+            self.spawn(upstream.link.stop())
+        logger.info("upstream removed", extra={"upstream": upstream_id, "reason": reason})
--- /dev/null
+++ b/src/tarragoncart/runstate.py
@@ -0,0 +1,420 @@
+"""Jobs and runs as the leader keeps them: what each event of a run causes."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field, frozen
+
+from . import defaults, ledger, metrics, pacing
+from .assignment import Slot, Usage
+from .follower import Follower, ReadStore
+from .graph import Rules, UpstreamEntry
+from .ledger import TASK_CHART, Job, StepRun, Task
+from .link import (
+    ClientFactory,
+    Link,
+    Look,
+    Start,
+    StartEnded,
+    Stop,
+    StopEnded,
+)
+from .loads import Offered, Shares
+from .mailbox import Actor, carries_out, receives
+from .runs import StartOrder
+from .storage import Entry
+from .timer import Timer
+from .writer import Writer
+
+logger = logging.getLogger(__name__)
+
+
+@frozen
+class Pass:
+    """Time to place tasks and to store changes."""
+
+
+@define
+class Effects:
+    """What may be done once the changes before it are stored."""
+
+    starts: list[tuple[Task, int]] = field(factory=list)
+    acknowledgements: dict[str, int] = field(factory=dict)
+    ended_jobs: list[Job] = field(factory=list)
+
+
+@define(eq=False)
+class KnownUpstream:
+    """An upstream with its link.
+
+    :param link: None for one that is only known from the runs that it had.
+    :param ended_seen: number of the last end taken in.
+    :param lease_end_ms: when all its runs have ended if it is not reached any more.
+    :param vacate_ms: since when it is being emptied for a planned stop, 0 if it is not.
+    :param patience_ms: how long tasks without saved progress are waited for, None for any time.
+    :param closing: what still runs there counts as away: its VM may go down any moment.
+    """
+
+    slot: Slot
+    link: Link | None
+    lease_end_ms: float
+    born_ms: int = 0
+    ended_seen: int = 0
+    reported_ms: float = 0.0
+    vacate_ms: float = 0.0
+    patience_ms: float | None = None
+    closing: bool = False
+    strays: set[tuple[str, int]] = field(factory=set)
+
+
+class RunState(Actor):
+    """Owns the jobs, their runs and the capacity that these take.
+
+    :param election: is told when a higher epoch shows.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        rules: Rules,
+        read_store: Callable[[], ReadStore],
+        writer: Writer,
+        intake_writer: Actor,
+        election: Actor,
+        make_client: ClientFactory,
+        upstream_topic: str,
+        decode_upstream: Callable[[str, bytes], UpstreamEntry],
+        timer: Timer,
+        *,
+        lease_ms: int,
+        stop_ms: int,
+        retention_ms: int,
+        make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
+    ) -> None:
+        super().__init__("scheduler")
+        self._epoch = epoch
+        self._rules = rules
+        self._read_store = read_store
+        self._writer = writer
+        self._intake_writer = intake_writer
+        self._election = election
+        self._make_client = make_client
+        self._upstream_topic = upstream_topic
+        self._decode_upstream = decode_upstream
+        self._timer = timer
+        self._lease_ms = lease_ms
+        self._stop_ms = stop_ms
+        self._retention_ms = retention_ms
+        self._make_fleet = make_fleet
+        self._fleet: Actor | None = None
+        self._permitted_ms = 0.0
+        self._jobs: dict[str, Job] = {}
+        self._early_cancels: set[str] = set()
+        self._upstreams: dict[str, KnownUpstream] = {}
+        self._usages: dict[str, Usage] = {}
+        self._ready: dict[str, dict[StepRun, None]] = {}
+        self._unfinished: dict[str, Job] = {}
+        self._restored: tuple[Entry, ...] | None = None
+        self._loaded = False
+        self._intake_as_of_ms = 0.0
+        self._effects = Effects()
+        self._dirty_steps: dict[StepRun, None] = {}
+        self._dirty_jobs: dict[Job, None] = {}
+        self._dropped_keys: list[str] = []
+        self._committing = False
+        self._pass_due = False
+        self._followers: list[Follower] = []
+        self._short_millicores: Counter[str] = Counter()
+        # Jobs whose end is stored, oldest first.
+        self._ended: deque[Job] = deque()
+        self._shares = Shares()
+        self._offered = Offered(defaults.OFFERED_WINDOW_MS)
+        self._malformed: set[str] = set()
+        # Registrations of these linger in the store; another life gets another id.
+        self._ended_ids: set[str] = set()
+        self._gained_ms = timer.now_ms()
+
+    @property
+    def epoch(self) -> int:
+        """The epoch for which it schedules."""
+        return self._epoch
+
+    def _usage(self, account: str) -> Usage:
+        usage = self._usages.get(account)
+        if usage is None:
+            usage = self._usages[account] = Usage()
+            self._apply_rule(account, usage)
+        return usage
+
+    def _apply_rule(self, name: str, usage: Usage) -> None:
+        rule = self._rules.accounts.get(name)
+        if rule is not None:
+            usage.limit, usage.weight = rule.limit, rule.weight
+
+    # Jobs.
+
+    def _admit(self, job: Job) -> None:
+        """Release the due occurrences of a job and see which steps may run."""
+        if job.ended:
+            self._ended.append(job)
+            return
+        self._unfinished[job.job_id] = job
+        now_ms = self._timer.wall_ms()
+        while job.released_count < job.occurrence_count:
+            if job.due_ms(job.released_count) > now_ms:
+                break
+            job.release(job.released_count)
+        for step in job.steps.values():
+            self._note_step(step)
+        self._finish_if_done(job)
+
+    def _note_step(self, step: StepRun) -> None:
+        if step.ready and any(True for _ in step.waiting()):
+            self._ready.setdefault(step.job.pool, {})[step] = None
+
+    def _cancel(self, job_id: str) -> None:
+        job = self._jobs.get(job_id)
+        if job is None:
+            self._early_cancels.add(job_id)
+            return
+        if job.cancelled or job.ended:
+            return
+        job.cancelled = True
+        self._end(job, ledger.CANCELLED, "cancelled by the caller")
+
+    def _end(self, job: Job, phase: str, reason: str) -> None:
+        job.phase = phase
+        job.ended_ms = self._timer.wall_ms()
+        self._unfinished.pop(job.job_id, None)
+        ready = self._ready.get(job.pool, {})
+        for step in job.steps.values():
+            ready.pop(step, None)
+            for task in step.tasks:
+                self._stop(task)
+        self._dirty_jobs[job] = None
+        metrics.JOBS.add(1, metrics.labels(phase=phase))
+        metrics.JOB_DURATION.record(
+            job.ended_ms - job.submission.accepted_ms, metrics.labels(phase=phase)
+        )
+        logger.info(
+            "job has ended",
+            extra={
+                "job": job.job_id,
+                "queue": job.submission.queue,
+                "account": job.submission.account,
+                "phase": phase,
+                "reason": reason,
+                "age_ms": job.ended_ms - job.submission.accepted_ms,
+                "objective_ms": round(job.objective_ms()),
+            },
+        )
+        self._request_pass()
+
+    def _finish_if_done(self, job: Job) -> None:
+        if job.ended or job.released_count < job.occurrence_count:
+            return
+        if all(step.done for step in job.steps.values()):
+            self._end(job, ledger.COMPLETED, "all tasks are done")
+
+    # Runs: events of the chart of a task, and what they cause.
+
+    def _event(self, task: Task, event: str, **details: Any) -> None:
+        self.step(TASK_CHART, task, event, **details)
+
+    def _take_capacity(self, task: Task, slot: Slot, again: bool = False) -> None:
+        spec = task.step.spec
+        slot.free = slot.free.plus(spec.counted, -1)
+        slot.tasks[task.name] = task
+        slot.lasting_count += spec.long_running
+        if not again:
+            usage = self._usage(task.step.job.submission.account)
+            usage.running = usage.running.plus(spec.demand)
+
+    def _reserve(self, task: Task, slot: Slot) -> None:
+        """Assign a task to an upstream and take the capacity."""
+        self._event(task, "assign", slot=slot)
+
+    @carries_out("reserve")
+    def _reserve_capacity(self, task: Task, slot: Slot) -> None:
+        task.run += 1
+        task.upstream_id = slot.entry.upstream_id
+        task.assigned_ms = self._timer.now_ms()
+        task.confirmed_ms = 0.0
+        task.percent, task.pace, task.load = 0, pacing.FULL_PERCENT, 0
+        task.paced_ms = 0.0
+        self._take_capacity(task, slot)
+        self._effects.starts.append((task, task.run))
+        self._dirty_steps[task.step] = None
+
+    @carries_out("free")
+    def _free(self, task: Task, **details: Any) -> None:
+        spec = task.step.spec
+        usage = self._usage(task.step.job.submission.account)
+        usage.running = usage.running.plus(spec.demand, -1)
+        upstream = self._upstreams.get(task.upstream_id)
+        if upstream is not None and upstream.slot.tasks.pop(task.name, None) is not None:
+            upstream.slot.free = upstream.slot.free.plus(spec.counted)
+            upstream.slot.lasting_count -= spec.long_running
+        task.percent = 0
+        self._dirty_steps[task.step] = None
+        self._wake_step(task)
+
+    def _wake_step(self, task: Task) -> None:
+        """Let the step be placed again, unless its job has ended."""
+        if not task.step.job.ended:
+            self._note_step(task.step)
+        self._request_pass()
+
+    @carries_out("finish")
+    def _finish(self, task: Task, **details: Any) -> None:
+        step = task.step
+        job = step.job
+        self._dirty_steps[step] = None
+        if step.spec.long_running:
+            self._event(task, "restart")
+            self._wake_step(task)
+            return
+        step.done_count += 1
+        if job.ended or not step.done:
+            return
+        for other in job.steps.values():
+            if other.occurrence == step.occurrence:
+                self._note_step(other)
+        self._finish_if_done(job)
+
+    @carries_out("count_failure")
+    def _count_failure(self, task: Task, **details: Any) -> None:
+        job = task.step.job
+        task.failed_on.add(task.upstream_id)
+        if task.step.spec.long_running:
+            return
+        task.failed_count += 1
+        if task.failed_count < job.submission.max_attempts or job.ended:
+            return
+        self._event(task, "abandon")
+        self._end(job, ledger.FAILED, f"task {task.name} failed {task.failed_count} times")
+
+    @carries_out("send_start")
+    def _send_start(self, task: Task) -> None:
+        upstream = self._upstreams[task.upstream_id]
+        order = StartOrder(task.name, task.run, task.step.job.submission.spec.text, task.checkpoint)
+        if upstream.link is not None:
+            upstream.link.tell(Start(order))
+
+    @carries_out("send_stop")
+    def _send_stop(self, task: Task, **details: Any) -> None:
+        upstream = self._upstreams.get(task.upstream_id)
+        if upstream is not None and upstream.link is not None:
+            upstream.link.tell(Stop(task.name, task.run))
+
+    def _stop(self, task: Task) -> None:
+        """Stop a run, or take back one whose start has not been sent."""
+        if task.state == "assigned":
+            self._event(task, "withdraw")
+        elif task.placed and task.state != "stopping":
+            if task.state in ("starting", "unsure"):
+                # The start may still arrive; only the stop's answer excludes that.
+                task.confirmed_ms = float("inf")
+            self._event(task, "stop")
+
+    @receives(StartEnded)
+    def on_start_ended(self, message: StartEnded) -> None:
+        """Take in the answer to a start."""
+        metrics.STARTS.add(1, metrics.labels(outcome=message.outcome))
+        task = self._find(message.task_name)
+        if task is None or task.run != message.run or not task.placed:
+            return
+        job = task.step.job
+        if message.outcome == "accepted":
+            task.confirmed_ms = self._timer.now_ms()
+            if task.state in ("starting", "running", "stopping"):
+                self._event(task, "accepted")
+            if job.phase == ledger.QUEUED:
+                job.phase = ledger.RUNNING
+            return
+        logger.info(
+            "start was not accepted",
+            extra={
+                "job": job.job_id,
+                "task": message.task_name,
+                "run": message.run,
+                "upstream": message.upstream_id,
+                "outcome": message.outcome,
+                "reason": message.reason,
+            },
+        )
+        if message.outcome == "refused" and task.state == "stopping":
+            # The stop may still be on its way; it settles the run.
+            return
+        if message.outcome == "refused":
+            self._note_refusal(message)
+        if task.state in ("starting", "running"):
+            task.confirmed_ms = self._timer.now_ms()
+            task.retry_ms = self._timer.now_ms() + defaults.START_RETRY_MS
+            self._event(task, message.outcome)
+            if message.outcome == "unanswered":
+                self._look_at(task)
+
+    def _note_refusal(self, message: StartEnded) -> None:
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is None:
+            return
+        now_ms = self._timer.now_ms()
+        if message.reason in ("room", "unhealthy"):
+            upstream.slot.full_until_ms = now_ms + defaults.UPSTREAM_FULL_MS
+        elif message.reason not in ("old", "late", "fence", "ticket"):
+            upstream.slot.answering = False
+
+    @receives(StopEnded)
+    def on_stop_ended(self, message: StopEnded) -> None:
+        """A stop is confirmed: a report asked for from now on lists the run or it is gone."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            upstream.strays.discard((message.task_name, message.run))
+        task = self._find(message.task_name)
+        if task is not None and task.run == message.run and task.state == "stopping":
+            # A run that is being stopped is in neither list until it has ended.
+            settle_ms = self._stop_ms + defaults.STOP_MARGIN_MS
+            task.confirmed_ms = self._timer.now_ms() + settle_ms
+            self._event(task, "stopped")
+            self._look_at(task, settle_ms + 1)
+
+    def _look_at(self, task: Task, delay_ms: float = 0.0) -> None:
+        """Have the runs of a task's upstream listed soon."""
+        upstream = self._upstreams.get(task.upstream_id)
+        if upstream is not None and upstream.link is not None:
+            upstream.link.tell(Look(delay_ms))
+
+    def _find(self, task_name: str) -> Task | None:
+        parsed = ledger.parse_task_name(task_name)
+        if parsed is None:
+            return None
+        job_id, occurrence, number, index = parsed
+        job = self._jobs.get(job_id)
+        step = job.steps.get((occurrence, number)) if job else None
+        if step is None or index >= len(step.tasks):
+            return None
+        return step.tasks[index]
+
+    def _vanish(self, task: Task, reason: str) -> None:
+        logger.info(
+            "run is lost",
+            extra={
+                "job": task.step.job.job_id,
+                "task": task.name,
+                "run": task.run,
+                "upstream": task.upstream_id,
+                "state": task.state,
+                "reason": reason,
+            },
+        )
+        self._event(task, "vanish")
+
+    def _request_pass(self) -> None:
+        if not self._pass_due:
+            self._pass_due = True
+            self.subscribe_once(self._timer.after(defaults.PLACEMENT_DELAY_MS), Pass())
--- /dev/null
+++ b/src/tarragoncart/stops.py
@@ -0,0 +1,131 @@
+"""Planned stops: empties upstreams that leave or whose VM goes down."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Iterator
+
+from . import assignment
+from .assignment import Slot
+from .ledger import Task
+from .loads import UpstreamLoad
+from .mailbox import receives
+from .reports import Reports
+from .runstate import KnownUpstream
+from .vms import Ended, Readmit, Vacate, Vacated
+
+logger = logging.getLogger(__name__)
+
+
+class PlannedStops(Reports):
+    """Moves tasks away without breaking the budgets of their steps."""
+
+    def _speculate(self, upstream: KnownUpstream) -> None:
+        """Run tasks again that may run twice, without waiting for the end of the lease."""
+        for task in list(upstream.slot.tasks.values()):
+            if task.step.spec.speculative and task.state not in ("assigned", "stopping"):
+                self._vanish(task, "its upstream is silent and a copy may run")
+
+    def _evacuate(self, upstream: KnownUpstream) -> None:
+        """Move tasks that last off an upstream that is leaving."""
+        if not upstream.slot.entry.draining:
+            return
+        for task in list(upstream.slot.tasks.values()):
+            spec = task.step.spec
+            if task.state == "running" and (spec.long_running or spec.checkpointing):
+                self._stop(task)
+
+    def _loads(self) -> Iterator[UpstreamLoad]:
+        waiting: Counter[str] = Counter()
+        for pool, steps in self._ready.items():
+            waiting[pool] = sum(1 for step in steps for _ in step.waiting())
+        for upstream_id, upstream in self._upstreams.items():
+            slot = upstream.slot
+            pool = slot.entry.pool
+            tasks = slot.tasks.values()
+            lasting = [task.step.spec for task in tasks if task.step.spec.long_running]
+            yield UpstreamLoad(
+                upstream_id,
+                pool,
+                len(slot.tasks),
+                len(lasting),
+                sum(spec.counted.cpu_millicores for spec in lasting),
+                sum(task.step.spec.counted.cpu_millicores for task in tasks),
+                slot.entry.capacity.cpu_millicores,
+                waiting[pool],
+            )
+
+    @receives(Vacate)
+    def on_vacate(self, message: Vacate) -> None:
+        """Give an upstream nothing new and move away what can be moved."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is None:
+            self._tell_vacated(message.upstream_id)
+            return
+        upstream.slot.cordoned = True
+        upstream.vacate_ms = self._timer.now_ms()
+        upstream.patience_ms = message.patience_ms
+        self._vacate(upstream, upstream.vacate_ms)
+
+    @receives(Readmit)
+    def on_readmit(self, message: Readmit) -> None:
+        """Let an upstream run tasks again."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            upstream.slot.cordoned = upstream.closing = False
+            upstream.vacate_ms = 0.0
+            self._request_pass()
+
+    @receives(Ended)
+    def on_vm_ended(self, message: Ended) -> None:
+        """Forget an upstream whose VM is down."""
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            self._ended_ids.add(message.upstream_id)
+            self._remove(upstream, "its VM is down")
+
+    def _vacate(self, upstream: KnownUpstream, now_ms: float) -> None:
+        if not upstream.vacate_ms:
+            return
+        slot = upstream.slot
+        patience_ms = upstream.patience_ms
+        patient = patience_ms is None or now_ms - upstream.vacate_ms < patience_ms
+        slots = [u.slot for u in self._upstreams.values() if u.slot.entry.pool == slot.entry.pool]
+        waited_for = 0
+        for task in list(slot.tasks.values()):
+            if task.state == "assigned":
+                self._event(task, "withdraw")
+            elif task.state == "stopping" or self._move_away(task, slots, now_ms):
+                waited_for += 1
+            elif patient and not task.step.spec.long_running:
+                waited_for += 1
+        if waited_for and patient:
+            return
+        if upstream.closing or assignment.may_take_away(slot.tasks.values()):
+            upstream.closing = True
+            for task in slot.tasks.values():
+                task.percent = 0
+            self._tell_vacated(slot.entry.upstream_id)
+
+    def _move_away(self, task: Task, slots: list[Slot], now_ms: float) -> bool:
+        """Stop a task that can go on elsewhere; returns whether it was stopped."""
+        spec = task.step.spec
+        movable = spec.long_running or spec.checkpointing
+        if task.state != "running" or not movable:
+            return False
+        if not assignment.may_take_away([task]):
+            return False
+        counts = task.step.upstream_counts()
+        if assignment.choose_slot(task, slots, counts, now_ms, assignment.spread) is None:
+            return False
+        logger.info(
+            "task moves away from its upstream",
+            extra={"task": task.name, "run": task.run, "upstream": task.upstream_id},
+        )
+        self._stop(task)
+        return True
+
+    def _tell_vacated(self, upstream_id: str) -> None:
+        if self._fleet is not None:
+            self._fleet.tell(Vacated(upstream_id))
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -16,7 +16,7 @@
 from .errors import FleetRefusedError, FleetUnknownError
 from .graph import PoolRule, VmEntry, WaveRequest
 from .loads import Loads
-from .mailbox import Actor, carries_out, new_reply, receives
+from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .pools import POLICIES, PoolDemand, PoolVm, Relocation
 from .timer import Timer
 from .upkeep import UPKEEP_CHART, VmUpkeep, Wave, next_vms
@@ -472,7 +472,7 @@
 
     async def _timer_sleep(self, delay_ms: float) -> None:
         done = new_reply()
-        self._timer.after(delay_ms).subscribe(lambda _: done.done() or done.set_result(None))
+        self._timer.after(delay_ms).subscribe(lambda _: resolve(done, None))
         await done
 
     @receives(_OrderEnded)
--- a/tests/test_charts.py
+++ b/tests/test_charts.py
@@ -67,7 +67,8 @@
     "replay": ["vm", "wave"],
     "routing": ["upstream"],
     "placement": ["upstream"],
-    "scheduler": ["task"],
+    "runstate": ["task"],
+    "reports": ["task"],
     "election": ["leadership"],
     "vms": ["upkeep", "relocation"],
 }
