Ask the advice service where a queue's steps may run; close connections after a 503

Change: an actor for the advice service, tickets kept by step and sent with the start; a 503 closes its connection, so that the next call reaches a ready entry VM.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -61,6 +61,7 @@
     acknowledged: int = 0
     starts: list[tuple[str, int, int]] = Factory(list)
     specs: dict[str, str] = Factory(dict)
+    tickets: dict[str, str] = Factory(dict)
     stopping: set[str] = Factory(set)
     paces: list[tuple[str, int]] = Factory(list)
     faults: WorkerFaults = Factory(WorkerFaults)
@@ -127,6 +128,7 @@
             self.runs[task] = Run(task, number, end_ms, self.faults.outcome)
             self.starts.append((task, number, self.token))
             self.specs[task] = data["spec"]
+            self.tickets[task] = data.get("ticket", "")
             if self.work_ms:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.work_ms / 1_000 + 0.002, self._advance)
--- /dev/null
+++ b/src/tarragoncart/advisor.py
@@ -0,0 +1,96 @@
+"""Asks the advice service which upstreams may run a step."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import Protocol
+
+from attrs import frozen
+
+from .errors import AdviceError
+from .mailbox import Actor, receives
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+
+# The service takes longer for each upstream that is named.
+ASKED_UPSTREAM_COUNT = 30
+
+
+class AdviceCalls(Protocol):
+    """The call to the advice service."""
+
+    async def advise(
+        self, step_name: str, upstream_ids: tuple[str, ...]
+    ) -> tuple[dict[str, str], int]: ...
+
+    async def close(self) -> None: ...
+
+
+@frozen
+class AskAdvice:
+    """Ask which of these upstreams may run a step."""
+
+    step_name: str
+    upstream_ids: tuple[str, ...]
+
+
+@frozen
+class Advised:
+    """Answer of the advice service; without tickets if it gave none.
+
+    :param tickets: by upstream.
+    :param valid_until_ms: when the tickets expire.
+    """
+
+    step_name: str
+    tickets: dict[str, str]
+    valid_until_ms: float
+
+
+class Advisor(Actor):
+    """Owns the connection to the advice service, which handles one call at a time."""
+
+    def __init__(self, calls: AdviceCalls, listener: Actor, timer: Timer) -> None:
+        super().__init__("advisor")
+        self._calls = calls
+        self._listener = listener
+        self._timer = timer
+        self._queue: deque[AskAdvice] = deque()
+        self._wake = asyncio.Event()
+
+    async def opened(self) -> None:
+        """Start asking."""
+        self.spawn(self._ask_in_turn())
+
+    @receives(AskAdvice)
+    def on_ask(self, message: AskAdvice) -> None:
+        """Queue a question; a step is asked about once at a time."""
+        if all(waiting.step_name != message.step_name for waiting in self._queue):
+            self._queue.append(message)
+            self._wake.set()
+
+    async def _ask_in_turn(self) -> None:
+        while True:
+            while not self._queue:
+                self._wake.clear()
+                await self._wake.wait()
+            question = self._queue.popleft()
+            asked_ms = self._timer.now_ms()
+            try:
+                tickets, valid_ms = await self._calls.advise(
+                    question.step_name, question.upstream_ids
+                )
+            except AdviceError as error:
+                logger.warning(
+                    "no advice", extra={"step": question.step_name, "reason": str(error)}
+                )
+                tickets, valid_ms = {}, 0
+            # Validity counts from the question: the answer may have been on its way for long.
+            self._listener.tell(Advised(question.step_name, tickets, asked_ms + valid_ms))
+
+    async def closed(self) -> None:
+        """Close the connection."""
+        await self._calls.close()
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -168,12 +168,17 @@
     """
     step = task.step
     spec = step.spec
+    needs_advice = step.job.submission.needs_advice
+    if needs_advice and now_ms >= step.tickets_until_ms:
+        return None
     best: Slot | None = None
     best_rank: tuple[float, ...] = ()
     for slot in slots:
         if not admits(slot, spec, now_ms):
             continue
         upstream_id = slot.entry.upstream_id
+        if needs_advice and upstream_id not in step.tickets:
+            continue
         most_count = spec.max_per_upstream_count
         if most_count and counts.get(upstream_id, 0) >= most_count:
             continue
@@ -219,7 +224,8 @@
                 break
             slot = choose_slot(task, slots, counts, now_ms, ranking)
             if slot is None:
-                if not spec.max_per_upstream_count and not spec.label:
+                unbound = not spec.max_per_upstream_count and not spec.label
+                if unbound and not step.job.submission.needs_advice:
                     refused.append((spec, spec.counted))
                 short(step)
                 break
@@ -279,8 +285,12 @@
     free = {slot.entry.upstream_id: slot.free for slot in slots}
     counts: dict[str, int] = {}
     places: list[Slot] = []
+    needs_advice = step.job.submission.needs_advice
+    if needs_advice and now_ms >= step.tickets_until_ms:
+        return None
+    allowed = [s for s in slots if not needs_advice or s.entry.upstream_id in step.tickets]
     candidates = sorted(
-        (slot for slot in slots if admits(slot, spec, now_ms)), key=lambda s: ranking(s, step)
+        (slot for slot in allowed if admits(slot, spec, now_ms)), key=lambda s: ranking(s, step)
     )
     for _ in step.tasks:
         for slot in candidates:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -189,3 +189,5 @@
 PROBE_TIMEOUT_MS = 350
 # A leader whose last confirmation is older says that it does not lead, so that another takes over.
 LEADERSHIP_FRESH_MS = 1_100
+# A step without advice is asked about again after this time.
+ADVICE_RETRY_MS = 2_000
--- a/src/tarragoncart/errors.py
+++ b/src/tarragoncart/errors.py
@@ -128,3 +128,7 @@
 
 class PeerError(TarragoncartError):
     """Another entry VM did not answer, or does not lead."""
+
+
+class AdviceError(TarragoncartError):
+    """The advice service did not answer, or is busy."""
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -75,7 +75,10 @@
 
 @define(eq=False)
 class StepRun:
-    """One occurrence of a step."""
+    """One occurrence of a step.
+
+    :param tickets: permissions of the advice service by upstream, where the queue needs them.
+    """
 
     job: Job
     occurrence: int
@@ -83,6 +86,9 @@
     spec: StepSpec
     tasks: list[Task] = field(factory=list)
     done_count: int = 0
+    tickets: dict[str, str] = field(factory=dict)
+    tickets_until_ms: float = 0.0
+    advice_asked_ms: float = float("-inf")
 
     @property
     def name(self) -> str:
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -16,6 +16,7 @@
 from attrs import define, evolve, frozen
 
 from . import defaults, intake, logs, metrics
+from .advisor import AdviceCalls, Advisor
 from .election import (
     Election,
     Fenced,
@@ -86,6 +87,7 @@
     make_store: Callable[[], Any]
     make_client: ClientFactory
     make_fleet: Callable[[], FleetCalls] | None
+    make_advice: Callable[[], AdviceCalls] | None
     operator_topic: str
     upstream_topic: str
     status_topic: str
@@ -253,12 +255,17 @@
             stop_ms=settings.stop_ms,
             retention_ms=settings.retention_ms,
             make_fleet=self._fleet_factory(message.epoch, writer),
+            make_advisor=self._make_advisor if adapter.make_advice else None,
         )
         self.scheduler.start()
         for wave in self._waves.values():
             self.scheduler.tell(WaveAsked(wave))
         self._tell_leader()
 
+    def _make_advisor(self, scheduler: Actor) -> Actor:
+        assert self._adapter.make_advice is not None
+        return Advisor(self._adapter.make_advice(), scheduler, self._timer)
+
     def _fleet_factory(
         self, epoch: int, state_writer: Writer
     ) -> Callable[[Actor, dict[str, bytes]], Fleet] | None:
--- /dev/null
+++ b/src/tarragoncart/platform/advice.py
@@ -0,0 +1,50 @@
+"""Client of the advice service, which knows the upstreams that may run a step."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from ..errors import AdviceError
+from .wire import dump_json, load_json, whole
+
+CALL_TIMEOUT_MS = 10_000
+
+
+class AdviceClient:
+    """HTTP calls to the advice service, owned by one task."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def advise(
+        self, step_name: str, upstream_ids: tuple[str, ...]
+    ) -> tuple[dict[str, str], int]:
+        """Return tickets by upstream for those that may run the step, and their validity in ms.
+
+        :raises AdviceError: if the service does not answer or is busy.
+        """
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_MS / 1_000),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        body = dump_json({"step": step_name, "workers": list(upstream_ids)})
+        headers = {"Content-Type": "application/json"}
+        url = f"http://{self.address}/advise"
+        try:
+            async with self._session.post(url, data=body, headers=headers) as response:
+                status, content = response.status, await response.read()
+            if status != 200:
+                raise AdviceError(f"status {status}", step="ask for advice", peer=self.address)
+            data = load_json(content)
+            tickets = {str(row[0]): str(row[1]) for row in data.get("good", ())}
+            return tickets, whole(data, "valid-ms")
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            raise AdviceError(repr(error), step="ask for advice", peer=self.address) from error
--- a/src/tarragoncart/platform/callers.py
+++ b/src/tarragoncart/platform/callers.py
@@ -87,7 +87,8 @@
             logger.warning("request refused: too many wait", extra={"reason": str(error)})
             answer = RequestError("busy", code="busy", status=503, step="answer caller")
         response = _encode(answer)
-        if self.draining:
+        if self.draining or response.status == 503:
+            # A new connection reaches an entry VM that may be better connected.
             response.force_close()
         return response
 
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -4,6 +4,7 @@
 
 from .. import node
 from . import operator
+from .advice import AdviceClient
 from .boot import load_settings
 from .callers import CallerServer
 from .store import Store
@@ -19,10 +20,17 @@
         def fleet() -> VmClient:
             return VmClient(settings.fleet_address, settings.name)
 
+    advice = None
+    if settings.advice_address:
+
+        def advice() -> AdviceClient:
+            return AdviceClient(settings.advice_address)
+
     return node.Adapter(
         make_store=lambda: Store(settings.store_address),
         make_client=UpstreamClient,
         make_fleet=fleet,
+        make_advice=advice,
         operator_topic=operator.OPERATOR_TOPIC,
         upstream_topic=operator.UPSTREAM_TOPIC,
         status_topic=operator.STATUS_TOPIC,
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
@@ -94,6 +95,7 @@
         stop_ms: int,
         retention_ms: int,
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
+        make_advisor: Callable[[Actor], Actor] | None = None,
     ) -> None:
         super().__init__("scheduler")
         self._epoch = epoch
@@ -111,6 +113,8 @@
         self._retention_ms = retention_ms
         self._make_fleet = make_fleet
         self._fleet: Actor | None = None
+        self._make_advisor = make_advisor
+        self._advisor: Actor | None = None
         self._permitted_ms = 0.0
         self._jobs: dict[str, Job] = {}
         self._early_cancels: set[str] = set()
@@ -137,6 +141,7 @@
         # Registrations of these linger in the store; another life gets another id.
         self._ended_ids: set[str] = set()
         self._gained_ms = timer.now_ms()
+        self._rng = random.Random(epoch)
 
     @property
     def epoch(self) -> int:
@@ -301,7 +306,13 @@
     @carries_out("send_start")
     def _send_start(self, task: Task) -> None:
         upstream = self._upstreams[task.upstream_id]
-        order = StartOrder(task.name, task.run, task.step.job.submission.spec.text, task.checkpoint)
+        order = StartOrder(
+            task.name,
+            task.run,
+            task.step.job.submission.spec.text,
+            task.checkpoint,
+            task.step.tickets.get(task.upstream_id, ""),
+        )
         if upstream.link is not None:
             upstream.link.tell(Start(order))
 
@@ -352,6 +363,8 @@
             return
         if message.outcome == "refused":
             self._note_refusal(message)
+            if message.reason == "ticket":
+                task.step.tickets.pop(message.upstream_id, None)
         if task.state in ("starting", "running"):
             task.confirmed_ms = self._timer.now_ms()
             task.retry_ms = self._timer.now_ms() + defaults.START_RETRY_MS
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from . import assignment, defaults, intake, ledger
+from .advisor import ASKED_UPSTREAM_COUNT, Advised, AskAdvice
 from .assignment import Slot
 from .election import Fenced, LeadershipConfirmed
 from .errors import StoreRefusedError, StoreUnknownError
@@ -109,6 +110,9 @@
             waves = {e.key: e.value for e in self._restored if e.key.startswith(WAVE_KEY_PREFIX)}
             self._fleet = self._make_fleet(self, waves)
             self._fleet.start()
+        if self._make_advisor is not None:
+            self._advisor = self._make_advisor(self)
+            self._advisor.start()
         for topic, wait_ms, pause_ms in (
             (intake.TOPIC, defaults.INTAKE_WAIT_MS, 0),
             (self._upstream_topic, 0, defaults.UPSTREAM_LIST_PAUSE_MS),
@@ -135,7 +139,7 @@
     async def closed(self) -> None:
         """Stop what belongs to this epoch."""
         links = [upstream.link for upstream in self._upstreams.values() if upstream.link]
-        fleet = [self._fleet] if self._fleet else []
+        fleet = [actor for actor in (self._fleet, self._advisor) if actor]
         await asyncio.gather(
             *(actor.stop() for actor in (*self._followers, *links, *fleet, self._writer)),
             return_exceptions=True,
@@ -289,6 +293,7 @@
             if not steps:
                 continue
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
+            self._ask_advice(ordered, slots, now_ms)
             placed = assignment.plan(
                 ordered, slots, self._usages, now_ms, self._reserve, self._note_short
             )
@@ -298,6 +303,37 @@
                     extra={"step": name, "count": count, "pool": pool, "upstreams": len(slots)},
                 )
 
+    def _ask_advice(self, steps: list[StepRun], slots: list[Slot], now_ms: float) -> None:
+        """Ask which upstreams may run the steps of queues that need advice."""
+        if self._advisor is None:
+            return
+        for step in steps:
+            needs = step.job.submission.needs_advice and now_ms >= step.tickets_until_ms
+            if needs and slots and now_ms - step.advice_asked_ms > defaults.ADVICE_RETRY_MS:
+                step.advice_asked_ms = now_ms
+                ids = [slot.entry.upstream_id for slot in slots]
+                chosen = self._rng.sample(ids, min(len(ids), ASKED_UPSTREAM_COUNT))
+                self._advisor.tell(AskAdvice(step.name, tuple(chosen)))
+
+    @receives(Advised)
+    def on_advised(self, message: Advised) -> None:
+        """Keep the tickets of a step."""
+        parsed = ledger.parse_task_name(f"{message.step_name}.0")
+        job = self._jobs.get(parsed[0]) if parsed else None
+        step = job.steps.get(parsed[1:3]) if job and parsed else None
+        if step is None:
+            return
+        step.tickets, step.tickets_until_ms = message.tickets, message.valid_until_ms
+        logger.info(
+            "advice received",
+            extra={
+                "step": message.step_name,
+                "ticket_count": len(message.tickets),
+                "age_ms": round(self._timer.now_ms() - step.advice_asked_ms),
+            },
+        )
+        self._request_pass()
+
     def _note_short(self, step: StepRun) -> None:
         """Count what found no upstream, for the pools' sizes."""
         waiting_count = sum(1 for _ in step.waiting())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -817,8 +817,8 @@
     running: list[RunningNode] = []
     session = aiohttp.ClientSession()
 
-    async def start(name: str = "node-1") -> RunningNode:
-        settings = node_settings(name)
+    async def start(name: str = "node-1", advice_address: str = "") -> RunningNode:
+        settings = evolve(node_settings(name), advice_address=advice_address)
         node = RunningNode(await open_node(settings, make_adapter(settings)), session)
         running.append(node)
         return node
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from aiohttp import web
 
 from standins.taskworker import TaskWorker
 from tarragoncart.link import Reported
@@ -17,6 +18,19 @@
 LASTING = {"spec": "text", "steps": [{**TASK, "long-running": True}]}
 
 
+class AdviceStandin:
+    """Allows one upstream."""
+
+    def __init__(self, upstream_id, ticket):
+        self.row = [upstream_id, ticket]
+
+    async def handle(self, request):
+        """Answer a question."""
+        named = (await request.json())["workers"]
+        good = [self.row] if self.row[0] in named else []
+        return web.json_response({"good": good, "valid-ms": 3_000})
+
+
 @pytest.fixture
 async def add_worker(store, serve_standin):
     """Start a worker and register it with the store."""
@@ -339,3 +353,20 @@
     await asyncio.sleep(0.8)
     assert [run for _, run, _ in worker.starts] == [1]
     assert worker.runs
+
+
+async def test_a_queue_with_advice_starts_only_where_it_may(
+    run_node, add_worker, serve_standin, store, platform_config, node_settings
+):
+    """Guards against a start without a ticket, and a job that waits for advice for ever."""
+    platform_config["routes"][0]["advice"] = {"decide-ms": 1, "each-ms": 1, "valid-ms": 3_000}
+    platform_config["version"] = 5
+    store.standin.put("keyed.op", "config", platform_config)
+    forbidden = await add_worker("i-1")
+    allowed = await add_worker("i-2")
+    service = await serve_standin(AdviceStandin("i-2", "ticket-2"))
+    node = await run_node(advice_address=service.address)
+    assert await submit(node) == 200
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert not forbidden.starts
+    assert set(allowed.tickets.values()) == {"ticket-2"}
