Give orders for VMs only while the leadership is confirmed; one way to open sessions

Cause, found by reading: the owner of the VMs did not know whether the store still confirms its leader, so a leader that was frozen or cut off could order maintenance beside its successor and exceed a wave's bound. A job that fits no VM of its pool made the pool short for ever and drew VMs. A connection that could not be opened counted as an unanswered call, although nothing had been sent. Change: orders need the same permission as those for tasks; such a step does not count as short; connection timeouts are refusals; sessions.open_session replaces five copies; fields and functions that nothing used are gone. Before and after: tests of each but the connection timeouts; nine tests of waves and moves.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from .graph import Demand, StepSpec, UpstreamEntry
-from .ledger import Job, StepRun, Task
+from .ledger import StepRun, Task
 from .registry import Registry
 
 # An upstream whose recent runs failed more often than this share is used last.
@@ -308,14 +308,6 @@
     return places
 
 
-def can_ever_run(job: Job, slots: Iterable[Slot]) -> bool:
-    """Tell whether each step fits some upstream; True if no upstream is known."""
-    known = list(slots)
-    if not known:
-        return True
-    return all(any(ever_admits(slot, spec) for slot in known) for spec in job.submission.spec.steps)
-
-
 def may_take_away(tasks: Iterable[Task]) -> bool:
     """Tell whether planned work may end these tasks without breaking their steps' budgets.
 
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -57,7 +57,8 @@
 class Caller:
     """What a request says of itself.
 
-    :param request_id: the caller's ID of the job, empty if the request is about the queue.
+    :param key: API key, empty if there is none.
+    :param received_ms: when the request had been read.
     :param deadline_ms: how long the caller waits, 0 if it does not say.
     """
 
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -14,8 +14,11 @@
 from .errors import PeerError
 from .mailbox import new_reply
 from .scheduler import CountPending, JobView, Lookup, Scheduler
+from .sessions import open_session
 
 NOT_LEADING_STATUS = 409
+CONNECTION_COUNT = 8
+KEEPALIVE_S = 15
 
 
 class PeerClient:
@@ -55,11 +58,7 @@
 
     async def _send(self, address: str, path: str, timeout_ms: float) -> tuple[int, bytes]:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=8, keepalive_timeout=15),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            )
+            self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S)
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
         try:
             async with self._session.get(f"http://{address}{path}", timeout=timeout) as response:
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -52,7 +52,6 @@
     :param lease_max_ms: longest lease that an upstream grants.
     :param fence_quiet_ms: pause between the orders of two leaders for one VM.
     :param retention_ms: how long the end of a job is told.
-    :param away_notice_ms: a task away for this long counts as away from its step.
     """
 
     name: str
@@ -71,11 +70,6 @@
     fence_quiet_ms: int
     retention_ms: int
     shutdown_ms: int
-    away_notice_ms: int
-    gang_ms: int
-    far_factor: float
-    early_ms: int
-    store_record_bytes: int
     store_call_bytes: int
     membership_ttl_min_ms: int
 
--- a/src/tarragoncart/platform/advice.py
+++ b/src/tarragoncart/platform/advice.py
@@ -5,9 +5,11 @@
 import aiohttp
 
 from ..errors import AdviceError
+from ..sessions import open_session
 from .wire import dump_json, load_json, whole
 
 CALL_TIMEOUT_MS = 10_000
+KEEPALIVE_S = 30
 
 
 class AdviceClient:
@@ -31,10 +33,7 @@
         :raises AdviceError: if the service does not answer or is busy.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_MS / 1_000),
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
+            self._session = open_session(1, KEEPALIVE_S, CALL_TIMEOUT_MS)
         body = dump_json({"step": step_name, "workers": list(upstream_ids)})
         headers = {"Content-Type": "application/json"}
         url = f"http://{self.address}/advise"
--- a/src/tarragoncart/platform/boot.py
+++ b/src/tarragoncart/platform/boot.py
@@ -47,7 +47,6 @@
             caller_address=data["listen-addrs"]["front"],
             ready_address=data["listen-addrs"]["ready"],
             store_address=data["platform"]["address"],
-            store_record_bytes=int(data["platform"].get("record-bytes", 262_144)),
             store_call_bytes=int(data["platform"].get("call-bytes", 2_097_152)),
             membership_ttl_min_ms=int(data["platform"].get("ttl-min-ms", 1_000)),
             fleet_address=data.get("cloud", {}).get("address", ""),
@@ -60,10 +59,6 @@
             fence_quiet_ms=int(bounds["lease-ms"]),
             retention_ms=int(bounds["status_s"] * 1_000),
             shutdown_ms=int(bounds["grace-s"] * 1_000),
-            away_notice_ms=int(bounds.get("notice-ms", 4_500)),
-            gang_ms=int(bounds.get("gang-ms", 3_000)),
-            far_factor=float(bounds.get("far-x", 1.0)),
-            early_ms=int(bounds.get("early_ms", 0)),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         raise SettingsError(
--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -10,11 +10,14 @@
 import aiohttp
 
 from ..errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from ..sessions import open_session
 from ..storage import Appended, Chunk, Entry, Expired, Membership, Producer
 from .wire import dump_json, load_json
 
 CALL_TIMEOUT_MS = 1_500
 CONNECT_TIMEOUT_MS = 1_000
+CONNECTION_COUNT = 4
+KEEPALIVE_S = 30
 READ_MAX_KB = 1_024
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -33,11 +36,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=4, keepalive_timeout=30),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            )
+            self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S)
         return self._session
 
     async def close(self) -> None:
@@ -177,7 +176,8 @@
                 timeout=timeout,
             ) as response:
                 return response.status, await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # Without a connection the call was not sent.
             raise StoreRefusedError(str(error), step=step, peer=self.address) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnknownError(repr(error), step=step, peer=self.address) from error
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -8,11 +8,13 @@
 
 from ..errors import UpstreamRefusedError, UpstreamUnknownError, UpstreamUnreachableError
 from ..runs import EndedRun, LiveRun, StartOrder, UpstreamReport
+from ..sessions import open_session
 from .wire import dump_json, load_json, whole
 
 CALL_TIMEOUT_MS = 700
 CONNECT_TIMEOUT_MS = 500
 CONNECTION_COUNT = 8
+KEEPALIVE_S = 10
 # Codes of the platform for why a task ended, by our names.
 _OUTCOMES = {
     "done": "done",
@@ -102,11 +104,7 @@
         self, step: str, path: str, body: dict[str, Any], wait_ms: int = 0
     ) -> dict[str, Any]:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=CONNECTION_COUNT, keepalive_timeout=10),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            )
+            self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S)
         timeout = aiohttp.ClientTimeout(
             total=(CALL_TIMEOUT_MS + wait_ms) / 1_000, sock_connect=CONNECT_TIMEOUT_MS / 1_000
         )
@@ -115,7 +113,7 @@
                 self._base + path, data=dump_json(body), headers=self._headers, timeout=timeout
             ) as response:
                 status, content = response.status, await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(str(error), step=step, peer=self.address) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise UpstreamUnknownError(repr(error), step=step, peer=self.address) from error
--- a/src/tarragoncart/platform/vms.py
+++ b/src/tarragoncart/platform/vms.py
@@ -8,11 +8,13 @@
 
 from ..errors import FleetRefusedError, FleetUnknownError
 from ..graph import VmEntry
+from ..sessions import open_session
 from .operator import decode_demand
 from .wire import dump_json, load_json, text
 
 CALL_TIMEOUT_MS = 2_000
-RACK_PREFIX = "r"
+CONNECTION_COUNT = 2
+KEEPALIVE_S = 30
 
 
 class VmClient:
@@ -78,11 +80,7 @@
         headers: dict[str, str],
     ) -> dict[str, Any]:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=2, keepalive_timeout=30),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_MS / 1_000),
-            )
+            self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S, CALL_TIMEOUT_MS)
         if body is not None:
             headers = {**headers, "Content-Type": "application/json"}
         try:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -149,6 +149,8 @@
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Orders may be given for some time more."""
         self._permitted_ms = message.valid_until_ms
+        if self._fleet is not None:
+            self._fleet.tell(Permit(message.valid_until_ms))
         for upstream in self._upstreams.values():
             if upstream.link is not None:
                 upstream.link.tell(Permit(message.valid_until_ms))
@@ -335,10 +337,17 @@
         self._request_pass()
 
     def _note_short(self, step: StepRun) -> None:
-        """Count what found no upstream, for the pools' sizes."""
+        """Count what found no upstream, for the pools' sizes.
+
+        A step that would not fit an empty upstream of its pool would draw VMs for ever.
+        """
+        pool = step.job.pool
+        slots = [u.slot for u in self._upstreams.values() if u.slot.entry.pool == pool and u.link]
+        if slots and not any(assignment.ever_admits(slot, step.spec) for slot in slots):
+            return
         waiting_count = sum(1 for _ in step.waiting())
         cpu_millicores = max(step.spec.counted.cpu_millicores, defaults.SHORT_MIN_MILLICORES)
-        self._short_millicores[step.job.pool] += waiting_count * cpu_millicores
+        self._short_millicores[pool] += waiting_count * cpu_millicores
 
     def _commit(self) -> None:
         effects = self._effects
--- a/src/tarragoncart/sessions.py
+++ b/src/tarragoncart/sessions.py
@@ -1,4 +1,4 @@
-"""Connectors of outgoing HTTP sessions."""
+"""Outgoing HTTP sessions and their connectors."""
 
 from __future__ import annotations
 
@@ -7,6 +7,24 @@
 DEFAULT_LIMIT_COUNT = 100
 
 
+def open_session(
+    limit_count: int, keepalive_s: float, timeout_ms: float | None = None
+) -> aiohttp.ClientSession:
+    """Return a session without cookies and without headers that nobody reads.
+
+    :param limit_count: most connections at once.
+    :param keepalive_s: how long an idle connection is kept.
+    :param timeout_ms: of a whole call; None if each call brings its own.
+    """
+    total_s = None if timeout_ms is None else timeout_ms / 1_000
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=limit_count, keepalive_timeout=keepalive_s),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        timeout=aiohttp.ClientTimeout(total=total_s),
+    )
+
+
 def make_connector(
     source_address: str, limit_count: int = DEFAULT_LIMIT_COUNT
 ) -> aiohttp.TCPConnector:
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -15,6 +15,7 @@
 from .election import Fenced
 from .errors import FleetRefusedError, FleetUnknownError
 from .graph import PoolRule, VmEntry, WaveRequest
+from .link import Permit
 from .loads import Loads
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
 from .pools import POLICIES, PoolDemand, PoolVm, Relocation
@@ -158,6 +159,7 @@
         self._idle_since_ms: dict[str, float] = {}
         self._short_ms: dict[str, float] = {}
         self._listed_ms = 0.0
+        self._permitted_ms = 0.0
         self._listing = False
 
     async def opened(self) -> None:
@@ -170,6 +172,11 @@
         await self._status_writer.stop()
         await self._calls.close()
 
+    @receives(Permit)
+    def on_permit(self, message: Permit) -> None:
+        """Keep until when orders may be given."""
+        self._permitted_ms = message.valid_until_ms
+
     @receives(Loads)
     def on_loads(self, message: Loads) -> None:
         """Keep what runs where."""
@@ -249,8 +256,11 @@
         if entry.state == "up" and (pool_is_off or entry.upstream_id != vm.upstream_id):
             self._event(wave, vm, "returned")
 
+    def _may_order(self) -> bool:
+        return self._quiet_until_ms <= self._timer.now_ms() < self._permitted_ms
+
     def _advance(self, wave: Wave) -> None:
-        if self._timer.now_ms() < self._quiet_until_ms:
+        if not self._may_order():
             return
         sizes = Counter(vm.pool for vm in self._vms.values())
         for vm in list(next_vms(wave, self._vms, self._loads.upstreams, sizes)):
@@ -279,7 +289,7 @@
                 del self._moves[vm_id]
 
     def _plan_moves(self) -> None:
-        if self._timer.now_ms() < self._quiet_until_ms:
+        if not self._may_order():
             return
         policy = POLICIES.get(defaults.POOL_POLICY)
         demands, vms = list(self._demands()), list(self._pool_vms())
@@ -460,6 +470,9 @@
         """Give an order and return the chart's event for its outcome, with the reason."""
         if delay_ms:
             await self._timer_sleep(delay_ms)
+        if self._timer.now_ms() >= self._permitted_ms:
+            # A successor may give orders by now, and together they could exceed a wave's bound.
+            return "unanswered", "leadership is not confirmed"
         try:
             await call()
         except FleetRefusedError as error:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -717,11 +717,6 @@
             fence_quiet_ms=3_000,
             retention_ms=120_000,
             shutdown_ms=6_000,
-            away_notice_ms=4_500,
-            gang_ms=3_000,
-            far_factor=2.0,
-            early_ms=250,
-            store_record_bytes=262_144,
             store_call_bytes=2_097_152,
             membership_ttl_min_ms=1_000,
         )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -370,3 +370,14 @@
     assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
     assert not forbidden.starts
     assert set(allowed.tickets.values()) == {"ticket-2"}
+
+
+async def test_a_step_that_fits_no_upstream_draws_no_vms(run_node, add_worker):
+    """Guards against a job that can never run and makes its pool short for ever."""
+    await add_worker()
+    node = await run_node()
+    job = {"spec": "", "steps": [{**TASK, "cpu": 99_000}]}
+    assert await submit(node, job) == 200
+    assert await until(lambda: node.scheduler is not None and node.scheduler._ready)
+    await asyncio.sleep(0.4)
+    assert not any(node.scheduler._short_millicores.values())
--- /dev/null
+++ b/tests/test_vms.py
@@ -0,0 +1,212 @@
+"""Orders for VMs: waves and moves."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tarragoncart.errors import FleetUnknownError
+from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
+from tarragoncart.link import Permit
+from tarragoncart.loads import Loads, UpstreamLoad
+from tarragoncart.mailbox import Actor, receives
+from tarragoncart.pools import PoolDemand, PoolVm, follow_demand
+from tarragoncart.timer import LoopTimer
+from tarragoncart.upkeep import VmUpkeep, Wave, next_vms
+from tarragoncart.vms import Ended, Fleet, Readmit, Vacate, Vacated, WaveAsked
+from tarragoncart.writer import Write
+
+
+class FleetStandin:
+    """VMs as the platform keeps them; orders are noted."""
+
+    def __init__(self):
+        self.vms = {
+            f"m-{n}": VmEntry(f"m-{n}", "pool", "up", "dc", f"r{n}", Demand(16_000), f"i-{n}")
+            for n in range(8)
+        }
+        self.maintained = []
+        self.unanswered_count = 0
+
+    async def list_vms(self):
+        return tuple(self.vms.values())
+
+    async def move(self, vm_id, pool, epoch):
+        raise AssertionError("no moves here")
+
+    async def maintain(self, vm_id, wave, epoch):
+        self.maintained.append(vm_id)
+        if self.unanswered_count:
+            self.unanswered_count -= 1
+            raise FleetUnknownError("no answer", step="maintain VM")
+
+    async def close(self):
+        pass
+
+
+class Recorder(Actor):
+    """Vacates at once and keeps what it is told."""
+
+    def __init__(self):
+        super().__init__("recorder")
+        self.fleet = None
+        self.records = {}
+        self.ended = []
+
+    @receives(Vacate)
+    def on_vacate(self, message):
+        """Say again and again that the upstream is empty, as the scheduler does."""
+        self.spawn(self._tell_vacated(message.upstream_id))
+
+    async def _tell_vacated(self, upstream_id):
+        for _ in range(40):
+            self.fleet.tell(Vacated(upstream_id))
+            await asyncio.sleep(0.1)
+
+    @receives(Ended)
+    def on_ended(self, message):
+        """Keep the upstream."""
+        self.ended.append(message.upstream_id)
+
+    @receives(Readmit)
+    def on_readmit(self, message):
+        """Nothing to do."""
+
+    @receives(Write)
+    def on_write(self, message):
+        """Keep the records."""
+        self.records.update(message.records)
+
+
+@pytest.fixture
+async def fleet():
+    """A fleet of eight VMs, a wave over all of them with two at once, and no permission yet."""
+    calls, recorder = FleetStandin(), Recorder()
+    actor = Fleet(
+        7,
+        calls,
+        recorder,
+        recorder,
+        recorder,
+        recorder,
+        lambda number, completed: (f"wave/{number}", str(completed).encode()),
+        {},
+        LoopTimer(),
+        0.0,
+        lambda: {"pool": PoolRule("pool")},
+    )
+    recorder.fleet = actor
+    recorder.start()
+    # The status goes through a writer of its own, here the recorder.
+    actor._status_writer.start = lambda: None
+    actor.start()
+    actor.tell(WaveAsked(WaveRequest(1, tuple(calls.vms), 20.0, 2)))
+    actor.calls, actor.recorder = calls, recorder
+    yield actor
+    await actor.stop()
+    await recorder.stop()
+
+
+async def settle(condition, timeout_s=4.0):
+    """Wait until a condition holds."""
+    for _ in range(int(timeout_s / 0.02)):
+        if condition():
+            return True
+        await asyncio.sleep(0.02)
+    return False
+
+
+def permit(fleet, for_ms):
+    """Let the fleet give orders for some time."""
+    fleet.tell(Permit(LoopTimer().now_ms() + for_ms))
+
+
+async def test_without_a_confirmed_leadership_no_order_is_given(fleet):
+    """Guards against orders of a leader that was frozen or cut off, beside its successor's."""
+    await asyncio.sleep(0.8)
+    assert fleet.calls.maintained == []
+    permit(fleet, 60_000)
+    assert await settle(lambda: fleet.calls.maintained)
+
+
+async def test_no_more_vms_are_down_at_once_than_the_wave_allows(fleet):
+    """Guards against an upkeep that begins while as many VMs as allowed are down."""
+    permit(fleet, 60_000)
+    assert await settle(lambda: len(fleet.calls.maintained) == 2)
+    await asyncio.sleep(0.8)
+    assert len(set(fleet.calls.maintained)) == 2
+    for vm_id in fleet.calls.maintained[:2]:
+        entry = fleet.calls.vms[vm_id]
+        fleet.calls.vms[vm_id] = VmEntry(
+            vm_id, "pool", "up", "dc", entry.rack, Demand(16_000), f"new-{vm_id}"
+        )
+    assert await settle(lambda: len(set(fleet.calls.maintained)) == 4)
+    await asyncio.sleep(0.5)
+    assert len(set(fleet.calls.maintained)) == 4
+
+
+async def test_an_order_without_an_answer_is_repeated(fleet):
+    """Guards against a wave that never ends because one answer was lost."""
+    fleet.calls.unanswered_count = 1
+    permit(fleet, 60_000)
+    assert await settle(lambda: len(fleet.calls.maintained) >= 3)
+    assert len(set(fleet.calls.maintained)) == 2
+
+
+async def test_the_status_says_completed_only_when_each_vm_has_begun(fleet):
+    """Guards against a wave that is said to be completed before its last VM."""
+    permit(fleet, 60_000)
+    assert await settle(lambda: len(fleet.calls.maintained) == 2)
+    assert fleet.recorder.records["wave/1"] != b"True"
+
+
+def test_a_pool_is_not_emptied_by_a_wave():
+    """Guards against a wave that takes more than a third of one pool at once."""
+    wave = Wave(WaveRequest(1, ("a", "b", "c", "d", "e", "f"), 20.0, 6), 0.0)
+    listed, loads = {}, {}
+    for vm_id in wave.request.vm_ids:
+        wave.vms[vm_id] = VmUpkeep(vm_id)
+        listed[vm_id] = VmEntry(vm_id, "pool", "up", "dc", "r", Demand(1), f"i-{vm_id}")
+        loads[f"i-{vm_id}"] = UpstreamLoad(f"i-{vm_id}", "pool", 0, 0, 0, 0, 1, 0)
+    assert len(list(next_vms(wave, listed, loads, {"pool": 6}))) == 2
+
+
+def demand(pool, spare=False, short=0, total=48_000, count=3, offered=0):
+    """Return a pool's demand with nothing else running."""
+    return PoolDemand(pool, spare, short, total, total, 0, count, offered, 0, 60_000.0)
+
+
+def vm(vm_id, pool, idle_ms=60_000.0, lasting_count=0):
+    """Return a VM of 16 cores that can move."""
+    return PoolVm(vm_id, pool, 16_000, idle_ms, lasting_count, True)
+
+
+def test_a_burst_gets_spare_vms_first():
+    """Guards against taking VMs of a working pool while spare ones are off."""
+    pools = [demand("a", short=20_000, total=0, count=0), demand("s", spare=True), demand("b")]
+    vms = [vm("1", "b"), vm("2", "s"), vm("3", "s"), vm("4", "s")]
+    moves = list(follow_demand(pools, vms))
+    assert [(m.vm_id, m.to_pool) for m in moves if m.reason != "idle"] == [("2", "a"), ("3", "a")]
+
+
+def test_a_vm_with_tasks_that_last_does_not_move():
+    """Guards against moves that end tasks which cannot be resumed."""
+    pools = [demand("a", short=20_000, total=0, count=0), demand("b", total=160_000, count=10)]
+    vms = [vm(str(n), "b", 0.0, lasting_count=1) for n in range(10)]
+    assert list(follow_demand(pools, vms)) == []
+
+
+def test_idle_vms_go_back_but_a_pool_keeps_some():
+    """Guards against paying for idle VMs, and against pools without any."""
+    pools = [demand("a", total=96_000, count=6), demand("s", spare=True, count=0)]
+    vms = [vm(str(n), "a") for n in range(6)]
+    moves = list(follow_demand(pools, vms))
+    assert len(moves) == 3
+    assert {move.to_pool for move in moves} == {"s"}
+
+
+def test_loads_name_what_is_short():
+    """Guards against a message that loses its pools on the way to the owner of the VMs."""
+    loads = Loads({}, {"a": 1}, {"a": 2})
+    assert (loads.short_millicores["a"], loads.offered_millicores["a"]) == (1, 2)
