Follow a worker through its lives: acknowledgements, address and id

Cause, found by reading: a worker that starts again under its id numbers its ends from 1, but the number acknowledged in its last life was still sent, so that ends could be forgotten unseen and their tasks run again; one that came back at another address, or after its VM's maintenance, was ignored for ever. Change: the link starts anew with each life; another address is another life; a life that has ended is known by its start. Before: the two new tests fail. After: they pass.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -46,11 +46,13 @@
     """State and handlers of the stand-in.
 
     :param work_ms: how long each run takes; 0 for ever.
+    :param stagger_ms: how much longer each run takes than the one before it.
     :param starts: all starts carried out, as (task, run, token).
     """
 
     cpu_millicores: int = 16_000
     work_ms: float = 30.0
+    stagger_ms: float = 0.0
     token: int = 0
     born_ms: int = 1
     until_ms: float = 0.0
@@ -124,14 +126,15 @@
         if present is None or present.run != number:
             if number <= self.closed.get(task, 0):
                 return self._refuse("old")
-            end_ms = self.clock_ms() + self.work_ms if self.work_ms else float("inf")
+            work_ms = self.work_ms + self.stagger_ms * len(self.runs)
+            end_ms = self.clock_ms() + work_ms if self.work_ms else float("inf")
             self.runs[task] = Run(task, number, end_ms, self.faults.outcome)
             self.starts.append((task, number, self.token))
             self.specs[task] = data["spec"]
             self.tickets[task] = data.get("ticket", "")
             if self.work_ms:
                 loop = asyncio.get_running_loop()
-                loop.call_later(self.work_ms / 1_000 + 0.002, self._advance)
+                loop.call_later(work_ms / 1_000 + 0.002, self._advance)
         if self.faults.start_delay_ms:
             await asyncio.sleep(self.faults.start_delay_ms / 1_000)
         if self.faults.lose_start_count:
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -177,6 +177,7 @@
         self._clock: tuple[int, float] | None = None
         self._lease_end_ms = 0.0
         self._answered = True
+        self._born_ms = 0
 
     async def opened(self) -> None:
         """Start looking at the upstream."""
@@ -316,6 +317,13 @@
             self._listener.tell(Silent(self._id, reason, gone, self._lease_end_ms))
             return None
         self._answered = True
+        if report.born_ms < self._born_ms:
+            # The answer of an earlier life was overtaken.
+            return None
+        if report.born_ms > self._born_ms:
+            # Another life numbers its ends from 1.
+            self._acknowledged = 0
+            self._born_ms = report.born_ms
         # The clock was read when the answer was sent. Taken with the time of the question, it
         # would seem ahead by the wait, and a lease would outlast what we count with.
         self._clock = (report.clock_ms, self._timer.now_ms())
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -61,17 +61,15 @@
 
     def _list(self, entry: UpstreamEntry) -> None:
         upstream = self._upstreams.get(entry.upstream_id)
-        if entry.upstream_id in self._ended_ids:
+        if entry.born_ms <= self._ended_lives.get(entry.upstream_id, -1):
             return
         if upstream is None or upstream.link is None:
             self._open(entry, upstream)
             return
         slot = upstream.slot
         if slot.entry.address != entry.address:
-            logger.warning(
-                "upstream has changed its address; the new one is ignored",
-                extra={"upstream": entry.upstream_id, "address": entry.address},
-            )
+            self._remove(upstream, f"it has started again at {entry.address}")
+            self._open(entry, None)
             return
         if entry.draining and not slot.entry.draining:
             logger.info(
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -138,8 +138,8 @@
         self._shares = Shares()
         self._offered = Offered(defaults.OFFERED_WINDOW_MS)
         self._malformed: set[str] = set()
-        # Registrations of these linger in the store; another life gets another id.
-        self._ended_ids: set[str] = set()
+        # Start of the life that has ended: its registration lingers in the store.
+        self._ended_lives: dict[str, int] = {}
         self._gained_ms = timer.now_ms()
         self._rng = random.Random(epoch)
 
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -82,7 +82,8 @@
         """Forget an upstream whose VM is down."""
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is not None:
-            self._ended_ids.add(message.upstream_id)
+            born_ms = max(upstream.born_ms, upstream.slot.entry.born_ms)
+            self._ended_lives[message.upstream_id] = born_ms
             self._remove(upstream, "its VM is down")
 
     def _vacate(self, upstream: KnownUpstream, now_ms: float) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 from standins.taskworker import TaskWorker
 from tarragoncart.link import Reported
 from tarragoncart.runs import LiveRun, UpstreamReport
-from tarragoncart.vms import Vacate
+from tarragoncart.vms import Ended, Vacate
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -381,3 +381,38 @@
     assert await until(lambda: node.scheduler is not None and node.scheduler._ready)
     await asyncio.sleep(0.4)
     assert not any(node.scheduler._short_millicores.values())
+
+
+async def test_ends_of_a_worker_s_next_life_are_not_acknowledged_unseen(run_node, add_worker):
+    """Guards against a second run of tasks whose ends were forgotten before they were read.
+
+    A worker that starts again numbers its ends from 1; the number acknowledged in its last life
+    made it forget them.
+    """
+    worker = await add_worker(worker=TaskWorker(stagger_ms=4))
+    node = await run_node()
+    wide = {"spec": "", "steps": [{**TASK, "count": 12}]}
+    assert await submit(node, wide) == 200
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await until(lambda: worker.acknowledged == 12)
+    worker.restart()
+    assert await submit(node, wide, job_id="00000000000000dd") == 200
+    assert await node.caller.phase("/q/00000000000000dd", "completed") == "completed"
+    names = [task for task, _, _ in worker.starts if task.startswith("00000000000000dd")]
+    assert len(names) == len(set(names)) == 12
+
+
+async def test_a_worker_that_comes_back_with_its_id_is_used_again(
+    run_node, add_worker, serve_standin, store
+):
+    """Guards against ignoring for ever a worker that returns under its id, at another address."""
+    first = await add_worker()
+    node = await run_node()
+    assert await submit(node) == 200
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    node.scheduler.tell(Ended("i-1"))
+    first.faults.silent = True
+    second = await add_worker("i-1", TaskWorker(born_ms=2))
+    assert await submit(node, job_id="00000000000000ee") == 200
+    assert await node.caller.phase("/q/00000000000000ee", "completed") == "completed"
+    assert len(second.starts) == 4
