--- /dev/null
+++ b/src/bench/placement_pass.py
@@ -0,0 +1,86 @@
+"""Time of one placement pass on a full fleet: ``python -m bench.placement_pass``."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from typing import Annotated
+
+import typer
+
+from tarragoncart import assignment
+from tarragoncart.assignment import Slot, Usage
+from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
+from tarragoncart.ledger import Job, StepRun, Task
+
+TASKS_PER_STEP_COUNT = 8
+POOL_COUNT = 5
+ACCOUNT_COUNT = 20
+CAPACITY = Demand(16_000, 65_536)
+
+
+def make_steps(rng: random.Random, task_count: int) -> list[StepRun]:
+    """Return steps of equal tasks, with demands like those of the users' queues."""
+    steps = []
+    for number in range(task_count // TASKS_PER_STEP_COUNT):
+        demand = Demand(rng.randrange(400, 5_700), rng.randrange(500, 20_000))
+        spec = JobSpec("", (StepSpec(TASKS_PER_STEP_COUNT, demand, 1_000),))
+        pool = f"pool-{rng.randrange(POOL_COUNT)}"
+        account = f"account-{rng.randrange(ACCOUNT_COUNT)}"
+        submission = Submission(str(number), "q", pool, account, 0, 3, 1.6, 600, number, spec)
+        steps.extend(Job(submission).release(0))
+    return steps
+
+
+def make_slots(upstream_count: int) -> dict[str, list[Slot]]:
+    """Return empty upstreams by pool."""
+    slots: dict[str, list[Slot]] = {}
+    for number in range(upstream_count):
+        pool = f"pool-{number % POOL_COUNT}"
+        entry = UpstreamEntry(f"i-{number}", pool, "", "dc", False, CAPACITY)
+        slots.setdefault(pool, []).append(Slot(entry, CAPACITY, known=True))
+    return slots
+
+
+def run_pass(steps: list[StepRun], slots: dict[str, list[Slot]]) -> tuple[float, int]:
+    """Place all that fits and return the time taken in ms and the number of tasks placed."""
+    usages = {f"account-{number}": Usage() for number in range(ACCOUNT_COUNT)}
+    placed: list[Task] = []
+
+    def reserve(task: Task, slot: Slot) -> None:
+        task.state, task.upstream_id = "assigned", slot.entry.upstream_id
+        slot.free = slot.free.plus(task.step.spec.counted, -1)
+        placed.append(task)
+
+    started_s = time.perf_counter()
+    for pool, here in slots.items():
+        waiting = [step for step in steps if step.job.pool == pool]
+        waiting.sort(key=lambda step: assignment.by_deadline(step, 0.0))
+        for _ in assignment.plan(waiting, here, usages, 0.0, reserve, lambda step: None):
+            pass
+    return (time.perf_counter() - started_s) * 1_000, len(placed)
+
+
+def main(
+    tasks: Annotated[int, typer.Option(help="Waiting tasks.")] = 2_000,
+    upstreams: Annotated[int, typer.Option(help="Upstreams.")] = 180,
+    rounds: Annotated[int, typer.Option(help="Repetitions.")] = 15,
+    seed: Annotated[int, typer.Option(help="Seed of the demands.")] = 1,
+) -> None:
+    """Print the median time of a first pass and of one that finds the fleet full."""
+    first_ms, full_ms, counts = [], [], []
+    for number in range(rounds):
+        steps = make_steps(random.Random(seed + number), tasks)
+        slots = make_slots(upstreams)
+        elapsed_ms, count = run_pass(steps, slots)
+        first_ms.append(elapsed_ms)
+        counts.append(count)
+        full_ms.append(run_pass(steps, slots)[0])
+    print(f"seed {seed}, {tasks} tasks, {upstreams} upstreams, {rounds} rounds")
+    print(f"first pass: {statistics.median(first_ms):.1f} ms, places {statistics.median(counts)}")
+    print(f"pass on a full fleet: {statistics.median(full_ms):.1f} ms")
+
+
+if __name__ == "__main__":
+    typer.run(main)
