Remove a constant and a property that nothing used

FAILING_MIN_COUNT and Usage.dominant_share in assignment.py: no caller in sources or tests, so behaviour stays.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -12,7 +12,6 @@
 
 # An upstream whose recent runs failed more often than this share is used last.
 FAILING_RATIO = 0.5
-FAILING_MIN_COUNT = 2
 # Weight of a new outcome in an upstream's share of failures.
 FAILURE_WEIGHT = 0.34
 
@@ -72,11 +71,6 @@
             and (not limit.gpu_count or after.gpu_count <= limit.gpu_count)
         )
 
-    @property
-    def dominant_share(self) -> float:
-        """Running cpu by weight, to compare accounts."""
-        return self.running.cpu_millicores / max(self.weight, 0.001)
-
 
 Order = Callable[[StepRun, float], tuple[float, ...]]
 ORDERS: Registry[Order] = Registry("order of steps")
