Store orders for VMs before they are sent; a new leader leaves only those VMs alone

Cause: after each change of the leader no VM could move for 3 s, because two leaders must not take turns with orders for one VM. Change: a leader stores the VM's ID before it sends an order for it, so that its successor knows the VMs with recent orders and pauses for these only. Because the pause no longer covers it, VMs that the platform lists in maintenance, and those with an inherited order, count against a wave's bound.

--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -267,9 +267,6 @@
         make_calls = adapter.make_fleet
         if make_calls is None:
             return None
-        # The first leader of all has no predecessor to take turns with.
-        quiet_ms = 0.0 if epoch == 1 else settings.fence_quiet_ms
-        quiet_until_ms = self._timer.now_ms() + quiet_ms
 
         def make(scheduler: Actor, restored: dict[str, bytes]) -> Fleet:
             status_writer = Writer(
@@ -291,7 +288,7 @@
                 adapter.wave_status_record,
                 restored,
                 self._timer,
-                quiet_until_ms,
+                settings.fence_quiet_ms,
                 self._pool_rules,
             )
 
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -27,7 +27,7 @@
 from .runstate import Effects, KnownUpstream, Pass
 from .stops import PlannedStops
 from .storage import Entry
-from .vms import WAVE_KEY_PREFIX, WaveAsked
+from .vms import FLEET_KEY_PREFIX, WaveAsked
 from .writer import FENCED, STORED, Write
 
 logger = logging.getLogger(__name__)
@@ -107,8 +107,8 @@
             return
         self._restored = await self._read_state()
         if self._make_fleet is not None:
-            waves = {e.key: e.value for e in self._restored if e.key.startswith(WAVE_KEY_PREFIX)}
-            self._fleet = self._make_fleet(self, waves)
+            kept = {e.key: e.value for e in self._restored if e.key.startswith(FLEET_KEY_PREFIX)}
+            self._fleet = self._make_fleet(self, kept)
             self._fleet.start()
         if self._make_advisor is not None:
             self._advisor = self._make_advisor(self)
@@ -497,5 +497,5 @@
 def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
     """Yield the records of jobs among those of the leader's state."""
     for entry in entries:
-        if entry.value and not entry.key.startswith(WAVE_KEY_PREFIX):
+        if entry.value and not entry.key.startswith(FLEET_KEY_PREFIX):
             yield entry.key, entry.value
--- a/src/tarragoncart/upkeep.py
+++ b/src/tarragoncart/upkeep.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 
 from attrs import define, field
 
@@ -45,9 +45,18 @@
         """Whether each VM's maintenance has at least begun."""
         return all(vm.state in ("down", "done") for vm in self.vms.values())
 
-    def away_count(self) -> int:
-        """Return how many VMs are down or may be."""
-        return sum(vm.state in ("ordered", "down") for vm in self.vms.values())
+    def away_count(self, listed: Mapping[str, VmEntry], unsettled: Container[str] = ()) -> int:
+        """Return how many VMs are down or may be.
+
+        :param listed: the platform's list; an earlier leader may have sent some of them down.
+        :param unsettled: VMs with a recent order of an earlier leader whose effect may still come.
+        """
+        return sum(
+            vm.state in ("ordered", "down")
+            or vm.vm_id in unsettled
+            or (vm.vm_id in listed and listed[vm.vm_id].state == "upkeep")
+            for vm in self.vms.values()
+        )
 
 
 Candidate = tuple[VmUpkeep, VmEntry]
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -18,14 +18,17 @@
 from .link import Permit
 from .loads import Loads
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
+from .orders import ORDERS_KEY, RecentOrders, decode_orders
 from .pools import POLICIES, PoolDemand, PoolVm, Relocation
 from .timer import Timer
 from .upkeep import UPKEEP_CHART, VmUpkeep, Wave, next_vms
-from .writer import Write
+from .writer import FENCED, Write
 
 logger = logging.getLogger(__name__)
 
-WAVE_KEY_PREFIX = "wave/"
+# Keys of what the owner of the VMs keeps in the topic of the leader's state.
+FLEET_KEY_PREFIX = "fleet/"
+WAVE_KEY_PREFIX = f"{FLEET_KEY_PREFIX}wave/"
 RELOCATION_CHART = load_chart("relocation")
 
 
@@ -118,12 +121,11 @@
 class Fleet(Actor):
     """Gives the orders for VMs in one epoch.
 
-    :param pool_rules: returns what the configuration says of the pools.
-
     :param scheduler: empties upstreams on demand.
-    :param restored: records of waves that an earlier leader has stored.
+    :param restored: records of waves and orders that an earlier leader has stored.
     :param status_record: encodes the status that operators read.
-    :param quiet_until_ms: no orders before, so that two leaders do not take turns.
+    :param quiet_ms: pause before orders for a VM that an earlier leader has given orders for.
+    :param pool_rules: returns what the configuration says of the pools.
     """
 
     def __init__(
@@ -137,7 +139,7 @@
         status_record: Callable[[int, bool], tuple[str, bytes]],
         restored: Mapping[str, bytes],
         timer: Timer,
-        quiet_until_ms: float,
+        quiet_ms: float,
         pool_rules: Callable[[], Mapping[str, PoolRule]],
     ) -> None:
         super().__init__("fleet")
@@ -150,7 +152,9 @@
         self._status_record = status_record
         self._restored = restored
         self._timer = timer
-        self._quiet_until_ms = quiet_until_ms
+        self._orders = RecentOrders(
+            quiet_ms, decode_orders(restored.get(ORDERS_KEY)), timer.now_ms() + quiet_ms
+        )
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
         self._pool_rules = pool_rules
@@ -257,18 +261,26 @@
             self._event(wave, vm, "returned")
 
     def _may_order(self) -> bool:
-        return self._quiet_until_ms <= self._timer.now_ms() < self._permitted_ms
+        return self._timer.now_ms() < self._permitted_ms
+
+    def _may_go_down(self, wave: Wave) -> bool:
+        """Tell whether one more VM of the wave may be down."""
+        now_ms = self._timer.now_ms()
+        unsettled = {key for key in wave.vms if not self._orders.allows(key, now_ms)}
+        return wave.away_count(self._vms, unsettled) < wave.request.concurrent_count
 
     def _advance(self, wave: Wave) -> None:
         if not self._may_order():
             return
         sizes = Counter(vm.pool for vm in self._vms.values())
-        for vm in list(next_vms(wave, self._vms, self._loads.upstreams, sizes)):
+        now_ms = self._timer.now_ms()
+        free = {key: vm for key, vm in self._vms.items() if self._orders.allows(key, now_ms)}
+        for vm in list(next_vms(wave, free, self._loads.upstreams, sizes)):
             entry = self._vms[vm.vm_id]
             vm.upstream_id = entry.upstream_id
             if entry.upstream_id:
                 self._event(wave, vm, "select")
-            elif wave.away_count() < wave.request.concurrent_count:
+            elif self._may_go_down(wave):
                 self._event(wave, vm, "already_off")
 
     # Moves between pools.
@@ -325,7 +337,8 @@
             if vm_id in self._vms and move.state != "done":
                 incoming[move.plan.to_pool] += self._vms[vm_id].capacity.cpu_millicores
         for vm in self._vms.values():
-            arriving = vm.state == "up" and vm.upstream_id not in self._loads.upstreams
+            # Also one that an earlier leader has moved, and one that comes back from maintenance.
+            arriving = vm.state != "down" and vm.upstream_id not in self._loads.upstreams
             if arriving and vm.vm_id not in self._moves and not self._spare_pool(vm.pool):
                 incoming[vm.pool] += vm.capacity.cpu_millicores
         # A spare pool that has given all its VMs is listed by the configuration only.
@@ -364,7 +377,10 @@
                 vm.capacity.cpu_millicores,
                 0.0 if idle_since_ms is None else now_ms - idle_since_ms,
                 load.lasting_count if load else 0,
-                vm.state == "up" and vm.vm_id not in in_waves and vm.vm_id not in self._moves,
+                vm.state == "up"
+                and vm.vm_id not in in_waves
+                and vm.vm_id not in self._moves
+                and self._orders.allows(vm.vm_id, now_ms),
             )
 
     def _move_event(self, move: _Move, event: str) -> None:
@@ -380,7 +396,9 @@
 
     async def _relocate(self, plan: Relocation, delay_ms: float) -> None:
         event, reason = await self._call(
-            lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch), delay_ms
+            plan.vm_id,
+            lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch),
+            delay_ms,
         )
         self.tell(_MoveEnded(plan.vm_id, event, reason))
 
@@ -445,7 +463,7 @@
             for vm in wave.vms.values():
                 if vm.upstream_id != message.upstream_id or vm.state != "vacating":
                     continue
-                if wave.away_count() < wave.request.concurrent_count:
+                if self._may_go_down(wave):
                     self._event(wave, vm, "vacated")
                 return
         for move in self._moves.values():
@@ -462,14 +480,21 @@
 
     async def _maintain(self, wave: int, vm_id: str, delay_ms: float) -> None:
         event, reason = await self._call(
-            lambda: self._calls.maintain(vm_id, wave, self._epoch), delay_ms
+            vm_id, lambda: self._calls.maintain(vm_id, wave, self._epoch), delay_ms
         )
         self.tell(_OrderEnded(wave, vm_id, event, reason))
 
-    async def _call(self, call: Callable[[], Awaitable[None]], delay_ms: float) -> tuple[str, str]:
+    async def _call(
+        self, vm_id: str, call: Callable[[], Awaitable[None]], delay_ms: float
+    ) -> tuple[str, str]:
         """Give an order and return the chart's event for its outcome, with the reason."""
         if delay_ms:
             await self._timer_sleep(delay_ms)
+        stored = new_reply()
+        record = self._orders.add(vm_id, self._timer.now_ms())
+        self._state_writer.tell(Write((record,), stored))
+        if await stored == FENCED:
+            return "unanswered", "fence"
         if self._timer.now_ms() >= self._permitted_ms:
             # A successor may give orders by now, and together they could exceed a wave's bound.
             return "unanswered", "leadership is not confirmed"
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -10,12 +10,13 @@
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
 from tarragoncart.link import Permit
 from tarragoncart.loads import Loads, UpstreamLoad
-from tarragoncart.mailbox import Actor, receives
+from tarragoncart.mailbox import Actor, receives, resolve
+from tarragoncart.orders import ORDERS_KEY, RecentOrders, decode_orders
 from tarragoncart.pools import PoolDemand, PoolVm, follow_demand
 from tarragoncart.timer import LoopTimer
 from tarragoncart.upkeep import VmUpkeep, Wave, next_vms
 from tarragoncart.vms import Ended, Fleet, Readmit, Vacate, Vacated, WaveAsked
-from tarragoncart.writer import Write
+from tarragoncart.writer import STORED, Write
 
 
 class FleetStandin:
@@ -75,37 +76,51 @@
 
     @receives(Write)
     def on_write(self, message):
-        """Keep the records."""
+        """Keep the records and say that they are stored."""
         self.records.update(message.records)
+        resolve(message.reply, STORED)
 
 
 @pytest.fixture
-async def fleet():
-    """A fleet of eight VMs, a wave over all of them with two at once, and no permission yet."""
-    calls, recorder = FleetStandin(), Recorder()
-    actor = Fleet(
-        7,
-        calls,
-        recorder,
-        recorder,
-        recorder,
-        recorder,
-        lambda number, completed: (f"wave/{number}", str(completed).encode()),
-        {},
-        LoopTimer(),
-        0.0,
-        lambda: {"pool": PoolRule("pool")},
-    )
-    recorder.fleet = actor
-    recorder.start()
-    # The status goes through a writer of its own, here the recorder.
-    actor._status_writer.start = lambda: None
-    actor.start()
-    actor.tell(WaveAsked(WaveRequest(1, tuple(calls.vms), 20.0, 2)))
-    actor.calls, actor.recorder = calls, recorder
-    yield actor
-    await actor.stop()
-    await recorder.stop()
+async def make_fleet():
+    """Make a fleet of eight VMs and a wave over all of them with two at once."""
+    made = []
+
+    def make(restored=None, quiet_ms=3_000.0):
+        calls, recorder = FleetStandin(), Recorder()
+        actor = Fleet(
+            7,
+            calls,
+            recorder,
+            recorder,
+            recorder,
+            recorder,
+            lambda number, completed: (f"wave/{number}", str(completed).encode()),
+            restored or {},
+            LoopTimer(),
+            quiet_ms,
+            lambda: {"pool": PoolRule("pool")},
+        )
+        recorder.fleet = actor
+        recorder.start()
+        # The status goes through a writer of its own, here the recorder.
+        actor._status_writer.start = lambda: None
+        actor.start()
+        actor.tell(WaveAsked(WaveRequest(1, tuple(calls.vms), 20.0, 2)))
+        actor.calls, actor.recorder = calls, recorder
+        made.append(actor)
+        return actor
+
+    yield make
+    for actor in made:
+        await actor.stop()
+        await actor.recorder.stop()
+
+
+@pytest.fixture
+async def fleet(make_fleet):
+    """A fleet without permission to give orders yet."""
+    return make_fleet()
 
 
 async def settle(condition, timeout_s=4.0):
@@ -161,6 +176,42 @@
     assert fleet.recorder.records["wave/1"] != b"True"
 
 
+async def test_an_order_is_stored_before_it_is_sent(fleet):
+    """Guards against a successor that does not know which VMs have had orders lately."""
+    permit(fleet, 60_000)
+    assert await settle(lambda: len(fleet.calls.maintained) == 2)
+    stored = decode_orders(fleet.recorder.records[ORDERS_KEY])
+    assert set(fleet.calls.maintained) <= stored
+
+
+async def test_a_new_leader_leaves_only_its_predecessor_s_vms_alone(make_fleet):
+    """Guards against two leaders that take turns at one VM, and against a pause for all VMs."""
+    fleet = make_fleet({ORDERS_KEY: b'["m-0"]'}, quiet_ms=1_200.0)
+    permit(fleet, 60_000)
+    assert await settle(lambda: fleet.calls.maintained, 0.9)
+    # The order for m-0 may still take effect, so only one more of two may go down.
+    assert len(set(fleet.calls.maintained)) == 1 and "m-0" not in fleet.calls.maintained
+    assert await settle(lambda: len(set(fleet.calls.maintained)) == 2)
+
+
+def test_a_vm_that_an_earlier_leader_sent_down_counts_against_the_bound():
+    """Guards against an upkeep beyond the wave's bound after a change of the leader."""
+    wave = Wave(WaveRequest(1, ("a", "b", "c"), 20.0, 2), 0.0)
+    wave.vms = {"a": VmUpkeep("a", "done"), "b": VmUpkeep("b"), "c": VmUpkeep("c")}
+    listed = {"a": VmEntry("a", "pool", "upkeep", "dc", "r", Demand(1))}
+    assert wave.away_count(listed) == 1
+    assert wave.away_count(listed, {"b"}) == 2
+
+
+def test_recent_orders_are_forgotten_after_the_pause():
+    """Guards against a list of VMs that grows with each order."""
+    orders = RecentOrders(3_000.0, frozenset({"old"}), 1_000.0)
+    assert decode_orders(orders.add("a", 500.0)[1]) == {"a", "old"}
+    assert decode_orders(orders.add("b", 3_600.0)[1]) == {"b"}
+    assert not orders.allows("old", 900.0)
+    assert orders.allows("old", 1_000.0) and orders.allows("a", 0.0)
+
+
 def test_a_pool_is_not_emptied_by_a_wave():
     """Guards against a wave that takes more than a third of one pool at once."""
     wave = Wave(WaveRequest(1, ("a", "b", "c", "d", "e", "f"), 20.0, 6), 0.0)
