Size pools by the work that waits and by the rate of a short window

Cause: a pool grew step by step while a burst built up. The rate of the jobs was taken over 1.5 s, so that it lagged behind the start of a burst, and what waited was counted as cpu to be had at once, also where the present VMs would have done it before others arrived. Change: the rate is the higher one of 0.5 and 1.5 s (the short window needs four jobs); what waits counts as work to be done within 2.5 s, but for tasks that last, stay apart or start together; the owner of the VMs hears of a shortage within 0.1 s; VMs go back after 0.5 s; a demand counts by its largest resource.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -180,7 +180,13 @@
 POOL_POLICY = "follow_demand"
 FLEET_LIST_MS = 300
 MOVE_GIVE_UP_MS = 4_000
-OFFERED_WINDOW_MS = 1_500
+# The short window shows the start of a burst, the long one evens out large jobs.
+OFFERED_WINDOWS_MS = (500, 1_500)
+OFFERED_MIN_COUNT = 4
+# What runs where is told at least each tick, and sooner while tasks wait for room.
+LOADS_GAP_MS = 100
+# A task without an estimate counts as this long.
+ESTIMATE_DEFAULT_MS = 1_000
 # An ended job is told of for this much longer than the platform asks: clocks differ.
 RETENTION_MARGIN_MS = 60_000
 # Added to the time that a stop may take before a run in neither list counts as ended.
--- a/src/tarragoncart/graph.py
+++ b/src/tarragoncart/graph.py
@@ -21,6 +21,14 @@
             self.gpu_count + factor * other.gpu_count,
         )
 
+    def share_of(self, capacity: Demand) -> float:
+        """Return the largest share of a capacity, over all resources that it has."""
+        return max(
+            self.cpu_millicores / capacity.cpu_millicores if capacity.cpu_millicores else 0.0,
+            self.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
+            self.gpu_count / capacity.gpu_count if capacity.gpu_count else 0.0,
+        )
+
     def fits(self, free: Demand) -> bool:
         """Tell whether this demand fits into what is free."""
         return (
@@ -62,6 +70,12 @@
     fills: bool = False
     max_away_count: int | None = None
 
+    @property
+    def needs_room_at_once(self) -> bool:
+        """Whether waiting for others to end does not give its tasks room."""
+        bound = self.max_per_upstream_count or self.label
+        return bool(self.long_running or self.gang or bound)
+
     @property
     def counted(self) -> Demand:
         """The part of the demand that counts against an upstream's capacity."""
--- a/src/tarragoncart/loads.py
+++ b/src/tarragoncart/loads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Mapping
 
 from attrs import frozen
@@ -12,7 +12,8 @@
 class UpstreamLoad:
     """What runs at an upstream.
 
-    :param busy_millicores: cpu that its runs have reserved.
+    :param lasting_millicores: share of its capacity that runs that last have reserved, of the
+        resource that they need most, as cpu; ``busy_millicores`` of all runs.
     :param pool_waiting_count: waiting tasks of its pool.
     """
 
@@ -30,38 +31,51 @@
 class Loads:
     """What runs where.
 
-    :param short_millicores: by pool, cpu of ready tasks that found no upstream.
+    :param short_millicores: by pool, cpu of ready tasks that found no upstream and that more room
+        at the present ones would not help: tasks that last, stay apart or start together.
+    :param backlog_millicore_ms: by pool, estimated work of all other tasks that found no upstream.
     :param offered_millicores: by pool, cpu that the jobs of the last seconds need to be kept up
         with: their work by the time in which they came.
     """
 
     upstreams: Mapping[str, UpstreamLoad]
     short_millicores: Mapping[str, int]
+    backlog_millicore_ms: Mapping[str, int]
     offered_millicores: Mapping[str, int]
 
 
 class Offered:
     """Work that callers have handed in lately, by pool.
 
-    :param window_ms: how far back it looks.
+    A short window shows the start of a burst sooner, but says little about a few large jobs.
+
+    :param windows_ms: how far back it looks; the highest rate of all windows counts.
+    :param min_count: jobs that a window needs, but for the longest.
     """
 
-    def __init__(self, window_ms: float) -> None:
-        self._window_ms = window_ms
-        self._arrivals: deque[tuple[float, str, float]] = deque()
+    def __init__(self, windows_ms: tuple[float, ...], min_count: int) -> None:
+        self._windows_ms = sorted(windows_ms)
+        self._min_count = min_count
+        self._arrivals: dict[str, deque[tuple[float, float]]] = {}
 
     def add(self, now_ms: float, pool: str, work_millicore_ms: float) -> None:
         """Take in a job."""
-        self._arrivals.append((now_ms, pool, work_millicore_ms))
+        self._arrivals.setdefault(pool, deque()).append((now_ms, work_millicore_ms))
 
     def rates(self, now_ms: float) -> dict[str, int]:
-        """Return the millicores that keep up with the jobs of the window."""
-        while self._arrivals and self._arrivals[0][0] < now_ms - self._window_ms:
-            self._arrivals.popleft()
-        totals: Counter[str] = Counter()
-        for _, pool, work_millicore_ms in self._arrivals:
-            totals[pool] += work_millicore_ms  # type: ignore[assignment]
-        return {pool: int(total / self._window_ms) for pool, total in totals.items()}
+        """Return the millicores that keep up with the jobs of the windows."""
+        return {pool: self._rate(jobs, now_ms) for pool, jobs in self._arrivals.items()}
+
+    def _rate(self, arrivals: deque[tuple[float, float]], now_ms: float) -> int:
+        longest_ms = self._windows_ms[-1]
+        while arrivals and arrivals[0][0] < now_ms - longest_ms:
+            arrivals.popleft()
+        best = sum(work for _, work in arrivals) / longest_ms
+        for window_ms in self._windows_ms[:-1]:
+            recent = [work for at_ms, work in arrivals if at_ms >= now_ms - window_ms]
+            if len(recent) >= self._min_count:
+                best = max(best, sum(recent) / window_ms)
+        return int(best)
 
 
 class Shares:
--- a/src/tarragoncart/pools.py
+++ b/src/tarragoncart/pools.py
@@ -11,15 +11,18 @@
 
 # A pool keeps at least this many VMs, for what may come and for its tasks that must stay apart.
 POOL_MIN_COUNT = 3
-# A VM without runs goes back to the spare pool after this time; a move costs about as much as a
-# VM in a pool for one second, and its return as much again.
-IDLE_RETURN_MS = 1_500
+# A VM without runs goes back to the spare pool after this time. A move costs about as much as a VM
+# in a pool for one second, and its return as much again; demand that falls seldom returns sooner.
+IDLE_RETURN_MS = 500
 # A pool that was short sends none back for this long: bursts come with gaps.
-SHORT_MEMORY_MS = 1_500
+SHORT_MEMORY_MS = 500
 # A pool that was short so long ago may give VMs to one that is short now.
 DONOR_CALM_MS = 700
-# Work comes faster at the start of a burst than the window shows.
-OFFERED_FACTOR = 1.4
+# Tasks do not fill a VM without gaps.
+OFFERED_FACTOR = 1.2
+# Work that waits should be done within this time, beside the work that comes; a move takes most
+# of it.
+CLEAR_BACKLOG_MS = 2_500
 # Free share of a pool's cpu that stays after a VM has gone back.
 KEPT_FREE_RATIO = 0.25
 
@@ -45,7 +48,8 @@
 class PoolDemand:
     """A pool's demand.
 
-    :param short_millicores: cpu of ready tasks that found no upstream.
+    :param short_millicores: cpu of ready tasks that only another VM can take.
+    :param backlog_millicore_ms: estimated work of the other ready tasks that found no upstream.
     :param free_millicores: cpu that no run has.
     :param incoming_millicores: cpu of VMs on their way here.
     :param offered_millicores: cpu needed to keep up with the jobs of the last seconds.
@@ -56,6 +60,7 @@
     pool: str
     spare: bool
     short_millicores: int
+    backlog_millicore_ms: int
     free_millicores: int
     total_millicores: int
     incoming_millicores: int
@@ -67,14 +72,13 @@
     @property
     def missing_millicores(self) -> int:
         """Cpu that it lacks, as far as nothing is on its way; negative if it has too much."""
-        needed = (
+        needed_millicores = (
             OFFERED_FACTOR * self.offered_millicores
             + self.lasting_millicores
-            - self.total_millicores
+            + self.backlog_millicore_ms / CLEAR_BACKLOG_MS
         )
-        if self.short_millicores:
-            needed = max(self.short_millicores, needed)
-        return int(needed) - self.incoming_millicores
+        missing = max(needed_millicores - self.total_millicores, self.short_millicores)
+        return int(missing) - self.incoming_millicores
 
 
 @frozen
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -133,10 +133,12 @@
         self._pass_due = False
         self._followers: list[Follower] = []
         self._short_millicores: Counter[str] = Counter()
+        self._backlog_millicore_ms: Counter[str] = Counter()
+        self._loads_told_ms = 0.0
         # Jobs whose end is stored, oldest first.
         self._ended: deque[Job] = deque()
         self._shares = Shares()
-        self._offered = Offered(defaults.OFFERED_WINDOW_MS)
+        self._offered = Offered(defaults.OFFERED_WINDOWS_MS, defaults.OFFERED_MIN_COUNT)
         self._malformed: set[str] = set()
         # Start of the life that has ended: its registration lingers in the store.
         self._ended_lives: dict[str, int] = {}
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -288,6 +288,7 @@
             if upstream.slot.usable:
                 slots_by_pool.setdefault(upstream.slot.entry.pool, []).append(upstream.slot)
         self._short_millicores = Counter()
+        self._backlog_millicore_ms = Counter()
         for pool, steps in self._ready.items():
             for step in [s for s in steps if not any(True for _ in s.waiting())]:
                 del steps[step]
@@ -304,6 +305,23 @@
                     "tasks assigned",
                     extra={"step": name, "count": count, "pool": pool, "upstreams": len(slots)},
                 )
+        waits = self._short_millicores or self._backlog_millicore_ms
+        if waits and now_ms - self._loads_told_ms >= defaults.LOADS_GAP_MS:
+            self._tell_loads()
+
+    def _tell_loads(self) -> None:
+        """Tell the owner of the VMs what runs where and what found no room."""
+        if self._fleet is None:
+            return
+        self._loads_told_ms = self._timer.now_ms()
+        self._fleet.tell(
+            Loads(
+                {load.upstream_id: load for load in self._loads()},
+                dict(self._short_millicores),
+                dict(self._backlog_millicore_ms),
+                self._offered.rates(self._loads_told_ms),
+            )
+        )
 
     def _ask_advice(self, steps: list[StepRun], slots: list[Slot], now_ms: float) -> None:
         """Ask which upstreams may run the steps of queues that need advice."""
@@ -341,13 +359,22 @@
 
         A step that would not fit an empty upstream of its pool would draw VMs for ever.
         """
-        pool = step.job.pool
+        pool, spec = step.job.pool, step.spec
         slots = [u.slot for u in self._upstreams.values() if u.slot.entry.pool == pool and u.link]
-        if slots and not any(assignment.ever_admits(slot, step.spec) for slot in slots):
+        if slots and not any(assignment.ever_admits(slot, spec) for slot in slots):
             return
-        waiting_count = sum(1 for _ in step.waiting())
-        cpu_millicores = max(step.spec.counted.cpu_millicores, defaults.SHORT_MIN_MILLICORES)
-        self._short_millicores[pool] += waiting_count * cpu_millicores
+        cpu_millicores = spec.counted.cpu_millicores
+        if slots:
+            capacity = slots[0].entry.capacity
+            cpu_millicores = round(spec.counted.share_of(capacity) * capacity.cpu_millicores)
+        waiting_millicores = sum(1 for _ in step.waiting()) * max(
+            cpu_millicores, defaults.SHORT_MIN_MILLICORES
+        )
+        if spec.needs_room_at_once:
+            self._short_millicores[pool] += waiting_millicores
+        else:
+            estimate_ms = spec.estimate_ms or defaults.ESTIMATE_DEFAULT_MS
+            self._backlog_millicore_ms[pool] += waiting_millicores * estimate_ms
 
     def _commit(self) -> None:
         effects = self._effects
@@ -419,10 +446,7 @@
             if job.released_count < job.occurrence_count:
                 self._admit(job)
         self._forget_old()
-        if self._fleet is not None:
-            loads = {load.upstream_id: load for load in self._loads()}
-            short = dict(self._short_millicores)
-            self._fleet.tell(Loads(loads, short, self._offered.rates(now_ms)))
+        self._tell_loads()
         if any(self._ready.values()):
             self._request_pass()
 
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -5,9 +5,11 @@
 import logging
 from collections import Counter
 from collections.abc import Iterator
+from functools import reduce
 
 from . import assignment
 from .assignment import Slot
+from .graph import Demand
 from .ledger import Task
 from .loads import UpstreamLoad
 from .mailbox import receives
@@ -39,14 +41,17 @@
             pool = slot.entry.pool
             tasks = slot.tasks.values()
             lasting = [task.step.spec for task in tasks if task.step.spec.long_running]
+            capacity = slot.entry.capacity
+            reserved = capacity.plus(slot.free, -1)
+            kept = reduce(Demand.plus, (spec.counted for spec in lasting), Demand())
             yield UpstreamLoad(
                 upstream_id,
                 pool,
                 len(slot.tasks),
                 len(lasting),
-                sum(spec.counted.cpu_millicores for spec in lasting),
-                sum(task.step.spec.counted.cpu_millicores for task in tasks),
-                slot.entry.capacity.cpu_millicores,
+                round(kept.share_of(capacity) * capacity.cpu_millicores),
+                round(reserved.share_of(capacity) * capacity.cpu_millicores),
+                capacity.cpu_millicores,
                 waiting[pool],
             )
 
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -158,7 +158,7 @@
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
         self._pool_rules = pool_rules
-        self._loads = Loads({}, {}, {})
+        self._loads = Loads({}, {}, {}, {})
         self._moves: dict[str, _Move] = {}
         self._idle_since_ms: dict[str, float] = {}
         self._short_ms: dict[str, float] = {}
@@ -186,10 +186,9 @@
         """Keep what runs where."""
         self._loads = message
         now_ms = self._timer.now_ms()
-        for pool, millicores in message.short_millicores.items():
-            if millicores:
-                self._short_ms[pool] = now_ms
-        if any(message.short_millicores.values()) and self._vms:
+        short = message.short_millicores.keys() | message.backlog_millicore_ms.keys()
+        self._short_ms.update(dict.fromkeys(short, now_ms))
+        if short and self._vms:
             self._plan_moves()
         idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
         self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
@@ -317,6 +316,8 @@
                     "to_pool": plan.to_pool,
                     "reason": plan.reason,
                     "short_millicores": self._loads.short_millicores.get(plan.to_pool, 0),
+                    "backlog_millicore_ms": self._loads.backlog_millicore_ms.get(plan.to_pool, 0),
+                    "offered_millicores": self._loads.offered_millicores.get(plan.to_pool, 0),
                     "list_age_ms": round(self._timer.now_ms() - self._listed_ms),
                 },
             )
@@ -347,6 +348,7 @@
                 pool,
                 self._spare_pool(pool),
                 self._loads.short_millicores.get(pool, 0),
+                self._loads.backlog_millicore_ms.get(pool, 0),
                 free[pool],
                 total[pool],
                 incoming[pool],
