--- a/src/tarragoncart/pools.py
+++ b/src/tarragoncart/pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from attrs import frozen
@@ -103,16 +104,20 @@
 
 @POLICIES.register("follow_demand")
 def follow_demand(pools: Sequence[PoolDemand], vms: Sequence[PoolVm]) -> Iterator[Relocation]:
-    """Give short pools spare VMs, then idle ones of others; send idle VMs back.
+    """Give short pools spare VMs, then idle ones of others, then some of those with short tasks.
 
-    Answers bursts that exceed a pool while other pools have little to do.
+    Answers bursts that exceed a pool while other pools have little to do. Idle VMs that no pool
+    is short of go back to the spare pool.
     """
     by_name = {pool.pool: pool for pool in pools}
-    donors = list(_donors(by_name, vms))
+    known = [vm for vm in vms if vm.movable and vm.pool in by_name]
+    idle = list(_idle_vms(by_name, known))
+    spare = [vm for vm in known if by_name[vm.pool].spare]
+    donors = [*spare, *idle, *_excess_vms(by_name, known, idle)]
     taken: set[str] = set()
     for pool in sorted(pools, key=lambda p: p.missing_millicores, reverse=True):
         missing = pool.missing_millicores
-        if pool.spare or missing <= 0:
+        if pool.spare:
             continue
         for vm in donors:
             if missing <= 0:
@@ -122,38 +127,20 @@
             taken.add(vm.vm_id)
             missing -= vm.cpu_millicores
             yield Relocation(vm.vm_id, vm.pool, pool.pool, "tasks wait for room")
-    yield from _returns(by_name, vms, taken)
+    spare_pool = next((pool.pool for pool in pools if pool.spare), None)
+    if spare_pool is not None:
+        for vm in idle:
+            if vm.vm_id not in taken:
+                yield Relocation(vm.vm_id, vm.pool, spare_pool, "idle")
 
 
-def _donors(by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm]) -> Iterator[PoolVm]:
-    """Yield VMs that may leave their pool: spare ones, idle ones, those with short runs only."""
-    movable = [vm for vm in vms if vm.movable and vm.pool in by_name]
-    yield from (vm for vm in movable if by_name[vm.pool].spare)
-    counts = {name: pool.vm_count for name, pool in by_name.items()}
-    for vm in sorted(movable, key=lambda vm: vm.idle_ms, reverse=True):
-        pool = by_name[vm.pool]
-        if pool.spare or vm.lasting_count or pool.short_age_ms < DONOR_CALM_MS:
-            continue
-        if pool.missing_millicores > -2 * vm.cpu_millicores:
-            continue
-        if counts[vm.pool] > POOL_MIN_COUNT:
-            counts[vm.pool] -= 1
-            yield vm
-
-
-def _returns(
-    by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm], taken: set[str]
-) -> Iterator[Relocation]:
-    spare = next((pool.pool for pool in by_name.values() if pool.spare), None)
-    if spare is None:
-        return
+def _idle_vms(by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm]) -> Iterator[PoolVm]:
+    """Yield VMs without runs whose pools keep enough without them."""
     free = {name: pool.free_millicores for name, pool in by_name.items()}
     counts = {name: pool.vm_count for name, pool in by_name.items()}
     for vm in vms:
-        pool = by_name.get(vm.pool)
-        if pool is None or pool.spare or not vm.movable or vm.vm_id in taken:
-            continue
-        if vm.idle_ms < IDLE_RETURN_MS or pool.short_age_ms < SHORT_MEMORY_MS:
+        pool = by_name[vm.pool]
+        if pool.spare or vm.idle_ms < IDLE_RETURN_MS or pool.short_age_ms < SHORT_MEMORY_MS:
             continue
         left_millicores = free[vm.pool] - vm.cpu_millicores
         kept_millicores = math.ceil(KEPT_FREE_RATIO * pool.total_millicores)
@@ -161,4 +148,22 @@
             continue
         free[vm.pool] = left_millicores
         counts[vm.pool] -= 1
-        yield Relocation(vm.vm_id, vm.pool, spare, "idle")
+        yield vm
+
+
+def _excess_vms(
+    by_name: Mapping[str, PoolDemand], vms: Sequence[PoolVm], idle: Sequence[PoolVm]
+) -> Iterator[PoolVm]:
+    """Yield VMs with nothing but short tasks, of pools that have at least two too many."""
+    counts = Counter({name: pool.vm_count for name, pool in by_name.items()})
+    counts.subtract(vm.pool for vm in idle)
+    chosen = {vm.vm_id for vm in idle}
+    for vm in sorted(vms, key=lambda vm: vm.idle_ms, reverse=True):
+        pool = by_name[vm.pool]
+        if vm.vm_id in chosen or pool.spare or vm.lasting_count:
+            continue
+        if pool.short_age_ms < DONOR_CALM_MS or pool.missing_millicores > -2 * vm.cpu_millicores:
+            continue
+        if counts[vm.pool] > POOL_MIN_COUNT:
+            counts[vm.pool] -= 1
+            yield vm
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -202,6 +202,18 @@
     assert list(follow_demand(pools, vms)) == []
 
 
+def test_an_idle_vm_goes_straight_to_the_pool_that_is_short():
+    """Guards against two moves, by way of the spare pool, while tasks wait."""
+    pools = [
+        demand("a", short=20_000, total=0, count=0),
+        demand("b", total=96_000, count=6),
+        demand("s", spare=True, count=0),
+    ]
+    vms = [vm(str(n), "b", 600.0) for n in range(6)]
+    moves = list(follow_demand(pools, vms))
+    assert [move.to_pool for move in moves] == ["a", "a", "s"]
+
+
 def test_idle_vms_go_back_but_a_pool_keeps_some():
     """Guards against paying for idle VMs, and against pools without any."""
     pools = [demand("a", total=96_000, count=6), demand("s", spare=True, count=0)]
