--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from enum import StrEnum
 
 from attrs import define, field
 
@@ -72,6 +73,13 @@
         )
 
 
+class Wait(StrEnum):
+    """Why a waiting task is not assigned."""
+
+    NO_ROOM = "no upstream has room"
+    ACCOUNT_LIMIT = "the account is at its limit"
+
+
 Order = Callable[[StepRun, float], tuple[float, ...]]
 ORDERS: Registry[Order] = Registry("order of steps")
 Ranking = Callable[[Slot, StepRun], tuple[float, ...]]
@@ -192,22 +200,22 @@
     usages: dict[str, Usage],
     now_ms: float,
     reserve: Callable[[Task, Slot], None],
-    short: Callable[[StepRun], None],
+    note_wait: Callable[[StepRun, Wait], None],
     ranking: Ranking = home_first,
 ) -> Iterator[Task]:
     """Assign waiting tasks to upstreams, in the order of the steps.
 
     :param reserve: takes the capacity; called before the next choice.
-    :param short: called for a step that found no upstream for some task.
+    :param note_wait: called for a step of which some task has to wait.
     """
     refused: list[tuple[StepSpec, Demand]] = []
     for step in steps:
         spec = step.spec
         if any(_at_least(spec, other) for other, _ in refused):
-            short(step)
+            note_wait(step, Wait.NO_ROOM)
             continue
         if spec.gang:
-            yield from _plan_gang(step, slots, usages, now_ms, reserve, ranking)
+            yield from _plan_gang(step, slots, usages, now_ms, reserve, note_wait, ranking)
             continue
         counts = step.upstream_counts()
         usage = usages.get(step.job.submission.account)
@@ -215,13 +223,14 @@
             if task.retry_ms > now_ms:
                 continue
             if usage is not None and not usage.allows(spec.demand):
+                note_wait(step, Wait.ACCOUNT_LIMIT)
                 break
             slot = choose_slot(task, slots, counts, now_ms, ranking)
             if slot is None:
                 unbound = not spec.max_per_upstream_count and not spec.label
                 if unbound and not step.job.submission.needs_advice:
                     refused.append((spec, spec.counted))
-                short(step)
+                note_wait(step, Wait.NO_ROOM)
                 break
             reserve(task, slot)
             counts[slot.entry.upstream_id] = counts.get(slot.entry.upstream_id, 0) + 1
@@ -239,6 +248,7 @@
     usages: dict[str, Usage],
     now_ms: float,
     reserve: Callable[[Task, Slot], None],
+    note_wait: Callable[[StepRun, Wait], None],
     ranking: Ranking,
 ) -> Iterator[Task]:
     """Assign all tasks of a gang or none; those of one rack if the step asks for it."""
@@ -248,6 +258,7 @@
     usage = usages.get(step.job.submission.account)
     total = Demand().plus(step.spec.demand, len(tasks))
     if usage is not None and not usage.allows(total):
+        note_wait(step, Wait.ACCOUNT_LIMIT)
         return
     for group in _gang_groups(step.spec, slots):
         places = _gang_places(step, group, now_ms, ranking)
@@ -259,6 +270,7 @@
                 reserve(task, slot)
                 yield task
             return
+    note_wait(step, Wait.NO_ROOM)
 
 
 def _gang_groups(spec: StepSpec, slots: list[Slot]) -> Iterator[list[Slot]]:
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -78,6 +78,7 @@
     """One occurrence of a step.
 
     :param tickets: permissions of the advice service by upstream, where the queue needs them.
+    :param wait_reason: why its tasks waited in the last pass, empty if none did.
     """
 
     job: Job
@@ -89,6 +90,7 @@
     tickets: dict[str, str] = field(factory=dict)
     tickets_until_ms: float = 0.0
     advice_asked_ms: float = float("-inf")
+    wait_reason: str = ""
 
     @property
     def name(self) -> str:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -11,7 +11,7 @@
 
 from . import assignment, defaults, intake, ledger
 from .advisor import ASKED_UPSTREAM_COUNT, Advised, AskAdvice
-from .assignment import Slot
+from .assignment import Slot, Wait
 from .election import Fenced, LeadershipConfirmed
 from .errors import StoreRefusedError, StoreUnknownError
 from .follower import Follower, TopicChanges, TopicSnapshot, read_newest
@@ -298,13 +298,15 @@
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
             self._ask_advice(ordered, slots, now_ms)
             placed = assignment.plan(
-                ordered, slots, self._usages, now_ms, self._reserve, self._note_short
+                ordered, slots, self._usages, now_ms, self._reserve, self._note_wait
             )
-            for name, count in Counter(task.step.name for task in placed).items():
+            for step, count in Counter(task.step for task in placed).items():
                 logger.info(
                     "tasks assigned",
-                    extra={"step": name, "count": count, "pool": pool, "upstreams": len(slots)},
+                    extra={"step": step.name, "count": count, "pool": pool, "upstreams": len(slots)},
                 )
+                if not any(True for _ in step.waiting()):
+                    step.wait_reason = ""
         waits = self._short_millicores or self._backlog_millicore_ms
         if waits and now_ms - self._loads_told_ms >= defaults.LOADS_GAP_MS:
             self._tell_loads()
@@ -354,6 +356,27 @@
         )
         self._request_pass()
 
+    def _note_wait(self, step: StepRun, reason: Wait) -> None:
+        """Log why a step waits, once for each reason, and count what found no room."""
+        if step.wait_reason != reason:
+            step.wait_reason = reason
+            account = step.job.submission.account
+            usage = self._usage(account)
+            logger.info(
+                "step waits",
+                extra={
+                    "step": step.name,
+                    "pool": step.job.pool,
+                    "account": account,
+                    "reason": reason,
+                    "running_millicores": usage.running.cpu_millicores,
+                    "limit_millicores": usage.limit.cpu_millicores,
+                    "task_millicores": step.spec.demand.cpu_millicores,
+                },
+            )
+        if reason is Wait.NO_ROOM:
+            self._note_short(step)
+
     def _note_short(self, step: StepRun) -> None:
         """Count what found no upstream, for the pools' sizes.
 
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -5,7 +5,15 @@
 import pytest
 
 from tarragoncart import assignment
-from tarragoncart.assignment import Slot, Usage, by_deadline, choose_slot, may_take_away, plan
+from tarragoncart.assignment import (
+    Slot,
+    Usage,
+    Wait,
+    by_deadline,
+    choose_slot,
+    may_take_away,
+    plan,
+)
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
 from tarragoncart.ledger import Job
 from tarragoncart.loads import Shares
@@ -55,7 +63,12 @@
             places[task.name] = task.upstream_id
 
         steps = [step for job in jobs for step in job.steps.values()]
-        list(plan(steps, slots, usages or {}, now_ms, reserve, short.append))
+
+        def note_wait(step, reason):
+            if reason is Wait.NO_ROOM:
+                short.append(step)
+
+        list(plan(steps, slots, usages or {}, now_ms, reserve, note_wait))
         return places, short
 
     return run
