Start jobs at once that entry VMs with clocks ahead have accepted

Cause: a job without a schedule was due at the time of its acceptance, by the clock of the entry VM that accepted it. Change: a job counts from its arrival at the leader, by the leader's clock; only occurrences wait for a time. The new test fails before.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -89,8 +89,7 @@
 @ORDERS.register("first_come")
 def first_come(step: StepRun, now_ms: float) -> tuple[float, ...]:
     """Baseline: priority class, then the time of acceptance."""
-    submission = step.job.submission
-    return (submission.priority, submission.accepted_ms, step.number)
+    return (step.job.submission.priority, step.job.came_ms, step.number)
 
 
 @ORDERS.register("deadline")
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from .charts import load_chart
 from .graph import StepSpec, Submission
@@ -125,6 +125,8 @@
 class Job:
     """An accepted job.
 
+    :param came_ms: Unix time of its arrival by the leader's clock; the clock of the entry VM that
+        accepted it may differ by seconds.
     :param steps: step runs by occurrence and number of the step.
     :param stored: its end is in the store and may be shown.
     :param beyond_share: its account had used up its share of submissions when it came.
@@ -132,6 +134,7 @@
     """
 
     submission: Submission
+    came_ms: int = Factory(lambda job: job.submission.accepted_ms, takes_self=True)
     cancelled: bool = False
     phase: str = QUEUED
     ended_ms: int = 0
@@ -164,7 +167,7 @@
         """Return the Unix time at which an occurrence may start."""
         spec = self.submission.spec
         if not spec.scheduled:
-            return self.submission.accepted_ms
+            return self.came_ms
         return spec.first_due_ms + occurrence * spec.interval_ms
 
     def release(self, occurrence: int) -> list[StepRun]:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -204,9 +204,7 @@
                 self._stop(task)
         self._dirty_jobs[job] = None
         metrics.JOBS.add(1, metrics.labels(phase=phase))
-        metrics.JOB_DURATION.record(
-            job.ended_ms - job.submission.accepted_ms, metrics.labels(phase=phase)
-        )
+        metrics.JOB_DURATION.record(job.ended_ms - job.came_ms, metrics.labels(phase=phase))
         logger.info(
             "job has ended",
             extra={
@@ -215,7 +213,7 @@
                 "account": job.submission.account,
                 "phase": phase,
                 "reason": reason,
-                "age_ms": job.ended_ms - job.submission.accepted_ms,
+                "age_ms": job.ended_ms - job.came_ms,
                 "objective_ms": round(job.objective_ms()),
             },
         )
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -224,7 +224,8 @@
         except ValueError as error:
             self._note_malformed(job_id, error)
             return
-        job = Job(submission)
+        wall_ms = self._timer.wall_ms()
+        job = Job(submission, wall_ms if self._loaded else min(submission.accepted_ms, wall_ms))
         self._jobs[job_id] = job
         if self._loaded:
             account = submission.account
@@ -303,7 +304,12 @@
             for step, count in Counter(task.step for task in placed).items():
                 logger.info(
                     "tasks assigned",
-                    extra={"step": step.name, "count": count, "pool": pool, "upstreams": len(slots)},
+                    extra={
+                        "step": step.name,
+                        "count": count,
+                        "pool": pool,
+                        "upstreams": len(slots),
+                    },
                 )
                 if not any(True for _ in step.waiting()):
                     step.wait_reason = ""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from aiohttp import web
@@ -94,6 +95,19 @@
     assert f"j/{JOB_ID}" in store.standin.newest("keyed.intake")
 
 
+async def test_a_job_of_an_entry_vm_whose_clock_is_ahead_starts_at_once(
+    run_node, add_worker, store
+):
+    """Guards against a job that waits until the leader's clock has reached its acceptance."""
+    worker = await add_worker()
+    node = await run_node()
+    assert await submit(node) == 200
+    record = json.loads(store.standin.newest("keyed.intake")[f"j/{JOB_ID}"])
+    record |= {"job_id": "00000000000000aa", "accepted_ms": record["accepted_ms"] + 60_000}
+    store.standin.put("keyed.intake", "j/00000000000000aa", record)
+    assert await until(lambda: any(t.startswith("00000000000000aa") for t, _, _ in worker.starts))
+
+
 async def test_the_same_id_submitted_again_remains_one_job(run_node, add_worker):
     """Guards against a second run of a job whose answer the caller did not get."""
     worker = await add_worker()
