Spread entry VMs over the partitions of the intake

Cause: a partition of the store takes one append at a time, and all entry VMs appended accepted jobs to one. Change: an entry VM writes to the partition that its name's checksum gives; the leader follows all partitions, takes jobs and cancels in whatever order they are read, and drops a job from each partition that holds a record of it. The reader is an actor of its own.

--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -63,20 +63,26 @@
         """Return a partition, which is made on first use."""
         return self.parts.setdefault((topic, number), Part())
 
-    def put(self, topic: str, key: str, value: Any) -> None:
-        """Write a record as the operator or an upstream does."""
-        part = self.part(topic)
+    def put(self, topic: str, key: str, value: Any, number: int = 0) -> None:
+        """Write a record as the operator, an upstream or another entry VM does."""
+        part = self.part(topic, number)
         part.records.append((key, b"" if value is None else json.dumps(value).encode()))
         self._wake(part)
 
     def newest(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key that is not dropped."""
-        values = dict(self.part(topic).records)
+        values: dict[str, bytes] = {}
+        for part in self._parts_of(topic):
+            values.update(dict(part.records))
         return {key: value for key, value in values.items() if value}
 
     def expire(self, topic: str) -> None:
         """Forget the history of a topic; the newest record of each key stays."""
-        self.part(topic).first = len(self.part(topic).records)
+        for part in self._parts_of(topic):
+            part.first = len(part.records)
+
+    def _parts_of(self, topic: str) -> list[Part]:
+        return [part for (name, _), part in self.parts.items() if name == topic]
 
     @staticmethod
     def _wake(part: Part) -> None:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -130,7 +130,7 @@
 # Without progress of the append under way for this long, new submissions are refused at once.
 STORE_STALL_MS = 800
 RULES_WAIT_MS = 1_500
-INTAKE_WAIT_MS = 400
+INTAKE_WAIT_MS = 1_500
 UPSTREAM_LIST_PAUSE_MS = 150
 
 # A member of the group is replaced after this silence; it tells of itself some times as often.
--- a/src/tarragoncart/follower.py
+++ b/src/tarragoncart/follower.py
@@ -40,6 +40,7 @@
     topic: str
     entries: tuple[Entry, ...]
     as_of_ms: float
+    part: int = 0
 
 
 @frozen
@@ -52,10 +53,11 @@
     topic: str
     entries: tuple[Entry, ...]
     as_of_ms: float
+    part: int = 0
 
 
 class Follower(Actor):
-    """Reads a topic and passes its records on to another actor.
+    """Reads a partition of a topic and passes its records on to another actor.
 
     :param wait_ms: how long the store may wait for the next record.
     :param pause_ms: pause between two reads.
@@ -70,10 +72,12 @@
         *,
         wait_ms: int,
         pause_ms: int = 0,
+        part: int = 0,
     ) -> None:
-        super().__init__(f"follower {topic}")
+        super().__init__(f"follower {topic} {part}")
         self._store = store
         self._topic = topic
+        self._part = part
         self._listener = listener
         self._timer = timer
         self._wait_ms = wait_ms
@@ -96,26 +100,33 @@
                 if not failed:
                     logger.warning(
                         "topic cannot be read",
-                        extra={"topic": self._topic, "offset": offset, "reason": str(error)},
+                        extra={
+                            "topic": self._topic,
+                            "part": self._part,
+                            "offset": offset,
+                            "reason": str(error),
+                        },
                     )
                 failed = True
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
             if failed:
-                logger.info("topic can be read again", extra={"topic": self._topic})
+                logger.info(
+                    "topic can be read again", extra={"topic": self._topic, "part": self._part}
+                )
                 failed = False
             if self._pause_ms:
                 await asyncio.sleep(self._pause_ms / 1_000)
 
     async def _read_newest(self) -> int:
         sent_ms = self._timer.now_ms()
-        snapshot = await read_newest(self._store, self._topic)
-        self._listener.tell(TopicSnapshot(self._topic, snapshot.entries, sent_ms))
+        snapshot = await read_newest(self._store, self._topic, self._part)
+        self._listener.tell(TopicSnapshot(self._topic, snapshot.entries, sent_ms, self._part))
         return snapshot.end_offset
 
     async def _read_changes(self, offset: int) -> int:
         sent_ms = self._timer.now_ms()
-        chunk = await self._store.read(self._topic, offset, self._wait_ms)
+        chunk = await self._store.read(self._topic, offset, self._wait_ms, self._part)
         if isinstance(chunk, Expired) or chunk.end_offset < offset:
             logger.info(
                 "records have expired; reading the newest of each key",
@@ -126,7 +137,7 @@
         if not chunk.entries:
             # The store answers without records only once the wait is over.
             as_of_ms = min(sent_ms + self._wait_ms, self._timer.now_ms())
-        self._listener.tell(TopicChanges(self._topic, chunk.entries, as_of_ms))
+        self._listener.tell(TopicChanges(self._topic, chunk.entries, as_of_ms, self._part))
         return offset + len(chunk.entries) if chunk.entries else offset
 
     async def closed(self) -> None:
@@ -134,7 +145,7 @@
         await self._store.close()
 
 
-async def read_newest(store: ReadStore, topic: str) -> Chunk:
+async def read_newest(store: ReadStore, topic: str, part: int = 0) -> Chunk:
     """Read the newest record of each key.
 
     The returned end is that of the first page, so that changes between the pages are read again.
@@ -144,7 +155,7 @@
     """
     entries: list[Entry] = []
     end_offset = -1
-    async for page in store.newest(topic):
+    async for page in store.newest(topic, part):
         entries.extend(page.entries)
         if end_offset < 0:
             end_offset = page.end_offset
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -127,6 +127,7 @@
 
     :param came_ms: Unix time of its arrival by the leader's clock; the clock of the entry VM that
         accepted it may differ by seconds.
+    :param parts: partitions that hold records of it.
     :param steps: step runs by occurrence and number of the step.
     :param stored: its end is in the store and may be shown.
     :param beyond_share: its account had used up its share of submissions when it came.
@@ -135,6 +136,7 @@
 
     submission: Submission
     came_ms: int = Factory(lambda job: job.submission.accepted_ms, takes_self=True)
+    parts: set[int] = field(factory=set)
     cancelled: bool = False
     phase: str = QUEUED
     ended_ms: int = 0
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -52,6 +52,7 @@
     :param lease_max_ms: longest lease that an upstream grants.
     :param fence_quiet_ms: pause between the orders of two leaders for one VM.
     :param retention_ms: how long the end of a job is told.
+    :param topic_part_count: partitions of each topic of the store.
     """
 
     name: str
@@ -72,6 +73,7 @@
     shutdown_ms: int
     store_call_bytes: int
     membership_ttl_min_ms: int
+    topic_part_count: int
 
 
 @frozen
@@ -114,6 +116,7 @@
             self.incarnation,
             1,
             timer,
+            part=intake.part_of(settings.name, settings.topic_part_count),
             call_bytes=settings.store_call_bytes // 2,
         )
         self._probe_client = PeerClient()
@@ -239,7 +242,6 @@
             self._rules,
             adapter.make_store,
             writer,
-            self.intake_writer,
             self.election,
             adapter.make_client,
             adapter.upstream_topic,
@@ -248,6 +250,7 @@
             lease_ms=min(settings.lease_max_ms, defaults.UPSTREAM_LEASE_MS),
             stop_ms=settings.stop_ms,
             retention_ms=settings.retention_ms,
+            intake_part_count=settings.topic_part_count,
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
         )
--- a/src/tarragoncart/platform/boot.py
+++ b/src/tarragoncart/platform/boot.py
@@ -49,6 +49,7 @@
             store_address=data["platform"]["address"],
             store_call_bytes=int(data["platform"].get("call-bytes", 2_097_152)),
             membership_ttl_min_ms=int(data["platform"].get("ttl-min-ms", 1_000)),
+            topic_part_count=max(1, int(data["platform"].get("parts", 1))),
             fleet_address=data.get("cloud", {}).get("address", ""),
             advice_address=data.get("advice", ""),
             key_freshness_ms=int(bounds["revoke-ms"]),
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -12,8 +12,9 @@
 
 from . import defaults, ledger, metrics, pacing
 from .assignment import Slot, Usage
-from .follower import Follower, ReadStore
+from .follower import Follower
 from .graph import Rules, UpstreamEntry
+from .intake import IntakeReader
 from .ledger import TASK_CHART, Job, StepRun, Task
 from .link import (
     ClientFactory,
@@ -82,9 +83,8 @@
         self,
         epoch: int,
         rules: Rules,
-        read_store: Callable[[], ReadStore],
+        make_store: Callable[[], Any],
         writer: Writer,
-        intake_writer: Actor,
         election: Actor,
         make_client: ClientFactory,
         upstream_topic: str,
@@ -94,30 +94,31 @@
         lease_ms: int,
         stop_ms: int,
         retention_ms: int,
+        intake_part_count: int,
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
         make_advisor: Callable[[Actor], Actor] | None = None,
     ) -> None:
         super().__init__("scheduler")
         self._epoch = epoch
         self._rules = rules
-        self._read_store = read_store
+        self._make_store = make_store
         self._writer = writer
-        self._intake_writer = intake_writer
         self._election = election
         self._make_client = make_client
-        self._upstream_topic = upstream_topic
         self._decode_upstream = decode_upstream
         self._timer = timer
         self._lease_ms = lease_ms
         self._stop_ms = stop_ms
         self._retention_ms = retention_ms
+        self._intake = IntakeReader(epoch, intake_part_count, make_store, self, timer)
         self._make_fleet = make_fleet
         self._fleet: Actor | None = None
         self._make_advisor = make_advisor
         self._advisor: Actor | None = None
         self._permitted_ms = 0.0
         self._jobs: dict[str, Job] = {}
-        self._early_cancels: set[str] = set()
+        # Cancels read before their jobs, with their partitions.
+        self._early_cancels: dict[str, int] = {}
         self._upstreams: dict[str, KnownUpstream] = {}
         self._usages: dict[str, Usage] = {}
         self._ready: dict[str, dict[StepRun, None]] = {}
@@ -131,7 +132,14 @@
         self._dropped_keys: list[str] = []
         self._committing = False
         self._pass_due = False
-        self._followers: list[Follower] = []
+        self._upstream_follower = Follower(
+            make_store(),
+            upstream_topic,
+            self,
+            timer,
+            wait_ms=0,
+            pause_ms=defaults.UPSTREAM_LIST_PAUSE_MS,
+        )
         self._short_millicores: Counter[str] = Counter()
         self._backlog_millicore_ms: Counter[str] = Counter()
         self._loads_told_ms = 0.0
@@ -183,11 +191,12 @@
         if step.ready and any(True for _ in step.waiting()):
             self._ready.setdefault(step.job.pool, {})[step] = None
 
-    def _cancel(self, job_id: str) -> None:
+    def _cancel(self, job_id: str, part: int) -> None:
         job = self._jobs.get(job_id)
         if job is None:
-            self._early_cancels.add(job_id)
+            self._early_cancels[job_id] = part
             return
+        job.parts.add(part)
         if job.cancelled or job.ended:
             return
         job.cancelled = True
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -14,8 +14,9 @@
 from .assignment import Slot, Wait
 from .election import Fenced, LeadershipConfirmed
 from .errors import StoreRefusedError, StoreUnknownError
-from .follower import Follower, TopicChanges, TopicSnapshot, read_newest
+from .follower import TopicChanges, TopicSnapshot, read_newest
 from .graph import Rules
+from .intake import DropJob, IntakeRead
 from .ledger import Job, StepRun
 from .link import (
     Acknowledge,
@@ -85,7 +86,7 @@
 @frozen
 class _Dropped:
     job: Job
-    outcome: str
+    gone: bool
 
 
 class Scheduler(PlannedStops):
@@ -113,19 +114,12 @@
         if self._make_advisor is not None:
             self._advisor = self._make_advisor(self)
             self._advisor.start()
-        for topic, wait_ms, pause_ms in (
-            (intake.TOPIC, defaults.INTAKE_WAIT_MS, 0),
-            (self._upstream_topic, 0, defaults.UPSTREAM_LIST_PAUSE_MS),
-        ):
-            follower = Follower(
-                self._read_store(), topic, self, self._timer, wait_ms=wait_ms, pause_ms=pause_ms
-            )
-            self._followers.append(follower)
-            follower.start()
+        self._intake.start()
+        self._upstream_follower.start()
         self.subscribe(self._timer.every(defaults.SCHEDULER_TICK_MS), _Tick())
 
     async def _read_state(self) -> tuple[Entry, ...]:
-        store = self._read_store()
+        store = self._make_store()
         try:
             while True:
                 try:
@@ -140,8 +134,9 @@
         """Stop what belongs to this epoch."""
         links = [upstream.link for upstream in self._upstreams.values() if upstream.link]
         fleet = [actor for actor in (self._fleet, self._advisor) if actor]
+        readers = (self._intake, self._upstream_follower)
         await asyncio.gather(
-            *(actor.stop() for actor in (*self._followers, *links, *fleet, self._writer)),
+            *(actor.stop() for actor in (*readers, *links, *fleet, self._writer)),
             return_exceptions=True,
         )
 
@@ -184,40 +179,41 @@
 
     @receives(TopicSnapshot)
     def on_snapshot(self, message: TopicSnapshot) -> None:
-        """Take in all keys of a topic."""
-        if message.topic == intake.TOPIC:
-            self._take_intake(message.entries, message.as_of_ms)
-        else:
-            present = {entry.key for entry in message.entries if entry.value}
-            for upstream_id in list(self._upstreams):
-                if upstream_id not in present:
-                    self._unlist(upstream_id)
-            self._take_upstreams(message.entries)
+        """Take in all registrations of upstreams."""
+        present = {entry.key for entry in message.entries if entry.value}
+        for upstream_id in list(self._upstreams):
+            if upstream_id not in present:
+                self._unlist(upstream_id)
+        self._take_upstreams(message.entries)
 
     @receives(TopicChanges)
     def on_changes(self, message: TopicChanges) -> None:
-        """Take in the newest records of a topic."""
-        if message.topic == intake.TOPIC:
-            self._take_intake(message.entries, message.as_of_ms)
-        elif message.entries:
+        """Take in the newest registrations of upstreams."""
+        if message.entries:
             self._take_upstreams(message.entries)
 
-    def _take_intake(self, entries: Iterable[Entry], as_of_ms: float) -> None:
-        self._intake_as_of_ms = as_of_ms
-        cancelled: list[str] = []
-        for entry in entries:
+    @receives(IntakeRead)
+    def on_intake(self, message: IntakeRead) -> None:
+        """Take in accepted and cancelled jobs."""
+        self._intake_as_of_ms = message.as_of_ms
+        cancelled: list[tuple[str, int]] = []
+        for part, entry in message.entries:
             if entry.key.startswith(intake.JOB_PREFIX):
-                self._take_job(entry.key.removeprefix(intake.JOB_PREFIX), entry.value)
+                self._take_job(entry.key.removeprefix(intake.JOB_PREFIX), entry.value, part)
             elif entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
-                cancelled.append(entry.key.removeprefix(intake.CANCEL_PREFIX))
+                cancelled.append((entry.key.removeprefix(intake.CANCEL_PREFIX), part))
         if not self._loaded:
             self._load()
-        for job_id in cancelled:
-            self._cancel(job_id)
+        for job_id, part in cancelled:
+            self._cancel(job_id, part)
         self._request_pass()
 
-    def _take_job(self, job_id: str, value: bytes) -> None:
-        if not value or job_id in self._jobs:
+    def _take_job(self, job_id: str, value: bytes, part: int) -> None:
+        if not value:
+            return
+        if job_id in self._jobs:
+            # Handed in again at another entry VM.
+            self._jobs[job_id].parts.add(part)
             return
         try:
             submission = intake.decode_submission(value)
@@ -226,6 +222,7 @@
             return
         wall_ms = self._timer.wall_ms()
         job = Job(submission, wall_ms if self._loaded else min(submission.accepted_ms, wall_ms))
+        job.parts.add(part)
         self._jobs[job_id] = job
         if self._loaded:
             account = submission.account
@@ -236,9 +233,9 @@
                 work = submission.spec.work_millicore_ms
                 self._offered.add(self._timer.now_ms(), submission.pool, work)
             self._admit(job)
-            if job_id in self._early_cancels:
-                self._early_cancels.discard(job_id)
-                self._cancel(job_id)
+            early_part = self._early_cancels.pop(job_id, None)
+            if early_part is not None:
+                self._cancel(job_id, early_part)
 
     def _load(self) -> None:
         """Apply the state that the store has to the jobs read."""
@@ -487,18 +484,16 @@
 
     def _forget(self, job: Job) -> None:
         """Drop a job: its end stays in the store until its acceptance is gone, or it would run."""
-        prefixes = (intake.JOB_PREFIX, intake.CANCEL_PREFIX)
-        records = tuple((prefix + job.job_id, b"") for prefix in prefixes)
         reply = new_reply()
         reply.add_done_callback(
             lambda done: None if done.cancelled() else self.tell(_Dropped(job, done.result()))
         )
-        self._intake_writer.tell(Write(records, reply))
+        self._intake.tell(DropJob(job.job_id, frozenset(job.parts), reply))
 
     @receives(_Dropped)
     def on_dropped(self, message: _Dropped) -> None:
         """Forget a job whose acceptance is gone, or try again later."""
-        if message.outcome != STORED:
+        if not message.gone:
             self._ended.append(message.job)
             return
         self._jobs.pop(message.job.job_id, None)
--- a/src/tarragoncart/writer.py
+++ b/src/tarragoncart/writer.py
@@ -66,7 +66,7 @@
 
 
 class Writer(Actor):
-    """Appends to one topic; at most one append is under way.
+    """Appends to one partition of a topic; at most one append is under way.
 
     An append without an answer is repeated with the same number, which the store carries out
     once. Until its outcome is known nothing else is sent.
@@ -84,12 +84,14 @@
         epoch: int,
         timer: Timer,
         *,
+        part: int = 0,
         persistent: bool = False,
         call_bytes: int = defaults.STORE_CALL_BYTES,
     ) -> None:
         super().__init__(name)
         self._store = store
         self._topic = topic
+        self._part = part
         self._producer = Producer(producer, epoch, 0)
         self._timer = timer
         self._persistent = persistent
@@ -139,7 +141,7 @@
         records = [record for write in batch.writes for record in write.records]
         producer = evolve(self._producer, sequence=batch.sequence)
         try:
-            await self._store.append(self._topic, records, producer=producer)
+            await self._store.append(self._topic, records, part=self._part, producer=producer)
         except StoreUnknownError as error:
             batch.unknown = True
             self._log("append has no answer", error, batch)
@@ -168,6 +170,7 @@
             text,
             extra={
                 "topic": self._topic,
+                "part": self._part,
                 "sequence": batch.sequence,
                 "write_count": len(batch.writes),
                 "age_ms": round(self._timer.now_ms() - batch.sent_ms),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -719,6 +719,7 @@
             shutdown_ms=6_000,
             store_call_bytes=2_097_152,
             membership_ttl_min_ms=1_000,
+            topic_part_count=2,
         )
 
     return make
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import json
+from collections import Counter
 
 import pytest
 from aiohttp import web
 
 from standins.taskworker import TaskWorker
+from tarragoncart import defaults
 from tarragoncart.election import Leader
 from tarragoncart.entrance import LeaderKnown
+from tarragoncart.intake import part_of
 from tarragoncart.link import Reported
 from tarragoncart.runs import LiveRun, UpstreamReport
 from tarragoncart.vms import Ended, Vacate
@@ -108,6 +111,44 @@
     assert await until(lambda: any(t.startswith("00000000000000aa") for t, _, _ in worker.starts))
 
 
+async def test_a_job_in_two_partitions_is_one_job_and_is_dropped_from_both(
+    run_node, add_worker, store, monkeypatch
+):
+    """Guards against a second run of a job that came again at another entry VM."""
+    worker = await add_worker()
+    node = await run_node()
+    assert await submit(node) == 200
+    record = json.loads(store.standin.newest("keyed.intake")[f"j/{JOB_ID}"])
+    for number in (0, 1):
+        store.standin.put("keyed.intake", f"j/{JOB_ID}", record, number)
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    await asyncio.sleep(0.2)
+    assert len(worker.starts) == 4
+    monkeypatch.setattr(defaults, "RETENTION_MARGIN_MS", -1_000_000)
+    assert await until(lambda: not store.standin.newest("keyed.intake"))
+
+
+async def test_a_cancel_that_is_read_before_its_job_counts(run_node, add_worker, store):
+    """Guards against a job that runs although its cancel was accepted by another entry VM."""
+    worker = await add_worker(worker=TaskWorker(work_ms=0))
+    node = await run_node()
+    assert await submit(node) == 200
+    record = json.loads(store.standin.newest("keyed.intake")[f"j/{JOB_ID}"])
+    store.standin.put("keyed.intake", "c/00000000000000aa", 1, 1)
+    await asyncio.sleep(0.2)
+    store.standin.put("keyed.intake", "j/00000000000000aa", record | {"job_id": "0" * 14 + "aa"})
+    phase = await node.caller.phase("/q/00000000000000aa", "cancelled")
+    assert phase == "cancelled"
+    assert not any(task.startswith("00000000000000aa") for task, _, _ in worker.starts)
+
+
+def test_entry_vms_write_to_different_partitions():
+    """Guards against entry VMs that wait for each other's appends at a slow store."""
+    names = [f"front-{zone}-{number}" for zone in "abc" for number in (1, 2, 3)]
+    counts = Counter(part_of(name, 8) for name in names)
+    assert len(counts) >= 4 and max(counts.values()) <= 3
+
+
 async def test_the_same_id_submitted_again_remains_one_job(run_node, add_worker):
     """Guards against a second run of a job whose answer the caller did not get."""
     worker = await add_worker()
