Pause for the rest of the time since an order only; take over in fewer rounds

The take-over itself took five calls one after the other, each a quarter of a second or more while the store is slow. Change: the record holds the ages of the orders, renewed each 0.5 s while some are recent; ages do not depend on the clocks of entry VMs. Jobs are read beside the state, after the fence; a claim uses the end of the partition that the probe has read.

--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -113,6 +113,7 @@
 class _Probed:
     vacant: bool
     reason: str
+    end_offset: int = 0
 
 
 @frozen
@@ -221,17 +222,20 @@
     async def _probe(self) -> None:
         """See whether the leader that the store names leads."""
         try:
-            leader = await self._named_leader()
-            if leader is None:
-                self.tell(_Probed(True, "there has been no leader"))
-            elif await self._leads(leader.address):
-                self.tell(_Probed(False, leader.name))
-            else:
-                self.tell(_Probed(True, f"{leader.name} does not lead"))
-        except PeerError as error:
-            self.tell(_Probed(True, str(error)))
+            named, end_offset = await self._read_named()
         except (StoreUnknownError, StoreRefusedError) as error:
             self.tell(_Probed(False, str(error)))
+            return
+        if named is None:
+            self.tell(_Probed(True, "there has been no leader", end_offset))
+            return
+        try:
+            leads = await self._leads(named.address)
+        except PeerError as error:
+            self.tell(_Probed(True, str(error), end_offset))
+            return
+        reason = named.name if leads else f"{named.name} does not lead"
+        self.tell(_Probed(not leads, reason, end_offset))
 
     @receives(_Probed)
     def on_probed(self, message: _Probed) -> None:
@@ -240,16 +244,18 @@
             return
         if message.vacant:
             logger.info("nobody leads", extra={"reason": message.reason})
-        self.step(self.chart, self._candidate, "vacant" if message.vacant else "occupied")
+            self.step(self.chart, self._candidate, "vacant", end_offset=message.end_offset)
+        else:
+            self.step(self.chart, self._candidate, "occupied")
 
     @carries_out("claim")
-    def _start_claim(self, candidate: _Candidate) -> None:
-        self.spawn(self._claim())
+    def _start_claim(self, candidate: _Candidate, end_offset: int) -> None:
+        self.spawn(self._claim(end_offset))
 
-    async def _claim(self) -> None:
+    async def _claim(self, end_offset: int) -> None:
+        """Append on condition that nobody has claimed an epoch since the probe."""
         value = json.dumps({"name": self._member, "address": self._address}).encode()
         try:
-            end_offset = (await read_newest(self._store, TOPIC)).end_offset
             appended = await self._store.append(
                 TOPIC, [(LEADER_KEY, value)], part=LEADER_PART, expected_end=end_offset
             )
@@ -307,7 +313,7 @@
 
     async def _read_leader(self) -> None:
         try:
-            leader = await self._named_leader()
+            leader, _ = await self._read_named()
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("leader cannot be read", extra={"reason": str(error)})
             return
@@ -317,12 +323,15 @@
         if leader is not None:
             self._listener.tell(LeaderSeen(leader))
 
-    async def _named_leader(self) -> Leader | None:
-        for entry in (await read_newest(self._store, TOPIC)).entries:
+    async def _read_named(self) -> tuple[Leader | None, int]:
+        """Return the leader that the store names, and the end of the partition."""
+        newest = await read_newest(self._store, TOPIC)
+        for entry in newest.entries:
             if entry.key == LEADER_KEY:
                 data = json.loads(entry.value)
-                return Leader(data["name"], data["address"], entry.offset + 1)
-        return None
+                leader = Leader(data["name"], data["address"], entry.offset + 1)
+                return leader, newest.end_offset
+        return None, newest.end_offset
 
     @receives(Leave)
     async def on_leave(self, message: Leave) -> None:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -101,11 +101,15 @@
     async def opened(self) -> None:
         """Fence earlier leaders, read their state and start reading jobs and upstreams."""
         self._writer.start()
+        self._upstream_follower.start()
         reply = new_reply()
         self._writer.tell(Write((), reply))
         if await reply != STORED:
             self._election.tell(Fenced(self._epoch))
             return
+        # Jobs are read beside the state, as each call takes long while the store is slow, but not
+        # before the fence: an earlier leader could forget a job between the two readings.
+        self._intake.start()
         self._restored = await self._read_state()
         if self._make_fleet is not None:
             kept = {e.key: e.value for e in self._restored if e.key.startswith(FLEET_KEY_PREFIX)}
@@ -114,8 +118,6 @@
         if self._make_advisor is not None:
             self._advisor = self._make_advisor(self)
             self._advisor.start()
-        self._intake.start()
-        self._upstream_follower.start()
         self.subscribe(self._timer.every(defaults.SCHEDULER_TICK_MS), _Tick())
 
     async def _read_state(self) -> tuple[Entry, ...]:
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -18,7 +18,7 @@
 from .link import Permit
 from .loads import Loads
 from .mailbox import Actor, carries_out, new_reply, receives, resolve
-from .orders import ORDERS_KEY, RecentOrders, decode_orders
+from .orders import ORDERS_KEY, RecentOrders
 from .pools import POLICIES, PoolDemand, PoolVm, Relocation
 from .timer import Timer
 from .upkeep import UPKEEP_CHART, VmUpkeep, Wave, next_vms
@@ -152,9 +152,7 @@
         self._status_record = status_record
         self._restored = restored
         self._timer = timer
-        self._orders = RecentOrders(
-            quiet_ms, decode_orders(restored.get(ORDERS_KEY)), timer.now_ms() + quiet_ms
-        )
+        self._orders = RecentOrders.restore(quiet_ms, restored.get(ORDERS_KEY), timer.now_ms())
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
         self._pool_rules = pool_rules
@@ -213,6 +211,9 @@
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
         """List the VMs: often while some wave is under way, otherwise from time to time."""
+        renewal = self._orders.renewal(self._timer.now_ms())
+        if renewal is not None:
+            self._state_writer.tell(Write((renewal,), new_reply()))
         settled = all(self._settled(wave) for wave in self._waves.values())
         age_ms = self._timer.now_ms() - self._listed_ms
         if self._listing or (settled and age_ms < defaults.FLEET_LIST_MS):
