Use slow and hung upstreams last and run their tasks again elsewhere

Cause: a job ends with its slowest task, and an upstream that is slow or hangs kept its tasks and got new ones until the fault was over. Trials with debugging lines show that the percent of a short task is its progress: at an upstream six times slower it grows six times more slowly, at one that hangs it stands still while the cpu in use goes on. Change: the progress of each run is compared with its estimate over the last second. An upstream most of whose runs take three times as long is used last, and runs there are given up (twice a task at most) where a run elsewhere would end in half the time and has room.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -21,6 +21,7 @@
     run: int
     end_ms: float
     outcome: str
+    percent: int = 100
 
 
 @define
@@ -31,6 +32,7 @@
     :param lose_start_count: so many starts are carried out and not answered.
     :param outcome: how runs end that start from now on.
     :param start_delay_ms: how late starts are answered.
+    :param stalled: runs that start from now on make no progress.
     :param stop_ms: how long a stop takes; the run is in neither list meanwhile.
     """
 
@@ -39,6 +41,7 @@
     outcome: str = "done"
     stop_ms: float = 0.0
     start_delay_ms: float = 0.0
+    stalled: bool = False
 
 
 @define
@@ -127,8 +130,10 @@
             if number <= self.closed.get(task, 0):
                 return self._refuse("old")
             work_ms = self.work_ms + self.stagger_ms * len(self.runs)
-            end_ms = self.clock_ms() + work_ms if self.work_ms else float("inf")
-            self.runs[task] = Run(task, number, end_ms, self.faults.outcome)
+            lasts = not self.work_ms or self.faults.stalled
+            end_ms = float("inf") if lasts else self.clock_ms() + work_ms
+            percent = 0 if self.faults.stalled else 100
+            self.runs[task] = Run(task, number, end_ms, self.faults.outcome, percent)
             self.starts.append((task, number, self.token))
             self.specs[task] = data["spec"]
             self.tickets[task] = data.get("ticket", "")
@@ -168,7 +173,7 @@
                 pass
             self._advance()
         running = [
-            [run.task, run.run, "", 100, 0]
+            [run.task, run.run, "", run.percent, 0]
             for run in self.runs.values()
             if run.task not in self.stopping
         ]
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -25,6 +25,7 @@
     :param known: its runs have been listed in this epoch.
     :param cordoned: it gets no new tasks, because of a planned stop.
     :param failure_ratio: share of its recent runs that failed, newer ones weigh more.
+    :param slow: most of its runs take far longer than estimated, as of ``slow_judged_ms``.
     """
 
     entry: UpstreamEntry
@@ -34,6 +35,8 @@
     answering: bool = True
     listed: bool = True
     failure_ratio: float = 0.0
+    slow: bool = False
+    slow_judged_ms: float = 0.0
     full_until_ms: float = 0.0
     tasks: dict[str, Task] = field(factory=dict)
     lasting_count: int = 0
@@ -49,6 +52,11 @@
             and not self.entry.draining
         )
 
+    @property
+    def unsound(self) -> bool:
+        """Whether it fails or delays most of what it runs; it is used last."""
+        return self.slow or self.failure_ratio >= FAILING_RATIO
+
     def note_outcome(self, failed: bool) -> None:
         """Take the end of a run into the share of failures."""
         value = 1.0 if failed else 0.0
@@ -116,8 +124,7 @@
 @RANKINGS.register("spread")
 def spread(slot: Slot, step: StepRun) -> tuple[float, ...]:
     """Prefer sound upstreams, then those with most free cpu."""
-    failing = slot.failure_ratio >= FAILING_RATIO
-    return (float(failing), -slot.free.cpu_millicores)
+    return (float(slot.unsound), -slot.free.cpu_millicores)
 
 
 @RANKINGS.register("home_first")
@@ -127,17 +134,15 @@
     VMs that came for a burst stay free of tasks that last and can leave when it is over; short
     tasks fill one VM after the other for the same reason.
     """
-    failing = slot.failure_ratio >= FAILING_RATIO
     if step.spec.long_running:
-        return (float(failing), -float(slot.lasting_count), -slot.free.cpu_millicores)
-    return (float(failing), -float(slot.lasting_count > 0), slot.free.cpu_millicores)
+        return (float(slot.unsound), -float(slot.lasting_count), -slot.free.cpu_millicores)
+    return (float(slot.unsound), -float(slot.lasting_count > 0), slot.free.cpu_millicores)
 
 
 @RANKINGS.register("pack")
 def pack(slot: Slot, step: StepRun) -> tuple[float, ...]:
     """Baseline: prefer sound upstreams, then those with least free cpu."""
-    failing = slot.failure_ratio >= FAILING_RATIO
-    return (float(failing), float(slot.free.cpu_millicores))
+    return (float(slot.unsound), float(slot.free.cpu_millicores))
 
 
 def admits(slot: Slot, spec: StepSpec, now_ms: float) -> bool:
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -175,6 +175,11 @@
 FLEET_RETRY_MS = 500
 # A task without saved progress is waited for this long before its upstream goes down.
 VACATE_PATIENCE_MS = 3_500
+# An upstream counts as slow for this long after its runs were last seen to be.
+SLOW_MEMORY_MS = 3_000
+# A run that resumes from saved progress restores it first.
+RESUME_GRACE_MS = 1_000
+RESTART_LIMIT_COUNT = 2
 # A task without cpu of its own that finds no upstream counts as this much.
 SHORT_MIN_MILLICORES = 500
 POOL_POLICY = "follow_demand"
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -10,6 +10,7 @@
 
 from .charts import load_chart
 from .graph import StepSpec, Submission
+from .progress import Track
 
 TASK_CHART = load_chart("task")
 
@@ -32,7 +33,10 @@
     :param upstream_id: where that run is or was.
     :param failed_count: runs that ended as failed and count against the queue's attempts.
     :param failed_on: upstreams on which a run failed.
-    :param percent: share of full speed that the upstream reports.
+    :param percent: what the upstream reports: of a task that lasts the share of full speed,
+        otherwise the share of its work that is done.
+    :param track: progress of its run.
+    :param restart_count: runs that were given up because their upstream was slow.
     :param pace: share of full speed that was ordered last.
     :param load: tail latency in ms of a serving task, otherwise cpu in millicores.
     :param paced_ms: time of the last order on its pace.
@@ -50,6 +54,8 @@
     checkpoint: str = ""
     failed_on: set[str] = field(factory=set)
     percent: int = 0
+    track: Track = field(factory=Track)
+    restart_count: int = 0
     pace: int = 100
     load: int = 0
     assigned_ms: float = 0.0
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from . import defaults, ledger, metrics, pacing
-from .assignment import Slot
+from .assignment import Slot, choose_slot, home_first
 from .graph import Demand, UpstreamEntry
 from .ledger import TASK_CHART, Task
 from .link import (
@@ -18,6 +18,7 @@
     Stop,
 )
 from .mailbox import receives
+from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
 from .runstate import KnownUpstream, RunState
 from .storage import Entry
@@ -26,6 +27,8 @@
 
 # An upstream lists this many ends at a time; with as many, others may be missing.
 ENDED_PAGE_COUNT = 500
+# Most figures of one kind in a line of the log.
+LOGGED_COUNT = 8
 
 
 class Reports(RunState):
@@ -153,6 +156,67 @@
         if len(report.ended) < ENDED_PAGE_COUNT:
             self._drop_unlisted(upstream, listed, message.asked_ms)
         self._set_paces(upstream)
+        self._judge_progress(upstream)
+
+    def _judge_progress(self, upstream: KnownUpstream) -> None:
+        """See whether an upstream is slow, and run its tasks again where they end sooner."""
+        slot = upstream.slot
+        now_ms = self._timer.now_ms()
+        judged: list[tuple[Task, float]] = []
+        for task in slot.tasks.values():
+            spec = task.step.spec
+            if task.state != "running" or spec.long_running or not spec.estimate_ms:
+                continue
+            slowness = task.track.slowness(spec.estimate_ms)
+            if slowness is not None:
+                judged.append((task, slowness))
+        slow = mostly_slow([slowness for _, slowness in judged])
+        if slow is None:
+            return
+        slot.slow_judged_ms = now_ms
+        if slow != slot.slow:
+            slot.slow = slow
+            logger.info(
+                "upstream is slow" if slow else "upstream is no longer slow",
+                extra={
+                    "upstream": slot.entry.upstream_id,
+                    "run_count": len(slot.tasks),
+                    "slowness": [round(slowness, 1) for _, slowness in judged[:LOGGED_COUNT]],
+                },
+            )
+        if slow:
+            self._restart_slow(slot, judged, now_ms)
+
+    def _restart_slow(self, slot: Slot, judged: list[tuple[Task, float]], now_ms: float) -> None:
+        others = [
+            upstream.slot
+            for upstream in self._upstreams.values()
+            if upstream.slot.entry.pool == slot.entry.pool and not upstream.slot.unsound
+        ]
+        for task, slowness in judged:
+            spec = task.step.spec
+            resumes = spec.checkpointing and bool(task.checkpoint)
+            if spec.gang or task.restart_count >= defaults.RESTART_LIMIT_COUNT:
+                continue
+            if not task.track.restart_gains(spec.estimate_ms, slowness, resumes):
+                continue
+            counts = task.step.upstream_counts()
+            if choose_slot(task, others, counts, now_ms, home_first) is None:
+                continue
+            task.restart_count += 1
+            logger.info(
+                "run is given up because its upstream is slow",
+                extra={
+                    "job": task.step.job.job_id,
+                    "task": task.name,
+                    "run": task.run,
+                    "upstream": slot.entry.upstream_id,
+                    "slowness": round(slowness, 1),
+                    "percent": task.percent,
+                    "estimate_ms": spec.estimate_ms,
+                },
+            )
+            self._stop(task)
 
     def _set_paces(self, upstream: KnownUpstream) -> None:
         """Slow down or speed up what fills beside what serves."""
@@ -190,6 +254,10 @@
             task.checkpoint = live.checkpoint
         task.percent = 0 if upstream.closing else live.percent
         task.load = live.load
+        now_ms = self._timer.now_ms()
+        resuming = task.checkpoint and now_ms - task.assigned_ms < defaults.RESUME_GRACE_MS
+        if not resuming and not task.step.spec.long_running:
+            task.track.observe(now_ms, live.percent)
         if task.state != "running":
             # Looks overlap: one that was asked for before now says nothing about the run.
             task.confirmed_ms = max(task.confirmed_ms, self._timer.now_ms())
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -27,6 +27,7 @@
 )
 from .loads import Offered, Shares
 from .mailbox import Actor, carries_out, receives
+from .progress import Track
 from .runs import StartOrder
 from .storage import Entry
 from .timer import Timer
@@ -259,6 +260,7 @@
         task.assigned_ms = self._timer.now_ms()
         task.confirmed_ms = 0.0
         task.percent, task.pace, task.load = 0, pacing.FULL_PERCENT, 0
+        task.track = Track()
         task.paced_ms = 0.0
         self._take_capacity(task, slot)
         self._effects.starts.append((task, task.run))
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -504,6 +504,8 @@
 
     def _check_upstream(self, upstream: KnownUpstream, now_ms: float) -> None:
         slot = upstream.slot
+        if slot.slow and now_ms - slot.slow_judged_ms > defaults.SLOW_MEMORY_MS:
+            slot.slow = False
         if slot.answering:
             if now_ms - upstream.reported_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
                 slot.answering = False
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 import pytest
 from aiohttp import web
 
-from standins.taskworker import TaskWorker
+from standins.taskworker import TaskWorker, WorkerFaults
 from tarragoncart import defaults
 from tarragoncart.election import Leader
 from tarragoncart.entrance import LeaderKnown
@@ -293,6 +293,18 @@
     assert [run for _, run, _ in second.starts] == [2]
 
 
+async def test_runs_that_stand_still_are_run_elsewhere(run_node, add_worker):
+    """Guards against a job that waits for ever for an upstream whose runs make no progress."""
+    stalled = await add_worker("i-1", TaskWorker(faults=WorkerFaults(stalled=True)))
+    node = await run_node()
+    job = {"spec": "text", "steps": [{**TASK, "est-ms": 200}]}
+    assert await submit(node, job) == 200
+    assert await until(lambda: len(stalled.starts) == 2)
+    sound = await add_worker("i-2")
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert len(sound.starts) == 2 and len(stalled.starts) == 2
+
+
 async def test_a_new_leader_goes_on_with_the_runs_it_finds(run_node, add_worker):
     """Guards against a second run, or a lost job, after the leader has crashed."""
     worker = await add_worker(worker=TaskWorker(work_ms=0))
