Start second runs of tasks that may run twice; count runs that no task waits for

A run that an upstream lists and no task waits for took no capacity in the books, so that an upstream that does not check its capacity or an account could get more than it may have; its task could start elsewhere while it was listed. Change: such a task gets a second run after 1 s of silence, or at once where its upstream is slow; the first end counts, the other run is stopped, and a run takes capacity and counts for its account until it is gone. A task that may not run twice does not start while an earlier run is listed. Failed runs are kept by number, so that two leaders count each once. A stop goes on when the leadership is confirmed again.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -85,6 +85,10 @@
         self.closed.clear()
         self.ended.clear()
 
+    def finish(self, task: str) -> None:
+        """Let a run end well now."""
+        self._end(self.runs[task], "done")
+
     def _advance(self) -> None:
         now_ms = self.clock_ms()
         for run in list(self.runs.values()):
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -185,6 +185,8 @@
         upstream_id = slot.entry.upstream_id
         if needs_advice and upstream_id not in step.tickets:
             continue
+        if upstream_id in task.copies.values():
+            continue
         most_count = spec.max_per_upstream_count
         if most_count and counts.get(upstream_id, 0) >= most_count:
             continue
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -180,6 +180,8 @@
 # A run that resumes from saved progress restores it first.
 RESUME_GRACE_MS = 1_000
 RESTART_LIMIT_COUNT = 2
+# A task that may run twice gets a second run after this silence; one lost answer is no silence.
+COPY_SILENT_MS = 1_000
 # A task without cpu of its own that finds no upstream counts as this much.
 SHORT_MIN_MILLICORES = 500
 POOL_POLICY = "follow_demand"
--- a/src/tarragoncart/graph.py
+++ b/src/tarragoncart/graph.py
@@ -76,6 +76,11 @@
         bound = self.max_per_upstream_count or self.label
         return bool(self.long_running or self.gang or bound)
 
+    @property
+    def copyable(self) -> bool:
+        """Whether its tasks may have two runs at once."""
+        return self.speculative and not self.long_running and not self.gang
+
     @property
     def counted(self) -> Demand:
         """The part of the demand that counts against an upstream's capacity."""
--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -17,6 +17,8 @@
 # States of a task that has a run at an upstream.
 PLACED = frozenset(("assigned", "starting", "started", "unsure", "running", "stopping"))
 
+FINAL = frozenset(TASK_CHART.final)
+
 QUEUED = "queued"
 RUNNING = "running"
 COMPLETED = "completed"
@@ -31,11 +33,13 @@
 
     :param run: number of its latest run, 0 before the first.
     :param upstream_id: where that run is or was.
-    :param failed_count: runs that ended as failed and count against the queue's attempts.
+    :param failed_runs: numbers of the runs that ended as failed; they count against the queue's
+        attempts, each once whichever leader hears of it.
     :param failed_on: upstreams on which a run failed.
     :param percent: what the upstream reports: of a task that lasts the share of full speed,
         otherwise the share of its work that is done.
     :param track: progress of its run.
+    :param copies: upstreams of earlier runs that may still end, by the number of the run.
     :param restart_count: runs that were given up because their upstream was slow.
     :param pace: share of full speed that was ordered last.
     :param load: tail latency in ms of a serving task, otherwise cpu in millicores.
@@ -50,11 +54,12 @@
     state: str = TASK_CHART.initial
     run: int = 0
     upstream_id: str = ""
-    failed_count: int = 0
+    failed_runs: set[int] = field(factory=set)
     checkpoint: str = ""
     failed_on: set[str] = field(factory=set)
     percent: int = 0
     track: Track = field(factory=Track)
+    copies: dict[int, str] = field(factory=dict)
     restart_count: int = 0
     pace: int = 100
     load: int = 0
@@ -73,6 +78,26 @@
         """Whether a run of it is at an upstream or on its way there."""
         return self.state in PLACED
 
+    @property
+    def spent(self) -> bool:
+        """Whether it has failed as often as its queue allows."""
+        if self.step.spec.long_running:
+            return False
+        return len(self.failed_runs) >= self.step.job.submission.max_attempts
+
+    @property
+    def startable(self) -> bool:
+        """Whether it may be started now as far as its own runs are concerned."""
+        if self.state != "waiting" or (self.failed_runs and self.spent):
+            return False
+        return not self.copies or self.step.spec.copyable
+
+    @property
+    def copyable(self) -> bool:
+        """Whether a second run of it may start while this one goes on."""
+        present = self.state in ("started", "unsure", "running")
+        return present and self.step.spec.copyable and not self.copies
+
     @property
     def at_work(self) -> bool:
         """Whether it works at full speed as far as known."""
@@ -115,8 +140,8 @@
         return all(steps[self.occurrence, number].done for number in self.spec.depends_on)
 
     def waiting(self) -> Iterator[Task]:
-        """Yield the tasks that have no run and want one."""
-        return (task for task in self.tasks if task.state == "waiting")
+        """Yield the tasks that want a run."""
+        return (task for task in self.tasks if task.startable)
 
     def upstream_counts(self) -> dict[str, int]:
         """Return how many of its tasks each upstream has."""
@@ -216,7 +241,7 @@
 
 
 # Records of the topic of states: key ``ID`` holds the phase of an ended job, key ``ID.K.S`` rows
-# of [index, state, run, upstream, failures, checkpoint] of the tasks that have had a run.
+# of [index, state, run, upstream, failed runs, checkpoint] of the tasks that have had a run.
 _STATE_CODES = {"done": "d", "exhausted": "x"}
 _PLACED_CODE = "p"
 _WAITING_CODE = "w"
@@ -232,8 +257,9 @@
         code = _PLACED_CODE if placed else _STATE_CODES.get(task.state, _WAITING_CODE)
         row: list[Any] = [task.index, code, task.run]
         if code != "d":
-            row += [task.upstream_id if placed else "", task.failed_count, task.checkpoint]
-            while row[-1] in ("", 0) and len(row) > 3:
+            failed_runs = sorted(task.failed_runs)
+            row += [task.upstream_id if placed else "", failed_runs, task.checkpoint]
+            while not row[-1] and len(row) > 3:
                 row.pop()
         rows.append(row)
     return json.dumps(rows, separators=(",", ":")).encode()
@@ -245,11 +271,11 @@
     for row in json.loads(value):
         index, code, run = row[:3]
         task = step.tasks[index]
-        upstream_id, failed_count, checkpoint = (row[3:] + ["", 0, ""][len(row) - 3 :])[:3]
+        upstream_id, failed_runs, checkpoint = (row[3:] + ["", [], ""][len(row) - 3 :])[:3]
         task.state = states[code]
         task.run = run
         task.upstream_id = upstream_id
-        task.failed_count = failed_count
+        task.failed_runs = set(failed_runs)
         task.checkpoint = checkpoint
     step.done_count = sum(task.state == "done" for task in step.tasks)
 
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -247,7 +247,11 @@
 
     async def _stop(self, task_name: str, run: int) -> None:
         delay_ms = defaults.STORE_RETRY_MS
-        while self._permitted():
+        while True:
+            if not self._permitted():
+                # The leadership may be confirmed again; a successor closes this link.
+                await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
+                continue
             try:
                 await self._client.stop(task_name, run, self._epoch)
             except TarragoncartError as error:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -8,14 +8,13 @@
 from . import defaults, ledger, metrics, pacing
 from .assignment import Slot, choose_slot, home_first
 from .graph import Demand, UpstreamEntry
-from .ledger import TASK_CHART, Task
+from .ledger import FINAL, TASK_CHART, Task
 from .link import (
     Link,
     Pace,
     Permit,
     Reported,
     Silent,
-    Stop,
 )
 from .mailbox import receives
 from .progress import mostly_slow
@@ -204,6 +203,9 @@
             if choose_slot(task, others, counts, now_ms, home_first) is None:
                 continue
             task.restart_count += 1
+            if task.copyable:
+                self._copy(task, "its upstream is slow")
+                continue
             logger.info(
                 "run is given up because its upstream is slow",
                 extra={
@@ -241,14 +243,9 @@
 
     def _take_live(self, upstream: KnownUpstream, live: LiveRun) -> None:
         task = self._find(live.task_name)
-        slot = upstream.slot
-        if (
-            task is None
-            or task.run != live.run
-            or task.upstream_id != slot.entry.upstream_id
-            or not task.placed
-        ):
-            self._stop_stray(upstream, live)
+        key = (live.task_name, live.run)
+        if key in upstream.strays or task is None or not self._is_present_run(upstream, task, key):
+            self._take_stray(upstream, key)
             return
         if live.checkpoint:
             task.checkpoint = live.checkpoint
@@ -268,29 +265,29 @@
             if job.ended:
                 self._stop(task)
 
-    def _stop_stray(self, upstream: KnownUpstream, live: LiveRun) -> None:
-        key = (live.task_name, live.run)
-        if key in upstream.strays or upstream.link is None:
+    @staticmethod
+    def _is_present_run(upstream: KnownUpstream, task: Task, key: tuple[str, int]) -> bool:
+        here = task.upstream_id == upstream.slot.entry.upstream_id
+        return here and task.run == key[1] and task.placed
+
+    def _take_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
+        """Stop a run that no task waits for, unless it may end before the task's other run."""
+        stray = upstream.strays.get(key) or self._note_stray(upstream, key)
+        task = stray.task
+        wanted = task is not None and task.step.spec.copyable and not task.step.job.ended
+        if stray.stopping or (wanted and task is not None and task.state not in FINAL):
             return
-        upstream.strays.add(key)
         logger.warning(
             "upstream runs what is not wanted there; stopping it",
-            extra={
-                "task": live.task_name,
-                "run": live.run,
-                "upstream": upstream.slot.entry.upstream_id,
-            },
+            extra={"task": key[0], "run": key[1], "upstream": upstream.slot.entry.upstream_id},
         )
-        upstream.link.tell(Stop(live.task_name, live.run))
+        self._stop_run(upstream, key, stray)
 
     def _take_ended(self, upstream: KnownUpstream, ended: EndedRun) -> None:
         task = self._find(ended.task_name)
         upstream_id = upstream.slot.entry.upstream_id
         if task is None or task.run != ended.run or task.upstream_id != upstream_id:
-            logger.info(
-                "end of another run ignored",
-                extra={"task": ended.task_name, "run": ended.run, "outcome": ended.outcome},
-            )
+            self._take_ended_stray(upstream, task, ended)
             return
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
@@ -307,12 +304,31 @@
                     "run": task.run,
                     "upstream": upstream_id,
                     "outcome": ended.outcome,
-                    "failed_count": task.failed_count,
+                    "failed_count": len(task.failed_runs),
                 },
             )
         if (task.placed or event == "done") and TASK_CHART.accepts(task.state, event):
             self._event(task, event)
 
+    def _take_ended_stray(
+        self, upstream: KnownUpstream, task: Task | None, ended: EndedRun
+    ) -> None:
+        """Take in the end of a run that its task does not wait for."""
+        key = (ended.task_name, ended.run)
+        logger.info(
+            "another run of a task has ended",
+            extra={"task": key[0], "run": key[1], "outcome": ended.outcome, "known": bool(task)},
+        )
+        if task is not None and not task.step.job.ended:
+            if ended.outcome == "failed":
+                self._note_failure(task, ended.run, upstream.slot.entry.upstream_id)
+            elif ended.outcome == "done" and task.step.spec.copyable:
+                event = "done" if task.state == "waiting" else "done_elsewhere"
+                if TASK_CHART.accepts(task.state, event):
+                    self._event(task, event)
+        if key in upstream.strays:
+            self._release_stray(upstream, key)
+
     def _drop_unlisted(
         self, upstream: KnownUpstream, listed: set[tuple[str, int]], asked_ms: float
     ) -> None:
@@ -326,6 +342,9 @@
                 task.confirmed_ms = float("inf")
             else:
                 self._vanish(task, "not listed by its upstream")
+        for key, stray in list(upstream.strays.items()):
+            if key not in listed and asked_ms > stray.settled_ms:
+                self._release_stray(upstream, key)
 
     @receives(Silent)
     def on_silent(self, message: Silent) -> None:
@@ -349,10 +368,20 @@
         if message.gone:
             self._remove(upstream, "another incarnation answers at its address")
 
+    def _vanish_all(self, upstream: KnownUpstream, reason: str, assigned: bool = True) -> None:
+        """Give up all runs at an upstream.
+
+        :param assigned: also those whose start has not been sent.
+        """
+        for key in list(upstream.strays):
+            self._release_stray(upstream, key)
+        for task in list(upstream.slot.tasks.values()):
+            if assigned or task.state != "assigned":
+                self._vanish(task, reason)
+
     def _remove(self, upstream: KnownUpstream, reason: str) -> None:
         upstream_id = upstream.slot.entry.upstream_id
-        for task in list(upstream.slot.tasks.values()):
-            self._vanish(task, reason)
+        self._vanish_all(upstream, reason)
         self._upstreams.pop(upstream_id, None)
         if upstream.link is not None:
             self.spawn(upstream.link.stop())
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -50,6 +50,19 @@
     ended_jobs: list[Job] = field(factory=list)
 
 
+@define(eq=False)
+class Stray:
+    """A run that its task does not wait for. It takes capacity until it is gone.
+
+    :param task: None if it is not known here.
+    :param settled_ms: a report asked for later that does not list the run shows that it is gone.
+    """
+
+    task: Task | None
+    settled_ms: float
+    stopping: bool = False
+
+
 @define(eq=False)
 class KnownUpstream:
     """An upstream with its link.
@@ -71,7 +84,7 @@
     vacate_ms: float = 0.0
     patience_ms: float | None = None
     closing: bool = False
-    strays: set[tuple[str, int]] = field(factory=set)
+    strays: dict[tuple[str, int], Stray] = field(factory=dict)
 
 
 class RunState(Actor):
@@ -212,6 +225,7 @@
             ready.pop(step, None)
             for task in step.tasks:
                 self._stop(task)
+                self._stop_copies(task)
         self._dirty_jobs[job] = None
         metrics.JOBS.add(1, metrics.labels(phase=phase))
         metrics.JOB_DURATION.record(job.ended_ms - job.came_ms, metrics.labels(phase=phase))
@@ -279,9 +293,88 @@
         self._dirty_steps[task.step] = None
         self._wake_step(task)
 
+    @carries_out("leave")
+    def _leave(self, task: Task, unsettled: bool = False, **details: Any) -> None:
+        """Let a run go on that the task does not wait for any more.
+
+        :param unsettled: its start may still arrive; only a stop excludes that.
+        """
+        upstream = self._upstreams.get(task.upstream_id)
+        if upstream is None:
+            self._free(task)
+            return
+        upstream.slot.tasks.pop(task.name, None)
+        key = (task.name, task.run)
+        stray = upstream.strays[key] = Stray(task, self._timer.now_ms())
+        task.copies[task.run] = task.upstream_id
+        if unsettled:
+            self._stop_run(upstream, key, stray)
+        task.percent = 0
+        self._dirty_steps[task.step] = None
+        self._wake_step(task)
+
+    def _release_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
+        """Give back the capacity of a run that is gone."""
+        stray = upstream.strays.pop(key)
+        if stray.task is None:
+            return
+        stray.task.copies.pop(key[1], None)
+        spec = stray.task.step.spec
+        upstream.slot.free = upstream.slot.free.plus(spec.counted)
+        usage = self._usage(stray.task.step.job.submission.account)
+        usage.running = usage.running.plus(spec.demand, -1)
+        self._wake_step(stray.task)
+
+    def _note_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> Stray:
+        """Count a run that an upstream lists and that no task waits for."""
+        task = self._find(key[0])
+        stray = upstream.strays[key] = Stray(task, self._timer.now_ms())
+        if task is not None:
+            task.copies[key[1]] = upstream.slot.entry.upstream_id
+            spec = task.step.spec
+            upstream.slot.free = upstream.slot.free.plus(spec.counted, -1)
+            usage = self._usage(task.step.job.submission.account)
+            usage.running = usage.running.plus(spec.demand)
+        return stray
+
+    def _copy(self, task: Task, reason: str) -> None:
+        """Let a task run a second time while its run goes on; the first to end counts."""
+        logger.info(
+            "second run of a task",
+            extra={
+                "job": task.step.job.job_id,
+                "task": task.name,
+                "run": task.run,
+                "upstream": task.upstream_id,
+                "state": task.state,
+                "reason": reason,
+            },
+        )
+        self._event(task, "copy", unsettled=task.state == "unsure")
+
+    def _stop_copies(self, task: Task) -> None:
+        """Stop all runs of a task that it does not wait for."""
+        for run, upstream_id in task.copies.items():
+            upstream = self._upstreams.get(upstream_id)
+            stray = upstream.strays.get((task.name, run)) if upstream else None
+            if upstream is not None and stray is not None:
+                self._stop_run(upstream, (task.name, run), stray)
+
+    def _stop_run(self, upstream: KnownUpstream, key: tuple[str, int], stray: Stray) -> None:
+        if not stray.stopping and upstream.link is not None:
+            stray.stopping, stray.settled_ms = True, float("inf")
+            upstream.link.tell(Stop(*key))
+
     def _wake_step(self, task: Task) -> None:
-        """Let the step be placed again, unless its job has ended."""
-        if not task.step.job.ended:
+        """Let the step be placed again, unless its job has ended or the task may not run again."""
+        job = task.step.job
+        if job.ended:
+            return
+        if task.state == "waiting" and task.spent and not task.copies:
+            self._event(task, "abandon")
+            self._end(job, ledger.FAILED, f"task {task.name} failed {len(task.failed_runs)} times")
+            return
+        if not task.spent:
             self._note_step(task.step)
         self._request_pass()
 
@@ -290,6 +383,7 @@
         step = task.step
         job = step.job
         self._dirty_steps[step] = None
+        self._stop_copies(task)
         if step.spec.long_running:
             self._event(task, "restart")
             self._wake_step(task)
@@ -304,15 +398,14 @@
 
     @carries_out("count_failure")
     def _count_failure(self, task: Task, **details: Any) -> None:
-        job = task.step.job
-        task.failed_on.add(task.upstream_id)
-        if task.step.spec.long_running:
-            return
-        task.failed_count += 1
-        if task.failed_count < job.submission.max_attempts or job.ended:
-            return
-        self._event(task, "abandon")
-        self._end(job, ledger.FAILED, f"task {task.name} failed {task.failed_count} times")
+        self._note_failure(task, task.run, task.upstream_id)
+
+    def _note_failure(self, task: Task, run: int, upstream_id: str) -> None:
+        task.failed_on.add(upstream_id)
+        if not task.step.spec.long_running:
+            task.failed_runs.add(run)
+            self._dirty_steps[task.step] = None
+            self._wake_step(task)
 
     @carries_out("send_start")
     def _send_start(self, task: Task) -> None:
@@ -397,8 +490,9 @@
     def on_stop_ended(self, message: StopEnded) -> None:
         """A stop is confirmed: a report asked for from now on lists the run or it is gone."""
         upstream = self._upstreams.get(message.upstream_id)
-        if upstream is not None:
-            upstream.strays.discard((message.task_name, message.run))
+        stray = upstream.strays.get((message.task_name, message.run)) if upstream else None
+        if stray is not None:
+            stray.settled_ms = self._timer.now_ms() + self._stop_ms + defaults.STOP_MARGIN_MS
         task = self._find(message.task_name)
         if task is not None and task.run == message.run and task.state == "stopping":
             # A run that is being stopped is in neither list until it has ended.
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -514,13 +514,21 @@
             self._vacate(upstream, now_ms)
             return
         if now_ms < upstream.lease_end_ms:
+            self._copy_silent(upstream, now_ms)
             return
-        for task in list(slot.tasks.values()):
-            if task.state != "assigned":
-                self._vanish(task, "its upstream is silent and the lease has expired")
+        reason = "its upstream is silent and the lease has expired"
+        self._vanish_all(upstream, reason, assigned=False)
         if (upstream.link is None or not slot.listed) and not slot.tasks:
             self._remove(upstream, "not listed and silent")
 
+    def _copy_silent(self, upstream: KnownUpstream, now_ms: float) -> None:
+        """Run tasks that may run twice again before the lease of a silent upstream expires."""
+        if now_ms - max(upstream.reported_ms, self._gained_ms) < defaults.COPY_SILENT_MS:
+            return
+        for task in list(upstream.slot.tasks.values()):
+            if task.copyable:
+                self._copy(task, "its upstream is silent")
+
     # Questions.
 
     @receives(Lookup)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,65 @@
+"""Jobs as the leader knows them, and their records in the store."""
+
+from __future__ import annotations
+
+import pytest
+
+from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
+from tarragoncart.ledger import Job, decode_step, encode_step
+
+
+@pytest.fixture
+def make_step():
+    """Return a step of three tasks of a queue with two attempts."""
+
+    def make(**spec):
+        job_spec = JobSpec("text", (StepSpec(3, Demand(1_000), **spec),))
+        job = Job(Submission("a", "q", "pool", "shop", 0, 2, 1.6, 600, 0, job_spec))
+        return job.release(0)[0]
+
+    return make
+
+
+def test_a_failed_run_counts_once_whichever_leader_hears_of_it(make_step):
+    """Guards against a job shown as failed after fewer failures than its queue allows."""
+    step, restored = make_step(), make_step()
+    step.tasks[0].run, step.tasks[0].failed_runs = 1, {1}
+    decode_step(restored, encode_step(step))
+    task = restored.tasks[0]
+    task.failed_runs.add(1)
+    assert not task.spent and task.startable
+    task.failed_runs.add(2)
+    assert task.spent and not task.startable
+
+
+def test_a_record_keeps_what_a_new_leader_needs(make_step):
+    """Guards against runs, progress or attempts that a change of the leader forgets."""
+    step, restored = make_step(), make_step()
+    first, second, _ = step.tasks
+    first.state, first.run, first.upstream_id = "running", 3, "i-1"
+    first.failed_runs, first.checkpoint = {1, 2}, "saved"
+    second.state, second.run = "done", 1
+    decode_step(restored, encode_step(step))
+    copy = restored.tasks[0]
+    assert (copy.state, copy.run, copy.upstream_id) == ("started", 3, "i-1")
+    assert (copy.failed_runs, copy.checkpoint) == ({1, 2}, "saved")
+    assert restored.tasks[1].state == "done" and restored.done_count == 1
+    assert restored.tasks[2].startable
+
+
+@pytest.mark.parametrize(("speculative", "startable"), [(False, False), (True, True)])
+def test_a_task_with_a_run_elsewhere_starts_only_if_it_may_run_twice(
+    make_step, speculative, startable
+):
+    """Guards against two runs at once of a task whose earlier run is still listed."""
+    task = make_step(speculative=speculative).tasks[0]
+    task.run, task.copies = 1, {1: "i-1"}
+    assert task.startable is startable
+
+
+def test_a_task_that_lasts_never_runs_twice(make_step):
+    """Guards against copies of tasks that serve, or that only work together."""
+    for spec in ({"long_running": True}, {"gang": True}):
+        task = make_step(speculative=True, **spec).tasks[0]
+        task.state = "running"
+        assert not task.copyable
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 from collections import Counter
+from typing import Any
 
 import pytest
 from aiohttp import web
+from attrs import define
 
 from standins.taskworker import TaskWorker, WorkerFaults
 from tarragoncart import defaults
@@ -293,6 +295,85 @@
     assert [run for _, run, _ in second.starts] == [2]
 
 
+@define
+class Copied:
+    """An entry VM with a task that has runs at two workers."""
+
+    node: Any
+    first: TaskWorker
+    second: TaskWorker
+
+
+@pytest.fixture
+async def copied(run_node, add_worker, monkeypatch):
+    """A task that may run twice and does: its first upstream has fallen silent."""
+    monkeypatch.setattr("tarragoncart.platform.upstreams.CALL_TIMEOUT_MS", 300)
+    monkeypatch.setattr("tarragoncart.defaults.UPSTREAM_LEASE_MS", 5_000)
+    first = await add_worker("i-1", TaskWorker(work_ms=0))
+    node = await run_node()
+    step = {**TASK, "count": 1, "speculative": True, "est-ms": 60_000}
+    assert await submit(node, {"spec": "", "steps": [step]}) == 200
+    assert await until(lambda: len(first.runs) == 1)
+    first.faults.silent = True
+    second = await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await until(lambda: second.runs, 4.0)
+    return Copied(node, first, second)
+
+
+async def test_a_task_that_may_run_twice_does_not_wait_for_a_silent_upstream(copied):
+    """Guards against a job that waits for the end of a lease although a second run may start."""
+    assert copied.first.clock_ms() < copied.first.until_ms
+    assert [run for _, run, _ in copied.second.starts] == [2]
+
+
+async def test_after_the_end_of_one_run_the_other_is_stopped_and_none_starts(copied):
+    """Guards against a start after a run has ended well.
+
+    The end of the first run was taken note of but ignored, and the second run was started again
+    (TWICE, imisatsi-ops, late-orders-in-wave --vary --seed 1041238224486).
+    """
+    copied.first.faults.silent = False
+    copied.first.finish(f"{JOB_ID}.0.0.0")
+    assert await copied.node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await until(lambda: not copied.second.runs)
+    await asyncio.sleep(0.3)
+    assert len(copied.first.starts) == len(copied.second.starts) == 1
+
+
+async def test_both_runs_of_a_task_take_capacity(copied):
+    """Guards against a worker or an account that gets more than it may have."""
+    scheduler = copied.node.scheduler
+    usage = scheduler._usages["shop"]
+    assert usage.running.cpu_millicores == 2 * TASK["cpu"]
+    free = scheduler._upstreams["i-1"].slot.free
+    assert free.cpu_millicores == copied.first.cpu_millicores - TASK["cpu"]
+    copied.second.finish(f"{JOB_ID}.0.0.0")
+    copied.first.faults.silent = False
+    assert await until(lambda: not usage.running.cpu_millicores)
+    assert scheduler._upstreams["i-1"].slot.free.cpu_millicores == copied.first.cpu_millicores
+
+
+async def test_a_task_does_not_start_while_a_lost_run_of_it_is_listed(
+    run_node, add_worker, monkeypatch
+):
+    """Guards against two runs at once of a task that may not run twice."""
+    monkeypatch.setattr(defaults, "PLACEMENT_DELAY_MS", 100)
+    worker = await add_worker("i-1", TaskWorker(work_ms=0))
+    node = await run_node()
+    assert await submit(node, {"spec": "", "steps": [{**TASK, "count": 1}]}) == 200
+    scheduler = node.scheduler
+    assert await until(lambda: len(worker.runs) == 1)
+    task = scheduler._jobs[JOB_ID].steps[0, 0].tasks[0]
+    assert await until(lambda: task.state == "running")
+    worker.faults.stop_ms = 300
+    scheduler._vanish(task, "a report was wrong")
+    live = LiveRun(task.name, 1, "", 50, 0)
+    report = UpstreamReport(worker.clock_ms(), 1, (live,), ())
+    scheduler.tell(Reported("i-1", report, scheduler._timer.now_ms(), 1e12))
+    assert await until(lambda: len(worker.starts) == 2)
+    assert worker.ended_count == 1
+
+
 async def test_runs_that_stand_still_are_run_elsewhere(run_node, add_worker):
     """Guards against a job that waits for ever for an upstream whose runs make no progress."""
     stalled = await add_worker("i-1", TaskWorker(faults=WorkerFaults(stalled=True)))
