--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,13 +9,12 @@
 import pytest
 from attrs import Factory, define, evolve
 
-from tarragoncart import catalogue as module
-from tarragoncart import defaults, records, replay, replies
+from tarragoncart import catalogue, defaults, jobs, records, replay, replies
 from tarragoncart.admission import Submission
 from tarragoncart.attempts import Evidence
 from tarragoncart.dispatch import Dispatch
 from tarragoncart.jobs import Submit
-from tarragoncart.journal import Append, ViewChanged
+from tarragoncart.journal import Append, JobChanged, ReadJob, ViewChanged
 from tarragoncart.mailbox import new_reply
 from tarragoncart.membership import CheckMembers, Membership
 from tarragoncart.model import Answer, KeyGrant, Member, Mode, Outcome, QueueSpec, Reply, Verdict
@@ -104,7 +103,7 @@
         assert applied is not None
         if "jobs" in applied.sections:
             job = self.state.jobs[applied.entry.subjects[0]]
-            self.handle(module.JobChanged(job))
+            self.handle(JobChanged(job))
         self.show()
         if append.reply is not None:
             append.reply.set_result(applied.entry)
@@ -139,7 +138,7 @@
         stubs.append(ActorStub(address))
         return stubs[-1]
 
-    monkeypatch.setattr(module, "Upstream", make_upstream)
+    monkeypatch.setattr(catalogue, "Upstream", make_upstream)
     queues = (*fleet.config.queues, QueueSpec("packs", "holds", Mode.DEFERRED, guarded=True))
     fleet.config = evolve(fleet.config, queues=queues)
     fleet.keys["k"] = KeyGrant("k", "shop")
@@ -168,7 +167,7 @@
     await desk.log()
     assert (reply.result().status, reply.result().code) == (409, "different_body")
     asked = new_reply()
-    desk.handle(module.Query("r", "k", asked))
+    desk.handle(jobs.Query("r", "k", asked))
     await desk.settle()
     assert asked.result() is None
     again = await desk.submit(queue="packs", digest="other")
@@ -182,7 +181,7 @@
     await desk.submit(queue="packs")
     await desk.log()
     reply = new_reply()
-    desk.handle(module.Cancel("r", "k", reply))
+    desk.handle(jobs.Cancel("r", "k", reply))
     assert not reply.done()
     await desk.log()
     assert (reply.result().outcome, reply.result().code) == (Outcome.NOT_RUN, "cancelled")
@@ -197,7 +196,7 @@
     reply = await desk.submit("own")
     await desk.log()
     (attempt,) = desk.sent()
-    desk.handle(module.UseIncarnation("a2"))
+    desk.handle(jobs.UseIncarnation("a2"))
     await desk.settle()
     (fence,) = [fence for stub in desk.upstreams for fence in stub.of(FenceRequest)]
     assert fence.attempt == attempt
@@ -216,7 +215,7 @@
     desk.journal.messages.clear()
     desk.apply(claim)
     await desk.settle()
-    (asked,) = desk.journal.of(module.ReadJob)
+    (asked,) = desk.journal.of(ReadJob)
     asked.reply.set_result(desk.state.jobs["own"])
     await desk.settle()
     assert reply.result().outcome is Outcome.ANSWERED
@@ -259,7 +258,7 @@
     desk.apply(Append(records.AcceptJob("r", "packs", "shop", "d", {}, 10, "b"), "b"), "b")
     await desk.submit(queue="packs")
     desk.apply(Append(records.Retire("b", "silent"), "a"))
-    desk.handle(module.Rebalance())
+    desk.handle(jobs.Rebalance())
     taken = await desk.log()
     assert [(r.request_id, r.incarnation) for r in taken if isinstance(r, records.ClaimJob)] == [
         ("r", "a")
@@ -309,7 +308,7 @@
 
     async def count(answers: dict[int, tuple[int, str]]) -> tuple[list[int], int | None]:
         reply = new_reply()
-        desk.handle(module.CountTasks("gone", reply))
+        desk.handle(jobs.CountTasks("gone", reply))
         await desk.settle()
         asked = []
         for number, stub in enumerate(desk.upstreams):
@@ -334,7 +333,7 @@
     await desk.submit(queue="packs")
     await desk.log()
     reply = new_reply()
-    desk.handle(module.Cancel("r", "k", reply))
+    desk.handle(jobs.Cancel("r", "k", reply))
     desk.apply(Append(records.ClaimJob("r", 1, "b", "vm-0", "boot"), "b"), "b")
     await desk.log()
     assert reply.result().outcome is Outcome.ACCEPTED
@@ -346,7 +345,7 @@
     """Guards against an acceptance that is taken back when the log refuses the record."""
     await desk.submit("own", queue=queue)
     reply = new_reply()
-    desk.handle(module.Query("own", "k", reply))
+    desk.handle(jobs.Query("own", "k", reply))
     await desk.settle()
     assert reply.result().outcome is Outcome.OUTCOME_UNKNOWN
 
@@ -366,7 +365,7 @@
     desk.show()
     desk.handle(AttemptEnded(attempt, Evidence("result", answer=Answer({}, succeeded=False))))
     desk.timer.advance(1_000)
-    desk.handle(module.SweepDeadlines())
+    desk.handle(jobs.SweepDeadlines())
     await desk.settle()
     assert (reply.result().outcome, reply.result().code) == (Outcome.OUTCOME_UNKNOWN, ending)
 
