--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -36,7 +36,8 @@
 from .scheduler import PRODUCER, STATE_TOPIC, RulesChanged, Scheduler
 from .storage import Entry
 from .timer import LoopTimer, Timer
-from .vms import Fleet, FleetCalls, WaveAsked
+from .vmorders import FleetCalls, WaveAsked
+from .vms import Fleet
 from .writer import Writer
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/src/tarragoncart/relocations.py
@@ -0,0 +1,189 @@
+"""Moves of VMs between pools as demand turns."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Iterator
+
+from attrs import frozen
+
+from . import defaults
+from .charts import load_chart
+from .election import Fenced
+from .loads import Loads
+from .mailbox import carries_out, receives
+from .pools import POLICIES, PoolDemand, PoolVm, Relocation
+from .vmorders import Ended, Move, VmOrders
+
+logger = logging.getLogger(__name__)
+
+RELOCATION_CHART = load_chart("relocation")
+
+
+@frozen
+class _MoveEnded:
+    vm_id: str
+    event: str
+    reason: str
+
+
+class Relocations(VmOrders):
+    """Follows the demand of the pools."""
+
+    @receives(Loads)
+    def on_loads(self, message: Loads) -> None:
+        """Keep what runs where."""
+        self._loads = message
+        now_ms = self._timer.now_ms()
+        short = message.short_millicores.keys() | message.backlog_millicore_ms.keys()
+        self._short_ms.update(dict.fromkeys(short, now_ms))
+        if short and self._vms:
+            self._plan_moves()
+        idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
+        self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
+
+    def _follow_moves(self) -> None:
+        now_ms = self._timer.now_ms()
+        for vm_id, move in list(self._moves.items()):
+            entry = self._vms.get(vm_id)
+            if move.state == "vacating" and now_ms - move.since_ms > defaults.MOVE_GIVE_UP_MS:
+                self._move_event(move, "give_up")
+            elif entry is None and move.state in ("ordered", "moving"):
+                self._move_event(move, "gone")
+            elif move.state == "moving" and self._listed_ms > move.since_ms:
+                assert entry is not None
+                if entry.state == "up":
+                    self._move_event(move, "returned")
+            if move.state == "done":
+                del self._moves[vm_id]
+
+    def _plan_moves(self) -> None:
+        if not self._may_order():
+            return
+        policy = POLICIES.get(defaults.POOL_POLICY)
+        demands, vms = list(self._demands()), list(self._pool_vms())
+        for plan in policy(demands, vms):
+            entry = self._vms[plan.vm_id]
+            move = Move(plan, "due", entry.upstream_id, self._timer.now_ms())
+            self._moves[plan.vm_id] = move
+            logger.info(
+                "VM moves",
+                extra={
+                    "vm": plan.vm_id,
+                    "from_pool": plan.from_pool,
+                    "to_pool": plan.to_pool,
+                    "reason": plan.reason,
+                    "short_millicores": self._loads.short_millicores.get(plan.to_pool, 0),
+                    "backlog_millicore_ms": self._loads.backlog_millicore_ms.get(plan.to_pool, 0),
+                    "offered_millicores": self._loads.offered_millicores.get(plan.to_pool, 0),
+                    "list_age_ms": round(self._timer.now_ms() - self._listed_ms),
+                },
+            )
+            self._move_event(move, "vacate" if entry.upstream_id else "already_off")
+
+    def _demands(self) -> Iterator[PoolDemand]:
+        now_ms = self._timer.now_ms()
+        free: Counter[str] = Counter()
+        total: Counter[str] = Counter()
+        lasting: Counter[str] = Counter()
+        for load in self._loads.upstreams.values():
+            total[load.pool] += load.capacity_millicores
+            free[load.pool] += load.capacity_millicores - load.busy_millicores
+            lasting[load.pool] += load.lasting_millicores
+        counts = Counter(vm.pool for vm in self._vms.values())
+        incoming: Counter[str] = Counter()
+        for vm_id, move in self._moves.items():
+            if vm_id in self._vms and move.state != "done":
+                incoming[move.plan.to_pool] += self._vms[vm_id].capacity.cpu_millicores
+        for vm in self._vms.values():
+            # Also one that an earlier leader has moved, and one that comes back from maintenance.
+            arriving = vm.state != "down" and vm.upstream_id not in self._loads.upstreams
+            if arriving and vm.vm_id not in self._moves and not self._spare_pool(vm.pool):
+                incoming[vm.pool] += vm.capacity.cpu_millicores
+        # A spare pool that has given all its VMs is listed by the configuration only.
+        for pool in counts.keys() | self._pool_rules().keys():
+            yield PoolDemand(
+                pool,
+                self._spare_pool(pool),
+                self._loads.short_millicores.get(pool, 0),
+                self._loads.backlog_millicore_ms.get(pool, 0),
+                free[pool],
+                total[pool],
+                incoming[pool],
+                counts[pool],
+                self._loads.offered_millicores.get(pool, 0),
+                lasting[pool],
+                now_ms - self._short_ms.get(pool, 0.0),
+            )
+
+    def _spare_pool(self, pool: str) -> bool:
+        rule = self._pool_rules().get(pool)
+        return rule is not None and rule.spare
+
+    def _pool_vms(self) -> Iterator[PoolVm]:
+        now_ms = self._timer.now_ms()
+        in_waves = {
+            vm.vm_id
+            for wave in self._waves.values()
+            for vm in wave.vms.values()
+            if vm.state in ("vacating", "ordered", "down")
+        }
+        for vm in self._vms.values():
+            load = self._loads.upstreams.get(vm.upstream_id)
+            idle_since_ms = self._idle_since_ms.get(vm.upstream_id)
+            yield PoolVm(
+                vm.vm_id,
+                vm.pool,
+                vm.capacity.cpu_millicores,
+                0.0 if idle_since_ms is None else now_ms - idle_since_ms,
+                load.lasting_count if load else 0,
+                vm.state == "up"
+                and vm.vm_id not in in_waves
+                and vm.vm_id not in self._moves
+                and self._orders.allows(vm.vm_id, now_ms),
+            )
+
+    def _move_event(self, move: Move, event: str) -> None:
+        self.step(RELOCATION_CHART, move, event)
+
+    @carries_out("order_move")
+    def _order_move(self, move: Move) -> None:
+        self.spawn(self._relocate(move.plan, 0))
+
+    @carries_out("order_move_again")
+    def _order_move_again(self, move: Move) -> None:
+        self.spawn(self._relocate(move.plan, defaults.FLEET_RETRY_MS))
+
+    async def _relocate(self, plan: Relocation, delay_ms: float) -> None:
+        event, reason = await self._call(
+            plan.vm_id,
+            lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch),
+            delay_ms,
+        )
+        self.tell(_MoveEnded(plan.vm_id, event, reason))
+
+    @receives(_MoveEnded)
+    def on_move_ended(self, message: _MoveEnded) -> None:
+        """Take in the answer to a move."""
+        move = self._moves.get(message.vm_id)
+        if move is None or move.state != "ordered":
+            return
+        logger.info(
+            "move ordered",
+            extra={
+                "vm": message.vm_id,
+                "to_pool": move.plan.to_pool,
+                "outcome": message.event,
+                "reason": message.reason,
+                "after_ms": round(self._timer.now_ms() - move.since_ms),
+                "epoch": self._epoch,
+            },
+        )
+        if message.reason == "fence":
+            self._election.tell(Fenced(self._epoch))
+            return
+        move.since_ms = self._timer.now_ms()
+        if message.event == "accepted" and move.upstream_id:
+            self._scheduler.tell(Ended(move.upstream_id))
+        self._move_event(move, message.event)
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -28,7 +28,7 @@
 from .runstate import Effects, KnownUpstream, Pass
 from .stops import PlannedStops
 from .storage import Entry
-from .vms import FLEET_KEY_PREFIX, WaveAsked
+from .vmorders import FLEET_KEY_PREFIX, WaveAsked
 from .writer import FENCED, STORED, Write
 
 logger = logging.getLogger(__name__)
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -15,7 +15,7 @@
 from .mailbox import receives
 from .reports import Reports
 from .runstate import KnownUpstream
-from .vms import Ended, Readmit, Vacate, Vacated
+from .vmorders import Ended, Readmit, Vacate, Vacated
 
 logger = logging.getLogger(__name__)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,7 @@
 from tarragoncart.intake import part_of
 from tarragoncart.link import Reported
 from tarragoncart.runs import LiveRun, UpstreamReport
-from tarragoncart.vms import Ended, Vacate
+from tarragoncart.vmorders import Ended, Vacate
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -15,7 +15,8 @@
 from tarragoncart.orders import ORDERS_KEY, RecentOrders
 from tarragoncart.timer import LoopTimer
 from tarragoncart.upkeep import VmUpkeep, Wave, next_vms
-from tarragoncart.vms import Ended, Fleet, Readmit, Vacate, Vacated, WaveAsked
+from tarragoncart.vmorders import Ended, Readmit, Vacate, Vacated, WaveAsked
+from tarragoncart.vms import Fleet
 from tarragoncart.writer import STORED, Write
 
 
