--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -17,6 +17,7 @@
 from attrs import Factory, define, field
 from reactivex.scheduler.eventloop import AsyncIOScheduler
 
+from standins.settings import make_node_settings
 from tarragoncart import node as node_module
 from tarragoncart.entrance import Caller, Submit
 from tarragoncart.errors import (
@@ -30,7 +31,7 @@
 )
 from tarragoncart.graph import Demand, JobSpec, UpstreamEntry
 from tarragoncart.mailbox import new_reply
-from tarragoncart.node import Adapter, Node, NodeSettings
+from tarragoncart.node import Adapter, Node
 from tarragoncart.platform import operator
 from tarragoncart.runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from tarragoncart.scheduler import JobView, Lookup
@@ -587,27 +588,7 @@
 
     async def start_node(self, name: str, skew_ms: int = 0) -> Node:
         """Start an entry VM."""
-        settings = NodeSettings(
-            name=name,
-            data_centre="dc",
-            peer_address=name,
-            caller_address="",
-            ready_address="",
-            metrics_address="",
-            store_address="",
-            fleet_address="",
-            advice_address="",
-            key_freshness_ms=5_000,
-            config_freshness_ms=2_000,
-            lease_max_ms=6_000,
-            stop_ms=200,
-            fence_quiet_ms=3_000,
-            retention_ms=120_000,
-            shutdown_ms=6_000,
-            store_call_bytes=1_000_000,
-            membership_ttl_min_ms=1_000,
-            topic_part_count=PART_COUNT,
-        )
+        settings = make_node_settings(name, peer_address=name, topic_part_count=PART_COUNT)
         node = Node(settings, self._adapter(name), VirtualTimer(skew_ms))
         self.nodes[name] = node
         node.start()
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -57,6 +57,10 @@
         """Whether it fails or delays most of what it runs; it is used last."""
         return self.slow or self.failure_ratio >= FAILING_RATIO
 
+    def occupy(self, task: Task, factor: int = 1) -> None:
+        """Take the capacity for a run of a task, or give it back with -1."""
+        self.free = self.free.plus(task.step.spec.counted, -factor)
+
     def note_outcome(self, failed: bool) -> None:
         """Take the end of a run into the share of failures."""
         value = 1.0 if failed else 0.0
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -255,13 +255,16 @@
         self.step(TASK_CHART, task, event, **details)
 
     def _take_capacity(self, task: Task, slot: Slot, again: bool = False) -> None:
-        spec = task.step.spec
-        slot.free = slot.free.plus(spec.counted, -1)
         slot.tasks[task.name] = task
-        slot.lasting_count += spec.long_running
+        slot.lasting_count += task.step.spec.long_running
+        slot.occupy(task)
         if not again:
-            usage = self._usage(task.step.job.submission.account)
-            usage.running = usage.running.plus(spec.demand)
+            self._count_use(task)
+
+    def _count_use(self, task: Task, factor: int = 1) -> None:
+        """Count a run of a task, or its end with -1, for the account."""
+        usage = self._usage(task.step.job.submission.account)
+        usage.running = usage.running.plus(task.step.spec.demand, factor)
 
     def _reserve(self, task: Task, slot: Slot) -> None:
         """Assign a task to an upstream and take the capacity."""
@@ -282,13 +285,11 @@
 
     @carries_out("free")
     def _free(self, task: Task, **details: Any) -> None:
-        spec = task.step.spec
-        usage = self._usage(task.step.job.submission.account)
-        usage.running = usage.running.plus(spec.demand, -1)
+        self._count_use(task, -1)
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is not None and upstream.slot.tasks.pop(task.name, None) is not None:
-            upstream.slot.free = upstream.slot.free.plus(spec.counted)
-            upstream.slot.lasting_count -= spec.long_running
+            upstream.slot.occupy(task, -1)
+            upstream.slot.lasting_count -= task.step.spec.long_running
         task.percent = 0
         self._dirty_steps[task.step] = None
         self._wake_step(task)
@@ -319,10 +320,8 @@
         if stray.task is None:
             return
         stray.task.copies.pop(key[1], None)
-        spec = stray.task.step.spec
-        upstream.slot.free = upstream.slot.free.plus(spec.counted)
-        usage = self._usage(stray.task.step.job.submission.account)
-        usage.running = usage.running.plus(spec.demand, -1)
+        upstream.slot.occupy(stray.task, -1)
+        self._count_use(stray.task, -1)
         self._wake_step(stray.task)
 
     def _note_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> Stray:
@@ -331,25 +330,13 @@
         stray = upstream.strays[key] = Stray(task, self._timer.now_ms())
         if task is not None:
             task.copies[key[1]] = upstream.slot.entry.upstream_id
-            spec = task.step.spec
-            upstream.slot.free = upstream.slot.free.plus(spec.counted, -1)
-            usage = self._usage(task.step.job.submission.account)
-            usage.running = usage.running.plus(spec.demand)
+            upstream.slot.occupy(task)
+            self._count_use(task)
         return stray
 
     def _copy(self, task: Task, reason: str) -> None:
         """Let a task run a second time while its run goes on; the first to end counts."""
-        logger.info(
-            "second run of a task",
-            extra={
-                "job": task.step.job.job_id,
-                "task": task.name,
-                "run": task.run,
-                "upstream": task.upstream_id,
-                "state": task.state,
-                "reason": reason,
-            },
-        )
+        self._log_run("second run of a task", task, reason)
         self._event(task, "copy", unsettled=task.state == "unsure")
 
     def _stop_copies(self, task: Task) -> None:
@@ -518,9 +505,10 @@
             return None
         return step.tasks[index]
 
-    def _vanish(self, task: Task, reason: str) -> None:
+    @staticmethod
+    def _log_run(text: str, task: Task, reason: str) -> None:
         logger.info(
-            "run is lost",
+            text,
             extra={
                 "job": task.step.job.job_id,
                 "task": task.name,
@@ -530,6 +518,9 @@
                 "reason": reason,
             },
         )
+
+    def _vanish(self, task: Task, reason: str) -> None:
+        self._log_run("run is lost", task, reason)
         self._event(task, "vanish")
 
     def _request_pass(self) -> None:
--- a/src/tarragoncart/snapshots.py
+++ b/src/tarragoncart/snapshots.py
@@ -5,6 +5,7 @@
 import base64
 import functools
 import json
+import logging
 import zlib
 from collections import deque
 from collections.abc import Iterator
@@ -18,6 +19,8 @@
 from .replay import FleetState, JobState
 
 # A reader ignores any other format and waits for a snapshot that it knows.
+logger = logging.getLogger(__name__)
+
 FORMAT_NUMBER = 2
 # Newest part of the audit trail that a new entry VM can still explain; the rest stays with the
 # entry VMs that have it.
@@ -68,7 +71,8 @@
         if content["format"] != FORMAT_NUMBER:
             return None
         state = _converter().structure(content["state"], FleetState)
-    except Exception:
+    except Exception as error:
+        logger.warning("snapshot cannot be used", extra={"reason": repr(error)})
         return None
     state.audit = deque(state.audit, defaults.AUDIT_ENTRY_COUNT)
     return state
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
 from standins.platform import Platform, PlatformSettings
 from standins.platform import make_app as make_platform_app
 from standins.serving import Listener
+from standins.settings import make_node_settings
 from standins.store import StoreStandin
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import defaults, operations, replay
@@ -700,27 +701,7 @@
     """Return the settings of an entry VM on free ports."""
 
     def make(name: str) -> NodeSettings:
-        return NodeSettings(
-            name=name,
-            data_centre="dc-1",
-            peer_address="127.0.0.1:0",
-            caller_address="127.0.0.1:0",
-            ready_address="127.0.0.1:0",
-            metrics_address="127.0.0.1:0",
-            store_address=store.address,
-            fleet_address="",
-            advice_address="",
-            key_freshness_ms=5_000,
-            config_freshness_ms=2_000,
-            lease_max_ms=6_000,
-            stop_ms=200,
-            fence_quiet_ms=3_000,
-            retention_ms=120_000,
-            shutdown_ms=6_000,
-            store_call_bytes=2_097_152,
-            membership_ttl_min_ms=1_000,
-            topic_part_count=2,
-        )
+        return make_node_settings(name, store_address=store.address)
 
     return make
 
