--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -41,11 +41,15 @@
     :param lose_append_count: so many appends are carried out and not answered.
     :param refuse_count: so many calls are turned away with 503.
     :param refused: all calls are turned away with this status, 0 for none.
+    :param refused_parts: partitions of a topic whose appends are turned away.
+    :param silent_parts: partitions of a topic whose appends get no answer and are not done.
     """
 
     lose_append_count: int = 0
     refuse_count: int = 0
     refused: int = 0
+    refused_parts: dict[str, set[int]] = Factory(dict)
+    silent_parts: dict[str, set[int]] = Factory(dict)
 
 
 class StoreStandin:
@@ -107,7 +111,12 @@
 
     async def _append(self, request: web.BaseRequest) -> web.StreamResponse:
         query = request.query
-        part = self.part(query["topic"], int(query["part"]))
+        number = int(query["part"])
+        part = self.part(query["topic"], number)
+        if number in self.faults.refused_parts.get(query["topic"], ()):
+            return web.Response(status=503)
+        if number in self.faults.silent_parts.get(query["topic"], ()):
+            await asyncio.sleep(60)
         records = list(_split(await request.read()))
         self.append_count += 1
         if "as-of" in query and int(query["as-of"]) != len(part.records):
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any, Protocol
 
 from attrs import frozen
@@ -116,14 +116,15 @@
 class Entrance(Actor):
     """Answers callers of one entry VM.
 
-    :param writer: appends to the topic of accepted jobs.
+    :param writers: append to partitions of the topic of accepted jobs; the first one that does
+        not stall is used.
     :param key_freshness_ms: a withdrawn key must not work for longer than this.
     :param config_freshness_ms: a configuration must be in force after this time.
     """
 
     def __init__(
         self,
-        writer: Writer,
+        writers: Sequence[Writer],
         peers: PeerCalls,
         election: Actor,
         timer: Timer,
@@ -132,7 +133,7 @@
         config_freshness_ms: int,
     ) -> None:
         super().__init__("entrance")
-        self._writer = writer
+        self._writers = writers
         self._peers = peers
         self._election = election
         self._timer = timer
@@ -165,9 +166,14 @@
         """Whether new callers should come here."""
         return (
             self.rules_age_ms < defaults.READY_RULES_AGE_MS
-            and self._writer.stalled_ms < defaults.STORE_STALL_MS
+            and self._stalled_ms < defaults.STORE_STALL_MS
         )
 
+    @property
+    def _stalled_ms(self) -> float:
+        """How long no partition has taken an append."""
+        return min(writer.stalled_ms for writer in self._writers)
+
     # Who may do what.
 
     def _authorize(self, caller: Caller) -> tuple[QueueRule, str, str]:
@@ -202,7 +208,7 @@
         caller = message.caller
         try:
             queue, account, job_id = self._authorize(caller)
-            if self._writer.stalled_ms > defaults.STORE_STALL_MS:
+            if self._stalled_ms > defaults.STORE_STALL_MS:
                 raise _refusal("the store does not answer", "store_unavailable", 503)
         except RequestError as error:
             self._refuse(caller, error, message.reply)
@@ -226,7 +232,7 @@
         self, caller: Caller, submission: Submission, reply: asyncio.Future[Any]
     ) -> None:
         record = intake.submission_record(submission)
-        await self._write(record, caller)
+        await self._write(record)
         self._note_answer(caller, submission.queue, "accepted")
         logger.info(
             "job accepted",
@@ -241,22 +247,29 @@
         )
         resolve(reply, Accepted())
 
-    async def _write(self, record: tuple[str, bytes], caller: Caller) -> None:
-        """Store a record.
+    async def _write(self, record: tuple[str, bytes]) -> None:
+        """Store a record in the first partition that takes it.
 
         :raises RequestError: 503 if it is not and will not be stored, 504 if that is not known.
         """
+        # A partition may be down while others are up.
+        for writer in sorted(
+            self._writers, key=lambda writer: writer.stalled_ms > defaults.STORE_SWITCH_MS
+        ):
+            if await self._try_write(writer, record) == STORED:
+                return
+        raise _refusal("the store refused the job", "store_unavailable", 503)
+
+    async def _try_write(self, writer: Writer, record: tuple[str, bytes]) -> str:
         stored = new_reply()
-        self._writer.tell(Write((record,), stored))
+        writer.tell(Write((record,), stored))
         timeout_ms = defaults.SUBMIT_TIMEOUT_MS
         try:
-            outcome = await asyncio.wait_for(asyncio.shield(stored), timeout_ms / 1_000)
+            return await asyncio.wait_for(asyncio.shield(stored), timeout_ms / 1_000)
         except TimeoutError:
-            if self._writer.withdraw(stored):
+            if writer.withdraw(stored):
                 raise _refusal("the store does not answer", "store_unavailable", 503) from None
             raise _refusal("the store has not answered", "outcome_unknown", 504) from None
-        if outcome != STORED:
-            raise _refusal("the store refused the job", "store_unavailable", 503)
 
     # Questions and cancels.
 
@@ -337,7 +350,7 @@
 
     async def _cancel(self, caller: Caller, job_id: str, reply: asyncio.Future[Any]) -> None:
         phase = await self._find_phase(job_id)
-        await self._write(intake.cancel_record(job_id, self._timer.wall_ms()), caller)
+        await self._write(intake.cancel_record(job_id, self._timer.wall_ms()))
         logger.info("cancel accepted", extra={"job": job_id, "phase": phase})
         resolve(reply, Accepted())
 
--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -61,9 +61,11 @@
         raise ValueError(f"malformed submission: {error!r}") from error
 
 
-def part_of(entry_name: str, part_count: int) -> int:
-    """Return the partition to which an entry VM writes."""
-    return crc32(entry_name.encode()) % part_count
+def parts_of(entry_name: str, part_count: int) -> tuple[int, ...]:
+    """Return the partitions to which an entry VM writes: the usual one, and one to fall back on."""
+    first = crc32(entry_name.encode()) % part_count
+    second = (first + part_count // 2) % part_count
+    return (first,) if first == second else (first, second)
 
 
 @frozen
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -110,15 +110,18 @@
         self._waves: dict[str, WaveRequest] = {}
         self._leader: Leader | None = None
         self.scheduler: Scheduler | None = None
-        self.intake_writer = Writer(
-            "intake writer",
-            adapter.make_store(),
-            intake.TOPIC,
-            self.incarnation,
-            1,
-            timer,
-            part=intake.part_of(settings.name, settings.topic_part_count),
-            call_bytes=settings.store_call_bytes // 2,
+        self._intake_writers = tuple(
+            Writer(
+                f"intake writer {part}",
+                adapter.make_store(),
+                intake.TOPIC,
+                self.incarnation,
+                1,
+                timer,
+                part=part,
+                call_bytes=settings.store_call_bytes // 2,
+            )
+            for part in intake.parts_of(settings.name, settings.topic_part_count)
         )
         self._probe_client = PeerClient()
         self._valid_until_ms = 0.0
@@ -132,7 +135,7 @@
             ttl_ms=max(defaults.MEMBERSHIP_TTL_MS, settings.membership_ttl_min_ms),
         )
         self.entrance = Entrance(
-            self.intake_writer,
+            self._intake_writers,
             PeerClient(),
             self.election,
             timer,
@@ -149,13 +152,14 @@
 
     async def opened(self) -> None:
         """Start the parts; the election starts with the first configuration."""
-        for actor in (self.intake_writer, self.entrance, self._follower):
+        for actor in (*self._intake_writers, self.entrance, self._follower):
             actor.start()
 
     async def closed(self) -> None:
         """Stop the parts."""
         scheduler = [self.scheduler] if self.scheduler else []
-        parts = (*scheduler, self.election, self._follower, self.entrance, self.intake_writer)
+        own = (self.election, self._follower, self.entrance, *self._intake_writers)
+        parts = (*scheduler, *own)
         for part in parts:
             await part.stop()
         await self._probe_client.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 from tarragoncart import defaults
 from tarragoncart.election import Leader
 from tarragoncart.entrance import LeaderKnown
-from tarragoncart.intake import part_of
+from tarragoncart.intake import parts_of
 from tarragoncart.link import Reported
 from tarragoncart.runs import LiveRun, UpstreamReport
 from tarragoncart.vmorders import Ended, Vacate
@@ -147,10 +147,42 @@
 def test_entry_vms_write_to_different_partitions():
     """Guards against entry VMs that wait for each other's appends at a slow store."""
     names = [f"front-{zone}-{number}" for zone in "abc" for number in (1, 2, 3)]
-    counts = Counter(part_of(name, 8) for name in names)
+    counts = Counter(parts_of(name, 8)[0] for name in names)
     assert len(counts) >= 4 and max(counts.values()) <= 3
 
 
+def test_an_entry_vm_falls_back_on_another_partition_if_there_is_one():
+    """Guards against two writers of one partition."""
+    assert len(set(parts_of("front-a-1", 8))) == 2
+    assert parts_of("front-a-1", 1) == (0,)
+
+
+async def test_a_job_is_accepted_while_one_partition_is_turned_away(run_node, store):
+    """Guards against refusing jobs although another partition takes them."""
+    node = await run_node()
+    assert await submit(node) == 200
+    store.standin.faults.refused_parts = {"keyed.intake": {parts_of("node-1", 2)[0]}}
+    assert (await node.caller.call("POST", "/q/00000000000000aa", TWO_STEPS))[0] == 200
+    store.standin.faults.refused_parts = {"keyed.intake": {0, 1}}
+    assert (await node.caller.call("POST", "/q/00000000000000bb", TWO_STEPS))[0] == 503
+    store.standin.faults.refused_parts = {}
+    await asyncio.sleep(0.3)
+    stored = store.standin.newest("keyed.intake")
+    assert "j/00000000000000aa" in stored and "j/00000000000000bb" not in stored
+
+
+async def test_jobs_go_around_a_partition_that_does_not_answer(run_node, store):
+    """Guards against jobs that wait behind an append without an answer."""
+    node = await run_node()
+    assert await submit(node) == 200
+    store.standin.faults.silent_parts = {"keyed.intake": {parts_of("node-1", 2)[0]}}
+    first = asyncio.ensure_future(node.caller.call("POST", "/q/00000000000000aa", TWO_STEPS))
+    await asyncio.sleep(0.5)
+    assert (await node.caller.call("POST", "/q/00000000000000bb", TWO_STEPS))[0] == 200
+    # Whether the first one is stored is not known.
+    assert (await first)[0] == 504
+
+
 async def test_the_same_id_submitted_again_remains_one_job(run_node, add_worker):
     """Guards against a second run of a job whose answer the caller did not get."""
     worker = await add_worker()
