--- a/src/tarragoncart/ledger.py
+++ b/src/tarragoncart/ledger.py
@@ -79,7 +79,7 @@
         return self.state in PLACED
 
     @property
-    def spent(self) -> bool:
+    def exhausted(self) -> bool:
         """Whether it has failed as often as its queue allows."""
         if self.step.spec.long_running:
             return False
@@ -88,7 +88,7 @@
     @property
     def startable(self) -> bool:
         """Whether it may be started now as far as its own runs are concerned."""
-        if self.state != "waiting" or (self.failed_runs and self.spent):
+        if self.state != "waiting" or (self.failed_runs and self.exhausted):
             return False
         return not self.copies or self.step.spec.copyable
 
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -244,8 +244,8 @@
     def _take_live(self, upstream: KnownUpstream, live: LiveRun) -> None:
         task = self._find(live.task_name)
         key = (live.task_name, live.run)
-        if key in upstream.strays or task is None or not self._is_present_run(upstream, task, key):
-            self._take_stray(upstream, key)
+        if key in upstream.orphans or task is None or not self._is_present_run(upstream, task, key):
+            self._take_orphan(upstream, key)
             return
         if live.checkpoint:
             task.checkpoint = live.checkpoint
@@ -270,24 +270,24 @@
         here = task.upstream_id == upstream.slot.entry.upstream_id
         return here and task.run == key[1] and task.placed
 
-    def _take_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
+    def _take_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
         """Stop a run that no task waits for, unless it may end before the task's other run."""
-        stray = upstream.strays.get(key) or self._note_stray(upstream, key)
-        task = stray.task
+        orphan = upstream.orphans.get(key) or self._note_orphan(upstream, key)
+        task = orphan.task
         wanted = task is not None and task.step.spec.copyable and not task.step.job.ended
-        if stray.stopping or (wanted and task is not None and task.state not in FINAL):
+        if orphan.stopping or (wanted and task is not None and task.state not in FINAL):
             return
         logger.warning(
             "upstream runs what is not wanted there; stopping it",
             extra={"task": key[0], "run": key[1], "upstream": upstream.slot.entry.upstream_id},
         )
-        self._stop_run(upstream, key, stray)
+        self._stop_run(upstream, key, orphan)
 
     def _take_ended(self, upstream: KnownUpstream, ended: EndedRun) -> None:
         task = self._find(ended.task_name)
         upstream_id = upstream.slot.entry.upstream_id
         if task is None or task.run != ended.run or task.upstream_id != upstream_id:
-            self._take_ended_stray(upstream, task, ended)
+            self._take_ended_orphan(upstream, task, ended)
             return
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
@@ -310,7 +310,7 @@
         if (task.placed or event == "done") and TASK_CHART.accepts(task.state, event):
             self._event(task, event)
 
-    def _take_ended_stray(
+    def _take_ended_orphan(
         self, upstream: KnownUpstream, task: Task | None, ended: EndedRun
     ) -> None:
         """Take in the end of a run that its task does not wait for."""
@@ -326,8 +326,8 @@
                 event = "done" if task.state == "waiting" else "done_elsewhere"
                 if TASK_CHART.accepts(task.state, event):
                     self._event(task, event)
-        if key in upstream.strays:
-            self._release_stray(upstream, key)
+        if key in upstream.orphans:
+            self._release_orphan(upstream, key)
 
     def _drop_unlisted(
         self, upstream: KnownUpstream, listed: set[tuple[str, int]], asked_ms: float
@@ -342,9 +342,9 @@
                 task.confirmed_ms = float("inf")
             else:
                 self._vanish(task, "not listed by its upstream")
-        for key, stray in list(upstream.strays.items()):
-            if key not in listed and asked_ms > stray.settled_ms:
-                self._release_stray(upstream, key)
+        for key, orphan in list(upstream.orphans.items()):
+            if key not in listed and asked_ms > orphan.settled_ms:
+                self._release_orphan(upstream, key)
 
     @receives(Silent)
     def on_silent(self, message: Silent) -> None:
@@ -373,8 +373,8 @@
 
         :param assigned: also those whose start has not been sent.
         """
-        for key in list(upstream.strays):
-            self._release_stray(upstream, key)
+        for key in list(upstream.orphans):
+            self._release_orphan(upstream, key)
         for task in list(upstream.slot.tasks.values()):
             if assigned or task.state != "assigned":
                 self._vanish(task, reason)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -51,7 +51,7 @@
 
 
 @define(eq=False)
-class Stray:
+class OrphanRun:
     """A run that its task does not wait for. It takes capacity until it is gone.
 
     :param task: None if it is not known here.
@@ -84,7 +84,7 @@
     vacate_ms: float = 0.0
     patience_ms: float | None = None
     closing: bool = False
-    strays: dict[tuple[str, int], Stray] = field(factory=dict)
+    orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
 
 
 class RunState(Actor):
@@ -294,8 +294,8 @@
         self._dirty_steps[task.step] = None
         self._wake_step(task)
 
-    @carries_out("leave")
-    def _leave(self, task: Task, unsettled: bool = False, **details: Any) -> None:
+    @carries_out("detach")
+    def _detach(self, task: Task, unsettled: bool = False, **details: Any) -> None:
         """Let a run go on that the task does not wait for any more.
 
         :param unsettled: its start may still arrive; only a stop excludes that.
@@ -306,33 +306,33 @@
             return
         upstream.slot.tasks.pop(task.name, None)
         key = (task.name, task.run)
-        stray = upstream.strays[key] = Stray(task, self._timer.now_ms())
+        orphan = upstream.orphans[key] = OrphanRun(task, self._timer.now_ms())
         task.copies[task.run] = task.upstream_id
         if unsettled:
-            self._stop_run(upstream, key, stray)
+            self._stop_run(upstream, key, orphan)
         task.percent = 0
         self._dirty_steps[task.step] = None
         self._wake_step(task)
 
-    def _release_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
+    def _release_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
         """Give back the capacity of a run that is gone."""
-        stray = upstream.strays.pop(key)
-        if stray.task is None:
+        orphan = upstream.orphans.pop(key)
+        if orphan.task is None:
             return
-        stray.task.copies.pop(key[1], None)
-        upstream.slot.occupy(stray.task, -1)
-        self._count_use(stray.task, -1)
-        self._wake_step(stray.task)
+        orphan.task.copies.pop(key[1], None)
+        upstream.slot.occupy(orphan.task, -1)
+        self._count_use(orphan.task, -1)
+        self._wake_step(orphan.task)
 
-    def _note_stray(self, upstream: KnownUpstream, key: tuple[str, int]) -> Stray:
+    def _note_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> OrphanRun:
         """Count a run that an upstream lists and that no task waits for."""
         task = self._find(key[0])
-        stray = upstream.strays[key] = Stray(task, self._timer.now_ms())
+        orphan = upstream.orphans[key] = OrphanRun(task, self._timer.now_ms())
         if task is not None:
             task.copies[key[1]] = upstream.slot.entry.upstream_id
             upstream.slot.occupy(task)
             self._count_use(task)
-        return stray
+        return orphan
 
     def _copy(self, task: Task, reason: str) -> None:
         """Let a task run a second time while its run goes on; the first to end counts."""
@@ -343,13 +343,13 @@
         """Stop all runs of a task that it does not wait for."""
         for run, upstream_id in task.copies.items():
             upstream = self._upstreams.get(upstream_id)
-            stray = upstream.strays.get((task.name, run)) if upstream else None
-            if upstream is not None and stray is not None:
-                self._stop_run(upstream, (task.name, run), stray)
+            orphan = upstream.orphans.get((task.name, run)) if upstream else None
+            if upstream is not None and orphan is not None:
+                self._stop_run(upstream, (task.name, run), orphan)
 
-    def _stop_run(self, upstream: KnownUpstream, key: tuple[str, int], stray: Stray) -> None:
-        if not stray.stopping and upstream.link is not None:
-            stray.stopping, stray.settled_ms = True, float("inf")
+    def _stop_run(self, upstream: KnownUpstream, key: tuple[str, int], orphan: OrphanRun) -> None:
+        if not orphan.stopping and upstream.link is not None:
+            orphan.stopping, orphan.settled_ms = True, float("inf")
             upstream.link.tell(Stop(*key))
 
     def _wake_step(self, task: Task) -> None:
@@ -357,11 +357,11 @@
         job = task.step.job
         if job.ended:
             return
-        if task.state == "waiting" and task.spent and not task.copies:
+        if task.state == "waiting" and task.exhausted and not task.copies:
             self._event(task, "abandon")
             self._end(job, ledger.FAILED, f"task {task.name} failed {len(task.failed_runs)} times")
             return
-        if not task.spent:
+        if not task.exhausted:
             self._note_step(task.step)
         self._request_pass()
 
@@ -477,9 +477,9 @@
     def on_stop_ended(self, message: StopEnded) -> None:
         """A stop is confirmed: a report asked for from now on lists the run or it is gone."""
         upstream = self._upstreams.get(message.upstream_id)
-        stray = upstream.strays.get((message.task_name, message.run)) if upstream else None
-        if stray is not None:
-            stray.settled_ms = self._timer.now_ms() + self._stop_ms + defaults.STOP_MARGIN_MS
+        orphan = upstream.orphans.get((message.task_name, message.run)) if upstream else None
+        if orphan is not None:
+            orphan.settled_ms = self._timer.now_ms() + self._stop_ms + defaults.STOP_MARGIN_MS
         task = self._find(message.task_name)
         if task is not None and task.run == message.run and task.state == "stopping":
             # A run that is being stopped is in neither list until it has ended.
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -27,9 +27,9 @@
     decode_step(restored, encode_step(step))
     task = restored.tasks[0]
     task.failed_runs.add(1)
-    assert not task.spent and task.startable
+    assert not task.exhausted and task.startable
     task.failed_runs.add(2)
-    assert task.spent and not task.startable
+    assert task.exhausted and not task.startable
 
 
 def test_a_record_keeps_what_a_new_leader_needs(make_step):
