--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -499,6 +499,10 @@
             self._ended.append(message.job)
             return
         self._jobs.pop(message.job.job_id, None)
+        logger.info(
+            "job is forgotten",
+            extra={"job": message.job.job_id, "parts": sorted(message.job.parts)},
+        )
         self._dropped_keys.append(message.job.job_id)
         self._request_pass()
 
@@ -506,9 +510,26 @@
         slot = upstream.slot
         if slot.slow and now_ms - slot.slow_judged_ms > defaults.SLOW_MEMORY_MS:
             slot.slow = False
+            logger.info(
+                "upstream is no longer slow",
+                extra={
+                    "upstream": slot.entry.upstream_id,
+                    "judged_age_ms": round(now_ms - slot.slow_judged_ms),
+                },
+            )
         if slot.answering:
-            if now_ms - upstream.reported_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
+            report_age_ms = now_ms - upstream.reported_ms
+            if report_age_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
                 slot.answering = False
+                logger.info(
+                    "upstream does not answer",
+                    extra={
+                        "upstream": slot.entry.upstream_id,
+                        "reason": "its report is too old",
+                        "run_count": len(slot.tasks),
+                        "report_age_ms": round(report_age_ms),
+                    },
+                )
                 return
             self._evacuate(upstream)
             self._vacate(upstream, now_ms)
