--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from conftest import PLATFORM_CONFIG
 from standins.virtual import World, run_virtual, use_virtual_peers
 from tarragoncart import assignment, defaults, ledger
 from tarragoncart.entrance import Accepted
@@ -22,11 +21,15 @@
 
 
 @pytest.fixture
-def play(monkeypatch):
+def play(monkeypatch, platform_config):
     """Play a world with faults and return it once all jobs should have ended."""
+    platform_config["routes"][0] |= {"max-attempts": 5, "public": True}
 
     def run(seed, faults=True):
-        return run_virtual(_play(seed, faults, monkeypatch))
+        world = World(random.Random(seed))
+        use_virtual_peers(world, monkeypatch.setattr)
+        world_config = json.dumps(platform_config).encode()
+        return run_virtual(_play(world, world_config, faults))
 
     return run
 
@@ -45,13 +48,9 @@
     return JobSpec("text", tuple(steps))
 
 
-async def _play(seed, faults, monkeypatch):
-    rng = random.Random(seed)
-    world = World(rng)
-    use_virtual_peers(world, monkeypatch.setattr)
-    config = json.loads(json.dumps(PLATFORM_CONFIG))
-    config["routes"][0] |= {"max-attempts": 5, "public": True}
-    world.store.put("keyed.op", "config", json.dumps(config).encode())
+async def _play(world, config, faults):
+    rng = world.rng
+    world.store.put("keyed.op", "config", config)
     for number in range(4):
         world.add_worker(f"i-{number}", Demand(4_000, 1_000_000))
     for name in ("n-1", "n-2", "n-3"):
