Use the second partition only for what the store turns away from the first

Change: an append without an answer is waited for as before; a refusal goes to the second partition.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -129,8 +129,6 @@
 STORE_RETRY_MAX_MS = 400
 # Without progress of the append under way for this long, new submissions are refused at once.
 STORE_STALL_MS = 800
-# With an append under way for this long, new jobs go to another partition.
-STORE_SWITCH_MS = 300
 RULES_WAIT_MS = 1_500
 INTAKE_WAIT_MS = 1_500
 UPSTREAM_LIST_PAUSE_MS = 150
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -116,8 +116,8 @@
 class Entrance(Actor):
     """Answers callers of one entry VM.
 
-    :param writers: append to partitions of the topic of accepted jobs; the first one that does
-        not stall is used.
+    :param writers: append to partitions of the topic of accepted jobs; the second one is used for
+        what the store has turned away from the first.
     :param key_freshness_ms: a withdrawn key must not work for longer than this.
     :param config_freshness_ms: a configuration must be in force after this time.
     """
@@ -171,8 +171,8 @@
 
     @property
     def _stalled_ms(self) -> float:
-        """How long no partition has taken an append."""
-        return min(writer.stalled_ms for writer in self._writers)
+        """How long the append under way has been without an answer."""
+        return self._writers[0].stalled_ms
 
     # Who may do what.
 
@@ -252,10 +252,9 @@
 
         :raises RequestError: 503 if it is not and will not be stored, 504 if that is not known.
         """
-        # A partition may be down while others are up.
-        for writer in sorted(
-            self._writers, key=lambda writer: writer.stalled_ms > defaults.STORE_SWITCH_MS
-        ):
+        # A partition may be down while others are up. One that does not answer is waited for: as a
+        # rule the store is out of reach then, and another append would be held as well.
+        for writer in self._writers:
             if await self._try_write(writer, record) == STORED:
                 return
         raise _refusal("the store refused the job", "store_unavailable", 503)
