Log the steps of a take-over, late event loops and the leader's summaries

The hypotheses could not be told apart: a take-over logged its end only, a claim gave no age of the leader's last answer, a blocked event loop showed as time-outs elsewhere, and no line gave a pool's capacity beside its need. New: steps of the take-over with records and bytes, delay of the event loop (line above 175 ms and a histogram), age of the last answer at a claim, one line a second for the leader and for each pool.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -143,6 +143,9 @@
 LEADERSHIP_VALID_MS = 3_000
 LEADERSHIP_CHECK_MS = 250
 LEADER_LOOKUP_PAUSE_MS = 250
+# Longer delays of the event loop are logged; half of the time that a leader has to answer a probe.
+EVENT_LOOP_DELAY_LOG_MS = 175
+LEADER_SUMMARY_MS = 1_000
 
 # Lease of all runs at an upstream, renewed with each poll.
 UPSTREAM_LEASE_MS = 3_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -15,7 +15,7 @@
 
 from attrs import define, frozen
 
-from . import defaults
+from . import defaults, metrics
 from .charts import load_chart
 from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import ReadStore, read_newest
@@ -113,6 +113,7 @@
 class _Probed:
     vacant: bool
     reason: str
+    sent_ms: float
     end_offset: int = 0
 
 
@@ -170,6 +171,8 @@
         self._generation = 0
         self._epoch = 0
         self._confirmed_ms = 0.0
+        self._checked_ms = timer.now_ms()
+        self._leader_answered_ms = float("-inf")
         self._lookup_running = False
         self._leaving = False
 
@@ -211,31 +214,53 @@
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
         """Resign if the store has not confirmed the leadership for too long."""
+        self._measure_event_loop_delay()
         age_ms = self._timer.now_ms() - self._confirmed_ms
         if self._candidate.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
             self.step(self.chart, self._candidate, "expired")
 
+    def _measure_event_loop_delay(self) -> None:
+        """Record how late the periodic check is; a suspended process shows as a delay as well."""
+        now_ms = self._timer.now_ms()
+        delay_ms = max(0.0, now_ms - self._checked_ms - defaults.LEADERSHIP_CHECK_MS)
+        self._checked_ms = now_ms
+        metrics.EVENT_LOOP_DELAY.record(delay_ms)
+        if delay_ms > defaults.EVENT_LOOP_DELAY_LOG_MS:
+            logger.info(
+                "event loop was delayed",
+                extra={
+                    "delay_ms": round(delay_ms),
+                    "leadership": self._candidate.state,
+                    "confirmation_age_ms": round(now_ms - self._confirmed_ms),
+                },
+            )
+
     @implements_action("probe")
     def _start_probe(self, candidate: _Candidate) -> None:
         self.spawn(self._probe())
 
     async def _probe(self) -> None:
         """Ask the leader recorded in the store whether it still leads."""
+        sent_ms = self._timer.now_ms()
         try:
             recorded, end_offset = await self._read_leader_record()
         except (StoreUnknownError, StoreRefusedError) as error:
-            self.tell(_Probed(False, str(error)))
+            self.tell(_Probed(False, str(error), sent_ms))
             return
         if recorded is None:
-            self.tell(_Probed(True, "no leader is recorded", end_offset))
+            self.tell(_Probed(True, "no leader is recorded", sent_ms, end_offset))
             return
         try:
             is_leader = await self._is_leader(recorded.address)
         except PeerError as error:
-            self.tell(_Probed(True, str(error), end_offset))
+            metrics.PROBES.add(1, metrics.labels(result="unanswered"))
+            self.tell(_Probed(True, str(error), sent_ms, end_offset))
             return
         reason = recorded.name if is_leader else f"{recorded.name} does not lead"
-        self.tell(_Probed(not is_leader, reason, end_offset))
+        metrics.PROBES.add(1, metrics.labels(result="leads" if is_leader else "does not lead"))
+        if is_leader:
+            self._leader_answered_ms = self._timer.now_ms()
+        self.tell(_Probed(not is_leader, reason, sent_ms, end_offset))
 
     @receives(_Probed)
     def on_probed(self, message: _Probed) -> None:
@@ -243,7 +268,17 @@
         if self._candidate.state != "probing":
             return
         if message.vacant:
-            logger.info("nobody leads", extra={"reason": message.reason})
+            now_ms = self._timer.now_ms()
+            answer_age_ms = now_ms - self._leader_answered_ms
+            logger.info(
+                "nobody leads",
+                extra={
+                    "reason": message.reason,
+                    "probe_ms": round(now_ms - message.sent_ms),
+                    "last_answer_age_ms": round(answer_age_ms) if answer_age_ms < 1e9 else None,
+                    "confirmation_age_ms": round(now_ms - self._confirmed_ms),
+                },
+            )
             self.step(self.chart, self._candidate, "vacant", end_offset=message.end_offset)
         else:
             self.step(self.chart, self._candidate, "occupied")
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -53,6 +53,9 @@
 JOBS = _counter("jobs", "job", "Jobs ended, by phase.")
 JOB_DURATION = _duration("job.duration", "From a job's acceptance to its end.")
 TAKEOVERS = _counter("takeovers", "epoch", "Epochs claimed by this entry VM.")
+TAKEOVER_DURATION = _duration("takeover.duration", "From a claimed epoch to the restored state.")
+PROBES = _counter("leader.probes", "probe", "Questions to the leader whether it leads, by result.")
+EVENT_LOOP_DELAY = _duration("event_loop.delay", "Delay of a periodic timer of the event loop.")
 DROPPED_LINES = _counter("log.lines.dropped", "line", "Log lines dropped because output stalls.")
 
 # Other entry VMs and the fleet: attribute result.
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -38,11 +38,37 @@
         now_ms = self._timer.now_ms()
         short = message.short_millicores.keys() | message.backlog_millicore_ms.keys()
         self._last_short_ms.update(dict.fromkeys(short, now_ms))
+        self._log_pools(now_ms)
         if short and self._vms:
             self._plan_moves()
         idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
         self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
 
+    def _log_pools(self, now_ms: float) -> None:
+        """Log once a second what each pool needs, has and awaits."""
+        if now_ms - self._pools_logged_ms < defaults.LEADER_SUMMARY_MS:
+            return
+        self._pools_logged_ms = now_ms
+        moves = Counter(move.plan.from_pool for move in self._moves.values())
+        for demand in self._demands():
+            logger.info(
+                "pool summary",
+                extra={
+                    "pool": demand.pool,
+                    "vm_count": demand.vm_count,
+                    "total_millicores": demand.total_millicores,
+                    "free_millicores": demand.free_millicores,
+                    "incoming_millicores": demand.incoming_millicores,
+                    "offered_millicores": demand.offered_millicores,
+                    "backlog_millicore_ms": demand.backlog_millicore_ms,
+                    "short_millicores": demand.short_millicores,
+                    "long_running_millicores": demand.long_running_millicores,
+                    "missing_millicores": demand.missing_millicores,
+                    "leaving_vms": moves[demand.pool],
+                    "list_age_ms": round(now_ms - self._listed_ms),
+                },
+            )
+
     def _advance_moves(self) -> None:
         now_ms = self._timer.now_ms()
         for vm_id, move in list(self._moves.items()):
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from . import assignment, defaults, intake, jobmodel
+from . import assignment, defaults, intake, jobmodel, metrics
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
 from .election import Fenced, LeadershipConfirmed
@@ -107,10 +107,12 @@
         if await reply != STORED:
             self._election.tell(Fenced(self._epoch))
             return
+        self._log_takeover_step("earlier leaders are fenced")
         # Jobs and state are read concurrently, as each call takes long while the store is slow.
         # Neither is read before the fence: an earlier leader could drop a job between the two.
         self._intake.start()
         self._stored_state = await self._read_state()
+        self._log_takeover_step("state is read", self._stored_state)
         if self._make_fleet is not None:
             fleet_records = {
                 e.key: e.value for e in self._stored_state if e.key.startswith(FLEET_KEY_PREFIX)
@@ -122,6 +124,20 @@
             self._advisor.start()
         self.subscribe(self._timer.every(defaults.SCHEDULER_TICK_MS), _Tick())
 
+    def _log_takeover_step(self, step: str, entries: Iterable[Entry] = ()) -> None:
+        """Log when a step of the take-over has ended, and the size of what it has read."""
+        sizes_bytes = [len(entry.value) for entry in entries]
+        logger.info(
+            "step of the take-over has ended",
+            extra={
+                "epoch": self._epoch,
+                "step": step,
+                "record_count": len(sizes_bytes),
+                "size_bytes": sum(sizes_bytes),
+                "after_ms": round(self._timer.now_ms() - self._leader_since_ms),
+            },
+        )
+
     async def _read_state(self) -> tuple[Entry, ...]:
         store = self._make_store()
         try:
@@ -202,6 +218,8 @@
     def on_intake(self, message: IntakeRead) -> None:
         """Process accepted and cancelled jobs."""
         self._intake_as_of_ms = message.as_of_ms
+        if not self._loaded:
+            self._log_takeover_step("jobs are read", (entry for _, entry in message.entries))
         cancelled: list[tuple[str, int]] = []
         for part, entry in message.entries:
             if entry.key.startswith(intake.JOB_PREFIX):
@@ -260,6 +278,8 @@
                 job.phase = jobmodel.RUNNING
             self._admit(job)
         self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
+        after_ms = self._timer.now_ms() - self._leader_since_ms
+        metrics.TAKEOVER_DURATION.record(after_ms)
         logger.info(
             "state taken over",
             extra={
@@ -267,7 +287,7 @@
                 "job_count": len(self._jobs),
                 "unfinished_count": len(self._unfinished),
                 "placed_count": placed_count,
-                "after_ms": round(self._timer.now_ms() - self._leader_since_ms),
+                "after_ms": round(after_ms),
             },
         )
 
@@ -482,9 +502,31 @@
                 self._admit(job)
         self._drop_expired_jobs()
         self._send_loads()
+        self._log_summary(now_ms)
         if any(self._ready_steps.values()):
             self._request_pass()
 
+    def _log_summary(self, now_ms: float) -> None:
+        if now_ms - self._summary_logged_ms < defaults.LEADER_SUMMARY_MS:
+            return
+        self._summary_logged_ms = now_ms
+        slots = [upstream.slot for upstream in self._upstreams.values()]
+        steps = [step for steps in self._ready_steps.values() for step in steps]
+        logger.info(
+            "leader summary",
+            extra={
+                "epoch": self._epoch,
+                "registered_upstreams": sum(slot.listed for slot in slots),
+                "answering_upstreams": sum(slot.known and slot.answering for slot in slots),
+                "usable_upstreams": sum(slot.usable for slot in slots),
+                "run_count": sum(len(slot.tasks) for slot in slots),
+                "waiting_steps": len(steps),
+                "unfinished_jobs": len(self._unfinished),
+                "intake_age_ms": round(now_ms - self._intake_as_of_ms),
+                "permitted_for_ms": round(self._permitted_until_ms - now_ms),
+            },
+        )
+
     def _drop_expired_jobs(self) -> None:
         """Drop jobs that ended longer ago than the retention time, in memory and in the store."""
         horizon_ms = self._timer.wall_ms() - self._retention_ms - defaults.RETENTION_MARGIN_MS
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -130,6 +130,7 @@
         self._idle_since_ms: dict[str, float] = {}
         self._last_short_ms: dict[str, float] = {}
         self._listed_ms = 0.0
+        self._pools_logged_ms = 0.0
         self._permitted_until_ms = 0.0
         self._listing = False
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 from typing import Any
 
@@ -629,3 +630,16 @@
     assert status == 503
     # Callers of the users' queues wait 3 s for an answer.
     assert asyncio.get_running_loop().time() - started_s < 1.5
+
+
+async def test_a_blocked_event_loop_is_logged_with_its_delay(run_node, caplog):
+    """Guards against a late answer of an entry VM whose cause no log line shows."""
+    caplog.set_level("INFO")
+    await run_node()
+    time.sleep(0.6)
+    assert await wait_until(lambda: _delays_ms(caplog))
+    assert max(_delays_ms(caplog)) >= 300
+
+
+def _delays_ms(caplog):
+    return [r.delay_ms for r in caplog.records if r.message == "event loop was delayed"]
