Call pool_loads in bench.slopes with the arguments it takes

`python -m bench.slopes passes` ended with a TypeError, as two calls passed the time that pool_loads no longer takes.

--- a/src/bench/slopes.py
+++ b/src/bench/slopes.py
@@ -618,11 +618,11 @@
     peer_demands = [limits.PeerDemand(name, waiting) for name in view.members]
     count = len(view.members)
     demands = {pool.name: (6.0, 1) for pool in view.config.pools}
-    loads = operations.pool_loads(view, observations, demands, now_ms)
+    loads = operations.pool_loads(view, observations, demands)
     steps: dict[str, Callable[[], Any]] = {
         "rights": lambda: list(limits.plan_rights(ledger, waiting, peer_demands, count)),
         "driver with wave": lambda: operations.plan_steps(view, observations, now_ms),
-        "pool loads": lambda: operations.pool_loads(view, observations, demands, now_ms),
+        "pool loads": lambda: operations.pool_loads(view, observations, demands),
     }
     for name, policy in CAPACITY.items():
         steps[f"capacity {name}"] = lambda policy=policy: policy(loads, now_ms, None)
