Let an order for a VM wait before its permission and time limit begin, and list beside orders

Cause: the client has two connections, and its limit of 2 s for a call includes the wait for one of them. Orders that waited longer were given up without having been sent and were repeated behind the others; the list waited behind them. An order could also be sent up to 2 s after its age was stored and its permission was checked, which shortens the pause of a successor. Evidence: after_ms of move ordered (p90 3,070 ms; 845 ms with a large entry VM as leader), list_age_ms of pool summary. Both tests failed before: 40 orders of 150 ms each were not all answered and the list took over 1 s, and an order was received after the leadership had expired. Fix: orders wait for one of eight slots before they are stored, checked and sent, so that a call's limit counts the call only; the list has a connection of its own.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -178,6 +178,8 @@
 DRAIN_SERVE_MS = 3_000
 DRAIN_CLOSE_MS = 700
 FLEET_TICK_MS = 300
+# Orders for VMs that wait for an answer at the same time; further ones wait before they are sent.
+VM_ORDER_LIMIT_COUNT = 8
 FLEET_RETRY_MS = 500
 # Before maintenance, tasks without saved progress are given this long to end.
 VACATE_GRACE_PERIOD_MS = 3_500
--- a/src/tarragoncart/platform/vms.py
+++ b/src/tarragoncart/platform/vms.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from .. import defaults
 from ..errors import FleetRefusedError, FleetUnknownError
 from ..graph import VmEntry
 from ..sessions import open_session
@@ -13,7 +14,8 @@
 from .wire import dump_json, get_str, load_json
 
 CALL_TIMEOUT_MS = 2_000
-CONNECTION_COUNT = 2
+# The list is read over a connection of its own, so that it does not wait for orders.
+CONNECTION_COUNTS = {"list": 1, "orders": defaults.VM_ORDER_LIMIT_COUNT}
 KEEPALIVE_S = 30
 
 
@@ -26,13 +28,20 @@
     def __init__(self, address: str, holder: str) -> None:
         self.address = address
         self._holder = holder
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: dict[str, aiohttp.ClientSession] = {}
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        while self._sessions:
+            _, session = self._sessions.popitem()
+            await session.close()
+
+    def _session(self, purpose: str) -> aiohttp.ClientSession:
+        session = self._sessions.get(purpose)
+        if session is None:
+            session = open_session(CONNECTION_COUNTS[purpose], KEEPALIVE_S, CALL_TIMEOUT_MS)
+            self._sessions[purpose] = session
+        return session
 
     async def list_vms(self) -> tuple[VmEntry, ...]:
         """Read all pages of the list of VMs.
@@ -81,12 +90,11 @@
         body: dict[str, Any] | None,
         headers: dict[str, str],
     ) -> dict[str, Any]:
-        if self._session is None:
-            self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S, CALL_TIMEOUT_MS)
+        session = self._session("list" if method == "GET" else "orders")
         if body is not None:
             headers = {**headers, "Content-Type": "application/json"}
         try:
-            async with self._session.request(
+            async with session.request(
                 method,
                 f"http://{self.address}{path}",
                 data=None if body is None else dump_json(body),
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 from attrs import define, frozen
 
+from . import defaults
 from .errors import FleetRefusedError, FleetUnknownError
 from .graph import PoolRule, VmEntry, WaveRequest
 from .link import ExtendPermission
@@ -131,6 +133,7 @@
         self._last_short_ms: dict[str, float] = {}
         self._listed_ms = 0.0
         self._pools_logged_ms = 0.0
+        self._order_slots = asyncio.Semaphore(defaults.VM_ORDER_LIMIT_COUNT)
         self._permitted_until_ms = 0.0
         self._listing = False
 
@@ -148,6 +151,13 @@
         """Send an order; return the state chart's event for its outcome, and the reason."""
         if delay_ms:
             await self._sleep(delay_ms)
+        # The age of an order and the permission for it must not become old in a queue.
+        async with self._order_slots:
+            return await self._send_order_now(vm_id, call)
+
+    async def _send_order_now(
+        self, vm_id: str, call: Callable[[], Awaitable[None]]
+    ) -> tuple[str, str]:
         stored = new_reply()
         record = self._orders.add(vm_id, self._timer.now_ms())
         self._state_writer.tell(Write((record,), stored))
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -6,6 +6,7 @@
 import json
 
 import pytest
+from aiohttp import web
 
 from tarragoncart.errors import FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
@@ -13,6 +14,7 @@
 from tarragoncart.loads import UpstreamLoad
 from tarragoncart.mailbox import Actor, receives, resolve
 from tarragoncart.orders import ORDERS_KEY, RecentOrders
+from tarragoncart.platform.vms import VmClient
 from tarragoncart.timer import LoopTimer
 from tarragoncart.upkeep import VmUpkeep, Wave, next_vms
 from tarragoncart.vmorders import (
@@ -245,3 +247,58 @@
         listed[vm_id] = VmEntry(vm_id, "pool", "up", "dc", "r", Demand(1), f"i-{vm_id}")
         loads[f"i-{vm_id}"] = UpstreamLoad(f"i-{vm_id}", "pool", 0, 0, 0, 0, 1, 0)
     assert len(list(next_vms(wave, listed, loads, {"pool": 6}))) == 2
+
+
+class SlowPlatform:
+    """VM interface that answers each order after 150 ms and lists at once."""
+
+    def __init__(self):
+        self.received_ms = []
+
+    async def handle(self, request):
+        """Answer an order or the request for the list."""
+        if request.path == "/machines":
+            return web.json_response({"machines": []})
+        self.received_ms.append(LoopTimer().now_ms())
+        await asyncio.sleep(0.15)
+        return web.json_response({})
+
+
+@pytest.fixture
+async def slow_fleet(make_fleet, serve_standin):
+    """A fleet with a client whose platform takes 150 ms an order."""
+    served = await serve_standin(SlowPlatform())
+    fleet = make_fleet()
+    fleet.platform = served.standin
+    fleet._calls = VmClient(served.address, "holder")
+    return fleet
+
+
+async def send_moves(fleet, count):
+    """Order moves of VMs at the same time and return the outcomes."""
+
+    def move(vm_id):
+        return fleet._send_order(vm_id, lambda: fleet._calls.move(vm_id, "pool", 7), 0)
+
+    return await asyncio.gather(*(move(f"m-{n}") for n in range(count)))
+
+
+async def test_orders_for_many_vms_at_once_are_all_answered(slow_fleet):
+    """Guards against vacated VMs that stay idle because their orders wait for each other."""
+    permit(slow_fleet, 60_000)
+    await asyncio.sleep(0.1)
+    moves = asyncio.ensure_future(send_moves(slow_fleet, 40))
+    await asyncio.sleep(0.1)
+    async with asyncio.timeout(1.0):
+        await slow_fleet._calls.list_vms()
+    assert {event for event, _ in await moves} == {"accepted"}
+
+
+async def test_an_order_that_waited_for_others_needs_a_valid_leadership(slow_fleet):
+    """Guards against an order that is sent after a successor may have begun to send some."""
+    permit(slow_fleet, 400)
+    await asyncio.sleep(0.1)
+    valid_until_ms = slow_fleet._permitted_until_ms
+    await send_moves(slow_fleet, 40)
+    assert slow_fleet.platform.received_ms
+    assert max(slow_fleet.platform.received_ms) < valid_until_ms + 50
