Do not take an upstream for ended if its VM had its maintenance before

The platform also accepts an order for maintenance that a VM has had in this wave. The leader then removed the VM's present upstream and started its tasks elsewhere, while they ran on there until the lease expired (a task ran twice), and it ignored the upstream's registrations from then on, so that the VM was lost to its pool; the VM also counted as down for the rest of the wave.

This happens after a change of the leader (the record of the maintenance is stored only after the answer to the order, so a successor orders it again once the VM is back), and if an order without an answer was carried out and its repetition is refused as busy. Long-running tasks that cannot move, and tasks that take longer than the grace period, are at work on the upstream then.

An upstream counts as ended once a list that was requested after the order shows its VM down or with another upstream. If the list shows the VM up with the same upstream, the maintenance counts as done and the upstream is admitted again.

The stand-in for the platform now takes a VM down with its first order, as the platform does; it left each VM up before. The checks of the tests that use it are unchanged.

--- a/src/tarragoncart/upkeep.py
+++ b/src/tarragoncart/upkeep.py
@@ -23,12 +23,14 @@
     """Progress of one VM's maintenance.
 
     :param upstream_id: upstream that ran on the VM when it was selected; empty if none did.
+    :param upstream_ended: the scheduler has been told that this upstream has ended.
     :param since_ms: monotonic time of the latest step of the maintenance.
     """
 
     vm_id: str
     state: str = UPKEEP_CHART.initial
     upstream_id: str = ""
+    upstream_ended: bool = False
     since_ms: float = 0.0
 
 
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -123,18 +123,41 @@
         self._plan_moves()
 
     def _check_vm(self, wave: Wave, vm: VmUpkeep) -> None:
-        """Check whether a VM has left the list or has returned from its maintenance."""
+        """Check whether a VM has left the list, went down or has returned from its maintenance.
+
+        An order is also accepted if the VM had its maintenance before, perhaps by the order of an
+        earlier leader; nothing has ended then. Only the list shows whether the VM went down.
+        """
         entry = self._vms.get(vm.vm_id)
         if entry is None:
+            if vm.state == "down":
+                self._end_upstream(vm)
             if vm.state != "done":
                 self._apply_event(wave, vm, "gone")
             return
         if vm.state != "down" or self._listed_ms <= vm.since_ms:
             return
-        without_upstream = not entry.upstream_id and not vm.upstream_id
-        if entry.state == "up" and (without_upstream or entry.upstream_id != vm.upstream_id):
+        if entry.state == "up" and vm.upstream_id and entry.upstream_id == vm.upstream_id:
+            logger.info(
+                "VM had its maintenance before; its upstream stays",
+                extra={
+                    "wave": wave.request.number,
+                    "vm": vm.vm_id,
+                    "upstream": vm.upstream_id,
+                    "epoch": self._epoch,
+                },
+            )
+            self._apply_event(wave, vm, "unaffected")
+            return
+        self._end_upstream(vm)
+        if entry.state == "up":
             self._apply_event(wave, vm, "returned")
 
+    def _end_upstream(self, vm: VmUpkeep) -> None:
+        if vm.upstream_id and not vm.upstream_ended:
+            vm.upstream_ended = True
+            self._scheduler.tell(UpstreamEnded(vm.upstream_id))
+
     def _may_go_down(self, wave: Wave) -> bool:
         """Return whether the wave's limit allows one more VM to be down."""
         now_ms = self._timer.now_ms()
@@ -149,7 +172,7 @@
         free = {key: vm for key, vm in self._vms.items() if self._orders.allows(key, now_ms)}
         for vm in list(next_vms(wave, free, self._loads.upstreams, sizes)):
             entry = self._vms[vm.vm_id]
-            vm.upstream_id = entry.upstream_id
+            vm.upstream_id, vm.upstream_ended = entry.upstream_id, False
             if entry.upstream_id:
                 self._apply_event(wave, vm, "select")
             elif self._may_go_down(wave):
@@ -237,8 +260,6 @@
             return
         if vm.state == "ordered":
             vm.since_ms = self._timer.now_ms()
-            if message.event == "accepted" and vm.upstream_id:
-                self._scheduler.tell(UpstreamEnded(vm.upstream_id))
             self._apply_event(wave, vm, message.event)
 
     @implements_action("store_progress")
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -28,8 +28,18 @@
 from tarragoncart.writer import STORED, Write
 
 
+def with_state(entry, state, upstream_id):
+    """Return a VM's entry with another state and another upstream."""
+    return VmEntry(
+        entry.vm_id, entry.pool, state, entry.data_centre, entry.rack, entry.capacity, upstream_id
+    )
+
+
 class FleetStandin:
-    """Stand-in for the platform's VM interface that records the orders."""
+    """Stand-in for the platform's VM interface that records the orders.
+
+    A VM goes down with its first order; an order for maintenance that it has had changes nothing.
+    """
 
     def __init__(self):
         self.vms = {
@@ -37,6 +47,7 @@
             for n in range(8)
         }
         self.maintained = []
+        self.maintained_before = set()
         self.unanswered_count = 0
 
     async def list_vms(self):
@@ -46,6 +57,8 @@
         raise AssertionError("unexpected move")
 
     async def maintain(self, vm_id, wave, epoch):
+        if vm_id not in self.maintained and vm_id not in self.maintained_before:
+            self.vms[vm_id] = with_state(self.vms[vm_id], "upkeep", "")
         self.maintained.append(vm_id)
         if self.unanswered_count:
             self.unanswered_count -= 1
@@ -63,6 +76,7 @@
         self.fleet = None
         self.records = {}
         self.ended = []
+        self.readmitted = []
 
     @receives(VacateUpstream)
     def on_vacate(self, message):
@@ -81,7 +95,8 @@
 
     @receives(ReadmitUpstream)
     def on_readmit(self, message):
-        """Ignore the message."""
+        """Record the upstream."""
+        self.readmitted.append(message.upstream_id)
 
     @receives(Write)
     def on_write(self, message):
@@ -161,10 +176,7 @@
     await asyncio.sleep(0.8)
     assert len(set(fleet.calls.maintained)) == 2
     for vm_id in fleet.calls.maintained[:2]:
-        entry = fleet.calls.vms[vm_id]
-        fleet.calls.vms[vm_id] = VmEntry(
-            vm_id, "pool", "up", "dc", entry.rack, Demand(16_000), f"new-{vm_id}"
-        )
+        fleet.calls.vms[vm_id] = with_state(fleet.calls.vms[vm_id], "up", f"new-{vm_id}")
     assert await wait_until(lambda: len(set(fleet.calls.maintained)) == 4)
     await asyncio.sleep(0.5)
     assert len(set(fleet.calls.maintained)) == 4
@@ -178,6 +190,24 @@
     assert len(set(fleet.calls.maintained)) == 2
 
 
+async def test_an_upstream_whose_vm_went_down_has_ended(fleet):
+    """Guards against tasks that wait for the lease of an upstream whose VM is known to be down."""
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: len(fleet.recorder.ended) == 2)
+    assert {f"m-{name[2:]}" for name in fleet.recorder.ended} == set(fleet.calls.maintained)
+
+
+async def test_an_order_for_maintenance_that_was_done_before_ends_no_upstream(make_fleet):
+    """Guards against tasks started twice because a VM's earlier maintenance was confirmed again."""
+    fleet = make_fleet()
+    fleet.calls.maintained_before = set(fleet.calls.vms)
+    permit(fleet, 60_000)
+    everything = {f"i-{n}" for n in range(8)}
+    assert await wait_until(lambda: set(fleet.recorder.readmitted) == everything, 8.0)
+    assert fleet.recorder.ended == []
+    assert fleet.recorder.records["wave/1"] == b"True"
+
+
 async def test_the_status_says_completed_only_when_each_vm_has_begun(fleet):
     """Guards against a wave that is reported as completed before the last VM's maintenance."""
     permit(fleet, 60_000)
