Send an acknowledgement only to the incarnation that listed the ends

Ends are acknowledged once they are stored, which takes seconds while the store is slow. If the upstream started again meanwhile and had already answered a poll, the number of the earlier incarnation was acknowledged to the new one, which numbers its ends from 1.

An acknowledgement now names the incarnation, and the link ignores it unless that incarnation answered last. The messages of a link that was replaced are covered as well, as they carry the start time that they were received with.

The new test failed before: the number 7 of the first incarnation was sent to the second one.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -76,9 +76,13 @@
 
 @frozen
 class Acknowledge:
-    """The ends of runs up to this number are stored."""
+    """The ends of runs up to this number are stored.
+
+    :param started_ms: start time of the incarnation that listed these ends.
+    """
 
     number: int
+    started_ms: int
 
 
 @frozen
@@ -193,8 +197,11 @@
 
     @receives(Acknowledge)
     def on_acknowledge(self, message: Acknowledge) -> None:
-        """Acknowledge stored ends with the next poll."""
-        if message.number > self._stored_end_number:
+        """Acknowledge stored ends with the next poll.
+
+        Ignored if the upstream has started again since it listed them.
+        """
+        if message.started_ms == self._started_ms and message.number > self._stored_end_number:
             self._stored_end_number = message.number
             self._wake.set()
 
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -10,6 +10,7 @@
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
 from .link import (
+    Acknowledge,
     ExtendPermission,
     Link,
     PollFailed,
@@ -153,7 +154,9 @@
                 upstream.last_ended_number = ended.number
                 self._process_ended_run(upstream, ended)
         if report.ended:
-            self._effects.acknowledgements[message.upstream_id] = report.ended[-1].number
+            self._effects.acknowledgements[message.upstream_id] = Acknowledge(
+                report.ended[-1].number, report.started_ms
+            )
             self._request_pass()
         if len(report.ended) < ENDED_PAGE_COUNT:
             self._drop_unlisted_runs(upstream, listed, message.requested_ms)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -17,6 +17,7 @@
 from .intake import IntakeReader
 from .jobmodel import TASK_CHART, Job, StepOccurrence, Task
 from .link import (
+    Acknowledge,
     ClientFactory,
     Link,
     PollUpstream,
@@ -46,12 +47,12 @@
     """Effects that are applied once the state changes before them are stored.
 
     :param starts: runs to start, as tasks with the number of the run.
-    :param acknowledgements: by upstream, number of the last ended run to acknowledge.
+    :param acknowledgements: by upstream, acknowledgement of the last ended run that it has listed.
     :param ended_jobs: jobs whose end becomes visible.
     """
 
     starts: list[tuple[Task, int]] = field(factory=list)
-    acknowledgements: dict[str, int] = field(factory=dict)
+    acknowledgements: dict[str, Acknowledge] = field(factory=dict)
     ended_jobs: list[Job] = field(factory=list)
 
 
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -19,7 +19,6 @@
 from .intake import DeleteJobRecords, IntakeRead
 from .jobmodel import Job, StepOccurrence
 from .link import (
-    Acknowledge,
     ExtendPermission,
     FencedByUpstream,
 )
@@ -479,10 +478,10 @@
         for task, run in effects.starts:
             if task.state == "assigned" and task.run == run:
                 self._apply_event(task, "commit")
-        for upstream_id, number in effects.acknowledgements.items():
+        for upstream_id, acknowledgement in effects.acknowledgements.items():
             upstream = self._upstreams.get(upstream_id)
             if upstream is not None and upstream.link is not None:
-                upstream.link.tell(Acknowledge(number))
+                upstream.link.tell(acknowledgement)
         for job in effects.ended_jobs:
             job.stored = True
             self._ended.append(job)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -25,6 +25,7 @@
         self.timer = LoopTimer()
         self.leases_ms = []
         self.acknowledged = []
+        self.started_ms = 1
         self.silent = False
 
     async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
@@ -34,7 +35,7 @@
         await asyncio.sleep(wait_ms / 1_000)
         if self.silent:
             raise UpstreamUnknownError("no answer", step="hold")
-        return UpstreamReport(int(self.timer.now_ms()), 1, (), ())
+        return UpstreamReport(int(self.timer.now_ms()), self.started_ms, (), ())
 
     async def close(self):
         pass
@@ -105,15 +106,29 @@
     """
     link, upstream, _ = linked
     await asyncio.sleep(0.2)
-    link.tell(Acknowledge(7))
+    link.tell(Acknowledge(7, 1))
     await asyncio.sleep(0.5)
     assert upstream.acknowledged.count(7) == 1
     upstream.silent = True
     await asyncio.sleep(0.4)
-    link.tell(Acknowledge(9))
+    link.tell(Acknowledge(9, 1))
     before_count = len(upstream.acknowledged)
     await asyncio.sleep(0.4)
     assert not any(upstream.acknowledged[before_count:])
     upstream.silent = False
     await asyncio.sleep(0.6)
     assert upstream.acknowledged.count(9) == 1
+
+
+async def test_an_acknowledgement_that_becomes_due_after_a_restart_is_not_sent(linked):
+    """Guards against discarding unread ends of a restarted upstream while the store is slow."""
+    link, upstream, _ = linked
+    await asyncio.sleep(0.2)
+    upstream.started_ms = 2
+    await asyncio.sleep(0.4)
+    link.tell(Acknowledge(7, 1))
+    await asyncio.sleep(0.4)
+    assert not any(upstream.acknowledged)
+    link.tell(Acknowledge(3, 2))
+    await asyncio.sleep(0.4)
+    assert upstream.acknowledged.count(3) == 1
