Let a new leader wait for stops that an earlier leader has just sent

A run that is being stopped is in neither list of its upstream, but takes capacity for as long as a stop may take. An upstream that was registered before the epoch gets nothing new until the longest stop has passed since its first report in the epoch; from that report on it refuses the orders of earlier leaders. That time runs from the first report, also one before the state is read, so that a take-over that reads for longer is not delayed. Upstreams that join later are used at once.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -93,7 +93,9 @@
     def _connect(self, entry: UpstreamEntry, known: KnownUpstream | None) -> None:
         slot = UpstreamSlot(entry, entry.capacity)
         link = Link(entry, self._epoch, self._lease_ms, self._make_client, self, self._timer)
-        upstream = KnownUpstream(slot, link, self._inherited_lease_end_ms())
+        upstream = KnownUpstream(
+            slot, link, self._inherited_lease_end_ms(), inherited=not self._registrations_read
+        )
         self._upstreams[entry.upstream_id] = upstream
         if known is not None:
             for task in known.slot.tasks.values():
@@ -121,7 +123,10 @@
     def on_report_received(self, message: ReportReceived) -> None:
         """Reconcile the runs that an upstream lists with those that it should have."""
         upstream = self._upstreams.get(message.upstream_id)
-        if upstream is None or not self._loaded:
+        if upstream is None:
+            return
+        upstream.first_reported_ms = min(upstream.first_reported_ms, self._timer.now_ms())
+        if not self._loaded:
             return
         report = message.report
         slot = upstream.slot
@@ -135,13 +140,13 @@
         upstream.lease_end_ms = message.lease_end_ms
         upstream.reported_ms = self._timer.now_ms()
         if not slot.known:
-            # An earlier leader may just have sent stops, and a run that is being stopped is not
-            # listed.
+            # An earlier leader may just have sent stops. A run that is being stopped is not listed,
+            # but takes capacity; if its job has ended, the stored state does not name it either.
+            stopped_ms = upstream.first_reported_ms + self._stop_ms + defaults.STOP_MARGIN_MS
+            if upstream.inherited:
+                slot.full_until_ms = max(slot.full_until_ms, stopped_ms)
             for task in slot.tasks.values():
-                task.must_list_after_ms = max(
-                    task.must_list_after_ms,
-                    upstream.reported_ms + self._stop_ms + defaults.STOP_MARGIN_MS,
-                )
+                task.must_list_after_ms = max(task.must_list_after_ms, stopped_ms)
         if not slot.known or not slot.answering:
             slot.known = slot.answering = True
             self._request_pass()
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -80,6 +80,9 @@
     :param last_ended_number: number of the last ended run that has been processed.
     :param lease_end_ms: time by which all its runs end if its lease is not renewed again.
     :param reported_ms: time of its last report.
+    :param first_reported_ms: time of its first report in this epoch, infinite before. From then on
+        it refuses the orders of earlier leaders.
+    :param inherited: it was registered before this epoch and may have runs of earlier ones.
     :param vacating_since_ms: when vacating it for a planned stop began, 0 if it is not vacated.
     :param grace_period_ms: how long to wait for tasks without saved progress while vacating; None
         for no limit.
@@ -93,6 +96,8 @@
     started_ms: int = 0
     last_ended_number: int = 0
     reported_ms: float = 0.0
+    first_reported_ms: float = float("inf")
+    inherited: bool = False
     vacating_since_ms: float = 0.0
     grace_period_ms: float | None = None
     may_go_down: bool = False
@@ -179,6 +184,7 @@
         self._shares = SubmissionShares()
         self._offered_load = OfferedLoad(defaults.OFFERED_WINDOWS_MS, defaults.OFFERED_MIN_COUNT)
         self._malformed: set[str] = set()
+        self._registrations_read = False
         # By upstream, start time of the incarnation that has ended: its registration stays in the
         # store for some time and must be ignored.
         self._ended_incarnations: dict[str, int] = {}
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -206,6 +206,7 @@
             if upstream_id not in present:
                 self._mark_unlisted(upstream_id)
         self._process_registrations(message.entries)
+        self._registrations_read = True
 
     @receives(TopicChanges)
     def on_changes(self, message: TopicChanges) -> None:
