Count each lease that an upstream may have been granted

- A start extends the lease, but the scheduler learned of that only with the next failed poll.
If the store takes longer than a lease to confirm an assignment, the start was sent to an upstream that had been silent all the while, and the next tick counted the run as ended.
The scheduler now extends its end of the lease with each start, and a later report never shortens it.
- A start was sent, and a lease set, by the clock of an incarnation that had answered any time ago.
- The first report in an epoch set the end of the lease to 0, although the earlier leader may have renewed it just before.
It now counts a full lease from that report, after which the upstream refuses the earlier leader.

The three new tests of the link failed before: the start was sent, the number 7 was acknowledged to the new incarnation, and the first report gave 0.0.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -151,6 +151,11 @@
     upstream_id: str
 
 
+def max_lease_ms(lease_ms: float) -> float:
+    """Return the longest time for which a lease may last, by the leader's clock."""
+    return lease_ms / (1 - defaults.CLOCK_DRIFT_RATIO) + defaults.LEASE_MARGIN_MS
+
+
 class Link(Actor):
     """Owns the connections to one upstream.
 
@@ -228,21 +233,31 @@
     def _permitted(self) -> bool:
         return self._timer.now_ms() < self._permitted_until_ms
 
+    def _answers(self) -> bool:
+        """Return whether the latest poll was answered, recently enough to know the incarnation.
+
+        Another incarnation has another clock, which may be far behind, so that a lease by the clock
+        of an earlier one would last for as long as the upstream allows.
+        """
+        if self._clock is None or not self._last_poll_answered:
+            return False
+        return self._timer.now_ms() - self._clock[1] < defaults.UPSTREAM_SILENT_MS
+
     def _renewed_lease_end_ms(self) -> int | None:
         """Extend the lease; return its end on the upstream's clock, None if that is unknown."""
-        if self._clock is None:
+        if self._clock is None or not self._answers():
             return None
         now_ms = self._timer.now_ms()
         clock_ms, read_ms = self._clock
-        max_lease_ms = self._lease_ms / (1 - defaults.CLOCK_DRIFT_RATIO) + defaults.LEASE_MARGIN_MS
-        self._lease_end_ms = max(self._lease_end_ms, now_ms + max_lease_ms)
+        self._lease_end_ms = max(self._lease_end_ms, now_ms + max_lease_ms(self._lease_ms))
         return int(clock_ms + (now_ms - read_ms) + self._lease_ms)
 
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
-        until_ms = self._renewed_lease_end_ms()
-        if until_ms is None or not self._permitted():
-            outcome, reason = "refused", "not permitted"
+        until_ms = self._renewed_lease_end_ms() if self._permitted() else None
+        if until_ms is None:
+            outcome = "refused"
+            reason = "upstream does not answer" if self._permitted() else "not permitted"
         else:
             try:
                 await self._client.start(order, until_ms, self._epoch)
@@ -303,7 +318,7 @@
             if not self._permitted():
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
-            renew_now = self._clock is None or not self._last_poll_answered
+            renew_now = not self._answers()
             report = await self._poll(wait_ms)
             if report is None:
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
@@ -325,15 +340,13 @@
         requested_ms = self._timer.now_ms()
         # An acknowledgement is sent once, and only to the incarnation that answered last: a new one
         # numbers its ends from 1 and would drop ends that the leader has not received.
-        unsent = (
-            self._last_poll_answered and self._stored_end_number > self._acknowledged_end_number
-        )
+        unsent = self._answers() and self._stored_end_number > self._acknowledged_end_number
         acknowledged = self._stored_end_number if unsent else 0
         try:
             report = await self._client.renew_lease(
                 # The upstream may have received a renewal without an answer. Repeated renewals
                 # would postpone forever the time at which its runs count as ended.
-                until_ms=self._renewed_lease_end_ms() if self._last_poll_answered else None,
+                until_ms=self._renewed_lease_end_ms(),
                 acknowledged=acknowledged,
                 wait_ms=wait_ms,
                 epoch=self._epoch,
@@ -349,6 +362,9 @@
         if report.started_ms < self._started_ms:
             # A late answer of an earlier incarnation.
             return None
+        if not self._started_ms:
+            # An earlier leader may have renewed the lease until this answer, but not after it.
+            self._lease_end_ms = self._timer.now_ms() + max_lease_ms(self._lease_ms)
         if report.started_ms > self._started_ms:
             self._stored_end_number = self._acknowledged_end_number = 0
             self._started_ms = report.started_ms
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -16,6 +16,7 @@
     PollFailed,
     ReportReceived,
     SetPace,
+    max_lease_ms,
 )
 from .mailbox import receives
 from .progress import mostly_slow
@@ -48,8 +49,7 @@
 
     def _inherited_lease_end_ms(self) -> float:
         """Return the time by which all leases that earlier leaders may have granted expire."""
-        lease_ms = self._lease_ms / (1 - defaults.CLOCK_DRIFT_RATIO) + defaults.LEASE_MARGIN_MS
-        return self._leader_since_ms + defaults.LEADERSHIP_VALID_MS + lease_ms
+        return self._leader_since_ms + defaults.LEADERSHIP_VALID_MS + max_lease_ms(self._lease_ms)
 
     def _process_registrations(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
@@ -137,7 +137,11 @@
             )
             upstream.last_ended_number = 0
         upstream.started_ms = report.started_ms or upstream.started_ms
-        upstream.lease_end_ms = message.lease_end_ms
+        if slot.known:
+            # A start that was sent since this poll may have extended the lease.
+            upstream.lease_end_ms = max(upstream.lease_end_ms, message.lease_end_ms)
+        else:
+            upstream.lease_end_ms = message.lease_end_ms
         upstream.reported_ms = self._timer.now_ms()
         if not slot.known:
             # An earlier leader may just have sent stops. A run that is being stopped is not listed,
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -25,6 +25,7 @@
     StartOutcome,
     Stop,
     StopConfirmed,
+    max_lease_ms,
 )
 from .loads import OfferedLoad, SubmissionShares
 from .mailbox import Actor, implements_action, receives
@@ -437,6 +438,8 @@
             task.step.tickets.get(task.upstream_id, ""),
         )
         if upstream.link is not None:
+            lease_end_ms = self._timer.now_ms() + max_lease_ms(self._lease_ms)
+            upstream.lease_end_ms = max(upstream.lease_end_ms, lease_end_ms)
             upstream.link.tell(Start(order))
 
     @implements_action("send_stop")
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,9 +9,17 @@
 from tarragoncart import defaults
 from tarragoncart.errors import UpstreamUnknownError
 from tarragoncart.graph import Demand, UpstreamEntry
-from tarragoncart.link import Acknowledge, ExtendPermission, Link, PollFailed, ReportReceived
+from tarragoncart.link import (
+    Acknowledge,
+    ExtendPermission,
+    Link,
+    PollFailed,
+    ReportReceived,
+    Start,
+    StartOutcome,
+)
 from tarragoncart.mailbox import Actor, receives
-from tarragoncart.runs import UpstreamReport
+from tarragoncart.runs import StartOrder, UpstreamReport
 from tarragoncart.timer import LoopTimer
 
 ENTRY = UpstreamEntry("i-1", "pool", "x:1", "dc", False, Demand(1_000))
@@ -27,6 +35,7 @@
         self.acknowledged = []
         self.started_ms = 1
         self.silent = False
+        self.starts = []
 
     async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
         self.acknowledged.append(acknowledged)
@@ -37,20 +46,33 @@
             raise UpstreamUnknownError("no answer", step="hold")
         return UpstreamReport(int(self.timer.now_ms()), self.started_ms, (), ())
 
+    async def start(self, order, until_ms, epoch):
+        self.starts.append(order.task_name)
+        self.leases_ms.append(until_ms - self.timer.now_ms())
+        return int(self.timer.now_ms())
+
     async def close(self):
         pass
 
 
 class Listener(Actor):
-    """Records the ends of leases from failed polls."""
+    """Records the ends of leases and the outcomes of starts."""
 
     def __init__(self):
         super().__init__("listener")
         self.lease_ends_ms = []
+        self.reported_lease_ends_ms = []
+        self.outcomes = []
 
     @receives(ReportReceived)
     def on_report_received(self, message):
-        """Ignore the report."""
+        """Record the end of the lease."""
+        self.reported_lease_ends_ms.append(message.lease_end_ms)
+
+    @receives(StartOutcome)
+    def on_start_outcome(self, message):
+        """Record the outcome."""
+        self.outcomes.append(message.outcome)
 
     @receives(PollFailed)
     def on_poll_failed(self, message):
@@ -132,3 +154,44 @@
     link.tell(Acknowledge(3, 2))
     await asyncio.sleep(0.4)
     assert upstream.acknowledged.count(3) == 1
+
+
+async def test_no_start_is_sent_to_an_upstream_that_does_not_answer(linked):
+    """Guards against a start that reaches an upstream whose runs are just counted as ended."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+    upstream.silent = True
+    await asyncio.sleep(0.4)
+    link.tell(Start(StartOrder("job.0.0.0", 1, "", "", "")))
+    await asyncio.sleep(0.1)
+    assert listener.outcomes == ["refused"]
+    assert upstream.starts == []
+
+
+async def test_an_old_reading_of_the_clock_sets_no_lease(linked):
+    """Guards against a lease by the clock of an incarnation that has ended, which may be far ahead.
+
+    While the leadership is not confirmed no poll shows that an upstream has started again.
+    """
+    link, upstream, _ = linked
+    await asyncio.sleep(0.2)
+    link.tell(ExtendPermission(0.0))
+    link.tell(Acknowledge(7, 1))
+    await asyncio.sleep(defaults.UPSTREAM_SILENT_MS / 1_000 + 0.3)
+    upstream.leases_ms.clear()
+    upstream.acknowledged.clear()
+    upstream.started_ms = 2
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await asyncio.sleep(0.15)
+    link.tell(Start(StartOrder("job.0.0.0", 1, "", "", "")))
+    await asyncio.sleep(0.3)
+    assert max(upstream.leases_ms) <= LEASE_MS + 5
+    assert not any(upstream.acknowledged)
+
+
+async def test_the_first_report_counts_the_lease_that_an_earlier_leader_granted(linked):
+    """Guards against giving runs up that an earlier leader has renewed just before its end."""
+    _, _, listener = linked
+    before_ms = LoopTimer().now_ms()
+    await asyncio.sleep(0.1)
+    assert listener.reported_lease_ends_ms[0] >= before_ms + LEASE_MS
