Count the wait for earlier leaders from the fence, not from the claim

A leader gives up runs that it cannot reach once an earlier leader's permission (3 s) and lease (3.4 s) must have ended. It counted from the claim of its epoch, but until its fence is stored an earlier leader that is still confirmed by the store assigns tasks, starts them and renews leases. While the store is slow the fence takes seconds; with a fence 3 s late, runs were given up that had a lease still, and their tasks were started a second time (rule TWICE).

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -699,6 +699,7 @@
     :param completed_runs: all runs that ended with outcome ``done``.
     :param phases: phase of each accepted job at the end of the simulation.
     :param violations: descriptions of violated invariants.
+    :param fenced_s: time at which a delayed fence was stored.
     """
 
     rng: random.Random
@@ -714,6 +715,7 @@
     completed_runs: list[CompletedRun] = Factory(list)
     phases: dict[str, str] = Factory(dict)
     violations: list[str] = Factory(list)
+    fenced_s: float = 0.0
 
     @staticmethod
     def now_s() -> float:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -49,7 +49,7 @@
 
     def _inherited_lease_end_ms(self) -> float:
         """Return the time by which all leases that earlier leaders may have granted expire."""
-        return self._leader_since_ms + defaults.LEADERSHIP_VALID_MS + max_lease_ms(self._lease_ms)
+        return self._fenced_ms + defaults.LEADERSHIP_VALID_MS + max_lease_ms(self._lease_ms)
 
     def _process_registrations(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -190,6 +190,8 @@
         # store for some time and must be ignored.
         self._ended_incarnations: dict[str, int] = {}
         self._leader_since_ms = timer.now_ms()
+        # From this time on, no earlier leader can store another assignment.
+        self._fenced_ms = float("inf")
         self._rng = random.Random(epoch)
 
     @property
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -106,6 +106,7 @@
         if await reply != STORED:
             self._election.tell(Fenced(self._epoch))
             return
+        self._fenced_ms = self._timer.now_ms()
         self._log_takeover_step("earlier leaders are fenced")
         # Jobs and state are read concurrently, as each call takes long while the store is slow.
         # Neither is read before the fence: an earlier leader could drop a job between the two.
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from standins import virtual
 from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
 from tarragoncart import assignment, defaults, jobmodel
 from tarragoncart.entrance import Accepted
@@ -385,3 +386,45 @@
     simulations = (simulate(seed, scenario=_simulate_leader_changes) for seed in range(10))
     found = (violation for simulation in simulations for violation in simulation.violations)
     assert any("two runs at once" in violation for violation in found)
+
+
+async def _take_over_with_a_late_fence(simulation, config, faults):
+    """Let a leader end whose upstream is cut off, while the successor's fence takes four seconds.
+
+    The earlier leader may have assigned tasks until the fence was stored.
+    """
+    store_client = virtual.VirtualStoreClient
+    simulation.store.put("keyed.op", "config", config)
+    for name in ("i-0", "i-1"):
+        simulation.add_worker(name, Demand(1_000, 1_000))
+    await simulation.start_node("n-1")
+    await asyncio.sleep(2.0)
+    step = StepSpec(1, Demand(1_000, 100), 60_000)
+    await simulation.submit(simulation.nodes["n-1"], f"{0:016x}", JobSpec("text", (step,)))
+    await asyncio.sleep(0.5)
+    (worker,) = (worker for worker in simulation.workers.values() if worker.runs)
+    await simulation.kill_node("n-1")
+    worker.unreachable = True
+    append = store_client.append
+
+    async def append_late(client, topic, records, **options):
+        if topic == "keyed.state":
+            store_client.append = append
+            await asyncio.sleep(4.0)
+            simulation.fenced_s = simulation.now_s()
+        return await append(client, topic, records, **options)
+
+    store_client.append = append_late
+    await simulation.start_node("n-2")
+    await asyncio.sleep(15.0)
+    await simulation.kill_node("n-2")
+    return simulation
+
+
+def test_runs_of_an_earlier_leader_are_given_up_a_lease_after_its_fence(simulate):
+    """Guards against a second run of a task that an earlier leader started before its fence."""
+    simulation = simulate(1, scenario=_take_over_with_a_late_fence)
+    _, second = simulation.starts["0000000000000000.0.0.0"]
+    waited_s = second[0] - simulation.fenced_s
+    needed_ms = defaults.LEADERSHIP_VALID_MS + defaults.UPSTREAM_LEASE_MS
+    assert needed_ms <= 1_000 * waited_s < needed_ms + 1_500
