Ignore registrations of an incarnation that has ended

The store may carry out a write seconds late, so that the registration that a worker wrote before its restart can follow the one after it. A registration with an earlier start time than the incarnation that answers or is registered is now ignored.

The new test failed before: both tasks of the upstream were given up.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -72,6 +72,9 @@
             self._connect(entry, upstream)
             return
         slot = upstream.slot
+        if entry.started_ms < max(upstream.started_ms, slot.entry.started_ms):
+            # A record that an earlier incarnation wrote, carried out late by the store.
+            return
         if slot.entry.address != entry.address:
             self._remove_upstream(upstream, f"restarted at {entry.address}")
             self._connect(entry, None)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -616,6 +616,20 @@
     assert len(second.starts) == 4
 
 
+async def test_a_registration_of_an_earlier_incarnation_ends_no_runs(run_node, add_worker, store):
+    """Guards against giving up the runs of a worker because of a late write before its restart."""
+    await add_worker(worker=TaskWorker(started_ms=1))
+    earlier = json.loads(store.standin.newest("keyed.servers")["i-1"])
+    worker = await add_worker(worker=TaskWorker(started_ms=2, work_ms=1_500))
+    node = await run_node()
+    assert await submit(node) == 200
+    assert await wait_until(lambda: len(worker.starts) == 2)
+    store.standin.put("keyed.servers", "i-1", earlier)
+    await asyncio.sleep(0.6)
+    assert "i-1" in node.scheduler._upstreams
+    assert len(node.scheduler._upstreams["i-1"].slot.tasks) == 2
+
+
 async def test_a_query_is_refused_soon_when_the_leader_does_not_answer(run_node, serve_standin):
     """Guards against delaying a query until its deadline when the leader does not answer."""
     silent = TaskWorker()
