Count a failure that is listed while its task waits for a new run

Once an upstream is silent or slow, a task that may run twice is made to wait for a second run, with the number of its run unchanged. If the first run's end `failed` was listed before the second run was assigned, it was taken for the end of the current run, whose state does not accept it, and dropped, though it was acknowledged. The same held for a run that had been counted as lost. The failure now counts, and the ended run frees its capacity at once.

test_a_failure_counts_for_a_task_that_waits_for_a_copy failed before: the set of failed runs was empty.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -700,6 +700,7 @@
     :param phases: phase of each accepted job at the end of the simulation.
     :param violations: descriptions of violated invariants.
     :param fenced_s: time at which a delayed fence was stored.
+    :param tasks: the leader's tasks at the end of a scenario.
     """
 
     rng: random.Random
@@ -716,6 +717,7 @@
     phases: dict[str, str] = Factory(dict)
     violations: list[str] = Factory(list)
     fenced_s: float = 0.0
+    tasks: list[Any] = Factory(list)
 
     @staticmethod
     def now_s() -> float:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -329,6 +329,11 @@
             )
         if (task.placed or event == "done") and TASK_CHART.accepts(task.state, event):
             self._apply_event(task, event)
+        elif event == "failed" and not task.step.job.ended:
+            # The task waits for a copy, or its run was counted as lost.
+            self._record_failure(task, ended.run, upstream_id)
+        if (task.name, ended.run) in upstream.orphans:
+            self._release_orphan(upstream, (task.name, ended.run))
 
     def _process_ended_orphan(
         self, upstream: KnownUpstream, task: Task | None, ended: EndedRun
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -428,3 +428,28 @@
     waited_s = second[0] - simulation.fenced_s
     needed_ms = defaults.LEADERSHIP_VALID_MS + defaults.UPSTREAM_LEASE_MS
     assert needed_ms <= 1_000 * waited_s < needed_ms + 1_500
+
+
+async def _fail_a_run_while_its_worker_is_silent(simulation, config, faults):
+    """Let the only worker be silent while its run of a speculative task fails."""
+    simulation.store.put("keyed.op", "config", config)
+    worker = simulation.add_worker("i-0", Demand(1_000, 1_000))
+    node = await simulation.start_node("n-1")
+    await asyncio.sleep(2.0)
+    worker.fail_ratio = 1.0
+    step = StepSpec(1, Demand(1_000, 100), 1_500, speculative=True)
+    await simulation.submit(node, f"{0:016x}", JobSpec("text", (step,)))
+    await asyncio.sleep(0.3)
+    worker.fail_ratio, worker.unreachable = 0.0, True
+    await asyncio.sleep(2.2)
+    worker.unreachable = False
+    await asyncio.sleep(5.0)
+    simulation.tasks = list(node.scheduler._jobs[f"{0:016x}"].tasks())
+    await simulation.kill_node("n-1")
+    return simulation
+
+
+def test_a_failure_counts_for_a_task_that_waits_for_a_copy(simulate):
+    """Guards against more runs than the maximum of attempts after an upstream was silent."""
+    (task,) = simulate(1, scenario=_fail_a_run_while_its_worker_is_silent).tasks
+    assert (task.state, task.run, task.failed_runs) == ("done", 2, {1})
