Refuse counts and phases that the age of the leader's view does not prove

A GET of a queue was answered with the number of waiting jobs that the leader knew, whatever it knew: a leader that had not restored its state, was not confirmed by the store or could not read the accepted jobs answered 0.

Cause: only the answer for an unknown job carried the age of the leader's view. Now each answer does (JobView, PendingView), infinite while the state is not restored or the leadership is not confirmed. The entry VM gives a count or a 410 only from a view younger than 2.5 s, a phase that may change only from a confirmed leader, and a final phase always, as it is stored and does not change. The refusal has its own code, leader_view_too_old, to tell it from an entry VM whose own configuration is too old. Callers get 503 and can ask again.

Both tests failed before: 200 instead of 503 for the count, and 200 with "queued" for the phase.

--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -47,6 +47,7 @@
     :param refuse_status: status with which all calls are refused, 0 for none.
     :param refused_parts: partitions that refuse appends, by topic.
     :param unresponsive_parts: partitions whose appends are neither applied nor answered, by topic.
+    :param unreadable_topics: topics whose reads are refused.
     """
 
     lose_append_count: int = 0
@@ -54,6 +55,7 @@
     refuse_status: int = 0
     refused_parts: dict[str, set[int]] = Factory(dict)
     unresponsive_parts: dict[str, set[int]] = Factory(dict)
+    unreadable_topics: frozenset[str] = frozenset()
 
 
 class StoreStandin:
@@ -104,6 +106,9 @@
         if self.faults.refuse_count:
             self.faults.refuse_count -= 1
             return web.Response(status=503)
+        reads = request.path in ("/log-read", "/log-newest")
+        if reads and request.query["topic"] in self.faults.unreadable_topics:
+            return web.Response(status=503)
         handlers = {
             "/log-append": self._append,
             "/log-read": self._read,
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Coroutine, Sequence
 from typing import Any, Protocol
 
@@ -13,8 +14,9 @@
 from .election import FindLeader, Leader
 from .errors import RequestError, TarragoncartError
 from .graph import JobSpec, QueueRule, Rules, Submission
+from .jobmodel import ENDED
 from .mailbox import Actor, new_reply, receives, resolve
-from .scheduler import CountPending, JobView, Lookup, Scheduler
+from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
 from .timer import Timer
 from .writer import STORED, Write, Writer
 
@@ -26,7 +28,7 @@
 
     async def lookup(self, address: str, job_id: str) -> JobView: ...
 
-    async def count_pending(self, address: str, queue: str) -> int: ...
+    async def count_pending(self, address: str, queue: str) -> PendingView: ...
 
     async def close(self) -> None: ...
 
@@ -297,24 +299,34 @@
     async def _find_phase(self, job_id: str) -> str:
         """Return the phase of a job.
 
+        A final phase is stored and never changes, so it is given whatever the age of the view.
+
         :raises RequestError: 410 if there is no such job, 503 if that cannot be determined.
         """
         view = await self._query_leader(
             lambda scheduler, reply: scheduler.tell(Lookup(job_id, reply)),
             lambda address: self._peers.lookup(address, job_id),
         )
+        if view.phase in ENDED:
+            return view.phase
         if view.phase:
+            # Newer submissions don't change the phase of a known job; a new leader may.
+            _check_proven(math.isfinite(view.view_age_ms))
             return view.phase
-        if view.view_age_ms > defaults.INTAKE_VIEW_MAX_AGE_MS:
-            raise _refusal("the leader's view of jobs is too old", "view_too_old", 503)
+        _check_proven(view.view_age_ms <= defaults.INTAKE_VIEW_MAX_AGE_MS)
         raise _refusal("there is no such job", "unknown_job", 410)
 
     async def _query_pending_count(self, queue: str) -> PendingCount:
-        count = await self._query_leader(
+        """Count a queue's jobs that have not started.
+
+        :raises RequestError: 503 if jobs may be missing in the count.
+        """
+        view = await self._query_leader(
             lambda scheduler, reply: scheduler.tell(CountPending(queue, reply)),
             lambda address: self._peers.count_pending(address, queue),
         )
-        return PendingCount(count)
+        _check_proven(view.view_age_ms <= defaults.INTAKE_VIEW_MAX_AGE_MS)
+        return PendingCount(view.count)
 
     async def _query_leader(self, query_local: Any, query_remote: Any) -> Any:
         for _ in range(defaults.LOOKUP_TRY_COUNT):
@@ -397,5 +409,14 @@
         await self._peers.close()
 
 
+def _check_proven(proven: bool) -> None:
+    """Refuse a query if the age of the leader's view does not prove the answer.
+
+    :raises RequestError: 503, as another try may reach a leader with a newer view.
+    """
+    if not proven:
+        raise _refusal("the leader's view of jobs is too old", "leader_view_too_old", 503)
+
+
 def _refusal(message: str, code: str, status: int) -> RequestError:
     return RequestError(message, code=code, status=status, step="answer caller")
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +14,7 @@
 from . import defaults
 from .errors import PeerError
 from .mailbox import new_reply
-from .scheduler import CountPending, JobView, Lookup, Scheduler
+from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
 from .sessions import open_session
 
 NOT_LEADING_STATUS = 409
@@ -33,14 +34,15 @@
         :raises PeerError: if the peer does not answer or does not lead.
         """
         data = await self._get(address, f"/jobs/{job_id}")
-        return JobView(data["phase"], data["view_age_ms"])
+        return JobView(data["phase"], _decode_age_ms(data))
 
-    async def count_pending(self, address: str, queue: str) -> int:
+    async def count_pending(self, address: str, queue: str) -> PendingView:
         """Query how many jobs of a queue have not started.
 
         :raises PeerError: if the peer does not answer or does not lead.
         """
-        return (await self._get(address, f"/queues/{queue}"))["pending_count"]
+        data = await self._get(address, f"/queues/{queue}")
+        return PendingView(data["pending_count"], _decode_age_ms(data))
 
     async def is_leader(self, address: str) -> bool:
         """Ask whether the peer leads.
@@ -105,10 +107,18 @@
             answer = await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
         except TimeoutError:
             return web.Response(status=503)
-        if isinstance(answer, JobView):
-            # An unconfirmed view has an infinite age, which JSON cannot represent.
-            age_ms = min(answer.view_age_ms, 1e9)
-            data = {"phase": answer.phase, "view_age_ms": round(age_ms)}
-        else:
-            data = {"pending_count": answer}
-        return web.Response(body=json.dumps(data).encode(), content_type="application/json")
+        body = json.dumps(_encode_view(answer)).encode()
+        return web.Response(body=body, content_type="application/json")
+
+
+def _encode_view(view: JobView | PendingView) -> dict[str, Any]:
+    """Encode an answer; an infinite age, which JSON cannot represent, becomes null."""
+    age_ms = round(view.view_age_ms) if math.isfinite(view.view_age_ms) else None
+    if isinstance(view, JobView):
+        return {"phase": view.phase, "view_age_ms": age_ms}
+    return {"pending_count": view.count, "view_age_ms": age_ms}
+
+
+def _decode_age_ms(data: dict[str, Any]) -> float:
+    age_ms = data["view_age_ms"]
+    return float("inf") if age_ms is None else age_ms
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -57,6 +57,17 @@
     view_age_ms: float
 
 
+@frozen
+class PendingView:
+    """The leader's answer to a :class:`CountPending`.
+
+    :param view_age_ms: as for :class:`JobView`.
+    """
+
+    count: int
+    view_age_ms: float
+
+
 @frozen
 class Lookup:
     """Request for the phase of a job."""
@@ -70,7 +81,7 @@
     """Request for the number of jobs of a queue that have not started."""
 
     queue: str
-    reply: asyncio.Future[int]
+    reply: asyncio.Future[PendingView]
 
 
 @frozen
@@ -615,14 +626,11 @@
     def on_lookup(self, message: Lookup) -> None:
         """Answer with the phase of a job."""
         job = self._jobs.get(message.job_id)
-        age_ms = self._timer.now_ms() - self._intake_as_of_ms
-        if not self._loaded or self._timer.now_ms() >= self._permitted_until_ms:
-            age_ms = float("inf")
         phase = ""
         if job is not None:
             # An end that is not stored yet could still be lost with this leader.
             phase = job.phase if not job.ended or job.stored else jobmodel.RUNNING
-        resolve(message.reply, JobView(phase, age_ms))
+        resolve(message.reply, JobView(phase, self._view_age_ms()))
 
     @receives(CountPending)
     def on_count_pending(self, message: CountPending) -> None:
@@ -631,7 +639,14 @@
             job.submission.queue == message.queue and job.phase == jobmodel.QUEUED
             for job in self._unfinished.values()
         )
-        resolve(message.reply, count)
+        resolve(message.reply, PendingView(count, self._view_age_ms()))
+
+    def _view_age_ms(self) -> float:
+        """Return the age of the view from which queries are answered."""
+        now_ms = self._timer.now_ms()
+        if not self._loaded or now_ms >= self._permitted_until_ms:
+            return float("inf")
+        return now_ms - self._intake_as_of_ms
 
 
 def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -477,6 +477,39 @@
     assert await node.caller.call("GET", "/q/") == (200, {"pending": 0})
 
 
+async def test_no_count_is_given_from_an_old_view_of_the_jobs(run_node, store):
+    """Guards against a leader that reports no waiting jobs because it cannot read the new ones."""
+    node = await run_node()
+    assert await submit(node) == 200
+    assert await node.caller.phase(f"/q/{JOB_ID}", "queued") == "queued"
+    assert await node.caller.call("GET", "/q/") == (200, {"pending": 1})
+    store.standin.faults.unreadable_topics = frozenset({"keyed.intake"})
+    view_age_ms = node.scheduler._view_age_ms
+    assert await wait_until(lambda: view_age_ms() > defaults.INTAKE_VIEW_MAX_AGE_MS)
+    assert (await node.caller.call("GET", "/q/"))[0] == 503
+
+
+async def test_an_entry_vm_gives_only_answers_that_the_age_of_the_leaders_view_proves(run_node):
+    """Guards against phases and counts from a leader that has not restored its state."""
+    leader = await run_node()
+    assert await submit(leader) == 200
+    other = await run_node("node-2")
+    assert await other.caller.phase(f"/q/{JOB_ID}", "queued") == "queued"
+    assert await other.caller.call("GET", "/q/") == (200, {"pending": 1})
+    scheduler = leader.scheduler
+    scheduler._loaded = False
+    for node in (leader, other):
+        assert (await node.caller.call("GET", f"/q/{JOB_ID}"))[0] == 503
+        assert (await node.caller.call("GET", "/q/"))[0] == 503
+        assert (await node.caller.call("GET", "/q/00000000000000aa"))[0] == 503
+    scheduler._loaded = True
+    assert (await other.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    assert await other.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+    scheduler._loaded = False
+    for node in (leader, other):
+        assert await node.caller.call("GET", f"/q/{JOB_ID}") == (200, {"phase": "cancelled"})
+
+
 async def test_a_malformed_job_is_refused_as_such(run_node):
     """Guards against a body that makes the handler fail instead of getting a 400."""
     node = await run_node()
