Start the owner of the VMs only after the leader's state is restored

A new leader ordered maintenance and moves of VMs whose tasks it had not read yet, and so ended tasks beyond the disruption budgets of their steps.

Cause: the owner of the VMs started as soon as the leader's records had been read, beside the accepted jobs. The scheduler answered its requests to vacate an upstream from slots that held no tasks yet: nothing was to be moved and no disruption budget was affected, so the upstream counted as vacated at once. A take-over of 25 ms hid this; those of the grown sites last 0.2 to 3 s. The owner now starts when the state has been restored, so that each request to vacate is answered from known tasks; messages for it wait in its inbox until then.

The test failed before: the upstream of two tasks of a step with "may-miss": 1 was vacated before the state was restored.

--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -129,7 +129,6 @@
                 e.key: e.value for e in self._stored_state if e.key.startswith(FLEET_KEY_PREFIX)
             }
             self._fleet = self._make_fleet(self, fleet_records)
-            self._fleet.start()
         if self._make_advisor is not None:
             self._advisor = self._make_advisor(self)
             self._advisor.start()
@@ -289,6 +288,9 @@
                 job.phase = jobmodel.RUNNING
             self._admit(job)
         self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
+        if self._fleet is not None:
+            # An order for a VM is safe only if the tasks on its upstream are known.
+            self._fleet.start()
         after_ms = self._timer.now_ms() - self._leader_since_ms
         metrics.TAKEOVER_DURATION.record(after_ms)
         logger.info(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,9 +17,11 @@
 from tarragoncart.election import Leader
 from tarragoncart.entrance import CurrentLeader
 from tarragoncart.intake import partitions_of
-from tarragoncart.link import ReportReceived
+from tarragoncart.link import ExtendPermission, ReportReceived
+from tarragoncart.loads import Loads
+from tarragoncart.mailbox import Actor, receives
 from tarragoncart.runs import LiveRun, UpstreamReport
-from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
+from tarragoncart.vmorders import UpstreamEnded, UpstreamVacated, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -444,6 +446,60 @@
     assert await wait_until(lambda: not worker.runs)
 
 
+class VacatingFleet(Actor):
+    """Stand-in for the owner of the VMs that requests an upstream to be vacated until it is."""
+
+    def __init__(self, scheduler):
+        super().__init__("fleet")
+        self.scheduler = scheduler
+        self.vacated = []
+
+    async def on_open(self):
+        """Request the upstream to be vacated, as for maintenance whose grace period is over."""
+        self.scheduler.tell(VacateUpstream("i-1", 0.0))
+
+    @receives(UpstreamVacated)
+    def on_vacated(self, message):
+        """Record the upstream."""
+        self.vacated.append(message.upstream_id)
+
+    @receives(ExtendPermission)
+    def on_extend_permission(self, message):
+        """Ignore the message."""
+
+    @receives(Loads)
+    def on_loads(self, message):
+        """Ignore the message."""
+
+
+async def test_a_new_leader_vacates_no_upstream_before_its_state_is_restored(
+    run_node, add_worker, store
+):
+    """Guards against maintenance that ends tasks which a new leader has not restored yet."""
+    worker = await add_worker(worker=TaskWorker(work_ms=0))
+    first = await run_node("node-1")
+    protected = {**TASK, "long-running": True, "may-miss": 1}
+    assert await submit(first, {"spec": "text", "steps": [protected]}) == 200
+    assert await wait_until(lambda: len(worker.runs) == 2)
+    await first.stop()
+    store.standin.faults.unreadable_topics = frozenset({"keyed.intake"})
+    second = await run_node("node-2")
+    fleets = []
+
+    def make_fleet(scheduler, records):
+        fleets.append(VacatingFleet(scheduler))
+        return fleets[0]
+
+    second.opened.node._fleet_factory = lambda epoch, writer: make_fleet
+    assert await wait_until(lambda: fleets, 6.0)
+    await asyncio.sleep(0.5)
+    assert not fleets[0].vacated
+    store.standin.faults.unreadable_topics = frozenset()
+    assert await wait_until(lambda: second.scheduler._loaded)
+    await asyncio.sleep(0.5)
+    assert len(worker.runs) == 2 and not fleets[0].vacated
+
+
 async def test_all_entry_vms_lost_at_once_lose_no_job(run_node, add_worker, store):
     """Guards against losing an accepted job when all entry VMs crash right after its answer."""
     first = await run_node("node-1")
