Count superseded runs against the spread constraint of their step

A task was started on an upstream that still ran another task of its step, although the step allows one a upstream.

Run 1 of task 8 was on that upstream; at 42.416 s the upstream counted as slow and the task was allowed a second run, which went elsewhere. Run 1 continued as a copy (done at 44.376 s), and at 43.720 s run 2 of task 4 was assigned to the same upstream.

Cause: StepOccurrence.upstream_counts counted each task's current run only. Gangs start from the same counts instead of from zero. All placement (scheduling passes, tasks moved before planned stops, reruns of slow runs) uses this count, so the constraint holds for each of them.

The test failed before: the second task was placed on the upstream of the first task's copy.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -185,7 +185,7 @@
 
     Upstreams on which the task failed come last, then those outside the rack with its data.
 
-    :param counts: number of the step's tasks on each upstream.
+    :param counts: number of the step's runs on each upstream.
     """
     step = task.step
     spec = step.spec
@@ -310,7 +310,7 @@
 ) -> list[UpstreamSlot] | None:
     spec = step.spec
     free = {slot.entry.upstream_id: slot.free for slot in slots}
-    counts: dict[str, int] = {}
+    counts = step.upstream_counts()
     places: list[UpstreamSlot] = []
     needs_advice = step.job.submission.needs_advice
     if needs_advice and now_ms >= step.tickets_until_ms:
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import Any
 
@@ -148,11 +149,10 @@
         return (task for task in self.tasks if task.startable)
 
     def upstream_counts(self) -> dict[str, int]:
-        """Return the number of its placed tasks on each upstream."""
-        counts: dict[str, int] = {}
+        """Return the number of its runs on each upstream, current ones and others."""
+        counts = Counter(task.upstream_id for task in self.tasks if task.placed)
         for task in self.tasks:
-            if task.state in PLACED:
-                counts[task.upstream_id] = counts.get(task.upstream_id, 0) + 1
+            counts.update(task.copies.values())
         return counts
 
 
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -102,6 +102,18 @@
     assert set(places.values()) == {"i-2"}
 
 
+def test_a_copy_counts_against_the_spread_constraint(assign, make_job):
+    """Guards against a task started beside a superseded run of another task of its step."""
+    job = make_job(task_count=3, max_per_upstream_count=1, speculative=True)
+    copied, other, third = job.tasks()
+    copied.state, copied.upstream_id, copied.run = "running", "i-2", 2
+    copied.copies = {1: "i-1"}
+    assert assign(job)[0] == {}
+    copied.copies = {}
+    assert assign(job)[0] == {other.name: "i-1"}
+    assert third.state == "waiting"
+
+
 def test_a_gang_is_placed_as_a_whole_or_not_at_all(assign, make_job):
     """Guards against tasks of a gang that occupy capacity while they wait for the others."""
     assert assign(make_job(task_count=9, gang=True))[0] == {}
