Start a gang only when no earlier run of its tasks is left

A gang with one task whose earlier run was still listed by an upstream was started as a whole as soon as another of its tasks could start: a second run of that task at the same time (TWICE), or a start refused there.

Found by reading, while tracing the spread constraint; no play has shown it. A pass skips steps without any startable task, but the placement of gangs looked at the state "waiting" only, which a task also has while an earlier run of it is listed (Task.startable checks both). It now requires every task of the gang to be startable.

The test failed before: the gang was placed beside the listed run.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -274,7 +274,7 @@
 ) -> Iterator[Task]:
     """Assign all tasks of a gang or none, within one rack if the step prefers that."""
     tasks = step.tasks
-    if any(task.state != "waiting" or task.retry_ms > now_ms for task in tasks):
+    if any(not task.startable or task.retry_ms > now_ms for task in tasks):
         return
     usage = usages.get(step.job.submission.account)
     total = Demand().plus(step.spec.demand, len(tasks))
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -114,6 +114,16 @@
     assert third.state == "waiting"
 
 
+def test_a_gang_waits_until_no_earlier_run_of_it_is_left(assign, make_job):
+    """Guards against a second run of a gang's task beside one that an upstream still lists."""
+    job = make_job(task_count=2, gang=True)
+    first, _ = job.tasks()
+    first.copies = {1: "i-1"}
+    assert assign(job)[0] == {}
+    first.copies = {}
+    assert len(assign(job)[0]) == 2
+
+
 def test_a_gang_is_placed_as_a_whole_or_not_at_all(assign, make_job):
     """Guards against tasks of a gang that occupy capacity while they wait for the others."""
     assert assign(make_job(task_count=9, gang=True))[0] == {}
