--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -185,7 +185,7 @@
 
     Upstreams on which the task failed come last, then those outside the rack with its data.
 
-    :param counts: number of the step's tasks on each upstream.
+    :param counts: number of the step's runs on each upstream.
     """
     step = task.step
     spec = step.spec
@@ -274,7 +274,7 @@
 ) -> Iterator[Task]:
     """Assign all tasks of a gang or none, within one rack if the step prefers that."""
     tasks = step.tasks
-    if any(task.state != "waiting" or task.retry_ms > now_ms for task in tasks):
+    if any(not task.startable or task.retry_ms > now_ms for task in tasks):
         return
     usage = usages.get(step.job.submission.account)
     total = Demand().plus(step.spec.demand, len(tasks))
@@ -310,7 +310,7 @@
 ) -> list[UpstreamSlot] | None:
     spec = step.spec
     free = {slot.entry.upstream_id: slot.free for slot in slots}
-    counts: dict[str, int] = {}
+    counts = step.upstream_counts()
     places: list[UpstreamSlot] = []
     needs_advice = step.job.submission.needs_advice
     if needs_advice and now_ms >= step.tickets_until_ms:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,9 +17,11 @@
 from tarragoncart.election import Leader
 from tarragoncart.entrance import CurrentLeader
 from tarragoncart.intake import partitions_of
-from tarragoncart.link import ReportReceived
+from tarragoncart.link import ExtendPermission, ReportReceived
+from tarragoncart.loads import Loads
+from tarragoncart.mailbox import Actor, receives
 from tarragoncart.runs import LiveRun, UpstreamReport
-from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
+from tarragoncart.vmorders import UpstreamEnded, UpstreamVacated, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -444,6 +446,60 @@
     assert await wait_until(lambda: not worker.runs)
 
 
+class VacatingFleet(Actor):
+    """Stand-in for the owner of the VMs that requests an upstream to be vacated until it is."""
+
+    def __init__(self, scheduler):
+        super().__init__("fleet")
+        self.scheduler = scheduler
+        self.vacated = []
+
+    async def on_open(self):
+        """Request the upstream to be vacated, as for maintenance whose grace period is over."""
+        self.scheduler.tell(VacateUpstream("i-1", 0.0))
+
+    @receives(UpstreamVacated)
+    def on_vacated(self, message):
+        """Record the upstream."""
+        self.vacated.append(message.upstream_id)
+
+    @receives(ExtendPermission)
+    def on_extend_permission(self, message):
+        """Ignore the message."""
+
+    @receives(Loads)
+    def on_loads(self, message):
+        """Ignore the message."""
+
+
+async def test_a_new_leader_vacates_no_upstream_before_its_state_is_restored(
+    run_node, add_worker, store
+):
+    """Guards against maintenance that ends tasks which a new leader has not restored yet."""
+    worker = await add_worker(worker=TaskWorker(work_ms=0))
+    first = await run_node("node-1")
+    protected = {**TASK, "long-running": True, "may-miss": 1}
+    assert await submit(first, {"spec": "text", "steps": [protected]}) == 200
+    assert await wait_until(lambda: len(worker.runs) == 2)
+    await first.stop()
+    store.standin.faults.unreadable_topics = frozenset({"keyed.intake"})
+    second = await run_node("node-2")
+    fleets = []
+
+    def make_fleet(scheduler, records):
+        fleets.append(VacatingFleet(scheduler))
+        return fleets[0]
+
+    second.opened.node._fleet_factory = lambda epoch, writer: make_fleet
+    assert await wait_until(lambda: fleets, 6.0)
+    await asyncio.sleep(0.5)
+    assert not fleets[0].vacated
+    store.standin.faults.unreadable_topics = frozenset()
+    assert await wait_until(lambda: second.scheduler._loaded)
+    await asyncio.sleep(0.5)
+    assert len(worker.runs) == 2 and not fleets[0].vacated
+
+
 async def test_all_entry_vms_lost_at_once_lose_no_job(run_node, add_worker, store):
     """Guards against losing an accepted job when all entry VMs crash right after its answer."""
     first = await run_node("node-1")
@@ -477,6 +533,39 @@
     assert await node.caller.call("GET", "/q/") == (200, {"pending": 0})
 
 
+async def test_no_count_is_given_from_an_old_view_of_the_jobs(run_node, store):
+    """Guards against a leader that reports no waiting jobs because it cannot read the new ones."""
+    node = await run_node()
+    assert await submit(node) == 200
+    assert await node.caller.phase(f"/q/{JOB_ID}", "queued") == "queued"
+    assert await node.caller.call("GET", "/q/") == (200, {"pending": 1})
+    store.standin.faults.unreadable_topics = frozenset({"keyed.intake"})
+    view_age_ms = node.scheduler._view_age_ms
+    assert await wait_until(lambda: view_age_ms() > defaults.INTAKE_VIEW_MAX_AGE_MS)
+    assert (await node.caller.call("GET", "/q/"))[0] == 503
+
+
+async def test_an_entry_vm_gives_only_answers_that_the_age_of_the_leaders_view_proves(run_node):
+    """Guards against phases and counts from a leader that has not restored its state."""
+    leader = await run_node()
+    assert await submit(leader) == 200
+    other = await run_node("node-2")
+    assert await other.caller.phase(f"/q/{JOB_ID}", "queued") == "queued"
+    assert await other.caller.call("GET", "/q/") == (200, {"pending": 1})
+    scheduler = leader.scheduler
+    scheduler._loaded = False
+    for node in (leader, other):
+        assert (await node.caller.call("GET", f"/q/{JOB_ID}"))[0] == 503
+        assert (await node.caller.call("GET", "/q/"))[0] == 503
+        assert (await node.caller.call("GET", "/q/00000000000000aa"))[0] == 503
+    scheduler._loaded = True
+    assert (await other.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    assert await other.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+    scheduler._loaded = False
+    for node in (leader, other):
+        assert await node.caller.call("GET", f"/q/{JOB_ID}") == (200, {"phase": "cancelled"})
+
+
 async def test_a_malformed_job_is_refused_as_such(run_node):
     """Guards against a body that makes the handler fail instead of getting a 400."""
     node = await run_node()
