Restore jobs in slices, without decoding those that have ended

Callers saw: after each loss of the leader the next one answered late, was taken for dead and lost the lead within seconds, in a series, while no task was assigned.

Cause, one part of it: the handler of the first intake message decoded the submissions of all jobs of the last minutes and released their tasks in one go, and on_open kept all messages, also queries, waiting until the state was read. Measured on a full core: 45 us a submission, 78 us to release a job; at 2,000 unfinished jobs one block of 308 ms of processor time, 1.2 s on a quarter of it, with a membership that is renewed every 400 ms.

Now `restoration` yields jobs one by one from the records and `takeover`, a layer below `scheduler`, consumes them in slices of RESTORE_SLICE_MS; the event loop runs in between. Submissions of jobs whose end is stored are not decoded. Handlers marked `needs_jobs` get their messages after the last slice, in order; of a link's messages the newest, as reports are complete. Links are opened while the state is read. A query gets "not known yet" at once, no longer a time-out. The jobs become visible together, so that no answer comes from a part of them.

The tests failed before: 303 submissions decoded for 3 unfinished jobs; a block of 308 ms against the bound of 100 ms (400 ms on a quarter of the processor). The model test restores each job in a slice of its own.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -158,6 +158,9 @@
 UPSTREAM_SILENT_MS = 1_800
 ACKNOWLEDGE_WAIT_MS = 400
 PLACEMENT_DELAY_MS = 4
+# A new leader restores jobs in slices of this length. Between them it renews its membership and
+# answers other entry VMs, which take a leader for dead after PROBE_TIMEOUT_MS.
+RESTORE_SLICE_MS = 10
 SCHEDULER_TICK_MS = 250
 # A submission that has no outcome after this long is answered as unknown.
 SUBMIT_TIMEOUT_MS = 1_800
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -4,8 +4,8 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterable, Iterator
-from typing import Any
+from collections.abc import Iterator, Mapping
+from typing import Any, ClassVar
 
 from attrs import Factory, define, field
 
@@ -237,6 +237,24 @@
         return submission.stretch * self.critical_path_ms() + submission.target_latency_ms
 
 
+@define(eq=False)
+class EndedJob:
+    """A job that has ended under an earlier leader; its submission is not needed any more.
+
+    :param ended_ms: Unix time of its end.
+    :param parts: partitions that hold records of the job.
+    """
+
+    job_id: str
+    phase: str
+    ended_ms: int
+    parts: set[int] = field(factory=set)
+    cancelled: ClassVar[bool] = False
+    ended: ClassVar[bool] = True
+    stored: ClassVar[bool] = True
+    steps: ClassVar[Mapping[tuple[int, int], StepOccurrence]] = {}
+
+
 def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
     """Split a task's name into job ID, occurrence, step and index; None if it is malformed."""
     parts = name.rsplit(".", 3)
@@ -294,23 +312,15 @@
     return json.dumps({"phase": job.phase, "at": job.ended_ms}, separators=(",", ":")).encode()
 
 
-def restore(jobs: dict[str, Job], entries: Iterable[tuple[str, bytes]]) -> list[str]:
-    """Apply the records of the state topic to the accepted jobs.
+def restore_step(job: Job, key: str, value: bytes) -> None:
+    """Apply the record of a step occurrence to its job."""
+    occurrence, number = (int(part) for part in key.split(".")[1:])
+    while job.released_count <= occurrence:
+        job.release(job.released_count)
+    decode_step(job.steps[occurrence, number], value)
 
-    :returns: keys of records that belong to no accepted job.
-    """
-    unknown: list[str] = []
-    for key, value in entries:
-        job_id, _, rest = key.partition(".")
-        job = jobs.get(job_id)
-        if job is None:
-            unknown.append(key)
-        elif not rest:
-            data = json.loads(value)
-            job.phase, job.ended_ms, job.stored = data["phase"], data["at"], True
-        else:
-            occurrence, number = (int(part) for part in rest.split("."))
-            while job.released_count <= occurrence:
-                job.release(job.released_count)
-            decode_step(job.steps[occurrence, number], value)
-    return unknown
+
+def decode_end(job_id: str, value: bytes) -> EndedJob:
+    """Decode the record of the end of a job."""
+    data = json.loads(value)
+    return EndedJob(job_id, data["phase"], data["at"])
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from typing import Any, ClassVar
 
 import reactivex
@@ -159,6 +159,10 @@
                 if isinstance(reply, asyncio.Future) and not reply.done():
                     reply.set_exception(error)
 
+    def _put_back(self, messages: Sequence[Any]) -> None:
+        """Put messages before all others in the inbox, whose limit does not apply."""
+        self._inbox.extendleft(reversed(messages))
+
     def drain_inbox(self) -> Iterator[Any]:
         """Remove and yield the waiting messages, for tests that run the handlers themselves."""
         while self._inbox:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -21,7 +21,7 @@
 from .mailbox import receives
 from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
-from .runstate import KnownUpstream, RunState
+from .runstate import KnownUpstream, RunState, needs_jobs
 from .storage import Entry
 
 logger = logging.getLogger(__name__)
@@ -122,15 +122,17 @@
 
     # Reports.
 
+    def _note_first_report(self, upstream: KnownUpstream) -> None:
+        upstream.first_reported_ms = min(upstream.first_reported_ms, self._timer.now_ms())
+
     @receives(ReportReceived)
+    @needs_jobs
     def on_report_received(self, message: ReportReceived) -> None:
         """Reconcile the runs that an upstream lists with those that it should have."""
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is None:
             return
-        upstream.first_reported_ms = min(upstream.first_reported_ms, self._timer.now_ms())
-        if not self._loaded:
-            return
+        self._note_first_report(upstream)
         report = message.report
         slot = upstream.slot
         if upstream.started_ms and report.started_ms and report.started_ms != upstream.started_ms:
@@ -372,6 +374,7 @@
                 self._release_orphan(upstream, key)
 
     @receives(PollFailed)
+    @needs_jobs
     def on_poll_failed(self, message: PollFailed) -> None:
         """Assign no new tasks to an upstream that did not answer."""
         upstream = self._upstreams.get(message.upstream_id)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -15,7 +15,7 @@
 from .follower import Follower
 from .graph import Rules, UpstreamEntry
 from .intake import IntakeReader
-from .jobmodel import TASK_CHART, Job, StepOccurrence, Task
+from .jobmodel import TASK_CHART, EndedJob, Job, StepOccurrence, Task
 from .link import (
     Acknowledge,
     ClientFactory,
@@ -28,16 +28,21 @@
     max_lease_ms,
 )
 from .loads import OfferedLoad, SubmissionShares
-from .mailbox import Actor, implements_action, receives
+from .mailbox import Actor, Handler, implements_action, receives
 from .progress import ProgressTracker
 from .runs import StartOrder
-from .storage import Entry
 from .timer import Timer
 from .writer import Writer
 
 logger = logging.getLogger(__name__)
 
 
+def needs_jobs(handler: Handler) -> Handler:
+    """Mark a handler whose messages wait until a new leader has restored all jobs."""
+    handler.needs_jobs = True  # type: ignore[attr-defined]
+    return handler
+
+
 @frozen
 class SchedulingPass:
     """Trigger of a scheduling pass: place waiting tasks and store state changes."""
@@ -152,14 +157,13 @@
         self._make_advisor = make_advisor
         self._advisor: Actor | None = None
         self._permitted_until_ms = 0.0
-        self._jobs: dict[str, Job] = {}
+        self._jobs: dict[str, Job | EndedJob] = {}
         # By job ID, partition of a cancellation that was read before its job.
         self._early_cancels: dict[str, int] = {}
         self._upstreams: dict[str, KnownUpstream] = {}
         self._usages: dict[str, Usage] = {}
         self._ready_steps: dict[str, dict[StepOccurrence, None]] = {}
         self._unfinished: dict[str, Job] = {}
-        self._stored_state: tuple[Entry, ...] | None = None
         self._loaded = False
         self._intake_as_of_ms = 0.0
         self._effects = DeferredEffects()
@@ -181,7 +185,7 @@
         self._loads_sent_ms = 0.0
         self._summary_logged_ms = 0.0
         # Jobs whose end is stored, in the order of their ends.
-        self._ended: deque[Job] = deque()
+        self._ended: deque[Job | EndedJob] = deque()
         self._shares = SubmissionShares()
         self._offered_load = OfferedLoad(defaults.OFFERED_WINDOWS_MS, defaults.OFFERED_MIN_COUNT)
         self._malformed: set[str] = set()
@@ -238,7 +242,7 @@
             self._early_cancels[job_id] = part
             return
         job.parts.add(part)
-        if job.cancelled or job.ended:
+        if isinstance(job, EndedJob) or job.cancelled or job.ended:
             return
         job.cancelled = True
         self._end_job(job, jobmodel.CANCELLED, "cancelled by the caller")
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -4,35 +4,33 @@
 
 import asyncio
 import logging
-from collections import Counter, deque
-from collections.abc import Iterable, Iterator
+from collections import Counter
+from collections.abc import Iterator
 
 from attrs import frozen
 
-from . import assignment, defaults, intake, jobmodel, metrics
+from . import assignment, defaults, intake, jobmodel
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
 from .election import Fenced, LeadershipConfirmed
-from .errors import StoreRefusedError, StoreUnknownError
-from .follower import TopicChanges, TopicSnapshot, read_newest
+from .follower import TopicChanges, TopicSnapshot
 from .graph import Rules
 from .intake import DeleteJobRecords, IntakeRead
-from .jobmodel import Job, StepOccurrence
+from .jobmodel import EndedJob, Job, StepOccurrence
 from .link import (
     ExtendPermission,
     FencedByUpstream,
 )
 from .loads import Loads
 from .mailbox import new_reply, receives, resolve
-from .runstate import DeferredEffects, KnownUpstream, SchedulingPass
-from .stops import PlannedStops
-from .storage import Entry
-from .vmorders import FLEET_KEY_PREFIX, WaveRequested
-from .writer import FENCED, STORED, Write
+from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
+from .takeover import STATE_TOPIC as STATE_TOPIC
+from .takeover import TakeOver
+from .vmorders import WaveRequested
+from .writer import FENCED, Write
 
 logger = logging.getLogger(__name__)
 
-STATE_TOPIC = "keyed.state"
 PRODUCER = "scheduler"
 
 
@@ -96,11 +94,11 @@
 
 @frozen
 class _Deletion:
-    job: Job
+    job: Job | EndedJob
     succeeded: bool
 
 
-class Scheduler(PlannedStops):
+class Scheduler(TakeOver):
     """Schedules all jobs during one epoch of leadership.
 
     :class:`RunState` documents the parameters.
@@ -109,59 +107,10 @@
     # Start and stop.
 
     async def on_open(self) -> None:
-        """Fence earlier leaders, read the stored state and start reading jobs and upstreams."""
-        self._writer.start()
-        self._upstream_follower.start()
-        reply = new_reply()
-        self._writer.tell(Write((), reply))
-        if await reply != STORED:
-            self._election.tell(Fenced(self._epoch))
-            return
-        self._fenced_ms = self._timer.now_ms()
-        self._log_takeover_step("earlier leaders are fenced")
-        # Jobs and state are read concurrently, as each call takes long while the store is slow.
-        # Neither is read before the fence: an earlier leader could drop a job between the two.
-        self._intake.start()
-        self._stored_state = await self._read_state()
-        self._log_takeover_step("state is read", self._stored_state)
-        if self._make_fleet is not None:
-            fleet_records = {
-                e.key: e.value for e in self._stored_state if e.key.startswith(FLEET_KEY_PREFIX)
-            }
-            self._fleet = self._make_fleet(self, fleet_records)
-        if self._make_advisor is not None:
-            self._advisor = self._make_advisor(self)
-            self._advisor.start()
+        """Start the take-over and the periodic checks."""
+        await super().on_open()
         self.subscribe(self._timer.every(defaults.SCHEDULER_TICK_MS), _Tick())
 
-    def _log_takeover_step(self, step: str, entries: Iterable[Entry] = ()) -> None:
-        """Log when a step of the take-over has ended, and the size of what it has read."""
-        sizes_bytes = [len(entry.value) for entry in entries]
-        logger.info(
-            "step of the take-over has ended",
-            extra={
-                "epoch": self._epoch,
-                "step": step,
-                "record_count": len(sizes_bytes),
-                "size_bytes": sum(sizes_bytes),
-                "after_ms": round(self._timer.now_ms() - self._leader_since_ms),
-            },
-        )
-
-    async def _read_state(self) -> tuple[Entry, ...]:
-        store = self._make_store()
-        try:
-            while True:
-                try:
-                    return (await read_newest(store, STATE_TOPIC)).entries
-                except (StoreRefusedError, StoreUnknownError) as error:
-                    logger.warning(
-                        "stored state cannot be read; retrying", extra={"reason": str(error)}
-                    )
-                    await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
-        finally:
-            await store.close()
-
     async def on_close(self) -> None:
         """Stop all actors of this epoch."""
         links = [upstream.link for upstream in self._upstreams.values() if upstream.link]
@@ -183,6 +132,7 @@
                 upstream.link.tell(ExtendPermission(message.valid_until_ms))
 
     @receives(WaveRequested)
+    @needs_jobs
     def on_wave(self, message: WaveRequested) -> None:
         """Forward a request for maintenance to the owner of the VMs."""
         if self._fleet is not None:
@@ -226,19 +176,16 @@
             self._process_registrations(message.entries)
 
     @receives(IntakeRead)
+    @needs_jobs
     def on_intake(self, message: IntakeRead) -> None:
         """Process accepted and cancelled jobs."""
         self._intake_as_of_ms = message.as_of_ms
-        if not self._loaded:
-            self._log_takeover_step("jobs are read", (entry for _, entry in message.entries))
         cancelled: list[tuple[str, int]] = []
         for part, entry in message.entries:
             if entry.key.startswith(intake.JOB_PREFIX):
                 self._add_job(entry.key.removeprefix(intake.JOB_PREFIX), entry.value, part)
             elif entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
                 cancelled.append((entry.key.removeprefix(intake.CANCEL_PREFIX), part))
-        if not self._loaded:
-            self._apply_stored_state()
         for job_id, part in cancelled:
             self._cancel_job(job_id, part)
         self._request_pass()
@@ -255,55 +202,20 @@
         except ValueError as error:
             self._log_malformed(job_id, error)
             return
-        wall_ms = self._timer.wall_ms()
-        job = Job(submission, wall_ms if self._loaded else min(submission.accepted_ms, wall_ms))
+        job = Job(submission, self._timer.wall_ms())
         job.parts.add(part)
         self._jobs[job_id] = job
-        if self._loaded:
-            account = submission.account
-            weight = self._usage(account).weight
-            if account and self._shares.exceeds(self._timer.now_ms(), account, weight):
-                job.beyond_share = True
-            if not submission.spec.long_running:
-                work = submission.spec.work_millicore_ms
-                self._offered_load.add(self._timer.now_ms(), submission.pool, work)
-            self._admit(job)
-            early_part = self._early_cancels.pop(job_id, None)
-            if early_part is not None:
-                self._cancel_job(job_id, early_part)
-
-    def _apply_stored_state(self) -> None:
-        """Apply the stored state to the accepted jobs, once both have been read."""
-        self._loaded = True
-        entries = self._stored_state or ()
-        unknown = jobmodel.restore(self._jobs, _job_records(entries))
-        self._dropped_keys.extend(unknown)
-        self._stored_state = None
-        placed_count = 0
-        for job in self._jobs.values():
-            for task in job.tasks():
-                if task.placed:
-                    placed_count += 1
-                    self._restore_placed_task(task)
-            if job.phase == jobmodel.QUEUED and any(task.run for task in job.tasks()):
-                job.phase = jobmodel.RUNNING
-            self._admit(job)
-        self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
-        if self._fleet is not None:
-            # An order for a VM is safe only if the tasks on its upstream are known.
-            self._fleet.start()
-        after_ms = self._timer.now_ms() - self._leader_since_ms
-        metrics.TAKEOVER_DURATION.record(after_ms)
-        logger.info(
-            "state taken over",
-            extra={
-                "epoch": self._epoch,
-                "job_count": len(self._jobs),
-                "unfinished_count": len(self._unfinished),
-                "placed_count": placed_count,
-                "after_ms": round(after_ms),
-            },
-        )
+        account = submission.account
+        weight = self._usage(account).weight
+        if account and self._shares.exceeds(self._timer.now_ms(), account, weight):
+            job.beyond_share = True
+        if not submission.spec.long_running:
+            work = submission.spec.work_millicore_ms
+            self._offered_load.add(self._timer.now_ms(), submission.pool, work)
+        self._admit(job)
+        early_part = self._early_cancels.pop(job_id, None)
+        if early_part is not None:
+            self._cancel_job(job_id, early_part)
 
     # Placement and commit.
 
@@ -547,7 +459,7 @@
         while self._ended and self._ended[0].ended_ms < horizon_ms:
             self._drop_job(self._ended.popleft())
 
-    def _drop_job(self, job: Job) -> None:
+    def _drop_job(self, job: Job | EndedJob) -> None:
         """Remove the record of a job's acceptance from the store.
 
         The record of its end is removed only afterwards; otherwise a new leader would run the job
@@ -650,10 +562,3 @@
         if not self._loaded or now_ms >= self._permitted_until_ms:
             return float("inf")
         return now_ms - self._intake_as_of_ms
-
-
-def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
-    """Yield the records of the leader's state that belong to jobs."""
-    for entry in entries:
-        if entry.value and not entry.key.startswith(FLEET_KEY_PREFIX):
-            yield entry.key, entry.value
--- /dev/null
+++ b/src/tarragoncart/takeover.py
@@ -0,0 +1,223 @@
+"""Take-over: a new leader fences earlier ones and restores the stored jobs in short slices."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from attrs import frozen
+
+from . import defaults, jobmodel, metrics
+from .election import Fenced
+from .errors import StoreRefusedError, StoreUnknownError
+from .follower import read_newest
+from .intake import IntakeRead
+from .jobmodel import EndedJob, Job
+from .link import ExtendPermission, PollFailed, ReportReceived
+from .mailbox import new_reply, receives
+from .restoration import Cancellation, MalformedRecord, Restored, UnknownKey, restore
+from .stops import PlannedStops
+from .storage import Entry
+from .vmorders import FLEET_KEY_PREFIX
+from .writer import STORED, Write
+
+logger = logging.getLogger(__name__)
+
+STATE_TOPIC = "keyed.state"
+
+
+@frozen
+class _StateRead:
+    """The stored state, read after earlier leaders have been fenced."""
+
+    entries: tuple[Entry, ...]
+
+
+@frozen
+class _RestoreSlice:
+    """Restore jobs for the duration of a slice."""
+
+
+class TakeOver(PlannedStops):
+    """Restores the stored jobs; the event loop runs and other messages are handled in between.
+
+    Handlers marked with ``needs_jobs`` process their messages once all jobs are restored. Of each
+    link only the newest message is kept until then, as every report is complete.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._stored_state: tuple[Entry, ...] | None = None
+        self._accepted: IntakeRead | None = None
+        self._restoration: Iterator[Restored | None] = iter(())
+        self._restored_jobs: dict[str, Job | EndedJob] = {}
+        self._cancellations: list[Cancellation] = []
+        self._placed_count = 0
+        self._held: list[Any] = []
+        self._held_by_upstream: dict[str, ReportReceived | PollFailed] = {}
+
+    async def on_open(self) -> None:
+        """Start to read the upstreams and, once earlier leaders are fenced, jobs and state."""
+        self._writer.start()
+        self._upstream_follower.start()
+        self.spawn(self._fence_and_read())
+        if self._make_advisor is not None:
+            self._advisor = self._make_advisor(self)
+            self._advisor.start()
+
+    async def _fence_and_read(self) -> None:
+        reply = new_reply()
+        self._writer.tell(Write((), reply))
+        if await reply != STORED:
+            self._election.tell(Fenced(self._epoch))
+            return
+        self._fenced_ms = self._timer.now_ms()
+        self._log_takeover_step("earlier leaders are fenced")
+        # Jobs and state are read concurrently, as each call takes long while the store is slow.
+        # Neither is read before the fence: an earlier leader could drop a job between the two.
+        self._intake.start()
+        self.tell(_StateRead(await self._read_state()))
+
+    def _log_takeover_step(self, step: str, entries: Iterable[Entry] = ()) -> None:
+        """Log when a step of the take-over has ended, and the size of what it has read."""
+        sizes_bytes = [len(entry.value) for entry in entries]
+        logger.info(
+            "step of the take-over has ended",
+            extra={
+                "epoch": self._epoch,
+                "step": step,
+                "record_count": len(sizes_bytes),
+                "size_bytes": sum(sizes_bytes),
+                "after_ms": round(self._timer.now_ms() - self._leader_since_ms),
+            },
+        )
+
+    async def _read_state(self) -> tuple[Entry, ...]:
+        store = self._make_store()
+        try:
+            while True:
+                try:
+                    return (await read_newest(store, STATE_TOPIC)).entries
+                except (StoreRefusedError, StoreUnknownError) as error:
+                    logger.warning(
+                        "stored state cannot be read; retrying", extra={"reason": str(error)}
+                    )
+                    await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
+        finally:
+            await store.close()
+
+    def handle(self, message: Any) -> Any:
+        """Handle a message, or hold it until all jobs are restored if its handler needs them."""
+        handler = self._handlers[type(message)]
+        if self._loaded or not getattr(handler, "needs_jobs", False):
+            return super().handle(message)
+        if isinstance(message, IntakeRead) and self._accepted is None:
+            self._log_takeover_step("jobs are read", (entry for _, entry in message.entries))
+            self._accepted = message
+            self._start_restoring()
+        elif isinstance(message, ReportReceived | PollFailed):
+            self._hold_for_upstream(message)
+        else:
+            self._held.append(message)
+        return None
+
+    def _hold_for_upstream(self, message: ReportReceived | PollFailed) -> None:
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None and isinstance(message, ReportReceived):
+            self._note_first_report(upstream)
+        self._held_by_upstream[message.upstream_id] = message
+
+    @receives(_StateRead)
+    def on_state_read(self, message: _StateRead) -> None:
+        """Create the owner of the VMs, and restore the jobs if they have been read as well."""
+        self._log_takeover_step("state is read", message.entries)
+        self._stored_state = message.entries
+        if self._make_fleet is not None:
+            fleet_records = {
+                e.key: e.value for e in message.entries if e.key.startswith(FLEET_KEY_PREFIX)
+            }
+            self._fleet = self._make_fleet(self, fleet_records)
+            self._fleet.tell(ExtendPermission(self._permitted_until_ms))
+        self._start_restoring()
+
+    def _start_restoring(self) -> None:
+        if self._stored_state is None or self._accepted is None:
+            return
+        records = _job_records(self._stored_state)
+        self._restoration = restore(self._accepted.entries, records, self._timer.wall_ms())
+        self.tell(_RestoreSlice())
+
+    @receives(_RestoreSlice)
+    def on_restore_slice(self, message: _RestoreSlice) -> None:
+        """Restore jobs for ``RESTORE_SLICE_MS``, then let the event loop run."""
+        end_ms = self._timer.now_ms() + defaults.RESTORE_SLICE_MS
+        for restored in self._restoration:
+            if restored is not None:
+                self._add_restored(restored)
+            if self._timer.now_ms() >= end_ms:
+                asyncio.get_running_loop().call_soon(self.tell, message)
+                return
+        self._complete_restoring()
+
+    def _add_restored(self, restored: Restored) -> None:
+        match restored:
+            case Job():
+                self._add_restored_job(restored)
+            case EndedJob():
+                self._restored_jobs[restored.job_id] = restored
+                self._ended.append(restored)
+            case Cancellation():
+                self._cancellations.append(restored)
+            case MalformedRecord():
+                self._log_malformed(restored.key, restored.error)
+            case UnknownKey():
+                self._dropped_keys.append(restored.key)
+
+    def _add_restored_job(self, job: Job) -> None:
+        self._restored_jobs[job.job_id] = job
+        for task in job.tasks():
+            if task.placed:
+                self._placed_count += 1
+                self._restore_placed_task(task)
+        if any(task.run for task in job.tasks()):
+            job.phase = jobmodel.RUNNING
+        self._admit(job)
+
+    def _complete_restoring(self) -> None:
+        assert self._accepted is not None
+        self._jobs = self._restored_jobs
+        self._loaded = True
+        self._intake_as_of_ms = self._accepted.as_of_ms
+        self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
+        for cancellation in self._cancellations:
+            self._cancel_job(cancellation.job_id, cancellation.part)
+        after_ms = self._timer.now_ms() - self._leader_since_ms
+        metrics.TAKEOVER_DURATION.record(after_ms)
+        logger.info(
+            "state taken over",
+            extra={
+                "epoch": self._epoch,
+                "job_count": len(self._jobs),
+                "unfinished_count": len(self._unfinished),
+                "placed_count": self._placed_count,
+                "after_ms": round(after_ms),
+            },
+        )
+        if self._fleet is not None:
+            # An order for a VM is safe only if the tasks on its upstream are known.
+            self._fleet.start()
+        self._stored_state, self._accepted = None, None
+        self._cancellations, self._restored_jobs = [], {}
+        self._put_back([*self._held, *self._held_by_upstream.values()])
+        self._held, self._held_by_upstream = [], {}
+        self._request_pass()
+
+
+def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
+    """Yield the records of the leader's state that belong to jobs."""
+    for entry in entries:
+        if entry.value and not entry.key.startswith(FLEET_KEY_PREFIX):
+            yield entry.key, entry.value
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -27,6 +27,8 @@
 def simulate(monkeypatch, platform_config):
     """Return a function that runs a simulation and returns it once all jobs should have ended."""
     platform_config["routes"][0] |= {"max-attempts": 5, "public": True}
+    # Each restored job is a slice of its own, so that all other messages come in between.
+    monkeypatch.setattr(defaults, "RESTORE_SLICE_MS", 0)
 
     def run(seed, faults=True, scenario=_simulate):
         simulation = Simulation(random.Random(seed))
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,141 @@
+"""A new leader's take-over: how it restores the stored jobs, and what it does meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import itertools
+import json
+import time
+
+import pytest
+
+from tarragoncart import defaults, intake
+from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
+from tarragoncart.jobmodel import COMPLETED, QUEUED
+from tarragoncart.mailbox import new_reply
+from tarragoncart.scheduler import CountPending, Lookup
+
+# A processor of a small entry VM does a quarter of the work of this one, and a leader renews its
+# membership every 400 ms.
+LONGEST_BLOCK_S = defaults.MEMBERSHIP_TTL_MS / defaults.JOINS_PER_TTL_COUNT / 4 / 1_000
+
+
+def submission(number):
+    """Return a job of two steps with 24 tasks."""
+    steps = (StepSpec(12, Demand(1_000, 256), 500), StepSpec(12, Demand(1_000, 256), 500, (0,)))
+    spec = JobSpec("x" * 600, steps)
+    return Submission(f"{number:016x}", "q", "pool", "shop", 0, 2, 1.6, 600, 1, spec)
+
+
+@pytest.fixture
+def store_jobs(store):
+    """Return a function that stores jobs as earlier leaders left them, and returns their IDs."""
+
+    def put(count, ended=False, first=0):
+        jobs = [submission(number) for number in range(first, first + count)]
+        for job in jobs:
+            key, value = intake.submission_record(job)
+            store.standin.put(intake.TOPIC, key, json.loads(value), int(job.job_id, 16) % 2)
+            if ended:
+                now_ms = time.time_ns() // 1_000_000
+                store.standin.put("keyed.state", job.job_id, {"phase": COMPLETED, "at": now_ms})
+        return [job.job_id for job in jobs]
+
+    return put
+
+
+@pytest.fixture
+def lookup():
+    """Return a function that asks a scheduler about a job."""
+
+    async def ask(scheduler, job_id):
+        reply = new_reply()
+        scheduler.tell(Lookup(job_id, reply))
+        return await asyncio.wait_for(reply, 2.0)
+
+    return ask
+
+
+@pytest.fixture
+def leader(run_node):
+    """Return a function that starts an entry VM and waits until it leads."""
+
+    async def start():
+        node = await run_node()
+        while node.scheduler is None:
+            await asyncio.sleep(0.001)
+        return node.scheduler
+
+    return start
+
+
+@pytest.fixture
+def production_gc():
+    """Collect garbage as rarely as the program does."""
+    thresholds = gc.get_threshold()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(defaults.GC_THRESHOLD_COUNT, 20, 50)
+    yield
+    gc.set_threshold(*thresholds)
+    gc.unfreeze()
+
+
+async def wait_until_restored(scheduler):
+    """Wait until a leader has restored all jobs."""
+    while not scheduler._loaded:
+        await asyncio.sleep(0.005)
+
+
+async def longest_block_s(until):
+    """Return the longest processor time of an iteration of the event loop until a task ends."""
+    longest_s = 0.0
+    for _ in itertools.takewhile(lambda _: not until.done(), itertools.count()):
+        started_s = time.thread_time()
+        await asyncio.sleep(0)
+        longest_s = max(longest_s, time.thread_time() - started_s)
+    return longest_s
+
+
+async def test_submissions_of_ended_jobs_are_not_decoded(store_jobs, leader, lookup, monkeypatch):
+    """Guards against a take-over whose work grows with the number of jobs that have ended."""
+    decoded = []
+    decode = intake.decode_submission
+    monkeypatch.setattr(
+        intake, "decode_submission", lambda value: decoded.append(value) or decode(value)
+    )
+    ended = store_jobs(300, ended=True)
+    unfinished = store_jobs(3, first=300)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    assert len(decoded) == 3
+    assert {(await lookup(scheduler, job_id)).phase for job_id in ended} == {COMPLETED}
+    assert {(await lookup(scheduler, job_id)).phase for job_id in unfinished} == {QUEUED}
+
+
+async def test_a_take_over_of_many_jobs_does_not_block_the_event_loop(
+    store_jobs, leader, production_gc
+):
+    """Guards against a leader that is taken for dead while it restores jobs."""
+    store_jobs(2_000)
+    scheduler = await leader()
+    restored = asyncio.ensure_future(wait_until_restored(scheduler))
+    assert await longest_block_s(restored) < LONGEST_BLOCK_S
+
+
+async def test_queries_during_a_take_over_are_not_answered_from_a_part_of_the_jobs(
+    store_jobs, leader, lookup, monkeypatch
+):
+    """Guards against a wrong phase or count, and against queries that wait for the restoration."""
+    monkeypatch.setattr(defaults, "RESTORE_SLICE_MS", 0)
+    job_ids = store_jobs(500)
+    scheduler = await leader()
+    reply = new_reply()
+    scheduler.tell(CountPending("q", reply))
+    views = []
+    while not scheduler._loaded:
+        views += [await lookup(scheduler, job_ids[0]), await lookup(scheduler, job_ids[-1])]
+    views = [view for view in views if view.view_age_ms == float("inf")]
+    assert views and {view.phase for view in views} == {""}
+    assert (await asyncio.wait_for(reply, 2.0)).view_age_ms == float("inf")
