Vacate no upstream before its runs are restored

A request to vacate an upstream that came before the jobs were read found no runs there and was answered as done, so that maintenance could end tasks that a disruption budget protects. The request now waits until all jobs are restored. The test failed before: UpstreamVacated was sent while the intake could not be read.

--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -14,7 +14,7 @@
 from .loads import UpstreamLoad
 from .mailbox import receives
 from .reports import Reports
-from .runstate import KnownUpstream
+from .runstate import KnownUpstream, needs_jobs
 from .vmorders import ReadmitUpstream, UpstreamEnded, UpstreamVacated, VacateUpstream
 
 logger = logging.getLogger(__name__)
@@ -61,6 +61,7 @@
             )
 
     @receives(VacateUpstream)
+    @needs_jobs
     def on_vacate(self, message: VacateUpstream) -> None:
         """Assign no new tasks to an upstream and move its tasks elsewhere where possible."""
         upstream = self._upstreams.get(message.upstream_id)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,8 +13,9 @@
 from tarragoncart import defaults, intake
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.jobmodel import COMPLETED, QUEUED
-from tarragoncart.mailbox import new_reply
+from tarragoncart.mailbox import Actor, new_reply
 from tarragoncart.scheduler import CountPending, Lookup
+from tarragoncart.vmorders import UpstreamVacated, VacateUpstream
 
 # A processor of a small entry VM does a quarter of the work of this one, and a leader renews its
 # membership every 400 ms.
@@ -139,3 +140,27 @@
     views = [view for view in views if view.view_age_ms == float("inf")]
     assert views and {view.phase for view in views} == {""}
     assert (await asyncio.wait_for(reply, 2.0)).view_age_ms == float("inf")
+
+
+class FleetCollector(Actor):
+    """Owner of the VMs that only stores what the scheduler tells it."""
+
+    def __init__(self):
+        super().__init__("fleet")
+        self.messages = []
+
+    def tell(self, message):
+        """Store a message."""
+        self.messages.append(message)
+
+
+async def test_no_upstream_is_vacated_before_its_runs_are_restored(leader, store, store_jobs):
+    """Guards against maintenance of a VM whose runs the new leader does not know yet."""
+    store_jobs(1)
+    store.standin.put("keyed.state", f"{0:016x}.0.0", [[0, "p", 1, "i-1"]])
+    store.standin.faults.unresponsive_parts = {intake.TOPIC: {0, 1}}
+    scheduler = await leader()
+    scheduler._fleet = fleet = FleetCollector()
+    scheduler.tell(VacateUpstream("i-1", None))
+    await asyncio.sleep(0.3)
+    assert not any(isinstance(m, UpstreamVacated) for m in fleet.messages)
