Delete the acceptance record of a job soon after its end

Callers saw: a leader on a small entry VM took 1.8 to 4.1 s to take over, or did not complete before the next epoch was claimed.

Cause: it reads the acceptance records of all jobs of the last `status_s`, about 1.3 KB each, encoded in base64, over a link of 5 Mbit/s.

Now the records are deleted, in batches of one append a partition and second, once the end is stored. Order: end stored, acceptance deleted, end deleted after the retention time and only while no partition holds a record of the job. After a crash between any two of them the end is there as long as an acceptance is. An end without an acceptance is restored as an ended job; before, it was deleted as unknown. A job that is submitted again in between is recognised by its end and its new record is deleted again.

The first test failed before, as the record stayed; the second one fails if an end is deleted while a record is left. The model test now submits one job in five again.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -208,6 +208,9 @@
 ESTIMATE_DEFAULT_MS = 1_000
 # Ended jobs are kept for this much longer than the platform requires, as clocks differ.
 RETENTION_MARGIN_MS = 60_000
+# Acceptance records of ended jobs are deleted in batches, one a partition in this time.
+ENDED_RECORDS_DELETE_MS = 1_000
+ENDED_RECORDS_BATCH_COUNT = 1_000
 # Added to the longest duration of a stop, after which a run that is not listed counts as ended.
 STOP_MARGIN_MS = 50
 PROBE_TIMEOUT_MS = 350
--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -86,13 +86,13 @@
 
 @frozen
 class DeleteJobRecords:
-    """Delete the records of a job from the partitions that contain some.
+    """Delete the records of jobs from a partition.
 
-    :param reply: resolved with whether all of them were deleted.
+    :param reply: resolved with whether they were deleted.
     """
 
-    job_id: str
-    parts: frozenset[int]
+    job_ids: tuple[str, ...]
+    part: int
     reply: asyncio.Future[bool]
 
 
@@ -162,18 +162,18 @@
 
     @receives(DeleteJobRecords)
     def on_delete_job_records(self, message: DeleteJobRecords) -> None:
-        """Delete a job's records."""
+        """Delete the records of acceptance and cancellation of jobs."""
         self.spawn(self._delete_job_records(message))
 
     async def _delete_job_records(self, message: DeleteJobRecords) -> None:
-        keys = (JOB_PREFIX + message.job_id, CANCEL_PREFIX + message.job_id)
-        replies = []
-        for part in message.parts:
-            reply = new_reply()
-            replies.append(reply)
-            self._writer(part).tell(Write(tuple((key, b"") for key in keys), reply))
-        outcomes = await asyncio.gather(*replies)
-        resolve(message.reply, all(outcome == STORED for outcome in outcomes))
+        records = tuple(
+            (prefix + job_id, b"")
+            for job_id in message.job_ids
+            for prefix in (JOB_PREFIX, CANCEL_PREFIX)
+        )
+        reply = new_reply()
+        self._writer(message.part).tell(Write(records, reply))
+        resolve(message.reply, await reply == STORED)
 
     def _writer(self, part: int) -> Writer:
         writer = self._writers.get(part)
--- a/src/tarragoncart/restoration.py
+++ b/src/tarragoncart/restoration.py
@@ -80,8 +80,9 @@
         elif entry.key.startswith(intake.JOB_PREFIX) and entry.value:
             yield _restore_job(jobs, part, entry, state, wall_ms)
     for job_id in state.ends.keys() - jobs.keys():
-        yield UnknownKey(job_id)
-    for job_id in state.steps.keys() - jobs.keys():
+        # The acceptance record is deleted first, so that only the end is left.
+        yield jobmodel.decode_end(job_id, state.ends[job_id])
+    for job_id in state.steps.keys() - jobs.keys() - state.ends.keys():
         yield from (UnknownKey(key) for key, _ in state.steps[job_id])
 
 
--- /dev/null
+++ b/src/tarragoncart/retention.py
@@ -0,0 +1,100 @@
+"""Retention of ended jobs: which of their records the leader deletes from the store, and when."""
+
+from __future__ import annotations
+
+import logging
+from itertools import islice
+
+from attrs import frozen
+
+from . import defaults
+from .intake import DeleteJobRecords
+from .jobmodel import EndedJob, Job
+from .mailbox import new_reply, receives
+from .stops import PlannedStops
+
+logger = logging.getLogger(__name__)
+
+
+@frozen
+class _RecordsDeleted:
+    """Outcome of a deletion of records of ended jobs from a partition."""
+
+    part: int
+    job_ids: tuple[str, ...]
+    succeeded: bool
+
+
+class Retention(PlannedStops):
+    """Deletes the acceptance records of ended jobs soon, and those of their ends later.
+
+    A new leader reads all acceptance records, and most of them would be those of ended jobs. The
+    record of an end is stored before the acceptance record is deleted, and is deleted itself after
+    the retention time and only while no partition holds a record of the job. Until then it shows
+    that a submission that is repeated must not run again.
+    """
+
+    def _retain(self, job: Job | EndedJob) -> None:
+        """Retain a job whose end is stored, and have its acceptance records deleted."""
+        self._ended.append(job)
+        for part in job.parts:
+            self._add_part(job, part)
+
+    def _delete_records_of_ended_jobs(self, now_ms: float) -> None:
+        """Send the due deletions, at most one at a time to each partition."""
+        if now_ms - self._deletions_sent_ms < defaults.ENDED_RECORDS_DELETE_MS:
+            return
+        self._deletions_sent_ms = now_ms
+        for part in self._deletable.keys() - self._deleting_parts:
+            job_ids = tuple(islice(self._deletable[part], defaults.ENDED_RECORDS_BATCH_COUNT))
+            for job_id in job_ids:
+                del self._deletable[part][job_id]
+            if job_ids:
+                self._deleting_parts.add(part)
+                self._send_deletion(part, job_ids)
+
+    def _send_deletion(self, part: int, job_ids: tuple[str, ...]) -> None:
+        reply = new_reply()
+        reply.add_done_callback(
+            lambda done: (
+                None
+                if done.cancelled()
+                else self.tell(_RecordsDeleted(part, job_ids, done.result()))
+            )
+        )
+        self._intake.tell(DeleteJobRecords(job_ids, part, reply))
+
+    @receives(_RecordsDeleted)
+    def on_records_deleted(self, message: _RecordsDeleted) -> None:
+        """Note which jobs have no record in a partition any more, or delete again later.
+
+        A job that was submitted again in the meantime has another record there.
+        """
+        self._deleting_parts.discard(message.part)
+        deletable = self._deletable.setdefault(message.part, {})
+        for job_id in message.job_ids:
+            job = self._jobs.get(job_id)
+            if not message.succeeded:
+                deletable[job_id] = None
+            elif job is not None and job_id not in deletable:
+                job.parts.discard(message.part)
+
+    def _drop_expired_jobs(self) -> None:
+        """Drop jobs that ended longer ago than the retention time, in memory and in the store.
+
+        The record of an end is deleted only while no acceptance record is left; otherwise a new
+        leader would run the job again.
+        """
+        horizon_ms = self._timer.wall_ms() - self._retention_ms - defaults.RETENTION_MARGIN_MS
+        kept = []
+        while self._ended and self._ended[0].ended_ms < horizon_ms:
+            job = self._ended.popleft()
+            if job.parts:
+                kept.append(job)
+                continue
+            self._jobs.pop(job.job_id, None)
+            self._dropped_keys.append(job.job_id)
+            logger.info("job dropped after its retention time", extra={"job": job.job_id})
+        self._ended.extendleft(reversed(kept))
+        if self._dropped_keys:
+            self._request_pass()
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -186,6 +186,10 @@
         self._summary_logged_ms = 0.0
         # Jobs whose end is stored, in the order of their ends.
         self._ended: deque[Job | EndedJob] = deque()
+        # By partition, ended jobs of which it may hold records that are not needed any more.
+        self._deletable: dict[int, dict[str, None]] = {}
+        self._deleting_parts: set[int] = set()
+        self._deletions_sent_ms = 0.0
         self._shares = SubmissionShares()
         self._offered_load = OfferedLoad(defaults.OFFERED_WINDOWS_MS, defaults.OFFERED_MIN_COUNT)
         self._malformed: set[str] = set()
@@ -217,11 +221,14 @@
 
     # Jobs.
 
+    def _add_part(self, job: Job | EndedJob, part: int) -> None:
+        """Note that a partition holds a record of a job."""
+        job.parts.add(part)
+        if job.ended and job.stored:
+            self._deletable.setdefault(part, {})[job.job_id] = None
+
     def _admit(self, job: Job) -> None:
         """Release the due occurrences of a job and queue the steps that are ready."""
-        if job.ended:
-            self._ended.append(job)
-            return
         self._unfinished[job.job_id] = job
         now_ms = self._timer.wall_ms()
         while job.released_count < job.occurrence_count:
@@ -241,7 +248,7 @@
         if job is None:
             self._early_cancels[job_id] = part
             return
-        job.parts.add(part)
+        self._add_part(job, part)
         if isinstance(job, EndedJob) or job.cancelled or job.ended:
             return
         job.cancelled = True
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -15,8 +15,8 @@
 from .election import Fenced, LeadershipConfirmed
 from .follower import TopicChanges, TopicSnapshot
 from .graph import Rules
-from .intake import DeleteJobRecords, IntakeRead
-from .jobmodel import EndedJob, Job, StepOccurrence
+from .intake import IntakeRead
+from .jobmodel import Job, StepOccurrence
 from .link import (
     ExtendPermission,
     FencedByUpstream,
@@ -92,12 +92,6 @@
     effects: DeferredEffects
 
 
-@frozen
-class _Deletion:
-    job: Job | EndedJob
-    succeeded: bool
-
-
 class Scheduler(TakeOver):
     """Schedules all jobs during one epoch of leadership.
 
@@ -195,7 +189,7 @@
             return
         if job_id in self._jobs:
             # The same job was also submitted through another entry VM.
-            self._jobs[job_id].parts.add(part)
+            self._add_part(self._jobs[job_id], part)
             return
         try:
             submission = intake.decode_submission(value)
@@ -411,7 +405,7 @@
                 upstream.link.tell(acknowledgement)
         for job in effects.ended_jobs:
             job.stored = True
-            self._ended.append(job)
+            self._retain(job)
 
     # Time.
 
@@ -426,6 +420,7 @@
         for job in list(self._unfinished.values()):
             if job.released_count < job.occurrence_count:
                 self._admit(job)
+        self._delete_records_of_ended_jobs(now_ms)
         self._drop_expired_jobs()
         self._send_loads()
         self._log_summary(now_ms)
@@ -453,38 +448,6 @@
             },
         )
 
-    def _drop_expired_jobs(self) -> None:
-        """Drop jobs that ended longer ago than the retention time, in memory and in the store."""
-        horizon_ms = self._timer.wall_ms() - self._retention_ms - defaults.RETENTION_MARGIN_MS
-        while self._ended and self._ended[0].ended_ms < horizon_ms:
-            self._drop_job(self._ended.popleft())
-
-    def _drop_job(self, job: Job | EndedJob) -> None:
-        """Remove the record of a job's acceptance from the store.
-
-        The record of its end is removed only afterwards; otherwise a new leader would run the job
-        again.
-        """
-        reply = new_reply()
-        reply.add_done_callback(
-            lambda done: None if done.cancelled() else self.tell(_Deletion(job, done.result()))
-        )
-        self._intake.tell(DeleteJobRecords(job.job_id, frozenset(job.parts), reply))
-
-    @receives(_Deletion)
-    def on_deletion(self, message: _Deletion) -> None:
-        """Drop a job whose acceptance record has been removed, or retry later."""
-        if not message.succeeded:
-            self._ended.append(message.job)
-            return
-        self._jobs.pop(message.job.job_id, None)
-        logger.info(
-            "job dropped after its retention time",
-            extra={"job": message.job.job_id, "parts": sorted(message.job.parts)},
-        )
-        self._dropped_keys.append(message.job.job_id)
-        self._request_pass()
-
     def _check_upstream(self, upstream: KnownUpstream, now_ms: float) -> None:
         slot = upstream.slot
         if slot.slow and now_ms - slot.slow_measured_ms > defaults.SLOW_EXPIRY_MS:
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -19,7 +19,7 @@
 from .link import ExtendPermission, PollFailed, ReportReceived
 from .mailbox import new_reply, receives
 from .restoration import Cancellation, MalformedRecord, Restored, UnknownKey, restore
-from .stops import PlannedStops
+from .retention import Retention
 from .storage import Entry
 from .vmorders import FLEET_KEY_PREFIX
 from .writer import STORED, Write
@@ -41,7 +41,7 @@
     """Restore jobs for the duration of a slice."""
 
 
-class TakeOver(PlannedStops):
+class TakeOver(Retention):
     """Restores the stored jobs; the event loop runs and other messages are handled in between.
 
     Handlers marked with ``needs_jobs`` process their messages once all jobs are restored. Of each
@@ -168,7 +168,7 @@
                 self._add_restored_job(restored)
             case EndedJob():
                 self._restored_jobs[restored.job_id] = restored
-                self._ended.append(restored)
+                self._retain(restored)
             case Cancellation():
                 self._cancellations.append(restored)
             case MalformedRecord():
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -124,6 +124,7 @@
 async def _submit_jobs(simulation, accepted, make_job, jobs_per_s=2.0):
     end_s = simulation.now_s() + FAULT_S
     count = 0
+    repeated = []
     while simulation.now_s() < end_s:
         await asyncio.sleep(simulation.rng.expovariate(jobs_per_s))
         node = simulation.rng.choice(list(simulation.nodes.values()))
@@ -132,6 +133,17 @@
         answer = await simulation.submit(node, job_id, make_job(simulation.rng))
         if isinstance(answer, Accepted):
             accepted.append(job_id)
+        if simulation.rng.random() < 0.2:
+            again = _submit_again(simulation, job_id, simulation.rng.uniform(0.0, 8.0))
+            repeated.append(asyncio.ensure_future(again))
+    await asyncio.gather(*repeated)
+
+
+async def _submit_again(simulation, job_id, delay_s):
+    """Submit a job once more, at any entry VM; a caller does so after a lost answer."""
+    await asyncio.sleep(delay_s)
+    node = simulation.rng.choice(list(simulation.nodes.values()))
+    await simulation.submit(node, job_id, simulation.jobs[job_id])
 
 
 async def _inject_faults(simulation, faults):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -594,6 +594,53 @@
     assert len(worker.starts) == 4
 
 
+async def test_an_ended_job_is_known_and_never_runs_again_without_its_acceptance_record(
+    run_node, add_worker, store
+):
+    """Guards against records that each new leader reads, and against an end that they alone show.
+
+    The acceptance record is deleted soon after the end, and the job is submitted once more.
+    """
+    worker = await add_worker()
+    node = await run_node()
+    assert await submit(node) == 200
+    record = json.loads(store.standin.newest("keyed.intake")[f"j/{JOB_ID}"])
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await wait_until(lambda: not store.standin.newest("keyed.intake"))
+    assert JOB_ID in store.standin.newest("keyed.state")
+    store.standin.put("keyed.intake", f"j/{JOB_ID}", record, 1)
+    assert await wait_until(lambda: not store.standin.newest("keyed.intake"))
+    await node.stop()
+    second = await run_node("node-2")
+    assert await second.caller.phase(f"/q/{JOB_ID}", "completed", 8.0) == "completed"
+    store.standin.put("keyed.intake", f"j/{JOB_ID}", record, 0)
+    assert await wait_until(lambda: not store.standin.newest("keyed.intake"))
+    assert (await second.caller.call("GET", f"/q/{JOB_ID}"))[1] == {"phase": "completed"}
+    assert len(worker.starts) == 4
+
+
+async def test_an_end_outlives_all_acceptance_records_of_its_job(run_node, add_worker, store):
+    """Guards against a second run of a job whose end is deleted before its acceptance."""
+    worker = await add_worker()
+    node = await run_node()
+    assert await submit(node) == 200
+    record = json.loads(store.standin.newest("keyed.intake")[f"j/{JOB_ID}"])
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    store.standin.faults.refused_parts = {"keyed.intake": {1}}
+    store.standin.put("keyed.intake", f"j/{JOB_ID}", record, 1)
+    node.scheduler._retention_ms = -1_000_000
+    await asyncio.sleep(1.5)
+    assert JOB_ID in store.standin.newest("keyed.state")
+    await node.stop()
+    store.standin.faults.refused_parts = {}
+    second = await run_node("node-2")
+    assert await second.caller.phase(f"/q/{JOB_ID}", "completed", 8.0) == "completed"
+    second.scheduler._retention_ms = -1_000_000
+    assert await wait_until(lambda: not store.standin.newest("keyed.state"))
+    assert not store.standin.newest("keyed.intake")
+    assert len(worker.starts) == 4
+
+
 async def test_a_run_that_is_being_stopped_still_runs(run_node, add_worker, store):
     """Guards against a second run while a run that is being stopped is in neither list.
 
