Look at the upstreams once a scheduling pass

Cause of passes that block the event loop while steps wait: for each step without room the pass visited all upstreams to count the shortage. The test failed before: 51 visits for 50 waiting steps.

--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -165,6 +165,8 @@
         self._unstarted: deque[KnownUpstream] = deque()
         self._usages: dict[str, Usage] = {}
         self._ready_steps: dict[str, dict[StepOccurrence, None]] = {}
+        # Upstreams with links at the last scheduling pass.
+        self._slots_by_pool: dict[str, list[UpstreamSlot]] = {}
         self._unfinished: dict[str, Job] = {}
         self._loaded = False
         self._intake_as_of_ms = 0.0
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -227,16 +227,17 @@
         now_ms = self._timer.now_ms()
         wall_ms = self._timer.wall_ms()
         order = assignment.ORDERS.get(defaults.STEP_ORDER)
-        slots_by_pool: dict[str, list[UpstreamSlot]] = {}
+        self._slots_by_pool = {}
         for upstream in self._upstreams.values():
-            if upstream.slot.usable:
-                slots_by_pool.setdefault(upstream.slot.entry.pool, []).append(upstream.slot)
+            if upstream.link is not None:
+                pool = upstream.slot.entry.pool
+                self._slots_by_pool.setdefault(pool, []).append(upstream.slot)
         self._short_millicores = Counter()
         self._backlog_millicore_ms = Counter()
         for pool, steps in self._ready_steps.items():
             for step in [s for s in steps if not any(True for _ in s.waiting())]:
                 del steps[step]
-            slots = slots_by_pool.get(pool, [])
+            slots = [slot for slot in self._slots_by_pool.get(pool, ()) if slot.usable]
             if not steps:
                 continue
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
@@ -335,7 +336,7 @@
         given more and more VMs, none of which could run the step.
         """
         pool, spec = step.job.pool, step.spec
-        slots = [u.slot for u in self._upstreams.values() if u.slot.entry.pool == pool and u.link]
+        slots = self._slots_by_pool.get(pool, [])
         if slots and not any(assignment.admits_when_empty(slot, spec) for slot in slots):
             return
         cpu_millicores = spec.counted.cpu_millicores
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -218,3 +218,29 @@
     monkeypatch.setattr(defaults, "LINK_START_PAUSE_MS", 1)
     await asyncio.sleep(0.5)
     assert len(started) == 40
+
+
+class CountedUpstreams(dict):
+    """Upstreams that count how often all of them are visited."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.visit_count = 0
+
+    def values(self):
+        """Count a visit."""
+        self.visit_count += 1
+        return super().values()
+
+
+async def test_a_scheduling_pass_does_not_visit_all_upstreams_for_each_waiting_step(
+    store_jobs, leader
+):
+    """Guards against passes that take upstreams times waiting steps and leave no time to answer."""
+    store_jobs(50)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    scheduler._upstreams = upstreams = CountedUpstreams(scheduler._upstreams)
+    scheduler._place()
+    assert upstreams.visit_count == 1
+    assert scheduler._backlog_millicore_ms["pool"] > 0
