Limit the number of tasks that a pass assigns

Cause of an event loop that is late right after a take-over or a burst: a pass assigned all waiting tasks, and their starts were then sent in one iteration of the loop.

A pass now assigns ASSIGNMENT_LIMIT_COUNT tasks, shared out among the pools with waiting steps; the next pass follows when the assignments are stored, as before. Only a gang exceeds the limit, as it is assigned as a whole. Steps that a pass does not reach are not counted as short of capacity.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -223,24 +223,33 @@
     reserve: Callable[[Task, UpstreamSlot], None],
     report_wait: Callable[[StepOccurrence, WaitReason], None],
     ranking: Ranking = home_first,
+    limit_count: int | None = None,
 ) -> Iterator[Task]:
     """Assign waiting tasks to upstreams in the order of the steps, and yield the assigned tasks.
 
     :param reserve: reserves the capacity; called for each assignment before the next choice.
     :param report_wait: called with the reason for each step of which a task cannot be assigned.
+    :param limit_count: maximum of tasks to assign, which only a gang exceeds; None for no limit.
     """
     refused: list[tuple[StepSpec, Demand]] = []
+    left_count = float("inf") if limit_count is None else limit_count
     for step in steps:
         spec = step.spec
+        if left_count <= 0:
+            return
         if any(_needs_at_least(spec, other) for other, _ in refused):
             report_wait(step, WaitReason.NO_ROOM)
             continue
         if spec.gang:
-            yield from _plan_gang(step, slots, usages, now_ms, reserve, report_wait, ranking)
+            for task in _plan_gang(step, slots, usages, now_ms, reserve, report_wait, ranking):
+                left_count -= 1
+                yield task
             continue
         counts = step.upstream_counts()
         usage = usages.get(step.job.submission.account)
         for task in list(step.waiting()):
+            if left_count <= 0:
+                return
             if task.retry_ms > now_ms:
                 continue
             if usage is not None and not usage.allows(spec.demand):
@@ -255,6 +264,7 @@
                 break
             reserve(task, slot)
             counts[slot.entry.upstream_id] = counts.get(slot.entry.upstream_id, 0) + 1
+            left_count -= 1
             yield task
 
 
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -164,6 +164,9 @@
 UPSTREAM_SILENT_MS = 1_800
 ACKNOWLEDGE_WAIT_MS = 400
 PLACEMENT_DELAY_MS = 4
+# Tasks assigned in one pass. Assigning and starting one takes about 0.6 ms of a processor, and the
+# starts of a pass are sent together; the next pass follows once the assignments are stored.
+ASSIGNMENT_LIMIT_COUNT = 60
 # A new leader restores jobs in slices of this length. Between them it renews its membership and
 # answers other entry VMs, which take a leader for dead after PROBE_TIMEOUT_MS.
 RESTORE_SLICE_MS = 10
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -234,6 +234,8 @@
                 self._slots_by_pool.setdefault(pool, []).append(upstream.slot)
         self._short_millicores = Counter()
         self._backlog_millicore_ms = Counter()
+        # Each pool has its own limit, so that none waits for the assignments of another one.
+        limit_count = -(-defaults.ASSIGNMENT_LIMIT_COUNT // max(1, len(self._ready_steps)))
         for pool, steps in self._ready_steps.items():
             for step in [s for s in steps if not any(True for _ in s.waiting())]:
                 del steps[step]
@@ -243,7 +245,13 @@
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
             self._request_advice(ordered, slots, now_ms)
             placed = assignment.plan(
-                ordered, slots, self._usages, now_ms, self._assign, self._record_wait
+                ordered,
+                slots,
+                self._usages,
+                now_ms,
+                self._assign,
+                self._record_wait,
+                limit_count=limit_count,
             )
             for step, count in Counter(task.step for task in placed).items():
                 logger.info(
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -54,7 +54,7 @@
 def assign(slots):
     """Return a function that plans jobs; it returns upstreams by task and steps without room."""
 
-    def run(*jobs, usages=None, now_ms=0.0):
+    def run(*jobs, usages=None, now_ms=0.0, limit_count=None):
         places, short = {}, []
 
         def reserve(task, slot):
@@ -68,7 +68,10 @@
             if reason is WaitReason.NO_ROOM:
                 short.append(step)
 
-        list(plan(steps, slots, usages or {}, now_ms, reserve, report_wait))
+        placed = plan(
+            steps, slots, usages or {}, now_ms, reserve, report_wait, limit_count=limit_count
+        )
+        list(placed)
         return places, short
 
     return run
@@ -201,3 +204,11 @@
         task.state, task.percent = "running", 100
     tasks[0].percent = tasks[1].percent = 0
     assert not within_disruption_budget(tasks[:2])
+
+
+def test_a_limited_pass_assigns_the_first_tasks_and_whole_gangs(make_job, assign):
+    """Guards against starts that are all sent at once, and against a gang that is split."""
+    places, short = assign(make_job("1", task_count=6), limit_count=4)
+    assert len(places) == 4 and not short
+    places, _ = assign(make_job("2"), make_job("3", gang=True), make_job("4"), limit_count=3)
+    assert sorted(places) == ["2.0.0.0", "2.0.0.1", "3.0.0.0", "3.0.0.1"]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,10 +11,12 @@
 import pytest
 
 from tarragoncart import defaults, intake
-from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
+from tarragoncart.assignment import UpstreamSlot
+from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
 from tarragoncart.jobmodel import COMPLETED, QUEUED
 from tarragoncart.link import Link
 from tarragoncart.mailbox import Actor, new_reply, receives
+from tarragoncart.runstate import KnownUpstream
 from tarragoncart.scheduler import CountPending, Lookup
 from tarragoncart.vmorders import UpstreamVacated, VacateUpstream
 
@@ -143,11 +145,11 @@
     assert (await asyncio.wait_for(reply, 2.0)).view_age_ms == float("inf")
 
 
-class FleetCollector(Actor):
-    """Owner of the VMs that only stores what the scheduler tells it."""
+class Collector(Actor):
+    """Actor that only stores what the scheduler tells it."""
 
     def __init__(self):
-        super().__init__("fleet")
+        super().__init__("collector")
         self.messages = []
 
     def tell(self, message):
@@ -161,7 +163,7 @@
     store.standin.put("keyed.state", f"{0:016x}.0.0", [[0, "p", 1, "i-1"]])
     store.standin.faults.unresponsive_parts = {intake.TOPIC: {0, 1}}
     scheduler = await leader()
-    scheduler._fleet = fleet = FleetCollector()
+    scheduler._fleet = fleet = Collector()
     scheduler.tell(VacateUpstream("i-1", None))
     await asyncio.sleep(0.3)
     assert not any(isinstance(m, UpstreamVacated) for m in fleet.messages)
@@ -244,3 +246,16 @@
     scheduler._place()
     assert upstreams.visit_count == 1
     assert scheduler._backlog_millicore_ms["pool"] > 0
+
+
+async def test_a_pass_assigns_a_limited_number_of_tasks(store_jobs, leader):
+    """Guards against hundreds of starts that are sent at once and leave no time to answer."""
+    store_jobs(20)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    capacity = Demand(1_000_000, 1_000_000)
+    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
+    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    scheduler._place()
+    assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
+    assert not scheduler._backlog_millicore_ms
