Connect to the upstreams after earlier leaders are fenced

Since jobs are restored in slices, the links were opened while the state topic was being fenced. The times after which runs of earlier leaders end should count from the fence, so that no upstream should be known before it. Upstreams, jobs and state are now read once the fence is stored.

--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -60,9 +60,8 @@
         self._held_by_upstream: dict[str, ReportReceived | PollFailed] = {}
 
     async def on_open(self) -> None:
-        """Start to read the upstreams and, once earlier leaders are fenced, jobs and state."""
+        """Fence earlier leaders, then start to read upstreams, jobs and state."""
         self._writer.start()
-        self._upstream_follower.start()
         self.spawn(self._fence_and_read())
         if self._make_advisor is not None:
             self._advisor = self._make_advisor(self)
@@ -76,8 +75,9 @@
             return
         self._fenced_ms = self._timer.now_ms()
         self._log_takeover_step("earlier leaders are fenced")
-        # Jobs and state are read concurrently, as each call takes long while the store is slow.
-        # Neither is read before the fence: an earlier leader could drop a job between the two.
+        # All are read concurrently, as each call takes long while the store is slow. Jobs and state
+        # are not read before the fence: an earlier leader could drop a job between the two.
+        self._upstream_follower.start()
         self._intake.start()
         self.tell(_StateRead(await self._read_state()))
 
