Let the ablest entry VM claim the leadership

Cause: the owner of partition 0 of the store's group claimed an epoch for itself, whatever its processor and link. Any of 32 entry VMs may own it.

Each entry VM now records itself as a candidate, with its processor and link, before it joins the group. The owner asks the 16 ablest ones at once whether they would lead, and the ablest willing one appends the claim, on condition of the offset that the owner has read; the owner claims itself only if none is abler. An entry VM that has run for less than a second waits for abler ones, at a first start or if abler ones are recorded, because all are started within 0.3 s. The choice is a function without sockets (candidates.decide). Equal entry VMs claim as before.

Evidence: test_the_ablest_entry_vm_leads_after_a_start_and_after_a_failure, test_the_ablest_entry_vm_leads_after_all_were_killed and test_a_small_entry_vm_delegates_over_the_peer_interface failed with the previous election (the small entry VM led). The fixture run_node sets the wait of a first start to 0, since most tests start one entry VM; the tests of the election use the real one.

--- a/src/standins/settings.py
+++ b/src/standins/settings.py
@@ -34,5 +34,7 @@
         "store_call_bytes": 2_097_152,
         "membership_ttl_min_ms": 1_000,
         "topic_part_count": 2,
+        "cpu_millicores": 1_000,
+        "link_mbps": 1_000.0,
     }
     return NodeSettings(**values | changes)
--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -19,6 +19,8 @@
 
 from standins.settings import make_node_settings
 from tarragoncart import node as node_module
+from tarragoncart.candidates import CandidateStatus
+from tarragoncart.election import QueryCandidate, RequestClaim
 from tarragoncart.entrance import RequestContext, Submit
 from tarragoncart.errors import (
     FleetRefusedError,
@@ -586,10 +588,24 @@
 
 
 class VirtualPeerClient:
-    """Client for calls between entry VMs, without a network."""
+    """Client of one entry VM for calls to others, without a network."""
 
-    def __init__(self, simulation: Simulation) -> None:
+    def __init__(self, simulation: Simulation, entry: str) -> None:
         self._simulation = simulation
+        self._entry = entry
+
+    async def _reach(self, address: str, step: str) -> Node:
+        await asyncio.sleep(CALL_DELAY_S)
+        if {(self._entry, address), (address, self._entry)} & self._simulation.cut_paths:
+            await asyncio.sleep(PROBE_TIMEOUT_S)
+            raise PeerError("no answer", step=step, peer=address)
+        node = self._simulation.nodes.get(address)
+        if node is None:
+            raise PeerError("no connection", step=step, peer=address)
+        if self._simulation.probes_lost and node.scheduler is not None:
+            await asyncio.sleep(PROBE_TIMEOUT_S)
+            raise PeerError("no answer", step=step, peer=address)
+        return node
 
     async def lookup(self, address: str, job_id: str) -> JobView:
         """Return the state of a job from the leader."""
@@ -602,14 +618,25 @@
 
     async def is_leader(self, address: str) -> bool:
         """Return whether an entry VM is the leader."""
-        await asyncio.sleep(CALL_DELAY_S)
-        node = self._simulation.nodes.get(address)
-        if node is None:
-            raise PeerError("no connection", step="ask leader", peer=address)
-        if self._simulation.probes_lost:
-            await asyncio.sleep(PROBE_TIMEOUT_S)
-            raise PeerError("no answer", step="ask leader", peer=address)
-        return node.is_leader()
+        return (await self._reach(address, "ask leader")).is_leader()
+
+    async def query_candidate(self, address: str, leader_address: str) -> CandidateStatus:
+        """Ask an entry VM whether it would lead."""
+        reply = new_reply()
+        return await self._ask_election(address, QueryCandidate(leader_address, reply), reply)
+
+    async def request_claim(self, address: str, end_offset: int) -> bool:
+        """Ask an entry VM to claim an epoch."""
+        reply = new_reply()
+        return await self._ask_election(address, RequestClaim(end_offset, reply), reply)
+
+    async def _ask_election(self, address: str, message: Any, reply: asyncio.Future[Any]) -> Any:
+        node = await self._reach(address, "ask candidate")
+        node.election.tell(message)
+        try:
+            return await asyncio.wait_for(reply, CALL_TIMEOUT_S)
+        except TimeoutError as error:
+            raise PeerError("no answer", step="ask candidate", peer=address) from error
 
     async def close(self) -> None:
         """Do nothing; there is no connection to close."""
@@ -690,7 +717,7 @@
     """All simulated components, with checks of the scheduler's invariants.
 
     :param vms: VMs that can be maintained; without any, entry VMs send no orders for VMs.
-    :param probes_lost: whether queries to an entry VM whether it leads get no answer.
+    :param probes_lost: whether queries to a leader, from whichever entry VM, get no answer.
     :param lost_vm_response_ratio: share of orders for VMs that get no answer.
     :param late_vm_order_ratio: share of orders for VMs that are carried out seconds later, without
         an answer.
@@ -701,6 +728,8 @@
     :param violations: descriptions of violated invariants.
     :param fenced_s: time at which a delayed fence was stored.
     :param tasks: the leader's tasks at the end of a scenario.
+    :param cut_paths: pairs of entry VMs that do not reach each other.
+    :param starting_node: entry VM that is being created and owns the peer clients created now.
     """
 
     rng: random.Random
@@ -718,6 +747,8 @@
     violations: list[str] = Factory(list)
     fenced_s: float = 0.0
     tasks: list[Any] = Factory(list)
+    cut_paths: set[tuple[str, str]] = Factory(set)
+    starting_node: str = ""
 
     @staticmethod
     def now_s() -> float:
@@ -831,9 +862,15 @@
         value = json.dumps({**data, "born": worker.started_ms}).encode()
         self.store.put(operator.UPSTREAM_TOPIC, worker.upstream_id, value)
 
-    async def start_node(self, name: str, skew_ms: int = 0) -> Node:
-        """Start an entry VM."""
-        settings = make_node_settings(name, peer_address=name, topic_part_count=PART_COUNT)
+    async def start_node(self, name: str, skew_ms: int = 0, **changes: Any) -> Node:
+        """Start an entry VM.
+
+        :param changes: settings that differ from those for tests.
+        """
+        settings = make_node_settings(
+            name, peer_address=name, topic_part_count=PART_COUNT, **changes
+        )
+        self.starting_node = name
         node = Node(settings, self._adapter(name), VirtualTimer(skew_ms))
         self.nodes[name] = node
         node.start()
@@ -891,4 +928,8 @@
 
     :param patch: function like ``monkeypatch.setattr``.
     """
-    patch(node_module, "PeerClient", lambda: VirtualPeerClient(simulation))
+    patch(
+        node_module,
+        "PeerClient",
+        lambda *_: VirtualPeerClient(simulation, simulation.starting_node),
+    )
--- /dev/null
+++ b/src/tarragoncart/candidates.py
@@ -0,0 +1,141 @@
+"""Choice of the entry VM that should lead, from a survey of the candidates."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Iterable, Mapping
+
+from attrs import frozen
+
+from . import defaults
+
+
+@frozen
+class Candidate:
+    """An entry VM that may lead, as recorded in the store.
+
+    :param name: name of the entry VM, which stays the same across its restarts.
+    :param address: address at which other entry VMs reach it.
+    """
+
+    name: str
+    address: str
+    cpu_millicores: int
+    link_mbps: float
+
+    @property
+    def ability(self) -> float:
+        """Scarcer one of its resources, as a multiple of what the reference leader has."""
+        cpu_ratio = self.cpu_millicores / defaults.REFERENCE_LEADER_MILLICORES
+        link_ratio = self.link_mbps / defaults.REFERENCE_LEADER_LINK_MBPS
+        return round(min(cpu_ratio, link_ratio), 2)
+
+    def encode(self) -> bytes:
+        """Return the value of its record; the key is its name."""
+        data = {
+            "address": self.address,
+            "cpu_millicores": self.cpu_millicores,
+            "link_mbps": self.link_mbps,
+        }
+        return json.dumps(data).encode()
+
+
+def decode_candidate(name: str, value: bytes) -> Candidate:
+    """Decode a record.
+
+    :raises ValueError: if the value is not JSON.
+    :raises KeyError: if a field is missing.
+    """
+    data = json.loads(value)
+    return Candidate(name, data["address"], int(data["cpu_millicores"]), float(data["link_mbps"]))
+
+
+class LeaderView(enum.Enum):
+    """What an entry VM has found out about the leader recorded in the store."""
+
+    UNKNOWN = "unknown"
+    LEADS = "leads"
+    NOT_LEADING = "not_leading"
+    UNREACHABLE = "unreachable"
+
+
+@frozen
+class CandidateStatus:
+    """Answer of a candidate to a survey.
+
+    :param willing: the store confirms its membership, and nothing speaks against its leading.
+    :param claiming: it is claiming an epoch.
+    :param leader_view: result of its own query to the recorded leader.
+    """
+
+    willing: bool
+    claiming: bool
+    leader_view: LeaderView
+
+
+@frozen
+class Survey:
+    """What an entry VM knows when it decides whether an epoch is claimed, and by whom.
+
+    :param own_willing: whether the entry VM itself would answer that it is willing.
+    :param own_view: result of its query to the recorded leader; ``UNKNOWN`` if none is recorded.
+    :param reason: reason for that result.
+    :param uptime_ms: time since it began to take part in the election.
+    :param candidates: all other candidates recorded.
+    :param statuses: answers of the candidates asked, by name; those that did not answer are
+        missing.
+    """
+
+    own: Candidate
+    own_willing: bool
+    own_view: LeaderView
+    reason: str
+    uptime_ms: float
+    candidates: tuple[Candidate, ...]
+    statuses: Mapping[str, CandidateStatus]
+
+
+@frozen
+class Decision:
+    """Result of a survey.
+
+    :param event: event of the chart ``leadership``: ``occupied`` (there is a leader, or one is
+        claiming), ``postponed``, ``delegated`` (the
+        candidate should claim) or ``vacant`` (the entry VM itself should claim).
+    """
+
+    event: str
+    reason: str
+    candidate: Candidate | None = None
+
+
+def select_respondents(candidates: Iterable[Candidate]) -> tuple[Candidate, ...]:
+    """Return the candidates to ask: the ablest ones."""
+    ranked = sorted(candidates, key=lambda candidate: (-candidate.ability, candidate.name))
+    return tuple(ranked[: defaults.SURVEY_CANDIDATE_COUNT])
+
+
+def decide(survey: Survey) -> Decision:
+    """Decide whether the leadership is vacant, and which candidate should claim it."""
+    for name, status in survey.statuses.items():
+        if status.claiming:
+            return Decision("occupied", f"{name} is claiming an epoch")
+    willing = [
+        candidate
+        for candidate in survey.candidates
+        if candidate.name in survey.statuses and survey.statuses[candidate.name].willing
+    ]
+    best = min(willing, key=lambda candidate: (-candidate.ability, candidate.name), default=None)
+    if best is not None and (best.ability > survey.own.ability or not survey.own_willing):
+        return Decision("delegated", survey.reason, best)
+    if survey.uptime_ms < defaults.ELECTION_SETTLE_MS and _may_abler_one_come(survey):
+        return Decision("postponed", f"abler candidates may still be starting; {survey.reason}")
+    return Decision("vacant", survey.reason)
+
+
+def _may_abler_one_come(survey: Survey) -> bool:
+    """Return whether an abler candidate is recorded, or records may still be missing."""
+    if survey.own_view is LeaderView.UNKNOWN:
+        return True
+    return any(candidate.ability > survey.own.ability for candidate in survey.candidates)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -146,6 +146,16 @@
 # Longer delays of the event loop are logged; half of the time that a leader has to answer a probe.
 EVENT_LOOP_DELAY_LOG_MS = 175
 LEADER_SUMMARY_MS = 1_000
+# Resources of the reference leader, which a candidate's ability is relative to.
+REFERENCE_LEADER_MILLICORES = 1_000
+REFERENCE_LEADER_LINK_MBPS = 100
+# Number of candidates that are asked before an epoch is claimed, the ablest ones first.
+SURVEY_CANDIDATE_COUNT = 16
+# At a first start, and after all entry VMs were killed, abler ones start within this time.
+ELECTION_SETTLE_MS = 1_000
+CANDIDATE_RETRY_MS = 1_000
+# An entry VM whose claim has failed does not offer to lead again for this long.
+CLAIM_RETRY_MS = 1_000
 
 # Lease of all runs at an upstream, renewed with each poll.
 UPSTREAM_LEASE_MS = 3_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -1,8 +1,9 @@
 """Leader election among entry VMs, by membership of a group in the store and claimed epochs.
 
-The owner of one partition checks that there is a leader. It claims a new epoch only if the leader
-recorded in the store does not answer or does not lead, so that the leadership does not move when
-members join or leave the group or its partitions are reassigned.
+The owner of one partition checks that there is a leader. If the leader recorded in the store does
+not answer or does not lead, the owner asks the other candidates whether they reach it and whether
+they would lead, and the ablest one claims a new epoch. The leadership does not move when members
+join or leave the group or its partitions are reassigned.
 """
 
 from __future__ import annotations
@@ -10,17 +11,18 @@
 import asyncio
 import json
 import logging
-from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from attrs import define, frozen
 
 from . import defaults, metrics
+from .candidates import Candidate, CandidateStatus, Decision, LeaderView, Survey, decide
 from .charts import load_chart
 from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
-from .follower import ReadStore, read_newest
-from .mailbox import Actor, implements_action, receives
-from .storage import Appended, Membership
+from .follower import read_newest
+from .mailbox import Actor, implements_action, receives, resolve
+from .storage import Membership
+from .survey import CandidatePeers, CandidateStore, Surveyor
 from .timer import Timer
 
 logger = logging.getLogger(__name__)
@@ -32,13 +34,9 @@
 LEADER_PART = 0
 
 
-class GroupStore(ReadStore, Protocol):
+class GroupStore(CandidateStore, Protocol):
     """The methods of the store's client that an election uses."""
 
-    async def append(
-        self, topic: str, records: Any, *, part: int = 0, expected_end: int | None = None
-    ) -> Appended: ...
-
     async def join(
         self, group: str, member: str, topic: str, ttl_ms: int, generation: int
     ) -> Membership: ...
@@ -96,6 +94,30 @@
     epoch: int
 
 
+@frozen
+class QueryCandidate:
+    """Ask whether this entry VM would lead.
+
+    :param leader_address: leader whose state the answer also reports; empty for none.
+    :param reply: resolved with a :class:`CandidateStatus`.
+    """
+
+    leader_address: str
+    reply: asyncio.Future[CandidateStatus]
+
+
+@frozen
+class RequestClaim:
+    """Ask this entry VM to claim an epoch.
+
+    :param end_offset: end of the leader's partition on condition of which to claim.
+    :param reply: resolved with whether it claims.
+    """
+
+    end_offset: int
+    reply: asyncio.Future[bool]
+
+
 @frozen
 class Leave:
     """Leave the group at once, for a planned stop."""
@@ -111,8 +133,7 @@
 
 @frozen
 class _Probed:
-    vacant: bool
-    reason: str
+    decision: Decision
     sent_ms: float
     end_offset: int = 0
 
@@ -133,17 +154,17 @@
 
 
 @define
-class _Candidate:
+class _Role:
     state: str
 
 
 class Election(Actor):
-    """Maintains this entry VM's group membership and claims the leadership if it is vacant.
+    """Maintains this entry VM's group membership and the record of it as a candidate.
 
     :param name: incarnation of this entry VM, unique across its restarts.
-    :param address: address at which other entry VMs reach this one.
+    :param candidate: this entry VM, as other ones see it.
     :param listener: actor that receives the messages about the leadership.
-    :param is_leader: asks the entry VM at an address whether it leads; raises PeerError.
+    :param peers: client for calls to other entry VMs.
     """
 
     chart = load_chart("leadership")
@@ -151,23 +172,24 @@
     def __init__(
         self,
         name: str,
-        address: str,
+        candidate: Candidate,
         store: GroupStore,
         listener: Actor,
         timer: Timer,
-        is_leader: Callable[[str], Awaitable[bool]],
+        peers: CandidatePeers,
         *,
         ttl_ms: int = defaults.MEMBERSHIP_TTL_MS,
     ) -> None:
         super().__init__("election")
         self._member = name
-        self._address = address
+        self._candidate = candidate
         self._store = store
         self._listener = listener
         self._timer = timer
-        self._is_leader = is_leader
+        self._peers = peers
+        self._surveyor = Surveyor(candidate, store, peers)
         self._ttl_ms = ttl_ms
-        self._candidate = _Candidate(self.chart.initial)
+        self._role = _Role(self.chart.initial)
         self._generation = 0
         self._epoch = 0
         self._confirmed_ms = 0.0
@@ -175,12 +197,27 @@
         self._leader_answered_ms = float("-inf")
         self._lookup_running = False
         self._leaving = False
+        self._started_ms = 0.0
+        self._unwilling_until_ms = 0.0
 
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
-        self.spawn(self._renew_membership())
+        self._started_ms = self._timer.now_ms()
+        self.spawn(self._take_part())
         self.subscribe(self._timer.every(defaults.LEADERSHIP_CHECK_MS), _Tick())
 
+    async def _take_part(self) -> None:
+        # The record comes before the membership, so that the owner of the partition finds it.
+        if not await self._surveyor.publish():
+            self.spawn(self._retry_publication())
+        await self._renew_membership()
+
+    async def _retry_publication(self) -> None:
+        published = False
+        while not published:
+            await asyncio.sleep(defaults.CANDIDATE_RETRY_MS / 1_000)
+            published = await self._surveyor.publish()
+
     async def _renew_membership(self) -> None:
         while not self._leaving:
             sent_ms = self._timer.now_ms()
@@ -209,15 +246,15 @@
             self._start_leader_lookup()
         self._confirmed_ms = message.sent_ms
         owned = LEADER_PART in membership.parts
-        self.step(self.chart, self._candidate, "owned" if owned else "disowned")
+        self.step(self.chart, self._role, "owned" if owned else "disowned")
 
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
         """Resign if the store has not confirmed the leadership for too long."""
         self._measure_event_loop_delay()
         age_ms = self._timer.now_ms() - self._confirmed_ms
-        if self._candidate.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
-            self.step(self.chart, self._candidate, "expired")
+        if self._role.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
+            self.step(self.chart, self._role, "expired")
 
     def _measure_event_loop_delay(self) -> None:
         """Record how late the periodic check is; a suspended process shows as a delay as well."""
@@ -230,66 +267,130 @@
                 "event loop was delayed",
                 extra={
                     "delay_ms": round(delay_ms),
-                    "leadership": self._candidate.state,
+                    "leadership": self._role.state,
                     "confirmation_age_ms": round(now_ms - self._confirmed_ms),
                 },
             )
 
     @implements_action("probe")
-    def _start_probe(self, candidate: _Candidate) -> None:
+    def _start_probe(self, role: _Role) -> None:
         self.spawn(self._probe())
 
     async def _probe(self) -> None:
-        """Ask the leader recorded in the store whether it still leads."""
+        """Ask the leader recorded in the store whether it leads, and if not, the candidates."""
         sent_ms = self._timer.now_ms()
         try:
             recorded, end_offset = await self._read_leader_record()
         except (StoreUnknownError, StoreRefusedError) as error:
-            self.tell(_Probed(False, str(error), sent_ms))
+            self.tell(_Probed(Decision("postponed", str(error)), sent_ms))
             return
-        if recorded is None:
-            self.tell(_Probed(True, "no leader is recorded", sent_ms, end_offset))
-            return
-        try:
-            is_leader = await self._is_leader(recorded.address)
-        except PeerError as error:
-            metrics.PROBES.add(1, metrics.labels(result="unanswered"))
-            self.tell(_Probed(True, str(error), sent_ms, end_offset))
-            return
-        reason = recorded.name if is_leader else f"{recorded.name} does not lead"
-        metrics.PROBES.add(1, metrics.labels(result="leads" if is_leader else "does not lead"))
-        if is_leader:
+        address = recorded.address if recorded else ""
+        view, reason = await self._surveyor.query_leader(address)
+        if recorded is not None:
+            metrics.PROBES.add(1, metrics.labels(result=view.value))
+        if view is LeaderView.LEADS:
             self._leader_answered_ms = self._timer.now_ms()
-        self.tell(_Probed(not is_leader, reason, sent_ms, end_offset))
+            self.tell(_Probed(Decision("occupied", reason), sent_ms, end_offset))
+            return
+        # Only a leader that did not answer needs to be queried by others.
+        queried_address = address if view is LeaderView.UNREACHABLE else ""
+        candidates, statuses = await self._surveyor.query_candidates(queried_address)
+        now_ms = self._timer.now_ms()
+        survey = Survey(
+            own=self._candidate,
+            own_willing=self._is_willing(),
+            own_view=view,
+            reason=reason,
+            uptime_ms=now_ms - self._started_ms,
+            candidates=candidates,
+            statuses=statuses,
+        )
+        self.tell(_Probed(decide(survey), sent_ms, end_offset))
+
+    def _is_willing(self) -> bool:
+        now_ms = self._timer.now_ms()
+        confirmed = now_ms - self._confirmed_ms < defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS
+        return confirmed and not self._leaving and now_ms >= self._unwilling_until_ms
 
     @receives(_Probed)
     def on_probed(self, message: _Probed) -> None:
-        """Claim an epoch if no entry VM leads."""
-        if self._candidate.state != "probing":
+        """Carry out the decision about the leadership."""
+        if self._role.state != "probing":
             return
-        if message.vacant:
+        decision = message.decision
+        if decision.event != "occupied":
             now_ms = self._timer.now_ms()
             answer_age_ms = now_ms - self._leader_answered_ms
+            claimable = decision.event in ("vacant", "delegated")
             logger.info(
-                "nobody leads",
+                "nobody leads" if claimable else "no leader found",
                 extra={
-                    "reason": message.reason,
+                    "decision": decision.event,
+                    "reason": decision.reason,
                     "probe_ms": round(now_ms - message.sent_ms),
                     "last_answer_age_ms": round(answer_age_ms) if answer_age_ms < 1e9 else None,
                     "confirmation_age_ms": round(now_ms - self._confirmed_ms),
+                    "candidate": decision.candidate.name if decision.candidate else "",
                 },
             )
-            self.step(self.chart, self._candidate, "vacant", end_offset=message.end_offset)
+        self.step(self.chart, self._role, decision.event, probed=message)
+
+    @implements_action("delegate")
+    def _delegate(self, role: _Role, probed: _Probed) -> None:
+        assert probed.decision.candidate is not None
+        self.spawn(self._request_claim(probed.decision.candidate, probed.end_offset))
+
+    async def _request_claim(self, candidate: Candidate, end_offset: int) -> None:
+        try:
+            accepted = await self._peers.request_claim(candidate.address, end_offset)
+            reason = "" if accepted else "not willing any more"
+        except PeerError as error:
+            accepted, reason = False, str(error)
+        logger.info(
+            "candidate asked to claim",
+            extra={"candidate": candidate.name, "accepted": accepted, "reason": reason},
+        )
+
+    @receives(QueryCandidate)
+    def on_query_candidate(self, message: QueryCandidate) -> None:
+        """Report whether this entry VM would lead, and whether it reaches the leader."""
+        if self._role.state == "leader" or not message.leader_address:
+            view = LeaderView.LEADS if self._leads() else LeaderView.UNKNOWN
+            resolve(message.reply, self._status(view))
         else:
-            self.step(self.chart, self._candidate, "occupied")
+            self.spawn(self._answer_query(message))
+
+    async def _answer_query(self, message: QueryCandidate) -> None:
+        view, _ = await self._surveyor.query_leader(message.leader_address)
+        resolve(message.reply, self._status(view))
+
+    def _leads(self) -> bool:
+        age_ms = self._timer.now_ms() - self._confirmed_ms
+        return self._role.state == "leader" and age_ms < defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS
+
+    def _status(self, view: LeaderView) -> CandidateStatus:
+        electable = self.chart.accepts(self._role.state, "requested")
+        claiming = self._role.state == "claiming"
+        return CandidateStatus(electable and self._is_willing(), claiming, view)
+
+    @receives(RequestClaim)
+    def on_request_claim(self, message: RequestClaim) -> None:
+        """Claim an epoch for the entry VM that has found the leadership vacant."""
+        accepted = self._is_willing() and self.chart.accepts(self._role.state, "requested")
+        if accepted:
+            logger.info("asked to claim an epoch", extra={"end_offset": message.end_offset})
+            decision = Decision("vacant", "another entry VM found no leader")
+            probed = _Probed(decision, self._timer.now_ms(), message.end_offset)
+            self.step(self.chart, self._role, "requested", probed=probed)
+        resolve(message.reply, accepted)
 
     @implements_action("claim")
-    def _start_claim(self, candidate: _Candidate, end_offset: int) -> None:
-        self.spawn(self._claim(end_offset))
+    def _start_claim(self, role: _Role, probed: _Probed) -> None:
+        self.spawn(self._claim(probed.end_offset))
 
     async def _claim(self, end_offset: int) -> None:
         """Append a leader record on condition that no epoch was claimed since the probe."""
-        value = json.dumps({"name": self._member, "address": self._address}).encode()
+        value = json.dumps({"name": self._member, "address": self._candidate.address}).encode()
         try:
             appended = await self._store.append(
                 TOPIC, [(LEADER_KEY, value)], part=LEADER_PART, expected_end=end_offset
@@ -303,29 +404,30 @@
     def on_claimed(self, message: _Claimed) -> None:
         """Become leader, unless the partition was lost in the meantime."""
         self._epoch = message.epoch
-        if self._candidate.state == "claiming":
-            self.step(self.chart, self._candidate, "claimed")
+        if self._role.state == "claiming":
+            self.step(self.chart, self._role, "claimed")
 
     @receives(_ClaimFailed)
     def on_claim_failed(self, message: _ClaimFailed) -> None:
         """Return to the state ``follower``; renewing the membership starts a new attempt."""
         logger.warning("cannot claim an epoch", extra={"reason": message.reason})
-        if self._candidate.state == "claiming":
-            self.step(self.chart, self._candidate, "claim_failed")
+        self._unwilling_until_ms = self._timer.now_ms() + defaults.CLAIM_RETRY_MS
+        if self._role.state == "claiming":
+            self.step(self.chart, self._role, "claim_failed")
 
     @implements_action("take_over")
-    def _take_over(self, candidate: _Candidate) -> None:
+    def _take_over(self, role: _Role) -> None:
         logger.info("leadership gained", extra={"epoch": self._epoch})
-        self._listener.tell(LeaderFound(Leader(self._member, self._address, self._epoch)))
+        self._listener.tell(LeaderFound(Leader(self._member, self._candidate.address, self._epoch)))
         self._listener.tell(LeadershipGained(self._epoch))
-        self._confirm(candidate)
+        self._confirm(role)
 
     @implements_action("confirm")
-    def _confirm(self, candidate: _Candidate) -> None:
+    def _confirm(self, role: _Role) -> None:
         self._listener.tell(LeadershipConfirmed(self._confirmed_ms + defaults.LEADERSHIP_VALID_MS))
 
     @implements_action("resign")
-    def _resign(self, candidate: _Candidate) -> None:
+    def _resign(self, role: _Role) -> None:
         age_ms = round(self._timer.now_ms() - self._confirmed_ms)
         logger.info("leadership lost", extra={"epoch": self._epoch, "confirmation_age_ms": age_ms})
         self._listener.tell(LeadershipLost(self._epoch, "not confirmed by the store"))
@@ -333,8 +435,8 @@
     @receives(Fenced)
     def on_fenced(self, message: Fenced) -> None:
         """Resign: another entry VM has a higher epoch."""
-        if self._candidate.state == "leader" and message.epoch == self._epoch:
-            self.step(self.chart, self._candidate, "fenced")
+        if self._role.state == "leader" and message.epoch == self._epoch:
+            self.step(self.chart, self._role, "fenced")
 
     @receives(FindLeader)
     def on_find_leader(self, message: FindLeader) -> None:
@@ -372,14 +474,16 @@
     async def on_leave(self, message: Leave) -> None:
         """Resign and leave the group, so that another entry VM takes over at once."""
         self._leaving = True
-        if self._candidate.state == "leader":
-            self.step(self.chart, self._candidate, "leave")
+        if self._role.state == "leader":
+            self.step(self.chart, self._role, "leave")
+        await self._leave_group()
+        resolve(message.reply, None)
+
+    async def _leave_group(self) -> None:
         try:
             await self._store.leave(GROUP, self._member)
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
             logger.warning("cannot leave the group", extra={"reason": str(error)})
-        if not message.reply.done():
-            message.reply.set_result(None)
 
     async def on_close(self) -> None:
         """Close the connections to the store."""
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -1,4 +1,4 @@
-"""HTTP interface with JSON between entry VMs: queries to the leader."""
+"""HTTP interface with JSON between entry VMs: queries to the leader and to candidates."""
 
 from __future__ import annotations
 
@@ -12,8 +12,10 @@
 from aiohttp import web
 
 from . import defaults
+from .candidates import CandidateStatus, LeaderView
+from .election import QueryCandidate, RequestClaim
 from .errors import PeerError
-from .mailbox import new_reply
+from .mailbox import Actor, new_reply
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
 from .sessions import open_session
 
@@ -23,9 +25,13 @@
 
 
 class PeerClient:
-    """Client that queries the leader; owned by one actor."""
+    """Client that queries the leader and the candidates; owned by one actor.
 
-    def __init__(self) -> None:
+    :param connection_count: maximum number of concurrent connections.
+    """
+
+    def __init__(self, connection_count: int = CONNECTION_COUNT) -> None:
+        self._connection_count = connection_count
         self._session: aiohttp.ClientSession | None = None
 
     async def lookup(self, address: str, job_id: str) -> JobView:
@@ -52,18 +58,46 @@
         status, _ = await self._send(address, "/leader", defaults.PROBE_TIMEOUT_MS)
         return status == 200
 
+    async def query_candidate(self, address: str, leader_address: str) -> CandidateStatus:
+        """Ask whether the peer would lead.
+
+        :param leader_address: leader that the peer should query as well, empty for none.
+        :raises PeerError: if it does not answer.
+        """
+        path = f"/candidate/{leader_address}"
+        # The peer may wait for the leader for as long as this entry VM did.
+        timeout_ms = 2 * defaults.PROBE_TIMEOUT_MS
+        status, body = await self._send(address, path, timeout_ms)
+        if status != 200:
+            raise PeerError(f"status {status}", step="ask candidate", peer=address)
+        data = json.loads(body)
+        return CandidateStatus(data["willing"], data["claiming"], LeaderView(data["leader_view"]))
+
+    async def request_claim(self, address: str, end_offset: int) -> bool:
+        """Ask the peer to claim an epoch; return whether it does.
+
+        :param end_offset: end of the leader's partition on condition of which to claim.
+        :raises PeerError: if it does not answer.
+        """
+        path = f"/claim/{end_offset}"
+        status, _ = await self._send(address, path, defaults.PROBE_TIMEOUT_MS, "POST")
+        return status == 200
+
     async def _get(self, address: str, path: str) -> dict[str, Any]:
         status, body = await self._send(address, path, defaults.LOOKUP_TIMEOUT_MS)
         if status != 200:
             raise PeerError(f"status {status}", step="ask leader", peer=address)
         return json.loads(body)
 
-    async def _send(self, address: str, path: str, timeout_ms: float) -> tuple[int, bytes]:
+    async def _send(
+        self, address: str, path: str, timeout_ms: float, method: str = "GET"
+    ) -> tuple[int, bytes]:
         if self._session is None:
-            self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S)
+            self._session = open_session(self._connection_count, KEEPALIVE_S)
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
         try:
-            async with self._session.get(f"http://{address}{path}", timeout=timeout) as response:
+            url = f"http://{address}{path}"
+            async with self._session.request(method, url, timeout=timeout) as response:
                 return response.status, await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PeerError(repr(error), step="ask leader", peer=address) from error
@@ -80,23 +114,32 @@
 
     :param scheduler: returns the scheduler if this entry VM leads.
     :param is_leader: returns whether the store has recently confirmed that this entry VM leads.
+    :param election: answers queries to this entry VM as a candidate.
     """
 
     def __init__(
-        self, scheduler: Callable[[], Scheduler | None], is_leader: Callable[[], bool]
+        self,
+        scheduler: Callable[[], Scheduler | None],
+        is_leader: Callable[[], bool],
+        election: Actor,
     ) -> None:
         self._scheduler = scheduler
         self._is_leader = is_leader
+        self._election = election
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a query."""
+        kind, _, name = request.path.lstrip("/").partition("/")
+        if kind == "candidate":
+            return await self._answer_as_candidate(name)
+        if kind == "claim" and name.isdecimal():
+            return await self._accept_claim(int(name))
         scheduler = self._scheduler()
         if scheduler is None:
             return web.Response(status=NOT_LEADING_STATUS)
         if request.path == "/leader":
             return web.Response(status=200 if self._is_leader() else NOT_LEADING_STATUS)
         reply = new_reply()
-        kind, _, name = request.path.lstrip("/").partition("/")
         if kind == "jobs":
             scheduler.tell(Lookup(name, reply))
         elif kind == "queues":
@@ -110,6 +153,29 @@
         body = json.dumps(_encode_view(answer)).encode()
         return web.Response(body=body, content_type="application/json")
 
+    async def _answer_as_candidate(self, leader_address: str) -> web.StreamResponse:
+        reply = new_reply()
+        self._election.tell(QueryCandidate(leader_address, reply))
+        try:
+            status = await asyncio.wait_for(reply, 2 * defaults.PROBE_TIMEOUT_MS / 1_000)
+        except TimeoutError:
+            return web.Response(status=503)
+        data = {
+            "willing": status.willing,
+            "claiming": status.claiming,
+            "leader_view": status.leader_view.value,
+        }
+        return web.Response(body=json.dumps(data).encode(), content_type="application/json")
+
+    async def _accept_claim(self, end_offset: int) -> web.StreamResponse:
+        reply = new_reply()
+        self._election.tell(RequestClaim(end_offset, reply))
+        try:
+            accepted = await asyncio.wait_for(reply, defaults.PROBE_TIMEOUT_MS / 1_000)
+        except TimeoutError:
+            return web.Response(status=503)
+        return web.Response(status=200 if accepted else NOT_LEADING_STATUS)
+
 
 def _encode_view(view: JobView | PendingView) -> dict[str, Any]:
     """Encode an answer; an infinite age, which JSON cannot represent, becomes null."""
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -17,6 +17,7 @@
 
 from . import defaults, intake, logs, metrics
 from .advisor import AdviceCalls, Advisor
+from .candidates import Candidate
 from .election import (
     Election,
     Fenced,
@@ -54,6 +55,7 @@
     :param fence_quiet_ms: minimum time between the orders of two leaders for the same VM.
     :param retention_ms: how long the phase of an ended job can be queried.
     :param topic_part_count: partitions of each topic of the store.
+    :param cpu_millicores: processor time that the entry VM may use a second.
     """
 
     name: str
@@ -75,6 +77,8 @@
     store_call_bytes: int
     membership_ttl_min_ms: int
     topic_part_count: int
+    cpu_millicores: int
+    link_mbps: float
 
 
 @frozen
@@ -123,15 +127,21 @@
             )
             for part in intake.partitions_of(settings.name, settings.topic_part_count)
         )
-        self._probe_client = PeerClient()
+        # One connection for the leader and one for each candidate of a survey.
+        self._probe_client = PeerClient(defaults.SURVEY_CANDIDATE_COUNT + 1)
         self._valid_until_ms = 0.0
         self.election = Election(
             self.incarnation,
-            settings.peer_address,
+            Candidate(
+                settings.name,
+                settings.peer_address,
+                settings.cpu_millicores,
+                settings.link_mbps,
+            ),
             adapter.make_store(),
             self,
             timer,
-            self._probe_client.is_leader,
+            self._probe_client,
             ttl_ms=max(defaults.MEMBERSHIP_TTL_MS, settings.membership_ttl_min_ms),
         )
         self.request_handler = RequestHandler(
@@ -411,7 +421,7 @@
     )
     node = Node(settings, adapter, timer)
     caller_server = adapter.make_caller_server(node.request_handler, timer)
-    peers = PeerServer(lambda: node.scheduler, node.is_leader)
+    peers = PeerServer(lambda: node.scheduler, node.is_leader, node.election)
     runners = [
         await _listen(ready, caller_server.handle_ready),
         await _listen(peer, peers.handle),
--- a/src/tarragoncart/platform/boot.py
+++ b/src/tarragoncart/platform/boot.py
@@ -13,6 +13,7 @@
 SETTINGS_VARIABLE = "TARRAGONCART_SETTINGS"
 # Offset of the metrics port from the peer port; deploy/system.toml contains the resulting port.
 METRICS_PORT_OFFSET = 1
+LINK_DEFAULT_MBPS = 1_000.0
 
 
 def load_settings(environ: Mapping[str, str] = os.environ) -> NodeSettings:
@@ -39,6 +40,8 @@
     """
     try:
         bounds = data["bounds"]
+        limits = data.get("limits", {})
+        core_count = float(limits.get("cpu-share", 1.0)) * float(limits.get("cores", 1))
         inner_port = int(data["port-range"][0])
         return NodeSettings(
             name=data["node"],
@@ -62,6 +65,8 @@
             fence_quiet_ms=int(bounds["lease-ms"]),
             retention_ms=int(bounds["status_s"] * 1_000),
             shutdown_ms=int(bounds["grace-s"] * 1_000),
+            cpu_millicores=round(1_000 * core_count),
+            link_mbps=float(limits.get("link-mbps", LINK_DEFAULT_MBPS)),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         raise SettingsError(
--- /dev/null
+++ b/src/tarragoncart/survey.py
@@ -0,0 +1,122 @@
+"""Publishes this entry VM as a candidate for the leadership, and asks the other candidates."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any, Protocol
+
+from attrs import frozen
+
+from .candidates import (
+    Candidate,
+    CandidateStatus,
+    LeaderView,
+    decode_candidate,
+    select_respondents,
+)
+from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
+from .follower import ReadStore, read_newest
+from .storage import Appended
+
+logger = logging.getLogger(__name__)
+
+CANDIDATE_TOPIC = "keyed.candidates"
+
+
+class CandidateStore(ReadStore, Protocol):
+    """The methods of the store's client that a survey uses."""
+
+    async def append(
+        self, topic: str, records: Any, *, part: int = 0, expected_end: int | None = None
+    ) -> Appended: ...
+
+
+class CandidatePeers(Protocol):
+    """The methods of the peers' client that an election uses; each raises PeerError."""
+
+    async def is_leader(self, address: str) -> bool: ...
+
+    async def query_candidate(self, address: str, leader_address: str) -> CandidateStatus: ...
+
+    async def request_claim(self, address: str, end_offset: int) -> bool: ...
+
+
+@frozen
+class Surveyor:
+    """Calls of an election to the store and to other candidates; the election owns the clients.
+
+    :param own: this entry VM.
+    """
+
+    own: Candidate
+    store: CandidateStore
+    peers: CandidatePeers
+
+    async def publish(self) -> bool:
+        """Record this entry VM as a candidate; return whether the store has confirmed it."""
+        try:
+            await self.store.append(CANDIDATE_TOPIC, [(self.own.name, self.own.encode())])
+        except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+            logger.warning("cannot record the candidate", extra={"reason": str(error)})
+            return False
+        return True
+
+    async def query_leader(self, address: str) -> tuple[LeaderView, str]:
+        """Query the recorded leader; return the result and a reason for the log.
+
+        :param address: address of the recorded leader, empty if there is none.
+        """
+        if not address:
+            return LeaderView.UNKNOWN, "no leader is recorded"
+        try:
+            if await self.peers.is_leader(address):
+                return LeaderView.LEADS, f"{address} leads"
+        except PeerError as error:
+            return LeaderView.UNREACHABLE, str(error)
+        return LeaderView.NOT_LEADING, f"{address} does not lead"
+
+    async def query_candidates(
+        self, leader_address: str
+    ) -> tuple[tuple[Candidate, ...], dict[str, CandidateStatus]]:
+        """Return the other recorded candidates, and the answers of the ablest ones by name.
+
+        :param leader_address: leader that they should query as well, empty for none.
+        """
+        recorded = await self._read_candidates()
+        others = tuple(candidate for candidate in recorded if candidate.name != self.own.name)
+        respondents = select_respondents(others)
+        answers = await asyncio.gather(
+            *(self._query_candidate(respondent, leader_address) for respondent in respondents)
+        )
+        named = zip(respondents, answers, strict=True)
+        return others, {candidate.name: answer for candidate, answer in named if answer}
+
+    async def _read_candidates(self) -> tuple[Candidate, ...]:
+        """Return the candidates recorded in the store; none if they cannot be read."""
+        try:
+            newest = await read_newest(self.store, CANDIDATE_TOPIC)
+        except (StoreUnknownError, StoreRefusedError) as error:
+            logger.warning("cannot read the candidates", extra={"reason": str(error)})
+            return ()
+        candidates = []
+        for entry in newest.entries:
+            try:
+                candidates.append(decode_candidate(entry.key, entry.value))
+            except (ValueError, KeyError, TypeError) as error:
+                logger.error(
+                    "candidate skipped", extra={"candidate": entry.key, "reason": repr(error)}
+                )
+        return tuple(candidates)
+
+    async def _query_candidate(
+        self, candidate: Candidate, leader_address: str
+    ) -> CandidateStatus | None:
+        try:
+            return await self.peers.query_candidate(candidate.address, leader_address)
+        except PeerError as error:
+            logger.info(
+                "candidate does not answer",
+                extra={"candidate": candidate.name, "reason": str(error)},
+            )
+            return None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -794,19 +794,28 @@
         await self.opened.close()
 
 
+@pytest.fixture
+def settle_ms() -> int:
+    """How long an entry VM waits at a first start for abler ones; 0, as most tests start one."""
+    return 0
+
+
 @pytest.fixture
 async def run_node(
     store: RunningStandin,
     node_settings: Callable[[str], NodeSettings],
     platform_config: dict[str, Any],
+    settle_ms: int,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> AsyncIterator[Callable[[str], Awaitable[RunningNode]]]:
     """Start an entry VM against the stand-in store."""
+    monkeypatch.setattr(defaults, "ELECTION_SETTLE_MS", settle_ms)
     store.standin.put("keyed.op", "config", platform_config)
     running: list[RunningNode] = []
     session = aiohttp.ClientSession()
 
-    async def start(name: str = "node-1", advice_address: str = "") -> RunningNode:
-        settings = evolve(node_settings(name), advice_address=advice_address)
+    async def start(name: str = "node-1", **changes: Any) -> RunningNode:
+        settings = evolve(node_settings(name), **changes)
         node = RunningNode(await open_node(settings, make_adapter(settings)), session)
         running.append(node)
         return node
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,211 @@
+"""Tests of the election: which entry VM leads, in virtual time and with real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
+from tarragoncart import defaults
+from tarragoncart.candidates import (
+    Candidate,
+    CandidateStatus,
+    LeaderView,
+    Survey,
+    decide,
+    select_respondents,
+)
+
+SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
+LARGE = {"cpu_millicores": 2_151, "link_mbps": 200.0}
+WILLING = CandidateStatus(True, False, LeaderView.UNREACHABLE)
+
+
+@pytest.fixture
+def settle_ms():
+    """How long an entry VM waits at a first start for abler ones, as in production."""
+    return defaults.ELECTION_SETTLE_MS
+
+
+@pytest.fixture
+def simulate(monkeypatch, platform_config):
+    """Return a function that runs a scenario with a simulation and returns its result."""
+
+    def run(scenario):
+        simulation = Simulation(random.Random(1))
+        patch_peer_client(simulation, monkeypatch.setattr)
+        simulation.store.put("keyed.op", "config", json.dumps(platform_config).encode())
+        return run_in_virtual_time(scenario(simulation))
+
+    return run
+
+
+@pytest.fixture
+def survey():
+    """Create a survey of a small entry VM that finds no leader, one second after its start."""
+
+    def make(**changes):
+        values = {
+            "own": Candidate("small", "small", **SMALL),
+            "own_willing": True,
+            "own_view": LeaderView.NOT_LEADING,
+            "reason": "",
+            "uptime_ms": 10_000.0,
+            "candidates": (),
+            "statuses": {},
+        }
+        return Survey(**values | changes)
+
+    return make
+
+
+def leader_name(simulation):
+    """Return the name of the entry VM with the highest epoch, empty if none leads."""
+    leading = [node for node in simulation.nodes.values() if node.scheduler is not None]
+    newest = max(leading, key=lambda node: node.scheduler.epoch, default=None)
+    return "" if newest is None else newest.incarnation.split("/")[0]
+
+
+def epoch_count(simulation):
+    """Return how many epochs were claimed."""
+    return len(simulation.store.part("keyed.leader", 0).records)
+
+
+async def stop_all(simulation):
+    """Stop all entry VMs."""
+    for name in list(simulation.nodes):
+        await simulation.kill_node(name)
+
+
+def test_the_ablest_entry_vm_leads_after_a_start_and_after_a_failure(simulate):
+    """Guards against a small entry VM that leads because it joined the store's group first."""
+
+    async def scenario(simulation):
+        await simulation.start_node("small", **SMALL)
+        await asyncio.sleep(0.1)
+        for name in ("large-1", "large-2"):
+            await simulation.start_node(name, **LARGE)
+        await asyncio.sleep(3.0)
+        first = leader_name(simulation)
+        await simulation.kill_node(first)
+        await asyncio.sleep(3.0)
+        second = leader_name(simulation)
+        await simulation.kill_node(second)
+        await asyncio.sleep(3.0)
+        third, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return {first, second}, third, epochs
+
+    assert simulate(scenario) == ({"large-1", "large-2"}, "small", 3)
+
+
+def test_the_ablest_entry_vm_leads_after_all_were_killed(simulate):
+    """Guards against a small entry VM that leads because it was restarted first."""
+
+    async def scenario(simulation):
+        for name, settings in (("small", SMALL), ("large", LARGE)):
+            await simulation.start_node(name, **settings)
+        await asyncio.sleep(3.0)
+        await stop_all(simulation)
+        await asyncio.sleep(1.5)
+        await simulation.start_node("small", **SMALL)
+        await asyncio.sleep(0.5)
+        await simulation.start_node("large", **LARGE)
+        await asyncio.sleep(3.0)
+        found = leader_name(simulation)
+        await stop_all(simulation)
+        return found
+
+    assert simulate(scenario) == "large"
+
+
+def test_equal_entry_vms_elect_one_leader_soon(simulate):
+    """Guards against a site of equal entry VMs that waits for an abler one."""
+
+    async def scenario(simulation):
+        for number in range(7):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        await simulation.kill_node(leader_name(simulation))
+        await asyncio.sleep(2.0)
+        found, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return found, epochs
+
+    found, epochs = simulate(scenario)
+    assert found
+    assert epochs == 2
+
+
+def test_the_only_entry_vm_left_takes_the_lead(simulate):
+    """Guards against an entry VM that waits for candidates that are gone."""
+
+    async def scenario(simulation):
+        for number in range(5):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        kept = next(name for name in simulation.nodes if name != leader)
+        for name in list(simulation.nodes):
+            if name != kept:
+                await simulation.kill_node(name)
+        await asyncio.sleep(5.0)
+        found = leader_name(simulation)
+        await stop_all(simulation)
+        return found == kept
+
+    assert simulate(scenario)
+
+
+async def test_a_small_entry_vm_delegates_over_the_peer_interface(run_node):
+    """Guards against queries between candidates that only work without sockets."""
+    small = await run_node("small", **SMALL)
+    large = await run_node("large", **LARGE)
+    for _ in range(200):
+        if large.scheduler is not None:
+            break
+        await asyncio.sleep(0.02)
+    assert large.scheduler is not None
+    assert small.scheduler is None
+    assert large.scheduler.epoch == 1
+    await large.stop()
+    for _ in range(300):
+        if small.scheduler is not None:
+            break
+        await asyncio.sleep(0.02)
+    assert small.scheduler is not None
+
+
+def test_the_scarcer_resource_decides_the_ability():
+    """Guards against a leader with many cores behind a slow link."""
+    wide = Candidate("wide", "", 1_000, 1_000.0)
+    slow = Candidate("slow", "", 8_000, 5.0)
+    assert wide.ability > slow.ability
+    assert select_respondents((slow, wide)) == (wide, slow)
+
+
+def test_a_claim_in_progress_is_not_repeated(survey):
+    """Guards against a second claim while the store is slow to answer the first."""
+    large = Candidate("large", "", **LARGE)
+    status = CandidateStatus(False, True, LeaderView.UNREACHABLE)
+    found = decide(survey(candidates=(large,), statuses={"large": status}))
+    assert found.event == "occupied"
+
+
+def test_an_unwilling_entry_vm_delegates_to_a_less_able_one(survey):
+    """Guards against a claim by an entry VM that has just resigned while another one is willing."""
+    less_able = Candidate("tiny", "", 100, 1.0)
+    known = {"candidates": (less_able,), "statuses": {"tiny": WILLING}}
+    assert decide(survey(own_willing=False, **known)).candidate == less_able
+    assert decide(survey(**known)).event == "vacant"
+
+
+def test_an_entry_vm_claims_if_no_candidate_is_willing(survey):
+    """Guards against a site without a leader because all entry VMs have a reason not to lead."""
+    large = Candidate("large", "", **LARGE)
+    unwilling = CandidateStatus(False, False, LeaderView.UNREACHABLE)
+    known = {"candidates": (large,), "statuses": {"large": unwilling}}
+    assert decide(survey(own_willing=False, **known)).event == "vacant"
