Ask other candidates about a leader before an epoch is claimed

Each claim followed one query to the leader that timed out.

Cause: one unanswered query of one entry VM (350 ms) counted as the leader's failure, although the leader was busy, or the path of the entry VM that asked was cut. An entry VM that reached nobody but the store claimed the leadership too, and then reached few upstreams.

The candidates that are asked now also query a leader that did not answer (indirect probes); if one of them reaches it, it keeps the lead. An owner that reaches neither the leader nor any candidate leaves the group for 1 s, so that its partition is assigned to another member; if it is again isolated within 10 s, it may be the only entry VM left, and decides.

Evidence: test_a_leader_that_others_reach_keeps_the_lead failed before (a second epoch was claimed) and so did test_an_entry_vm_that_reaches_only_the_store_lets_another_one_decide (the isolated entry VM led). test_the_only_entry_vm_left_takes_the_lead passes with both.

--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -82,6 +82,7 @@
     :param own_view: result of its query to the recorded leader; ``UNKNOWN`` if none is recorded.
     :param reason: reason for that result.
     :param uptime_ms: time since it began to take part in the election.
+    :param stepped_aside: whether it recently left the group because it reached no other candidate.
     :param candidates: all other candidates recorded.
     :param statuses: answers of the candidates asked, by name; those that did not answer are
         missing.
@@ -92,6 +93,7 @@
     own_view: LeaderView
     reason: str
     uptime_ms: float
+    stepped_aside: bool
     candidates: tuple[Candidate, ...]
     statuses: Mapping[str, CandidateStatus]
 
@@ -101,7 +103,7 @@
     """Result of a survey.
 
     :param event: event of the chart ``leadership``: ``occupied`` (there is a leader, or one is
-        claiming), ``postponed``, ``delegated`` (the
+        claiming), ``postponed``, ``isolated`` (another entry VM should decide), ``delegated`` (the
         candidate should claim) or ``vacant`` (the entry VM itself should claim).
     """
 
@@ -119,8 +121,13 @@
 def decide(survey: Survey) -> Decision:
     """Decide whether the leadership is vacant, and which candidate should claim it."""
     for name, status in survey.statuses.items():
+        if status.leader_view is LeaderView.LEADS:
+            return Decision("occupied", f"{name} reaches the leader")
         if status.claiming:
             return Decision("occupied", f"{name} is claiming an epoch")
+    unreached = survey.own_view is LeaderView.UNREACHABLE and not survey.statuses
+    if unreached and survey.candidates and not survey.stepped_aside:
+        return Decision("isolated", f"no other candidate answers; {survey.reason}")
     willing = [
         candidate
         for candidate in survey.candidates
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -156,6 +156,10 @@
 CANDIDATE_RETRY_MS = 1_000
 # An entry VM whose claim has failed does not offer to lead again for this long.
 CLAIM_RETRY_MS = 1_000
+# An entry VM that reaches neither the leader nor a candidate leaves the group for this long; if it
+# reaches none again within ISOLATION_MEMORY_MS, it may be the only one left, and decides.
+STEP_ASIDE_MS = 1_000
+ISOLATION_MEMORY_MS = 10_000
 
 # Lease of all runs at an upstream, renewed with each poll.
 UPSTREAM_LEASE_MS = 3_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -199,6 +199,7 @@
         self._leaving = False
         self._started_ms = 0.0
         self._unwilling_until_ms = 0.0
+        self._stepped_aside_ms = float("-inf")
 
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
@@ -220,6 +221,9 @@
 
     async def _renew_membership(self) -> None:
         while not self._leaving:
+            if self._timer.now_ms() < self._stepped_aside_ms + defaults.STEP_ASIDE_MS:
+                await asyncio.sleep(self._ttl_ms / defaults.JOINS_PER_TTL_COUNT / 1_000)
+                continue
             sent_ms = self._timer.now_ms()
             try:
                 membership = await self._store.join(
@@ -302,6 +306,7 @@
             own_view=view,
             reason=reason,
             uptime_ms=now_ms - self._started_ms,
+            stepped_aside=now_ms - self._stepped_aside_ms < defaults.ISOLATION_MEMORY_MS,
             candidates=candidates,
             statuses=statuses,
         )
@@ -351,6 +356,12 @@
             extra={"candidate": candidate.name, "accepted": accepted, "reason": reason},
         )
 
+    @implements_action("step_aside")
+    def _step_aside(self, role: _Role, probed: _Probed) -> None:
+        """Leave the group for a while, so that another member decides about the leadership."""
+        self._stepped_aside_ms = self._timer.now_ms()
+        self.spawn(self._leave_group())
+
     @receives(QueryCandidate)
     def on_query_candidate(self, message: QueryCandidate) -> None:
         """Report whether this entry VM would lead, and whether it reaches the leader."""
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 
@@ -54,6 +55,7 @@
             "own_view": LeaderView.NOT_LEADING,
             "reason": "",
             "uptime_ms": 10_000.0,
+            "stepped_aside": False,
             "candidates": (),
             "statuses": {},
         }
@@ -140,6 +142,49 @@
     assert epochs == 2
 
 
+def test_a_leader_that_others_reach_keeps_the_lead(simulate):
+    """Guards against a claim by an entry VM whose own path to the leader is cut."""
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        prober = next(iter(simulation.store.members)).split("/")[0]
+        if prober == leader:
+            del simulation.store.members[simulation.nodes[leader].incarnation]
+            await asyncio.sleep(0.5)
+            prober = next(iter(simulation.store.members)).split("/")[0]
+        simulation.cut_paths.add((prober, leader))
+        await asyncio.sleep(10.0)
+        result = prober != leader, epoch_count(simulation)
+        await stop_all(simulation)
+        return result
+
+    assert simulate(scenario) == (True, 1)
+
+
+def test_an_entry_vm_that_reaches_only_the_store_lets_another_one_decide(simulate):
+    """Guards against a leader that is cut off from all other entry VMs."""
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        names = [member.split("/")[0] for member in simulation.store.members]
+        isolated = next(name for name in names if name != leader)
+        others = [name for name in names if name != isolated]
+        simulation.cut_paths.update(itertools.product([isolated], others))
+        await simulation.kill_node(leader)
+        await asyncio.sleep(6.0)
+        found, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return found not in ("", isolated), epochs
+
+    assert simulate(scenario) == (True, 2)
+
+
 def test_the_only_entry_vm_left_takes_the_lead(simulate):
     """Guards against an entry VM that waits for candidates that are gone."""
 
@@ -187,6 +232,14 @@
     assert select_respondents((slow, wide)) == (wide, slow)
 
 
+def test_a_busy_leader_that_a_candidate_reaches_leads(survey):
+    """Guards against a claim for a timeout of one query."""
+    large = Candidate("large", "", **LARGE)
+    status = CandidateStatus(True, False, LeaderView.LEADS)
+    found = decide(survey(candidates=(large,), statuses={"large": status}))
+    assert found.event == "occupied"
+
+
 def test_a_claim_in_progress_is_not_repeated(survey):
     """Guards against a second claim while the store is slow to answer the first."""
     large = Candidate("large", "", **LARGE)
