Announce a leader as soon as its record is read

Requests that arrived after a change of the leader were answered late or with 503: an entry VM that looked the leader up used the result only 250 ms later, because the pause between two lookups was awaited first. The pause now follows the announcement.

test_a_new_leader_is_known_as_soon_as_it_is_read failed before: 50 ms after the lookup, the entry VM still knew the leader before.

--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -465,11 +465,12 @@
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("cannot look up the leader", extra={"reason": str(error)})
             return
+        else:
+            if leader is not None:
+                self._listener.tell(LeaderFound(leader))
         finally:
             await asyncio.sleep(defaults.LEADER_LOOKUP_PAUSE_MS / 1_000)
             self._lookup_running = False
-        if leader is not None:
-            self._listener.tell(LeaderFound(leader))
 
     async def _read_leader_record(self) -> tuple[Leader | None, int]:
         """Return the leader recorded in the store, if any, and the partition's end offset."""
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -19,6 +19,7 @@
     decide,
     select_respondents,
 )
+from tarragoncart.election import FindLeader
 
 SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
 LARGE = {"cpu_millicores": 2_151, "link_mbps": 200.0}
@@ -205,6 +206,23 @@
     assert simulate(scenario)
 
 
+def test_a_new_leader_is_known_as_soon_as_it_is_read(simulate):
+    """Guards against a lookup whose result is held back until the next lookup may start."""
+
+    async def scenario(simulation):
+        node = await simulation.start_node("n-1")
+        await asyncio.sleep(3.0)
+        successor = json.dumps({"name": "n-2/1", "address": "n-2"}).encode()
+        simulation.store.put("keyed.leader", "leader", successor)
+        node.election.tell(FindLeader())
+        await asyncio.sleep(0.05)
+        found = node._leader.name
+        await stop_all(simulation)
+        return found
+
+    assert simulate(scenario) == "n-2/1"
+
+
 async def test_a_small_entry_vm_delegates_over_the_peer_interface(run_node):
     """Guards against queries between candidates that only work without sockets."""
     small = await run_node("small", **SMALL)
