Name the reason for which a leadership was lost

LeadershipLost always said "not confirmed by the store", also after a planned stop and after a higher epoch was seen, and the log line had no reason, so that a series of leaders could not be explained from the logs. The events of the chart now carry the reason.

test_a_lost_leadership_names_its_reason failed before: the log line had no reason.

--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -258,7 +258,7 @@
         self._measure_event_loop_delay()
         age_ms = self._timer.now_ms() - self._confirmed_ms
         if self._role.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
-            self.step(self.chart, self._role, "expired")
+            self.step(self.chart, self._role, "expired", reason="not confirmed by the store")
 
     def _measure_event_loop_delay(self) -> None:
         """Record how late the periodic check is; a suspended process shows as a delay as well."""
@@ -438,16 +438,19 @@
         self._listener.tell(LeadershipConfirmed(self._confirmed_ms + defaults.LEADERSHIP_VALID_MS))
 
     @implements_action("resign")
-    def _resign(self, role: _Role) -> None:
+    def _resign(self, role: _Role, reason: str) -> None:
         age_ms = round(self._timer.now_ms() - self._confirmed_ms)
-        logger.info("leadership lost", extra={"epoch": self._epoch, "confirmation_age_ms": age_ms})
-        self._listener.tell(LeadershipLost(self._epoch, "not confirmed by the store"))
+        logger.info(
+            "leadership lost",
+            extra={"epoch": self._epoch, "reason": reason, "confirmation_age_ms": age_ms},
+        )
+        self._listener.tell(LeadershipLost(self._epoch, reason))
 
     @receives(Fenced)
     def on_fenced(self, message: Fenced) -> None:
         """Resign: another entry VM has a higher epoch."""
         if self._role.state == "leader" and message.epoch == self._epoch:
-            self.step(self.chart, self._role, "fenced")
+            self.step(self.chart, self._role, "fenced", reason="a higher epoch was claimed")
 
     @receives(FindLeader)
     def on_find_leader(self, message: FindLeader) -> None:
@@ -487,7 +490,7 @@
         """Resign and leave the group, so that another entry VM takes over at once."""
         self._leaving = True
         if self._role.state == "leader":
-            self.step(self.chart, self._role, "leave")
+            self.step(self.chart, self._role, "leave", reason="planned stop")
         await self._leave_group()
         resolve(message.reply, None)
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import logging
 import random
 
 import pytest
@@ -19,7 +20,8 @@
     decide,
     select_respondents,
 )
-from tarragoncart.election import FindLeader
+from tarragoncart.election import Fenced, FindLeader, Leave
+from tarragoncart.mailbox import new_reply
 
 SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
 LARGE = {"cpu_millicores": 2_151, "link_mbps": 200.0}
@@ -223,6 +225,32 @@
     assert simulate(scenario) == "n-2/1"
 
 
+def test_a_lost_leadership_names_its_reason(simulate, caplog):
+    """Guards against a log that blames the store for a planned stop or a higher epoch."""
+    caplog.set_level(logging.INFO, "tarragoncart.election")
+
+    async def scenario(simulation):
+        node = await simulation.start_node("n-1")
+        await asyncio.sleep(3.0)
+        node.election.tell(Fenced(node.scheduler.epoch))
+        await asyncio.sleep(2.0)
+        simulation.store.refused_entries.add("n-1")
+        await asyncio.sleep(5.0)
+        simulation.store.refused_entries.clear()
+        await asyncio.sleep(2.0)
+        node.election.tell(Leave(new_reply()))
+        await asyncio.sleep(1.0)
+        await stop_all(simulation)
+
+    simulate(scenario)
+    lost = [record for record in caplog.records if record.message == "leadership lost"]
+    assert [record.reason for record in lost] == [
+        "a higher epoch was claimed",
+        "not confirmed by the store",
+        "planned stop",
+    ]
+
+
 async def test_a_small_entry_vm_delegates_over_the_peer_interface(run_node):
     """Guards against queries between candidates that only work without sockets."""
     small = await run_node("small", **SMALL)
