Hand the leadership over if most upstreams do not answer the leader

The scheduler now reports once a second how many of the registered upstreams answer. If fewer than half have answered for 3 s, the leader and four willing candidates try to connect to a sample of those that do not. The ablest candidate that connects to half of them claims the next epoch, and the old leader does not offer to lead for 30 s. If no candidate connects, the failure is one that all share; if the leader itself connects, it or the upstreams are slow; both leave the leadership where it is.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -20,7 +20,7 @@
 from standins.settings import make_node_settings
 from tarragoncart import node as node_module
 from tarragoncart.candidates import CandidateStatus
-from tarragoncart.election import QueryCandidate, RequestClaim
+from tarragoncart.election import QueryCandidate, QueryReach, RequestClaim
 from tarragoncart.entrance import RequestContext, Submit
 from tarragoncart.errors import (
     FleetRefusedError,
@@ -630,6 +630,11 @@
         reply = new_reply()
         return await self._ask_election(address, RequestClaim(end_offset, reply), reply)
 
+    async def count_reached(self, address: str, upstream_addresses: tuple[str, ...]) -> int:
+        """Ask an entry VM how many upstreams it reaches."""
+        reply = new_reply()
+        return await self._ask_election(address, QueryReach(upstream_addresses, reply), reply)
+
     async def _ask_election(self, address: str, message: Any, reply: asyncio.Future[Any]) -> Any:
         node = await self._reach(address, "ask candidate")
         node.election.tell(message)
@@ -882,12 +887,18 @@
         if node is not None:
             await node.stop()
 
+    async def _reaches_upstream(self, entry: str, upstream_id: str) -> bool:
+        await asyncio.sleep(CALL_DELAY_S)
+        worker = self.workers[upstream_id]
+        return not worker.unreachable and entry not in worker.cut_entries
+
     def _adapter(self, name: str) -> Adapter:
         return Adapter(
             make_store=lambda: VirtualStoreClient(self.store, name),
             make_client=lambda upstream_id, address: VirtualWorkerClient(
                 self.workers[upstream_id], name
             ),
+            reaches_upstream=lambda upstream_id: self._reaches_upstream(name, upstream_id),
             make_fleet=(lambda: VirtualFleetClient(self)) if self.vms else None,
             make_advice=None,
             operator_topic=operator.OPERATOR_TOPIC,
@@ -919,7 +930,7 @@
     data = json.loads(value)
     capacity = Demand(data["cpu"], 1_000_000)
     return UpstreamEntry(
-        upstream_id, POOL, "address", "dc", False, capacity, started_ms=data["born"]
+        upstream_id, POOL, upstream_id, "dc", False, capacity, started_ms=data["born"]
     )
 
 
--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -112,6 +112,49 @@
     candidate: Candidate | None = None
 
 
+@frozen
+class Reach:
+    """Which of the registered upstreams answer the leader.
+
+    :param unreached_addresses: addresses of some that do not answer.
+    """
+
+    registered_count: int
+    answering_count: int
+    unreached_addresses: tuple[str, ...]
+
+    @property
+    def poor(self) -> bool:
+        """Whether most upstreams do not answer, and enough are registered to tell."""
+        return (
+            self.registered_count >= defaults.REACH_MIN_COUNT
+            and self.answering_count < defaults.REACH_MIN_RATIO * self.registered_count
+        )
+
+
+def choose_successor(
+    candidates: Iterable[Candidate],
+    reached_counts: Mapping[str, int],
+    own_count: int,
+    asked_count: int,
+) -> Candidate | None:
+    """Return the ablest candidate that can connect to most upstreams that do not answer the leader.
+
+    If none can, the failure is one that all entry VMs share; if the leader can as well, the
+    upstreams or the leader are slow, and a successor would fare no better. The leader keeps the
+    lead in both cases.
+
+    :param reached_counts: number of those upstreams that a candidate connects to, by name.
+    :param own_count: number of those upstreams that the leader connects to.
+    :param asked_count: number of those upstreams.
+    """
+    required_count = max(1.0, defaults.REACH_MIN_RATIO * asked_count)
+    if own_count >= required_count:
+        return None
+    able = [c for c in candidates if reached_counts.get(c.name, 0) >= required_count]
+    return min(able, key=lambda candidate: (-candidate.ability, candidate.name), default=None)
+
+
 def select_respondents(candidates: Iterable[Candidate]) -> tuple[Candidate, ...]:
     """Return the candidates to ask: the ablest ones."""
     ranked = sorted(candidates, key=lambda candidate: (-candidate.ability, candidate.name))
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -159,6 +159,16 @@
 # An entry VM that reaches neither the leader nor a candidate leaves the group for this long; if it
 # reaches none again within ISOLATION_MEMORY_MS, it may be the only one left, and decides.
 STEP_ASIDE_MS = 1_000
+# A leader gives up the lead if fewer than this share of the registered upstreams have answered for
+# REACH_POOR_MS, and a candidate reaches as many of those that do not answer. With fewer upstreams
+# than REACH_MIN_COUNT, single failures look like a lack of reach.
+REACH_MIN_RATIO = 0.5
+REACH_MIN_COUNT = 4
+REACH_POOR_MS = 3_000
+REACH_SAMPLE_COUNT = 8
+REACH_CANDIDATE_COUNT = 4
+TRANSFER_RETRY_MS = 5_000
+UNWILLING_AFTER_TRANSFER_MS = 30_000
 ISOLATION_MEMORY_MS = 10_000
 
 # Lease of all runs at an upstream, renewed with each poll.
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -11,12 +11,13 @@
 import asyncio
 import json
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from attrs import define, frozen
 
 from . import defaults, metrics
-from .candidates import Candidate, CandidateStatus, Decision, LeaderView, Survey, decide
+from .candidates import Candidate, CandidateStatus, Decision, LeaderView, Reach, Survey, decide
 from .charts import load_chart
 from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import read_newest
@@ -118,6 +119,25 @@
     reply: asyncio.Future[bool]
 
 
+@frozen
+class QueryReach:
+    """Ask how many of some upstreams this entry VM reaches.
+
+    :param reply: resolved with the number.
+    """
+
+    upstream_addresses: tuple[str, ...]
+    reply: asyncio.Future[int]
+
+
+@frozen
+class ReachMeasured:
+    """Which upstreams answer this entry VM, while it leads with this epoch."""
+
+    epoch: int
+    reach: Reach
+
+
 @frozen
 class Leave:
     """Leave the group at once, for a planned stop."""
@@ -148,6 +168,11 @@
     reason: str
 
 
+@frozen
+class _Transferred:
+    epoch: int
+
+
 @frozen
 class _Tick:
     """Check whether the confirmation of the leadership has expired."""
@@ -165,6 +190,7 @@
     :param candidate: this entry VM, as other ones see it.
     :param listener: actor that receives the messages about the leadership.
     :param peers: client for calls to other entry VMs.
+    :param reaches_upstream: tries to connect to the upstream at an address.
     """
 
     chart = load_chart("leadership")
@@ -177,6 +203,7 @@
         listener: Actor,
         timer: Timer,
         peers: CandidatePeers,
+        reaches_upstream: Callable[[str], Awaitable[bool]],
         *,
         ttl_ms: int = defaults.MEMBERSHIP_TTL_MS,
     ) -> None:
@@ -187,6 +214,7 @@
         self._listener = listener
         self._timer = timer
         self._peers = peers
+        self._reaches_upstream = reaches_upstream
         self._surveyor = Surveyor(candidate, store, peers)
         self._ttl_ms = ttl_ms
         self._role = _Role(self.chart.initial)
@@ -200,6 +228,8 @@
         self._started_ms = 0.0
         self._unwilling_until_ms = 0.0
         self._stepped_aside_ms = float("-inf")
+        self._poor_reach_since_ms: float | None = None
+        self._next_transfer_ms = 0.0
 
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
@@ -345,7 +375,7 @@
         assert probed.decision.candidate is not None
         self.spawn(self._request_claim(probed.decision.candidate, probed.end_offset))
 
-    async def _request_claim(self, candidate: Candidate, end_offset: int) -> None:
+    async def _request_claim(self, candidate: Candidate, end_offset: int) -> bool:
         try:
             accepted = await self._peers.request_claim(candidate.address, end_offset)
             reason = "" if accepted else "not willing any more"
@@ -355,6 +385,7 @@
             "candidate asked to claim",
             extra={"candidate": candidate.name, "accepted": accepted, "reason": reason},
         )
+        return accepted
 
     @implements_action("step_aside")
     def _step_aside(self, role: _Role, probed: _Probed) -> None:
@@ -429,6 +460,7 @@
     @implements_action("take_over")
     def _take_over(self, role: _Role) -> None:
         logger.info("leadership gained", extra={"epoch": self._epoch})
+        self._poor_reach_since_ms = None
         self._listener.tell(LeaderFound(Leader(self._member, self._candidate.address, self._epoch)))
         self._listener.tell(LeadershipGained(self._epoch))
         self._confirm(role)
@@ -446,6 +478,52 @@
         )
         self._listener.tell(LeadershipLost(self._epoch, reason))
 
+    @receives(ReachMeasured)
+    def on_reach_measured(self, message: ReachMeasured) -> None:
+        """Look for a successor if most upstreams have not answered for some time."""
+        if self._role.state != "leader" or message.epoch != self._epoch:
+            return
+        now_ms = self._timer.now_ms()
+        if not message.reach.poor:
+            self._poor_reach_since_ms = None
+            return
+        if self._poor_reach_since_ms is None:
+            self._poor_reach_since_ms = now_ms
+        poor_ms = now_ms - self._poor_reach_since_ms
+        if poor_ms >= defaults.REACH_POOR_MS and now_ms >= self._next_transfer_ms:
+            self._next_transfer_ms = now_ms + defaults.TRANSFER_RETRY_MS
+            self.spawn(self._transfer(self._epoch, message.reach))
+
+    async def _transfer(self, epoch: int, reach: Reach) -> None:
+        """Ask a candidate that reaches the upstreams to claim the next epoch."""
+        own_count = await self._count_reached(reach.unreached_addresses)
+        successor = await self._surveyor.find_successor(reach.unreached_addresses, own_count)
+        # The end of the partition is the epoch, as it holds the claims and nothing else.
+        if successor is not None and await self._request_claim(successor, epoch):
+            self.tell(_Transferred(epoch))
+
+    @receives(_Transferred)
+    def on_transferred(self, message: _Transferred) -> None:
+        """Resign in favour of the successor, and do not lead again for a while."""
+        if self._role.state == "leader" and message.epoch == self._epoch:
+            self._unwilling_until_ms = self._timer.now_ms() + defaults.UNWILLING_AFTER_TRANSFER_MS
+            reason = "most upstreams do not answer"
+            self.step(self.chart, self._role, "transferred", reason=reason)
+
+    @receives(QueryReach)
+    def on_query_reach(self, message: QueryReach) -> None:
+        """Report how many of the upstreams this entry VM reaches."""
+        self.spawn(self._answer_reach(message))
+
+    async def _answer_reach(self, message: QueryReach) -> None:
+        resolve(message.reply, await self._count_reached(message.upstream_addresses))
+
+    async def _count_reached(self, upstream_addresses: tuple[str, ...]) -> int:
+        results = await asyncio.gather(
+            *(self._reaches_upstream(address) for address in upstream_addresses)
+        )
+        return sum(results)
+
     @receives(Fenced)
     def on_fenced(self, message: Fenced) -> None:
         """Resign: another entry VM has a higher epoch."""
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -13,7 +13,7 @@
 
 from . import defaults
 from .candidates import CandidateStatus, LeaderView
-from .election import QueryCandidate, RequestClaim
+from .election import QueryCandidate, QueryReach, RequestClaim
 from .errors import PeerError
 from .mailbox import Actor, new_reply
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
@@ -83,6 +83,18 @@
         status, _ = await self._send(address, path, defaults.PROBE_TIMEOUT_MS, "POST")
         return status == 200
 
+    async def count_reached(self, address: str, upstream_addresses: tuple[str, ...]) -> int:
+        """Ask how many of some upstreams the peer reaches.
+
+        :raises PeerError: if it does not answer.
+        """
+        path = f"/reach/{','.join(upstream_addresses)}"
+        # The peer waits for the upstreams for as long as for a leader.
+        status, body = await self._send(address, path, 2 * defaults.PROBE_TIMEOUT_MS)
+        if status != 200:
+            raise PeerError(f"status {status}", step="ask candidate", peer=address)
+        return json.loads(body)["reached_count"]
+
     async def _get(self, address: str, path: str) -> dict[str, Any]:
         status, body = await self._send(address, path, defaults.LOOKUP_TIMEOUT_MS)
         if status != 200:
@@ -132,6 +144,8 @@
         kind, _, name = request.path.lstrip("/").partition("/")
         if kind == "candidate":
             return await self._answer_as_candidate(name)
+        if kind == "reach":
+            return await self._answer_reach(tuple(name.split(",")))
         if kind == "claim" and name.isdecimal():
             return await self._accept_claim(int(name))
         scheduler = self._scheduler()
@@ -167,6 +181,16 @@
         }
         return web.Response(body=json.dumps(data).encode(), content_type="application/json")
 
+    async def _answer_reach(self, upstream_addresses: tuple[str, ...]) -> web.StreamResponse:
+        reply = new_reply()
+        self._election.tell(QueryReach(upstream_addresses, reply))
+        try:
+            count = await asyncio.wait_for(reply, 2 * defaults.PROBE_TIMEOUT_MS / 1_000)
+        except TimeoutError:
+            return web.Response(status=503)
+        body = json.dumps({"reached_count": count}).encode()
+        return web.Response(body=body, content_type="application/json")
+
     async def _accept_claim(self, end_offset: int) -> web.StreamResponse:
         reply = new_reply()
         self._election.tell(RequestClaim(end_offset, reply))
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -87,6 +87,7 @@
 
     make_store: Callable[[], Any]
     make_client: ClientFactory
+    reaches_upstream: Callable[[str], Awaitable[bool]]
     make_fleet: Callable[[], FleetCalls] | None
     make_advice: Callable[[], AdviceCalls] | None
     operator_topic: str
@@ -142,6 +143,7 @@
             self,
             timer,
             self._probe_client,
+            adapter.reaches_upstream,
             ttl_ms=max(defaults.MEMBERSHIP_TTL_MS, settings.membership_ttl_min_ms),
         )
         self.request_handler = RequestHandler(
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -8,7 +8,7 @@
 from .boot import load_settings
 from .callers import CallerServer
 from .store import Store
-from .upstreams import UpstreamClient
+from .upstreams import UpstreamClient, reaches_upstream
 from .vms import VmClient
 
 
@@ -29,6 +29,7 @@
     return node.Adapter(
         make_store=lambda: Store(settings.store_address),
         make_client=UpstreamClient,
+        reaches_upstream=reaches_upstream,
         make_fleet=fleet,
         make_advice=advice,
         operator_topic=operator.OPERATOR_TOPIC,
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import aiohttp
@@ -13,6 +14,7 @@
 
 CALL_TIMEOUT_MS = 700
 CONNECT_TIMEOUT_MS = 500
+REACH_TIMEOUT_MS = 350
 CONNECTION_COUNT = 8
 KEEPALIVE_S = 10
 # Maps the platform's codes for the end of a run to the outcomes used in this package.
@@ -26,6 +28,18 @@
 }
 
 
+async def reaches_upstream(address: str) -> bool:
+    """Return whether an upstream accepts a connection."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(REACH_TIMEOUT_MS / 1_000):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (TimeoutError, OSError, ValueError):
+        return False
+    writer.close()
+    return True
+
+
 class UpstreamClient:
     """HTTP client of one upstream; owned by one actor.
 
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -12,7 +12,8 @@
 from . import assignment, defaults, intake, jobmodel, metrics
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
-from .election import Fenced, LeadershipConfirmed
+from .candidates import Reach
+from .election import Fenced, LeadershipConfirmed, ReachMeasured
 from .errors import StoreRefusedError, StoreUnknownError
 from .follower import TopicChanges, TopicSnapshot, read_newest
 from .graph import Rules
@@ -525,6 +526,7 @@
             return
         self._summary_logged_ms = now_ms
         slots = [upstream.slot for upstream in self._upstreams.values()]
+        self._report_reach(slots)
         steps = [step for steps in self._ready_steps.values() for step in steps]
         logger.info(
             "leader summary",
@@ -541,6 +543,16 @@
             },
         )
 
+    def _report_reach(self, slots: list[UpstreamSlot]) -> None:
+        """Tell the election which upstreams answer, as the leader may be the one cut off."""
+        listed = [slot for slot in slots if slot.listed]
+        unreached = [slot.entry.address for slot in listed if not (slot.known and slot.answering)]
+        # Takes addresses at even distances, so that the sample is not one rack.
+        stride = max(1, len(unreached) // defaults.REACH_SAMPLE_COUNT)
+        sample = tuple(unreached[::stride][: defaults.REACH_SAMPLE_COUNT])
+        reach = Reach(len(listed), len(listed) - len(unreached), sample)
+        self._election.tell(ReachMeasured(self._epoch, reach))
+
     def _drop_expired_jobs(self) -> None:
         """Drop jobs that ended longer ago than the retention time, in memory and in the store."""
         horizon_ms = self._timer.wall_ms() - self._retention_ms - defaults.RETENTION_MARGIN_MS
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -8,10 +8,12 @@
 
 from attrs import frozen
 
+from . import defaults
 from .candidates import (
     Candidate,
     CandidateStatus,
     LeaderView,
+    choose_successor,
     decode_candidate,
     select_respondents,
 )
@@ -41,6 +43,8 @@
 
     async def request_claim(self, address: str, end_offset: int) -> bool: ...
 
+    async def count_reached(self, address: str, upstream_addresses: tuple[str, ...]) -> int: ...
+
 
 @frozen
 class Surveyor:
@@ -92,6 +96,43 @@
         named = zip(respondents, answers, strict=True)
         return others, {candidate.name: answer for candidate, answer in named if answer}
 
+    async def find_successor(
+        self, upstream_addresses: tuple[str, ...], own_count: int
+    ) -> Candidate | None:
+        """Return a candidate that reaches upstreams that this entry VM does not, if there is one.
+
+        :param upstream_addresses: upstreams that the candidates should try to reach.
+        :param own_count: number of those upstreams that this entry VM reaches.
+        """
+        others, statuses = await self.query_candidates("")
+        willing = [c for c in others if c.name in statuses and statuses[c.name].willing]
+        respondents = select_respondents(willing)[: defaults.REACH_CANDIDATE_COUNT]
+        counts = await asyncio.gather(
+            *(self._count_reached(respondent, upstream_addresses) for respondent in respondents)
+        )
+        reached_counts = {c.name: count for c, count in zip(respondents, counts, strict=True)}
+        logger.info(
+            "candidates asked for their reach",
+            extra={
+                "upstream_count": len(upstream_addresses),
+                "own_count": own_count,
+                "reached_counts": reached_counts,
+            },
+        )
+        return choose_successor(respondents, reached_counts, own_count, len(upstream_addresses))
+
+    async def _count_reached(
+        self, candidate: Candidate, upstream_addresses: tuple[str, ...]
+    ) -> int:
+        try:
+            return await self.peers.count_reached(candidate.address, upstream_addresses)
+        except PeerError as error:
+            logger.info(
+                "candidate does not answer",
+                extra={"candidate": candidate.name, "reason": str(error)},
+            )
+            return 0
+
     async def _read_candidates(self) -> tuple[Candidate, ...]:
         """Return the candidates recorded in the store; none if they cannot be read."""
         try:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from standins.taskworker import TaskWorker
 from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
 from tarragoncart import defaults
 from tarragoncart.candidates import (
@@ -17,10 +18,13 @@
     CandidateStatus,
     LeaderView,
     Survey,
+    choose_successor,
     decide,
     select_respondents,
 )
 from tarragoncart.election import Fenced, FindLeader, Leave
+from tarragoncart.graph import Demand
+from tarragoncart.leaderapi import PeerClient
 from tarragoncart.mailbox import new_reply
 
 SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
@@ -208,6 +212,48 @@
     assert simulate(scenario)
 
 
+async def lead_without_reach(simulation, unreached_names, names):
+    """Cut the leader, or all entry VMs, off from workers; return old and new leader and epochs.
+
+    :param names: returns the entry VMs to be cut off for the leader's name.
+    """
+    for number in range(6):
+        simulation.add_worker(f"i-{number}", Demand(4_000, 1_000_000))
+    await simulation.start_node("large-1", **LARGE)
+    await simulation.start_node("large-2", **LARGE)
+    await simulation.start_node("small", **SMALL)
+    await asyncio.sleep(4.0)
+    first = leader_name(simulation)
+    for name in unreached_names:
+        simulation.workers[name].cut_entries.update(names(first))
+    await asyncio.sleep(25.0)
+    second, epochs = leader_name(simulation), epoch_count(simulation)
+    await stop_all(simulation)
+    return first, second, epochs
+
+
+def test_a_leader_that_most_upstreams_do_not_answer_hands_over(simulate):
+    """Guards against a leader that keeps the lead because the store alone confirms it."""
+    unreached = [f"i-{number}" for number in range(4)]
+    first, second, epochs = simulate(
+        lambda simulation: lead_without_reach(simulation, unreached, lambda leader: [leader])
+    )
+    assert {first, second} == {"large-1", "large-2"}
+    assert epochs == 2
+
+
+def test_a_failure_of_upstreams_that_all_share_does_not_move_the_leadership(simulate):
+    """Guards against a leadership that wanders while most upstreams are down."""
+    unreached = [f"i-{number}" for number in range(4)]
+    first, second, epochs = simulate(
+        lambda simulation: lead_without_reach(
+            simulation, unreached, lambda leader: list(simulation.nodes)
+        )
+    )
+    assert first == second
+    assert epochs == 1
+
+
 def test_a_new_leader_is_known_as_soon_as_it_is_read(simulate):
     """Guards against a lookup whose result is held back until the next lookup may start."""
 
@@ -270,6 +316,16 @@
     assert small.scheduler is not None
 
 
+async def test_a_candidate_reports_its_reach_over_the_peer_interface(run_node, serve_standin):
+    """Guards against queries for reach that only work without sockets."""
+    node = await run_node("n-1")
+    worker = await serve_standin(TaskWorker())
+    peers = PeerClient()
+    upstreams = (worker.address, "127.0.0.1:1", "malformed")
+    assert await peers.count_reached(node.opened.settings.peer_address, upstreams) == 1
+    await peers.close()
+
+
 def test_the_scarcer_resource_decides_the_ability():
     """Guards against a leader with many cores behind a slow link."""
     wide = Candidate("wide", "", 1_000, 1_000.0)
@@ -294,6 +350,15 @@
     assert found.event == "occupied"
 
 
+def test_a_leader_that_connects_to_silent_upstreams_has_no_successor():
+    """Guards against a series of leaders while the leader or the upstreams are slow."""
+    large, small = Candidate("large", "", **LARGE), Candidate("small", "", **SMALL)
+    reached_counts = {"large": 8, "small": 8}
+    assert choose_successor((small, large), reached_counts, 3, 8) == large
+    assert choose_successor((small, large), reached_counts, 4, 8) is None
+    assert choose_successor((small, large), {"large": 3, "small": 4}, 0, 8) == small
+
+
 def test_an_unwilling_entry_vm_delegates_to_a_less_able_one(survey):
     """Guards against a claim by an entry VM that has just resigned while another one is willing."""
     less_able = Candidate("tiny", "", 100, 1.0)
