End a survey of the candidates once no answer can change the decision

A survey waited for all candidates: one that was gone delayed each claim by its timeout of 700 ms.

The survey now ends once nobody abler has yet to answer, and, if the recorded leader does not answer the entry VM itself, three candidates have reported on it; at once if one of them reaches it. The timeout is 350 ms for a candidate that need not query the leader.

--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -4,7 +4,7 @@
 
 import enum
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from attrs import frozen
 
@@ -161,6 +161,31 @@
     return tuple(ranked[: defaults.SURVEY_CANDIDATE_COUNT])
 
 
+def is_settled(
+    own_ability: float,
+    own_view: LeaderView,
+    statuses: Mapping[str, CandidateStatus],
+    respondents: Iterable[Candidate],
+    answered: Collection[str],
+) -> bool:
+    """Return whether the candidates that have not answered yet can be ignored.
+
+    :param own_ability: ability of the entry VM itself, 0 if it is not willing.
+    :param own_view: result of its query to the recorded leader.
+    :param statuses: answers so far.
+    :param answered: names of the respondents that answered or cannot be reached.
+    """
+    views = [status.leader_view for status in statuses.values()]
+    if LeaderView.LEADS in views:
+        return True
+    if own_view is LeaderView.UNREACHABLE and len(views) < defaults.SURVEY_WITNESS_COUNT:
+        return False
+    willing = [c.ability for c in respondents if c.name in statuses and statuses[c.name].willing]
+    best_ability = max([own_ability, *willing])
+    waited_for = [c.ability for c in respondents if c.name not in answered]
+    return best_ability > 0 and max(waited_for, default=0.0) <= best_ability
+
+
 def decide(survey: Survey) -> Decision:
     """Decide whether the leadership is vacant, and which candidate should claim it."""
     for name, status in survey.statuses.items():
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -151,6 +151,8 @@
 REFERENCE_LEADER_LINK_MBPS = 100
 # Number of candidates that are asked before an epoch is claimed, the ablest ones first.
 SURVEY_CANDIDATE_COUNT = 16
+# So many answers about a leader that the entry VM itself does not reach are enough.
+SURVEY_WITNESS_COUNT = 3
 # At a first start, and after all entry VMs were killed, abler ones start within this time.
 ELECTION_SETTLE_MS = 1_000
 CANDIDATE_RETRY_MS = 1_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import logging
 from collections.abc import Awaitable, Callable
@@ -17,7 +18,16 @@
 from attrs import define, frozen
 
 from . import defaults, metrics
-from .candidates import Candidate, CandidateStatus, Decision, LeaderView, Reach, Survey, decide
+from .candidates import (
+    Candidate,
+    CandidateStatus,
+    Decision,
+    LeaderView,
+    Reach,
+    Survey,
+    decide,
+    is_settled,
+)
 from .charts import load_chart
 from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import read_newest
@@ -328,7 +338,10 @@
             return
         # Only a leader that did not answer needs to be queried by others.
         queried_address = address if view is LeaderView.UNREACHABLE else ""
-        candidates, statuses = await self._surveyor.query_candidates(queried_address)
+        own_ability = self._candidate.ability if self._is_willing() else 0.0
+        candidates, statuses = await self._surveyor.query_candidates(
+            queried_address, functools.partial(is_settled, own_ability, view)
+        )
         now_ms = self._timer.now_ms()
         survey = Survey(
             own=self._candidate,
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -66,7 +66,7 @@
         """
         path = f"/candidate/{leader_address}"
         # The peer may wait for the leader for as long as this entry VM did.
-        timeout_ms = 2 * defaults.PROBE_TIMEOUT_MS
+        timeout_ms = defaults.PROBE_TIMEOUT_MS * (2 if leader_address else 1)
         status, body = await self._send(address, path, timeout_ms)
         if status != 200:
             raise PeerError(f"status {status}", step="ask candidate", peer=address)
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, Protocol
 
 from attrs import frozen
@@ -46,6 +47,9 @@
     async def count_reached(self, address: str, upstream_addresses: tuple[str, ...]) -> int: ...
 
 
+IsSettled = Callable[[Mapping[str, CandidateStatus], tuple[Candidate, ...], Collection[str]], bool]
+
+
 @frozen
 class Surveyor:
     """Calls of an election to the store and to other candidates; the election owns the clients.
@@ -81,20 +85,37 @@
         return LeaderView.NOT_LEADING, f"{address} does not lead"
 
     async def query_candidates(
-        self, leader_address: str
+        self, leader_address: str, is_settled: IsSettled | None = None
     ) -> tuple[tuple[Candidate, ...], dict[str, CandidateStatus]]:
         """Return the other recorded candidates, and the answers of the ablest ones by name.
 
         :param leader_address: leader that they should query as well, empty for none.
+        :param is_settled: tells from the answers so far, the respondents and the names of those
+            that have answered or failed, whether the remaining ones can be ignored.
         """
         recorded = await self._read_candidates()
         others = tuple(candidate for candidate in recorded if candidate.name != self.own.name)
         respondents = select_respondents(others)
-        answers = await asyncio.gather(
-            *(self._query_candidate(respondent, leader_address) for respondent in respondents)
-        )
-        named = zip(respondents, answers, strict=True)
-        return others, {candidate.name: answer for candidate, answer in named if answer}
+        queries = {
+            asyncio.ensure_future(self._query_candidate(respondent, leader_address)): respondent
+            for respondent in respondents
+        }
+        statuses: dict[str, CandidateStatus] = {}
+        answered: set[str] = set()
+        pending = set(queries)
+        try:
+            while pending:
+                if is_settled is not None and is_settled(statuses, respondents, answered):
+                    break
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for query in done:
+                    answered.add(queries[query].name)
+                    if (status := query.result()) is not None:
+                        statuses[queries[query].name] = status
+        finally:
+            for query in pending:
+                query.cancel()
+        return others, statuses
 
     async def find_successor(
         self, upstream_addresses: tuple[str, ...], own_count: int
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -20,6 +20,7 @@
     Survey,
     choose_successor,
     decide,
+    is_settled,
     select_respondents,
 )
 from tarragoncart.election import Fenced, FindLeader, Leave
@@ -192,6 +193,32 @@
     assert simulate(scenario) == (True, 2)
 
 
+def test_a_candidate_that_does_not_answer_does_not_delay_a_claim(simulate):
+    """Guards against a claim that waits for the timeout of a candidate that is gone."""
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        names = [member.split("/")[0] for member in simulation.store.members]
+        cut, *others = [name for name in names if name != leader]
+        simulation.cut_paths.update(itertools.product([cut], names))
+        del simulation.store.members[simulation.nodes[cut].incarnation]
+        simulation.store.refused_entries.add(cut)
+        await asyncio.sleep(0.5)
+        simulation.nodes[leader].election.tell(Leave(new_reply()))
+        started_s = simulation.now_s()
+        while epoch_count(simulation) < 2:
+            await asyncio.sleep(0.01)
+        elapsed_s = simulation.now_s() - started_s
+        await stop_all(simulation)
+        return elapsed_s
+
+    # One renewal of the membership (0.4 s) and a few calls; a timeout takes 0.35 s.
+    assert simulate(scenario) < 0.6
+
+
 def test_the_only_entry_vm_left_takes_the_lead(simulate):
     """Guards against an entry VM that waits for candidates that are gone."""
 
@@ -359,6 +386,20 @@
     assert choose_successor((small, large), {"large": 3, "small": 4}, 0, 8) == small
 
 
+def test_a_survey_waits_for_abler_candidates_and_for_witnesses_only():
+    """Guards against a hasty claim, and against waiting for answers that change nothing."""
+    large, small = Candidate("large", "", **LARGE), Candidate("small", "", **SMALL)
+    both = (large, small)
+    unreachable, not_leading = LeaderView.UNREACHABLE, LeaderView.NOT_LEADING
+    assert not is_settled(small.ability, not_leading, {"small": WILLING}, both, {"small"})
+    assert is_settled(small.ability, not_leading, {"large": WILLING}, both, {"large"})
+    assert is_settled(large.ability, not_leading, {}, both, set())
+    assert not is_settled(0.0, not_leading, {}, both, set())
+    assert not is_settled(large.ability, unreachable, {"small": WILLING}, both, {"small"})
+    leads = CandidateStatus(True, False, LeaderView.LEADS)
+    assert is_settled(small.ability, unreachable, {"small": leads}, both, {"small"})
+
+
 def test_an_unwilling_entry_vm_delegates_to_a_less_able_one(survey):
     """Guards against a claim by an entry VM that has just resigned while another one is willing."""
     less_able = Candidate("tiny", "", 100, 1.0)
