--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -148,6 +148,32 @@
 # Longer delays of the event loop are logged; half of the time that a leader has to answer a probe.
 EVENT_LOOP_DELAY_LOG_MS = 175
 LEADER_SUMMARY_MS = 1_000
+# Resources of the reference leader, which a candidate's ability is relative to.
+REFERENCE_LEADER_MILLICORES = 1_000
+REFERENCE_LEADER_LINK_MBPS = 100
+# Number of candidates that are asked before an epoch is claimed, the ablest ones first.
+SURVEY_CANDIDATE_COUNT = 16
+# So many answers about a leader that the entry VM itself does not reach are enough.
+SURVEY_WITNESS_COUNT = 3
+# At a first start, and after all entry VMs were killed, abler ones start within this time.
+ELECTION_SETTLE_MS = 1_000
+CANDIDATE_RETRY_MS = 1_000
+# An entry VM whose claim has failed does not offer to lead again for this long.
+CLAIM_RETRY_MS = 1_000
+# An entry VM that reaches neither the leader nor a candidate leaves the group for this long; if it
+# reaches none again within ISOLATION_MEMORY_MS, it may be the only one left, and decides.
+STEP_ASIDE_MS = 1_000
+# A leader gives up the lead if fewer than this share of the registered upstreams have answered for
+# REACH_POOR_MS, and a candidate reaches as many of those that do not answer. With fewer upstreams
+# than REACH_MIN_COUNT, single failures look like a lack of reach.
+REACH_MIN_RATIO = 0.5
+REACH_MIN_COUNT = 4
+REACH_POOR_MS = 3_000
+REACH_SAMPLE_COUNT = 8
+REACH_CANDIDATE_COUNT = 4
+TRANSFER_RETRY_MS = 5_000
+UNWILLING_AFTER_TRANSFER_MS = 30_000
+ISOLATION_MEMORY_MS = 10_000
 
 # Lease of all runs at an upstream, renewed with each poll.
 UPSTREAM_LEASE_MS = 3_000
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -12,7 +12,8 @@
 from . import assignment, defaults, intake, jobmodel
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
-from .election import Fenced, LeadershipConfirmed
+from .candidates import Reach
+from .election import Fenced, LeadershipConfirmed, ReachMeasured
 from .follower import TopicChanges, TopicSnapshot
 from .graph import Rules
 from .intake import IntakeRead
@@ -443,6 +444,7 @@
             return
         self._summary_logged_ms = now_ms
         slots = [upstream.slot for upstream in self._upstreams.values()]
+        self._report_reach(slots)
         steps = [step for steps in self._ready_steps.values() for step in steps]
         logger.info(
             "leader summary",
@@ -459,6 +461,16 @@
             },
         )
 
+    def _report_reach(self, slots: list[UpstreamSlot]) -> None:
+        """Tell the election which upstreams answer, as the leader may be the one cut off."""
+        listed = [slot for slot in slots if slot.listed]
+        unreached = [slot.entry.address for slot in listed if not (slot.known and slot.answering)]
+        # Takes addresses at even distances, so that the sample is not one rack.
+        stride = max(1, len(unreached) // defaults.REACH_SAMPLE_COUNT)
+        sample = tuple(unreached[::stride][: defaults.REACH_SAMPLE_COUNT])
+        reach = Reach(len(listed), len(listed) - len(unreached), sample)
+        self._election.tell(ReachMeasured(self._epoch, reach))
+
     def _check_upstream(self, upstream: KnownUpstream, now_ms: float) -> None:
         slot = upstream.slot
         if slot.slow and now_ms - slot.slow_measured_ms > defaults.SLOW_EXPIRY_MS:
--- /dev/null
+++ b/src/tarragoncart/survey.py
@@ -0,0 +1,184 @@
+"""Publishes this entry VM as a candidate for the leadership, and asks the other candidates."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Collection, Mapping
+from typing import Any, Protocol
+
+from attrs import frozen
+
+from . import defaults
+from .candidates import (
+    Candidate,
+    CandidateStatus,
+    LeaderView,
+    choose_successor,
+    decode_candidate,
+    select_respondents,
+)
+from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
+from .follower import ReadStore, read_newest
+from .storage import Appended
+
+logger = logging.getLogger(__name__)
+
+CANDIDATE_TOPIC = "keyed.candidates"
+
+
+class CandidateStore(ReadStore, Protocol):
+    """The methods of the store's client that a survey uses."""
+
+    async def append(
+        self, topic: str, records: Any, *, part: int = 0, expected_end: int | None = None
+    ) -> Appended: ...
+
+
+class CandidatePeers(Protocol):
+    """The methods of the peers' client that an election uses; each raises PeerError."""
+
+    async def is_leader(self, address: str) -> bool: ...
+
+    async def query_candidate(self, address: str, leader_address: str) -> CandidateStatus: ...
+
+    async def request_claim(self, address: str, end_offset: int) -> bool: ...
+
+    async def count_reached(self, address: str, upstream_addresses: tuple[str, ...]) -> int: ...
+
+
+IsSettled = Callable[[Mapping[str, CandidateStatus], tuple[Candidate, ...], Collection[str]], bool]
+
+
+@frozen
+class Surveyor:
+    """Calls of an election to the store and to other candidates; the election owns the clients.
+
+    :param own: this entry VM.
+    """
+
+    own: Candidate
+    store: CandidateStore
+    peers: CandidatePeers
+
+    async def publish(self) -> bool:
+        """Record this entry VM as a candidate; return whether the store has confirmed it."""
+        try:
+            await self.store.append(CANDIDATE_TOPIC, [(self.own.name, self.own.encode())])
+        except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+            logger.warning("cannot record the candidate", extra={"reason": str(error)})
+            return False
+        return True
+
+    async def query_leader(self, address: str) -> tuple[LeaderView, str]:
+        """Query the recorded leader; return the result and a reason for the log.
+
+        :param address: address of the recorded leader, empty if there is none.
+        """
+        if not address:
+            return LeaderView.UNKNOWN, "no leader is recorded"
+        try:
+            if await self.peers.is_leader(address):
+                return LeaderView.LEADS, f"{address} leads"
+        except PeerError as error:
+            return LeaderView.UNREACHABLE, str(error)
+        return LeaderView.NOT_LEADING, f"{address} does not lead"
+
+    async def query_candidates(
+        self, leader_address: str, is_settled: IsSettled | None = None
+    ) -> tuple[tuple[Candidate, ...], dict[str, CandidateStatus]]:
+        """Return the other recorded candidates, and the answers of the ablest ones by name.
+
+        :param leader_address: leader that they should query as well, empty for none.
+        :param is_settled: tells from the answers so far, the respondents and the names of those
+            that have answered or failed, whether the remaining ones can be ignored.
+        """
+        recorded = await self._read_candidates()
+        others = tuple(candidate for candidate in recorded if candidate.name != self.own.name)
+        respondents = select_respondents(others)
+        queries = {
+            asyncio.ensure_future(self._query_candidate(respondent, leader_address)): respondent
+            for respondent in respondents
+        }
+        statuses: dict[str, CandidateStatus] = {}
+        answered: set[str] = set()
+        pending = set(queries)
+        try:
+            while pending:
+                if is_settled is not None and is_settled(statuses, respondents, answered):
+                    break
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for query in done:
+                    answered.add(queries[query].name)
+                    if (status := query.result()) is not None:
+                        statuses[queries[query].name] = status
+        finally:
+            for query in pending:
+                query.cancel()
+        return others, statuses
+
+    async def find_successor(
+        self, upstream_addresses: tuple[str, ...], own_count: int
+    ) -> Candidate | None:
+        """Return a candidate that reaches upstreams that this entry VM does not, if there is one.
+
+        :param upstream_addresses: upstreams that the candidates should try to reach.
+        :param own_count: number of those upstreams that this entry VM reaches.
+        """
+        others, statuses = await self.query_candidates("")
+        willing = [c for c in others if c.name in statuses and statuses[c.name].willing]
+        respondents = select_respondents(willing)[: defaults.REACH_CANDIDATE_COUNT]
+        counts = await asyncio.gather(
+            *(self._count_reached(respondent, upstream_addresses) for respondent in respondents)
+        )
+        reached_counts = {c.name: count for c, count in zip(respondents, counts, strict=True)}
+        logger.info(
+            "candidates asked for their reach",
+            extra={
+                "upstream_count": len(upstream_addresses),
+                "own_count": own_count,
+                "reached_counts": reached_counts,
+            },
+        )
+        return choose_successor(respondents, reached_counts, own_count, len(upstream_addresses))
+
+    async def _count_reached(
+        self, candidate: Candidate, upstream_addresses: tuple[str, ...]
+    ) -> int:
+        try:
+            return await self.peers.count_reached(candidate.address, upstream_addresses)
+        except PeerError as error:
+            logger.info(
+                "candidate does not answer",
+                extra={"candidate": candidate.name, "reason": str(error)},
+            )
+            return 0
+
+    async def _read_candidates(self) -> tuple[Candidate, ...]:
+        """Return the candidates recorded in the store; none if they cannot be read."""
+        try:
+            newest = await read_newest(self.store, CANDIDATE_TOPIC)
+        except (StoreUnknownError, StoreRefusedError) as error:
+            logger.warning("cannot read the candidates", extra={"reason": str(error)})
+            return ()
+        candidates = []
+        for entry in newest.entries:
+            try:
+                candidates.append(decode_candidate(entry.key, entry.value))
+            except (ValueError, KeyError, TypeError) as error:
+                logger.error(
+                    "candidate skipped", extra={"candidate": entry.key, "reason": repr(error)}
+                )
+        return tuple(candidates)
+
+    async def _query_candidate(
+        self, candidate: Candidate, leader_address: str
+    ) -> CandidateStatus | None:
+        try:
+            return await self.peers.query_candidate(candidate.address, leader_address)
+        except PeerError as error:
+            logger.info(
+                "candidate does not answer",
+                extra={"candidate": candidate.name, "reason": str(error)},
+            )
+            return None
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,416 @@
+"""Tests of the election: which entry VM leads, in virtual time and with real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import logging
+import random
+
+import pytest
+
+from standins.taskworker import TaskWorker
+from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
+from tarragoncart import defaults
+from tarragoncart.candidates import (
+    Candidate,
+    CandidateStatus,
+    LeaderView,
+    Survey,
+    choose_successor,
+    decide,
+    is_settled,
+    select_respondents,
+)
+from tarragoncart.election import Fenced, FindLeader, Leave
+from tarragoncart.graph import Demand
+from tarragoncart.leaderapi import PeerClient
+from tarragoncart.mailbox import new_reply
+
+SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
+LARGE = {"cpu_millicores": 2_151, "link_mbps": 200.0}
+WILLING = CandidateStatus(True, False, LeaderView.UNREACHABLE)
+
+
+@pytest.fixture
+def settle_ms():
+    """How long an entry VM waits at a first start for abler ones, as in production."""
+    return defaults.ELECTION_SETTLE_MS
+
+
+@pytest.fixture
+def simulate(monkeypatch, platform_config):
+    """Return a function that runs a scenario with a simulation and returns its result."""
+
+    def run(scenario):
+        simulation = Simulation(random.Random(1))
+        patch_peer_client(simulation, monkeypatch.setattr)
+        simulation.store.put("keyed.op", "config", json.dumps(platform_config).encode())
+        return run_in_virtual_time(scenario(simulation))
+
+    return run
+
+
+@pytest.fixture
+def survey():
+    """Create a survey of a small entry VM that finds no leader, one second after its start."""
+
+    def make(**changes):
+        values = {
+            "own": Candidate("small", "small", **SMALL),
+            "own_willing": True,
+            "own_view": LeaderView.NOT_LEADING,
+            "reason": "",
+            "uptime_ms": 10_000.0,
+            "stepped_aside": False,
+            "candidates": (),
+            "statuses": {},
+        }
+        return Survey(**values | changes)
+
+    return make
+
+
+def leader_name(simulation):
+    """Return the name of the entry VM with the highest epoch, empty if none leads."""
+    leading = [node for node in simulation.nodes.values() if node.scheduler is not None]
+    newest = max(leading, key=lambda node: node.scheduler.epoch, default=None)
+    return "" if newest is None else newest.incarnation.split("/")[0]
+
+
+def epoch_count(simulation):
+    """Return how many epochs were claimed."""
+    return len(simulation.store.part("keyed.leader", 0).records)
+
+
+async def stop_all(simulation):
+    """Stop all entry VMs."""
+    for name in list(simulation.nodes):
+        await simulation.kill_node(name)
+
+
+def test_the_ablest_entry_vm_leads_after_a_start_and_after_a_failure(simulate):
+    """Guards against a small entry VM that leads because it joined the store's group first."""
+
+    async def scenario(simulation):
+        await simulation.start_node("small", **SMALL)
+        await asyncio.sleep(0.1)
+        for name in ("large-1", "large-2"):
+            await simulation.start_node(name, **LARGE)
+        await asyncio.sleep(3.0)
+        first = leader_name(simulation)
+        await simulation.kill_node(first)
+        await asyncio.sleep(3.0)
+        second = leader_name(simulation)
+        await simulation.kill_node(second)
+        await asyncio.sleep(3.0)
+        third, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return {first, second}, third, epochs
+
+    assert simulate(scenario) == ({"large-1", "large-2"}, "small", 3)
+
+
+def test_the_ablest_entry_vm_leads_after_all_were_killed(simulate):
+    """Guards against a small entry VM that leads because it was restarted first."""
+
+    async def scenario(simulation):
+        for name, settings in (("small", SMALL), ("large", LARGE)):
+            await simulation.start_node(name, **settings)
+        await asyncio.sleep(3.0)
+        await stop_all(simulation)
+        await asyncio.sleep(1.5)
+        await simulation.start_node("small", **SMALL)
+        await asyncio.sleep(0.5)
+        await simulation.start_node("large", **LARGE)
+        await asyncio.sleep(3.0)
+        found = leader_name(simulation)
+        await stop_all(simulation)
+        return found
+
+    assert simulate(scenario) == "large"
+
+
+def test_equal_entry_vms_elect_one_leader_soon(simulate):
+    """Guards against a site of equal entry VMs that waits for an abler one."""
+
+    async def scenario(simulation):
+        for number in range(7):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        await simulation.kill_node(leader_name(simulation))
+        await asyncio.sleep(2.0)
+        found, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return found, epochs
+
+    found, epochs = simulate(scenario)
+    assert found
+    assert epochs == 2
+
+
+def test_a_leader_that_others_reach_keeps_the_lead(simulate):
+    """Guards against a claim by an entry VM whose own path to the leader is cut."""
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        prober = next(iter(simulation.store.members)).split("/")[0]
+        if prober == leader:
+            del simulation.store.members[simulation.nodes[leader].incarnation]
+            await asyncio.sleep(0.5)
+            prober = next(iter(simulation.store.members)).split("/")[0]
+        simulation.cut_paths.add((prober, leader))
+        await asyncio.sleep(10.0)
+        result = prober != leader, epoch_count(simulation)
+        await stop_all(simulation)
+        return result
+
+    assert simulate(scenario) == (True, 1)
+
+
+def test_an_entry_vm_that_reaches_only_the_store_lets_another_one_decide(simulate):
+    """Guards against a leader that is cut off from all other entry VMs."""
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        names = [member.split("/")[0] for member in simulation.store.members]
+        isolated = next(name for name in names if name != leader)
+        others = [name for name in names if name != isolated]
+        simulation.cut_paths.update(itertools.product([isolated], others))
+        await simulation.kill_node(leader)
+        await asyncio.sleep(6.0)
+        found, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return found not in ("", isolated), epochs
+
+    assert simulate(scenario) == (True, 2)
+
+
+def test_a_candidate_that_does_not_answer_does_not_delay_a_claim(simulate):
+    """Guards against a claim that waits for the timeout of a candidate that is gone."""
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        names = [member.split("/")[0] for member in simulation.store.members]
+        cut, *others = [name for name in names if name != leader]
+        simulation.cut_paths.update(itertools.product([cut], names))
+        del simulation.store.members[simulation.nodes[cut].incarnation]
+        simulation.store.refused_entries.add(cut)
+        await asyncio.sleep(0.5)
+        simulation.nodes[leader].election.tell(Leave(new_reply()))
+        started_s = simulation.now_s()
+        while epoch_count(simulation) < 2:
+            await asyncio.sleep(0.01)
+        elapsed_s = simulation.now_s() - started_s
+        await stop_all(simulation)
+        return elapsed_s
+
+    # One renewal of the membership (0.4 s) and a few calls; a timeout takes 0.35 s.
+    assert simulate(scenario) < 0.6
+
+
+def test_the_only_entry_vm_left_takes_the_lead(simulate):
+    """Guards against an entry VM that waits for candidates that are gone."""
+
+    async def scenario(simulation):
+        for number in range(5):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader = leader_name(simulation)
+        kept = next(name for name in simulation.nodes if name != leader)
+        for name in list(simulation.nodes):
+            if name != kept:
+                await simulation.kill_node(name)
+        await asyncio.sleep(5.0)
+        found = leader_name(simulation)
+        await stop_all(simulation)
+        return found == kept
+
+    assert simulate(scenario)
+
+
+async def lead_without_reach(simulation, unreached_names, names):
+    """Cut the leader, or all entry VMs, off from workers; return old and new leader and epochs.
+
+    :param names: returns the entry VMs to be cut off for the leader's name.
+    """
+    for number in range(6):
+        simulation.add_worker(f"i-{number}", Demand(4_000, 1_000_000))
+    await simulation.start_node("large-1", **LARGE)
+    await simulation.start_node("large-2", **LARGE)
+    await simulation.start_node("small", **SMALL)
+    await asyncio.sleep(4.0)
+    first = leader_name(simulation)
+    for name in unreached_names:
+        simulation.workers[name].cut_entries.update(names(first))
+    await asyncio.sleep(25.0)
+    second, epochs = leader_name(simulation), epoch_count(simulation)
+    await stop_all(simulation)
+    return first, second, epochs
+
+
+def test_a_leader_that_most_upstreams_do_not_answer_hands_over(simulate):
+    """Guards against a leader that keeps the lead because the store alone confirms it."""
+    unreached = [f"i-{number}" for number in range(4)]
+    first, second, epochs = simulate(
+        lambda simulation: lead_without_reach(simulation, unreached, lambda leader: [leader])
+    )
+    assert {first, second} == {"large-1", "large-2"}
+    assert epochs == 2
+
+
+def test_a_failure_of_upstreams_that_all_share_does_not_move_the_leadership(simulate):
+    """Guards against a leadership that wanders while most upstreams are down."""
+    unreached = [f"i-{number}" for number in range(4)]
+    first, second, epochs = simulate(
+        lambda simulation: lead_without_reach(
+            simulation, unreached, lambda leader: list(simulation.nodes)
+        )
+    )
+    assert first == second
+    assert epochs == 1
+
+
+def test_a_new_leader_is_known_as_soon_as_it_is_read(simulate):
+    """Guards against a lookup whose result is held back until the next lookup may start."""
+
+    async def scenario(simulation):
+        node = await simulation.start_node("n-1")
+        await asyncio.sleep(3.0)
+        successor = json.dumps({"name": "n-2/1", "address": "n-2"}).encode()
+        simulation.store.put("keyed.leader", "leader", successor)
+        node.election.tell(FindLeader())
+        await asyncio.sleep(0.05)
+        found = node._leader.name
+        await stop_all(simulation)
+        return found
+
+    assert simulate(scenario) == "n-2/1"
+
+
+def test_a_lost_leadership_names_its_reason(simulate, caplog):
+    """Guards against a log that blames the store for a planned stop or a higher epoch."""
+    caplog.set_level(logging.INFO, "tarragoncart.election")
+
+    async def scenario(simulation):
+        node = await simulation.start_node("n-1")
+        await asyncio.sleep(3.0)
+        node.election.tell(Fenced(node.scheduler.epoch))
+        await asyncio.sleep(2.0)
+        simulation.store.refused_entries.add("n-1")
+        await asyncio.sleep(5.0)
+        simulation.store.refused_entries.clear()
+        await asyncio.sleep(2.0)
+        node.election.tell(Leave(new_reply()))
+        await asyncio.sleep(1.0)
+        await stop_all(simulation)
+
+    simulate(scenario)
+    lost = [record for record in caplog.records if record.message == "leadership lost"]
+    assert [record.reason for record in lost] == [
+        "a higher epoch was claimed",
+        "not confirmed by the store",
+        "planned stop",
+    ]
+
+
+async def test_a_small_entry_vm_delegates_over_the_peer_interface(run_node):
+    """Guards against queries between candidates that only work without sockets."""
+    small = await run_node("small", **SMALL)
+    large = await run_node("large", **LARGE)
+    for _ in range(200):
+        if large.scheduler is not None:
+            break
+        await asyncio.sleep(0.02)
+    assert large.scheduler is not None
+    assert small.scheduler is None
+    assert large.scheduler.epoch == 1
+    await large.stop()
+    for _ in range(300):
+        if small.scheduler is not None:
+            break
+        await asyncio.sleep(0.02)
+    assert small.scheduler is not None
+
+
+async def test_a_candidate_reports_its_reach_over_the_peer_interface(run_node, serve_standin):
+    """Guards against queries for reach that only work without sockets."""
+    node = await run_node("n-1")
+    worker = await serve_standin(TaskWorker())
+    peers = PeerClient()
+    upstreams = (worker.address, "127.0.0.1:1", "malformed")
+    assert await peers.count_reached(node.opened.settings.peer_address, upstreams) == 1
+    await peers.close()
+
+
+def test_the_scarcer_resource_decides_the_ability():
+    """Guards against a leader with many cores behind a slow link."""
+    wide = Candidate("wide", "", 1_000, 1_000.0)
+    slow = Candidate("slow", "", 8_000, 5.0)
+    assert wide.ability > slow.ability
+    assert select_respondents((slow, wide)) == (wide, slow)
+
+
+def test_a_busy_leader_that_a_candidate_reaches_leads(survey):
+    """Guards against a claim for a timeout of one query."""
+    large = Candidate("large", "", **LARGE)
+    status = CandidateStatus(True, False, LeaderView.LEADS)
+    found = decide(survey(candidates=(large,), statuses={"large": status}))
+    assert found.event == "occupied"
+
+
+def test_a_claim_in_progress_is_not_repeated(survey):
+    """Guards against a second claim while the store is slow to answer the first."""
+    large = Candidate("large", "", **LARGE)
+    status = CandidateStatus(False, True, LeaderView.UNREACHABLE)
+    found = decide(survey(candidates=(large,), statuses={"large": status}))
+    assert found.event == "occupied"
+
+
+def test_a_leader_that_connects_to_silent_upstreams_has_no_successor():
+    """Guards against a series of leaders while the leader or the upstreams are slow."""
+    large, small = Candidate("large", "", **LARGE), Candidate("small", "", **SMALL)
+    reached_counts = {"large": 8, "small": 8}
+    assert choose_successor((small, large), reached_counts, 3, 8) == large
+    assert choose_successor((small, large), reached_counts, 4, 8) is None
+    assert choose_successor((small, large), {"large": 3, "small": 4}, 0, 8) == small
+
+
+def test_a_survey_waits_for_abler_candidates_and_for_witnesses_only():
+    """Guards against a hasty claim, and against waiting for answers that change nothing."""
+    large, small = Candidate("large", "", **LARGE), Candidate("small", "", **SMALL)
+    both = (large, small)
+    unreachable, not_leading = LeaderView.UNREACHABLE, LeaderView.NOT_LEADING
+    assert not is_settled(small.ability, not_leading, {"small": WILLING}, both, {"small"})
+    assert is_settled(small.ability, not_leading, {"large": WILLING}, both, {"large"})
+    assert is_settled(large.ability, not_leading, {}, both, set())
+    assert not is_settled(0.0, not_leading, {}, both, set())
+    assert not is_settled(large.ability, unreachable, {"small": WILLING}, both, {"small"})
+    leads = CandidateStatus(True, False, LeaderView.LEADS)
+    assert is_settled(small.ability, unreachable, {"small": leads}, both, {"small"})
+
+
+def test_an_unwilling_entry_vm_delegates_to_a_less_able_one(survey):
+    """Guards against a claim by an entry VM that has just resigned while another one is willing."""
+    less_able = Candidate("tiny", "", 100, 1.0)
+    known = {"candidates": (less_able,), "statuses": {"tiny": WILLING}}
+    assert decide(survey(own_willing=False, **known)).candidate == less_able
+    assert decide(survey(**known)).event == "vacant"
+
+
+def test_an_entry_vm_claims_if_no_candidate_is_willing(survey):
+    """Guards against a site without a leader because all entry VMs have a reason not to lead."""
+    large = Candidate("large", "", **LARGE)
+    unwilling = CandidateStatus(False, False, LeaderView.UNREACHABLE)
+    known = {"candidates": (large,), "statuses": {"large": unwilling}}
+    assert decide(survey(own_willing=False, **known)).event == "vacant"
