--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -51,6 +51,8 @@
 LEASE_MAX_S = 6.0
 STOP_DURATION_S = 0.15
 MAINTENANCE_S = 2.0
+# Share of the runs of a job that fail by the job's own fault.
+JOB_FAIL_RATIO = 0.7
 PART_COUNT = 2
 POOL = "pool"
 QUEUE_HOST = "shop.example"
@@ -309,7 +311,7 @@
 
 @define
 class CompletedRun:
-    """A run that ended with outcome ``done``.
+    """A run that ended with outcome ``done`` or ``failed``.
 
     :param ended_s: time of its end.
     :param number: sequence number of its end on the worker.
@@ -389,10 +391,11 @@
         self.last_ended_runs[run.task] = max(run.run, self.last_ended_runs.get(run.task, 0))
         self.ended_count += 1
         self.unacknowledged_ends.append(EndedRun(self.ended_count, run.task, run.run, outcome, ""))
-        if outcome == "done":
+        if outcome in ("done", "failed"):
             completed_run = CompletedRun(run.task, at_s, self.ended_count)
             self.completed_runs.append(completed_run)
-            self.simulation.completed_runs.append(completed_run)
+            by_outcome = self.simulation.completed_runs, self.simulation.failed_runs
+            by_outcome[outcome == "failed"].append(completed_run)
 
     def restart(self) -> None:
         """Simulate a restart under the same ID and address, which loses runs, ends and epoch."""
@@ -438,7 +441,9 @@
             raise UpstreamRefusedError("late", step="start", peer=self.upstream_id)
         work_s = self.simulation.draw_work_s(order.task_name) / self.speed
         now_s = self.simulation.now_s()
-        outcome = "failed" if self.simulation.rng.random() < self.fail_ratio else "done"
+        fails = order.task_name.partition(".")[0] in self.simulation.failing_jobs
+        fail_ratio = JOB_FAIL_RATIO if fails else self.fail_ratio
+        outcome = "failed" if self.simulation.rng.random() < fail_ratio else "done"
         run = WorkerRun(order.task_name, order.run, now_s, now_s + work_s, outcome)
         self.runs[order.task_name] = run
         self.simulation.record_start(self, run, late)
@@ -727,8 +732,10 @@
     :param late_vm_order_ratio: share of orders for VMs that are carried out seconds later, without
         an answer.
     :param jobs: spec of each submitted job.
+    :param failing_jobs: jobs whose tasks fail by their own fault most of the time.
     :param starts: time of each start of a task, and whether the start was late.
     :param completed_runs: all runs that ended with outcome ``done``.
+    :param failed_runs: all runs that ended with outcome ``failed``.
     :param phases: phase of each accepted job at the end of the simulation.
     :param violations: descriptions of violated invariants.
     :param fenced_s: time at which a delayed fence was stored.
@@ -746,8 +753,10 @@
     late_vm_order_ratio: float = 0.0
     nodes: dict[str, Node] = Factory(dict)
     jobs: dict[str, JobSpec] = Factory(dict)
+    failing_jobs: set[str] = Factory(set)
     starts: dict[str, list[tuple[float, bool]]] = Factory(dict)
     completed_runs: list[CompletedRun] = Factory(list)
+    failed_runs: list[CompletedRun] = Factory(list)
     phases: dict[str, str] = Factory(dict)
     violations: list[str] = Factory(list)
     fenced_s: float = 0.0
@@ -812,6 +821,28 @@
                         f"{completed_run.task} started at {at_s:.3f} s after its end"
                     )
 
+    def check_starts_after_failures(self, max_attempts: int) -> None:
+        """Check that no task was started after as many acknowledged failures as are allowed.
+
+        For speculative tasks, late starts and starts within 1 s after the acknowledgement are
+        allowed.
+        """
+        failures: dict[str, list[CompletedRun]] = {}
+        for failed_run in self.failed_runs:
+            if failed_run.acknowledged_s is not None:
+                failures.setdefault(failed_run.task, []).append(failed_run)
+        for task_name, runs in failures.items():
+            if len(runs) < max_attempts:
+                continue
+            last_s = sorted(run.ended_s for run in runs)[max_attempts - 1]
+            if self._step(task_name).speculative:
+                last_s = sorted(run.acknowledged_s or 0.0 for run in runs)[max_attempts - 1] + 1.0
+            for at_s, late in self.starts.get(task_name, ()):
+                if at_s > last_s and not (late and self._step(task_name).speculative):
+                    self.violations.append(
+                        f"{task_name} started at {at_s:.3f} s after {max_attempts} failures"
+                    )
+
     # Components.
 
     def add_worker(self, name: str, capacity: Demand) -> VirtualWorker:
