Count a job as late unless its remaining steps can end in time

by_deadline took a job for one that can still be on time while half of its remaining work fitted before its deadline. Under overload the earliest deadline then comes first until it has passed: each job starts just too late.

A job now counts as late unless 1.2 times the longest chain of its remaining steps fits: a step ends with its slowest task. Parallel steps were added up; they no longer are.

The test simulates a pool with 1.5 times the load that it can run.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -15,6 +15,8 @@
 FAILING_RATIO = 0.5
 # Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.34
+# Ratio of the duration of a step to the estimate of one task: it ends with its slowest task.
+STEP_DURATION_RATIO = 1.2
 
 
 @define(eq=False)
@@ -121,17 +123,35 @@
     that can still be on time.
     """
     job = step.job
+    late = lateness(step, now_ms)
+    deadline_ms = job.due_ms(step.occurrence) + job.objective_ms()
+    return (job.submission.priority, float(job.beyond_share), late, deadline_ms, step.number)
+
+
+def lateness(step: StepOccurrence, now_ms: float) -> float:
+    """Return 0 if the job can be on time if the step starts now, otherwise 1; 2 if it is far late.
+
+    A job that could be on time only if its tasks took less time than they usually do counts as
+    late. Otherwise under overload each job would start just too late to be on time.
+    """
+    if step.spec.long_running:
+        return 0.0
+    job = step.job
     objective_ms = job.objective_ms()
     deadline_ms = job.due_ms(step.occurrence) + objective_ms
-    remaining_ms = sum(
-        spec.estimate_ms
-        for number, spec in enumerate(job.submission.spec.steps)
-        if number >= step.number
-    )
-    lateness = 0.0
-    if not step.spec.long_running and now_ms + 0.5 * remaining_ms > deadline_ms:
-        lateness = 1.0 if now_ms < deadline_ms + 2 * objective_ms else 2.0
-    return (job.submission.priority, float(job.beyond_share), lateness, deadline_ms, step.number)
+    if now_ms + STEP_DURATION_RATIO * _remaining_path_ms(step) <= deadline_ms:
+        return 0.0
+    return 1.0 if now_ms < deadline_ms + 2 * objective_ms else 2.0
+
+
+def _remaining_path_ms(step: StepOccurrence) -> float:
+    """Return the estimated duration of the longest chain of steps that begins with the step."""
+    ends_ms = {step.number: float(step.spec.estimate_ms)}
+    for number, spec in enumerate(step.job.submission.spec.steps):
+        starts_ms = [ends_ms[other] for other in spec.depends_on if other in ends_ms]
+        if starts_ms and number > step.number:
+            ends_ms[number] = max(starts_ms) + spec.estimate_ms
+    return max(ends_ms.values())
 
 
 @RANKINGS.register("spread")
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
+import random
+
 import pytest
 
 from tarragoncart import assignment
@@ -50,6 +54,57 @@
     ]
 
 
+@pytest.fixture
+def simulate_overload():
+    """Run jobs of two steps on ten upstreams in virtual time, 1.5 times what these can run.
+
+    The function returns the share of the jobs that end on time. A task takes up to 1.2 times its
+    estimate.
+    """
+
+    def simulate(order, seed):
+        rng, ended, number = random.Random(seed), [], itertools.count()
+        slots = [
+            UpstreamSlot(
+                UpstreamEntry(f"i-{n}", "pool", "x:1", "dc", False, Demand(CPU), set()),
+                Demand(CPU),
+                known=True,
+            )
+            for n in range(10)
+        ]
+        waiting, running, left = [], [], {}
+        for now_ms in range(0, 60_000, 20):
+            while running and running[0][0] <= now_ms:
+                _, _, step, slot = heapq.heappop(running)
+                slot.free = slot.free.plus(step.spec.counted)
+                left[step] -= 1
+                if not left[step] and step.number == 0:
+                    waiting.append(step.job.steps[0, 1])
+                elif not left[step]:
+                    ended.append(now_ms <= step.job.arrived_ms + step.job.objective_ms())
+            if now_ms < 20_000 and rng.random() < 0.15:
+                spec = StepSpec(4, Demand(1_000), 1_000)
+                steps = (spec, StepSpec(4, Demand(1_000), 1_000, depends_on=(0,)))
+                job = Job(
+                    Submission("1", "q", "pool", "a", 0, 2, 1.6, 600, now_ms, JobSpec("", steps))
+                )
+                left.update((step, 4) for step in job.release(0))
+                waiting.append(job.steps[0, 0])
+
+            def reserve(task, slot, now_ms=now_ms):
+                task.state, task.upstream_id = "assigned", slot.entry.upstream_id
+                slot.free = slot.free.plus(task.step.spec.counted, -1)
+                end_ms = now_ms + 1_000 * rng.uniform(0.7, 1.2)
+                heapq.heappush(running, (end_ms, next(number), task.step, slot))
+
+            waiting.sort(key=lambda step, now_ms=now_ms: order(step, now_ms))
+            list(plan(waiting, slots, {}, now_ms, reserve, lambda step, reason: None))
+            waiting = [step for step in waiting if any(True for _ in step.waiting())]
+        return sum(ended) / len(ended)
+
+    return simulate
+
+
 @pytest.fixture
 def assign(slots):
     """Return a function that plans jobs; it returns upstreams by task and steps without room."""
@@ -162,6 +217,21 @@
     assert sorted(steps, key=lambda step: by_deadline(step, now_ms))[0] is steps[1]
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_under_overload_most_of_what_can_be_served_is_on_time(simulate_overload, seed):
+    """Guards against starting each job just too late to be on time."""
+    assert simulate_overload(assignment.ORDERS.get("first_come"), seed) < 0.3
+    assert simulate_overload(by_deadline, seed) > 0.6
+
+
+def test_steps_that_run_in_parallel_do_not_make_a_job_late(make_job):
+    """Guards against counting the estimates of parallel steps one after the other."""
+    spec = StepSpec(1, Demand(1_000), 1_000)
+    submission = Submission("1", "q", "pool", "a", 0, 2, 1.6, 600, 0, JobSpec("", (spec,) * 4))
+    job = Job(submission)
+    assert {assignment.lateness(step, 0.0) for step in job.release(0)} == {0.0}
+
+
 def test_submissions_beyond_the_share_of_an_account_are_detected():
     """Guards against one account that floods a queue and starves the others."""
     shares = SubmissionShares()
