Share the fleet among the pools in proportion to what can be on time

follow_demand gave all missing capacity to the neediest pool first, and a pool with waiting tasks gave none away. Waiting tasks included those of jobs that were late already or beyond the share of their account. A pool thus kept the fleet for its old backlog while the next one, whose turn had begun, had almost nothing.

New policy share_by_need: need counts work that can be on time, late work gets what is left, and if all need exceeds the fleet, it is divided in proportion. Pools above their share give up their least busy VMs. Backlog that is worked off before a VM could arrive draws none, which together with a margin of a tenth keeps VMs from moving to and fro.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -144,6 +144,13 @@
     return 1.0 if now_ms < deadline_ms + 2 * objective_ms else 2.0
 
 
+def deferrable(step: StepOccurrence, now_ms: float) -> bool:
+    """Return whether others come first: the job is late or beyond the share of its account."""
+    if step.spec.long_running or step.spec.gang:
+        return False
+    return step.job.beyond_share or lateness(step, now_ms) > 0
+
+
 def _remaining_path_ms(step: StepOccurrence) -> float:
     """Return the estimated duration of the longest chain of steps that begins with the step."""
     ends_ms = {step.number: float(step.spec.estimate_ms)}
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -193,7 +193,7 @@
 COPY_AFTER_SILENCE_MS = 1_000
 # Minimum CPU demand that a waiting task counts as, since a task may declare none.
 SHORTAGE_MIN_MILLICORES = 500
-POOL_POLICY = "follow_demand"
+POOL_POLICY = "share_by_need"
 FLEET_LIST_MS = 300
 MOVE_TIMEOUT_MS = 4_000
 # The short window detects the start of a burst, the long one smooths large jobs.
--- a/src/tarragoncart/loads.py
+++ b/src/tarragoncart/loads.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Mapping
 
-from attrs import frozen
+from attrs import Factory, frozen
 
 
 @frozen
@@ -37,13 +37,16 @@
         capacity: long-running tasks, gangs and tasks bound by a label or a limit per upstream.
     :param backlog_millicore_ms: by pool, estimated work of all other tasks that found no upstream.
     :param offered_millicores: by pool, offered load: the work of recently submitted jobs divided by
-        the time in which they arrived.
+        the time in which they arrived, without jobs beyond the share of their account.
+    :param deferred_millicore_ms: by pool, estimated work of tasks that found no upstream and whose
+        jobs are late or beyond the share of their account; part of none of the others.
     """
 
     upstreams: Mapping[str, UpstreamLoad]
     short_millicores: Mapping[str, int]
     backlog_millicore_ms: Mapping[str, int]
     offered_millicores: Mapping[str, int]
+    deferred_millicore_ms: Mapping[str, int] = Factory(dict)
 
 
 class OfferedLoad:
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -39,7 +39,7 @@
         short = message.short_millicores.keys() | message.backlog_millicore_ms.keys()
         self._last_short_ms.update(dict.fromkeys(short, now_ms))
         self._log_pools(now_ms)
-        if short and self._vms:
+        if (short or message.deferred_millicore_ms) and self._vms:
             self._plan_moves()
         idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
         self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
@@ -50,6 +50,7 @@
             return
         self._pools_logged_ms = now_ms
         moves = Counter(move.plan.from_pool for move in self._moves.values())
+        movable = Counter(vm.pool for vm in self._pool_vms() if vm.movable)
         for demand in self._demands():
             logger.info(
                 "pool summary",
@@ -61,10 +62,12 @@
                     "incoming_millicores": demand.incoming_millicores,
                     "offered_millicores": demand.offered_millicores,
                     "backlog_millicore_ms": demand.backlog_millicore_ms,
+                    "deferred_millicore_ms": demand.deferred_millicore_ms,
                     "short_millicores": demand.short_millicores,
                     "long_running_millicores": demand.long_running_millicores,
-                    "missing_millicores": demand.missing_millicores,
+                    "needed_millicores": round(demand.needed_millicores),
                     "leaving_vms": moves[demand.pool],
+                    "movable_vms": movable[demand.pool],
                     "list_age_ms": round(now_ms - self._listed_ms),
                 },
             )
@@ -141,6 +144,7 @@
                 self._loads.offered_millicores.get(pool, 0),
                 long_running[pool],
                 now_ms - self._last_short_ms.get(pool, 0.0),
+                self._loads.deferred_millicore_ms.get(pool, 0),
             )
 
     def _is_spare_pool(self, pool: str) -> bool:
@@ -168,6 +172,8 @@
                 and vm.vm_id not in in_waves
                 and vm.vm_id not in self._moves
                 and self._orders.allows(vm.vm_id, now_ms),
+                load.busy_millicores if load else 0,
+                vm.vm_id in self._moves and self._moves[vm.vm_id].state == "vacating",
             )
 
     def _move_event(self, move: Move, event: str) -> None:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -178,6 +178,7 @@
         )
         self._short_millicores: Counter[str] = Counter()
         self._backlog_millicore_ms: Counter[str] = Counter()
+        self._deferred_millicore_ms: Counter[str] = Counter()
         self._loads_sent_ms = 0.0
         self._summary_logged_ms = 0.0
         # Jobs whose end is stored, in the order of their ends.
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -264,7 +264,7 @@
             weight = self._usage(account).weight
             if account and self._shares.exceeds(self._timer.now_ms(), account, weight):
                 job.beyond_share = True
-            if not submission.spec.long_running:
+            if not submission.spec.long_running and not job.beyond_share:
                 work = submission.spec.work_millicore_ms
                 self._offered_load.add(self._timer.now_ms(), submission.pool, work)
             self._admit(job)
@@ -327,6 +327,7 @@
                 slots_by_pool.setdefault(upstream.slot.entry.pool, []).append(upstream.slot)
         self._short_millicores = Counter()
         self._backlog_millicore_ms = Counter()
+        self._deferred_millicore_ms = Counter()
         for pool, steps in self._ready_steps.items():
             for step in [s for s in steps if not any(True for _ in s.waiting())]:
                 del steps[step]
@@ -351,6 +352,7 @@
                 if not any(True for _ in step.waiting()):
                     step.wait_reason = ""
         has_unplaced = self._short_millicores or self._backlog_millicore_ms
+        has_unplaced = has_unplaced or self._deferred_millicore_ms
         if has_unplaced and now_ms - self._loads_sent_ms >= defaults.LOADS_MIN_INTERVAL_MS:
             self._send_loads()
 
@@ -365,6 +367,7 @@
                 dict(self._short_millicores),
                 dict(self._backlog_millicore_ms),
                 self._offered_load.rates(self._loads_sent_ms),
+                dict(self._deferred_millicore_ms),
             )
         )
 
@@ -439,11 +442,13 @@
         waiting_millicores = sum(1 for _ in step.waiting()) * max(
             cpu_millicores, defaults.SHORTAGE_MIN_MILLICORES
         )
-        if spec.needs_added_capacity:
+        work_millicore_ms = waiting_millicores * (spec.estimate_ms or defaults.ESTIMATE_DEFAULT_MS)
+        if assignment.deferrable(step, self._timer.wall_ms()):
+            self._deferred_millicore_ms[pool] += work_millicore_ms
+        elif spec.needs_added_capacity:
             self._short_millicores[pool] += waiting_millicores
         else:
-            estimate_ms = spec.estimate_ms or defaults.ESTIMATE_DEFAULT_MS
-            self._backlog_millicore_ms[pool] += waiting_millicores * estimate_ms
+            self._backlog_millicore_ms[pool] += work_millicore_ms
 
     def _commit(self) -> None:
         effects = self._effects
