Count only VMs that stay in a pool as its capacity

The capacity of a pool was the sum over the registered upstreams. A registration outlasts its VM's move when the leader changes meanwhile, and a VM that is being vacated was counted both in its old pool and as arriving in the new one. A pool that counts as large gets no VMs for its callers' tasks.

Capacity and count now follow the list of VMs without those that are about to move. The test fails before: 12 VMs are counted instead of 7.

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -116,11 +116,20 @@
         free: Counter[str] = Counter()
         total: Counter[str] = Counter()
         long_running: Counter[str] = Counter()
+        # A registration can outlast its VM's move, and a VM that leaves serves its pool no more.
+        staying = {vm.upstream_id for vm in self._vms.values() if vm.vm_id not in self._moves}
         for load in self._loads.upstreams.values():
+            if load.upstream_id not in staying:
+                continue
             total[load.pool] += load.capacity_millicores
             free[load.pool] += load.capacity_millicores - load.busy_millicores
             long_running[load.pool] += load.long_running_millicores
         counts = Counter(vm.pool for vm in self._vms.values())
+        counts.subtract(
+            move.plan.from_pool
+            for vm_id, move in self._moves.items()
+            if vm_id in self._vms and self._vms[vm_id].pool == move.plan.from_pool
+        )
         incoming: Counter[str] = Counter()
         for vm_id, move in self._moves.items():
             if vm_id in self._vms and move.state != "done":
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -11,13 +11,15 @@
 from tarragoncart.errors import FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
 from tarragoncart.link import ExtendPermission
-from tarragoncart.loads import UpstreamLoad
+from tarragoncart.loads import Loads, UpstreamLoad
 from tarragoncart.mailbox import Actor, receives, resolve
 from tarragoncart.orders import ORDERS_KEY, RecentOrders
 from tarragoncart.platform.vms import VmClient
+from tarragoncart.pools import MovePlan
 from tarragoncart.timer import LoopTimer
 from tarragoncart.upkeep import VmUpkeep, Wave, next_vms
 from tarragoncart.vmorders import (
+    Move,
     ReadmitUpstream,
     UpstreamEnded,
     UpstreamVacated,
@@ -332,3 +334,16 @@
     await send_moves(slow_fleet, 40)
     assert slow_fleet.platform.received_ms
     assert max(slow_fleet.platform.received_ms) < valid_until_ms + 50
+
+
+async def test_only_vms_that_stay_in_a_pool_are_its_capacity(make_fleet):
+    """Guards against pools that get no VMs, as VMs that have left or leave count as theirs."""
+    fleet = make_fleet()
+    fleet._vms = dict(fleet.calls.vms)
+    upstream_ids = [f"i-{n}" for n in range(12)]
+    loads = {key: UpstreamLoad(key, "pool", 0, 0, 0, 0, 16_000, 0) for key in upstream_ids}
+    fleet._loads = Loads(loads, {}, {}, {})
+    fleet._moves["m-0"] = Move(MovePlan("m-0", "pool", "other", ""), "vacating", "i-0", 0.0)
+    (demand,) = fleet._demands()
+    assert demand.total_millicores == demand.free_millicores == 7 * 16_000
+    assert demand.vm_count == 7
