Treat a limit per upstream as waiting work while the pool has enough VMs

Each waiting task with a label or a limit per upstream asked for its cpu in added VMs at once, as if ended tasks made no room for it.

Such steps now count as added need only if fewer upstreams than they require could run them when empty. The test names the cases; before, all of them counted as added need.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -151,6 +151,19 @@
     return step.job.beyond_share or lateness(step, now_ms) > 0
 
 
+def needs_added_vms(spec: StepSpec, slots: Iterable[UpstreamSlot]) -> bool:
+    """Return whether a step that found no upstream needs more VMs, as ended tasks make no room.
+
+    A label or a limit per upstream alone does not need more if enough upstreams could run the step.
+    """
+    if spec.long_running or spec.gang:
+        return True
+    if not spec.max_per_upstream_count and not spec.label:
+        return False
+    allowed_count = spec.max_per_upstream_count or spec.task_count
+    return allowed_count * sum(admits_when_empty(slot, spec) for slot in slots) < spec.task_count
+
+
 def _remaining_path_ms(step: StepOccurrence) -> float:
     """Return the estimated duration of the longest chain of steps that begins with the step."""
     ends_ms = {step.number: float(step.spec.estimate_ms)}
--- a/src/tarragoncart/graph.py
+++ b/src/tarragoncart/graph.py
@@ -80,12 +80,6 @@
     fills: bool = False
     max_away_count: int | None = None
 
-    @property
-    def needs_added_capacity(self) -> bool:
-        """Whether its unplaced tasks need added capacity, as ended tasks make no room for them."""
-        bound = self.max_per_upstream_count or self.label
-        return bool(self.long_running or self.gang or bound)
-
     @property
     def copyable(self) -> bool:
         """Whether a task may have two runs at once."""
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -445,7 +445,7 @@
         work_millicore_ms = waiting_millicores * (spec.estimate_ms or defaults.ESTIMATE_DEFAULT_MS)
         if assignment.deferrable(step, self._timer.wall_ms()):
             self._deferred_millicore_ms[pool] += work_millicore_ms
-        elif spec.needs_added_capacity:
+        elif assignment.needs_added_vms(spec, slots):
             self._short_millicores[pool] += waiting_millicores
         else:
             self._backlog_millicore_ms[pool] += work_millicore_ms
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -232,6 +232,21 @@
     assert {assignment.lateness(step, 0.0) for step in job.release(0)} == {0.0}
 
 
+def test_a_limit_per_upstream_needs_vms_only_if_the_pool_has_too_few(slots, make_job):
+    """Guards against adding VMs for tasks that only wait until other tasks end."""
+
+    def needs(**step):
+        return assignment.needs_added_vms(next(make_job(**step).tasks()).step.spec, slots)
+
+    slots[0].free = slots[1].free = Demand()
+    assert not needs(task_count=4, max_per_upstream_count=2)
+    assert needs(task_count=5, max_per_upstream_count=2)
+    assert not needs(label="r1")
+    assert needs(label="r3")
+    assert needs(gang=True)
+    assert needs(long_running=True)
+
+
 def test_submissions_beyond_the_share_of_an_account_are_detected():
     """Guards against one account that floods a queue and starves the others."""
     shares = SubmissionShares()
