Reject a start that an upstream carries out after its run was given up

A start without an answer may be carried out seconds later. While the upstream answers, it is ruled out by a stop.

A leader now sends such an upstream a stop of each run that it gives up in this way, and neither renews the lease nor starts anything there until the stops are confirmed. Nothing runs there at that time, so that nothing lapses by it.

The model lets a late start run if any lease of the worker holds.

The model also fails most runs of a worker for seconds, and checks that no task starts after as many acknowledged failures as its queue allows.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -307,7 +307,7 @@
 
 @define
 class CompletedRun:
-    """A run that ended with outcome ``done``.
+    """A run that ended with outcome ``done`` or ``failed``.
 
     :param ended_s: time of its end.
     :param number: sequence number of its end on the worker.
@@ -387,10 +387,11 @@
         self.last_ended_runs[run.task] = max(run.run, self.last_ended_runs.get(run.task, 0))
         self.ended_count += 1
         self.unacknowledged_ends.append(EndedRun(self.ended_count, run.task, run.run, outcome, ""))
-        if outcome == "done":
+        if outcome in ("done", "failed"):
             completed_run = CompletedRun(run.task, at_s, self.ended_count)
             self.completed_runs.append(completed_run)
-            self.simulation.completed_runs.append(completed_run)
+            by_outcome = self.simulation.completed_runs, self.simulation.failed_runs
+            by_outcome[outcome == "failed"].append(completed_run)
 
     def restart(self) -> None:
         """Simulate a restart under the same ID and address, which loses runs, ends and epoch."""
@@ -697,6 +698,7 @@
     :param jobs: spec of each submitted job.
     :param starts: time of each start of a task, and whether the start was late.
     :param completed_runs: all runs that ended with outcome ``done``.
+    :param failed_runs: all runs that ended with outcome ``failed``.
     :param phases: phase of each accepted job at the end of the simulation.
     :param violations: descriptions of violated invariants.
     :param fenced_s: time at which a delayed fence was stored.
@@ -714,6 +716,7 @@
     jobs: dict[str, JobSpec] = Factory(dict)
     starts: dict[str, list[tuple[float, bool]]] = Factory(dict)
     completed_runs: list[CompletedRun] = Factory(list)
+    failed_runs: list[CompletedRun] = Factory(list)
     phases: dict[str, str] = Factory(dict)
     violations: list[str] = Factory(list)
     fenced_s: float = 0.0
@@ -776,6 +779,28 @@
                         f"{completed_run.task} started at {at_s:.3f} s after its end"
                     )
 
+    def check_starts_after_failures(self, max_attempts: int) -> None:
+        """Check that no task was started after as many acknowledged failures as are allowed.
+
+        For speculative tasks, late starts and starts within 1 s after the acknowledgement are
+        allowed.
+        """
+        failures: dict[str, list[CompletedRun]] = {}
+        for failed_run in self.failed_runs:
+            if failed_run.acknowledged_s is not None:
+                failures.setdefault(failed_run.task, []).append(failed_run)
+        for task_name, runs in failures.items():
+            if len(runs) < max_attempts:
+                continue
+            last_s = sorted(run.ended_s for run in runs)[max_attempts - 1]
+            if self._step(task_name).speculative:
+                last_s = sorted(run.acknowledged_s or 0.0 for run in runs)[max_attempts - 1] + 1.0
+            for at_s, late in self.starts.get(task_name, ()):
+                if at_s > last_s and not (late and self._step(task_name).speculative):
+                    self.violations.append(
+                        f"{task_name} started at {at_s:.3f} s after {max_attempts} failures"
+                    )
+
     # Components.
 
     def add_worker(self, name: str, capacity: Demand) -> VirtualWorker:
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -58,6 +58,18 @@
     run: int
 
 
+@frozen
+class RejectLateStart:
+    """Keep a start without an answer from being carried out late: its run counts as ended.
+
+    The upstream is silent and all its leases have expired. They are not renewed, and nothing is
+    started, until the upstream has confirmed a stop of the run.
+    """
+
+    task_name: str
+    run: int
+
+
 @frozen
 class SetPace:
     """Limit a run to a percentage of its full speed."""
@@ -190,6 +202,7 @@
         self._lease_end_ms = 0.0
         self._last_poll_answered = True
         self._started_ms = 0
+        self._late_starts: set[tuple[str, int]] = set()
 
     async def on_open(self) -> None:
         """Start polling the upstream."""
@@ -220,6 +233,16 @@
         """Send a stop."""
         self.spawn(self._stop(message.task_name, message.run))
 
+    @receives(RejectLateStart)
+    def on_reject_late_start(self, message: RejectLateStart) -> None:
+        """Stop the run; the upstream then refuses its start."""
+        self._late_starts.add((message.task_name, message.run))
+        self.spawn(self._reject_late_start(message.task_name, message.run))
+
+    async def _reject_late_start(self, task_name: str, run: int) -> None:
+        await self._stop(task_name, run)
+        self._late_starts.discard((task_name, run))
+
     @receives(PollUpstream)
     def on_poll_upstream(self, message: PollUpstream) -> None:
         """Poll once, without waiting for the end of a run."""
@@ -245,7 +268,7 @@
 
     def _renewed_lease_end_ms(self) -> int | None:
         """Extend the lease; return its end on the upstream's clock, None if that is unknown."""
-        if self._clock is None or not self._answers():
+        if self._clock is None or not self._answers() or self._late_starts:
             return None
         now_ms = self._timer.now_ms()
         clock_ms, read_ms = self._clock
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -16,6 +16,7 @@
     ExtendPermission,
     Link,
     PollFailed,
+    RejectLateStart,
     ReportReceived,
     SetPace,
     max_lease_ms,
@@ -423,6 +424,10 @@
         for key in list(upstream.orphans):
             self._release_orphan(upstream, key)
         for task in list(upstream.slot.tasks.values()):
+            stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
+            uncertain = stop_unconfirmed or task.state in ("starting", "unsure")
+            if uncertain and upstream.link is not None:
+                upstream.link.tell(RejectLateStart(task.name, task.run))
             if assigned or task.state != "assigned":
                 self._mark_lost(task, reason)
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -86,7 +86,9 @@
 async def _simulate_leader_changes(simulation, config, faults):
     """Simulate leaders that follow each other within seconds, and a maintenance wave."""
     rng = simulation.rng
-    simulation.store.put("keyed.op", "config", config)
+    rules = json.loads(config)
+    rules["routes"][0]["max-attempts"] = 2
+    simulation.store.put("keyed.op", "config", json.dumps(rules).encode())
     for number in range(5):
         vm = simulation.add_vm(f"m-{number}", Demand(4_000, 1_000_000))
         vm.worker.clock_ratio = rng.choice((0.98, 1.0, 1.02))
@@ -101,12 +103,14 @@
         injectors = [_inject_faults(simulation, SUCCESSION_FAULTS) for _ in range(3)]
         injectors.append(_change_leaders(simulation))
         await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
-    return await _settle(simulation, callers, accepted)
+    await _settle(simulation, callers, accepted)
+    simulation.check_starts_after_failures(2)
+    return simulation
 
 
 def _long_job(rng):
     """Return a random job, with tasks that outlast the grace period of a planned stop."""
-    return random_job(rng, 0.15, (300, 1_500, 3_000, 7_000))
+    return random_job(rng, 0.3, (300, 1_500, 3_000, 7_000))
 
 
 async def _change_leaders(simulation):
@@ -309,6 +313,13 @@
         simulation.register(worker)
 
 
+async def _fail_most_runs_of_a_worker(simulation):
+    worker = simulation.rng.choice(simulation.live_workers())
+    worker.fail_ratio = 0.7
+    await asyncio.sleep(simulation.rng.uniform(1.0, 5.0))
+    worker.fail_ratio = 0.0
+
+
 async def _lose_answers_to_vm_orders(simulation):
     simulation.lost_vm_response_ratio, simulation.late_vm_order_ratio = 0.3, 0.2
     await asyncio.sleep(simulation.rng.uniform(1.0, 6.0))
@@ -329,7 +340,7 @@
     _delay_calls_to_a_worker,
     _remove_a_registration,
     _lose_answers_to_vm_orders,
-    _fail_runs,
+    _fail_most_runs_of_a_worker,
 )
 
 
@@ -354,7 +365,7 @@
 
 @pytest.mark.parametrize("seed", SUCCESSION_SEEDS)
 def test_no_task_runs_twice_while_leaders_follow_each_other(simulate, seed):
-    """Guards against two runs of a task, and runs after its end, in a series of leaders."""
+    """Guards against runs beside another, after an end or beyond the attempts after take-overs."""
     simulation = simulate(seed, scenario=_simulate_leader_changes)
     assert simulation.violations == []
     assert simulation.phases
@@ -467,3 +478,31 @@
     """Guards against more runs than the maximum of attempts after an upstream was silent."""
     (task,) = simulate(1, scenario=_fail_a_run_while_its_worker_is_silent).tasks
     assert (task.state, task.run, task.failed_runs) == ("done", 2, {1})
+
+
+async def _delay_a_start_at_a_silent_worker(simulation, config, faults):
+    """Let a start be carried out late, at a worker that is silent until its lease has expired."""
+    simulation.store.put("keyed.op", "config", config)
+    for name in ("i-0", "i-1"):
+        simulation.add_worker(name, Demand(1_000, 1_000)).delayed_call_ratio = 1.0
+    node = await simulation.start_node("n-1")
+    await asyncio.sleep(2.0)
+    step = StepSpec(1, Demand(1_000, 100), 10_000)
+    await simulation.submit(node, f"{0:016x}", JobSpec("text", (step,)))
+    await asyncio.sleep(0.2)
+    (task,) = node.scheduler._jobs[f"{0:016x}"].tasks()
+    for worker in simulation.workers.values():
+        worker.delayed_call_ratio = 0.0
+    worker = simulation.workers[task.upstream_id]
+    worker.unreachable = True
+    await asyncio.sleep(4.0)
+    worker.unreachable = False
+    await asyncio.sleep(4.0)
+    await simulation.kill_node("n-1")
+    return simulation
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_start_carried_out_after_the_lease_does_not_run(simulate, seed):
+    """Guards against a second run because of a start that an upstream carries out late."""
+    assert simulate(seed, scenario=_delay_a_start_at_a_silent_worker).violations == []
