Fail a job after a take-over if its attempts were used up before

A task that may run twice waits, not exhausted yet, while its last copy runs, although as many runs have failed as its queue allows. The stored state does not name the copy. The new leader now lets such a job fail when it restores it.

The new test failed before: the job was still running.

--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -242,6 +242,10 @@
             job.release(job.released_count)
         for step in job.steps.values():
             self._queue_if_ready(step)
+        for task in job.tasks():
+            if task.failed_runs and task.exhausted:
+                # An earlier leader may have waited for a copy, which is not in the stored state.
+                self._requeue_step(task)
         self._complete_job_if_done(job)
 
     def _queue_if_ready(self, step: StepOccurrence) -> None:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -520,3 +520,28 @@
 def test_a_start_carried_out_after_the_lease_does_not_run(simulate, seed):
     """Guards against a second run because of a start that an upstream carries out late."""
     assert simulate(seed, scenario=_delay_a_start_at_a_silent_worker).violations == []
+
+
+async def _take_over_a_task_without_attempts_left(simulation, config, faults):
+    """Let a leader take a task over that waits, with as many failed runs as are allowed."""
+    simulation.store.put("keyed.op", "config", config)
+    simulation.add_worker("i-0", Demand(1_000, 1_000))
+    node = await simulation.start_node("n-1")
+    await asyncio.sleep(2.0)
+    job_id = f"{0:016x}"
+    step = StepSpec(1, Demand(1_000, 100), 60_000, speculative=True)
+    await simulation.submit(node, job_id, JobSpec("text", (step,)))
+    await asyncio.sleep(0.5)
+    await simulation.kill_node("n-1")
+    simulation.store.put("keyed.state", f"{job_id}.0.0", b'[[0,"w",5,"",[1,2,3,4,5]]]')
+    node = await simulation.start_node("n-2")
+    await asyncio.sleep(5.0)
+    simulation.phases[job_id] = node.scheduler._jobs[job_id].phase
+    await simulation.kill_node("n-2")
+    return simulation
+
+
+def test_a_job_whose_attempts_were_used_up_before_a_take_over_fails(simulate):
+    """Guards against a job that stays running because its last copy was lost in a take-over."""
+    simulation = simulate(1, scenario=_take_over_a_task_without_attempts_left)
+    assert list(simulation.phases.values()) == [jobmodel.FAILED]
