--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -245,7 +245,8 @@
     scheduler._upstreams = upstreams = CountedUpstreams(scheduler._upstreams)
     scheduler._place()
     assert upstreams.visit_count == 1
-    assert scheduler._backlog_millicore_ms["pool"] > 0
+    counted = scheduler._backlog_millicore_ms + scheduler._deferred_millicore_ms
+    assert counted["pool"] > 0
 
 
 async def test_a_pass_assigns_a_limited_number_of_tasks(store_jobs, leader):
@@ -258,7 +259,7 @@
     scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
     scheduler._place()
     assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
-    assert not scheduler._backlog_millicore_ms
+    assert not scheduler._backlog_millicore_ms and not scheduler._deferred_millicore_ms
 
 
 async def test_passes_leave_time_for_other_work(leader, monkeypatch):
