Reject a late start also at an upstream that was removed meanwhile

An upstream that is silent until its lease has expired and whose registration is missing, as in a data centre that is cut off, was removed in the tick that told its link to reject late starts, so that the link ended before it could.

These runs are now kept by upstream until a stop of them is confirmed, and each new link to the upstream gets them before its first poll; it renews no lease until then.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -111,6 +111,8 @@
         if known is not None:
             for task in known.slot.tasks.values():
                 self._occupy_capacity(task, slot, already_counted=True)
+        for task_name, run in self._late_starts.get(entry.upstream_id, ()):
+            link.tell(RejectLateStart(task_name, run))
         if not self._unstarted:
             self.tell(_StartLinks())
         self._unstarted.append(upstream)
@@ -427,6 +429,10 @@
             stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
             uncertain = stop_unconfirmed or task.state in ("starting", "unsure")
             if uncertain and upstream.link is not None:
+                # Kept beyond the link: an upstream that is removed, as it is silent and not listed,
+                # may be registered again, and its new link must reject the start as well.
+                late_starts = self._late_starts.setdefault(upstream.slot.entry.upstream_id, set())
+                late_starts.add((task.name, task.run))
                 upstream.link.tell(RejectLateStart(task.name, task.run))
             if assigned or task.state != "assigned":
                 self._mark_lost(task, reason)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -203,6 +203,8 @@
         # By upstream, start time of the incarnation that has ended: its registration stays in the
         # store for some time and must be ignored.
         self._ended_incarnations: dict[str, int] = {}
+        # By upstream, runs that were given up though their starts may still be carried out there.
+        self._late_starts: dict[str, set[tuple[str, int]]] = {}
         self._leader_since_ms = timer.now_ms()
         # From this time on, no earlier leader can store another assignment.
         self._fenced_ms = float("inf")
@@ -538,8 +540,10 @@
         A run that is being stopped is listed neither as live nor as ended. After the time that a
         stop may take, a run that a report does not list is gone.
         """
+        key = (message.task_name, message.run)
+        self._late_starts.get(message.upstream_id, set()).discard(key)
         upstream = self._upstreams.get(message.upstream_id)
-        orphan = upstream.orphans.get((message.task_name, message.run)) if upstream else None
+        orphan = upstream.orphans.get(key) if upstream else None
         if orphan is not None:
             orphan.conclusive_after_ms = (
                 self._timer.now_ms() + self._stop_ms + defaults.STOP_MARGIN_MS
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -494,8 +494,11 @@
     assert (task.state, task.run, task.failed_runs) == ("done", 2, {1})
 
 
-async def _delay_a_start_at_a_silent_worker(simulation, config, faults):
-    """Let a start be carried out late, at a worker that is silent until its lease has expired."""
+async def _delay_a_start_at_a_silent_worker(simulation, config, faults, unlisted=False):
+    """Let a start be carried out late, at a worker that is silent until its lease has expired.
+
+    :param unlisted: the worker's registration is missing while it is silent.
+    """
     simulation.store.put("keyed.op", "config", config)
     for name in ("i-0", "i-1"):
         simulation.add_worker(name, Demand(1_000, 1_000)).delayed_call_ratio = 1.0
@@ -509,8 +512,12 @@
         worker.delayed_call_ratio = 0.0
     worker = simulation.workers[task.upstream_id]
     worker.unreachable = True
+    if unlisted:
+        simulation.unregister(worker)
     await asyncio.sleep(4.0)
     worker.unreachable = False
+    if unlisted:
+        simulation.register(worker)
     await asyncio.sleep(4.0)
     await simulation.kill_node("n-1")
     return simulation
@@ -522,6 +529,16 @@
     assert simulate(seed, scenario=_delay_a_start_at_a_silent_worker).violations == []
 
 
+async def _delay_a_start_at_an_unlisted_worker(simulation, config, faults):
+    return await _delay_a_start_at_a_silent_worker(simulation, config, faults, unlisted=True)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_late_start_does_not_run_once_its_upstream_is_registered_again(simulate, seed):
+    """Guards against an upstream that is forgotten, with its uncertain starts, while it is away."""
+    assert simulate(seed, scenario=_delay_a_start_at_an_unlisted_worker).violations == []
+
+
 async def _take_over_a_task_without_attempts_left(simulation, config, faults):
     """Let a leader take a task over that waits, with as many failed runs as are allowed."""
     simulation.store.put("keyed.op", "config", config)
