Share the limit of a scheduling pass among the pools with waiting steps only

The limit of 60 assignments a pass was divided by the number of pools that have ever had a waiting step, as a pool stays in the registry after its last step. With demand that moves from pool to pool, as on the grown sites, the one pool with a backlog got a fraction of each pass, and its tasks waited beside free capacity for one commit after the other.

The test failed before: with 29 pools without steps, a pass assigned 2 tasks instead of 60.

--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -237,8 +237,10 @@
                 self._slots_by_pool.setdefault(pool, []).append(upstream.slot)
         self._short_millicores = Counter()
         self._backlog_millicore_ms = Counter()
-        # Each pool has its own limit, so that none waits for the assignments of another one.
-        limit_count = -(-defaults.ASSIGNMENT_LIMIT_COUNT // max(1, len(self._ready_steps)))
+        # Each pool has its own limit, so that none waits for the assignments of another one. Pools
+        # stay in the registry after their last step.
+        waiting_pool_count = sum(1 for steps in self._ready_steps.values() if steps)
+        limit_count = -(-defaults.ASSIGNMENT_LIMIT_COUNT // max(1, waiting_pool_count))
         self._deferred_millicore_ms = Counter()
         for pool, steps in self._ready_steps.items():
             for step in [s for s in steps if not any(True for _ in s.waiting())]:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -261,6 +261,20 @@
     assert not scheduler._backlog_millicore_ms
 
 
+async def test_pools_without_waiting_steps_leave_their_assignments_to_others(store_jobs, leader):
+    """Guards against a pool with a backlog that gets a share for each pool that ever had work."""
+    store_jobs(20)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    for number in range(29):
+        scheduler._ready_steps[f"idle-{number}"] = {}
+    capacity = Demand(1_000_000, 1_000_000)
+    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
+    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    scheduler._place()
+    assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
+
+
 async def test_passes_leave_time_for_other_work(leader, monkeypatch):
     """Guards against a leader that does nothing but scheduling passes while many steps wait."""
     scheduler = await leader()
