Bound the pause between two scheduling passes

The pause is twice the duration of the last pass by the monotonic clock, which goes on while the process is frozen. After a freeze of 1 s within a pass, a leader that was still confirmed assigned nothing, stored no ends and acknowledged none for 2 s. The pause is now 250 ms at most.

The test failed before: no pass in 350 ms after one of 2 s.

--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -594,5 +594,6 @@
         if not self._pass_due:
             self._pass_due = True
             pause_ms = defaults.PASS_PAUSE_RATIO * self._pass_duration_ms
+            pause_ms = min(pause_ms, defaults.PASS_PAUSE_MAX_MS)
             delay_ms = max(defaults.PLACEMENT_DELAY_MS, pause_ms)
             self.subscribe_once(self._timer.after(delay_ms), SchedulingPass())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -275,6 +275,17 @@
     assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
 
 
+async def test_a_pass_during_which_the_process_paused_does_not_delay_the_next_one_for_long(leader):
+    """Guards against seconds without assignments and commits after a pause of the process."""
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    scheduler._pass_due = False
+    scheduler._pass_duration_ms = 2_000.0
+    scheduler._request_pass()
+    await asyncio.sleep(defaults.PASS_PAUSE_MAX_MS / 1_000 + 0.1)
+    assert scheduler._pass_duration_ms < 1_000.0
+
+
 async def test_passes_leave_time_for_other_work(leader, monkeypatch):
     """Guards against a leader that does nothing but scheduling passes while many steps wait."""
     scheduler = await leader()
