Do not take the lead during a planned stop

An entry VM that got SIGTERM while it claimed an epoch, or whose survey ended then, became leader afterwards. It renews its membership no more, so that it told others that it leads for 1.1 s, and nothing was assigned until another one had claimed and taken over.

A claim or a survey in progress is now dropped: "leave" leads from claiming and probing to follower. If the claim is stored all the same, its entry VM answers that it does not lead, and the next survey finds the leadership vacant.

The test failed before: the stopping entry VM led.

--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -580,7 +580,8 @@
     async def on_leave(self, message: Leave) -> None:
         """Resign and leave the group, so that another entry VM takes over at once."""
         self._leaving = True
-        if self._role.state == "leader":
+        if self.chart.accepts(self._role.state, "leave"):
+            # A claim that is stored later names an entry VM that does not lead; others claim next.
             self.step(self.chart, self._role, "leave", reason="planned stop")
         await self._leave_group()
         resolve(message.reply, None)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -193,6 +193,22 @@
     assert simulate(scenario) == (True, 2)
 
 
+def test_an_entry_vm_that_stops_while_it_claims_does_not_lead(simulate):
+    """Guards against a leader that is being stopped: nobody else takes over while it answers."""
+
+    async def scenario(simulation):
+        node = await simulation.start_node("n-1")
+        while node.election._role.state != "claiming":
+            await asyncio.sleep(0.0005)
+        node.election.tell(Leave(new_reply()))
+        await asyncio.sleep(0.5)
+        found = leader_name(simulation)
+        await stop_all(simulation)
+        return found
+
+    assert simulate(scenario) == ""
+
+
 def test_a_candidate_that_does_not_answer_does_not_delay_a_claim(simulate):
     """Guards against a claim that waits for the timeout of a candidate that is gone."""
 
