Delete the record of an ended job from each partition after a take-over

A job that was submitted through two entry VMs is in two partitions. If it had ended before a take-over, only the first record was noted for deletion: the other one and the record of the end stayed for the whole epoch, and the end was looked at in each tick once its retention time was over.

The test failed before: partition 1 still held a record after two deletions.

--- a/src/tarragoncart/restoration.py
+++ b/src/tarragoncart/restoration.py
@@ -62,6 +62,9 @@
 ) -> Iterator[Restored | None]:
     """Yield what the records contain, one record after the other; None for nothing new.
 
+    A job that has ended is yielded again for each further partition that holds a record of it, as
+    the record must be deleted there as well.
+
     The work between two values is at most that of one job, so that a caller can pause anywhere. The
     submissions of ended jobs are not decoded, as their number grows with the time of operation.
 
@@ -94,7 +97,7 @@
     if known is not None:
         # The same job was also submitted through another entry VM.
         known.parts.add(part)
-        return None
+        return known if isinstance(known, EndedJob) else None
     job: Job | EndedJob
     if job_id in state.ends:
         job = jobmodel.decode_end(job_id, state.ends[job_id])
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -167,8 +167,7 @@
             case Job():
                 self._add_restored_job(restored)
             case EndedJob():
-                self._restored_jobs[restored.job_id] = restored
-                self._retain(restored)
+                self._add_restored_end(restored)
             case Cancellation():
                 self._cancellations.append(restored)
             case MalformedRecord():
@@ -176,6 +175,14 @@
             case UnknownKey():
                 self._dropped_keys.append(restored.key)
 
+    def _add_restored_end(self, job: EndedJob) -> None:
+        if job.job_id not in self._restored_jobs:
+            self._restored_jobs[job.job_id] = job
+            self._retain(job)
+            return
+        for part in job.parts:
+            self._add_part(job, part)
+
     def _add_restored_job(self, job: Job) -> None:
         self._restored_jobs[job.job_id] = job
         for task in job.tasks():
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -128,6 +128,17 @@
     assert await longest_block_s(restored) < LONGEST_BLOCK_S
 
 
+async def test_an_ended_job_in_two_partitions_is_deleted_from_both(store_jobs, store, leader):
+    """Guards against acceptance records that no leader deletes, and ends that are kept for them."""
+    (job_id,) = store_jobs(1, ended=True)
+    key, value = intake.submission_record(submission(0))
+    store.standin.put(intake.TOPIC, key, json.loads(value), 1)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    await asyncio.sleep(2 * defaults.ENDED_RECORDS_DELETE_MS / 1_000)
+    assert scheduler._jobs[job_id].parts == set()
+
+
 async def test_queries_during_a_take_over_are_not_answered_from_a_part_of_the_jobs(
     store_jobs, leader, lookup, monkeypatch
 ):
