Wait in a survey for a recorded leader that may still be claiming

Since a survey ends with the first able candidate, it did not wait for the answer of a recorded leader that says that it does not lead. That one may be claiming: its record is stored, but the store has not answered it yet. Among equal entry VMs another one then claimed the next epoch on top of it, and a second take-over followed the first.

The survey now waits for the recorded leader as well if it has just answered. The arguments of the existing test name a leader that is no candidate; its checks are the same. The new test failed before.

--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -164,6 +164,7 @@
 def is_settled(
     own_ability: float,
     own_view: LeaderView,
+    leader_address: str,
     statuses: Mapping[str, CandidateStatus],
     respondents: Iterable[Candidate],
     answered: Collection[str],
@@ -172,6 +173,9 @@
 
     :param own_ability: ability of the entry VM itself, 0 if it is not willing.
     :param own_view: result of its query to the recorded leader.
+    :param leader_address: address of the recorded leader, empty if there is none. If it answers
+        that it does not lead, it may still be claiming: its claim is stored, but it has not been
+        told so.
     :param statuses: answers so far.
     :param answered: names of the respondents that answered or cannot be reached.
     """
@@ -180,6 +184,10 @@
         return True
     if own_view is LeaderView.UNREACHABLE and len(views) < defaults.SURVEY_WITNESS_COUNT:
         return False
+    if own_view is LeaderView.NOT_LEADING and any(
+        c.address == leader_address and c.name not in answered for c in respondents
+    ):
+        return False
     willing = [c.ability for c in respondents if c.name in statuses and statuses[c.name].willing]
     best_ability = max([own_ability, *willing])
     waited_for = [c.ability for c in respondents if c.name not in answered]
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -340,7 +340,7 @@
         queried_address = address if view is LeaderView.UNREACHABLE else ""
         own_ability = self._candidate.ability if self._is_willing() else 0.0
         candidates, statuses = await self._surveyor.query_candidates(
-            queried_address, functools.partial(is_settled, own_ability, view)
+            queried_address, functools.partial(is_settled, own_ability, view, address)
         )
         now_ms = self._timer.now_ms()
         survey = Survey(
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -407,13 +407,22 @@
     large, small = Candidate("large", "", **LARGE), Candidate("small", "", **SMALL)
     both = (large, small)
     unreachable, not_leading = LeaderView.UNREACHABLE, LeaderView.NOT_LEADING
-    assert not is_settled(small.ability, not_leading, {"small": WILLING}, both, {"small"})
-    assert is_settled(small.ability, not_leading, {"large": WILLING}, both, {"large"})
-    assert is_settled(large.ability, not_leading, {}, both, set())
-    assert not is_settled(0.0, not_leading, {}, both, set())
-    assert not is_settled(large.ability, unreachable, {"small": WILLING}, both, {"small"})
+    assert not is_settled(small.ability, not_leading, "gone", {"small": WILLING}, both, {"small"})
+    assert is_settled(small.ability, not_leading, "gone", {"large": WILLING}, both, {"large"})
+    assert is_settled(large.ability, not_leading, "gone", {}, both, set())
+    assert not is_settled(0.0, not_leading, "gone", {}, both, set())
+    assert not is_settled(large.ability, unreachable, "gone", {"small": WILLING}, both, {"small"})
     leads = CandidateStatus(True, False, LeaderView.LEADS)
-    assert is_settled(small.ability, unreachable, {"small": leads}, both, {"small"})
+    assert is_settled(small.ability, unreachable, "gone", {"small": leads}, both, {"small"})
+
+
+def test_a_survey_waits_for_a_recorded_leader_that_may_be_claiming():
+    """Guards against a second epoch right after one that is stored, but not yet confirmed."""
+    large, claiming = Candidate("large", "l", **LARGE), Candidate("claiming", "c", **LARGE)
+    known = large.ability, LeaderView.NOT_LEADING, "c"
+    assert not is_settled(*known, {"large": WILLING}, (large, claiming), {"large"})
+    assert is_settled(*known, {"large": WILLING}, (large, claiming), {"large", "claiming"})
+    assert is_settled(*known, {"large": WILLING}, (large,), {"large"})
 
 
 def test_an_unwilling_entry_vm_delegates_to_a_less_able_one(survey):
