Start the owner of the VMs only once the upstreams are read as well

A request to vacate an upstream that is not registered is answered as done at once. The owner of the VMs started when the jobs were restored; if the registrations could not be read yet, VMs whose upstreams the new leader did not know were ordered down without a check of disruption budgets (rule AVAIL), and an upstream that was read after the answer got tasks although its VM was about to go down.

The test failed before: the owner of the VMs started while the registrations could not be read.

--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -163,6 +163,7 @@
                 self._mark_unlisted(upstream_id)
         self._process_registrations(message.entries)
         self._registrations_read = True
+        self._start_fleet_if_ready()
 
     @receives(TopicChanges)
     def on_changes(self, message: TopicChanges) -> None:
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -56,6 +56,7 @@
         self._restored_jobs: dict[str, Job | EndedJob] = {}
         self._cancellations: list[Cancellation] = []
         self._placed_count = 0
+        self._fleet_started = False
         self._held: list[Any] = []
         self._held_by_upstream: dict[str, ReportReceived | PollFailed] = {}
 
@@ -213,15 +214,23 @@
                 "after_ms": round(after_ms),
             },
         )
-        if self._fleet is not None:
-            # An order for a VM is safe only if the tasks on its upstream are known.
-            self._fleet.start()
+        self._start_fleet_if_ready()
         self._stored_state, self._accepted = None, None
         self._cancellations, self._restored_jobs = [], {}
         self._put_back([*self._held, *self._held_by_upstream.values()])
         self._held, self._held_by_upstream = [], {}
         self._request_pass()
 
+    def _start_fleet_if_ready(self) -> None:
+        """Start the owner of the VMs once the tasks and the upstreams that VMs run are known.
+
+        A request to vacate an upstream that is not registered is answered as done.
+        """
+        ready = self._loaded and self._registrations_read
+        if ready and self._fleet is not None and not self._fleet_started:
+            self._fleet_started = True
+            self._fleet.start()
+
 
 def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
     """Yield the records of the leader's state that belong to jobs."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -180,6 +180,27 @@
     assert not any(isinstance(m, UpstreamVacated) for m in fleet.messages)
 
 
+async def test_no_vm_gets_orders_before_the_upstreams_are_known(leader, store):
+    """Guards against an order for a VM whose upstream counts as vacated as it is not known yet."""
+    store.standin.faults.unreadable_topics = frozenset({"keyed.servers"})
+    scheduler = await leader()
+    starts = []
+    scheduler._make_fleet, scheduler._fleet = None, Collector()
+    scheduler._fleet.start = lambda: starts.append(scheduler._registrations_read)
+    await wait_until_restored(scheduler)
+    await asyncio.sleep(0.2)
+    assert not starts
+    store.standin.faults.unreadable_topics = frozenset()
+    await asyncio.wait_for(wait_for_items(starts), 4.0)
+    assert starts == [True]
+
+
+async def wait_for_items(items):
+    """Wait until a list has items."""
+    while not items:
+        await asyncio.sleep(0.01)
+
+
 class SlowHandler(Actor):
     """Actor that counts the messages that it has handled."""
 
