Let an isolated entry VM decide only if the group has no other member

An entry VM that reached neither the leader nor a candidate left the group for 1 s; if the store assigned it the partition again within 10 s, it claimed an epoch, though the leader was healthy and all others reached it. It then kept the lead: it finds no successor, as it reaches no candidate. The store may assign the partition to the same member again, as it distributes partitions evenly among the members that join.

It now decides only if it owns all partitions, which shows that no other member is left. It stays away for 1.25 times the time after which members expire, and twice as long the next time, so that another owner can complete a survey. The stand-in for the store distributes the partitions as the platform does; before, one member owned all of them.

test_an_isolated_entry_vm_that_owns_the_partition_again_does_not_claim failed before: the isolated entry VM led with epoch 2.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -165,7 +165,7 @@
         part.changed = asyncio.Event()
 
     def reassign_partitions(self) -> None:
-        """Make the next member the owner of all partitions, as the platform does at times."""
+        """Assign the partitions to other members, as the platform does at times."""
         if self.members:
             first = next(iter(self.members))
             self.members[first] = self.members.pop(first)
@@ -265,7 +265,7 @@
     async def join(
         self, group: str, member: str, topic: str, ttl_ms: int, generation: int
     ) -> Membership:
-        """Add or renew a member; the oldest member owns all partitions."""
+        """Add or renew a member; partitions are distributed evenly, from the oldest member on."""
         await self._simulate_call("join")
         state, now_s = self._state, asyncio.get_running_loop().time()
         live = {name: until for name, until in state.members.items() if until >= now_s}
@@ -273,8 +273,8 @@
             state.generation += 1
         live[member] = now_s + ttl_ms / 1_000
         state.members = live
-        owned = next(iter(live)) == member
-        return Membership(state.generation, frozenset(range(8)) if owned else frozenset())
+        parts = range(list(live).index(member), PART_COUNT, len(live))
+        return Membership(state.generation, frozenset(parts))
 
     async def leave(self, group: str, member: str) -> None:
         """Remove a member."""
--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -82,7 +82,8 @@
     :param own_view: result of its query to the recorded leader; ``UNKNOWN`` if none is recorded.
     :param reason: reason for that result.
     :param uptime_ms: time since it began to take part in the election.
-    :param stepped_aside: whether it recently left the group because it reached no other candidate.
+    :param sole_member: whether the store has assigned all partitions to it, so that the group has
+        no other member.
     :param candidates: all other candidates recorded.
     :param statuses: answers of the candidates asked, by name; those that did not answer are
         missing.
@@ -93,7 +94,7 @@
     own_view: LeaderView
     reason: str
     uptime_ms: float
-    stepped_aside: bool
+    sole_member: bool
     candidates: tuple[Candidate, ...]
     statuses: Mapping[str, CandidateStatus]
 
@@ -202,7 +203,7 @@
         if status.claiming:
             return Decision("occupied", f"{name} is claiming an epoch")
     unreached = survey.own_view is LeaderView.UNREACHABLE and not survey.statuses
-    if unreached and survey.candidates and not survey.stepped_aside:
+    if unreached and survey.candidates and not survey.sole_member:
         return Decision("isolated", f"no other candidate answers; {survey.reason}")
     willing = [
         candidate
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -160,9 +160,11 @@
 CANDIDATE_RETRY_MS = 1_000
 # An entry VM whose claim has failed does not offer to lead again for this long.
 CLAIM_RETRY_MS = 1_000
-# An entry VM that reaches neither the leader nor a candidate leaves the group for this long; if it
-# reaches none again within ISOLATION_MEMORY_MS, it may be the only one left, and decides.
-STEP_ASIDE_MS = 1_000
+# An entry VM that reaches neither the leader nor a candidate leaves the group for this multiple of
+# the time after which the store drops members, so that it then sees whether others are left. It
+# stays away twice as long if it left before within ISOLATION_MEMORY_MS, as the store may assign it
+# the partition again before another one has decided.
+STEP_ASIDE_TTL_RATIO = 1.25
 # A leader gives up the lead if fewer than this share of the registered upstreams have answered for
 # REACH_POOR_MS, and a candidate reaches as many of those that do not answer. With fewer upstreams
 # than REACH_MIN_COUNT, single failures look like a lack of reach.
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -201,6 +201,7 @@
     :param listener: actor that receives the messages about the leadership.
     :param peers: client for calls to other entry VMs.
     :param reaches_upstream: tries to connect to the upstream at an address.
+    :param part_count: partitions of the group's topic, which the store distributes evenly.
     """
 
     chart = load_chart("leadership")
@@ -215,9 +216,11 @@
         peers: CandidatePeers,
         reaches_upstream: Callable[[str], Awaitable[bool]],
         *,
+        part_count: int,
         ttl_ms: int = defaults.MEMBERSHIP_TTL_MS,
     ) -> None:
         super().__init__("election")
+        self._part_count = part_count
         self._member = name
         self._candidate = candidate
         self._store = store
@@ -238,6 +241,8 @@
         self._started_ms = 0.0
         self._unwilling_until_ms = 0.0
         self._stepped_aside_ms = float("-inf")
+        self._away_until_ms = 0.0
+        self._owned_count = 0
         self._poor_reach_since_ms: float | None = None
         self._next_transfer_ms = 0.0
 
@@ -261,7 +266,7 @@
 
     async def _renew_membership(self) -> None:
         while not self._leaving:
-            if self._timer.now_ms() < self._stepped_aside_ms + defaults.STEP_ASIDE_MS:
+            if self._timer.now_ms() < self._away_until_ms:
                 await asyncio.sleep(self._ttl_ms / defaults.JOINS_PER_TTL_COUNT / 1_000)
                 continue
             sent_ms = self._timer.now_ms()
@@ -289,6 +294,7 @@
             self._generation = membership.generation
             self._start_leader_lookup()
         self._confirmed_ms = message.sent_ms
+        self._owned_count = len(membership.parts)
         owned = LEADER_PART in membership.parts
         self.step(self.chart, self._role, "owned" if owned else "disowned")
 
@@ -349,7 +355,7 @@
             own_view=view,
             reason=reason,
             uptime_ms=now_ms - self._started_ms,
-            stepped_aside=now_ms - self._stepped_aside_ms < defaults.ISOLATION_MEMORY_MS,
+            sole_member=self._owned_count >= self._part_count,
             candidates=candidates,
             statuses=statuses,
         )
@@ -403,7 +409,12 @@
     @implements_action("step_aside")
     def _step_aside(self, role: _Role, probed: _Probed) -> None:
         """Leave the group for a while, so that another member decides about the leadership."""
-        self._stepped_aside_ms = self._timer.now_ms()
+        now_ms = self._timer.now_ms()
+        away_ms = defaults.STEP_ASIDE_TTL_RATIO * self._ttl_ms
+        if now_ms - self._stepped_aside_ms < defaults.ISOLATION_MEMORY_MS:
+            away_ms *= 2
+        self._stepped_aside_ms = now_ms
+        self._away_until_ms = now_ms + away_ms
         self.spawn(self._leave_group())
 
     @receives(QueryCandidate)
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -144,6 +144,7 @@
             timer,
             self._probe_client,
             adapter.reaches_upstream,
+            part_count=settings.topic_part_count,
             ttl_ms=max(defaults.MEMBERSHIP_TTL_MS, settings.membership_ttl_min_ms),
         )
         self.request_handler = RequestHandler(
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -63,7 +63,7 @@
             "own_view": LeaderView.NOT_LEADING,
             "reason": "",
             "uptime_ms": 10_000.0,
-            "stepped_aside": False,
+            "sole_member": False,
             "candidates": (),
             "statuses": {},
         }
@@ -193,6 +193,32 @@
     assert simulate(scenario) == (True, 2)
 
 
+def test_an_isolated_entry_vm_that_owns_the_partition_again_does_not_claim(simulate):
+    """Guards against a claim, beside a healthy leader, by an entry VM that reaches only the store.
+
+    The store assigns the partition to the isolated entry VM whenever it is a member.
+    """
+
+    async def scenario(simulation):
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(2.0)
+        leader, store = leader_name(simulation), simulation.store
+        members = list(store.members)
+        isolated = next(member for member in members if not member.startswith(f"{leader}/"))
+        name = isolated.split("/")[0]
+        simulation.cut_paths.update((name, other) for other in simulation.nodes if other != name)
+        for _ in range(1_500):
+            if isolated in store.members:
+                store.members = {isolated: store.members.pop(isolated), **store.members}
+            await asyncio.sleep(0.01)
+        result = leader_name(simulation) == leader, epoch_count(simulation)
+        await stop_all(simulation)
+        return result
+
+    assert simulate(scenario) == (True, 1)
+
+
 def test_an_entry_vm_that_stops_while_it_claims_does_not_lead(simulate):
     """Guards against a leader that is being stopped: nobody else takes over while it answers."""
 
