Let a leader that reaches only the store resign

A leader that reached neither most upstreams nor any candidate kept the lead: without an answer it took the failure for one that all share. If it also owned the group's partition, nobody queried it, so that no task was assigned until its paths were back.

An only member keeps the lead.

test_a_leader_that_reaches_only_the_store_resigns failed before: the isolated leader led for the 12 s of the test.

--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -13,7 +13,7 @@
 import json
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from attrs import define, frozen
 
@@ -183,6 +183,13 @@
     epoch: int
 
 
+@frozen
+class _Isolated:
+    """This leader reaches neither most upstreams nor any candidate, though the group has others."""
+
+    epoch: int
+
+
 @frozen
 class _Tick:
     """Check whether the confirmation of the leadership has expired."""
@@ -407,7 +414,7 @@
         return accepted
 
     @implements_action("step_aside")
-    def _step_aside(self, role: _Role, probed: _Probed) -> None:
+    def _step_aside(self, role: _Role, **details: Any) -> None:
         """Leave the group for a while, so that another member decides about the leadership."""
         now_ms = self._timer.now_ms()
         away_ms = defaults.STEP_ASIDE_TTL_RATIO * self._ttl_ms
@@ -521,7 +528,12 @@
     async def _transfer(self, epoch: int, reach: Reach) -> None:
         """Ask a candidate that reaches the upstreams to claim the next epoch."""
         own_count = await self._count_reached(reach.unreached_addresses)
-        successor = await self._surveyor.find_successor(reach.unreached_addresses, own_count)
+        successor, answered = await self._surveyor.find_successor(
+            reach.unreached_addresses, own_count
+        )
+        if not answered and self._owned_count < self._part_count:
+            self.tell(_Isolated(epoch))
+            return
         # The end of the partition is the epoch, as it holds the claims and nothing else.
         if successor is not None and await self._request_claim(successor, epoch):
             self.tell(_Transferred(epoch))
@@ -534,6 +546,17 @@
             reason = "most upstreams do not answer"
             self.step(self.chart, self._role, "transferred", reason=reason)
 
+    @receives(_Isolated)
+    def on_isolated(self, message: _Isolated) -> None:
+        """Resign and leave the group for a while: another member may reach what this one does not.
+
+        As owner of the partition, this entry VM would never query itself.
+        """
+        if self._role.state == "leader" and message.epoch == self._epoch:
+            self._unwilling_until_ms = self._timer.now_ms() + defaults.UNWILLING_AFTER_TRANSFER_MS
+            reason = "neither upstreams nor candidates answer"
+            self.step(self.chart, self._role, "isolated", reason=reason)
+
     @receives(QueryReach)
     def on_query_reach(self, message: QueryReach) -> None:
         """Report how many of the upstreams this entry VM reaches."""
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -119,8 +119,10 @@
 
     async def find_successor(
         self, upstream_addresses: tuple[str, ...], own_count: int
-    ) -> Candidate | None:
-        """Return a candidate that reaches upstreams that this entry VM does not, if there is one.
+    ) -> tuple[Candidate | None, bool]:
+        """Find a candidate that reaches upstreams that this entry VM does not.
+
+        Returns the candidate, if there is one, and whether any candidate has answered.
 
         :param upstream_addresses: upstreams that the candidates should try to reach.
         :param own_count: number of those upstreams that this entry VM reaches.
@@ -140,7 +142,10 @@
                 "reached_counts": reached_counts,
             },
         )
-        return choose_successor(respondents, reached_counts, own_count, len(upstream_addresses))
+        successor = choose_successor(
+            respondents, reached_counts, own_count, len(upstream_addresses)
+        )
+        return successor, bool(statuses)
 
     async def _count_reached(
         self, candidate: Candidate, upstream_addresses: tuple[str, ...]
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -219,6 +219,30 @@
     assert simulate(scenario) == (True, 1)
 
 
+def test_a_leader_that_reaches_only_the_store_resigns(simulate):
+    """Guards against an isolated leader that nobody replaces, as it owns the partition itself."""
+
+    async def scenario(simulation):
+        for number in range(8):
+            simulation.add_worker(f"i-{number}", Demand(1_000))
+        for number in range(4):
+            await simulation.start_node(f"n-{number}")
+        await asyncio.sleep(3.0)
+        leader, store = leader_name(simulation), simulation.store
+        for worker in simulation.workers.values():
+            worker.cut_entries.add(leader)
+        others = [name for name in simulation.nodes if name != leader]
+        simulation.cut_paths.update(itertools.product([leader], others))
+        member = simulation.nodes[leader].incarnation
+        store.members = {member: store.members.pop(member), **store.members}
+        await asyncio.sleep(12.0)
+        found, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return found in others, epochs
+
+    assert simulate(scenario) == (True, 2)
+
+
 def test_an_entry_vm_that_stops_while_it_claims_does_not_lead(simulate):
     """Guards against a leader that is being stopped: nobody else takes over while it answers."""
 
