--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -82,7 +82,8 @@
     :param own_view: result of its query to the recorded leader; ``UNKNOWN`` if none is recorded.
     :param reason: reason for that result.
     :param uptime_ms: time since it began to take part in the election.
-    :param stepped_aside: whether it recently left the group because it reached no other candidate.
+    :param sole_member: whether the store has assigned all partitions to it, so that the group has
+        no other member.
     :param candidates: all other candidates recorded.
     :param statuses: answers of the candidates asked, by name; those that did not answer are
         missing.
@@ -93,7 +94,7 @@
     own_view: LeaderView
     reason: str
     uptime_ms: float
-    stepped_aside: bool
+    sole_member: bool
     candidates: tuple[Candidate, ...]
     statuses: Mapping[str, CandidateStatus]
 
@@ -164,6 +165,7 @@
 def is_settled(
     own_ability: float,
     own_view: LeaderView,
+    leader_address: str,
     statuses: Mapping[str, CandidateStatus],
     respondents: Iterable[Candidate],
     answered: Collection[str],
@@ -172,6 +174,9 @@
 
     :param own_ability: ability of the entry VM itself, 0 if it is not willing.
     :param own_view: result of its query to the recorded leader.
+    :param leader_address: address of the recorded leader, empty if there is none. If it answers
+        that it does not lead, it may still be claiming: its claim is stored, but it has not been
+        told so.
     :param statuses: answers so far.
     :param answered: names of the respondents that answered or cannot be reached.
     """
@@ -180,6 +185,10 @@
         return True
     if own_view is LeaderView.UNREACHABLE and len(views) < defaults.SURVEY_WITNESS_COUNT:
         return False
+    if own_view is LeaderView.NOT_LEADING and any(
+        c.address == leader_address and c.name not in answered for c in respondents
+    ):
+        return False
     willing = [c.ability for c in respondents if c.name in statuses and statuses[c.name].willing]
     best_ability = max([own_ability, *willing])
     waited_for = [c.ability for c in respondents if c.name not in answered]
@@ -194,7 +203,7 @@
         if status.claiming:
             return Decision("occupied", f"{name} is claiming an epoch")
     unreached = survey.own_view is LeaderView.UNREACHABLE and not survey.statuses
-    if unreached and survey.candidates and not survey.stepped_aside:
+    if unreached and survey.candidates and not survey.sole_member:
         return Decision("isolated", f"no other candidate answers; {survey.reason}")
     willing = [
         candidate
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -160,9 +160,11 @@
 CANDIDATE_RETRY_MS = 1_000
 # An entry VM whose claim has failed does not offer to lead again for this long.
 CLAIM_RETRY_MS = 1_000
-# An entry VM that reaches neither the leader nor a candidate leaves the group for this long; if it
-# reaches none again within ISOLATION_MEMORY_MS, it may be the only one left, and decides.
-STEP_ASIDE_MS = 1_000
+# An entry VM that reaches neither the leader nor a candidate leaves the group for this multiple of
+# the time after which the store drops members, so that it then sees whether others are left. It
+# stays away twice as long if it left before within ISOLATION_MEMORY_MS, as the store may assign it
+# the partition again before another one has decided.
+STEP_ASIDE_TTL_RATIO = 1.25
 # A leader gives up the lead if fewer than this share of the registered upstreams have answered for
 # REACH_POOR_MS, and a candidate reaches as many of those that do not answer. With fewer upstreams
 # than REACH_MIN_COUNT, single failures look like a lack of reach.
@@ -193,6 +195,8 @@
 # Pause before the next pass, as a multiple of the duration of the last one: passes over many
 # waiting steps leave two thirds of the processor to answers and reports.
 PASS_PAUSE_RATIO = 2
+# Longest pause: the measured duration includes pauses of the process, which say nothing about work.
+PASS_PAUSE_MAX_MS = 250
 # Tasks assigned in one pass. Assigning and starting one takes about 0.6 ms of a processor, and the
 # starts of a pass are sent together; the next pass follows once the assignments are stored.
 ASSIGNMENT_LIMIT_COUNT = 60
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -13,7 +13,7 @@
 import json
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from attrs import define, frozen
 
@@ -183,6 +183,13 @@
     epoch: int
 
 
+@frozen
+class _Isolated:
+    """This leader reaches neither most upstreams nor any candidate, though the group has others."""
+
+    epoch: int
+
+
 @frozen
 class _Tick:
     """Check whether the confirmation of the leadership has expired."""
@@ -201,6 +208,7 @@
     :param listener: actor that receives the messages about the leadership.
     :param peers: client for calls to other entry VMs.
     :param reaches_upstream: tries to connect to the upstream at an address.
+    :param part_count: partitions of the group's topic, which the store distributes evenly.
     """
 
     chart = load_chart("leadership")
@@ -215,9 +223,11 @@
         peers: CandidatePeers,
         reaches_upstream: Callable[[str], Awaitable[bool]],
         *,
+        part_count: int,
         ttl_ms: int = defaults.MEMBERSHIP_TTL_MS,
     ) -> None:
         super().__init__("election")
+        self._part_count = part_count
         self._member = name
         self._candidate = candidate
         self._store = store
@@ -238,6 +248,8 @@
         self._started_ms = 0.0
         self._unwilling_until_ms = 0.0
         self._stepped_aside_ms = float("-inf")
+        self._away_until_ms = 0.0
+        self._owned_count = 0
         self._poor_reach_since_ms: float | None = None
         self._next_transfer_ms = 0.0
 
@@ -261,7 +273,7 @@
 
     async def _renew_membership(self) -> None:
         while not self._leaving:
-            if self._timer.now_ms() < self._stepped_aside_ms + defaults.STEP_ASIDE_MS:
+            if self._timer.now_ms() < self._away_until_ms:
                 await asyncio.sleep(self._ttl_ms / defaults.JOINS_PER_TTL_COUNT / 1_000)
                 continue
             sent_ms = self._timer.now_ms()
@@ -289,6 +301,7 @@
             self._generation = membership.generation
             self._start_leader_lookup()
         self._confirmed_ms = message.sent_ms
+        self._owned_count = len(membership.parts)
         owned = LEADER_PART in membership.parts
         self.step(self.chart, self._role, "owned" if owned else "disowned")
 
@@ -340,7 +353,7 @@
         queried_address = address if view is LeaderView.UNREACHABLE else ""
         own_ability = self._candidate.ability if self._is_willing() else 0.0
         candidates, statuses = await self._surveyor.query_candidates(
-            queried_address, functools.partial(is_settled, own_ability, view)
+            queried_address, functools.partial(is_settled, own_ability, view, address)
         )
         now_ms = self._timer.now_ms()
         survey = Survey(
@@ -349,7 +362,7 @@
             own_view=view,
             reason=reason,
             uptime_ms=now_ms - self._started_ms,
-            stepped_aside=now_ms - self._stepped_aside_ms < defaults.ISOLATION_MEMORY_MS,
+            sole_member=self._owned_count >= self._part_count,
             candidates=candidates,
             statuses=statuses,
         )
@@ -401,9 +414,14 @@
         return accepted
 
     @implements_action("step_aside")
-    def _step_aside(self, role: _Role, probed: _Probed) -> None:
+    def _step_aside(self, role: _Role, **details: Any) -> None:
         """Leave the group for a while, so that another member decides about the leadership."""
-        self._stepped_aside_ms = self._timer.now_ms()
+        now_ms = self._timer.now_ms()
+        away_ms = defaults.STEP_ASIDE_TTL_RATIO * self._ttl_ms
+        if now_ms - self._stepped_aside_ms < defaults.ISOLATION_MEMORY_MS:
+            away_ms *= 2
+        self._stepped_aside_ms = now_ms
+        self._away_until_ms = now_ms + away_ms
         self.spawn(self._leave_group())
 
     @receives(QueryCandidate)
@@ -510,7 +528,12 @@
     async def _transfer(self, epoch: int, reach: Reach) -> None:
         """Ask a candidate that reaches the upstreams to claim the next epoch."""
         own_count = await self._count_reached(reach.unreached_addresses)
-        successor = await self._surveyor.find_successor(reach.unreached_addresses, own_count)
+        successor, answered = await self._surveyor.find_successor(
+            reach.unreached_addresses, own_count
+        )
+        if not answered and self._owned_count < self._part_count:
+            self.tell(_Isolated(epoch))
+            return
         # The end of the partition is the epoch, as it holds the claims and nothing else.
         if successor is not None and await self._request_claim(successor, epoch):
             self.tell(_Transferred(epoch))
@@ -523,6 +546,17 @@
             reason = "most upstreams do not answer"
             self.step(self.chart, self._role, "transferred", reason=reason)
 
+    @receives(_Isolated)
+    def on_isolated(self, message: _Isolated) -> None:
+        """Resign and leave the group for a while: another member may reach what this one does not.
+
+        As owner of the partition, this entry VM would never query itself.
+        """
+        if self._role.state == "leader" and message.epoch == self._epoch:
+            self._unwilling_until_ms = self._timer.now_ms() + defaults.UNWILLING_AFTER_TRANSFER_MS
+            reason = "neither upstreams nor candidates answer"
+            self.step(self.chart, self._role, "isolated", reason=reason)
+
     @receives(QueryReach)
     def on_query_reach(self, message: QueryReach) -> None:
         """Report how many of the upstreams this entry VM reaches."""
@@ -580,7 +614,8 @@
     async def on_leave(self, message: Leave) -> None:
         """Resign and leave the group, so that another entry VM takes over at once."""
         self._leaving = True
-        if self._role.state == "leader":
+        if self.chart.accepts(self._role.state, "leave"):
+            # A claim that is stored later names an entry VM that does not lead; others claim next.
             self.step(self.chart, self._role, "leave", reason="planned stop")
         await self._leave_group()
         resolve(message.reply, None)
