Keep the lead where a slow or lossy store delays the confirmations of all

What callers would see: leaders that follow each other while the store loses answers or is slow, each with a take-over during which nothing is placed. Cause: a renewal of the membership without an answer blocked the next one for 1.5 s, while a leader reports that it does not lead 1.1 s after its last confirmed renewal; and with calls of 0.8 s that age is reached at every entry VM. One lost answer, or a store that is slow for all, counted as the leader's failure. Fix: renewals are sent each 0.4 s whether or not the last one was answered, at most three at once, and only newer answers count. The age that others tolerate grows with the duration of the confirmed call, up to the 3 s for which orders may be sent at all.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -140,6 +140,8 @@
 # JOINS_PER_TTL_COUNT times as often.
 MEMBERSHIP_TTL_MS = 1_200
 JOINS_PER_TTL_COUNT = 3
+# Renewals of the membership that wait for an answer at the same time.
+JOINS_PENDING_LIMIT_COUNT = 3
 # A leader that the store has not confirmed for this long issues no more orders. Its successor
 # waits this long plus a lease before it gives up tasks at an upstream that it cannot reach.
 LEADERSHIP_VALID_MS = 3_000
@@ -257,6 +259,9 @@
 STOP_MARGIN_MS = 50
 PROBE_TIMEOUT_MS = 350
 # A leader whose last confirmation is older reports that it does not lead, so another takes over.
+# Confirmations of a slow store are older at all entry VMs: the age may exceed this by
+# CONFIRMATION_CALL_RATIO times the duration of the call that was confirmed.
 LEADERSHIP_CONFIRMATION_MAX_AGE_MS = 1_100
+CONFIRMATION_CALL_RATIO = 2
 # Advice for a step that still needs some is requested again after this time.
 ADVICE_RETRY_MS = 2_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -73,9 +73,15 @@
 
 @frozen
 class LeadershipConfirmed:
-    """The store has confirmed the leadership; orders may be sent until ``valid_until_ms``."""
+    """The store has confirmed the leadership.
+
+    :param valid_until_ms: orders may be sent until then.
+    :param recent_until_ms: the confirmation counts as recent until then; afterwards another entry
+        VM should take over.
+    """
 
     valid_until_ms: float
+    recent_until_ms: float
 
 
 @frozen
@@ -159,6 +165,7 @@
 class _Joined:
     membership: Membership
     sent_ms: float
+    answered_ms: float
 
 
 @frozen
@@ -241,6 +248,8 @@
         self._generation = 0
         self._epoch = 0
         self._confirmed_ms = 0.0
+        self._recent_until_ms = 0.0
+        self._pending_join_count = 0
         self._checked_ms = timer.now_ms()
         self._leader_answered_ms = float("-inf")
         self._lookup_running = False
@@ -273,24 +282,31 @@
 
     async def _renew_membership(self) -> None:
         while not self._leaving:
-            if self._timer.now_ms() < self._away_until_ms:
-                await asyncio.sleep(self._ttl_ms / defaults.JOINS_PER_TTL_COUNT / 1_000)
-                continue
-            sent_ms = self._timer.now_ms()
-            try:
-                membership = await self._store.join(
-                    GROUP, self._member, TOPIC, self._ttl_ms, self._generation
-                )
-            except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
-                logger.warning("cannot join the group", extra={"reason": str(error)})
-            else:
-                self.tell(_Joined(membership, sent_ms))
+            # A renewal without an answer must not delay the next one, as a single lost answer would
+            # then make the confirmation too old.
+            stays_away = self._timer.now_ms() < self._away_until_ms
+            if not stays_away and self._pending_join_count < defaults.JOINS_PENDING_LIMIT_COUNT:
+                self.spawn(self._join())
             await asyncio.sleep(self._ttl_ms / defaults.JOINS_PER_TTL_COUNT / 1_000)
 
+    async def _join(self) -> None:
+        self._pending_join_count += 1
+        sent_ms = self._timer.now_ms()
+        try:
+            membership = await self._store.join(
+                GROUP, self._member, TOPIC, self._ttl_ms, self._generation
+            )
+        except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+            logger.warning("cannot join the group", extra={"reason": str(error)})
+        else:
+            self.tell(_Joined(membership, sent_ms, self._timer.now_ms()))
+        finally:
+            self._pending_join_count -= 1
+
     @receives(_Joined)
     def on_joined(self, message: _Joined) -> None:
         """Update the election state from the partitions that this entry VM owns."""
-        if self._leaving:
+        if self._leaving or message.sent_ms <= self._confirmed_ms:
             return
         membership = message.membership
         if membership.generation != self._generation:
@@ -301,6 +317,11 @@
             self._generation = membership.generation
             self._start_leader_lookup()
         self._confirmed_ms = message.sent_ms
+        call_ms = message.answered_ms - message.sent_ms
+        recent_ms = (
+            defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS + defaults.CONFIRMATION_CALL_RATIO * call_ms
+        )
+        self._recent_until_ms = message.sent_ms + min(recent_ms, defaults.LEADERSHIP_VALID_MS)
         self._owned_count = len(membership.parts)
         owned = LEADER_PART in membership.parts
         self.step(self.chart, self._role, "owned" if owned else "disowned")
@@ -370,8 +391,11 @@
 
     def _is_willing(self) -> bool:
         now_ms = self._timer.now_ms()
-        confirmed = now_ms - self._confirmed_ms < defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS
-        return confirmed and not self._leaving and now_ms >= self._unwilling_until_ms
+        return (
+            now_ms < self._recent_until_ms
+            and not self._leaving
+            and now_ms >= self._unwilling_until_ms
+        )
 
     @receives(_Probed)
     def on_probed(self, message: _Probed) -> None:
@@ -438,8 +462,7 @@
         resolve(message.reply, self._status(view))
 
     def _leads(self) -> bool:
-        age_ms = self._timer.now_ms() - self._confirmed_ms
-        return self._role.state == "leader" and age_ms < defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS
+        return self._role.state == "leader" and self._timer.now_ms() < self._recent_until_ms
 
     def _status(self, view: LeaderView) -> CandidateStatus:
         electable = self.chart.accepts(self._role.state, "requested")
@@ -498,7 +521,8 @@
 
     @implements_action("confirm")
     def _confirm(self, role: _Role) -> None:
-        self._listener.tell(LeadershipConfirmed(self._confirmed_ms + defaults.LEADERSHIP_VALID_MS))
+        valid_until_ms = self._confirmed_ms + defaults.LEADERSHIP_VALID_MS
+        self._listener.tell(LeadershipConfirmed(valid_until_ms, self._recent_until_ms))
 
     @implements_action("resign")
     def _resign(self, role: _Role, reason: str) -> None:
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -130,7 +130,7 @@
         )
         # One connection for the leader and one for each candidate of a survey.
         self._probe_client = PeerClient(defaults.SURVEY_CANDIDATE_COUNT + 1)
-        self._valid_until_ms = 0.0
+        self._recent_until_ms = 0.0
         self.election = Election(
             self.incarnation,
             Candidate(
@@ -317,9 +317,7 @@
 
     def is_leader(self) -> bool:
         """Return whether this entry VM leads and the store has confirmed that recently."""
-        left_ms = self._valid_until_ms - self._timer.now_ms()
-        age_ms = defaults.LEADERSHIP_VALID_MS - left_ms
-        return self.scheduler is not None and age_ms < defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS
+        return self.scheduler is not None and self._timer.now_ms() < self._recent_until_ms
 
     def _pool_rules(self) -> dict[str, PoolRule]:
         return self._rules.pools if self._rules else {}
@@ -327,7 +325,7 @@
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Tell the scheduler until when the leadership is valid."""
-        self._valid_until_ms = message.valid_until_ms
+        self._recent_until_ms = message.recent_until_ms
         if self.scheduler is not None:
             self.scheduler.tell(message)
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -489,3 +489,48 @@
     unwilling = CandidateStatus(False, False, LeaderView.UNREACHABLE)
     known = {"candidates": (large,), "statuses": {"large": unwilling}}
     assert decide(survey(own_willing=False, **known)).event == "vacant"
+
+
+@pytest.fixture(params=[{"lost_join_ratio": 0.2}, {"call_delay_s": 0.8}], ids=["lossy", "slow"])
+def store_trouble(request):
+    """Faults of the store that concern all entry VMs alike."""
+    return request.param
+
+
+def test_a_store_that_is_slow_or_lossy_for_all_does_not_move_the_lead(simulate, store_trouble):
+    """Guards against a series of leaders each of which has late confirmations."""
+
+    async def scenario(simulation):
+        for number in range(3):
+            await simulation.start_node(f"n-{number}", **LARGE)
+        await asyncio.sleep(3.0)
+        simulation.store.reassign_partitions()
+        await asyncio.sleep(1.0)
+        before = epoch_count(simulation)
+        for name, value in store_trouble.items():
+            setattr(simulation.store, name, value)
+        await asyncio.sleep(20.0)
+        after = epoch_count(simulation)
+        await stop_all(simulation)
+        return before, after
+
+    before, after = simulate(scenario)
+    assert after == before
+
+
+def test_a_leader_without_the_store_is_replaced_within_two_seconds(simulate):
+    """Guards against tolerance of a slow store that lets a cut-off leader keep the lead."""
+
+    async def scenario(simulation):
+        for number in range(3):
+            await simulation.start_node(f"n-{number}", **LARGE)
+        await asyncio.sleep(3.0)
+        first = leader_name(simulation)
+        simulation.store.silent_entries.add(first)
+        await asyncio.sleep(2.0)
+        second = leader_name(simulation)
+        await stop_all(simulation)
+        return first, second
+
+    first, second = simulate(scenario)
+    assert first and second and first != second
