--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -20,7 +20,6 @@
 from standins.settings import make_node_settings
 from tarragoncart import node as node_module
 from tarragoncart.candidates import CandidateStatus
-from tarragoncart.election import QueryCandidate, QueryReach, RequestClaim
 from tarragoncart.entrance import RequestContext, Submit
 from tarragoncart.errors import (
     FleetRefusedError,
@@ -34,6 +33,7 @@
     UpstreamUnreachableError,
 )
 from tarragoncart.graph import Demand, JobSpec, UpstreamEntry, VmEntry
+from tarragoncart.leadership import QueryCandidate, QueryReach, RequestClaim
 from tarragoncart.mailbox import new_reply
 from tarragoncart.node import Adapter, Node
 from tarragoncart.platform import operator
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -31,6 +31,20 @@
 from .charts import load_chart
 from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import read_newest
+from .leadership import (
+    Fenced,
+    FindLeader,
+    Leader,
+    LeaderFound,
+    LeadershipConfirmed,
+    LeadershipGained,
+    LeadershipLost,
+    Leave,
+    QueryCandidate,
+    QueryReach,
+    ReachMeasured,
+    RequestClaim,
+)
 from .mailbox import Actor, implements_action, receives, resolve
 from .storage import Membership
 from .survey import CandidatePeers, CandidateStore, Surveyor
@@ -55,112 +69,6 @@
     async def leave(self, group: str, member: str) -> None: ...
 
 
-@frozen
-class Leader:
-    """The entry VM that schedules, with the epoch that fences earlier leaders."""
-
-    name: str
-    address: str
-    epoch: int
-
-
-@frozen
-class LeadershipGained:
-    """This entry VM has claimed an epoch."""
-
-    epoch: int
-
-
-@frozen
-class LeadershipConfirmed:
-    """The store has confirmed the leadership.
-
-    :param valid_until_ms: orders may be sent until then.
-    :param recent_until_ms: the confirmation counts as recent until then; afterwards another entry
-        VM should take over.
-    """
-
-    valid_until_ms: float
-    recent_until_ms: float
-
-
-@frozen
-class LeadershipLost:
-    """This entry VM must stop scheduling."""
-
-    epoch: int
-    reason: str
-
-
-@frozen
-class LeaderFound:
-    """The leader recorded in the store."""
-
-    leader: Leader
-
-
-@frozen
-class FindLeader:
-    """Look up the leader again: the known one does not answer or does not lead."""
-
-
-@frozen
-class Fenced:
-    """The store or an upstream has seen a higher epoch than this one."""
-
-    epoch: int
-
-
-@frozen
-class QueryCandidate:
-    """Ask whether this entry VM would lead.
-
-    :param leader_address: leader whose state the answer also reports; empty for none.
-    :param reply: resolved with a :class:`CandidateStatus`.
-    """
-
-    leader_address: str
-    reply: asyncio.Future[CandidateStatus]
-
-
-@frozen
-class RequestClaim:
-    """Ask this entry VM to claim an epoch.
-
-    :param end_offset: end of the leader's partition on condition of which to claim.
-    :param reply: resolved with whether it claims.
-    """
-
-    end_offset: int
-    reply: asyncio.Future[bool]
-
-
-@frozen
-class QueryReach:
-    """Ask how many of some upstreams this entry VM reaches.
-
-    :param reply: resolved with the number.
-    """
-
-    upstream_addresses: tuple[str, ...]
-    reply: asyncio.Future[int]
-
-
-@frozen
-class ReachMeasured:
-    """Which upstreams answer this entry VM, while it leads with this epoch."""
-
-    epoch: int
-    reach: Reach
-
-
-@frozen
-class Leave:
-    """Leave the group at once, for a planned stop."""
-
-    reply: asyncio.Future[None]
-
-
 @frozen
 class _Joined:
     membership: Membership
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -11,10 +11,10 @@
 from attrs import frozen
 
 from . import defaults, intake, metrics
-from .election import FindLeader, Leader
 from .errors import RequestError, TarragoncartError
 from .graph import JobSpec, QueueRule, Rules, Submission
 from .jobmodel import ENDED
+from .leadership import FindLeader, Leader
 from .mailbox import Actor, new_reply, receives, resolve
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
 from .timer import Timer
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -13,8 +13,8 @@
 
 from . import defaults
 from .candidates import CandidateStatus, LeaderView
-from .election import QueryCandidate, QueryReach, RequestClaim
 from .errors import PeerError
+from .leadership import QueryCandidate, QueryReach, RequestClaim
 from .mailbox import Actor, new_reply
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
 from .sessions import open_session
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -18,8 +18,12 @@
 from . import defaults, intake, logs, metrics
 from .advisor import AdviceCalls, Advisor
 from .candidates import Candidate
-from .election import (
-    Election,
+from .election import Election
+from .entrance import CurrentLeader, CurrentRules, RequestHandler
+from .follower import Follower, TopicChanges, TopicSnapshot
+from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
+from .leaderapi import PeerClient, PeerServer
+from .leadership import (
     Fenced,
     Leader,
     LeaderFound,
@@ -28,10 +32,6 @@
     LeadershipLost,
     Leave,
 )
-from .entrance import CurrentLeader, CurrentRules, RequestHandler
-from .follower import Follower, TopicChanges, TopicSnapshot
-from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
-from .leaderapi import PeerClient, PeerServer
 from .link import ClientFactory
 from .mailbox import Actor, new_reply, receives
 from .scheduler import PRODUCER, STATE_TOPIC, RulesChanged, Scheduler
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -10,7 +10,7 @@
 
 from . import defaults
 from .charts import load_chart
-from .election import Fenced
+from .leadership import Fenced
 from .loads import Loads
 from .mailbox import implements_action, receives
 from .pools import POLICIES, MovePlan, PoolDemand, PoolVm
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -13,11 +13,11 @@
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
 from .candidates import Reach
-from .election import Fenced, LeadershipConfirmed, ReachMeasured
 from .follower import TopicChanges, TopicSnapshot
 from .graph import Rules
 from .intake import IntakeRead
 from .jobmodel import Job, StepOccurrence
+from .leadership import Fenced, LeadershipConfirmed, ReachMeasured
 from .link import (
     ExtendPermission,
     FencedByUpstream,
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -11,11 +11,11 @@
 from attrs import frozen
 
 from . import defaults, jobmodel, metrics
-from .election import Fenced
 from .errors import StoreRefusedError, StoreUnknownError
 from .follower import read_newest
 from .intake import IntakeRead
 from .jobmodel import EndedJob, Job
+from .leadership import Fenced
 from .link import ExtendPermission, PollFailed, ReportReceived
 from .mailbox import new_reply, receives
 from .restoration import Cancellation, MalformedRecord, Restored, UnknownKey, restore
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -10,9 +10,9 @@
 from attrs import frozen
 
 from . import defaults
-from .election import Fenced
 from .errors import FleetRefusedError, FleetUnknownError
 from .graph import VmEntry
+from .leadership import Fenced
 from .mailbox import implements_action, new_reply, receives
 from .relocations import Relocations
 from .upkeep import UPKEEP_CHART, VmUpkeep, Wave, next_vms
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -23,9 +23,9 @@
     is_settled,
     select_respondents,
 )
-from tarragoncart.election import Fenced, FindLeader, Leave
 from tarragoncart.graph import Demand
 from tarragoncart.leaderapi import PeerClient
+from tarragoncart.leadership import Fenced, FindLeader, Leave
 from tarragoncart.mailbox import new_reply
 
 SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,9 +14,9 @@
 
 from standins.taskworker import TaskWorker, WorkerFaults
 from tarragoncart import defaults
-from tarragoncart.election import Leader
 from tarragoncart.entrance import CurrentLeader
 from tarragoncart.intake import partitions_of
+from tarragoncart.leadership import Leader
 from tarragoncart.link import ExtendPermission, ReportReceived
 from tarragoncart.loads import Loads
 from tarragoncart.mailbox import Actor, receives
