--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -140,6 +140,8 @@
     :param refused_entries: names of the entry VMs whose calls are refused.
     :param silent_entries: names of the entry VMs whose calls get no response and are not applied.
     :param lost_response_ratio: share of appends that are applied but get no response.
+    :param lost_join_ratio: the same for renewals of a membership.
+    :param call_delay_s: duration of each call.
     :param max_append_delay_s: longest time before an append is applied, which may be after its
         caller's timeout.
     """
