Compute the paths through a job's steps once, and in one place

The order by lateness walked the steps of a job for the longest chain from a step, beside Job.critical_path_ms, which walked them for the longest chain of all; both ran for each waiting step in each pass, several times, though a submission never changes. One cached tuple now gives both, and the deadline of a step is computed in one place.

The values are the same: estimates are whole numbers, and a step depends on earlier ones only.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -124,8 +124,7 @@
     """
     job = step.job
     late = lateness(step, now_ms)
-    deadline_ms = job.due_ms(step.occurrence) + job.objective_ms()
-    return (job.submission.priority, float(job.beyond_share), late, deadline_ms, step.number)
+    return (job.submission.priority, float(job.beyond_share), late, step.deadline_ms, step.number)
 
 
 def lateness(step: StepOccurrence, now_ms: float) -> float:
@@ -136,12 +135,10 @@
     """
     if step.spec.long_running:
         return 0.0
-    job = step.job
-    objective_ms = job.objective_ms()
-    deadline_ms = job.due_ms(step.occurrence) + objective_ms
-    if now_ms + STEP_DURATION_RATIO * _remaining_path_ms(step) <= deadline_ms:
+    deadline_ms = step.deadline_ms
+    if now_ms + STEP_DURATION_RATIO * step.remaining_path_ms <= deadline_ms:
         return 0.0
-    return 1.0 if now_ms < deadline_ms + 2 * objective_ms else 2.0
+    return 1.0 if now_ms < deadline_ms + 2 * step.job.objective_ms() else 2.0
 
 
 def deferrable(step: StepOccurrence, now_ms: float) -> bool:
@@ -164,16 +161,6 @@
     return allowed_count * sum(admits_when_empty(slot, spec) for slot in slots) < spec.task_count
 
 
-def _remaining_path_ms(step: StepOccurrence) -> float:
-    """Return the estimated duration of the longest chain of steps that begins with the step."""
-    ends_ms = {step.number: float(step.spec.estimate_ms)}
-    for number, spec in enumerate(step.job.submission.spec.steps):
-        starts_ms = [ends_ms[other] for other in spec.depends_on if other in ends_ms]
-        if starts_ms and number > step.number:
-            ends_ms[number] = max(starts_ms) + spec.estimate_ms
-    return max(ends_ms.values())
-
-
 @RANKINGS.register("spread")
 def spread(slot: UpstreamSlot, step: StepOccurrence) -> tuple[float, ...]:
     """Prefer healthy upstreams, then those with the most free cpu."""
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -5,6 +5,7 @@
 import json
 from collections import Counter
 from collections.abc import Iterator, Mapping
+from functools import cached_property
 from typing import Any, ClassVar
 
 from attrs import Factory, define, field
@@ -144,6 +145,16 @@
         steps = self.job.steps
         return all(steps[self.occurrence, number].done for number in self.spec.depends_on)
 
+    @property
+    def deadline_ms(self) -> float:
+        """Unix time until which the job is on time."""
+        return self.job.due_ms(self.occurrence) + self.job.objective_ms()
+
+    @property
+    def remaining_path_ms(self) -> float:
+        """Estimated duration of the longest chain of steps that begins with the step."""
+        return self.job.path_ms_by_step[self.number]
+
     def waiting(self) -> Iterator[Task]:
         """Yield the tasks that wait for a new run."""
         return (task for task in self.tasks if task.startable)
@@ -223,18 +234,25 @@
         """Yield the tasks of all released occurrences."""
         return (task for step in self.steps.values() for task in step.tasks)
 
-    def critical_path_ms(self) -> float:
-        """Return the estimated duration of the critical path through its steps."""
-        end_times_ms: list[float] = []
-        for spec in self.submission.spec.steps:
-            start_ms = max((end_times_ms[number] for number in spec.depends_on), default=0.0)
-            end_times_ms.append(start_ms + spec.estimate_ms)
-        return max(end_times_ms, default=0.0)
+    @cached_property
+    def path_ms_by_step(self) -> tuple[float, ...]:
+        """Estimated duration of the longest chain of steps that begins with each step.
+
+        Computed once, as scheduling passes need it for each waiting step.
+        """
+        steps = self.submission.spec.steps
+        paths_ms = [0.0] * len(steps)
+        for number in reversed(range(len(steps))):
+            paths_ms[number] += steps[number].estimate_ms
+            for earlier in steps[number].depends_on:
+                paths_ms[earlier] = max(paths_ms[earlier], paths_ms[number])
+        return tuple(paths_ms)
 
     def objective_ms(self) -> float:
         """Return how long the job may take and still be on time."""
         submission = self.submission
-        return submission.stretch * self.critical_path_ms() + submission.target_latency_ms
+        critical_path_ms = max(self.path_ms_by_step, default=0.0)
+        return submission.stretch * critical_path_ms + submission.target_latency_ms
 
 
 @define(eq=False)
