Answer peers, ask candidates and give up the lead in one place each

Found when reading the change again: three handlers of the peer interface waited for an actor and encoded its answer in the same lines, two calls to candidates handled a missing answer alike, the election had two messages and handlers for giving up the lead that differed in event and reason only, and the condition for a claim on request stood twice. Behaviour, paths and log lines are unchanged.

--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -94,15 +94,16 @@
 
 
 @frozen
-class _Transferred:
-    epoch: int
-
+class _GivesUp:
+    """This leader should not lead any more, as it does not reach most upstreams.
 
-@frozen
-class _Isolated:
-    """This leader reaches neither most upstreams nor any candidate, though the group has others."""
+    :param event: event of the chart: ``transferred`` to a successor, or ``isolated`` from all other
+        candidates, though the group has other members.
+    """
 
     epoch: int
+    event: str
+    reason: str
 
 
 @frozen
@@ -373,14 +374,16 @@
         return self._role.state == "leader" and self._timer.now_ms() < self._recent_until_ms
 
     def _status(self, view: LeaderView) -> CandidateStatus:
-        electable = self.chart.accepts(self._role.state, "requested")
-        claiming = self._role.state == "claiming"
-        return CandidateStatus(electable and self._is_willing(), claiming, view)
+        return CandidateStatus(self._may_claim(), self._role.state == "claiming", view)
+
+    def _may_claim(self) -> bool:
+        """Return whether this entry VM would claim an epoch on request."""
+        return self._is_willing() and self.chart.accepts(self._role.state, "requested")
 
     @receives(RequestClaim)
     def on_request_claim(self, message: RequestClaim) -> None:
         """Claim an epoch for the entry VM that has found the leadership vacant."""
-        accepted = self._is_willing() and self.chart.accepts(self._role.state, "requested")
+        accepted = self._may_claim()
         if accepted:
             logger.info("asked to claim an epoch", extra={"end_offset": message.end_offset})
             decision = Decision("vacant", "another entry VM found no leader")
@@ -464,30 +467,23 @@
             reach.unreached_addresses, own_count
         )
         if not answered and self._owned_count < self._part_count:
-            self.tell(_Isolated(epoch))
+            reason = "neither upstreams nor candidates answer"
+            self.tell(_GivesUp(epoch, "isolated", reason))
             return
         # The end of the partition is the epoch, as it holds the claims and nothing else.
         if successor is not None and await self._request_claim(successor, epoch):
-            self.tell(_Transferred(epoch))
+            self.tell(_GivesUp(epoch, "transferred", "most upstreams do not answer"))
 
-    @receives(_Transferred)
-    def on_transferred(self, message: _Transferred) -> None:
-        """Resign in favour of the successor, and do not lead again for a while."""
-        if self._role.state == "leader" and message.epoch == self._epoch:
-            self._unwilling_until_ms = self._timer.now_ms() + defaults.UNWILLING_AFTER_TRANSFER_MS
-            reason = "most upstreams do not answer"
-            self.step(self.chart, self._role, "transferred", reason=reason)
+    @receives(_GivesUp)
+    def on_gives_up(self, message: _GivesUp) -> None:
+        """Resign in favour of another member, and do not lead again for a while.
 
-    @receives(_Isolated)
-    def on_isolated(self, message: _Isolated) -> None:
-        """Resign and leave the group for a while: another member may reach what this one does not.
-
-        As owner of the partition, this entry VM would never query itself.
+        An isolated leader also leaves the group: as owner of the partition, it would never query
+        itself.
         """
         if self._role.state == "leader" and message.epoch == self._epoch:
             self._unwilling_until_ms = self._timer.now_ms() + defaults.UNWILLING_AFTER_TRANSFER_MS
-            reason = "neither upstreams nor candidates answer"
-            self.step(self.chart, self._role, "isolated", reason=reason)
+            self.step(self.chart, self._role, message.event, reason=message.reason)
 
     @receives(QueryReach)
     def on_query_reach(self, message: QueryReach) -> None:
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -160,36 +160,18 @@
             scheduler.tell(CountPending(name, reply))
         else:
             return web.Response(status=404)
-        try:
-            answer = await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
-        except TimeoutError:
-            return web.Response(status=503)
-        body = json.dumps(_encode_view(answer)).encode()
-        return web.Response(body=body, content_type="application/json")
+        return await _respond(reply, defaults.LOOKUP_TIMEOUT_MS, _encode_view)
 
     async def _answer_as_candidate(self, leader_address: str) -> web.StreamResponse:
         reply = new_reply()
         self._election.tell(QueryCandidate(leader_address, reply))
-        try:
-            status = await asyncio.wait_for(reply, 2 * defaults.PROBE_TIMEOUT_MS / 1_000)
-        except TimeoutError:
-            return web.Response(status=503)
-        data = {
-            "willing": status.willing,
-            "claiming": status.claiming,
-            "leader_view": status.leader_view.value,
-        }
-        return web.Response(body=json.dumps(data).encode(), content_type="application/json")
+        return await _respond(reply, 2 * defaults.PROBE_TIMEOUT_MS, _encode_status)
 
     async def _answer_reach(self, upstream_addresses: tuple[str, ...]) -> web.StreamResponse:
         reply = new_reply()
         self._election.tell(QueryReach(upstream_addresses, reply))
-        try:
-            count = await asyncio.wait_for(reply, 2 * defaults.PROBE_TIMEOUT_MS / 1_000)
-        except TimeoutError:
-            return web.Response(status=503)
-        body = json.dumps({"reached_count": count}).encode()
-        return web.Response(body=body, content_type="application/json")
+        timeout_ms = 2 * defaults.PROBE_TIMEOUT_MS
+        return await _respond(reply, timeout_ms, lambda count: {"reached_count": count})
 
     async def _accept_claim(self, end_offset: int) -> web.StreamResponse:
         reply = new_reply()
@@ -201,6 +183,25 @@
         return web.Response(status=200 if accepted else NOT_LEADING_STATUS)
 
 
+async def _respond(
+    reply: asyncio.Future[Any], timeout_ms: float, encode: Callable[[Any], dict[str, Any]]
+) -> web.StreamResponse:
+    """Respond with an actor's reply as JSON, or with 503 if there is none in time."""
+    try:
+        answer = await asyncio.wait_for(reply, timeout_ms / 1_000)
+    except TimeoutError:
+        return web.Response(status=503)
+    return web.Response(body=json.dumps(encode(answer)).encode(), content_type="application/json")
+
+
+def _encode_status(status: CandidateStatus) -> dict[str, Any]:
+    return {
+        "willing": status.willing,
+        "claiming": status.claiming,
+        "leader_view": status.leader_view.value,
+    }
+
+
 def _encode_view(view: JobView | PendingView) -> dict[str, Any]:
     """Encode an answer; an infinite age, which JSON cannot represent, becomes null."""
     age_ms = round(view.view_age_ms) if math.isfinite(view.view_age_ms) else None
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection, Mapping
-from typing import Any, Protocol
+from collections.abc import Awaitable, Callable, Collection, Mapping
+from typing import Any, Protocol, TypeVar
 
 from attrs import frozen
 
@@ -47,6 +47,7 @@
     async def count_reached(self, address: str, upstream_addresses: tuple[str, ...]) -> int: ...
 
 
+Answer = TypeVar("Answer")
 IsSettled = Callable[[Mapping[str, CandidateStatus], tuple[Candidate, ...], Collection[str]], bool]
 
 
@@ -96,10 +97,11 @@
         recorded = await self._read_candidates()
         others = tuple(candidate for candidate in recorded if candidate.name != self.own.name)
         respondents = select_respondents(others)
-        queries = {
-            asyncio.ensure_future(self._query_candidate(respondent, leader_address)): respondent
-            for respondent in respondents
-        }
+
+        def query(address: str) -> Awaitable[CandidateStatus]:
+            return self.peers.query_candidate(address, leader_address)
+
+        queries = {asyncio.ensure_future(self._ask(c, query)): c for c in respondents}
         statuses: dict[str, CandidateStatus] = {}
         answered: set[str] = set()
         pending = set(queries)
@@ -108,13 +110,13 @@
                 if is_settled is not None and is_settled(statuses, respondents, answered):
                     break
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                for query in done:
-                    answered.add(queries[query].name)
-                    if (status := query.result()) is not None:
-                        statuses[queries[query].name] = status
+                for task in done:
+                    answered.add(queries[task].name)
+                    if (status := task.result()) is not None:
+                        statuses[queries[task].name] = status
         finally:
-            for query in pending:
-                query.cancel()
+            for task in pending:
+                task.cancel()
         return others, statuses
 
     async def find_successor(
@@ -130,10 +132,12 @@
         others, statuses = await self.query_candidates("")
         willing = [c for c in others if c.name in statuses and statuses[c.name].willing]
         respondents = select_respondents(willing)[: defaults.REACH_CANDIDATE_COUNT]
-        counts = await asyncio.gather(
-            *(self._count_reached(respondent, upstream_addresses) for respondent in respondents)
-        )
-        reached_counts = {c.name: count for c, count in zip(respondents, counts, strict=True)}
+
+        def count(address: str) -> Awaitable[int]:
+            return self.peers.count_reached(address, upstream_addresses)
+
+        counts = await asyncio.gather(*(self._ask(c, count) for c in respondents))
+        reached_counts = {c.name: n or 0 for c, n in zip(respondents, counts, strict=True)}
         logger.info(
             "candidates asked for their reach",
             extra={
@@ -147,18 +151,6 @@
         )
         return successor, bool(statuses)
 
-    async def _count_reached(
-        self, candidate: Candidate, upstream_addresses: tuple[str, ...]
-    ) -> int:
-        try:
-            return await self.peers.count_reached(candidate.address, upstream_addresses)
-        except PeerError as error:
-            logger.info(
-                "candidate does not answer",
-                extra={"candidate": candidate.name, "reason": str(error)},
-            )
-            return 0
-
     async def _read_candidates(self) -> tuple[Candidate, ...]:
         """Return the candidates recorded in the store; none if they cannot be read."""
         try:
@@ -176,11 +168,12 @@
                 )
         return tuple(candidates)
 
-    async def _query_candidate(
-        self, candidate: Candidate, leader_address: str
-    ) -> CandidateStatus | None:
+    async def _ask(
+        self, candidate: Candidate, call: Callable[[str], Awaitable[Answer]]
+    ) -> Answer | None:
+        """Return a candidate's answer to a call to its address, None without one."""
         try:
-            return await self.peers.query_candidate(candidate.address, leader_address)
+            return await call(candidate.address)
         except PeerError as error:
             logger.info(
                 "candidate does not answer",
