--- a/src/tarragoncart/pools.py
+++ b/src/tarragoncart/pools.py
@@ -95,11 +95,8 @@
     @property
     def missing_millicores(self) -> int:
         """Cpu that the pool lacks beyond incoming VMs; negative if it has more than it needs."""
-        backlog_millicore_ms = self.backlog_millicore_ms + self.deferred_millicore_ms
-        needed_millicores = (
-            OFFERED_HEADROOM_RATIO * self.offered_millicores
-            + self.long_running_millicores
-            + backlog_millicore_ms / CLEAR_BACKLOG_MS
+        needed_millicores = self._work_millicores(
+            self.backlog_millicore_ms + self.deferred_millicore_ms
         )
         missing = max(needed_millicores - self.total_millicores, self.short_millicores)
         return int(missing) - self.incoming_millicores
@@ -126,12 +123,16 @@
         cleared_millicore_ms = max(0, spare_millicores) * ARRIVAL_MS
         return self._needed_millicores(max(0, self.backlog_millicore_ms - cleared_millicore_ms))
 
-    def _needed_millicores(self, backlog_millicore_ms: float) -> float:
-        needed_millicores = (
+    def _work_millicores(self, backlog_millicore_ms: float) -> float:
+        """Return the cpu for the offered load, long-running tasks and a backlog."""
+        return (
             OFFERED_HEADROOM_RATIO * self.offered_millicores
             + self.long_running_millicores
             + backlog_millicore_ms / CLEAR_BACKLOG_MS
         )
+
+    def _needed_millicores(self, backlog_millicore_ms: float) -> float:
+        needed_millicores = self._work_millicores(backlog_millicore_ms)
         if self.short_millicores:
             return max(needed_millicores, self.total_millicores + self.short_millicores)
         return needed_millicores
