Report the reach of the leader outside the function that logs its summary

A function named for its log line also told the election which upstreams answer. Both now follow from one function that runs once a second, as before. The topic of the state is imported from where it is defined, and the comment on the longest pause names the case.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -197,7 +197,7 @@
 # Pause before the next pass, as a multiple of the duration of the last one: passes over many
 # waiting steps leave two thirds of the processor to answers and reports.
 PASS_PAUSE_RATIO = 2
-# Longest pause: the measured duration includes pauses of the process, which say nothing about work.
+# Longest pause: a pass during which the process was suspended lasts long without much work.
 PASS_PAUSE_MAX_MS = 250
 # Tasks assigned in one pass. Assigning and starting one takes about 0.6 ms of a processor, and the
 # starts of a pass are sent together; the next pass follows once the assignments are stored.
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -34,8 +34,9 @@
 )
 from .link import ClientFactory
 from .mailbox import Actor, new_reply, receives
-from .scheduler import PRODUCER, STATE_TOPIC, RulesChanged, Scheduler
+from .scheduler import PRODUCER, RulesChanged, Scheduler
 from .storage import Entry
+from .takeover import STATE_TOPIC
 from .timer import LoopTimer, Timer
 from .vmorders import FleetCalls, WaveRequested
 from .vms import Fleet
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -25,7 +25,6 @@
 from .loads import Loads
 from .mailbox import new_reply, receives, resolve
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
-from .takeover import STATE_TOPIC as STATE_TOPIC
 from .takeover import TakeOver
 from .vmorders import WaveRequested
 from .writer import FENCED, Write
@@ -272,8 +271,9 @@
                 )
                 if not any(True for _ in step.waiting()):
                     step.wait_reason = ""
-        has_unplaced = self._short_millicores or self._backlog_millicore_ms
-        has_unplaced = has_unplaced or self._deferred_millicore_ms
+        has_unplaced = (
+            self._short_millicores or self._backlog_millicore_ms or self._deferred_millicore_ms
+        )
         if has_unplaced and now_ms - self._loads_sent_ms >= defaults.LOADS_MIN_INTERVAL_MS:
             self._send_loads()
 
@@ -443,16 +443,20 @@
         self._delete_records_of_ended_jobs(now_ms)
         self._drop_expired_jobs()
         self._send_loads()
-        self._log_summary(now_ms)
+        self._report_upstreams(now_ms)
         if any(self._ready_steps.values()):
             self._request_pass()
 
-    def _log_summary(self, now_ms: float) -> None:
+    def _report_upstreams(self, now_ms: float) -> None:
+        """Log a summary once a second, and tell the election which upstreams answer."""
         if now_ms - self._summary_logged_ms < defaults.LEADER_SUMMARY_MS:
             return
         self._summary_logged_ms = now_ms
         slots = [upstream.slot for upstream in self._upstreams.values()]
         self._report_reach(slots)
+        self._log_summary(slots, now_ms)
+
+    def _log_summary(self, slots: list[UpstreamSlot], now_ms: float) -> None:
         steps = [step for steps in self._ready_steps.values() for step in steps]
         logger.info(
             "leader summary",
