Share the start of equal entry VMs and of faults of the store among tests

Nine tests of the election started equal entry VMs in the same lines, and two faults of the model differed in the set of entry VMs only. Waits, random draws and assertions are the same.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -84,6 +84,12 @@
     return len(simulation.store.part("keyed.leader", 0).records)
 
 
+async def start_equal_nodes(simulation, count, **settings):
+    """Start entry VMs with the same settings, named ``n-0`` and so on."""
+    for number in range(count):
+        await simulation.start_node(f"n-{number}", **settings)
+
+
 async def stop_all(simulation):
     """Stop all entry VMs."""
     for name in list(simulation.nodes):
@@ -136,8 +142,7 @@
     """Guards against a site of equal entry VMs that waits for an abler one."""
 
     async def scenario(simulation):
-        for number in range(7):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 7)
         await asyncio.sleep(2.0)
         await simulation.kill_node(leader_name(simulation))
         await asyncio.sleep(2.0)
@@ -154,8 +159,7 @@
     """Guards against a claim by an entry VM whose own path to the leader is cut."""
 
     async def scenario(simulation):
-        for number in range(4):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 4)
         await asyncio.sleep(2.0)
         leader = leader_name(simulation)
         prober = next(iter(simulation.store.members)).split("/")[0]
@@ -176,8 +180,7 @@
     """Guards against a leader that is cut off from all other entry VMs."""
 
     async def scenario(simulation):
-        for number in range(4):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 4)
         await asyncio.sleep(2.0)
         leader = leader_name(simulation)
         names = [member.split("/")[0] for member in simulation.store.members]
@@ -200,8 +203,7 @@
     """
 
     async def scenario(simulation):
-        for number in range(4):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 4)
         await asyncio.sleep(2.0)
         leader, store = leader_name(simulation), simulation.store
         members = list(store.members)
@@ -225,8 +227,7 @@
     async def scenario(simulation):
         for number in range(8):
             simulation.add_worker(f"i-{number}", Demand(1_000))
-        for number in range(4):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 4)
         await asyncio.sleep(3.0)
         leader, store = leader_name(simulation), simulation.store
         for worker in simulation.workers.values():
@@ -263,8 +264,7 @@
     """Guards against a claim that waits for the timeout of a candidate that is gone."""
 
     async def scenario(simulation):
-        for number in range(4):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 4)
         await asyncio.sleep(2.0)
         leader = leader_name(simulation)
         names = [member.split("/")[0] for member in simulation.store.members]
@@ -289,8 +289,7 @@
     """Guards against an entry VM that waits for candidates that are gone."""
 
     async def scenario(simulation):
-        for number in range(5):
-            await simulation.start_node(f"n-{number}")
+        await start_equal_nodes(simulation, 5)
         await asyncio.sleep(2.0)
         leader = leader_name(simulation)
         kept = next(name for name in simulation.nodes if name != leader)
@@ -501,8 +500,7 @@
     """Guards against a series of leaders each of which has late confirmations."""
 
     async def scenario(simulation):
-        for number in range(3):
-            await simulation.start_node(f"n-{number}", **LARGE)
+        await start_equal_nodes(simulation, 3, **LARGE)
         await asyncio.sleep(3.0)
         simulation.store.reassign_partitions()
         await asyncio.sleep(1.0)
@@ -522,8 +520,7 @@
     """Guards against tolerance of a slow store that lets a cut-off leader keep the lead."""
 
     async def scenario(simulation):
-        for number in range(3):
-            await simulation.start_node(f"n-{number}", **LARGE)
+        await start_equal_nodes(simulation, 3, **LARGE)
         await asyncio.sleep(3.0)
         first = leader_name(simulation)
         simulation.store.silent_entries.add(first)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -178,10 +178,15 @@
 
 
 async def _refuse_store_calls_of_a_node(simulation):
+    await _add_a_node_for_a_while(simulation, simulation.store.refused_entries)
+
+
+async def _add_a_node_for_a_while(simulation, entries):
+    """Add the name of a random entry VM to those with a fault of the store."""
     name = simulation.rng.choice(list(simulation.nodes))
-    simulation.store.refused_entries.add(name)
+    entries.add(name)
     await asyncio.sleep(simulation.rng.uniform(0.5, 6.0))
-    simulation.store.refused_entries.discard(name)
+    entries.discard(name)
 
 
 async def _lose_store_answers(simulation):
@@ -243,10 +248,7 @@
 
 
 async def _silence_the_store_for_a_node(simulation):
-    name = simulation.rng.choice(list(simulation.nodes))
-    simulation.store.silent_entries.add(name)
-    await asyncio.sleep(simulation.rng.uniform(0.5, 6.0))
-    simulation.store.silent_entries.discard(name)
+    await _add_a_node_for_a_while(simulation, simulation.store.silent_entries)
 
 
 async def _slow_the_store_down(simulation):
