--- a/src/standins/settings.py
+++ b/src/standins/settings.py
@@ -32,6 +32,7 @@
         "retention_ms": 120_000,
         "shutdown_ms": 6_000,
         "store_call_bytes": 2_097_152,
+        "store_record_bytes": 262_144,
         "membership_ttl_min_ms": 1_000,
         "topic_part_count": 2,
         "cpu_millicores": 1_000,
--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -48,6 +48,7 @@
     :param refused_parts: partitions that refuse appends, by topic.
     :param unresponsive_parts: partitions whose appends are neither applied nor answered, by topic.
     :param unreadable_topics: topics whose reads are refused.
+    :param bodies: response body to all calls to a path, which are not carried out, by path.
     """
 
     lose_append_count: int = 0
@@ -56,6 +57,7 @@
     refused_parts: dict[str, set[int]] = Factory(dict)
     unresponsive_parts: dict[str, set[int]] = Factory(dict)
     unreadable_topics: frozenset[str] = frozenset()
+    bodies: dict[str, bytes] = Factory(dict)
 
 
 class StoreStandin:
@@ -75,8 +77,12 @@
 
     def put(self, topic: str, key: str, value: Any, number: int = 0) -> None:
         """Append a record directly; a value of None deletes the key."""
+        self.put_bytes(topic, key, b"" if value is None else json.dumps(value).encode(), number)
+
+    def put_bytes(self, topic: str, key: str, value: bytes, number: int = 0) -> None:
+        """Append a record with any bytes directly, as another writer may do."""
         part = self.part(topic, number)
-        part.records.append((key, b"" if value is None else json.dumps(value).encode()))
+        part.records.append((key, value))
         self._wake_readers(part)
 
     def newest(self, topic: str) -> dict[str, bytes]:
@@ -106,6 +112,8 @@
         if self.faults.refuse_count:
             self.faults.refuse_count -= 1
             return web.Response(status=503)
+        if request.path in self.faults.bodies:
+            return web.Response(body=self.faults.bodies[request.path])
         reads = request.path in ("/log-read", "/log-newest")
         if reads and request.query["topic"] in self.faults.unreadable_topics:
             return web.Response(status=503)
--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -35,6 +35,7 @@
     :param stalled: whether runs that are started from now on make no progress.
     :param stop_ms: duration of a stop, during which the run is listed neither as running nor as
         finished.
+    :param bodies: response body to calls to a path, which are carried out first, by path.
     """
 
     silent: bool = False
@@ -43,6 +44,7 @@
     stop_ms: float = 0.0
     start_delay_ms: float = 0.0
     stalled: bool = False
+    bodies: dict[str, bytes] = Factory(dict)
 
 
 @define
@@ -129,7 +131,10 @@
         if request.path == "/pace":
             self.paces.append((data["task"], data["percent"]))
             return _json_response({"clock-ms": self.clock_ms()})
-        return await handlers[request.path](request, data)
+        response = await handlers[request.path](request, data)
+        if request.path in self.faults.bodies:
+            return web.Response(body=self.faults.bodies[request.path])
+        return response
 
     def _refuse(self, reason: str) -> web.Response:
         return _json_response({"clock-ms": self.clock_ms(), "reason": reason}, 409)
--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -47,6 +47,7 @@
 CALL_TIMEOUT_S = 0.7
 CALLER_TIMEOUT_S = 3.0
 PROBE_TIMEOUT_S = 0.35
+PEER_PORT = 7_000
 FLEET_TIMEOUT_S = 2.0
 LEASE_MAX_S = 6.0
 STOP_DURATION_S = 0.15
@@ -599,6 +600,11 @@
         return
 
 
+def _name_at(address: str) -> str:
+    """Return the name of the entry VM at an address."""
+    return address.partition(":")[0]
+
+
 class VirtualPeerClient:
     """Client of one entry VM for calls to others, without a network."""
 
@@ -608,10 +614,11 @@
 
     async def _reach(self, address: str, step: str) -> Node:
         await asyncio.sleep(CALL_DELAY_S)
-        if {(self._entry, address), (address, self._entry)} & self._simulation.cut_paths:
+        name = _name_at(address)
+        if {(self._entry, name), (name, self._entry)} & self._simulation.cut_paths:
             await asyncio.sleep(PROBE_TIMEOUT_S)
             raise PeerError("no answer", step=step, peer=address)
-        node = self._simulation.nodes.get(address)
+        node = self._simulation.nodes.get(name)
         if node is None:
             raise PeerError("no connection", step=step, peer=address)
         if self._simulation.probes_lost and node.scheduler is not None:
@@ -621,7 +628,7 @@
 
     async def lookup(self, address: str, job_id: str) -> JobView:
         """Return the state of a job from the leader."""
-        node = self._simulation.nodes.get(address)
+        node = self._simulation.nodes.get(_name_at(address))
         if node is None or node.scheduler is None:
             raise PeerError("status 409", step="ask leader", peer=address)
         reply = new_reply()
@@ -911,7 +918,7 @@
         :param changes: settings that differ from those for tests.
         """
         settings = make_node_settings(
-            name, peer_address=name, topic_part_count=PART_COUNT, **changes
+            name, peer_address=f"{name}:{PEER_PORT}", topic_part_count=PART_COUNT, **changes
         )
         self.starting_node = name
         node = Node(settings, self._adapter(name), VirtualTimer(skew_ms))
--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from . import defaults
+from .decoding import check_address, check_float, check_int, decoder, parse_object
 
 
 @frozen
@@ -41,14 +42,19 @@
         return json.dumps(data).encode()
 
 
+@decoder("candidate")
 def decode_candidate(name: str, value: bytes) -> Candidate:
     """Decode a record.
 
-    :raises ValueError: if the value is not JSON.
-    :raises KeyError: if a field is missing.
+    :raises DecodeError: if it is malformed.
     """
-    data = json.loads(value)
-    return Candidate(name, data["address"], int(data["cpu_millicores"]), float(data["link_mbps"]))
+    data = parse_object(value)
+    return Candidate(
+        name,
+        check_address(data.get("address"), "address"),
+        check_int(data.get("cpu_millicores"), "cpu_millicores"),
+        float(check_float(data.get("link_mbps"), "link_mbps")),
+    )
 
 
 class LeaderView(enum.Enum):
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -125,6 +125,8 @@
 # A VM that has not answered for this long after a reboot counts as not returned.
 VM_RETURN_TIMEOUT_MS = 30_000
 GC_THRESHOLD_COUNT = 50_000
+# Pause before a loop that ended with an unexpected error runs again; several fit into a lease.
+LOOP_RESTART_MS = 500
 
 # The platform's store.
 STORE_CALL_BYTES = 1_000_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import functools
-import json
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
@@ -29,7 +28,8 @@
     is_settled,
 )
 from .charts import load_chart
-from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
+from .decoding import MalformedLog
+from .errors import DecodeError, PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import read_newest
 from .leadership import (
     Fenced,
@@ -44,6 +44,7 @@
     QueryReach,
     ReachMeasured,
     RequestClaim,
+    decode_leader,
 )
 from .mailbox import Actor, implements_action, receives, resolve
 from .storage import Membership
@@ -151,6 +152,7 @@
         self._timer = timer
         self._peers = peers
         self._reaches_upstream = reaches_upstream
+        self._malformed = MalformedLog("election")
         self._surveyor = Surveyor(candidate, store, peers)
         self._ttl_ms = ttl_ms
         self._role = _Role(self.chart.initial)
@@ -174,7 +176,7 @@
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
         self._started_ms = self._timer.now_ms()
-        self.spawn(self._take_part())
+        self.spawn_loop(self._take_part)
         self.subscribe(self._timer.every(defaults.LEADERSHIP_CHECK_MS), _Tick())
 
     async def _take_part(self) -> None:
@@ -397,10 +399,10 @@
 
     async def _claim(self, end_offset: int) -> None:
         """Append a leader record on condition that no epoch was claimed since the probe."""
-        value = json.dumps({"name": self._member, "address": self._candidate.address}).encode()
+        leader = Leader(self._member, self._candidate.address, end_offset + 1)
         try:
             appended = await self._store.append(
-                TOPIC, [(LEADER_KEY, value)], part=LEADER_PART, expected_end=end_offset
+                TOPIC, [(LEADER_KEY, leader.encode())], part=LEADER_PART, expected_end=end_offset
             )
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
             self.tell(_ClaimFailed(str(error)))
@@ -533,9 +535,11 @@
         newest = await read_newest(self._store, TOPIC)
         for entry in newest.entries:
             if entry.key == LEADER_KEY:
-                data = json.loads(entry.value)
-                leader = Leader(data["name"], data["address"], entry.offset + 1)
-                return leader, newest.end_offset
+                try:
+                    return decode_leader(entry.value, entry.offset + 1), newest.end_offset
+                except DecodeError as error:
+                    # No entry VM can lead under such a record, so the next claim replaces it.
+                    self._malformed.add(LEADER_KEY, error, entry.offset)
         return None, newest.end_offset
 
     @receives(Leave)
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 from . import defaults, intake, metrics
+from .decoding import is_identifier
 from .errors import RequestError, TarragoncartError
 from .graph import JobSpec, QueueRule, Rules, Submission
 from .jobmodel import ENDED
@@ -123,6 +124,7 @@
         the store refused for the first.
     :param key_freshness_ms: longest time for which a withdrawn API key may still be accepted.
     :param config_freshness_ms: time within which a new configuration must be in force.
+    :param record_max_bytes: maximum size of a record in the store.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         *,
         key_freshness_ms: int,
         config_freshness_ms: int,
+        record_max_bytes: int,
     ) -> None:
         super().__init__("entrance")
         self._writers = writers
@@ -142,6 +145,7 @@
         self._timer = timer
         self._key_freshness_ms = key_freshness_ms * defaults.KEY_FRESHNESS_RATIO
         self._config_freshness_ms = config_freshness_ms
+        self._record_max_bytes = record_max_bytes
         self._rules: Rules | None = None
         self._as_of_ms = 0.0
         self._leadership = CurrentLeader(None, None)
@@ -211,6 +215,8 @@
         context = message.context
         try:
             queue, account, job_id = self._authorize(context)
+            if not is_identifier(job_id):
+                raise _refusal("ID is malformed", "invalid", 400)
             if self._stalled_ms > defaults.STORE_STALL_MS:
                 raise _refusal("the store does not answer", "store_unavailable", 503)
         except RequestError as error:
@@ -235,6 +241,8 @@
         self, context: RequestContext, submission: Submission, reply: asyncio.Future[Any]
     ) -> None:
         record = intake.submission_record(submission)
+        if len(record[1]) > self._record_max_bytes:
+            raise _refusal("job is too large to be stored", "too_large", 413)
         await self._write(record)
         self._record_answer(context, submission.queue, "accepted")
         logger.info(
@@ -281,6 +289,8 @@
         context = message.context
         try:
             queue, _, job_id = self._authorize(context)
+            if job_id:
+                _check_job_can_exist(job_id)
         except RequestError as error:
             self._refuse(context, error, message.reply)
             return
@@ -355,6 +365,7 @@
         context = message.context
         try:
             _, _, job_id = self._authorize(context)
+            _check_job_can_exist(job_id)
         except RequestError as error:
             self._refuse(context, error, message.reply)
             return
@@ -383,6 +394,11 @@
                 await work
             except RequestError as error:
                 self._refuse(context, error, reply)
+            except Exception:
+                # The caller would wait for its deadline; a record may have been written.
+                logger.exception("request failed", extra={"path": context.path})
+                unknown = _refusal("unexpected error", "outcome_unknown", 504)
+                self._refuse(context, unknown, reply)
 
         self.spawn(guarded())
 
@@ -418,5 +434,14 @@
         raise _refusal("the leader's view of jobs is too old", "leader_view_too_old", 503)
 
 
+def _check_job_can_exist(job_id: str) -> None:
+    """Refuse a call about a job whose ID no job can have.
+
+    :raises RequestError: 410.
+    """
+    if not is_identifier(job_id):
+        raise _refusal("there is no such job", "unknown_job", 410)
+
+
 def _refusal(message: str, code: str, status: int) -> RequestError:
     return RequestError(message, code=code, status=status, step="answer caller")
--- a/src/tarragoncart/errors.py
+++ b/src/tarragoncart/errors.py
@@ -38,6 +38,25 @@
     """A log record cannot be decoded."""
 
 
+class DecodeError(TarragoncartError, ValueError):
+    """Bytes that another program has written cannot be used.
+
+    :param place: path of the unusable value in its document, empty for the whole.
+    """
+
+    def __init__(self, reason: str, *, place: str = "", step: str = "decode") -> None:
+        super().__init__(reason, step=step, peer=place)
+
+    @property
+    def place(self) -> str:
+        """Path of the unusable value in its document."""
+        return self.peer
+
+    @place.setter
+    def place(self, place: str) -> None:
+        self.peer = place
+
+
 class LogUnavailableError(TarragoncartError):
     """The log refused a call or did not answer in time."""
 
--- a/src/tarragoncart/follower.py
+++ b/src/tarragoncart/follower.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 from . import defaults
-from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from .errors import InboxFullError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .mailbox import Actor
 from .storage import Chunk, Entry, Expired
 from .timer import Timer
@@ -89,7 +89,7 @@
 
     async def on_open(self) -> None:
         """Start reading."""
-        self.spawn(self._follow())
+        self.spawn_loop(self._follow)
 
     async def _follow(self) -> None:
         offset = -1
@@ -100,7 +100,13 @@
                     offset = await self._read_newest()
                 else:
                     offset = await self._read_changes(offset)
-            except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
+            except (
+                StoreUnknownError,
+                StoreRefusedError,
+                StoreConflictError,
+                InboxFullError,
+            ) as error:
+                # The offset has not moved, so a listener without room gets the records later.
                 if not failed:
                     logger.warning(
                         "topic cannot be read",
--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -13,11 +13,14 @@
 from typing import Any
 from zlib import crc32
 
+import msgspec
 from attrs import frozen
 from cattrs import Converter
 from cattrs.gen import make_dict_unstructure_fn
 
 from . import defaults
+from .decoding import UNIX_MS_MAX, check_float, check_int, decoder, is_identifier
+from .errors import DecodeError
 from .follower import Follower, TopicChanges, TopicSnapshot
 from .graph import Demand, JobSpec, StepSpec, Submission
 from .mailbox import Actor, new_reply, receives, resolve
@@ -30,7 +33,13 @@
 DELETE_PRODUCER = "dropper"
 JOB_PREFIX = "j/"
 CANCEL_PREFIX = "c/"
+# Maximum number of tasks of a job, over all its occurrences.
+TASK_LIMIT_COUNT = 20_000
+# The state of a step's tasks is one record of the store, of at most 256 KiB. A task's row has up to
+# about 100 bytes.
+STEP_TASK_LIMIT_COUNT = 2_000
 
+_decoder = msgspec.json.Decoder(Submission)
 _converter = Converter()
 for _type in (Demand, StepSpec, JobSpec, Submission):
     # Fields with their default values are omitted: stored bytes are charged for.
@@ -50,16 +59,48 @@
     return CANCEL_PREFIX + job_id, str(at_ms).encode()
 
 
-def decode_submission(value: bytes) -> Submission:
+@decoder("acceptance record")
+def decode_submission(job_id: str, value: bytes) -> Submission:
     """Decode the record of an accepted job.
 
-    :raises ValueError: if it is malformed.
+    :raises DecodeError: if it is malformed, or is the record of another job.
     """
-    data: Any = json.loads(value)
-    try:
-        return _converter.structure(data, Submission)
-    except Exception as error:
-        raise ValueError(f"malformed submission: {error!r}") from error
+    submission = _decoder.decode(value)
+    if submission.job_id != job_id or not is_identifier(job_id):
+        raise DecodeError("not the ID of its key", place="job_id")
+    check_int(submission.accepted_ms, "accepted_ms", high=UNIX_MS_MAX)
+    check_int(submission.max_attempts, "max_attempts", low=1)
+    check_int(submission.target_latency_ms, "target_latency_ms")
+    check_float(submission.stretch, "stretch")
+    check_job(submission.spec)
+    return submission
+
+
+def check_job(spec: JobSpec) -> None:
+    """Check that a job can be stored and scheduled.
+
+    :raises DecodeError: naming the field and the limit.
+    """
+    check_int(spec.first_due_ms, "first_due_ms", high=UNIX_MS_MAX)
+    check_int(spec.interval_ms, "interval_ms", high=UNIX_MS_MAX)
+    check_int(spec.occurrence_count, "occurrence_count")
+    for number, step in enumerate(spec.steps):
+        _check_step(step, number)
+    task_count = sum(step.task_count for step in spec.steps)
+    if not 1 <= task_count * max(1, spec.occurrence_count) <= TASK_LIMIT_COUNT:
+        raise DecodeError(f"no tasks or more than {TASK_LIMIT_COUNT}", place="steps")
+
+
+def _check_step(step: StepSpec, number: int) -> None:
+    place = f"steps[{number}]"
+    check_int(step.task_count, f"{place}.task_count", 1, STEP_TASK_LIMIT_COUNT)
+    for amount in (step.demand.cpu_millicores, step.demand.memory_mb, step.demand.gpu_count):
+        check_int(amount, f"{place}.demand")
+    check_int(step.estimate_ms, f"{place}.estimate_ms")
+    check_int(step.max_per_upstream_count, f"{place}.max_per_upstream_count")
+    check_int(step.max_away_count or 0, f"{place}.max_away_count")
+    for other in step.depends_on:
+        check_int(other, f"{place}.depends_on", high=number - 1)
 
 
 def partitions_of(entry_name: str, part_count: int) -> tuple[int, ...]:
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -8,9 +8,20 @@
 from functools import cached_property
 from typing import Any, ClassVar
 
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 
 from .charts import load_chart
+from .decoding import (
+    UNIX_MS_MAX,
+    check_int,
+    check_list,
+    check_str,
+    decoder,
+    parse_decimal,
+    parse_json,
+    parse_object,
+)
+from .errors import DecodeError
 from .graph import StepSpec, Submission
 from .progress import ProgressTracker
 
@@ -91,7 +102,11 @@
     @property
     def startable(self) -> bool:
         """Whether its state and its other runs allow a new run."""
-        if self.state != "waiting" or (self.failed_runs and self.exhausted):
+        if (
+            self.step.job.unreadable
+            or self.state != "waiting"
+            or (self.failed_runs and self.exhausted)
+        ):
             return False
         return not self.copies or self.step.spec.copyable
 
@@ -179,6 +194,8 @@
     :param beyond_share: its account had used up its share of submissions when the job arrived.
     :param steps: occurrences of steps, by number of the occurrence and number of the step.
     :param released_count: occurrences whose steps have been created.
+    :param unreadable: some of its stored state cannot be decoded. Tasks without a known state may
+        have run, so none is started until the job is cancelled.
     """
 
     submission: Submission
@@ -191,6 +208,7 @@
     beyond_share: bool = False
     steps: dict[tuple[int, int], StepOccurrence] = field(factory=dict)
     released_count: int = 0
+    unreadable: bool = False
 
     @property
     def job_id(self) -> str:
@@ -276,9 +294,10 @@
 def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
     """Split a task's name into job ID, occurrence, step and index; None if it is malformed."""
     parts = name.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
-        return None
-    return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+    match [parts[0], *map(parse_decimal, parts[1:])]:
+        case [job_id, int(occurrence), int(step), int(index)]:
+            return str(job_id), occurrence, step, index
+    return None
 
 
 # Records of the state topic: key ``ID`` holds the phase of an ended job. Key ``ID.K.S`` (job,
@@ -287,6 +306,12 @@
 _STATE_CODES = {"done": "d", "exhausted": "x"}
 _PLACED_CODE = "p"
 _WAITING_CODE = "w"
+_DECODED_STATES = {
+    "d": "done",
+    "x": "exhausted",
+    _WAITING_CODE: "waiting",
+    _PLACED_CODE: "started",
+}
 
 
 def encode_step(step: StepOccurrence) -> bytes:
@@ -307,21 +332,48 @@
     return json.dumps(rows, separators=(",", ":")).encode()
 
 
+@frozen
+class _TaskRow:
+    index: int
+    state: str
+    run: int
+    upstream_id: str
+    failed_runs: tuple[int, ...]
+    checkpoint: str
+
+
+def _decode_rows(value: bytes, task_count: int) -> list[_TaskRow]:
+    return [_decode_row(row, task_count) for row in check_list(parse_json(value))]
+
+
+def _decode_row(row: Any, task_count: int) -> _TaskRow:
+    """Decode the state of a task; values at the end of a row may be left out."""
+    index, code, run, *rest = check_list(row)
+    upstream_id, failed_runs, checkpoint = rest + ["", [], ""][len(rest) :]
+    if check_str(code, "code") not in _DECODED_STATES:
+        raise DecodeError("unknown state", place="code")
+    return _TaskRow(
+        check_int(index, "index", high=task_count - 1),
+        _DECODED_STATES[code],
+        check_int(run, "run"),
+        check_str(upstream_id, "upstream"),
+        tuple(check_int(failed, "failed_runs") for failed in check_list(failed_runs)),
+        check_str(checkpoint, "checkpoint"),
+    )
+
+
 def decode_step(step: StepOccurrence, value: bytes) -> None:
     """Set the state of a step's tasks from a record; placed tasks become ``started``.
 
     The first report of their upstream then shows whether their runs still exist.
     """
-    states = {"d": "done", "x": "exhausted", _WAITING_CODE: "waiting", _PLACED_CODE: "started"}
-    for row in json.loads(value):
-        index, code, run = row[:3]
-        task = step.tasks[index]
-        upstream_id, failed_runs, checkpoint = (row[3:] + ["", [], ""][len(row) - 3 :])[:3]
-        task.state = states[code]
-        task.run = run
-        task.upstream_id = upstream_id
-        task.failed_runs = set(failed_runs)
-        task.checkpoint = checkpoint
+    for row in _decode_rows(value, len(step.tasks)):
+        task = step.tasks[row.index]
+        task.state = row.state
+        task.run = row.run
+        task.upstream_id = row.upstream_id
+        task.failed_runs = set(row.failed_runs)
+        task.checkpoint = row.checkpoint
     step.done_count = sum(task.state == "done" for task in step.tasks)
 
 
@@ -330,15 +382,42 @@
     return json.dumps({"phase": job.phase, "at": job.ended_ms}, separators=(",", ":")).encode()
 
 
+@decoder("state of a step")
 def restore_step(job: Job, key: str, value: bytes) -> None:
-    """Apply the record of a step occurrence to its job."""
-    occurrence, number = (int(part) for part in key.split(".")[1:])
+    """Apply the record of a step occurrence to its job.
+
+    If the record of an existing step cannot be decoded, the job becomes unreadable.
+
+    :raises DecodeError: if it is malformed, or belongs to no step of the job.
+    """
+    occurrence, number = _parse_step_key(key)
+    if occurrence >= job.occurrence_count or number >= len(job.submission.spec.steps):
+        raise DecodeError("the job has no such step", place=key)
     while job.released_count <= occurrence:
         job.release(job.released_count)
-    decode_step(job.steps[occurrence, number], value)
+    try:
+        decode_step(job.steps[occurrence, number], value)
+    except DecodeError:
+        job.unreadable = True
+        raise
+
 
+def _parse_step_key(key: str) -> tuple[int, int]:
+    numbers = [parse_decimal(part) for part in key.split(".")[1:]]
+    match numbers:
+        case [int(occurrence), int(number)]:
+            return occurrence, number
+    raise DecodeError("not the key of a step", place=key)
 
+
+@decoder("end of a job")
 def decode_end(job_id: str, value: bytes) -> EndedJob:
-    """Decode the record of the end of a job."""
-    data = json.loads(value)
-    return EndedJob(job_id, data["phase"], data["at"])
+    """Decode the record of the end of a job.
+
+    :raises DecodeError: if it is malformed.
+    """
+    data = parse_object(value)
+    phase = check_str(data.get("phase"), "phase")
+    if phase not in ENDED:
+        raise DecodeError("not the phase of an ended job", place="phase")
+    return EndedJob(job_id, phase, check_int(data.get("at"), "at", high=UNIX_MS_MAX))
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -6,14 +6,24 @@
 import json
 import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
+from urllib.parse import quote
 
 import aiohttp
 from aiohttp import web
 
 from . import defaults
 from .candidates import CandidateStatus, LeaderView
-from .errors import PeerError
+from .decoding import (
+    check_bool,
+    check_float,
+    check_int,
+    check_str,
+    decoder,
+    parse_decimal,
+    parse_object,
+)
+from .errors import DecodeError, PeerError
 from .leadership import QueryCandidate, QueryReach, RequestClaim
 from .mailbox import Actor, new_reply
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
@@ -23,6 +33,8 @@
 CONNECTION_COUNT = 8
 KEEPALIVE_S = 15
 
+T = TypeVar("T")
+
 
 class PeerClient:
     """Client that queries the leader and the candidates; owned by one actor.
@@ -39,16 +51,14 @@
 
         :raises PeerError: if the peer does not answer or does not lead.
         """
-        data = await self._get(address, f"/jobs/{job_id}")
-        return JobView(data["phase"], _decode_age_ms(data))
+        return await self._get(address, f"/jobs/{job_id}", decode_job_view)
 
     async def count_pending(self, address: str, queue: str) -> PendingView:
         """Query how many jobs of a queue have not started.
 
         :raises PeerError: if the peer does not answer or does not lead.
         """
-        data = await self._get(address, f"/queues/{queue}")
-        return PendingView(data["pending_count"], _decode_age_ms(data))
+        return await self._get(address, f"/queues/{quote(queue, safe='')}", decode_pending_view)
 
     async def is_leader(self, address: str) -> bool:
         """Ask whether the peer leads.
@@ -68,10 +78,7 @@
         # The peer may wait for the leader for as long as this entry VM did.
         timeout_ms = defaults.PROBE_TIMEOUT_MS * (2 if leader_address else 1)
         status, body = await self._send(address, path, timeout_ms)
-        if status != 200:
-            raise PeerError(f"status {status}", step="ask candidate", peer=address)
-        data = json.loads(body)
-        return CandidateStatus(data["willing"], data["claiming"], LeaderView(data["leader_view"]))
+        return _decode_answer(decode_status, status, body, address)
 
     async def request_claim(self, address: str, end_offset: int) -> bool:
         """Ask the peer to claim an epoch; return whether it does.
@@ -91,15 +98,11 @@
         path = f"/reach/{','.join(upstream_addresses)}"
         # The peer waits for the upstreams for as long as for a leader.
         status, body = await self._send(address, path, 2 * defaults.PROBE_TIMEOUT_MS)
-        if status != 200:
-            raise PeerError(f"status {status}", step="ask candidate", peer=address)
-        return json.loads(body)["reached_count"]
+        return _decode_answer(decode_reached_count, status, body, address)
 
-    async def _get(self, address: str, path: str) -> dict[str, Any]:
+    async def _get(self, address: str, path: str, decode: Callable[[bytes], T]) -> T:
         status, body = await self._send(address, path, defaults.LOOKUP_TIMEOUT_MS)
-        if status != 200:
-            raise PeerError(f"status {status}", step="ask leader", peer=address)
-        return json.loads(body)
+        return _decode_answer(decode, status, body, address)
 
     async def _send(
         self, address: str, path: str, timeout_ms: float, method: str = "GET"
@@ -146,8 +149,9 @@
             return await self._answer_as_candidate(name)
         if kind == "reach":
             return await self._answer_reach(tuple(name.split(",")))
-        if kind == "claim" and name.isdecimal():
-            return await self._accept_claim(int(name))
+        end_offset = parse_decimal(name)
+        if kind == "claim" and end_offset is not None:
+            return await self._accept_claim(end_offset)
         scheduler = self._scheduler()
         if scheduler is None:
             return web.Response(status=NOT_LEADING_STATUS)
@@ -210,6 +214,50 @@
     return {"pending_count": view.count, "view_age_ms": age_ms}
 
 
+def _decode_answer(decode: Callable[[bytes], T], status: int, body: bytes, address: str) -> T:
+    """Decode the answer of a peer.
+
+    :raises PeerError: if it is a refusal or malformed.
+    """
+    if status != 200:
+        raise PeerError(f"status {status}", step="ask peer", peer=address)
+    try:
+        return decode(body)
+    except DecodeError as error:
+        raise PeerError(str(error), step="ask peer", peer=address) from error
+
+
+@decoder("view of a job")
+def decode_job_view(body: bytes) -> JobView:
+    """Decode the leader's answer about a job."""
+    data = parse_object(body)
+    return JobView(check_str(data.get("phase"), "phase"), _decode_age_ms(data))
+
+
+@decoder("view of a queue")
+def decode_pending_view(body: bytes) -> PendingView:
+    """Decode the leader's answer about a queue."""
+    data = parse_object(body)
+    return PendingView(check_int(data.get("pending_count"), "pending_count"), _decode_age_ms(data))
+
+
+@decoder("status of a candidate")
+def decode_status(body: bytes) -> CandidateStatus:
+    """Decode a candidate's answer."""
+    data = parse_object(body)
+    return CandidateStatus(
+        check_bool(data.get("willing"), "willing"),
+        check_bool(data.get("claiming"), "claiming"),
+        LeaderView(data.get("leader_view")),
+    )
+
+
+@decoder("reach of a candidate")
+def decode_reached_count(body: bytes) -> int:
+    """Decode the number of upstreams that a candidate reaches."""
+    return check_int(parse_object(body).get("reached_count"), "reached_count")
+
+
 def _decode_age_ms(data: dict[str, Any]) -> float:
     age_ms = data["view_age_ms"]
-    return float("inf") if age_ms is None else age_ms
+    return float("inf") if age_ms is None else float(check_float(age_ms, "view_age_ms"))
--- a/src/tarragoncart/leadership.py
+++ b/src/tarragoncart/leadership.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 from attrs import frozen
 
 from .candidates import CandidateStatus, Reach
+from .decoding import check_address, check_str, decoder, parse_object
 
 
 @frozen
@@ -17,6 +19,21 @@
     address: str
     epoch: int
 
+    def encode(self) -> bytes:
+        """Return the value of its record, whose offset gives the epoch."""
+        return json.dumps({"name": self.name, "address": self.address}).encode()
+
+
+@decoder("leader")
+def decode_leader(value: bytes, epoch: int) -> Leader:
+    """Decode the record of a leader.
+
+    :raises DecodeError: if it is malformed.
+    """
+    data = parse_object(value)
+    address = check_address(data.get("address"), "address")
+    return Leader(check_str(data.get("name"), "name"), address, epoch)
+
 
 @frozen
 class LeadershipGained:
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -206,7 +206,7 @@
 
     async def on_open(self) -> None:
         """Start polling the upstream."""
-        self.spawn(self._poll_repeatedly())
+        self.spawn_loop(self._poll_repeatedly)
 
     @receives(ExtendPermission)
     def on_extend_permission(self, message: ExtendPermission) -> None:
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -128,6 +128,24 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def spawn_loop(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> asyncio.Task[Any]:
+        """Run a coroutine function as a child task, and again after each unexpected error.
+
+        For loops that an actor cannot work without.
+        """
+        return self.spawn(self._run_loop(loop))
+
+    async def _run_loop(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                return await loop()
+            except Exception:
+                logger.exception(
+                    "loop failed; starting it again",
+                    extra={"actor": self.name, "loop": getattr(loop, "__name__", "")},
+                )
+                await asyncio.sleep(defaults.LOOP_RESTART_MS / 1_000)
+
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self._child_tasks.discard(task)
         if not task.cancelled() and (error := task.exception()):
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -18,8 +18,10 @@
 from . import defaults, intake, logs, metrics
 from .advisor import AdviceCalls, Advisor
 from .candidates import Candidate
+from .decoding import MalformedLog
 from .election import Election
 from .entrance import CurrentLeader, CurrentRules, RequestHandler
+from .errors import DecodeError
 from .follower import Follower, TopicChanges, TopicSnapshot
 from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
 from .leaderapi import PeerClient, PeerServer
@@ -55,6 +57,7 @@
     :param lease_max_ms: longest lease that an upstream grants.
     :param fence_quiet_ms: minimum time between the orders of two leaders for the same VM.
     :param retention_ms: how long the phase of an ended job can be queried.
+    :param store_record_bytes: maximum size of a record in the store.
     :param topic_part_count: partitions of each topic of the store.
     :param cpu_millicores: processor time that the entry VM may use a second.
     """
@@ -76,6 +79,7 @@
     retention_ms: int
     shutdown_ms: int
     store_call_bytes: int
+    store_record_bytes: int
     membership_ttl_min_ms: int
     topic_part_count: int
     cpu_millicores: int
@@ -114,6 +118,7 @@
         self.incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._rules: Rules | None = None
         self._waves: dict[str, WaveRequest] = {}
+        self._malformed = MalformedLog("operators")
         self._leader: Leader | None = None
         self.scheduler: Scheduler | None = None
         self._intake_writers = tuple(
@@ -155,6 +160,7 @@
             timer,
             key_freshness_ms=settings.key_freshness_ms,
             config_freshness_ms=settings.config_freshness_ms,
+            record_max_bytes=settings.store_record_bytes,
         )
         self._follower = Follower(
             adapter.make_store(),
@@ -197,11 +203,8 @@
                     self._apply_rules(self._adapter.decode_rules(entry.value), entry)
                 elif entry.key.startswith(self._adapter.wave_prefix):
                     self._apply_wave(entry.key, self._adapter.decode_wave(entry.value))
-            except (ValueError, TypeError, KeyError, AttributeError) as error:
-                logger.error(
-                    "operators' record skipped",
-                    extra={"key": entry.key, "offset": entry.offset, "reason": repr(error)},
-                )
+            except DecodeError as error:
+                self._malformed.add(entry.key, error, entry.offset)
         if self._rules is not None:
             self.request_handler.tell(CurrentRules(self._rules, as_of_ms))
 
--- a/src/tarragoncart/platform/advice.py
+++ b/src/tarragoncart/platform/advice.py
@@ -4,9 +4,10 @@
 
 import aiohttp
 
-from ..errors import AdviceError
+from ..decoding import check_list, check_str, decoder, get_int, get_items, parse_object
+from ..errors import AdviceError, DecodeError
 from ..sessions import open_session
-from .wire import dump_json, get_int, load_json
+from .wire import dump_json
 
 CALL_TIMEOUT_MS = 10_000
 KEEPALIVE_S = 30
@@ -42,8 +43,15 @@
                 status, content = response.status, await response.read()
             if status != 200:
                 raise AdviceError(f"status {status}", step="ask for advice", peer=self.address)
-            data = load_json(content)
-            tickets = {str(row[0]): str(row[1]) for row in data.get("good", ())}
-            return tickets, get_int(data, "valid-ms")
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return decode_advice(content)
+        except (TimeoutError, aiohttp.ClientError, OSError, DecodeError) as error:
             raise AdviceError(repr(error), step="ask for advice", peer=self.address) from error
+
+
+@decoder("advice")
+def decode_advice(body: bytes) -> tuple[dict[str, str], int]:
+    """Decode tickets by upstream, and their validity in ms."""
+    data = parse_object(body)
+    rows = get_items(data, "good", check_list)
+    tickets = {check_str(row[0], "good"): check_str(row[1], "good") for row in rows}
+    return tickets, get_int(data, "valid-ms")
--- a/src/tarragoncart/platform/boot.py
+++ b/src/tarragoncart/platform/boot.py
@@ -53,6 +53,7 @@
             ready_address=data["listen-addrs"]["ready"],
             store_address=data["platform"]["address"],
             store_call_bytes=int(data["platform"].get("call-bytes", 2_097_152)),
+            store_record_bytes=int(data["platform"].get("record-bytes", 262_144)),
             membership_ttl_min_ms=int(data["platform"].get("ttl-min-ms", 1_000)),
             topic_part_count=max(1, int(data["platform"].get("parts", 1))),
             fleet_address=data.get("cloud", {}).get("address", ""),
--- a/src/tarragoncart/platform/callers.py
+++ b/src/tarragoncart/platform/callers.py
@@ -8,6 +8,19 @@
 from aiohttp import web
 
 from .. import defaults
+from ..decoding import (
+    UNIX_MS_MAX,
+    check_int,
+    check_list,
+    check_object,
+    decoder,
+    get_bool,
+    get_int,
+    get_items,
+    get_str,
+    parse_decimal,
+    parse_object,
+)
 from ..entrance import (
     Accepted,
     Cancel,
@@ -18,49 +31,43 @@
     RequestHandler,
     Submit,
 )
-from ..errors import InboxFullError, RequestError
+from ..errors import DecodeError, InboxFullError, RequestError
 from ..graph import JobSpec, StepSpec
+from ..intake import check_job
 from ..mailbox import new_reply
 from ..timer import Timer
 from .operator import decode_demand
-from .wire import dump_json, get_bool, get_int, get_str, load_json
+from .wire import dump_json
 
 logger = logging.getLogger(__name__)
 
-TASK_LIMIT_COUNT = 20_000
-
 
+@decoder("job")
 def decode_job(body: bytes) -> JobSpec:
     """Decode a submitted job.
 
-    :raises ValueError: if it is malformed.
+    :raises DecodeError: if it is malformed.
     """
-    data = load_json(body)
-    if not isinstance(data, dict) or not isinstance(data.get("steps"), list):
-        raise ValueError("job is not an object with a list of steps")
-    steps = tuple(_decode_step(number, step) for number, step in enumerate(data["steps"]))
-    if not steps or sum(step.task_count for step in steps) > TASK_LIMIT_COUNT:
-        raise ValueError("job has no tasks or too many")
-    return JobSpec(
+    data = parse_object(body)
+    check_list(data.get("steps"), "steps")
+    spec = JobSpec(
         text=get_str(data, "spec"),
-        steps=steps,
+        steps=get_items(data, "steps", _decode_step),
         occurrence_count=get_int(data, "times"),
-        first_due_ms=get_int(data, "first-ms"),
-        interval_ms=get_int(data, "interval-ms"),
+        first_due_ms=get_int(data, "first-ms", high=UNIX_MS_MAX),
+        interval_ms=get_int(data, "interval-ms", high=UNIX_MS_MAX),
     )
+    check_job(spec)
+    return spec
 
 
-def _decode_step(number: int, data: Any) -> StepSpec:
-    if not isinstance(data, dict):
-        raise ValueError(f"step {number} is not an object")
-    depends_on = tuple(int(other) for other in data.get("depends-on") or ())
-    if any(not 0 <= other < number for other in depends_on):
-        raise ValueError(f"step {number} depends on a step that does not precede it")
+def _decode_step(data: Any) -> StepSpec:
+    check_object(data)
     return StepSpec(
         task_count=max(1, get_int(data, "count", 1)),
         demand=decode_demand(data),
         estimate_ms=get_int(data, "est-ms"),
-        depends_on=depends_on,
+        depends_on=get_items(data, "depends-on", check_int),
         gang=get_bool(data, "gang"),
         same_rack=get_bool(data, "same-rack"),
         # ``affinity`` is the name of the rack with the data.
@@ -107,14 +114,14 @@
             path=request.path,
             key=request.headers.get("Api-Key", ""),
             received_ms=self._timer.now_ms(),
-            deadline_ms=_parse_int(request.headers.get("Deadline-Ms", "")),
+            deadline_ms=parse_decimal(request.headers.get("Deadline-Ms", "")) or 0,
         )
         reply = new_reply()
         if request.method == "POST":
             body = await request.read()
             try:
                 spec = decode_job(body)
-            except (ValueError, TypeError, AttributeError) as error:
+            except DecodeError as error:
                 raise RequestError(
                     str(error), code="invalid", status=400, step="decode job"
                 ) from error
@@ -135,10 +142,6 @@
         return web.Response(status=200 if ready else 503)
 
 
-def _parse_int(value: str) -> int:
-    return int(value) if value.isdigit() else 0
-
-
 def _encode(answer: Any) -> web.Response:
     match answer:
         case Accepted():
--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -4,15 +4,29 @@
 
 import base64
 import struct
-from collections.abc import AsyncIterator, Iterable, Iterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any, TypeVar
 
 import aiohttp
+from attrs import frozen
 
-from ..errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from ..decoding import (
+    MalformedLog,
+    check_int,
+    check_list,
+    check_object,
+    check_str,
+    decoder,
+    get_bool,
+    get_int,
+    get_items,
+    get_str,
+    parse_object,
+)
+from ..errors import DecodeError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from ..sessions import open_session
 from ..storage import Appended, Chunk, Entry, Expired, Membership, Producer
-from .wire import dump_json, load_json
+from .wire import dump_json
 
 CALL_TIMEOUT_MS = 1_500
 CONNECT_TIMEOUT_MS = 1_000
@@ -21,6 +35,9 @@
 READ_MAX_KB = 1_024
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
+KEY_MAX_BYTES = 255
+
+T = TypeVar("T")
 
 
 class Store:
@@ -33,6 +50,7 @@
         self.address = address
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
+        self._malformed = MalformedLog("store")
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -69,9 +87,14 @@
             query["sequence"] = str(producer.sequence)
         if expected_end is not None:
             query["as-of"] = str(expected_end)
-        body = b"".join(_encode_record(key, value) for key, value in records)
-        answer = await self._call("append", "POST", "/log-append", query, body)
-        return Appended(int(answer["offset"]), int(answer["end"]))
+        body = b"".join(self._encode_record(key, value) for key, value in records)
+        return await self._call("append", "POST", "/log-append", query, body, decode_appended)
+
+    def _encode_record(self, key: str, value: bytes) -> bytes:
+        name = key.encode()
+        if len(name) > KEY_MAX_BYTES:
+            raise StoreRefusedError("key is too long", step="append", peer=self.address)
+        return _LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
 
     async def read(self, topic: str, offset: int, wait_ms: int, part: int = 0) -> Chunk | Expired:
         """Read keyed records from an offset on.
@@ -92,8 +115,7 @@
             return Expired()
         if status != 200:
             raise _refusal("read", self.address, status)
-        end, first = _OFFSETS.unpack_from(body)
-        return Chunk(first, end, tuple(_decode_records(body, max(offset, first))))
+        return self._decode("read", decode_chunk, body, offset)
 
     async def newest(self, topic: str, part: int = 0) -> AsyncIterator[Chunk]:
         """Yield pages of the newest record of each key.
@@ -105,13 +127,15 @@
             query = {"topic": topic, "part": str(part)}
             if after:
                 query["depends-on"] = after
-            page = await self._call("newest", "GET", "/log-newest", query, None)
-            entries = tuple(
-                Entry(item["key"], base64.b64decode(item.get("value", "")), item.get("offset", 0))
-                for item in page.get("items", ())
-            )
-            yield Chunk(0, int(page.get("end", 0)), entries)
-            if not page.get("has-more") or not entries:
+            page = await self._call("newest", "GET", "/log-newest", query, None, decode_page)
+            entries = []
+            for item in page.items:
+                try:
+                    entries.append(decode_item(item))
+                except DecodeError as error:
+                    self._malformed.add(f"{topic} {part}", error)
+            yield Chunk(0, page.end_offset, tuple(entries))
+            if not page.has_more or not entries:
                 return
             after = entries[-1].key
 
@@ -134,31 +158,42 @@
                 "generation": generation,
             }
         )
-        answer = await self._call("join", "POST", "/log-join", {}, body)
-        parts = frozenset(int(row[1]) for row in answer.get("parts", ()) if row[0] == topic)
-        return Membership(int(answer["generation"]), parts)
+        return await self._call(
+            "join", "POST", "/log-join", {}, body, lambda content: decode_membership(topic, content)
+        )
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group at once."""
         body = dump_json({"group": group, "member": member})
-        await self._call("leave", "POST", "/log-leave", {}, body)
+        await self._call("leave", "POST", "/log-leave", {}, body, lambda content: None)
 
     async def _call(
-        self, step: str, method: str, path: str, query: dict[str, str], body: bytes | None
-    ) -> dict[str, Any]:
+        self,
+        step: str,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None,
+        decode: Callable[[bytes], T],
+    ) -> T:
         status, content = await self._send(step, method, path, query, body, 0)
         if status == 200:
-            try:
-                return load_json(content)
-            except ValueError as error:
-                raise StoreUnknownError(str(error), step=step, peer=self.address) from error
+            return self._decode(step, decode, content)
         if status in (409, 412):
-            detail = load_json(content) if content else {}
-            reason = detail.get("reason", "") if status == 409 else "end"
-            expected = detail.get("end" if status == 412 else "sequence", 0)
-            raise StoreConflictError(reason, int(expected or 0), step=step, peer=self.address)
+            reason, expected = self._decode(step, decode_conflict, status, content)
+            raise StoreConflictError(reason, expected, step=step, peer=self.address)
         raise _refusal(step, self.address, status)
 
+    def _decode(self, step: str, decode: Callable[..., T], *args: Any) -> T:
+        """Decode a response.
+
+        :raises StoreUnknownError: if it cannot be decoded; the call may have taken effect.
+        """
+        try:
+            return decode(*args)
+        except DecodeError as error:
+            raise StoreUnknownError(str(error), step=step, peer=self.address) from error
+
     async def _send(
         self,
         step: str,
@@ -193,19 +228,82 @@
     return StoreRefusedError(f"status {status}", step=step, peer=peer)
 
 
-def _encode_record(key: str, value: bytes) -> bytes:
-    name = key.encode()
-    return _LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
+@decoder("append response")
+def decode_appended(body: bytes) -> Appended:
+    """Decode the response to an append."""
+    data = parse_object(body)
+    return Appended(check_int(data.get("offset"), "offset"), check_int(data.get("end"), "end"))
+
 
+@decoder("conflict response")
+def decode_conflict(status: int, body: bytes) -> tuple[str, int]:
+    """Decode the refusal of a conditional call: the reason, and the expected number."""
+    data = parse_object(body) if body else {}
+    if status == 412:
+        return "end", get_int(data, "end")
+    return get_str(data, "reason"), get_int(data, "sequence")
 
-def _decode_records(body: bytes, offset: int) -> Iterator[Entry]:
+
+@frozen
+class Page:
+    """A page of the newest records.
+
+    :param items: the records, not decoded yet.
+    """
+
+    items: tuple[Any, ...]
+    has_more: bool
+    end_offset: int
+
+
+@decoder("page of records")
+def decode_page(body: bytes) -> Page:
+    """Decode a page of the newest records, without the records."""
+    data = parse_object(body)
+    items = tuple(check_list(data.get("items", []), "items"))
+    return Page(items, get_bool(data, "has-more"), get_int(data, "end"))
+
+
+@decoder("record of a page")
+def decode_item(item: Any) -> Entry:
+    """Decode a record of a page."""
+    check_object(item)
+    key = check_str(item.get("key"), "key")
+    value = base64.b64decode(get_str(item, "value"), validate=True)
+    return Entry(key, value, get_int(item, "offset"))
+
+
+@decoder("membership")
+def decode_membership(topic: str, body: bytes) -> Membership:
+    """Decode the response to a join: the partitions of a topic that the member owns."""
+    data = parse_object(body)
+    rows = get_items(data, "parts", check_list)
+    parts = frozenset(check_int(row[1], "parts") for row in rows if row[0] == topic)
+    return Membership(check_int(data.get("generation"), "generation"), parts)
+
+
+@decoder("chunk of records")
+def decode_chunk(body: bytes, offset: int) -> Chunk:
+    """Decode the response to a read from an offset on.
+
+    A key that is not valid UTF-8 gets replacement characters.
+    """
+    if len(body) < _OFFSETS.size:
+        raise DecodeError("too short for its offsets")
+    end_offset, first_offset = _OFFSETS.unpack_from(body)
+    offset = max(offset, first_offset)
+    entries: list[Entry] = []
     position = _OFFSETS.size
-    while position + _LENGTH.size <= len(body):
+    while position < len(body):
+        if position + _LENGTH.size > len(body):
+            raise DecodeError("cut off in the length of a record")
         (size,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
         record = body[position : position + size]
+        if len(record) < size:
+            raise DecodeError("cut off in a record")
         position += size
         name_size = record[0] if record else 0
         key = record[1 : 1 + name_size].decode(errors="replace")
-        yield Entry(key, bytes(record[1 + name_size :]), offset)
-        offset += 1
+        entries.append(Entry(key, bytes(record[1 + name_size :]), offset + len(entries)))
+    return Chunk(first_offset, end_offset, tuple(entries))
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -3,20 +3,42 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import aiohttp
 
-from ..errors import UpstreamRefusedError, UpstreamUnknownError, UpstreamUnreachableError
+from ..decoding import (
+    UNIX_MS_MAX,
+    check_address,
+    check_float,
+    check_int,
+    check_list,
+    check_str,
+    decoder,
+    get_int,
+    get_items,
+    get_str,
+    parse_object,
+)
+from ..errors import (
+    DecodeError,
+    UpstreamRefusedError,
+    UpstreamUnknownError,
+    UpstreamUnreachableError,
+)
 from ..runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from ..sessions import open_session
-from .wire import dump_json, get_int, load_json
+from .wire import dump_json
 
 CALL_TIMEOUT_MS = 700
 CONNECT_TIMEOUT_MS = 500
 REACH_TIMEOUT_MS = 350
 CONNECTION_COUNT = 8
 KEEPALIVE_S = 10
+
+T = TypeVar("T")
+
 # Maps the platform's codes for the end of a run to the outcomes used in this package.
 _OUTCOMES = {
     "done": "done",
@@ -30,11 +52,11 @@
 
 async def reaches_upstream(address: str) -> bool:
     """Return whether an upstream accepts a connection."""
-    host, _, port = address.rpartition(":")
     try:
+        host, _, port = check_address(address).rpartition(":")
         async with asyncio.timeout(REACH_TIMEOUT_MS / 1_000):
             _, writer = await asyncio.open_connection(host, int(port))
-    except (TimeoutError, OSError, ValueError):
+    except (TimeoutError, OSError, DecodeError):
         return False
     writer.close()
     return True
@@ -77,7 +99,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return get_int(await self._call("start", "/run-start", body), "clock-ms")
+        return await self._call("start", "/run-start", body, decode_clock_ms)
 
     async def stop(self, task_name: str, run: int, epoch: int) -> int:
         """Stop a run and return the upstream's clock in ms.
@@ -85,12 +107,12 @@
         Also stops a run whose start reaches the upstream only later.
         """
         body = {"task": task_name, "run": run, "fencing-token": epoch}
-        return get_int(await self._call("stop", "/run-stop", body), "clock-ms")
+        return await self._call("stop", "/run-stop", body, decode_clock_ms)
 
     async def pace(self, task_name: str, run: int, percent: int, epoch: int) -> int:
         """Limit a run to a percentage of its speed and return the upstream's clock in ms."""
         body = {"task": task_name, "run": run, "percent": percent, "fencing-token": epoch}
-        return get_int(await self._call("pace", "/pace", body), "clock-ms")
+        return await self._call("pace", "/pace", body, decode_clock_ms)
 
     async def renew_lease(
         self, *, until_ms: int | None, acknowledged: int, wait_ms: int, epoch: int
@@ -106,23 +128,16 @@
             body["until-ms"] = until_ms
         if wait_ms:
             body["wait-ms"] = wait_ms
-        data = await self._call("hold", "/hold", body, wait_ms)
-        return UpstreamReport(
-            clock_ms=get_int(data, "clock-ms"),
-            started_ms=get_int(data, "born"),
-            live=tuple(
-                LiveRun(row[0], int(row[1]), row[2], int(row[3]), int(row[4]) if row[4:] else 0)
-                for row in data.get("running", ())
-            ),
-            ended=tuple(
-                EndedRun(int(row[0]), row[1], int(row[2]), _OUTCOMES.get(row[3], row[3]), row[4])
-                for row in data.get("finished", ())
-            ),
-        )
+        return await self._call("hold", "/hold", body, decode_report, wait_ms)
 
     async def _call(
-        self, step: str, path: str, body: dict[str, Any], wait_ms: int = 0
-    ) -> dict[str, Any]:
+        self,
+        step: str,
+        path: str,
+        body: dict[str, Any],
+        decode: Callable[[bytes], T],
+        wait_ms: int = 0,
+    ) -> T:
         if self._session is None:
             self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S)
         timeout = aiohttp.ClientTimeout(
@@ -137,14 +152,60 @@
             raise UpstreamUnreachableError(str(error), step=step, peer=self.address) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise UpstreamUnknownError(repr(error), step=step, peer=self.address) from error
-        try:
-            data = load_json(content) if content else {}
-        except ValueError as error:
-            raise UpstreamUnknownError(repr(error), step=step, peer=self.address) from error
-        if status == 200:
-            return data
         reasons = {421: "instance", 400: "invalid", 429: "unhealthy", 503: "unhealthy"}
-        reason = data.get("reason") if status == 409 else reasons.get(status)
+        try:
+            if status == 200:
+                return decode(content)
+            reason = decode_reason(content) if status == 409 else reasons.get(status)
+        except DecodeError as error:
+            raise UpstreamUnknownError(str(error), step=step, peer=self.address) from error
         if not reason:
             raise UpstreamUnknownError(f"status {status}", step=step, peer=self.address)
         raise UpstreamRefusedError(reason, step=step, peer=self.address)
+
+
+@decoder("clock of an upstream")
+def decode_clock_ms(body: bytes) -> int:
+    """Decode the response to an order: the upstream's clock in ms."""
+    return get_int(parse_object(body), "clock-ms")
+
+
+@decoder("refusal of an upstream")
+def decode_reason(body: bytes) -> str:
+    """Decode the reason of a refused order."""
+    return get_str(parse_object(body), "reason")
+
+
+@decoder("report of an upstream")
+def decode_report(body: bytes) -> UpstreamReport:
+    """Decode the runs that an upstream lists."""
+    data = parse_object(body)
+    return UpstreamReport(
+        clock_ms=check_int(data.get("clock-ms"), "clock-ms"),
+        started_ms=get_int(data, "born", high=UNIX_MS_MAX),
+        live=get_items(data, "running", _decode_live_run),
+        ended=get_items(data, "finished", _decode_ended_run),
+    )
+
+
+def _decode_live_run(row: Any) -> LiveRun:
+    check_list(row)
+    return LiveRun(
+        check_str(row[0], "task"),
+        check_int(row[1], "run"),
+        check_str(row[2], "saved"),
+        int(check_float(row[3], "percent")),
+        int(check_float(row[4], "load")) if row[4:] else 0,
+    )
+
+
+def _decode_ended_run(row: Any) -> EndedRun:
+    check_list(row)
+    outcome = check_str(row[3], "how")
+    return EndedRun(
+        check_int(row[0], "number"),
+        check_str(row[1], "task"),
+        check_int(row[2], "run"),
+        _OUTCOMES.get(outcome, outcome),
+        check_str(row[4], "saved"),
+    )
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -9,6 +9,7 @@
 
 from . import defaults, jobmodel, metrics, pacing
 from .assignment import UpstreamSlot, choose_slot, home_first
+from .errors import DecodeError
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
 from .link import (
@@ -66,8 +67,8 @@
                 continue
             try:
                 registered = self._decode_upstream(entry.key, entry.value)
-            except (ValueError, TypeError, AttributeError) as error:
-                self._log_malformed(entry.key, error)
+            except DecodeError as error:
+                self._malformed.add(entry.key, error, entry.offset)
                 continue
             self._update_registration(registered)
         self._request_pass()
@@ -137,11 +138,6 @@
                 extra={"upstream": upstream_id, "run_count": len(upstream.slot.tasks)},
             )
 
-    def _log_malformed(self, key: str, error: Exception) -> None:
-        if key not in self._malformed:
-            self._malformed.add(key)
-            logger.warning("record skipped", extra={"key": key, "reason": str(error)})
-
     # Reports.
 
     def _note_first_report(self, upstream: KnownUpstream) -> None:
--- a/src/tarragoncart/restoration.py
+++ b/src/tarragoncart/restoration.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, frozen
 
 from . import intake, jobmodel
+from .errors import DecodeError
 from .jobmodel import EndedJob, Job
 from .storage import Entry
 
@@ -21,10 +22,10 @@
 
 @frozen
 class MalformedRecord:
-    """An acceptance record that cannot be decoded."""
+    """A record that cannot be decoded."""
 
     key: str
-    error: ValueError
+    error: DecodeError
 
 
 @frozen
@@ -81,34 +82,46 @@
         if entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
             yield Cancellation(entry.key.removeprefix(intake.CANCEL_PREFIX), part)
         elif entry.key.startswith(intake.JOB_PREFIX) and entry.value:
-            yield _restore_job(jobs, part, entry, state, wall_ms)
+            yield from _restore_job(jobs, part, entry, state, wall_ms)
     for job_id in state.ends.keys() - jobs.keys():
         # The acceptance record is deleted first, so that only the end is left.
-        yield jobmodel.decode_end(job_id, state.ends[job_id])
+        try:
+            yield jobmodel.decode_end(job_id, state.ends[job_id])
+        except DecodeError as error:
+            yield MalformedRecord(job_id, error)
     for job_id in state.steps.keys() - jobs.keys() - state.ends.keys():
         yield from (UnknownKey(key) for key, _ in state.steps[job_id])
 
 
 def _restore_job(
     jobs: dict[str, Job | EndedJob], part: int, entry: Entry, state: StoredState, wall_ms: int
-) -> Restored | None:
+) -> Iterator[Restored | None]:
     job_id = entry.key.removeprefix(intake.JOB_PREFIX)
     known = jobs.get(job_id)
     if known is not None:
         # The same job was also submitted through another entry VM.
         known.parts.add(part)
-        return known if isinstance(known, EndedJob) else None
-    job: Job | EndedJob
+        yield known if isinstance(known, EndedJob) else None
+        return
+    job: Job | EndedJob | None = None
     if job_id in state.ends:
-        job = jobmodel.decode_end(job_id, state.ends[job_id])
-    else:
         try:
-            submission = intake.decode_submission(entry.value)
-        except ValueError as error:
-            return MalformedRecord(job_id, error)
-        job = Job(submission, min(submission.accepted_ms, wall_ms))
+            job = jobmodel.decode_end(job_id, state.ends[job_id])
+        except DecodeError as error:
+            yield MalformedRecord(job_id, error)
+    if job is None:
+        try:
+            submission = intake.decode_submission(job_id, entry.value)
+        except DecodeError as error:
+            yield MalformedRecord(entry.key, error)
+            return
+        # A record of its end, even an unreadable one, shows that it must not run again.
+        job = Job(submission, min(submission.accepted_ms, wall_ms), unreadable=job_id in state.ends)
         for key, value in state.steps.get(job_id, ()):
-            jobmodel.restore_step(job, key, value)
+            try:
+                jobmodel.restore_step(job, key, value)
+            except DecodeError as error:
+                yield MalformedRecord(key, error)
     job.parts.add(part)
     jobs[job_id] = job
-    return job
+    yield job
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -12,6 +12,7 @@
 
 from . import defaults, jobmodel, metrics, pacing
 from .assignment import UpstreamSlot, Usage
+from .decoding import MalformedLog
 from .follower import Follower
 from .graph import Rules, UpstreamEntry
 from .intake import IntakeReader
@@ -113,7 +114,7 @@
 class RunState(Actor):
     """Owns the jobs, their runs and the capacity that the runs occupy.
 
-    :param decode_upstream: decodes an upstream's registration; raises ValueError.
+    :param decode_upstream: decodes an upstream's registration; raises DecodeError.
     :param election: notified when a higher epoch is seen.
     :param lease_ms: duration of the lease of an upstream's runs.
     :param stop_ms: how long an upstream may take to stop a run.
@@ -198,7 +199,7 @@
         self._deletions_sent_ms = 0.0
         self._shares = SubmissionShares()
         self._offered_load = OfferedLoad(defaults.OFFERED_WINDOWS_MS, defaults.OFFERED_MIN_COUNT)
-        self._malformed: set[str] = set()
+        self._malformed = MalformedLog("leader")
         self._registrations_read = False
         # By upstream, start time of the incarnation that has ended: its registration stays in the
         # store for some time and must be ignored.
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -13,6 +13,7 @@
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
 from .candidates import Reach
+from .errors import DecodeError
 from .follower import TopicChanges, TopicSnapshot
 from .graph import Rules
 from .intake import IntakeRead
@@ -25,6 +26,7 @@
 from .loads import Loads
 from .mailbox import new_reply, receives, resolve
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
+from .storage import Entry
 from .takeover import TakeOver
 from .vmorders import WaveRequested
 from .writer import FENCED, Write
@@ -178,14 +180,15 @@
         cancelled: list[tuple[str, int]] = []
         for part, entry in message.entries:
             if entry.key.startswith(intake.JOB_PREFIX):
-                self._add_job(entry.key.removeprefix(intake.JOB_PREFIX), entry.value, part)
+                self._add_job(entry, part)
             elif entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
                 cancelled.append((entry.key.removeprefix(intake.CANCEL_PREFIX), part))
         for job_id, part in cancelled:
             self._cancel_job(job_id, part)
         self._request_pass()
 
-    def _add_job(self, job_id: str, value: bytes, part: int) -> None:
+    def _add_job(self, entry: Entry, part: int) -> None:
+        job_id, value = entry.key.removeprefix(intake.JOB_PREFIX), entry.value
         if not value:
             return
         if job_id in self._jobs:
@@ -193,9 +196,9 @@
             self._add_part(self._jobs[job_id], part)
             return
         try:
-            submission = intake.decode_submission(value)
-        except ValueError as error:
-            self._log_malformed(job_id, error)
+            submission = intake.decode_submission(job_id, value)
+        except DecodeError as error:
+            self._malformed.add(entry.key, error, entry.offset)
             return
         job = Job(submission, self._timer.wall_ms())
         job.parts.add(part)
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import math
 import re
 import secrets
 from collections.abc import Awaitable, Callable
@@ -18,8 +16,9 @@
 from .admission import Submission
 from .attempts import digest_answer
 from .audit import entries_about, entry_json
+from .decoding import parse_object
 from .dispatch import Dispatch
-from .errors import InboxFullError, RequestError, SettingsError
+from .errors import DecodeError, InboxFullError, RequestError, SettingsError
 from .jobs import Cancel, Query, ReadLoggedOutcome, ReadUsage, Submit
 from .journal import Append, Journal, ReadAudit, ReadState
 from .mailbox import Actor, new_reply
@@ -213,23 +212,9 @@
     if len(body) > limit_bytes:
         raise _too_large(limit_bytes)
     try:
-        data = json.loads(body, parse_constant=_reject_constant, parse_float=_parse_finite_float)
-    except (ValueError, RecursionError) as error:
-        raise _bad_request(f"body is not valid JSON: {error}", "bad_json") from None
-    if not isinstance(data, dict):
-        raise _bad_request("body is not a JSON object", "bad_json")
-    return data
-
-
-def _reject_constant(name: str) -> float:
-    raise ValueError(f"{name} is not a number in JSON")
-
-
-def _parse_finite_float(text: str) -> float:
-    number = float(text)
-    if not math.isfinite(number):
-        raise ValueError(f"number {text:.20} is too large")
-    return number
+        return parse_object(body)
+    except DecodeError as error:
+        raise _bad_request(f"body is not a JSON object: {error.message}", "bad_json") from None
 
 
 def _field(data: dict[str, Any], name: str, kind: type, default: Any) -> Any:
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import Any, Protocol, TypeVar
 
-from attrs import frozen
+from attrs import field, frozen
 
 from . import defaults
 from .candidates import (
@@ -18,7 +18,8 @@
     decode_candidate,
     select_respondents,
 )
-from .errors import PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
+from .decoding import MalformedLog
+from .errors import DecodeError, PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import ReadStore, read_newest
 from .storage import Appended
 
@@ -56,11 +57,13 @@
     """Calls of an election to the store and to other candidates; the election owns the clients.
 
     :param own: this entry VM.
+    :param malformed: notes candidates whose records cannot be decoded.
     """
 
     own: Candidate
     store: CandidateStore
     peers: CandidatePeers
+    malformed: MalformedLog = field(factory=lambda: MalformedLog("candidates"))
 
     async def publish(self) -> bool:
         """Record this entry VM as a candidate; return whether the store has confirmed it."""
@@ -162,10 +165,8 @@
         for entry in newest.entries:
             try:
                 candidates.append(decode_candidate(entry.key, entry.value))
-            except (ValueError, KeyError, TypeError) as error:
-                logger.error(
-                    "candidate skipped", extra={"candidate": entry.key, "reason": repr(error)}
-                )
+            except DecodeError as error:
+                self.malformed.add(entry.key, error, entry.offset)
         return tuple(candidates)
 
     async def _ask(
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -172,7 +172,7 @@
             case Cancellation():
                 self._cancellations.append(restored)
             case MalformedRecord():
-                self._log_malformed(restored.key, restored.error)
+                self._malformed.add(restored.key, restored.error)
             case UnknownKey():
                 self._dropped_keys.append(restored.key)
 
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -10,7 +10,8 @@
 from attrs import frozen
 
 from . import defaults
-from .errors import FleetRefusedError, FleetUnknownError
+from .decoding import check_str, decoder, get_items, parse_object
+from .errors import DecodeError, FleetRefusedError, FleetUnknownError
 from .graph import VmEntry
 from .leadership import Fenced
 from .mailbox import implements_action, new_reply, receives
@@ -49,6 +50,12 @@
     """Read the list of VMs if it is due."""
 
 
+@decoder("progress of a wave")
+def decode_begun(value: bytes) -> frozenset[str]:
+    """Decode the IDs of the VMs whose maintenance has begun."""
+    return frozenset(get_items(parse_object(value), "begun", check_str))
+
+
 class Fleet(Relocations):
     """Runs maintenance waves and moves between pools in one epoch of the leadership."""
 
@@ -69,16 +76,25 @@
         if request.number in self._waves:
             return
         wave = Wave(request, self._timer.now_ms() + request.within_s * 1_000)
-        begun: set[str] = set()
-        value = self._restored.get(f"{WAVE_KEY_PREFIX}{request.number}")
-        if value:
-            begun = set(json.loads(value)["begun"])
+        begun = self._restore_begun(f"{WAVE_KEY_PREFIX}{request.number}")
         for vm_id in request.vm_ids:
             state = "done" if vm_id in begun else UPKEEP_CHART.initial
             wave.vms[vm_id] = VmUpkeep(vm_id, state)
         self._waves[request.number] = wave
         self._store_status(wave)
 
+    def _restore_begun(self, key: str) -> frozenset[str]:
+        """Return the VMs of a wave whose maintenance had begun under earlier leaders.
+
+        The platform answers a repeated order as done, so nothing is lost with a malformed record.
+        """
+        value = self._restored.get(key)
+        try:
+            return decode_begun(value) if value else frozenset()
+        except DecodeError as error:
+            logger.error("record skipped", extra={"key": key, "reason": str(error)})
+            return frozenset()
+
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
         """Renew the stored orders and list the VMs.
@@ -103,7 +119,7 @@
         requested_ms = self._timer.now_ms()
         try:
             vms = await self._calls.list_vms()
-        except (FleetRefusedError, FleetUnknownError, ValueError) as error:
+        except (FleetRefusedError, FleetUnknownError) as error:
             logger.warning("cannot list VMs", extra={"reason": str(error)})
             return
         finally:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,7 @@
 from standins.serving import Listener
 from standins.settings import make_node_settings
 from standins.store import StoreStandin
+from standins.taskworker import TaskWorker
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import defaults, operations, replay
 from tarragoncart.attempts import Evidence
@@ -704,6 +705,31 @@
     return await serve_standin(StoreStandin())
 
 
+@pytest.fixture
+async def add_worker(
+    store: RunningStandin, serve_standin: Callable[[Any], Awaitable[RunningStandin]]
+) -> Callable[..., Awaitable[TaskWorker]]:
+    """Start a worker and register it with the store."""
+
+    async def add(name: str = "i-1", worker: TaskWorker | None = None) -> TaskWorker:
+        worker = worker or TaskWorker()
+        served = await serve_standin(worker)
+        entry = {
+            "backend": "pool",
+            "address": served.address,
+            "zone": "dc-1",
+            "phase": "ready",
+            "capacity": {"cpu": worker.cpu_millicores, "mem-mb": 65_536, "gpu": 0},
+            "labels": ["a", "r1"],
+            "born": worker.started_ms,
+            "sequence": 1,
+        }
+        store.standin.put("keyed.servers", name, entry)
+        return worker
+
+    return add
+
+
 @pytest.fixture
 def node_settings(store: RunningStandin) -> Callable[[str], NodeSettings]:
     """Create the settings of an entry VM on free ports."""
@@ -730,6 +756,15 @@
         async with self.session.request(method, url, json=data, headers=headers) as response:
             return response.status, json.loads(await response.read() or b"null")
 
+    async def submit(self, path: str, job: Any) -> int:
+        """Submit a job repeatedly until the answer is not 503; return the last status."""
+        for _ in range(200):
+            status, _ = await self.call("POST", path, job)
+            if status != 503:
+                return status
+            await asyncio.sleep(0.02)
+        return status
+
     async def phase(self, path: str, wanted: str, timeout_s: float = 5.0) -> str:
         """Poll a job until it reaches a phase or the time is up, and return the last phase.
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -352,7 +352,7 @@
     async def scenario(simulation):
         node = await simulation.start_node("n-1")
         await asyncio.sleep(3.0)
-        successor = json.dumps({"name": "n-2/1", "address": "n-2"}).encode()
+        successor = json.dumps({"name": "n-2/1", "address": "n-2:7000"}).encode()
         simulation.store.put("keyed.leader", "leader", successor)
         node.election.tell(FindLeader())
         await asyncio.sleep(0.05)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -42,37 +42,9 @@
         return web.json_response({"good": good, "valid-ms": 3_000})
 
 
-@pytest.fixture
-async def add_worker(store, serve_standin):
-    """Start a worker and register it with the store."""
-
-    async def add(name="i-1", worker=None):
-        worker = worker or TaskWorker()
-        served = await serve_standin(worker)
-        entry = {
-            "backend": "pool",
-            "address": served.address,
-            "zone": "dc-1",
-            "phase": "ready",
-            "capacity": {"cpu": worker.cpu_millicores, "mem-mb": 65_536, "gpu": 0},
-            "labels": ["a", "r1"],
-            "born": worker.started_ms,
-            "sequence": 1,
-        }
-        store.standin.put("keyed.servers", name, entry)
-        return worker
-
-    return add
-
-
 async def submit(node, job=None, job_id=JOB_ID):
     """Submit a job repeatedly until the answer is not 503; return the last status."""
-    for _ in range(200):
-        status, _ = await node.caller.call("POST", f"/q/{job_id}", job or TWO_STEP_JOB)
-        if status != 503:
-            return status
-        await asyncio.sleep(0.02)
-    return status
+    return await node.caller.submit(f"/q/{job_id}", job or TWO_STEP_JOB)
 
 
 async def wait_until(condition, timeout_s=5.0):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -94,7 +94,7 @@
         400,
         "bad_field",
     ),
-    "lone surrogate": ("POST", JOBS, JOB | {"request_id": "\ud800"}, "shop-key", 400, "bad_field"),
+    "lone surrogate": ("POST", JOBS, JOB | {"request_id": "\ud800"}, "shop-key", 400, "bad_json"),
     "request ID is a number": ("POST", JOBS, JOB | {"request_id": 7}, "shop-key", 400, "bad_field"),
     "long request ID": (
         "POST",
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -107,7 +107,7 @@
     decoded = []
     decode = intake.decode_submission
     monkeypatch.setattr(
-        intake, "decode_submission", lambda value: decoded.append(value) or decode(value)
+        intake, "decode_submission", lambda *args: decoded.append(args) or decode(*args)
     )
     ended = store_jobs(300, ended=True)
     unfinished = store_jobs(3, first=300)
