--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -26,6 +26,7 @@
 from ..errors import DecodeError, StoreConflictError, StoreRefusedError, StoreUnknownError
 from ..sessions import open_session
 from ..storage import Appended, Chunk, Entry, Expired, Membership, Producer
+from ..traffic import TRAFFIC
 from .wire import dump_json
 
 CALL_TIMEOUT_MS = 1_500
@@ -216,7 +217,10 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                return response.status, await response.read()
+                content = await response.read()
+                topic = query.get("topic", "")
+                TRAFFIC.add(f"{step} {topic}".strip(), len(body or b""), len(content))
+                return response.status, content
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Without a connection, the call cannot have been sent.
             raise StoreRefusedError(str(error), step=step, peer=self.address) from error
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -29,6 +29,7 @@
 )
 from ..runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from ..sessions import open_session
+from ..traffic import TRAFFIC
 from .wire import dump_json
 
 CALL_TIMEOUT_MS = 700
@@ -143,11 +144,13 @@
         timeout = aiohttp.ClientTimeout(
             total=(CALL_TIMEOUT_MS + wait_ms) / 1_000, sock_connect=CONNECT_TIMEOUT_MS / 1_000
         )
+        encoded = dump_json(body)
         try:
             async with self._session.post(
-                self._base + path, data=dump_json(body), headers=self._headers, timeout=timeout
+                self._base + path, data=encoded, headers=self._headers, timeout=timeout
             ) as response:
                 status, content = response.status, await response.read()
+                TRAFFIC.add(step, len(encoded), len(content))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(str(error), step=step, peer=self.address) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/src/tarragoncart/platform/vms.py
+++ b/src/tarragoncart/platform/vms.py
@@ -23,6 +23,7 @@
 from ..errors import DecodeError, FleetRefusedError, FleetUnknownError
 from ..graph import VmEntry
 from ..sessions import open_session
+from ..traffic import TRAFFIC
 from .operator import decode_demand
 from .wire import dump_json
 
@@ -122,6 +123,7 @@
                 headers=headers,
             ) as response:
                 status, content = response.status, await response.read()
+                TRAFFIC.add(step, 0, len(content))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise FleetUnknownError(repr(error), step=step, peer=self.address) from error
         try:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -28,6 +28,7 @@
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
 from .takeover import TakeOver
+from .traffic import TRAFFIC
 from .vmorders import WaveRequested
 from .writer import FENCED, Write
 
@@ -473,6 +474,7 @@
                 "unfinished_jobs": len(self._unfinished),
                 "intake_age_ms": round(now_ms - self._intake_as_of_ms),
                 "permitted_for_ms": round(self._permitted_until_ms - now_ms),
+                "traffic": TRAFFIC.take(),
             },
         )
 
