Limit bulk reads of a take-over to what the link carries, and time them by progress

Cause: a new leader read state, registrations and the eight partitions of accepted jobs at once, each within 1.5 s. On a link of 2 Mbit/s about 400 KB do not arrive in that time: the calls timed out, were repeated, and kept the link full, so that the renewals of the membership timed out as well and the lead was lost after 3 s ("not confirmed by the store").

Change: all first reads of a leader pass one limit, one partition at a time for each Mbit/s of the link (as before from 10 Mbit/s on), and a read times out when nothing arrives for 1.5 s instead of when it is not complete by then.

Tests: the virtual store gives entry VMs links, whose windows pass one after the other; with unlimited concurrency the take-over of 400 jobs over 2 Mbit/s did not end in 8 s.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -48,6 +48,9 @@
 CALLER_TIMEOUT_S = 3.0
 PROBE_TIMEOUT_S = 0.35
 PEER_PORT = 7_000
+# Bytes of a connection that are on their way at a time, and size of a small response.
+WINDOW_BYTES = 65_536
+CONTROL_BYTES = 500
 FLEET_TIMEOUT_S = 2.0
 LEASE_MAX_S = 6.0
 STOP_DURATION_S = 0.15
@@ -133,6 +136,22 @@
     changed: asyncio.Event = Factory(asyncio.Event)
 
 
+@define
+class VirtualLink:
+    """Network link of an entry VM, which all its responses from the store share.
+
+    :param bytes_per_s: infinite for a link that delays nothing.
+    """
+
+    bytes_per_s: float = float("inf")
+    _turn: asyncio.Lock = field(factory=asyncio.Lock, init=False)
+
+    async def transfer_window(self, size_bytes: float) -> None:
+        """Take the time that one window of a connection needs, after those that came first."""
+        async with self._turn:
+            await asyncio.sleep(size_bytes / self.bytes_per_s)
+
+
 @define
 class StoreState:
     """Content and injected faults of the simulated store.
@@ -145,6 +164,7 @@
     :param call_delay_s: duration of each call.
     :param max_append_delay_s: longest time before an append is applied, which may be after its
         caller's timeout.
+    :param links: links of entry VMs that are not unlimited.
     """
 
     rng: random.Random
@@ -157,6 +177,7 @@
     lost_join_ratio: float = 0.0
     call_delay_s: float = STORE_DELAY_S
     max_append_delay_s: float = 0.0
+    links: dict[str, VirtualLink] = Factory(dict)
 
     def part(self, topic: str, number: int) -> _Partition:
         """Return a partition, which is created on first use."""
@@ -192,6 +213,17 @@
             await asyncio.sleep(STORE_TIMEOUT_S)
             raise StoreUnknownError("no answer", step=step, peer="store")
 
+    async def _receive(self, step: str, size_bytes: int) -> None:
+        """Receive a response over the link; each window must arrive before the timeout."""
+        link = self._state.links.get(self._entry)
+        while link is not None and size_bytes > 0:
+            try:
+                async with asyncio.timeout(STORE_TIMEOUT_S):
+                    await link.transfer_window(min(size_bytes, WINDOW_BYTES))
+            except TimeoutError as error:
+                raise StoreUnknownError("no answer", step=step, peer="store") from error
+            size_bytes -= WINDOW_BYTES
+
     async def append(
         self,
         topic: str,
@@ -265,6 +297,8 @@
         records = self._state.part(topic, part).records
         newest = {key: Entry(key, value, n) for n, (key, value) in enumerate(records)}
         kept = tuple(entry for entry in newest.values() if entry.value)
+        # Values in base64 take a third more.
+        await self._receive("newest", sum(len(entry.value) * 4 // 3 for entry in kept))
         yield Chunk(0, len(records), kept)
 
     async def join(
@@ -281,6 +315,7 @@
         if state.rng.random() < state.lost_join_ratio:
             await asyncio.sleep(STORE_TIMEOUT_S)
             raise StoreUnknownError("no answer", step="join", peer="store")
+        await self._receive("join", CONTROL_BYTES)
         parts = range(list(live).index(member), PART_COUNT, len(live))
         return Membership(state.generation, frozenset(parts))
 
@@ -917,9 +952,8 @@
 
         :param changes: settings that differ from those for tests.
         """
-        settings = make_node_settings(
-            name, peer_address=f"{name}:{PEER_PORT}", topic_part_count=PART_COUNT, **changes
-        )
+        changes = {"topic_part_count": PART_COUNT} | changes
+        settings = make_node_settings(name, peer_address=f"{name}:{PEER_PORT}", **changes)
         self.starting_node = name
         node = Node(settings, self._adapter(name), VirtualTimer(skew_ms))
         self.nodes[name] = node
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -130,6 +130,9 @@
 
 # The platform's store.
 STORE_CALL_BYTES = 1_000_000
+# A take-over reads one partition at a time for each such share of its link. The windows of 64 KB that
+# are then on their way delay a renewal of the membership by 0.5 s, a third of its timeout.
+BULK_READ_MBPS = 1
 STORE_RETRY_MS = 100
 STORE_RETRY_MAX_MS = 400
 # If an append in progress stalls for this long, new submissions are refused at once.
--- a/src/tarragoncart/follower.py
+++ b/src/tarragoncart/follower.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import AsyncIterator
 from typing import Protocol
@@ -21,6 +22,19 @@
 logger = logging.getLogger(__name__)
 
 
+# Admits as many bulk reads as an entry VM's link can carry beside the renewals of its membership.
+BulkReads = asyncio.Semaphore
+
+
+def open_bulk_reads(link_mbps: float) -> BulkReads:
+    """Return the limit of concurrent bulk reads for a link.
+
+    Responses that share a link are all on their way until the last one ends. Small responses, such
+    as that to a renewal, wait behind them.
+    """
+    return BulkReads(max(1, int(link_mbps / defaults.BULK_READ_MBPS)))
+
+
 class ReadStore(Protocol):
     """The methods of the store's client that a follower uses."""
 
@@ -65,6 +79,7 @@
     :param listener: actor that receives :class:`TopicSnapshot` and :class:`TopicChanges`.
     :param wait_ms: how long the store may hold a read open until there is a new record.
     :param pause_ms: pause between two reads.
+    :param bulk_reads: limits how many followers read all newest records at the same time.
     """
 
     def __init__(
@@ -77,6 +92,7 @@
         wait_ms: int,
         pause_ms: int = 0,
         part: int = 0,
+        bulk_reads: BulkReads | None = None,
     ) -> None:
         super().__init__(f"follower {topic} {part}")
         self._store = store
@@ -86,6 +102,7 @@
         self._timer = timer
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
+        self._bulk_reads = bulk_reads or contextlib.nullcontext()
 
     async def on_open(self) -> None:
         """Start reading."""
@@ -129,8 +146,9 @@
                 await asyncio.sleep(self._pause_ms / 1_000)
 
     async def _read_newest(self) -> int:
-        sent_ms = self._timer.now_ms()
-        snapshot = await read_newest(self._store, self._topic, self._part)
+        async with self._bulk_reads:
+            sent_ms = self._timer.now_ms()
+            snapshot = await read_newest(self._store, self._topic, self._part)
         self._listener.tell(TopicSnapshot(self._topic, snapshot.entries, sent_ms, self._part))
         return snapshot.end_offset
 
--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -21,7 +21,7 @@
 from . import defaults
 from .decoding import UNIX_MS_MAX, check_float, check_int, decoder, is_identifier
 from .errors import DecodeError
-from .follower import Follower, TopicChanges, TopicSnapshot
+from .follower import BulkReads, Follower, TopicChanges, TopicSnapshot
 from .graph import Demand, JobSpec, StepSpec, Submission
 from .mailbox import Actor, new_reply, receives, resolve
 from .storage import Entry
@@ -143,6 +143,7 @@
     :param epoch: epoch of the leader, which fences deletions by earlier leaders.
     :param make_store: returns a new client of the store; each actor needs its own.
     :param listener: actor that receives :class:`IntakeRead`.
+    :param bulk_reads: limits how many partitions are read for the first time at once.
     """
 
     def __init__(
@@ -152,8 +153,10 @@
         make_store: Callable[[], Any],
         listener: Actor,
         timer: Timer,
+        bulk_reads: BulkReads,
     ) -> None:
         super().__init__("intake reader")
+        self._bulk_reads = bulk_reads
         self._epoch = epoch
         self._make_store = make_store
         self._listener = listener
@@ -174,6 +177,7 @@
                 self._timer,
                 wait_ms=defaults.INTAKE_WAIT_MS,
                 part=part,
+                bulk_reads=self._bulk_reads,
             )
             self._followers.append(follower)
             follower.start()
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -273,6 +273,7 @@
             stop_ms=settings.stop_ms,
             retention_ms=settings.retention_ms,
             intake_part_count=settings.topic_part_count,
+            link_mbps=settings.link_mbps,
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
         )
--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -31,6 +31,8 @@
 
 CALL_TIMEOUT_MS = 1_500
 CONNECT_TIMEOUT_MS = 1_000
+# A page of 1 MB takes this long on a link of 1 Mbit/s.
+TRANSFER_MAX_MS = 8_000
 CONNECTION_COUNT = 4
 KEEPALIVE_S = 30
 READ_MAX_KB = 1_024
@@ -204,8 +206,13 @@
         body: bytes | None,
         wait_ms: int,
     ) -> tuple[int, bytes]:
+        silence_s = (CALL_TIMEOUT_MS + wait_ms) / 1_000
+        # A response with many records may take longer than that on a slow link while it progresses.
+        reads = method == "GET"
         timeout = aiohttp.ClientTimeout(
-            total=(CALL_TIMEOUT_MS + wait_ms) / 1_000, sock_connect=CONNECT_TIMEOUT_MS / 1_000
+            total=silence_s + TRANSFER_MAX_MS / 1_000 if reads else silence_s,
+            sock_read=silence_s if reads else None,
+            sock_connect=CONNECT_TIMEOUT_MS / 1_000,
         )
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -13,7 +13,7 @@
 from . import defaults, jobmodel, metrics, pacing
 from .assignment import UpstreamSlot, Usage
 from .decoding import MalformedLog
-from .follower import Follower
+from .follower import Follower, open_bulk_reads
 from .graph import Rules, UpstreamEntry
 from .intake import IntakeReader
 from .jobmodel import TASK_CHART, EndedJob, Job, StepOccurrence, Task
@@ -119,6 +119,7 @@
     :param lease_ms: duration of the lease of an upstream's runs.
     :param stop_ms: how long an upstream may take to stop a run.
     :param retention_ms: how long an ended job can be looked up.
+    :param link_mbps: capacity of this entry VM's link.
     """
 
     def __init__(
@@ -137,6 +138,7 @@
         stop_ms: int,
         retention_ms: int,
         intake_part_count: int,
+        link_mbps: float,
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
         make_advisor: Callable[[Actor], Actor] | None = None,
     ) -> None:
@@ -152,7 +154,10 @@
         self._lease_ms = lease_ms
         self._stop_ms = stop_ms
         self._retention_ms = retention_ms
-        self._intake = IntakeReader(epoch, intake_part_count, make_store, self, timer)
+        self._bulk_reads = open_bulk_reads(link_mbps)
+        self._intake = IntakeReader(
+            epoch, intake_part_count, make_store, self, timer, self._bulk_reads
+        )
         self._make_fleet = make_fleet
         self._fleet: Actor | None = None
         self._make_advisor = make_advisor
@@ -185,6 +190,7 @@
             timer,
             wait_ms=0,
             pause_ms=defaults.UPSTREAM_LIST_PAUSE_MS,
+            bulk_reads=self._bulk_reads,
         )
         self._short_millicores: Counter[str] = Counter()
         self._backlog_millicore_ms: Counter[str] = Counter()
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -76,8 +76,9 @@
             return
         self._fenced_ms = self._timer.now_ms()
         self._log_takeover_step("earlier leaders are fenced")
-        # All are read concurrently, as each call takes long while the store is slow. Jobs and state
-        # are not read before the fence: an earlier leader could drop a job between the two.
+        # They are read as concurrently as the link allows, as each call takes long while the store
+        # is slow. Jobs and state are not read before the fence: an earlier leader could drop a job
+        # between the two.
         self._upstream_follower.start()
         self._intake.start()
         self.tell(_StateRead(await self._read_state()))
@@ -101,7 +102,8 @@
         try:
             while True:
                 try:
-                    return (await read_newest(store, STATE_TOPIC)).entries
+                    async with self._bulk_reads:
+                        return (await read_newest(store, STATE_TOPIC)).entries
                 except (StoreRefusedError, StoreUnknownError) as error:
                     logger.warning(
                         "stored state cannot be read; retrying", extra={"reason": str(error)}
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -11,7 +11,12 @@
 import pytest
 
 from standins.taskworker import TaskWorker
-from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
+from standins.virtual import (
+    Simulation,
+    VirtualLink,
+    patch_peer_client,
+    run_in_virtual_time,
+)
 from tarragoncart import defaults
 from tarragoncart.candidates import (
     Candidate,
@@ -23,13 +28,16 @@
     is_settled,
     select_respondents,
 )
-from tarragoncart.graph import Demand
+from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
+from tarragoncart.intake import submission_record
 from tarragoncart.leaderapi import PeerClient
 from tarragoncart.leadership import Fenced, FindLeader, Leave
 from tarragoncart.mailbox import new_reply
 
 SMALL = {"cpu_millicores": 516, "link_mbps": 10.0}
 LARGE = {"cpu_millicores": 2_151, "link_mbps": 200.0}
+INTAKE_PART_COUNT = 8
+JOB_COUNT = 400
 WILLING = CandidateStatus(True, False, LeaderView.UNREACHABLE)
 
 
@@ -531,3 +539,33 @@
 
     first, second = simulate(scenario)
     assert first and second and first != second
+
+
+async def take_over_on_small_links(simulation, link_mbps):
+    """Start equally small entry VMs beside many accepted jobs; return epochs and restored jobs."""
+    step = StepSpec(8, Demand(1_000, 256), 500)
+    for number in range(JOB_COUNT):
+        spec = JobSpec("x" * 2_000, (step,))
+        job = Submission(f"{number:016x}", "q", "pool", "shop", 0, 2, 1.6, 600, 1, spec)
+        simulation.store.put("keyed.intake", *submission_record(job), number % INTAKE_PART_COUNT)
+    for number in range(3):
+        name = f"small-{number}"
+        simulation.store.links[name] = VirtualLink(link_mbps * 125_000)
+        await simulation.start_node(
+            name,
+            cpu_millicores=120,
+            link_mbps=link_mbps,
+            topic_part_count=INTAKE_PART_COUNT,
+        )
+    await asyncio.sleep(8.0)
+    restored = [len(n.scheduler._jobs) for n in simulation.nodes.values() if n.scheduler]
+    result = epoch_count(simulation), restored
+    await stop_all(simulation)
+    return result
+
+
+@pytest.mark.parametrize("link_mbps", [2.0, 5.0, 20.0])
+def test_a_take_over_does_not_starve_the_renewals_on_a_small_link(simulate, link_mbps):
+    """Guards against leaders in series: each read all jobs at once, and its renewals timed out."""
+    epochs, restored = simulate(lambda s: take_over_on_small_links(s, link_mbps))
+    assert (epochs, restored) == (1, [JOB_COUNT])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,7 +7,11 @@
 import pytest
 
 from standins.store import StoreStandin
-from tarragoncart.errors import SettingsError, StoreConflictError, StoreRefusedError
+from tarragoncart.errors import (
+    SettingsError,
+    StoreConflictError,
+    StoreRefusedError,
+)
 from tarragoncart.graph import Demand
 from tarragoncart.platform.boot import decode_settings, load_settings
 from tarragoncart.platform.callers import decode_job
