Let a leader look every 500 ms whether the store names a successor

Cause: a leader was confirmed by its membership alone, which shows no successor. One that stored nothing, was cut off from the other entry VMs and held an upstream that its successor did not reach went on renewing that upstream's lease, past the 6.4 s after which the successor starts the task elsewhere: two runs at once.

Change: the leader reads the leader's record every 500 ms, one read at a time, and resigns if it names a higher epoch. With one lost answer it knows 2.3 s after the claim at the latest; its leases then end 5.7 s after the claim, before the successor gives the runs up.

Open: a leader that the store serves for its membership but not for this read for longer than that.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -130,8 +130,8 @@
 
 # The platform's store.
 STORE_CALL_BYTES = 1_000_000
-# A take-over reads one partition at a time for each such share of its link. The windows of 64 KB that
-# are then on their way delay a renewal of the membership by 0.5 s, a third of its timeout.
+# A take-over reads one partition at a time for each such share of its link. The windows of 64 KB
+# that are then on their way delay a renewal of the membership by 0.5 s, a third of its timeout.
 BULK_READ_MBPS = 1
 STORE_RETRY_MS = 100
 STORE_RETRY_MAX_MS = 400
@@ -152,6 +152,10 @@
 LEADERSHIP_VALID_MS = 3_000
 LEADERSHIP_CHECK_MS = 250
 LEADER_LOOKUP_PAUSE_MS = 250
+# A leader checks this often that the store records no later one. After one lost answer it still
+# learns of its successor before the leases that it has renewed until then outlast the successor's
+# wait.
+LEADER_RECORD_CHECK_MS = 500
 # Longer delays of the event loop are logged; half of the time that a leader has to answer a probe.
 EVENT_LOOP_DELAY_LOG_MS = 175
 LEADER_SUMMARY_MS = 1_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -172,6 +172,8 @@
         self._owned_count = 0
         self._poor_reach_since_ms: float | None = None
         self._next_transfer_ms = 0.0
+        self._next_record_check_ms = 0.0
+        self._record_check: asyncio.Task[None] | None = None
 
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
@@ -239,8 +241,18 @@
 
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
-        """Resign if the store has not confirmed the leadership for too long."""
+        """Resign if the store has not confirmed the leadership for too long, or names a successor.
+
+        The membership alone does not show a successor to a leader that writes nothing and is cut
+        off from the other entry VMs.
+        """
         self._measure_event_loop_delay()
+        now_ms = self._timer.now_ms()
+        check_due = self._record_check is None or self._record_check.done()
+        if self._role.state == "leader" and check_due and now_ms >= self._next_record_check_ms:
+            self._next_record_check_ms = now_ms + defaults.LEADER_RECORD_CHECK_MS
+            # One at a time: renewals of the membership use the same connections.
+            self._record_check = self.spawn(self._report_recorded_leader())
         age_ms = self._timer.now_ms() - self._confirmed_ms
         if self._role.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
             self.step(self.chart, self._role, "expired", reason="not confirmed by the store")
@@ -518,17 +530,20 @@
             self.spawn(self._look_up_leader())
 
     async def _look_up_leader(self) -> None:
+        try:
+            await self._report_recorded_leader()
+        finally:
+            await asyncio.sleep(defaults.LEADER_LOOKUP_PAUSE_MS / 1_000)
+            self._lookup_running = False
+
+    async def _report_recorded_leader(self) -> None:
         try:
             leader, _ = await self._read_leader_record()
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("cannot look up the leader", extra={"reason": str(error)})
             return
-        else:
-            if leader is not None:
-                self._listener.tell(LeaderFound(leader))
-        finally:
-            await asyncio.sleep(defaults.LEADER_LOOKUP_PAUSE_MS / 1_000)
-            self._lookup_running = False
+        if leader is not None:
+            self._listener.tell(LeaderFound(leader))
 
     async def _read_leader_record(self) -> tuple[Leader | None, int]:
         """Return the leader recorded in the store, if any, and the partition's end offset."""
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -564,3 +564,36 @@
     """Guards against a job that stays running because its last copy was lost in a take-over."""
     simulation = simulate(1, scenario=_take_over_a_task_without_attempts_left)
     assert list(simulation.phases.values()) == [jobmodel.FAILED]
+
+
+async def _cut_a_leader_off_from_its_successor(simulation, config, faults):
+    """Let a leader without changes to store keep the only upstream that its successor lacks."""
+    simulation.store.put("keyed.op", "config", config)
+    for name in ("i-0", "i-1"):
+        simulation.add_worker(name, Demand(1_000, 1_000))
+    names = ("n-1", "n-2", "n-3")
+    for name in names:
+        await simulation.start_node(name)
+    await asyncio.sleep(3.0)
+    (leader,) = (name for name in names if simulation.nodes[name].scheduler is not None)
+    others = [name for name in names if name != leader]
+    step = StepSpec(1, Demand(1_000, 100), 60_000)
+    await simulation.submit(simulation.nodes[leader], f"{0:016x}", JobSpec("text", (step,)))
+    await asyncio.sleep(0.5)
+    for worker in simulation.workers.values():
+        worker.cut_entries.update(others if worker.runs else [leader])
+    simulation.cut_paths.update((leader, name) for name in others)
+    if next(iter(simulation.store.members)) == simulation.nodes[leader].incarnation:
+        # Another entry VM gets the partition whose owner checks the leader.
+        del simulation.store.members[simulation.nodes[leader].incarnation]
+    await asyncio.sleep(25.0)
+    for name in names:
+        await simulation.kill_node(name)
+    return simulation
+
+
+def test_a_leader_that_stores_nothing_learns_of_its_successor(simulate):
+    """Guards against a second run of a task whose lease the earlier leader goes on renewing."""
+    simulation = simulate(1, scenario=_cut_a_leader_off_from_its_successor)
+    assert len(simulation.starts["0000000000000000.0.0.0"]) == 2
+    assert simulation.violations == []
