Confirm the lead by the leader's record as well as by the membership

Change: a read of the leader's record that names the leader itself confirms the lead as well; the store's reads are linearizable, so that nobody had claimed when it was sent. As many renewals and reads may be in progress as are due within the timeout of a call: lost answers delay no further calls. The store's client opens up to 8 connections for them (4 before).

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -161,6 +161,7 @@
     :param silent_entries: names of the entry VMs whose calls get no response and are not applied.
     :param lost_response_ratio: share of appends that are applied but get no response.
     :param lost_join_ratio: the same for renewals of a membership.
+    :param lost_newest_ratio: the same for reads of the newest records.
     :param call_delay_s: duration of each call.
     :param max_append_delay_s: longest time before an append is applied, which may be after its
         caller's timeout.
@@ -175,6 +176,7 @@
     silent_entries: set[str] = Factory(set)
     lost_response_ratio: float = 0.0
     lost_join_ratio: float = 0.0
+    lost_newest_ratio: float = 0.0
     call_delay_s: float = STORE_DELAY_S
     max_append_delay_s: float = 0.0
     links: dict[str, VirtualLink] = Factory(dict)
@@ -294,6 +296,10 @@
     async def newest(self, topic: str, part: int = 0) -> AsyncIterator[Chunk]:
         """Yield the newest record of each key that is not deleted."""
         await self._simulate_call("newest")
+        lost_ratio = self._state.lost_newest_ratio
+        if lost_ratio and self._state.rng.random() < lost_ratio:
+            await asyncio.sleep(STORE_TIMEOUT_S)
+            raise StoreUnknownError("no answer", step="newest", peer="store")
         records = self._state.part(topic, part).records
         newest = {key: Entry(key, value, n) for n, (key, value) in enumerate(records)}
         kept = tuple(entry for entry in newest.values() if entry.value)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -145,8 +145,10 @@
 # JOINS_PER_TTL_COUNT times as often.
 MEMBERSHIP_TTL_MS = 1_200
 JOINS_PER_TTL_COUNT = 3
-# Renewals of the membership that wait for an answer at the same time.
-JOINS_PENDING_LIMIT_COUNT = 3
+# Renewals of the membership, and checks of the leader's record, that wait for an answer at the same
+# time. As many are due within the timeout of a call, so that lost answers delay no further calls.
+JOINS_PENDING_LIMIT_COUNT = 4
+RECORD_CHECKS_PENDING_LIMIT_COUNT = 3
 # A leader that the store has not confirmed for this long issues no more orders. Its successor
 # waits this long plus a lease before it gives up tasks at an upstream that it cannot reach.
 LEADERSHIP_VALID_MS = 3_000
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -77,6 +77,15 @@
     answered_ms: float
 
 
+@frozen
+class _RecordConfirmed:
+    """The store still records this entry VM as the leader."""
+
+    epoch: int
+    sent_ms: float
+    answered_ms: float
+
+
 @frozen
 class _Probed:
     decision: Decision
@@ -159,6 +168,7 @@
         self._generation = 0
         self._epoch = 0
         self._confirmed_ms = 0.0
+        self._joined_ms = 0.0
         self._recent_until_ms = 0.0
         self._pending_join_count = 0
         self._checked_ms = timer.now_ms()
@@ -173,7 +183,7 @@
         self._poor_reach_since_ms: float | None = None
         self._next_transfer_ms = 0.0
         self._next_record_check_ms = 0.0
-        self._record_check: asyncio.Task[None] | None = None
+        self._pending_check_count = 0
 
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
@@ -219,8 +229,9 @@
     @receives(_Joined)
     def on_joined(self, message: _Joined) -> None:
         """Update the election state from the partitions that this entry VM owns."""
-        if self._leaving or message.sent_ms <= self._confirmed_ms:
+        if self._leaving or message.sent_ms <= self._joined_ms:
             return
+        self._joined_ms = message.sent_ms
         membership = message.membership
         if membership.generation != self._generation:
             logger.info(
@@ -229,16 +240,31 @@
             )
             self._generation = membership.generation
             self._start_leader_lookup()
-        self._confirmed_ms = message.sent_ms
-        call_ms = message.answered_ms - message.sent_ms
-        recent_ms = (
-            defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS + defaults.CONFIRMATION_CALL_RATIO * call_ms
-        )
-        self._recent_until_ms = message.sent_ms + min(recent_ms, defaults.LEADERSHIP_VALID_MS)
+        self._note_confirmation(message.sent_ms, message.answered_ms)
         self._owned_count = len(membership.parts)
         owned = LEADER_PART in membership.parts
         self.step(self.chart, self._role, "owned" if owned else "disowned")
 
+    def _note_confirmation(self, sent_ms: float, answered_ms: float) -> None:
+        """Note that the store has answered a call of a member or a leader."""
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        recent_ms = (
+            defaults.LEADERSHIP_CONFIRMATION_MAX_AGE_MS
+            + defaults.CONFIRMATION_CALL_RATIO * (answered_ms - sent_ms)
+        )
+        recent_until_ms = sent_ms + min(recent_ms, defaults.LEADERSHIP_VALID_MS)
+        self._recent_until_ms = max(self._recent_until_ms, recent_until_ms)
+
+    @receives(_RecordConfirmed)
+    def on_record_confirmed(self, message: _RecordConfirmed) -> None:
+        """Extend the leadership, also while answers to renewals of the membership are lost.
+
+        The store's reads are linearizable, so that no successor had claimed when it was sent.
+        """
+        if self._role.state == "leader" and message.epoch == self._epoch:
+            self._note_confirmation(message.sent_ms, message.answered_ms)
+            self._confirm(self._role)
+
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
         """Resign if the store has not confirmed the leadership for too long, or names a successor.
@@ -248,11 +274,10 @@
         """
         self._measure_event_loop_delay()
         now_ms = self._timer.now_ms()
-        check_due = self._record_check is None or self._record_check.done()
-        if self._role.state == "leader" and check_due and now_ms >= self._next_record_check_ms:
+        if self._role.state == "leader" and now_ms >= self._next_record_check_ms:
             self._next_record_check_ms = now_ms + defaults.LEADER_RECORD_CHECK_MS
-            # One at a time: renewals of the membership use the same connections.
-            self._record_check = self.spawn(self._report_recorded_leader())
+            if self._pending_check_count < defaults.RECORD_CHECKS_PENDING_LIMIT_COUNT:
+                self.spawn(self._check_leader_record())
         age_ms = self._timer.now_ms() - self._confirmed_ms
         if self._role.state == "leader" and age_ms > defaults.LEADERSHIP_VALID_MS:
             self.step(self.chart, self._role, "expired", reason="not confirmed by the store")
@@ -536,14 +561,25 @@
             await asyncio.sleep(defaults.LEADER_LOOKUP_PAUSE_MS / 1_000)
             self._lookup_running = False
 
+    async def _check_leader_record(self) -> None:
+        self._pending_check_count += 1
+        try:
+            await self._report_recorded_leader()
+        finally:
+            self._pending_check_count -= 1
+
     async def _report_recorded_leader(self) -> None:
+        sent_ms = self._timer.now_ms()
         try:
             leader, _ = await self._read_leader_record()
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("cannot look up the leader", extra={"reason": str(error)})
             return
-        if leader is not None:
-            self._listener.tell(LeaderFound(leader))
+        if leader is None:
+            return
+        self._listener.tell(LeaderFound(leader))
+        if leader.name == self._member:
+            self.tell(_RecordConfirmed(leader.epoch, sent_ms, self._timer.now_ms()))
 
     async def _read_leader_record(self) -> tuple[Leader | None, int]:
         """Return the leader recorded in the store, if any, and the partition's end offset."""
--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -33,7 +33,8 @@
 CONNECT_TIMEOUT_MS = 1_000
 # A page of 1 MB takes this long on a link of 1 Mbit/s.
 TRANSFER_MAX_MS = 8_000
-CONNECTION_COUNT = 4
+# An election has up to 7 calls without an answer at the same time.
+CONNECTION_COUNT = 8
 KEEPALIVE_S = 30
 READ_MAX_KB = 1_024
 _LENGTH = struct.Struct(">I")
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -498,7 +498,14 @@
     assert decide(survey(own_willing=False, **known)).event == "vacant"
 
 
-@pytest.fixture(params=[{"lost_join_ratio": 0.2}, {"call_delay_s": 0.8}], ids=["lossy", "slow"])
+@pytest.fixture(
+    params=[
+        {"lost_join_ratio": 0.2},
+        {"lost_join_ratio": 0.2, "lost_newest_ratio": 0.2},
+        {"call_delay_s": 0.8},
+    ],
+    ids=["lossy", "lossy_reads", "slow"],
+)
 def store_trouble(request):
     """Faults of the store that concern all entry VMs alike."""
     return request.param
