--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -195,3 +195,30 @@
     before_ms = LoopTimer().now_ms()
     await asyncio.sleep(0.1)
     assert listener.reported_lease_ends_ms[0] >= before_ms + LEASE_MS
+
+
+class SuspendableTimer(LoopTimer):
+    """Timer of a process that can be suspended: its clock goes on meanwhile, as CLOCK_BOOTTIME."""
+
+    def __init__(self):
+        super().__init__()
+        self.suspended_ms = 0.0
+
+    def now_ms(self):
+        """Return the current time, which includes time while suspended."""
+        return super().now_ms() + self.suspended_ms
+
+
+async def test_nothing_is_sent_with_a_permission_that_ran_out_while_suspended(linked):
+    """Guards against a process that wakes and acts on a permission of before its suspension."""
+    _, upstream, listener = linked
+    timer = SuspendableTimer()
+    link = Link(ENTRY, 1, LEASE_MS, lambda *_: upstream, listener, timer)
+    link.start()
+    link.tell(ExtendPermission(timer.now_ms() + defaults.LEADERSHIP_VALID_MS))
+    await asyncio.sleep(0.2)
+    timer.suspended_ms = defaults.LEADERSHIP_VALID_MS
+    link.tell(Start(StartOrder("j.0.0.0", 1, "text", "")))
+    await asyncio.sleep(0.2)
+    assert (upstream.starts, listener.outcomes) == ([], ["refused"])
+    await link.stop()
