--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -290,12 +290,14 @@
 
 
 @pytest.mark.parametrize("body", ODD_BODIES.values(), ids=ODD_BODIES)
-async def test_an_odd_answer_of_the_leader_is_no_answer(run_node, serve_standin, body):
+async def test_an_odd_answer_of_the_leader_is_no_answer(run_node, serve_standin, wait_for, body):
     """Guards against a caller that waits until its deadline, as its request failed silently."""
 
     served = await serve_standin(ConstantPeer(body))
     node = await run_node()
     assert await node.caller.submit(f"/q/{JOB_ID}", JOB) == 200
+    # Once it leads itself, nothing replaces the leader that it is told of next.
+    assert await wait_for(lambda: node.scheduler is not None)
     node.opened.node.request_handler.tell(CurrentLeader(Leader("other", served.address, 9), None))
     statuses = [
         (await asyncio.wait_for(node.caller.call("GET", path), 2.0))[0]
