Ask all candidates before a survey calls its entry VM isolated; expire their records

What callers saw: after enough replaced entry VMs no leader was elected any more. Jobs were accepted and never ran, and every query got 503 leader_unavailable, with all entry VMs up.

Cause: a candidate's record in keyed.candidates outlives its entry VM, and a survey asked only the 16 ablest records. Once these were all of removed entry VMs, nobody answered, the owner of the partition took itself for isolated and left the group, and so did each next owner. The same survey made a healthy leader with poor reach resign.

Change: a survey without any answer goes on to the other candidates, so the content of the store cannot keep entry VMs that reach each other from electing one. So that the topic does not grow, candidates renew their records about once a minute and the leader removes a record that it has found unchanged at four of its own renewals, on condition that nothing was recorded since its read. Counting renewals instead of time expires nothing while the store is away.

--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -1,12 +1,12 @@
-"""Choice of the entry VM that should lead, from a survey of the candidates."""
+"""Choice of the entry VM that should lead from a survey of the candidates, and their expiry."""
 
 from __future__ import annotations
 
 import enum
 import json
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 from . import defaults
 from .decoding import check_address, check_float, check_int, decoder, parse_object
@@ -162,10 +162,64 @@
     return min(able, key=lambda candidate: (-candidate.ability, candidate.name), default=None)
 
 
+def _rank(candidates: Iterable[Candidate]) -> list[Candidate]:
+    return sorted(candidates, key=lambda candidate: (-candidate.ability, candidate.name))
+
+
 def select_respondents(candidates: Iterable[Candidate]) -> tuple[Candidate, ...]:
-    """Return the candidates to ask: the ablest ones."""
-    ranked = sorted(candidates, key=lambda candidate: (-candidate.ability, candidate.name))
-    return tuple(ranked[: defaults.SURVEY_CANDIDATE_COUNT])
+    """Return the candidates to ask first: the ablest ones."""
+    return tuple(_rank(candidates)[: defaults.SURVEY_CANDIDATE_COUNT])
+
+
+def survey_rounds(candidates: Iterable[Candidate]) -> Iterator[tuple[Candidate, ...]]:
+    """Yield the candidates to ask in each round of a survey, the ablest ones in the first.
+
+    A later round is for a survey without any answer: the candidates asked before may have been
+    removed, which is no sign that the others cannot be reached.
+    """
+    ranked = _rank(candidates)
+    start, count = 0, defaults.SURVEY_CANDIDATE_COUNT
+    while start < len(ranked):
+        yield tuple(ranked[start : start + count])
+        start, count = start + count, defaults.SURVEY_ROUND_COUNT
+
+
+@frozen
+class _Sighting:
+    """Offset of a record, and how many later observations found it unchanged."""
+
+    offset: int
+    unchanged_count: int = 0
+
+
+@define
+class RecordWatch:
+    """Finds the records of candidates that are no longer renewed.
+
+    It counts observations, one in each renewal period of the observer, instead of time: while the
+    store is down, there are neither renewals nor observations.
+    """
+
+    _sightings: dict[str, _Sighting] = field(factory=dict, init=False)
+
+    def observe(self, offsets: Mapping[str, int]) -> tuple[str, ...]:
+        """Return the names whose records have expired.
+
+        :param offsets: offset of the newest record of each candidate, by name.
+        """
+        sightings = {}
+        for name, offset in offsets.items():
+            earlier = self._sightings.get(name)
+            unchanged_count = 0
+            if earlier is not None and earlier.offset == offset:
+                unchanged_count = earlier.unchanged_count + 1
+            sightings[name] = _Sighting(offset, unchanged_count)
+        self._sightings = sightings
+        return tuple(
+            name
+            for name, sighting in sightings.items()
+            if sighting.unchanged_count >= defaults.CANDIDATE_EXPIRY_COUNT
+        )
 
 
 def is_settled(
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -166,11 +166,18 @@
 REFERENCE_LEADER_LINK_MBPS = 100
 # Number of candidates that are asked before an epoch is claimed, the ablest ones first.
 SURVEY_CANDIDATE_COUNT = 16
+# If none of them answers, the others are asked, so many at the same time.
+SURVEY_ROUND_COUNT = 128
 # So many answers about a leader that the entry VM itself does not reach are enough.
 SURVEY_WITNESS_COUNT = 3
 # At a first start, and after all entry VMs were killed, abler ones start within this time.
 ELECTION_SETTLE_MS = 1_000
 CANDIDATE_RETRY_MS = 1_000
+# Entry VMs renew their records as candidates about this often. The leader removes a record that it
+# has found unchanged this many times in a row, which one lost renewal does not cause.
+CANDIDATE_RENEWAL_MS = 60_000
+CANDIDATE_RENEWAL_JITTER_RATIO = 0.25
+CANDIDATE_EXPIRY_COUNT = 4
 # An entry VM whose claim has failed does not offer to lead again for this long.
 CLAIM_RETRY_MS = 1_000
 # An entry VM that reaches neither the leader nor a candidate leaves the group for this multiple of
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -11,12 +11,14 @@
 import asyncio
 import functools
 import logging
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from attrs import define, frozen
 
 from . import defaults, metrics
+from .candidacy import Candidacy, CandidateStore
 from .candidates import (
     Candidate,
     CandidateStatus,
@@ -48,7 +50,7 @@
 )
 from .mailbox import Actor, implements_action, receives, resolve
 from .storage import Membership
-from .survey import CandidatePeers, CandidateStore, Surveyor
+from .survey import CandidatePeers, Surveyor
 from .timer import Timer
 
 logger = logging.getLogger(__name__)
@@ -162,6 +164,8 @@
         self._peers = peers
         self._reaches_upstream = reaches_upstream
         self._malformed = MalformedLog("election")
+        self._candidacy = Candidacy(candidate, store)
+        self._publication_tried = asyncio.Event()
         self._surveyor = Surveyor(candidate, store, peers)
         self._ttl_ms = ttl_ms
         self._role = _Role(self.chart.initial)
@@ -188,21 +192,31 @@
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
         self._started_ms = self._timer.now_ms()
+        self.spawn_loop(self._keep_record)
         self.spawn_loop(self._take_part)
         self.subscribe(self._timer.every(defaults.LEADERSHIP_CHECK_MS), _Tick())
 
+    async def _keep_record(self) -> None:
+        """Record this entry VM as a candidate and renew the record."""
+        # Renewals of entry VMs that start together are spread by the jitter.
+        rng = random.Random(self._candidate.name)
+        while True:
+            recorded = await self._candidacy.publish()
+            self._publication_tried.set()
+            if self._role.state != "leader":
+                self._candidacy.stop_watching()
+            elif recorded:
+                await self._candidacy.remove_expired()
+            jitter = defaults.CANDIDATE_RENEWAL_JITTER_RATIO * rng.uniform(-1.0, 1.0)
+            renewal_ms = defaults.CANDIDATE_RENEWAL_MS * (1.0 + jitter)
+            delay_ms = renewal_ms if recorded else defaults.CANDIDATE_RETRY_MS
+            await asyncio.sleep(delay_ms / 1_000)
+
     async def _take_part(self) -> None:
         # The record comes before the membership, so that the owner of the partition finds it.
-        if not await self._surveyor.publish():
-            self.spawn(self._retry_publication())
+        await self._publication_tried.wait()
         await self._renew_membership()
 
-    async def _retry_publication(self) -> None:
-        published = False
-        while not published:
-            await asyncio.sleep(defaults.CANDIDATE_RETRY_MS / 1_000)
-            published = await self._surveyor.publish()
-
     async def _renew_membership(self) -> None:
         while not self._leaving:
             # A renewal without an answer must not delay the next one, as a single lost answer would
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -134,8 +134,8 @@
             )
             for part in intake.partitions_of(settings.name, settings.topic_part_count)
         )
-        # One connection for the leader and one for each candidate of a survey.
-        self._probe_client = PeerClient(defaults.SURVEY_CANDIDATE_COUNT + 1)
+        # One connection for the leader and one for each candidate of a round of a survey.
+        self._probe_client = PeerClient(defaults.SURVEY_ROUND_COUNT + 1)
         self._recent_until_ms = 0.0
         self.election = Election(
             self.incarnation,
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -1,15 +1,16 @@
-"""Publishes this entry VM as a candidate for the leadership, and asks the other candidates."""
+"""Asks the recorded leader and the candidates, for an election."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Collection, Mapping
-from typing import Any, Protocol, TypeVar
+from typing import Protocol, TypeVar
 
-from attrs import field, frozen
+from attrs import define, field, frozen
 
 from . import defaults
+from .candidacy import CANDIDATE_TOPIC
 from .candidates import (
     Candidate,
     CandidateStatus,
@@ -17,24 +18,14 @@
     choose_successor,
     decode_candidate,
     select_respondents,
+    survey_rounds,
 )
 from .decoding import MalformedLog
-from .errors import DecodeError, PeerError, StoreConflictError, StoreRefusedError, StoreUnknownError
+from .errors import DecodeError, PeerError, StoreRefusedError, StoreUnknownError
 from .follower import ReadStore, read_newest
-from .storage import Appended
 
 logger = logging.getLogger(__name__)
 
-CANDIDATE_TOPIC = "keyed.candidates"
-
-
-class CandidateStore(ReadStore, Protocol):
-    """The methods of the store's client that a survey uses."""
-
-    async def append(
-        self, topic: str, records: Any, *, part: int = 0, expected_end: int | None = None
-    ) -> Appended: ...
-
 
 class CandidatePeers(Protocol):
     """The methods of the peers' client that an election uses; each raises PeerError."""
@@ -52,6 +43,25 @@
 IsSettled = Callable[[Mapping[str, CandidateStatus], tuple[Candidate, ...], Collection[str]], bool]
 
 
+@define
+class _Answers:
+    """What a survey has found out so far.
+
+    :param statuses: answers by name.
+    :param answered: names of the respondents that have answered or failed.
+    """
+
+    respondents: tuple[Candidate, ...] = ()
+    statuses: dict[str, CandidateStatus] = field(factory=dict)
+    answered: set[str] = field(factory=set)
+
+    def add(self, name: str, status: CandidateStatus | None) -> None:
+        """Add the answer of a respondent, None if it has failed."""
+        self.answered.add(name)
+        if status is not None:
+            self.statuses[name] = status
+
+
 @frozen
 class Surveyor:
     """Calls of an election to the store and to other candidates; the election owns the clients.
@@ -61,19 +71,10 @@
     """
 
     own: Candidate
-    store: CandidateStore
+    store: ReadStore
     peers: CandidatePeers
     malformed: MalformedLog = field(factory=lambda: MalformedLog("candidates"))
 
-    async def publish(self) -> bool:
-        """Record this entry VM as a candidate; return whether the store has confirmed it."""
-        try:
-            await self.store.append(CANDIDATE_TOPIC, [(self.own.name, self.own.encode())])
-        except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
-            logger.warning("cannot record the candidate", extra={"reason": str(error)})
-            return False
-        return True
-
     async def query_leader(self, address: str) -> tuple[LeaderView, str]:
         """Query the recorded leader; return the result and a reason for the log.
 
@@ -91,7 +92,9 @@
     async def query_candidates(
         self, leader_address: str, is_settled: IsSettled | None = None
     ) -> tuple[tuple[Candidate, ...], dict[str, CandidateStatus]]:
-        """Return the other recorded candidates, and the answers of the ablest ones by name.
+        """Return the other recorded candidates, and the answers of those asked by name.
+
+        The ablest ones are asked; the others as well if none of these answers.
 
         :param leader_address: leader that they should query as well, empty for none.
         :param is_settled: tells from the answers so far, the respondents and the names of those
@@ -99,28 +102,48 @@
         """
         recorded = await self._read_candidates()
         others = tuple(candidate for candidate in recorded if candidate.name != self.own.name)
-        respondents = select_respondents(others)
+        survey = _Answers()
+        for respondents in survey_rounds(others):
+            survey.respondents += respondents
+            await self._ask_round(respondents, leader_address, survey, is_settled)
+            if survey.statuses:
+                break
+        logger.info(
+            "candidates asked",
+            extra={
+                "recorded_count": len(others),
+                "asked_count": len(survey.respondents),
+                "answer_count": len(survey.statuses),
+            },
+        )
+        return others, survey.statuses
+
+    async def _ask_round(
+        self,
+        respondents: tuple[Candidate, ...],
+        leader_address: str,
+        survey: _Answers,
+        is_settled: IsSettled | None,
+    ) -> None:
+        """Ask candidates, and add their answers to those of earlier rounds."""
 
         def query(address: str) -> Awaitable[CandidateStatus]:
             return self.peers.query_candidate(address, leader_address)
 
         queries = {asyncio.ensure_future(self._ask(c, query)): c for c in respondents}
-        statuses: dict[str, CandidateStatus] = {}
-        answered: set[str] = set()
         pending = set(queries)
         try:
             while pending:
-                if is_settled is not None and is_settled(statuses, respondents, answered):
+                if is_settled is not None and is_settled(
+                    survey.statuses, survey.respondents, survey.answered
+                ):
                     break
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
-                    answered.add(queries[task].name)
-                    if (status := task.result()) is not None:
-                        statuses[queries[task].name] = status
+                    survey.add(queries[task].name, task.result())
         finally:
             for task in pending:
                 task.cancel()
-        return others, statuses
 
     async def find_successor(
         self, upstream_addresses: tuple[str, ...], own_count: int
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -14,14 +14,17 @@
 from standins.virtual import (
     Simulation,
     VirtualLink,
+    VirtualStoreClient,
     patch_peer_client,
     run_in_virtual_time,
 )
 from tarragoncart import defaults
+from tarragoncart.candidacy import Candidacy
 from tarragoncart.candidates import (
     Candidate,
     CandidateStatus,
     LeaderView,
+    RecordWatch,
     Survey,
     choose_successor,
     decide,
@@ -312,6 +315,150 @@
     assert simulate(scenario)
 
 
+def record_removed_entry_vms(simulation, count):
+    """Record entry VMs that were removed for good; they are abler than all that are started."""
+    for number in range(count):
+        removed = Candidate(f"a-removed-{number}", f"a-removed-{number}:7000", **LARGE)
+        simulation.store.put("keyed.candidates", removed.name, removed.encode())
+
+
+@pytest.mark.parametrize("removed_count", [defaults.SURVEY_CANDIDATE_COUNT, 200])
+def test_records_of_removed_entry_vms_do_not_prevent_an_election(simulate, removed_count):
+    """Guards against a survey that asks removed entry VMs only and takes itself for isolated."""
+
+    async def scenario(simulation):
+        record_removed_entry_vms(simulation, removed_count)
+        await start_equal_nodes(simulation, 12)
+        await asyncio.sleep(3.0)
+        leader = leader_name(simulation)
+        await simulation.kill_node(leader)
+        await asyncio.sleep(6.0)
+        found = leader_name(simulation)
+        await stop_all(simulation)
+        return leader, found
+
+    first, second = simulate(scenario)
+    assert first and second and first != second
+
+
+def test_a_leader_with_poor_reach_is_not_isolated_by_removed_entry_vms(simulate):
+    """Guards against a healthy leader that resigns because only removed entry VMs are asked."""
+
+    async def scenario(simulation):
+        workers = [simulation.add_worker(f"i-{number}", Demand(1_000)) for number in range(6)]
+        await start_equal_nodes(simulation, 4)
+        await asyncio.sleep(4.0)
+        first = leader_name(simulation)
+        record_removed_entry_vms(simulation, defaults.SURVEY_CANDIDATE_COUNT)
+        for worker in workers[:4]:
+            worker.cut_entries.update(simulation.nodes)
+        await asyncio.sleep(15.0)
+        second, epochs = leader_name(simulation), epoch_count(simulation)
+        await stop_all(simulation)
+        return first == second, epochs
+
+    assert simulate(scenario) == (True, 1)
+
+
+def candidate_names(simulation):
+    """Return the names of the recorded candidates."""
+    newest = dict(simulation.store.part("keyed.candidates", 0).records)
+    return {name for name, value in newest.items() if value}
+
+
+@pytest.fixture
+def renewal_s(monkeypatch):
+    """Shorten the renewal period of the candidates' records and return its length."""
+    monkeypatch.setattr(defaults, "CANDIDATE_RENEWAL_MS", 1_000)
+    return 1.0
+
+
+def test_the_record_of_a_removed_entry_vm_expires(simulate, renewal_s):
+    """Guards against records that pile up in the store with each replaced entry VM."""
+
+    async def scenario(simulation):
+        record_removed_entry_vms(simulation, 20)
+        await start_equal_nodes(simulation, 4)
+        await asyncio.sleep(2.0)
+        await simulation.kill_node(leader_name(simulation))
+        await asyncio.sleep(2.0 + 2 * defaults.CANDIDATE_EXPIRY_COUNT * renewal_s)
+        result = candidate_names(simulation) == set(simulation.nodes), len(simulation.nodes)
+        await stop_all(simulation)
+        return result
+
+    assert simulate(scenario) == (True, 3)
+
+
+def test_candidates_stay_recorded_while_the_store_is_away(simulate, renewal_s):
+    """Guards against a leader that takes an outage of the store for the end of all others."""
+
+    async def scenario(simulation):
+        await start_equal_nodes(simulation, 4)
+        await asyncio.sleep(3.0)
+        simulation.store.refused_entries.update(simulation.nodes)
+        await asyncio.sleep(4 * defaults.CANDIDATE_EXPIRY_COUNT * renewal_s)
+        simulation.store.refused_entries.clear()
+        smallest_count = 4
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            smallest_count = min(smallest_count, len(candidate_names(simulation)))
+        await stop_all(simulation)
+        return smallest_count
+
+    assert simulate(scenario) == 4
+
+
+def test_an_entry_vm_whose_record_was_removed_is_recorded_again(simulate, renewal_s):
+    """Guards against a live entry VM that is no candidate after the store refused it for long."""
+
+    async def scenario(simulation):
+        await start_equal_nodes(simulation, 4)
+        await asyncio.sleep(3.0)
+        refused = next(name for name in simulation.nodes if name != leader_name(simulation))
+        simulation.store.refused_entries.add(refused)
+        await asyncio.sleep(4 * defaults.CANDIDATE_EXPIRY_COUNT * renewal_s)
+        removed = refused not in candidate_names(simulation)
+        simulation.store.refused_entries.clear()
+        await asyncio.sleep(2 * renewal_s)
+        result = removed, refused in candidate_names(simulation)
+        await stop_all(simulation)
+        return result
+
+    assert simulate(scenario) == (True, True)
+
+
+def test_a_renewed_record_does_not_expire():
+    """Guards against the removal of a candidate that renews its record less often than planned."""
+    watch = RecordWatch()
+    for _ in range(defaults.CANDIDATE_EXPIRY_COUNT):
+        assert watch.observe({"live": 1, "removed": 2}) == ()
+    assert watch.observe({"live": 3, "removed": 2}) == ("removed",)
+
+
+def test_a_record_that_is_renewed_after_the_read_stays(simulate):
+    """Guards against a late removal that takes a live candidate's renewed record away."""
+
+    class RenewingStore(VirtualStoreClient):
+        async def newest(self, topic, part=0):
+            async for page in super().newest(topic, part):
+                yield page
+            if self.renews:
+                self._state.put(topic, "live", b"renewed")
+
+    async def scenario(simulation):
+        store = RenewingStore(simulation.store, "n-0")
+        store.renews = False
+        simulation.store.put("keyed.candidates", "live", b"recorded")
+        candidacy = Candidacy(Candidate("n-0", "n-0:7000", **SMALL), store)
+        for _ in range(defaults.CANDIDATE_EXPIRY_COUNT):
+            await candidacy.remove_expired()
+        store.renews = True
+        await candidacy.remove_expired()
+        return candidate_names(simulation)
+
+    assert simulate(scenario) == {"live"}
+
+
 async def lead_without_reach(simulation, unreached_names, names):
     """Cut the leader, or all entry VMs, off from workers; return old and new leader and epochs.
 
