Keep the saved progress and the failures of a gang for the gang, not for each task

What callers saw: a gang that saves its progress never ended after one of its workers had crashed. It was started again and again, each run ended alone after gang-ms, and the job stayed running.

Cause: the leader kept the saved progress by task, and sent each task of a gang the value that the task itself had saved. The tasks of a run have to carry the same value; with two values they never work together. The run number was made equal, the value was not. Failures were counted by task as well, so that a gang whose tasks failed in turn was started more often than its queue's max-attempts, though a gang fails as a whole.

Change: the tasks of a gang share one history of saved progress and failed runs. The value that any of them saved last is that of all. A record of an earlier version, with a value for each task, is restored as one.

Evidence: failed before, pass now: test_a_gang_resumes_from_one_checkpoint, test_a_gang_resumes_from_one_checkpoint_under_a_new_leader, test_a_gang_fails_as_often_as_its_queue_allows. test_a_run_of_a_gang_fails_once held before, too.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -15,13 +15,17 @@
 
 @define
 class Run:
-    """A run in progress, which ends with ``outcome`` at ``end_ms``."""
+    """A run in progress, which ends with ``outcome`` at ``end_ms``.
+
+    :param saved: progress that it has saved, empty for none.
+    """
 
     task: str
     run: int
     end_ms: float
     outcome: str
     percent: int = 100
+    saved: str = ""
 
 
 @define
@@ -57,8 +61,9 @@
     :param started_ms: start time of the worker process, which identifies it.
     :param until_ms: end of the lease on the worker's clock.
     :param last_ended_runs: highest ended or stopped run number of each task.
-    :param unacknowledged_ends: ends, as (sequence number, task, run, outcome, message).
+    :param unacknowledged_ends: ends, as (sequence number, task, run, outcome, saved progress).
     :param starts: all starts carried out, as (task, run, token).
+    :param checkpoints: progress with which runs were started, as (task, run, saved progress).
     :param stopping: tasks whose run is being stopped.
     """
 
@@ -74,6 +79,7 @@
     ended_count: int = 0
     acknowledged: int = 0
     starts: list[tuple[str, int, int]] = Factory(list)
+    checkpoints: list[tuple[str, int, str]] = Factory(list)
     specs: dict[str, str] = Factory(dict)
     tickets: dict[str, str] = Factory(dict)
     stopping: set[str] = Factory(set)
@@ -94,9 +100,9 @@
         self.last_ended_runs.clear()
         self.unacknowledged_ends.clear()
 
-    def finish(self, task: str) -> None:
-        """End the run of a task with outcome ``done`` now."""
-        self._end(self.runs[task], "done")
+    def finish(self, task: str, outcome: str = "done") -> None:
+        """End the run of a task now."""
+        self._end(self.runs[task], outcome)
 
     def _advance(self) -> None:
         now_ms = self.clock_ms()
@@ -111,7 +117,9 @@
         del self.runs[run.task]
         self.last_ended_runs[run.task] = run.run
         self.ended_count += 1
-        self.unacknowledged_ends.append((self.ended_count, run.task, run.run, run_outcome, ""))
+        self.unacknowledged_ends.append(
+            (self.ended_count, run.task, run.run, run_outcome, run.saved)
+        )
         self.changed.set()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -151,6 +159,7 @@
             percent = 0 if self.faults.stalled else 100
             self.runs[task] = Run(task, run_number, end_ms, self.faults.outcome, percent)
             self.starts.append((task, run_number, self.fencing_token))
+            self.checkpoints.append((task, run_number, data.get("checkpoint", "")))
             self.specs[task] = data["spec"]
             self.tickets[task] = data.get("ticket", "")
             if self.work_ms:
@@ -193,7 +202,7 @@
                 pass
             self._advance()
         running = [
-            [run.task, run.run, "", run.percent, 0]
+            [run.task, run.run, run.saved, run.percent, 0]
             for run in self.runs.values()
             if run.task not in self.stopping
         ]
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -40,15 +40,29 @@
 ENDED = frozenset((COMPLETED, FAILED, CANCELLED))
 
 
+@define(eq=False)
+class RunHistory:
+    """What earlier runs of a task have left for the next one; the tasks of a gang share it.
+
+    A gang saves progress and fails as a whole: the value that any of its tasks has saved resumes
+    all of them, and a run counts as failed once, whichever of its tasks fails.
+
+    :param failed_runs: numbers of the runs that failed. They count against the queue's maximum of
+        attempts; as a set of numbers, each counts once even if two leaders process its end.
+    :param checkpoint: saved progress from which the next run resumes, empty for none.
+    """
+
+    failed_runs: set[int] = field(factory=set)
+    checkpoint: str = ""
+
+
 @define(eq=False)
 class Task:
     """A task of one occurrence of a step.
 
     :param run: number of its current or latest run, 0 before the first.
     :param upstream_id: upstream of that run.
-    :param failed_runs: numbers of the runs that failed. They count against the queue's maximum of
-        attempts; as a set of numbers, each counts once even if two leaders process its end.
-    :param checkpoint: saved progress from which the next run resumes, empty for none.
+    :param history: failures and saved progress, shared by the tasks of a gang.
     :param failed_on: upstreams on which a run failed.
     :param percent: as reported by the upstream: share of full speed of a long-running task,
         completed share of the work of any other task.
@@ -68,8 +82,7 @@
     state: str = TASK_CHART.initial
     run: int = 0
     upstream_id: str = ""
-    failed_runs: set[int] = field(factory=set)
-    checkpoint: str = ""
+    history: RunHistory = field(factory=RunHistory)
     failed_on: set[str] = field(factory=set)
     percent: int = 0
     tracker: ProgressTracker = field(factory=ProgressTracker)
@@ -97,7 +110,7 @@
         """Whether its runs have failed as often as its queue allows attempts."""
         if self.step.spec.long_running:
             return False
-        return len(self.failed_runs) >= self.step.job.submission.max_attempts
+        return len(self.history.failed_runs) >= self.step.job.submission.max_attempts
 
     @property
     def startable(self) -> bool:
@@ -105,7 +118,7 @@
         if (
             self.step.job.unreadable
             or self.state != "waiting"
-            or (self.failed_runs and self.exhausted)
+            or (self.history.failed_runs and self.exhausted)
         ):
             return False
         return not self.copies or self.step.spec.copyable
@@ -242,7 +255,11 @@
         created = []
         for number, spec in enumerate(self.submission.spec.steps):
             step = StepOccurrence(self, occurrence, number, spec)
-            step.tasks = [Task(step, index) for index in range(spec.task_count)]
+            shared = RunHistory()
+            step.tasks = [
+                Task(step, index, history=shared if spec.gang else RunHistory())
+                for index in range(spec.task_count)
+            ]
             self.steps[occurrence, number] = step
             created.append(step)
         self.released_count = max(self.released_count, occurrence + 1)
@@ -324,8 +341,8 @@
         code = _PLACED_CODE if placed else _STATE_CODES.get(task.state, _WAITING_CODE)
         row: list[Any] = [task.index, code, task.run]
         if code != "d":
-            failed_runs = sorted(task.failed_runs)
-            row += [task.upstream_id if placed else "", failed_runs, task.checkpoint]
+            failed_runs = sorted(task.history.failed_runs)
+            row += [task.upstream_id if placed else "", failed_runs, task.history.checkpoint]
             while not row[-1] and len(row) > 3:
                 row.pop()
         rows.append(row)
@@ -372,8 +389,9 @@
         task.state = row.state
         task.run = row.run
         task.upstream_id = row.upstream_id
-        task.failed_runs = set(row.failed_runs)
-        task.checkpoint = row.checkpoint
+        task.history.failed_runs.update(row.failed_runs)
+        # Earlier versions stored a value for each task of a gang; any of them is valid for all.
+        task.history.checkpoint = row.checkpoint or task.history.checkpoint
     step.done_count = sum(task.state == "done" for task in step.tasks)
 
 
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -234,7 +234,7 @@
         ]
         for task, slowness in measured:
             spec = task.step.spec
-            resumes = spec.checkpointing and bool(task.checkpoint)
+            resumes = spec.checkpointing and bool(task.history.checkpoint)
             if spec.gang or task.restart_count >= defaults.RESTART_LIMIT_COUNT:
                 continue
             if not task.tracker.restart_ends_sooner(spec.estimate_ms, slowness, resumes):
@@ -288,11 +288,11 @@
             self._process_orphan(upstream, key)
             return
         if live.checkpoint:
-            task.checkpoint = live.checkpoint
+            task.history.checkpoint = live.checkpoint
         task.percent = 0 if upstream.may_go_down else live.percent
         task.load = live.load
         now_ms = self._timer.now_ms()
-        resuming = task.checkpoint and now_ms - task.assigned_ms < defaults.RESUME_GRACE_MS
+        resuming = task.history.checkpoint and now_ms - task.assigned_ms < defaults.RESUME_GRACE_MS
         if not resuming and not task.step.spec.long_running:
             task.tracker.observe(now_ms, live.percent)
         if task.state != "running":
@@ -330,7 +330,7 @@
             self._process_ended_orphan(upstream, task, ended)
             return
         if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
+            task.history.checkpoint = ended.checkpoint
         if ended.outcome in ("done", "failed"):
             upstream.slot.record_outcome(ended.outcome == "failed")
         metrics.RUNS.add(1, metrics.labels(outcome=ended.outcome))
@@ -344,7 +344,7 @@
                     "run": task.run,
                     "upstream": upstream_id,
                     "outcome": ended.outcome,
-                    "failed_count": len(task.failed_runs),
+                    "failed_count": len(task.history.failed_runs),
                 },
             )
         if (task.placed or event == "done") and TASK_CHART.accepts(task.state, event):
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -253,7 +253,7 @@
         for step in job.steps.values():
             self._queue_if_ready(step)
         for task in job.tasks():
-            if task.failed_runs and task.exhausted:
+            if task.history.failed_runs and task.exhausted:
                 # An earlier leader may have waited for a copy, which is not in the stored state.
                 self._requeue_step(task)
         self._complete_job_if_done(job)
@@ -423,7 +423,9 @@
         if task.state == "waiting" and task.exhausted and not task.copies:
             self._apply_event(task, "abandon")
             self._end_job(
-                job, jobmodel.FAILED, f"task {task.name} failed {len(task.failed_runs)} times"
+                job,
+                jobmodel.FAILED,
+                f"task {task.name} failed {len(task.history.failed_runs)} times",
             )
             return
         if not task.exhausted:
@@ -455,7 +457,7 @@
     def _record_failure(self, task: Task, run: int, upstream_id: str) -> None:
         task.failed_on.add(upstream_id)
         if not task.step.spec.long_running:
-            task.failed_runs.add(run)
+            task.history.failed_runs.add(run)
             self._dirty_steps[task.step] = None
             self._requeue_step(task)
 
@@ -466,7 +468,7 @@
             task.name,
             task.run,
             task.step.job.submission.spec.text,
-            task.checkpoint,
+            task.history.checkpoint,
             task.step.tickets.get(task.upstream_id, ""),
         )
         if upstream.link is not None:
--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,125 @@
+"""Tests of gangs: tasks that are started, saved, retried and done together."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import define
+
+from standins.taskworker import TaskWorker
+
+JOB_ID = "5c0e7a21d94b36f8"
+PATH = f"/q/{JOB_ID}"
+FIRST, SECOND = f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"
+# A worker has room for one task, so that each of them runs on a worker of its own.
+GANG = {"count": 2, "cpu": 9_000, "mem-mb": 256, "est-ms": 30_000, "gang": True}
+
+
+async def wait_until(condition, timeout_s=8.0):
+    """Wait until a condition holds and return whether it does."""
+    for _ in range(int(timeout_s / 0.02)):
+        if condition():
+            return True
+        await asyncio.sleep(0.02)
+    return False
+
+
+@define
+class RunningGang:
+    """A job of one gang of two tasks, and the workers that run it."""
+
+    node: object
+    workers: tuple[TaskWorker, ...]
+
+    def worker(self, task):
+        """Return the worker that runs a task."""
+        return next(worker for worker in self.workers if task in worker.runs)
+
+    def checkpoints(self, run):
+        """Return the saved progress with which each task of a run was started."""
+        rows = [row for worker in self.workers for row in worker.checkpoints]
+        return sorted((task, saved) for task, number, saved in rows if number == run)
+
+    async def started(self, run):
+        """Wait until both tasks run with a number, and return whether they do."""
+        return await wait_until(
+            lambda: sorted(r.task for w in self.workers for r in w.runs.values() if r.run == run)
+            == [FIRST, SECOND]
+        )
+
+    async def listed(self, run):
+        """Wait until the leader knows that both tasks run, and return whether it does."""
+        tasks = list(self.node.scheduler._jobs[JOB_ID].tasks())
+        return await wait_until(
+            lambda: all(task.run == run and task.state == "running" for task in tasks)
+        )
+
+
+@pytest.fixture
+def run_gang(run_node, add_worker):
+    """Submit a gang of two endless tasks and return it when both are known to run."""
+
+    async def start(worker_count=3, **step):
+        workers = [
+            await add_worker(f"i-{number}", TaskWorker(work_ms=0)) for number in range(worker_count)
+        ]
+        node = await run_node()
+        job = {"spec": "text", "steps": [{**GANG, **step}]}
+        assert await node.caller.submit(PATH, job) == 200
+        gang = RunningGang(node, tuple(workers))
+        assert await gang.started(1)
+        assert await gang.listed(1)
+        return gang
+
+    return start
+
+
+async def test_a_gang_resumes_from_one_checkpoint(run_gang):
+    """Guards against tasks of a gang that resume from values of their own and never meet."""
+    gang = await run_gang(checkpointing=True)
+    lost, kept = gang.worker(SECOND), gang.worker(FIRST)
+    kept.runs[FIRST].saved, lost.runs[SECOND].saved = "saved-first", "saved-second"
+    await asyncio.sleep(1.5)
+    kept.runs[FIRST].saved = "saved-at-the-end"
+    kept.finish(FIRST, "broken")
+    lost.restart()
+    assert await gang.started(2)
+    assert gang.checkpoints(2) == [(FIRST, "saved-at-the-end"), (SECOND, "saved-at-the-end")]
+
+
+async def test_a_gang_resumes_from_one_checkpoint_under_a_new_leader(run_gang, run_node, store):
+    """Guards against a new leader that restores another value for each task of a gang."""
+    gang = await run_gang(checkpointing=True)
+    await gang.node.stop()
+    # A record of an earlier version, with two values.
+    rows = [[0, "w", 1, "", [], "saved-first"], [1, "w", 1, "", [], "saved-second"]]
+    store.standin.put("keyed.state", f"{JOB_ID}.0.0", rows)
+    for worker in gang.workers:
+        worker.restart()
+    gang.node = await run_node("node-2")
+    assert await gang.started(2)
+    saved = {value for _, value in gang.checkpoints(2)}
+    assert len(saved) == 1 and saved <= {"saved-first", "saved-second"}
+
+
+async def test_a_gang_fails_as_often_as_its_queue_allows(run_gang):
+    """Guards against a gang that runs more often than allowed, as its tasks fail in turn."""
+    gang = await run_gang()
+    for run, failing, other in ((1, FIRST, SECOND), (2, SECOND, FIRST)):
+        assert await gang.started(run)
+        gang.worker(failing).finish(failing, "failed")
+        gang.worker(other).finish(other, "broken")
+    assert await gang.node.caller.phase(PATH, "failed") == "failed"
+    assert not gang.checkpoints(3)
+
+
+async def test_a_run_of_a_gang_fails_once(run_gang):
+    """Guards against a gang that fails too early, as two of its tasks fail in one run."""
+    gang = await run_gang()
+    for task in (FIRST, SECOND):
+        gang.worker(task).finish(task, "failed")
+    assert await gang.started(2)
+    for task in (FIRST, SECOND):
+        gang.worker(task).finish(task)
+    assert await gang.node.caller.phase(PATH, "completed") == "completed"
--- a/tests/test_jobmodel.py
+++ b/tests/test_jobmodel.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
-from tarragoncart.jobmodel import Job, decode_step, encode_step
+from tarragoncart.jobmodel import Job, RunHistory, decode_step, encode_step
 
 
 @pytest.fixture
@@ -26,12 +26,12 @@
     A new leader processes the end of a run again that an earlier leader has already counted.
     """
     step, restored = make_step(), make_step()
-    step.tasks[0].run, step.tasks[0].failed_runs = 1, {1}
+    step.tasks[0].run, step.tasks[0].history.failed_runs = 1, {1}
     decode_step(restored, encode_step(step))
     task = restored.tasks[0]
-    task.failed_runs.add(1)
+    task.history.failed_runs.add(1)
     assert not task.exhausted and task.startable
-    task.failed_runs.add(2)
+    task.history.failed_runs.add(2)
     assert task.exhausted and not task.startable
 
 
@@ -40,12 +40,12 @@
     step, restored = make_step(), make_step()
     first, second, _ = step.tasks
     first.state, first.run, first.upstream_id = "running", 3, "i-1"
-    first.failed_runs, first.checkpoint = {1, 2}, "saved"
+    first.history = RunHistory({1, 2}, "saved")
     second.state, second.run = "done", 1
     decode_step(restored, encode_step(step))
     copy = restored.tasks[0]
     assert (copy.state, copy.run, copy.upstream_id) == ("started", 3, "i-1")
-    assert (copy.failed_runs, copy.checkpoint) == ({1, 2}, "saved")
+    assert (copy.history.failed_runs, copy.history.checkpoint) == ({1, 2}, "saved")
     assert restored.tasks[1].state == "done" and restored.done_count == 1
     assert restored.tasks[2].startable
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -493,7 +493,7 @@
 def test_a_failure_counts_for_a_task_that_waits_for_a_copy(simulate):
     """Guards against more runs than the maximum of attempts after an upstream was silent."""
     (task,) = simulate(1, scenario=_fail_a_run_while_its_worker_is_silent).tasks
-    assert (task.state, task.run, task.failed_runs) == ("done", 2, {1})
+    assert (task.state, task.run, task.history.failed_runs) == ("done", 2, {1})
 
 
 async def _delay_a_start_at_a_silent_worker(simulation, config, faults, unlisted=False):
