Count one end of a gang as the end of all its tasks

What callers saw: a job whose gang had ended stayed running for good, and the steps that depend on the gang never started, if one worker was lost before it had listed its own end.

Cause: the end was kept by task. A gang ends done together, and one end represents all of them; the leader ran the task again whose end it had not seen. A gang is placed only if all its tasks wait, so it was neither done nor started again, under a new leader either.

A stored state of an earlier version, with a part of a gang done, is restored as done.

Evidence: failed before, pass now: test_one_end_of_a_gang_represents_all, test_a_gang_done_in_part_under_an_earlier_version_is_done.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -35,6 +35,7 @@
     :param silent: whether calls get no response.
     :param lose_start_count: number of next starts that are carried out but get no response.
     :param outcome: outcome of runs that are started from now on.
+    :param refuse_start_count: number of next starts that are refused for lack of room.
     :param start_delay_ms: delay of the response to a start.
     :param stalled: whether runs that are started from now on make no progress.
     :param stop_ms: duration of a stop, during which the run is listed neither as running nor as
@@ -44,6 +45,7 @@
 
     silent: bool = False
     lose_start_count: int = 0
+    refuse_start_count: int = 0
     outcome: str = "done"
     stop_ms: float = 0.0
     start_delay_ms: float = 0.0
@@ -149,6 +151,9 @@
 
     async def _start(self, request: web.BaseRequest, data: Any) -> web.StreamResponse:
         task, run_number = data["task"], data["run"]
+        if self.faults.refuse_start_count:
+            self.faults.refuse_start_count -= 1
+            return self._refuse("room")
         current = self.runs.get(task)
         if current is None or current.run != run_number:
             if run_number <= self.last_ended_runs.get(task, 0):
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -392,6 +392,10 @@
         task.history.failed_runs.update(row.failed_runs)
         # Earlier versions stored a value for each task of a gang; any of them is valid for all.
         task.history.checkpoint = row.checkpoint or task.history.checkpoint
+    if step.spec.gang and any(task.state == "done" for task in step.tasks):
+        # Earlier versions waited for an end of each task of a gang.
+        for task in step.tasks:
+            task.state = "done"
     step.done_count = sum(task.state == "done" for task in step.tasks)
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -57,17 +57,30 @@
 
 
 @pytest.fixture
-def run_gang(run_node, add_worker):
-    """Submit a gang of two endless tasks and return it when both are known to run."""
+def submit_gang(run_node, add_worker):
+    """Submit a gang of two endless tasks to an entry VM with three workers."""
 
-    async def start(worker_count=3, **step):
-        workers = [
-            await add_worker(f"i-{number}", TaskWorker(work_ms=0)) for number in range(worker_count)
-        ]
+    async def submit(prepare=lambda node, workers: None, **step):
+        workers = [await add_worker(f"i-{n}", TaskWorker(work_ms=0)) for n in range(3)]
         node = await run_node()
+        assert await wait_until(lambda: node.scheduler is not None)
+        assert await wait_until(
+            lambda: sum(u.slot.usable for u in node.scheduler._upstreams.values()) == len(workers)
+        )
+        prepare(node, workers)
         job = {"spec": "text", "steps": [{**GANG, **step}]}
         assert await node.caller.submit(PATH, job) == 200
-        gang = RunningGang(node, tuple(workers))
+        return RunningGang(node, tuple(workers))
+
+    return submit
+
+
+@pytest.fixture
+def run_gang(submit_gang):
+    """Submit a gang of two endless tasks and return it when both are known to run."""
+
+    async def start(**step):
+        gang = await submit_gang(**step)
         assert await gang.started(1)
         assert await gang.listed(1)
         return gang
@@ -123,3 +136,24 @@
     for task in (FIRST, SECOND):
         gang.worker(task).finish(task)
     assert await gang.node.caller.phase(PATH, "completed") == "completed"
+
+
+async def test_one_end_of_a_gang_represents_all(run_gang):
+    """Guards against a job that never ends, as a worker was lost with its end of a gang."""
+    gang = await run_gang()
+    lost = gang.worker(SECOND)
+    gang.worker(FIRST).finish(FIRST)
+    lost.restart()
+    assert await gang.node.caller.phase(PATH, "completed") == "completed"
+    assert not gang.checkpoints(2)
+
+
+async def test_a_gang_done_in_part_under_an_earlier_version_is_done(run_gang, run_node, store):
+    """Guards against a job that an earlier version has left waiting for one task of a done gang."""
+    gang = await run_gang()
+    await gang.node.stop()
+    store.standin.put("keyed.state", f"{JOB_ID}.0.0", [[0, "d", 1], [1, "w", 1]])
+    for worker in gang.workers:
+        worker.restart()
+    gang.node = await run_node("node-2")
+    assert await gang.node.caller.phase(PATH, "completed") == "completed"
