Stop the rest of a gang when one of its tasks leaves the run

What callers would see: a gang of which one start is refused, or one assignment is withdrawn before it is sent, starts again only after the others have waited gang-ms and ended alone.

Cause: each task of a gang left its run for itself. The others kept waiting for it, though a gang is placed again as a whole only.

Change: a task of a gang that leaves a run without being done stops the others of that run, or withdraws them if they are only assigned. A new leader that finds a part of a gang running stops it as well: its predecessor may not have sent the stop.

Evidence: failed before, pass now: test_the_rest_of_a_gang_is_stopped_if_one_start_is_refused, test_a_gang_is_withdrawn_as_a_whole, test_a_new_leader_stops_the_rest_of_a_gang. test_a_gang_whose_upstream_is_removed_before_its_start_is_placed_again fails without the check in _mark_all_lost that this change needs.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -64,6 +64,7 @@
     :param until_ms: end of the lease on the worker's clock.
     :param last_ended_runs: highest ended or stopped run number of each task.
     :param unacknowledged_ends: ends, as (sequence number, task, run, outcome, saved progress).
+    :param ends: all ends, as (task, run, outcome).
     :param starts: all starts carried out, as (task, run, token).
     :param checkpoints: progress with which runs were started, as (task, run, saved progress).
     :param stopping: tasks whose run is being stopped.
@@ -79,6 +80,7 @@
     last_ended_runs: dict[str, int] = Factory(dict)
     unacknowledged_ends: list[tuple[int, str, int, str, str]] = Factory(list)
     ended_count: int = 0
+    ends: list[tuple[str, int, str]] = Factory(list)
     acknowledged: int = 0
     starts: list[tuple[str, int, int]] = Factory(list)
     checkpoints: list[tuple[str, int, str]] = Factory(list)
@@ -119,6 +121,7 @@
         del self.runs[run.task]
         self.last_ended_runs[run.task] = run.run
         self.ended_count += 1
+        self.ends.append((run.task, run.run, run_outcome))
         self.unacknowledged_ends.append(
             (self.ended_count, run.task, run.run, run_outcome, run.saved)
         )
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -187,6 +187,10 @@
         """Yield the tasks that wait for a new run."""
         return (task for task in self.tasks if task.startable)
 
+    def has_left(self, run: int) -> bool:
+        """Return whether one of its tasks has left a run without being done."""
+        return any(task.state == "waiting" and task.run == run for task in self.tasks)
+
     def upstream_counts(self) -> dict[str, int]:
         """Return the number of its runs on each upstream, current ones and others."""
         counts = Counter(task.upstream_id for task in self.tasks if task.placed)
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -302,7 +302,7 @@
             job = task.step.job
             if job.phase == jobmodel.QUEUED:
                 job.phase = jobmodel.RUNNING
-            if job.ended:
+            if job.ended or (task.step.spec.gang and task.step.has_left(task.run)):
                 self._stop_task(task)
 
     @staticmethod
@@ -430,7 +430,8 @@
                 late_starts = self._late_starts.setdefault(upstream.slot.entry.upstream_id, set())
                 late_starts.add((task.name, task.run))
                 upstream.link.tell(RejectLateStart(task.name, task.run))
-            if assigned or task.state != "assigned":
+            # The loss of one task of a gang withdraws the others that are assigned here as well.
+            if task.placed and (assigned or task.state != "assigned"):
                 self._mark_lost(task, reason)
 
     def _remove_upstream(self, upstream: KnownUpstream, reason: str) -> None:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -351,8 +351,19 @@
             upstream.slot.long_running_count -= task.step.spec.long_running
         task.percent = 0
         self._dirty_steps[task.step] = None
+        if task.step.spec.gang and task.state == "waiting":
+            self._stop_rest_of_gang(task)
         self._requeue_step(task)
 
+    def _stop_rest_of_gang(self, task: Task) -> None:
+        """Stop the other tasks of a run of a gang that one of them has left.
+
+        Those that were at work end anyway; those still waiting for the others would do so in vain.
+        """
+        for other in task.step.tasks:
+            if other.run == task.run:
+                self._stop_task(other)
+
     @implements_action("detach")
     def _detach(self, task: Task, start_uncertain: bool = False, **details: Any) -> None:
         """Turn the current run of a task into an orphan, which may continue at its upstream.
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -7,7 +7,8 @@
 import pytest
 from attrs import define
 
-from standins.taskworker import TaskWorker
+from standins.taskworker import TaskWorker, WorkerFaults
+from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 PATH = f"/q/{JOB_ID}"
@@ -157,3 +158,70 @@
         worker.restart()
     gang.node = await run_node("node-2")
     assert await gang.node.caller.phase(PATH, "completed") == "completed"
+
+
+async def test_the_rest_of_a_gang_is_stopped_if_one_start_is_refused(submit_gang):
+    """Guards against tasks of a gang that wait in vain for one whose start was refused."""
+
+    faults = WorkerFaults(refuse_start_count=1)
+
+    def refuse_one_start(node, workers):
+        for worker in workers:
+            worker.faults = faults
+
+    gang = await submit_gang(refuse_one_start)
+    assert await gang.started(2)
+    assert len(gang.checkpoints(1)) == 1
+
+
+async def test_a_gang_is_withdrawn_as_a_whole(submit_gang, store):
+    """Guards against the start of a part of a gang, as an upstream of another part is vacated."""
+
+    def refuse_appends(node, workers):
+        store.standin.faults.refused_parts = {"keyed.state": {0}}
+
+    gang = await submit_gang(refuse_appends)
+    scheduler = gang.node.scheduler
+    assert await wait_until(lambda: JOB_ID in scheduler._jobs)
+    tasks = list(scheduler._jobs[JOB_ID].tasks())
+    assert await wait_until(lambda: all(task.state == "assigned" for task in tasks))
+    scheduler.tell(VacateUpstream(tasks[0].upstream_id, None))
+    assert await wait_until(lambda: tasks[0].state == "waiting")
+    store.standin.faults.refused_parts = {}
+    assert await gang.started(2)
+    assert not gang.checkpoints(1)
+
+
+async def test_a_new_leader_stops_the_rest_of_a_gang(run_gang, run_node, store):
+    """Guards against a run that waits in vain, as only the earlier leader was to stop it."""
+    gang = await run_gang()
+    kept, lost = gang.worker(FIRST), gang.worker(SECOND)
+    first, _ = gang.node.scheduler._jobs[JOB_ID].tasks()
+    rows = [[0, "p", 1, first.upstream_id], [1, "w", 1]]
+    await gang.node.stop()
+    lost.restart()
+    store.standin.put("keyed.state", f"{JOB_ID}.0.0", rows)
+    gang.node = await run_node("node-2")
+    assert await gang.started(2)
+    assert (FIRST, 1, "stopped") in kept.ends
+
+
+async def test_a_gang_whose_upstream_is_removed_before_its_start_is_placed_again(
+    submit_gang, store
+):
+    """Guards against tasks of a gang at one upstream, each of which ends the other's assignment."""
+
+    def refuse_appends(node, workers):
+        store.standin.faults.refused_parts = {"keyed.state": {0}}
+
+    gang = await submit_gang(refuse_appends, cpu=1_000)
+    scheduler = gang.node.scheduler
+    assert await wait_until(lambda: JOB_ID in scheduler._jobs)
+    first, second = scheduler._jobs[JOB_ID].tasks()
+    assert await wait_until(lambda: first.state == second.state == "assigned")
+    removed = first.upstream_id
+    assert second.upstream_id == removed
+    scheduler.tell(UpstreamEnded(removed))
+    assert await wait_until(lambda: removed not in scheduler._upstreams)
+    store.standin.faults.refused_parts = {}
+    assert await gang.started(2)
