--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -4,7 +4,7 @@
 
 import enum
 import json
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 
 from attrs import define, field, frozen
 
@@ -171,17 +171,22 @@
     return tuple(_rank(candidates)[: defaults.SURVEY_CANDIDATE_COUNT])
 
 
-def survey_rounds(candidates: Iterable[Candidate]) -> Iterator[tuple[Candidate, ...]]:
-    """Yield the candidates to ask in each round of a survey, the ablest ones in the first.
+def survey_rounds(candidates: Sequence[Candidate]) -> Iterator[tuple[Candidate, ...]]:
+    """Yield the candidates to ask in each round of a survey.
 
-    A later round is for a survey without any answer: the candidates asked before may have been
-    removed, which is no sign that the others cannot be reached.
+    The first round asks the ablest ones and those recorded last, which are the least likely to have
+    been removed. A later round is for a survey without any answer: that all candidates asked before
+    have been removed is no sign that the others cannot be reached.
+
+    :param candidates: in the order of their records, the oldest one first.
     """
-    ranked = _rank(candidates)
-    start, count = 0, defaults.SURVEY_CANDIDATE_COUNT
-    while start < len(ranked):
-        yield tuple(ranked[start : start + count])
-        start, count = start + count, defaults.SURVEY_ROUND_COUNT
+    first = select_respondents(candidates)
+    newest = candidates[-defaults.SURVEY_NEWEST_COUNT :]
+    first += tuple(candidate for candidate in newest if candidate not in first)
+    yield first
+    others = _rank(candidate for candidate in candidates if candidate not in first)
+    for start in range(0, len(others), defaults.SURVEY_ROUND_COUNT):
+        yield tuple(others[start : start + defaults.SURVEY_ROUND_COUNT])
 
 
 @frozen
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -166,7 +166,9 @@
 REFERENCE_LEADER_LINK_MBPS = 100
 # Number of candidates that are asked before an epoch is claimed, the ablest ones first.
 SURVEY_CANDIDATE_COUNT = 16
-# If none of them answers, the others are asked, so many at the same time.
+# Number of candidates recorded last that are asked as well.
+SURVEY_NEWEST_COUNT = 8
+# If none of these answers, the others are asked, so many at the same time.
 SURVEY_ROUND_COUNT = 128
 # So many answers about a leader that the entry VM itself does not reach are enough.
 SURVEY_WITNESS_COUNT = 3
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -55,6 +55,11 @@
     statuses: dict[str, CandidateStatus] = field(factory=dict)
     answered: set[str] = field(factory=set)
 
+    @property
+    def complete(self) -> bool:
+        """Whether all respondents have answered or failed."""
+        return len(self.answered) == len(self.respondents)
+
     def add(self, name: str, status: CandidateStatus | None) -> None:
         """Add the answer of a respondent, None if it has failed."""
         self.answered.add(name)
@@ -94,7 +99,7 @@
     ) -> tuple[tuple[Candidate, ...], dict[str, CandidateStatus]]:
         """Return the other recorded candidates, and the answers of those asked by name.
 
-        The ablest ones are asked; the others as well if none of these answers.
+        :func:`survey_rounds` tells which are asked; a round follows only if none has answered.
 
         :param leader_address: leader that they should query as well, empty for none.
         :param is_settled: tells from the answers so far, the respondents and the names of those
@@ -106,7 +111,7 @@
         for respondents in survey_rounds(others):
             survey.respondents += respondents
             await self._ask_round(respondents, leader_address, survey, is_settled)
-            if survey.statuses:
+            if survey.statuses or not survey.complete:
                 break
         logger.info(
             "candidates asked",
@@ -178,14 +183,17 @@
         return successor, bool(statuses)
 
     async def _read_candidates(self) -> tuple[Candidate, ...]:
-        """Return the candidates recorded in the store; none if they cannot be read."""
+        """Return the candidates recorded in the store, the oldest record first.
+
+        Returns none if they cannot be read.
+        """
         try:
             newest = await read_newest(self.store, CANDIDATE_TOPIC)
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("cannot read the candidates", extra={"reason": str(error)})
             return ()
         candidates = []
-        for entry in newest.entries:
+        for entry in sorted(newest.entries, key=lambda entry: entry.offset):
             try:
                 candidates.append(decode_candidate(entry.key, entry.value))
             except DecodeError as error:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -30,6 +30,7 @@
     decide,
     is_settled,
     select_respondents,
+    survey_rounds,
 )
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.intake import submission_record
@@ -327,9 +328,9 @@
     """Guards against a survey that asks removed entry VMs only and takes itself for isolated."""
 
     async def scenario(simulation):
-        record_removed_entry_vms(simulation, removed_count)
         await start_equal_nodes(simulation, 12)
         await asyncio.sleep(3.0)
+        record_removed_entry_vms(simulation, removed_count)
         leader = leader_name(simulation)
         await simulation.kill_node(leader)
         await asyncio.sleep(6.0)
@@ -360,6 +361,19 @@
     assert simulate(scenario) == (True, 1)
 
 
+def test_a_survey_asks_the_ablest_and_the_newest_candidates_first():
+    """Guards against a survey that waits for removed entry VMs before it asks one that answers."""
+    removed = [Candidate(f"a-{number}", "", **LARGE) for number in range(200)]
+    added = Candidate("z", "", **SMALL)
+    first, *later = survey_rounds([*removed, added])
+    assert first[: defaults.SURVEY_CANDIDATE_COUNT] == select_respondents(removed)
+    assert added in first
+    assert len(first) == defaults.SURVEY_CANDIDATE_COUNT + defaults.SURVEY_NEWEST_COUNT
+    asked = [candidate for respondents in (first, *later) for candidate in respondents]
+    assert sorted(asked, key=str) == sorted([*removed, added], key=str)
+    assert list(survey_rounds([])) == [()]
+
+
 def candidate_names(simulation):
     """Return the names of the recorded candidates."""
     newest = dict(simulation.store.part("keyed.candidates", 0).records)
