--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -7,6 +7,7 @@
 import pytest
 from attrs import define
 
+from standins.polling import wait_until
 from standins.taskworker import TaskWorker, WorkerFaults
 from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
@@ -15,15 +16,8 @@
 FIRST, SECOND = f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"
 # A worker has room for one task, so that each of them runs on a worker of its own.
 GANG = {"count": 2, "cpu": 9_000, "mem-mb": 256, "est-ms": 30_000, "gang": True}
-
-
-async def wait_until(condition, timeout_s=8.0):
-    """Wait until a condition holds and return whether it does."""
-    for _ in range(int(timeout_s / 0.02)):
-        if condition():
-            return True
-        await asyncio.sleep(0.02)
-    return False
+# A run at an upstream that is lost is given up with the end of its lease.
+START_TIMEOUT_S = 8.0
 
 
 @define
@@ -46,7 +40,8 @@
         """Wait until both tasks run with a number, and return whether they do."""
         return await wait_until(
             lambda: sorted(r.task for w in self.workers for r in w.runs.values() if r.run == run)
-            == [FIRST, SECOND]
+            == [FIRST, SECOND],
+            START_TIMEOUT_S,
         )
 
     async def listed(self, run):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from attrs import define
 
+from standins.polling import wait_until
 from standins.taskworker import TaskWorker, WorkerFaults
 from tarragoncart import defaults
 from tarragoncart.entrance import CurrentLeader
@@ -47,15 +48,6 @@
     return await node.caller.submit(f"/q/{job_id}", job or TWO_STEP_JOB)
 
 
-async def wait_until(condition, timeout_s=5.0):
-    """Wait until a condition holds and return whether it does."""
-    for _ in range(int(timeout_s / 0.02)):
-        if condition():
-            return True
-        await asyncio.sleep(0.02)
-    return False
-
-
 async def test_a_job_runs_step_by_step_to_its_end(run_node, add_worker, store):
     """Guards against a task that starts twice, or before the steps that it depends on are done."""
     worker = await add_worker()
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from attrs import frozen
 
+from standins.polling import wait_until
 from standins.taskworker import TaskWorker
 from tarragoncart.entrance import CurrentLeader
 from tarragoncart.leadership import Leader
@@ -108,15 +109,7 @@
 @pytest.fixture
 def wait_for():
     """Return a function that waits until a condition holds and returns whether it does."""
-
-    async def wait(condition, timeout_s=5.0):
-        for _ in range(int(timeout_s / 0.02)):
-            if condition():
-                return True
-            await asyncio.sleep(0.02)
-        return False
-
-    return wait
+    return wait_until
 
 
 @pytest.mark.parametrize("body", ODD_REGISTRATIONS.values(), ids=ODD_REGISTRATIONS)
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 
 import pytest
 from aiohttp import web
 
+from standins import polling
 from tarragoncart.errors import FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
 from tarragoncart.link import ExtendPermission
@@ -149,13 +151,7 @@
     return make_fleet()
 
 
-async def wait_until(condition, timeout_s=4.0):
-    """Wait until a condition holds and return whether it does."""
-    for _ in range(int(timeout_s / 0.02)):
-        if condition():
-            return True
-        await asyncio.sleep(0.02)
-    return False
+wait_until = functools.partial(polling.wait_until, timeout_s=4.0)
 
 
 def permit(fleet, for_ms):
