Test of odd deadlines: wait until the leader answers before the checked query

Seen: test_an_odd_deadline_is_ignored failed once beside load; the GET right after the acceptance got 503 in place of 200.

Cause: the test's own order of events. An entry VM accepts a job as soon as it has a configuration; the phase is known to a leader only, and a query without one is refused with 503 leader_unavailable after about 0.33 s. Beside load the election took longer than that.

Change: the test first waits until a query without the odd header answers. The query with the odd header still has to get 200 at once, so the check is as strict as before.

Conclusion: no fault of the product; the test is mended.

--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -317,6 +317,8 @@
     """Guards against an error of the server for a header that is not a number."""
     node = await run_node()
     assert await node.caller.submit(f"/q/{JOB_ID}", JOB) == 200
+    # A job is accepted before there is a leader, but only a leader knows its phase.
+    assert await node.caller.phase(f"/q/{JOB_ID}", "queued") == "queued"
     headers = {"Host": "shop.example", "Api-Key": "key-1", "Deadline-Ms": value}
     url = f"http://{node.caller.address}/q/{JOB_ID}"
     async with node.session.get(url, headers=headers) as response:
