Model: gangs, which work only while all tasks of a run are present

The simulated workers start a gang's work once all tasks of a run are there with one saved value, end it as a whole, and end waiting runs as alone. The model checks that the tasks of a run carry one value, that none starts after an end of its gang, that no run ends alone after the faults are over, and that all jobs end. A new fault restarts a worker behind a cut after a run has ended there.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -17,6 +17,7 @@
 from attrs import Factory, define, field
 from reactivex.scheduler.eventloop import AsyncIOScheduler
 
+from standins.gangs import Gangs
 from standins.settings import make_node_settings
 from tarragoncart import node as node_module
 from tarragoncart.candidates import CandidateStatus
@@ -347,7 +348,10 @@
     """A run in progress on a worker.
 
     :param ends_s: time at which its work ends.
+    :param outcome: how it ends then.
+    :param checkpoint: saved progress with which it was started.
     :param stops_s: time at which a requested stop ends it, infinite without one.
+    :param final_outcome: outcome of a task of a gang, once all tasks of the run are present.
     """
 
     task: str
@@ -355,7 +359,9 @@
     started_s: float
     ends_s: float
     outcome: str
+    checkpoint: str = ""
     stops_s: float = float("inf")
+    final_outcome: str = ""
 
 
 @define
@@ -426,29 +432,55 @@
         now_s = self.simulation.now_s()
         for run in sorted(self.runs.values(), key=lambda r: min(r.ends_s, r.stops_s)):
             end_s = min(run.ends_s, run.stops_s)
-            if end_s <= now_s and (end_s <= self.lease_end_s):
-                outcome = run.outcome if run.ends_s <= run.stops_s else "stopped"
+            # The end of another task of its gang may have ended the run as well.
+            if run.task in self.runs and end_s <= now_s and end_s <= self.lease_end_s:
+                outcome = self._outcome(run) if run.ends_s <= run.stops_s else "stopped"
                 self._end(run, outcome, end_s)
         if now_s > self.lease_end_s:
-            for run in list(self.runs.values()):
-                self._end(run, "lapsed", self.lease_end_s)
+            while self.runs:
+                self._end(next(iter(self.runs.values())), "lapsed", self.lease_end_s)
             for completed_run in self.completed_runs:
                 completed_run.lapsed = completed_run.lapsed or completed_run.acknowledged_s is None
 
+    def _outcome(self, run: WorkerRun) -> str:
+        if not self.simulation.is_gang(run.task):
+            return run.outcome
+        return self.simulation.gangs.outcome_at_end(run)
+
+    def break_run(self, run: WorkerRun, at_s: float) -> None:
+        """End a run because another task of its gang has ended."""
+        if self.runs.get(run.task) is run:
+            self._end(run, "broken", at_s)
+
     def _end(self, run: WorkerRun, outcome: str, at_s: float) -> None:
         del self.runs[run.task]
         self.last_ended_runs[run.task] = max(run.run, self.last_ended_runs.get(run.task, 0))
         self.ended_count += 1
-        self.unacknowledged_ends.append(EndedRun(self.ended_count, run.task, run.run, outcome, ""))
+        saved = "" if outcome == "done" else self._saved(run)
+        self.unacknowledged_ends.append(
+            EndedRun(self.ended_count, run.task, run.run, outcome, saved)
+        )
+        if self.simulation.is_gang(run.task):
+            self.simulation.gangs.leave(run, outcome, at_s)
         if outcome in ("done", "failed"):
             completed_run = CompletedRun(run.task, at_s, self.ended_count)
             self.completed_runs.append(completed_run)
             by_outcome = self.simulation.completed_runs, self.simulation.failed_runs
             by_outcome[outcome == "failed"].append(completed_run)
 
+    def _saved(self, run: WorkerRun) -> str:
+        """Return the progress that a run has saved; only gangs save any here."""
+        if not self.simulation.saves_progress(run.task):
+            return ""
+        return self.simulation.gangs.saved(run, self.simulation.now_s())
+
     def restart(self) -> None:
         """Simulate a restart under the same ID and address, which loses runs, ends and epoch."""
+        lost = list(self.runs.values())
         self.runs.clear()
+        for run in lost:
+            if self.simulation.is_gang(run.task):
+                self.simulation.gangs.leave(run, "lost", self.simulation.now_s())
         self.last_ended_runs.clear()
         self.unacknowledged_ends.clear()
         self.completed_runs.clear()
@@ -493,9 +525,13 @@
         fails = order.task_name.partition(".")[0] in self.simulation.failing_jobs
         fail_ratio = JOB_FAIL_RATIO if fails else self.fail_ratio
         outcome = "failed" if self.simulation.rng.random() < fail_ratio else "done"
-        run = WorkerRun(order.task_name, order.run, now_s, now_s + work_s, outcome)
+        run = WorkerRun(
+            order.task_name, order.run, now_s, now_s + work_s, outcome, order.checkpoint
+        )
         self.runs[order.task_name] = run
         self.simulation.record_start(self, run, late)
+        if self.simulation.is_gang(order.task_name):
+            self.simulation.join_gang(self, run)
         return self.clock_ms()
 
     def stop(self, task_name: str, run: int, epoch: int) -> int:
@@ -526,7 +562,7 @@
             row for row in self.unacknowledged_ends if row.number > acknowledged
         ]
         live = tuple(
-            LiveRun(run.task, run.run, "", self._progress_percent(run), 0)
+            LiveRun(run.task, run.run, self._saved(run), self._progress_percent(run), 0)
             for run in self.runs.values()
             if run.stops_s == float("inf")
         )
@@ -535,6 +571,8 @@
         )
 
     def _progress_percent(self, run: WorkerRun) -> int:
+        if self.simulation.is_gang(run.task) and not self.simulation.gangs.is_working(run):
+            return 0
         share = (self.simulation.now_s() - run.started_s) / max(run.ends_s - run.started_s, 0.001)
         return min(99, int(100 * share))
 
@@ -816,6 +854,7 @@
     violations: list[str] = Factory(list)
     fenced_s: float = 0.0
     tasks: list[Any] = Factory(list)
+    gangs: Gangs = Factory(Gangs)
     cut_paths: set[tuple[str, str]] = Factory(set)
     starting_node: str = ""
 
@@ -832,6 +871,20 @@
         job_id, _, number, _ = task_name.rsplit(".", 3)
         return self.jobs[job_id].steps[int(number)]
 
+    def is_gang(self, task_name: str) -> bool:
+        """Return whether a task is one of a gang."""
+        return bool(self._step(task_name).gang)
+
+    def saves_progress(self, task_name: str) -> bool:
+        """Return whether a task is one of a gang that saves its progress."""
+        step = self._step(task_name)
+        return bool(step.gang and step.checkpointing)
+
+    def join_gang(self, worker: VirtualWorker, run: WorkerRun) -> None:
+        """Let a run that has been started wait for the others of its gang."""
+        step = self._step(run.task)
+        self.gangs.join(worker, run, step.task_count, step.estimate_ms / 1_000, self.now_s())
+
     # Checks of the invariants.
 
     def record_start(self, worker: VirtualWorker, run: WorkerRun, late: bool) -> None:
@@ -868,13 +921,19 @@
             if completed_run.acknowledged_s is None or completed_run.lapsed:
                 continue
             speculative = self._step(completed_run.task).speculative
-            for at_s, late in self.starts.get(completed_run.task, ()):
-                if speculative and (late or at_s < completed_run.acknowledged_s + 1.0):
-                    continue
-                if at_s > completed_run.ended_s:
-                    self.violations.append(
-                        f"{completed_run.task} started at {at_s:.3f} s after its end"
-                    )
+            for task_name in self._tasks_ended_by(completed_run.task):
+                for at_s, late in self.starts.get(task_name, ()):
+                    if speculative and (late or at_s < completed_run.acknowledged_s + 1.0):
+                        continue
+                    if at_s > completed_run.ended_s:
+                        self.violations.append(f"{task_name} started at {at_s:.3f} s after its end")
+
+    def _tasks_ended_by(self, task_name: str) -> list[str]:
+        """Return the tasks that an end as done represents: all tasks of a gang."""
+        if not self.is_gang(task_name):
+            return [task_name]
+        step_name = task_name.rpartition(".")[0]
+        return [f"{step_name}.{index}" for index in range(self._step(task_name).task_count)]
 
     def check_starts_after_failures(self, max_attempts: int) -> None:
         """Check that no task was started after as many acknowledged failures as are allowed.
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -16,6 +16,9 @@
 from tarragoncart.graph import Demand, JobSpec, StepSpec
 
 FAULT_S = 25.0
+# A gang that still ends alone so long after the last fault does so for another reason: a lease, the
+# wait for the others and a start without an answer fit into it.
+CALM_AFTER_S = 12.0
 # Time for all accepted jobs to end after the last fault.
 SETTLE_S = 60.0
 SEEDS = range(int(os.environ.get("MODEL_SEEDS", "4")))
@@ -125,6 +128,38 @@
         await asyncio.sleep(simulation.rng.uniform(0.0, 8.0))
 
 
+def _gang_job(rng):
+    """Return a random job of a gang, which may save its progress, and a step that depends on it."""
+    gang = StepSpec(
+        rng.randint(2, 4),
+        Demand(rng.choice((500, 1_500)), 100),
+        rng.choice((500, 1_500, 4_000)),
+        gang=True,
+        checkpointing=rng.random() < 0.6,
+    )
+    return JobSpec("text", (gang, StepSpec(1, Demand(500, 100), 200, (0,))))
+
+
+async def _simulate_gangs(simulation, config, faults):
+    """Simulate gangs under the faults of a simulation without any; note when the faults end."""
+    simulation.store.put("keyed.op", "config", config)
+    for number in range(5):
+        simulation.add_worker(f"i-{number}", Demand(4_000, 1_000_000))
+    for name in ("n-1", "n-2", "n-3"):
+        await simulation.start_node(name)
+    await asyncio.sleep(2.0)
+    accepted = []
+    callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, _gang_job, 1.5))
+    if faults:
+        injectors = [_inject_faults(simulation, GANG_FAULTS) for _ in range(2)]
+        await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
+    calm_from_s = simulation.now_s() + CALM_AFTER_S
+    await _settle(simulation, callers, accepted)
+    simulation.violations += simulation.gangs.violations
+    simulation.violations += [str(e) for e in simulation.gangs.alone if e.at_s > calm_from_s]
+    return simulation
+
+
 async def _submit_jobs(simulation, accepted, make_job, jobs_per_s=2.0, failing_ratio=0.0):
     end_s = simulation.now_s() + FAULT_S
     count = 0
@@ -348,6 +383,38 @@
 )
 
 
+async def _lose_an_end_with_its_worker(simulation):
+    """Cut a busy worker off, and restart it behind the cut once a run has ended there."""
+    workers = simulation.live_workers()
+    worker = simulation.rng.choice([w for w in workers if w.runs] or workers)
+    worker.unreachable = True
+    for _ in range(25):
+        await asyncio.sleep(0.1)
+        worker.advance()
+        if worker.unacknowledged_ends:
+            break
+    worker.restart()
+    await asyncio.sleep(simulation.rng.uniform(0.8, 2.0))
+    worker.unreachable = worker.gone
+    if not worker.gone:
+        simulation.register(worker)
+
+
+GANG_FAULTS = (
+    _lose_an_end_with_its_worker,
+    _kill_the_leader,
+    _refuse_store_calls_of_a_node,
+    _lose_store_answers,
+    _cut_workers_from_a_node,
+    _lose_all_answers_of_a_worker,
+    _disconnect_a_live_worker,
+    _let_a_worker_flap,
+    _restart_a_worker,
+    _delay_calls_to_a_worker,
+    _fail_runs,
+)
+
+
 def test_all_jobs_complete_without_faults(simulate):
     """Guards against a model that violates invariants or loses jobs without any fault."""
     simulation = simulate(1, faults=False)
@@ -367,6 +434,22 @@
     )
 
 
+def test_all_gangs_complete_without_faults(simulate):
+    """Guards against gangs whose tasks wait for each other in vain, with no fault at all."""
+    simulation = simulate(1, faults=False, scenario=_simulate_gangs)
+    assert not simulation.violations and not simulation.gangs.alone
+    assert simulation.phases and set(simulation.phases.values()) == {jobmodel.COMPLETED}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_gangs_end_under_faults(simulate, seed):
+    """Guards against gangs that start with two saved values, never meet, or run after their end."""
+    simulation = simulate(seed, scenario=_simulate_gangs)
+    assert simulation.violations == []
+    assert simulation.phases
+    assert set(simulation.phases.values()) <= {jobmodel.COMPLETED, jobmodel.FAILED}
+
+
 @pytest.mark.parametrize("seed", SUCCESSION_SEEDS)
 def test_no_task_runs_twice_while_leaders_follow_each_other(simulate, seed):
     """Guards against runs beside another, after an end or beyond the attempts after take-overs."""
