--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import json
 
 import pytest
@@ -151,7 +150,9 @@
     return make_fleet()
 
 
-wait_until = functools.partial(polling.wait_until, timeout_s=4.0)
+async def wait_until(condition, timeout_s=4.0):
+    """Wait until a condition holds and return whether it does."""
+    return await polling.wait_until(condition, timeout_s)
 
 
 def permit(fleet, for_ms):
