--- a/src/standins/gangs.py
+++ b/src/standins/gangs.py
@@ -64,8 +64,8 @@
         """
         gang = self.runs.setdefault(_key(run), GangRun())
         gang.members[run.task] = worker, run
-        failing_outcome, run.outcome, run.ends_s = run.outcome, "alone", now_s + WAIT_S
-        run.final_outcome = failing_outcome
+        run.final_outcome, run.outcome = run.outcome, "alone"
+        run.ends_s = now_s + WAIT_S
         runs = [member for _, member in gang.members.values()]
         if len({member.checkpoint for member in runs}) > 1:
             self.violations.append(f"different saved values: {run.task} run {run.run}")
