--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -141,7 +141,7 @@
 
 
 async def _simulate_gangs(simulation, config, faults):
-    """Simulate gangs under the faults of a simulation without any; note when the faults end."""
+    """Simulate gangs; that a run ends alone long after the last fault is a violation."""
     simulation.store.put("keyed.op", "config", config)
     for number in range(5):
         simulation.add_worker(f"i-{number}", Demand(4_000, 1_000_000))
