Store the cancellation of a job that the leader does not know

Cause: a DELETE began with the question whether the job exists, and a view of the leader up to 2.5 s old counted as proof that it does not. That bound is meant for GET. A job accepted within it was unknown, and no cancellation was stored.

Change: the cancellation is stored and answered 200, whatever the leader knows; the leader applies it when it reads the job, also one whose append is carried out late. A cancel needs no leader any more. The leader has cancellations deleted whose job does not come within the retention time; before, the few that had no job were kept for ever.

Passed over: a 410 only from a view newer than the call. It takes up to 1.5 s, and a submission without an answer may still be stored after it.

Before: test_a_cancel_of_a_job_that_the_leader_has_not_read_counts failed (410).

--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -304,10 +304,7 @@
         self._record_answer(context, "", "told")
 
     async def _query_phase(self, job_id: str) -> Phase:
-        return Phase(await self._find_phase(job_id))
-
-    async def _find_phase(self, job_id: str) -> str:
-        """Return the phase of a job.
+        """Query the phase of a job.
 
         A final phase is stored and never changes, so it is given whatever the age of the view.
 
@@ -318,11 +315,11 @@
             lambda address: self._peers.lookup(address, job_id),
         )
         if view.phase in ENDED:
-            return view.phase
+            return Phase(view.phase)
         if view.phase:
             # Newer submissions don't change the phase of a known job; a new leader may.
             _check_proven(math.isfinite(view.view_age_ms))
-            return view.phase
+            return Phase(view.phase)
         _check_proven(view.view_age_ms <= defaults.INTAKE_VIEW_MAX_AGE_MS)
         raise _refusal("there is no such job", "unknown_job", 410)
 
@@ -374,9 +371,11 @@
     async def _cancel(
         self, context: RequestContext, job_id: str, reply: asyncio.Future[Any]
     ) -> None:
-        phase = await self._find_phase(job_id)
+        # Whether the leader knows the job does not matter: its view may be older than the job, and
+        # a submission without an answer may be stored after the cancellation.
         await self._write(intake.cancel_record(job_id, self._timer.wall_ms()))
-        logger.info("cancel accepted", extra={"job": job_id, "phase": phase})
+        elapsed_ms = round(self._timer.now_ms() - context.received_ms)
+        logger.info("cancel accepted", extra={"job": job_id, "after_ms": elapsed_ms})
         resolve(reply, Accepted())
 
     # Answers.
--- a/src/tarragoncart/retention.py
+++ b/src/tarragoncart/retention.py
@@ -79,6 +79,18 @@
             elif job is not None and job_id not in deletable:
                 job.parts.discard(message.part)
 
+    def _drop_expired_cancels(self, now_ms: float) -> None:
+        """Have cancellations deleted whose jobs have not been read within the retention time."""
+        horizon_ms = now_ms - self._retention_ms - defaults.RETENTION_MARGIN_MS
+        while self._early_cancels:
+            job_id, cancel = next(iter(self._early_cancels.items()))
+            if cancel.read_ms >= horizon_ms:
+                return
+            del self._early_cancels[job_id]
+            for part in cancel.parts:
+                self._deletable.setdefault(part, {})[job_id] = None
+            logger.info("cancellation of an unknown job dropped", extra={"job": job_id})
+
     def _drop_expired_jobs(self) -> None:
         """Drop jobs that ended longer ago than the retention time, in memory and in the store.
 
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -63,6 +63,18 @@
     ended_jobs: list[Job] = field(factory=list)
 
 
+@define
+class EarlyCancel:
+    """A cancellation of a job that has not been read, and may never be.
+
+    :param read_ms: when it was read first.
+    :param parts: partitions that hold a record of it.
+    """
+
+    read_ms: float
+    parts: set[int] = field(factory=set)
+
+
 @define(eq=False)
 class OrphanRun:
     """A run that is not the current run of its task. It occupies capacity until it is gone.
@@ -164,8 +176,8 @@
         self._advisor: Actor | None = None
         self._permitted_until_ms = 0.0
         self._jobs: dict[str, Job | EndedJob] = {}
-        # By job ID, partition of a cancellation that was read before its job.
-        self._early_cancels: dict[str, int] = {}
+        # By job ID, cancellations that were read before their jobs, the oldest ones first.
+        self._early_cancels: dict[str, EarlyCancel] = {}
         self._upstreams: dict[str, KnownUpstream] = {}
         # Upstreams whose links are not started yet.
         self._unstarted: deque[KnownUpstream] = deque()
@@ -265,7 +277,8 @@
     def _cancel_job(self, job_id: str, part: int) -> None:
         job = self._jobs.get(job_id)
         if job is None:
-            self._early_cancels[job_id] = part
+            read_ms = self._timer.now_ms()
+            self._early_cancels.setdefault(job_id, EarlyCancel(read_ms)).parts.add(part)
             return
         self._add_part(job, part)
         if isinstance(job, EndedJob) or job.cancelled or job.ended:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -212,9 +212,10 @@
             work = submission.spec.work_millicore_ms
             self._offered_load.add(self._timer.now_ms(), submission.pool, work)
         self._admit(job)
-        early_part = self._early_cancels.pop(job_id, None)
-        if early_part is not None:
-            self._cancel_job(job_id, early_part)
+        early_cancel = self._early_cancels.pop(job_id, None)
+        if early_cancel is not None:
+            for early_part in early_cancel.parts:
+                self._cancel_job(job_id, early_part)
 
     # Placement and commit.
 
@@ -444,6 +445,7 @@
         for job in list(self._unfinished.values()):
             if job.released_count < job.occurrence_count:
                 self._admit(job)
+        self._drop_expired_cancels(now_ms)
         self._delete_records_of_ended_jobs(now_ms)
         self._drop_expired_jobs()
         self._send_loads()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -113,6 +113,34 @@
     assert not any(task.startswith("00000000000000aa") for task, _, _ in worker.starts)
 
 
+async def test_a_cancel_of_a_job_that_the_leader_has_not_read_counts(run_node, add_worker, store):
+    """Guards against a cancel that is acknowledged as there is no such job, and then dropped."""
+    worker = await add_worker(worker=TaskWorker(work_ms=0))
+    node = await run_node()
+    assert await submit(node, job_id="00000000000000aa") == 200
+    assert await wait_until(lambda: len(worker.runs) == 2)
+    store.standin.faults.unreadable_topics = frozenset({"keyed.intake"})
+    await asyncio.sleep(defaults.INTAKE_WAIT_MS / 1_000 + 0.1)
+    assert await submit(node) == 200
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    store.standin.faults.unreadable_topics = frozenset()
+    assert await node.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+    assert not any(task.startswith(JOB_ID) for task, _, _ in worker.starts)
+
+
+async def test_cancellations_of_unknown_jobs_are_deleted(run_node, store):
+    """Guards against records that grow with the number of cancels of jobs that never existed."""
+    node = await run_node()
+    assert await submit(node, job_id="00000000000000aa") == 200
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    scheduler = node.scheduler
+    assert await wait_until(lambda: scheduler._early_cancels)
+    assert f"c/{JOB_ID}" in store.standin.newest("keyed.intake")
+    scheduler._retention_ms = -1_000_000
+    assert await wait_until(lambda: f"c/{JOB_ID}" not in store.standin.newest("keyed.intake"))
+    assert not scheduler._early_cancels
+
+
 def test_entry_vms_write_to_different_partitions():
     """Guards against entry VMs that wait for each other's appends when the store is slow."""
     names = [f"front-{zone}-{number}" for zone in "abc" for number in (1, 2, 3)]
