Logs of cancellations, of stops and of runs listed after one

They named no cancellation that a leader had read, no stop that was confirmed, repeated or given up, none that could not be sent, and no run that is listed after its stop.

Measured: formatter, linter, types; test_link, test_node and test_takeover pass. No logic is changed.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -297,6 +297,8 @@
 
     async def _stop(self, task_name: str, run: int) -> None:
         delay_ms = defaults.STORE_RETRY_MS
+        ordered_ms = self._timer.now_ms()
+        failed_count = 0
         while True:
             if not self._permitted():
                 # Leadership may be confirmed again; if it is lost, this link is stopped.
@@ -306,15 +308,37 @@
                 await self._client.stop(task_name, run, self._epoch)
             except TarragoncartError as error:
                 reason = getattr(error, "reason", "")
+                failed_count += 1
                 self._report_if_fenced(reason)
                 if reason in ("fence", "instance"):
+                    self._log_stop("stop given up", task_name, run, ordered_ms, reason=reason)
                     return
+                if failed_count == 1:
+                    text = "stop failed; repeating it"
+                    self._log_stop(text, task_name, run, ordered_ms, reason=reason or str(error))
                 await asyncio.sleep(delay_ms / 1_000)
                 delay_ms = min(2 * delay_ms, 1_000)
             else:
+                text = "stop confirmed"
+                self._log_stop(text, task_name, run, ordered_ms, failed_count=failed_count)
                 self._listener.tell(StopConfirmed(self._upstream_id, task_name, run))
                 return
 
+    def _log_stop(
+        self, text: str, task_name: str, run: int, ordered_ms: float, **inputs: str | int
+    ) -> None:
+        logger.info(
+            text,
+            extra={
+                "task": task_name,
+                "run": run,
+                "upstream": self._upstream_id,
+                "epoch": self._epoch,
+                "after_ms": round(self._timer.now_ms() - ordered_ms),
+                **inputs,
+            },
+        )
+
     async def _pace(self, order: SetPace) -> None:
         if not self._permitted():
             return
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -295,6 +295,8 @@
         resuming = task.history.checkpoint and now_ms - task.assigned_ms < defaults.RESUME_GRACE_MS
         if not resuming and not task.step.spec.long_running:
             task.tracker.observe(now_ms, live.percent)
+        if task.state == "stopping":
+            self._log_run("upstream lists a run that is being stopped", task, "")
         if task.state != "running":
             # Polls overlap: a report that was requested before now may not list the run yet.
             task.must_list_after_ms = max(task.must_list_after_ms, self._timer.now_ms())
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -264,6 +264,16 @@
 
     def _cancel_job(self, job_id: str, part: int) -> None:
         job = self._jobs.get(job_id)
+        logger.info(
+            "cancellation read",
+            extra={
+                "job": job_id,
+                "part": part,
+                "epoch": self._epoch,
+                "phase": job.phase if job else "unknown",
+                "intake_age_ms": round(self._timer.now_ms() - self._intake_as_of_ms),
+            },
+        )
         if job is None:
             self._early_cancels[job_id] = part
             return
@@ -503,6 +513,8 @@
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is not None and upstream.link is not None:
             upstream.link.tell(Stop(task.name, task.run))
+        else:
+            self._log_run("stop cannot be sent", task, "there is no link to its upstream")
 
     def _stop_task(self, task: Task) -> None:
         """Stop the current run of a task, or withdraw it if its start has not been sent."""
