--- /dev/null
+++ b/tests/test_lost_orders.py
@@ -0,0 +1,60 @@
+"""Orders that a leader gives while its upstream is away, and those that a take-over interrupts."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standins.polling import wait_until
+from standins.taskworker import TaskWorker
+from tarragoncart import intake
+
+JOB_ID = "5c0e7a21d94b36f8"
+TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
+LONG_RUNNING_JOB = {"spec": "text", "steps": [{**TASK, "long-running": True}]}
+PART_COUNT = 2
+# Bounds of the deployment: `cancel_ms` and `stop-ms`.
+CANCEL_MS, STOP_MS = 3_000, 400
+
+
+@pytest.fixture
+async def runs_under_next_leader(run_node, add_worker, store):
+    """Return a function that starts two runs, ends their leader and waits for the next one.
+
+    The upstream is not registered meanwhile. The function returns the worker, the node that leads
+    and a function that registers the upstream again.
+    """
+
+    async def start(cancelled):
+        worker = await add_worker(worker=TaskWorker(work_ms=0))
+        registration = store.standin.newest("keyed.servers")["i-1"]
+        first = await run_node("node-1")
+        assert await first.caller.submit(f"/q/{JOB_ID}", LONG_RUNNING_JOB) == 200
+        assert await wait_until(lambda: len(worker.runs) == 2)
+        second = await run_node("node-2")
+        store.standin.put("keyed.servers", "i-1", None)
+        await first.stop()
+        if cancelled:
+            part = intake.partitions_of("node-2", PART_COUNT)[0]
+            store.standin.put(intake.TOPIC, f"{intake.CANCEL_PREFIX}{JOB_ID}", 1, part)
+        assert await wait_until(lambda: second.scheduler and second.scheduler._loaded, 6.0)
+
+        def register():
+            store.standin.put_bytes("keyed.servers", "i-1", registration)
+
+        return worker, second, register
+
+    return start
+
+
+@pytest.mark.parametrize("away_ms", [0, 300, 600])
+async def test_a_run_cancelled_while_its_upstream_was_not_registered_is_stopped(
+    runs_under_next_leader, away_ms
+):
+    """Guards against a stop that is lost because the upstream had no link (rule UNASKED)."""
+    worker, leader, register = await runs_under_next_leader(cancelled=True)
+    await asyncio.sleep(away_ms / 1_000)
+    register()
+    assert await wait_until(lambda: not worker.runs, (CANCEL_MS + STOP_MS) / 1_000)
+    assert await leader.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
