Send a stop again for each report that calls for it

Cause: a stop was an event, sent at the change to 'stopping' and only if the upstream had a link then. A new leader that read a cancellation before the upstream was registered again lost the stop; its link then renewed the lease of the runs, and the reports that listed them changed nothing.

Change: each report of an upstream is compared with what should run there. The stop of a run that should be gone is sent again if the report still lists the run or the upstream has not confirmed the stop. A link ignores the order to stop a run whose stop it is sending, so repetition costs no calls.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -52,7 +52,10 @@
 
 @frozen
 class Stop:
-    """Stop a run; retried until the upstream has confirmed it."""
+    """Stop a run; retried until the upstream has confirmed it.
+
+    Ignored while an earlier order to stop the same run is being sent.
+    """
 
     task_name: str
     run: int
@@ -203,6 +206,8 @@
         self._last_poll_answered = True
         self._started_ms = 0
         self._late_starts: set[tuple[str, int]] = set()
+        # Runs whose stop is being sent.
+        self._stopping: set[tuple[str, int]] = set()
 
     async def on_open(self) -> None:
         """Start polling the upstream."""
@@ -231,7 +236,16 @@
     @receives(Stop)
     def on_stop(self, message: Stop) -> None:
         """Send a stop."""
-        self.spawn(self._stop(message.task_name, message.run))
+        key = (message.task_name, message.run)
+        if key not in self._stopping:
+            self._stopping.add(key)
+            self.spawn(self._stop_once(key))
+
+    async def _stop_once(self, key: tuple[str, int]) -> None:
+        try:
+            await self._stop(*key)
+        finally:
+            self._stopping.discard(key)
 
     @receives(RejectLateStart)
     def on_reject_late_start(self, message: RejectLateStart) -> None:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -177,7 +177,8 @@
         if not slot.known or not slot.answering:
             slot.known = slot.answering = True
             self._request_pass()
-        listed = {(run.task_name, run.run) for run in report.live}
+        live_keys = {(run.task_name, run.run) for run in report.live}
+        listed = set(live_keys)
         for live in report.live:
             self._process_live_run(upstream, live)
         for ended in report.ended:
@@ -192,6 +193,7 @@
             self._request_pass()
         if len(report.ended) < ENDED_PAGE_COUNT:
             self._drop_unlisted_runs(upstream, listed, message.requested_ms)
+        self._repeat_stops(upstream, live_keys)
         self._set_paces(upstream)
         self._detect_slow_upstream(upstream)
 
@@ -313,7 +315,10 @@
         return same_upstream and task.run == key[1] and task.placed
 
     def _process_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
-        """Stop an orphan, unless it is a copy that may be done before the task's current run."""
+        """Stop an orphan, unless it is a copy that may be done before the task's current run.
+
+        :meth:`_repeat_stops` sends the stop again while the orphan is listed.
+        """
         orphan = upstream.orphans.get(key) or self._add_orphan(upstream, key)
         task = orphan.task
         wanted = task is not None and task.step.spec.copyable and not task.step.job.ended
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -70,7 +70,7 @@
     :param task: None if no such task is known.
     :param conclusive_after_ms: the run is gone if a report requested after this time does not list
         it.
-    :param stopping: a stop has been sent to the link.
+    :param stopping: it has to be stopped.
     """
 
     task: Task | None
@@ -429,9 +429,41 @@
                 self._stop_run(upstream, (task.name, run), orphan)
 
     def _stop_run(self, upstream: KnownUpstream, key: tuple[str, int], orphan: OrphanRun) -> None:
-        if not orphan.stopping and upstream.link is not None:
+        if not orphan.stopping:
             orphan.stopping, orphan.conclusive_after_ms = True, float("inf")
+            self._order_stop(upstream, key)
+
+    def _order_stop(self, upstream: KnownUpstream | None, key: tuple[str, int]) -> None:
+        """Send a stop; without a link it is sent with the first report that calls for it."""
+        if upstream is not None and upstream.link is not None:
             upstream.link.tell(Stop(*key))
+            return
+        logger.info(
+            "stop cannot be sent",
+            extra={
+                "task": key[0],
+                "run": key[1],
+                "upstream": upstream.slot.entry.upstream_id if upstream else "",
+                "reason": "there is no link to its upstream",
+            },
+        )
+
+    def _repeat_stops(self, upstream: KnownUpstream, live: set[tuple[str, int]]) -> None:
+        """Send the stops again that an upstream has not confirmed, or that it has not followed.
+
+        An order can be lost with its link, or was given while there was none. Links ignore the
+        order to stop a run whose stop they are sending.
+        """
+        unconfirmed_ms = float("inf")
+        for task in upstream.slot.tasks.values():
+            key = (task.name, task.run)
+            unconfirmed = task.must_list_after_ms == unconfirmed_ms
+            if task.state == "stopping" and (unconfirmed or key in live):
+                self._order_stop(upstream, key)
+        for key, orphan in upstream.orphans.items():
+            unconfirmed = orphan.conclusive_after_ms == unconfirmed_ms
+            if orphan.stopping and (unconfirmed or key in live):
+                self._order_stop(upstream, key)
 
     def _requeue_step(self, task: Task) -> None:
         """Queue the step of a task without a current run; fail the job if the task is exhausted.
@@ -510,11 +542,7 @@
 
     @implements_action("send_stop")
     def _send_stop(self, task: Task, **details: Any) -> None:
-        upstream = self._upstreams.get(task.upstream_id)
-        if upstream is not None and upstream.link is not None:
-            upstream.link.tell(Stop(task.name, task.run))
-        else:
-            self._log_run("stop cannot be sent", task, "there is no link to its upstream")
+        self._order_stop(self._upstreams.get(task.upstream_id), (task.name, task.run))
 
     def _stop_task(self, task: Task) -> None:
         """Stop the current run of a task, or withdraw it if its start has not been sent."""
