Keep the copied runs of an upstream that is registered again

Cause: a new leader that allows a second run of a task while the upstream of the first is not registered keeps the first one as an orphan of an upstream without a link. Connecting replaced that record and dropped its orphans: the copy stayed in Task.copies, its demand in the use of the account, and the listed run was counted once more.

Change: the orphans move along, with their capacity; no report requested before an earlier leader's stops have ended proves them gone. A start that an earlier leader has sent needs no stop, as the first poll fences it.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -112,6 +112,10 @@
         if known is not None:
             for task in known.slot.tasks.values():
                 self._occupy_capacity(task, slot, already_counted=True)
+            for orphan in known.orphans.values():
+                if orphan.task is not None:
+                    slot.occupy(orphan.task)
+            upstream.orphans = known.orphans
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
         if not self._unstarted:
@@ -174,6 +178,8 @@
                 slot.full_until_ms = max(slot.full_until_ms, stopped_ms)
             for task in slot.tasks.values():
                 task.must_list_after_ms = max(task.must_list_after_ms, stopped_ms)
+            for orphan in upstream.orphans.values():
+                orphan.conclusive_after_ms = max(orphan.conclusive_after_ms, stopped_ms)
         if not slot.known or not slot.answering:
             slot.known = slot.answering = True
             self._request_pass()
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -379,7 +379,8 @@
         """Turn the current run of a task into an orphan, which may continue at its upstream.
 
         :param start_uncertain: the start may still reach the upstream; the orphan is stopped, as
-            only a stop rules that out.
+            only a stop rules that out. Without a link the start was sent by an earlier leader, and
+            the first poll rules it out.
         """
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is None:
@@ -389,7 +390,7 @@
         key = (task.name, task.run)
         orphan = upstream.orphans[key] = OrphanRun(task, self._timer.now_ms())
         task.copies[task.run] = task.upstream_id
-        if start_uncertain:
+        if start_uncertain and upstream.link is not None:
             self._stop_run(upstream, key, orphan)
         task.percent = 0
         self._dirty_steps[task.step] = None
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -9,10 +9,12 @@
 from standins.polling import wait_until
 from standins.taskworker import TaskWorker
 from tarragoncart import intake
+from tarragoncart.graph import Demand
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
 LONG_RUNNING_JOB = {"spec": "text", "steps": [{**TASK, "long-running": True}]}
+SPECULATIVE_JOB = {"spec": "text", "steps": [{**TASK, "speculative": True}]}
 PART_COUNT = 2
 # Bounds of the deployment: `cancel_ms` and `stop-ms`.
 CANCEL_MS, STOP_MS = 3_000, 400
@@ -26,11 +28,11 @@
     and a function that registers the upstream again.
     """
 
-    async def start(cancelled):
+    async def start(cancelled, job=LONG_RUNNING_JOB):
         worker = await add_worker(worker=TaskWorker(work_ms=0))
         registration = store.standin.newest("keyed.servers")["i-1"]
         first = await run_node("node-1")
-        assert await first.caller.submit(f"/q/{JOB_ID}", LONG_RUNNING_JOB) == 200
+        assert await first.caller.submit(f"/q/{JOB_ID}", job) == 200
         assert await wait_until(lambda: len(worker.runs) == 2)
         second = await run_node("node-2")
         store.standin.put("keyed.servers", "i-1", None)
@@ -58,3 +60,21 @@
     register()
     assert await wait_until(lambda: not worker.runs, (CANCEL_MS + STOP_MS) / 1_000)
     assert await leader.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+
+
+async def test_a_run_doubled_while_its_upstream_was_not_registered_is_counted_once(
+    runs_under_next_leader, add_worker
+):
+    """Guards against capacity of an account and copies of a task that are never released."""
+    worker, leader, register = await runs_under_next_leader(False, SPECULATIVE_JOB)
+    scheduler = leader.scheduler
+    tasks = scheduler._jobs[JOB_ID].steps[0, 0].tasks
+    assert await wait_until(lambda: all(task.copies for task in tasks))
+    register()
+    await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await wait_until(lambda: all(task.upstream_id == "i-2" for task in tasks))
+    for name in list(worker.runs):
+        worker.finish(name)
+    assert await leader.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await wait_until(lambda: scheduler._usages["shop"].running == Demand())
+    assert not any(task.copies for task in tasks)
