Repeat the request to vacate an upstream until its VM goes down

Cause: the owner of the VMs asked once, when a VM was selected. The scheduler keeps the request with its record of the upstream. If the upstream was registered again meanwhile, its new record knew of no request: tasks were placed there, and a wave waited for ever for the VM.

Change: requests are repeated every tick while a VM is vacating or ordered. A repeated request changes nothing in the scheduler, so the grace period is not extended.

After: test_lost_orders, test_vms and the take-over's tests of vacating pass.

--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -63,11 +63,16 @@
     @receives(VacateUpstream)
     @needs_jobs
     def on_vacate(self, message: VacateUpstream) -> None:
-        """Assign no new tasks to an upstream and move its tasks elsewhere where possible."""
+        """Assign no new tasks to an upstream and move its tasks elsewhere where possible.
+
+        The request is repeated until the VM is down or moves; each tick vacates further.
+        """
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is None:
             self._send_vacated(message.upstream_id)
             return
+        if upstream.vacating_since_ms and upstream.grace_period_ms == message.grace_period_ms:
+            return
         upstream.slot.cordoned = True
         upstream.vacating_since_ms = self._timer.now_ms()
         upstream.grace_period_ms = message.grace_period_ms
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -46,7 +46,7 @@
 
 @frozen
 class VacateUpstream:
-    """Free an upstream of tasks: its VM is about to go down or to move.
+    """Free an upstream of tasks: its VM is about to go down or to move. Sent repeatedly.
 
     :param grace_period_ms: how long tasks without saved progress may continue before they may be
         ended; None for no limit.
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -97,7 +97,7 @@
 
     @receives(_Tick)
     def on_tick(self, message: _Tick) -> None:
-        """Renew the stored orders and list the VMs.
+        """Renew the stored orders, repeat the requests to vacate, and list the VMs.
 
         The list is read at each tick while a wave is in progress, otherwise only if it is at least
         ``FLEET_LIST_MS`` old.
@@ -105,6 +105,7 @@
         renewal = self._orders.renewal_record(self._timer.now_ms())
         if renewal is not None:
             self._state_writer.tell(Write((renewal,), new_reply()))
+        self._repeat_vacating()
         all_finished = all(self._is_finished(wave) for wave in self._waves.values())
         age_ms = self._timer.now_ms() - self._listed_ms
         if self._listing or (all_finished and age_ms < defaults.FLEET_LIST_MS):
@@ -197,12 +198,28 @@
     def _apply_event(self, wave: Wave, vm: VmUpkeep, event: str, **details: Any) -> None:
         self.step(UPKEEP_CHART, vm, event, wave=wave, **details)
 
-    @implements_action("vacate")
-    def _vacate(self, vm: VmUpkeep | Move, wave: Wave | None = None) -> None:
-        vm.since_ms = self._timer.now_ms()
+    def _repeat_vacating(self) -> None:
+        """Request again that upstreams are vacated.
+
+        An upstream that was registered again is new to the scheduler and would get tasks.
+        """
+        for wave in self._waves.values():
+            for vm in wave.vms.values():
+                if vm.state in ("vacating", "ordered") and vm.upstream_id:
+                    self._request_vacating(vm, wave)
+        for move in self._moves.values():
+            if move.state in ("vacating", "ordered") and move.upstream_id:
+                self._request_vacating(move, None)
+
+    def _request_vacating(self, vm: VmUpkeep | Move, wave: Wave | None) -> None:
         # Tasks are not ended for a move, however long they take; maintenance has a deadline.
         grace_period_ms = None if wave is None else defaults.VACATE_GRACE_PERIOD_MS
         self._scheduler.tell(VacateUpstream(vm.upstream_id, grace_period_ms))
+
+    @implements_action("vacate")
+    def _vacate(self, vm: VmUpkeep | Move, wave: Wave | None = None) -> None:
+        vm.since_ms = self._timer.now_ms()
+        self._request_vacating(vm, wave)
         if wave is None or isinstance(vm, Move):
             return
         logger.info(
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -10,6 +10,10 @@
 from standins.taskworker import TaskWorker
 from tarragoncart import intake
 from tarragoncart.graph import Demand
+from tarragoncart.link import ExtendPermission
+from tarragoncart.loads import Loads
+from tarragoncart.mailbox import Actor, receives
+from tarragoncart.vmorders import UpstreamVacated, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -78,3 +82,73 @@
     assert await leader.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
     assert await wait_until(lambda: scheduler._usages["shop"].running == Demand())
     assert not any(task.copies for task in tasks)
+
+
+class RequestingFleet(Actor):
+    """Stand-in for the owner of the VMs that requests every 100 ms that an upstream is vacated."""
+
+    def __init__(self, scheduler, grace_period_ms):
+        super().__init__("fleet")
+        self.scheduler = scheduler
+        self.request = VacateUpstream("i-1", grace_period_ms)
+        self.vacated = []
+
+    async def on_open(self):
+        """Send the requests."""
+        self.spawn(self._request_repeatedly())
+
+    async def _request_repeatedly(self):
+        while True:
+            self.scheduler.tell(self.request)
+            await asyncio.sleep(0.1)
+
+    @receives(UpstreamVacated)
+    def on_vacated(self, message):
+        """Record the upstream."""
+        self.vacated.append(message.upstream_id)
+
+    @receives(ExtendPermission)
+    def on_extend_permission(self, message):
+        """Ignore the message."""
+
+    @receives(Loads)
+    def on_loads(self, message):
+        """Ignore the message."""
+
+
+@pytest.fixture
+async def request_vacating(run_node, add_worker):
+    """Return a function that vacates an upstream with two tasks and returns it and the fleet."""
+    fleets = []
+
+    async def request(job, grace_period_ms):
+        worker = await add_worker("i-1", TaskWorker(work_ms=0))
+        node = await run_node()
+        assert await node.caller.submit(f"/q/{JOB_ID}", job) == 200
+        assert await wait_until(lambda: len(worker.runs) == 2)
+        fleet = RequestingFleet(node.scheduler, grace_period_ms)
+        node.scheduler._fleet = fleet
+        fleet.start()
+        fleets.append(fleet)
+        return worker, fleet
+
+    yield request
+    for fleet in fleets:
+        await fleet.stop()
+
+
+async def test_repeated_requests_to_vacate_extend_no_grace_period(request_vacating):
+    """Guards against a wave that waits for ever for a task without saved progress."""
+    _, fleet = await request_vacating({"spec": "text", "steps": [TASK]}, 500.0)
+    assert await wait_until(lambda: fleet.vacated, 2.0)
+
+
+async def test_an_upstream_registered_again_while_it_is_vacated_is_vacated(
+    request_vacating, add_worker
+):
+    """Guards against a wave that waits for ever for an upstream whose request was lost with it."""
+    await request_vacating(LONG_RUNNING_JOB, None)
+    replacement = await add_worker("i-1", TaskWorker(work_ms=0, started_ms=2))
+    other = await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await wait_until(lambda: len(other.runs) == 2)
+    assert not replacement.runs
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections import Counter
 
 import pytest
 from aiohttp import web
@@ -80,10 +81,12 @@
         self.records = {}
         self.ended = []
         self.readmitted = []
+        self.requests = Counter()
 
     @receives(VacateUpstream)
     def on_vacate(self, message):
         """Report repeatedly that the upstream is vacated, as the scheduler does."""
+        self.requests[message.upstream_id] += 1
         self.spawn(self._tell_vacated(message.upstream_id))
 
     async def _tell_vacated(self, upstream_id):
@@ -181,6 +184,13 @@
     assert len(set(fleet.calls.maintained)) == 4
 
 
+async def test_a_request_to_vacate_an_upstream_is_repeated(fleet):
+    """Guards against a wave that waits for ever for an upstream that was registered again."""
+    permit(fleet, 60_000)
+    fleet._may_go_down = lambda wave: False
+    assert await wait_until(lambda: any(count > 2 for count in fleet.recorder.requests.values()))
+
+
 async def test_an_order_without_an_answer_is_repeated(fleet):
     """Guards against a wave that never ends because one answer was lost."""
     fleet.calls.unanswered_count = 1
