--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -52,7 +52,10 @@
 
 @frozen
 class Stop:
-    """Stop a run; retried until the upstream has confirmed it."""
+    """Stop a run; retried until the upstream has confirmed it.
+
+    Ignored while an earlier order to stop the same run is being sent.
+    """
 
     task_name: str
     run: int
@@ -203,6 +206,8 @@
         self._last_poll_answered = True
         self._started_ms = 0
         self._late_starts: set[tuple[str, int]] = set()
+        # Runs whose stop is being sent.
+        self._stopping: set[tuple[str, int]] = set()
 
     async def on_open(self) -> None:
         """Start polling the upstream."""
@@ -231,7 +236,16 @@
     @receives(Stop)
     def on_stop(self, message: Stop) -> None:
         """Send a stop."""
-        self.spawn(self._stop(message.task_name, message.run))
+        key = (message.task_name, message.run)
+        if key not in self._stopping:
+            self._stopping.add(key)
+            self.spawn(self._stop_once(key))
+
+    async def _stop_once(self, key: tuple[str, int]) -> None:
+        try:
+            await self._stop(*key)
+        finally:
+            self._stopping.discard(key)
 
     @receives(RejectLateStart)
     def on_reject_late_start(self, message: RejectLateStart) -> None:
@@ -297,6 +311,8 @@
 
     async def _stop(self, task_name: str, run: int) -> None:
         delay_ms = defaults.STORE_RETRY_MS
+        ordered_ms = self._timer.now_ms()
+        failed_count = 0
         while True:
             if not self._permitted():
                 # Leadership may be confirmed again; if it is lost, this link is stopped.
@@ -306,15 +322,37 @@
                 await self._client.stop(task_name, run, self._epoch)
             except TarragoncartError as error:
                 reason = getattr(error, "reason", "")
+                failed_count += 1
                 self._report_if_fenced(reason)
                 if reason in ("fence", "instance"):
+                    self._log_stop("stop given up", task_name, run, ordered_ms, reason=reason)
                     return
+                if failed_count == 1:
+                    text = "stop failed; repeating it"
+                    self._log_stop(text, task_name, run, ordered_ms, reason=reason or str(error))
                 await asyncio.sleep(delay_ms / 1_000)
                 delay_ms = min(2 * delay_ms, 1_000)
             else:
+                text = "stop confirmed"
+                self._log_stop(text, task_name, run, ordered_ms, failed_count=failed_count)
                 self._listener.tell(StopConfirmed(self._upstream_id, task_name, run))
                 return
 
+    def _log_stop(
+        self, text: str, task_name: str, run: int, ordered_ms: float, **inputs: str | int
+    ) -> None:
+        logger.info(
+            text,
+            extra={
+                "task": task_name,
+                "run": run,
+                "upstream": self._upstream_id,
+                "epoch": self._epoch,
+                "after_ms": round(self._timer.now_ms() - ordered_ms),
+                **inputs,
+            },
+        )
+
     async def _pace(self, order: SetPace) -> None:
         if not self._permitted():
             return
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -112,6 +112,10 @@
         if known is not None:
             for task in known.slot.tasks.values():
                 self._occupy_capacity(task, slot, already_counted=True)
+            for orphan in known.orphans.values():
+                if orphan.task is not None:
+                    slot.occupy(orphan.task)
+            upstream.orphans = known.orphans
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
         if not self._unstarted:
@@ -174,10 +178,13 @@
                 slot.full_until_ms = max(slot.full_until_ms, stopped_ms)
             for task in slot.tasks.values():
                 task.must_list_after_ms = max(task.must_list_after_ms, stopped_ms)
+            for orphan in upstream.orphans.values():
+                orphan.conclusive_after_ms = max(orphan.conclusive_after_ms, stopped_ms)
         if not slot.known or not slot.answering:
             slot.known = slot.answering = True
             self._request_pass()
-        listed = {(run.task_name, run.run) for run in report.live}
+        live_keys = {(run.task_name, run.run) for run in report.live}
+        listed = set(live_keys)
         for live in report.live:
             self._process_live_run(upstream, live)
         for ended in report.ended:
@@ -192,6 +199,7 @@
             self._request_pass()
         if len(report.ended) < ENDED_PAGE_COUNT:
             self._drop_unlisted_runs(upstream, listed, message.requested_ms)
+        self._repeat_stops(upstream, live_keys)
         self._set_paces(upstream)
         self._detect_slow_upstream(upstream)
 
@@ -295,6 +303,8 @@
         resuming = task.history.checkpoint and now_ms - task.assigned_ms < defaults.RESUME_GRACE_MS
         if not resuming and not task.step.spec.long_running:
             task.tracker.observe(now_ms, live.percent)
+        if task.state == "stopping":
+            self._log_run("upstream lists a run that is being stopped", task, "")
         if task.state != "running":
             # Polls overlap: a report that was requested before now may not list the run yet.
             task.must_list_after_ms = max(task.must_list_after_ms, self._timer.now_ms())
@@ -311,7 +321,10 @@
         return same_upstream and task.run == key[1] and task.placed
 
     def _process_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
-        """Stop an orphan, unless it is a copy that may be done before the task's current run."""
+        """Stop an orphan, unless it is a copy that may be done before the task's current run.
+
+        :meth:`_repeat_stops` sends the stop again while the orphan is listed.
+        """
         orphan = upstream.orphans.get(key) or self._add_orphan(upstream, key)
         task = orphan.task
         wanted = task is not None and task.step.spec.copyable and not task.step.job.ended
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -82,7 +82,7 @@
     :param task: None if no such task is known.
     :param conclusive_after_ms: the run is gone if a report requested after this time does not list
         it.
-    :param stopping: a stop has been sent to the link.
+    :param stopping: it has to be stopped.
     """
 
     task: Task | None
@@ -276,6 +276,16 @@
 
     def _cancel_job(self, job_id: str, part: int) -> None:
         job = self._jobs.get(job_id)
+        logger.info(
+            "cancellation read",
+            extra={
+                "job": job_id,
+                "part": part,
+                "epoch": self._epoch,
+                "phase": job.phase if job else "unknown",
+                "intake_age_ms": round(self._timer.now_ms() - self._intake_as_of_ms),
+            },
+        )
         if job is None:
             read_ms = self._timer.now_ms()
             self._early_cancels.setdefault(job_id, EarlyCancel(read_ms)).parts.add(part)
@@ -382,7 +392,8 @@
         """Turn the current run of a task into an orphan, which may continue at its upstream.
 
         :param start_uncertain: the start may still reach the upstream; the orphan is stopped, as
-            only a stop rules that out.
+            only a stop rules that out. Without a link the start was sent by an earlier leader, and
+            the first poll rules it out.
         """
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is None:
@@ -392,7 +403,7 @@
         key = (task.name, task.run)
         orphan = upstream.orphans[key] = OrphanRun(task, self._timer.now_ms())
         task.copies[task.run] = task.upstream_id
-        if start_uncertain:
+        if start_uncertain and upstream.link is not None:
             self._stop_run(upstream, key, orphan)
         task.percent = 0
         self._dirty_steps[task.step] = None
@@ -432,9 +443,41 @@
                 self._stop_run(upstream, (task.name, run), orphan)
 
     def _stop_run(self, upstream: KnownUpstream, key: tuple[str, int], orphan: OrphanRun) -> None:
-        if not orphan.stopping and upstream.link is not None:
+        if not orphan.stopping:
             orphan.stopping, orphan.conclusive_after_ms = True, float("inf")
+            self._order_stop(upstream, key)
+
+    def _order_stop(self, upstream: KnownUpstream | None, key: tuple[str, int]) -> None:
+        """Send a stop; without a link it is sent with the first report that calls for it."""
+        if upstream is not None and upstream.link is not None:
             upstream.link.tell(Stop(*key))
+            return
+        logger.info(
+            "stop cannot be sent",
+            extra={
+                "task": key[0],
+                "run": key[1],
+                "upstream": upstream.slot.entry.upstream_id if upstream else "",
+                "reason": "there is no link to its upstream",
+            },
+        )
+
+    def _repeat_stops(self, upstream: KnownUpstream, live: set[tuple[str, int]]) -> None:
+        """Send the stops again that an upstream has not confirmed, or that it has not followed.
+
+        An order can be lost with its link, or was given while there was none. Links ignore the
+        order to stop a run whose stop they are sending.
+        """
+        unconfirmed_ms = float("inf")
+        for task in upstream.slot.tasks.values():
+            key = (task.name, task.run)
+            unconfirmed = task.must_list_after_ms == unconfirmed_ms
+            if task.state == "stopping" and (unconfirmed or key in live):
+                self._order_stop(upstream, key)
+        for key, orphan in upstream.orphans.items():
+            unconfirmed = orphan.conclusive_after_ms == unconfirmed_ms
+            if orphan.stopping and (unconfirmed or key in live):
+                self._order_stop(upstream, key)
 
     def _requeue_step(self, task: Task) -> None:
         """Queue the step of a task without a current run; fail the job if the task is exhausted.
@@ -513,9 +556,7 @@
 
     @implements_action("send_stop")
     def _send_stop(self, task: Task, **details: Any) -> None:
-        upstream = self._upstreams.get(task.upstream_id)
-        if upstream is not None and upstream.link is not None:
-            upstream.link.tell(Stop(task.name, task.run))
+        self._order_stop(self._upstreams.get(task.upstream_id), (task.name, task.run))
 
     def _stop_task(self, task: Task) -> None:
         """Stop the current run of a task, or withdraw it if its start has not been sent."""
--- /dev/null
+++ b/tests/test_lost_orders.py
@@ -0,0 +1,154 @@
+"""Orders that a leader gives while its upstream is away, and those that a take-over interrupts."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standins.polling import wait_until
+from standins.taskworker import TaskWorker
+from tarragoncart import intake
+from tarragoncart.graph import Demand
+from tarragoncart.link import ExtendPermission
+from tarragoncart.loads import Loads
+from tarragoncart.mailbox import Actor, receives
+from tarragoncart.vmorders import UpstreamVacated, VacateUpstream
+
+JOB_ID = "5c0e7a21d94b36f8"
+TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
+LONG_RUNNING_JOB = {"spec": "text", "steps": [{**TASK, "long-running": True}]}
+SPECULATIVE_JOB = {"spec": "text", "steps": [{**TASK, "speculative": True}]}
+PART_COUNT = 2
+# Bounds of the deployment: `cancel_ms` and `stop-ms`.
+CANCEL_MS, STOP_MS = 3_000, 400
+
+
+@pytest.fixture
+async def runs_under_next_leader(run_node, add_worker, store):
+    """Return a function that starts two runs, ends their leader and waits for the next one.
+
+    The upstream is not registered meanwhile. The function returns the worker, the node that leads
+    and a function that registers the upstream again.
+    """
+
+    async def start(cancelled, job=LONG_RUNNING_JOB):
+        worker = await add_worker(worker=TaskWorker(work_ms=0))
+        registration = store.standin.newest("keyed.servers")["i-1"]
+        first = await run_node("node-1")
+        assert await first.caller.submit(f"/q/{JOB_ID}", job) == 200
+        assert await wait_until(lambda: len(worker.runs) == 2)
+        second = await run_node("node-2")
+        store.standin.put("keyed.servers", "i-1", None)
+        await first.stop()
+        if cancelled:
+            part = intake.partitions_of("node-2", PART_COUNT)[0]
+            store.standin.put(intake.TOPIC, f"{intake.CANCEL_PREFIX}{JOB_ID}", 1, part)
+        assert await wait_until(lambda: second.scheduler and second.scheduler._loaded, 6.0)
+
+        def register():
+            store.standin.put_bytes("keyed.servers", "i-1", registration)
+
+        return worker, second, register
+
+    return start
+
+
+@pytest.mark.parametrize("away_ms", [0, 300, 600])
+async def test_a_run_cancelled_while_its_upstream_was_not_registered_is_stopped(
+    runs_under_next_leader, away_ms
+):
+    """Guards against a stop that is lost because the upstream had no link (rule UNASKED)."""
+    worker, leader, register = await runs_under_next_leader(cancelled=True)
+    await asyncio.sleep(away_ms / 1_000)
+    register()
+    assert await wait_until(lambda: not worker.runs, (CANCEL_MS + STOP_MS) / 1_000)
+    assert await leader.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+
+
+async def test_a_run_doubled_while_its_upstream_was_not_registered_is_counted_once(
+    runs_under_next_leader, add_worker
+):
+    """Guards against capacity of an account and copies of a task that are never released."""
+    worker, leader, register = await runs_under_next_leader(False, SPECULATIVE_JOB)
+    scheduler = leader.scheduler
+    tasks = scheduler._jobs[JOB_ID].steps[0, 0].tasks
+    assert await wait_until(lambda: all(task.copies for task in tasks))
+    register()
+    await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await wait_until(lambda: all(task.upstream_id == "i-2" for task in tasks))
+    for name in list(worker.runs):
+        worker.finish(name)
+    assert await leader.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await wait_until(lambda: scheduler._usages["shop"].running == Demand())
+    assert not any(task.copies for task in tasks)
+
+
+class RequestingFleet(Actor):
+    """Stand-in for the owner of the VMs that requests every 100 ms that an upstream is vacated."""
+
+    def __init__(self, scheduler, grace_period_ms):
+        super().__init__("fleet")
+        self.scheduler = scheduler
+        self.request = VacateUpstream("i-1", grace_period_ms)
+        self.vacated = []
+
+    async def on_open(self):
+        """Send the requests."""
+        self.spawn(self._request_repeatedly())
+
+    async def _request_repeatedly(self):
+        while True:
+            self.scheduler.tell(self.request)
+            await asyncio.sleep(0.1)
+
+    @receives(UpstreamVacated)
+    def on_vacated(self, message):
+        """Record the upstream."""
+        self.vacated.append(message.upstream_id)
+
+    @receives(ExtendPermission)
+    def on_extend_permission(self, message):
+        """Ignore the message."""
+
+    @receives(Loads)
+    def on_loads(self, message):
+        """Ignore the message."""
+
+
+@pytest.fixture
+async def request_vacating(run_node, add_worker):
+    """Return a function that vacates an upstream with two tasks and returns it and the fleet."""
+    fleets = []
+
+    async def request(job, grace_period_ms):
+        worker = await add_worker("i-1", TaskWorker(work_ms=0))
+        node = await run_node()
+        assert await node.caller.submit(f"/q/{JOB_ID}", job) == 200
+        assert await wait_until(lambda: len(worker.runs) == 2)
+        fleet = RequestingFleet(node.scheduler, grace_period_ms)
+        node.scheduler._fleet = fleet
+        fleet.start()
+        fleets.append(fleet)
+        return worker, fleet
+
+    yield request
+    for fleet in fleets:
+        await fleet.stop()
+
+
+async def test_repeated_requests_to_vacate_extend_no_grace_period(request_vacating):
+    """Guards against a wave that waits for ever for a task without saved progress."""
+    _, fleet = await request_vacating({"spec": "text", "steps": [TASK]}, 500.0)
+    assert await wait_until(lambda: fleet.vacated, 2.0)
+
+
+async def test_an_upstream_registered_again_while_it_is_vacated_is_vacated(
+    request_vacating, add_worker
+):
+    """Guards against a wave that waits for ever for an upstream whose request was lost with it."""
+    await request_vacating(LONG_RUNNING_JOB, None)
+    replacement = await add_worker("i-1", TaskWorker(work_ms=0, started_ms=2))
+    other = await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await wait_until(lambda: len(other.runs) == 2)
+    assert not replacement.runs
