Order the pace of runs that an earlier leader may have slowed down

Cause: an order for a pace is an event, and the pace is not stored. A new leader took every restored run to run at full pace, so it never sped one up again.

Evidence: the next leader sent no order for 2 runs that it had restored; their test and 3 cases of test_a_pace_that_an_earlier_leader_may_have_set_is_set_again failed (4 of 4).

Change: the pace of a restored run is unknown. The first report that lists the run settles it by an order: full speed without a serving task, 0 while a target is missed or nearly missed, otherwise half.

After: the 4 pass, with one order per run; test_pacing, test_lost_orders and test_link pass (22).

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -69,7 +69,8 @@
     :param tracker: progress of its current run.
     :param copies: upstreams of other runs that may still be active, by the number of the run.
     :param restart_count: runs that were replaced because their upstream was slow.
-    :param pace: share of full speed last ordered, in percent.
+    :param pace: share of full speed last ordered, in percent; None if an earlier leader may have
+        ordered another one.
     :param load: tail latency in ms of a serving task, otherwise cpu use in millicores.
     :param paced_ms: time of the last change of its pace.
     :param retry_ms: it is not assigned again before this time.
@@ -88,7 +89,7 @@
     tracker: ProgressTracker = field(factory=ProgressTracker)
     copies: dict[int, str] = field(factory=dict)
     restart_count: int = 0
-    pace: int = 100
+    pace: int | None = 100
     load: int = 0
     assigned_ms: float = 0.0
     must_list_after_ms: float = 0.0
--- a/src/tarragoncart/pacing.py
+++ b/src/tarragoncart/pacing.py
@@ -17,6 +17,9 @@
 PACE_MIN_PERCENT = 10
 SPEED_UP_STEP_PERCENT = 20
 FULL_PERCENT = 100
+# First order to a task of unknown pace beside a serving task that keeps its target. At full speed
+# it might disturb the serving task again, at 0 it would do no work.
+UNKNOWN_PACE_PERCENT = 50
 # Time until the tail latency reflects a change of pace.
 SETTLE_MS = 700
 
@@ -29,12 +32,14 @@
     :param tail_ms: tail latency of the serving task beside it that has the highest ratio of tail
         latency to target; 0 if there is none.
     :param target_ms: target of that tail latency.
+    :param reason: why it is ordered, if not for the tail latency.
     """
 
     task: Task
     percent: int
     tail_ms: int
     target_ms: int
+    reason: str = ""
 
 
 def worst_serving_task(tasks: Iterable[Task]) -> Task | None:
@@ -53,7 +58,7 @@
     """Yield the changes of pace for the best-effort tasks of one upstream.
 
     All of them slow down at once, as it is not known which one causes the latency. They speed up
-    one at a time.
+    one at a time. An unknown pace is replaced by a known one.
     """
     all_tasks = list(tasks)
     best_effort = [task for task in all_tasks if task.step.spec.fills and task.state == "running"]
@@ -66,7 +71,11 @@
     for task in best_effort:
         if now_ms - task.paced_ms < SETTLE_MS:
             continue
-        if tail_ratio >= SLOW_DOWN_RATIO and task.pace > 0:
+        if task.pace is None:
+            percent = _initial_percent(tail_ratio)
+            reason = "pace is unknown after a take-over"
+            yield PaceChange(task, percent, tail_ms, target_ms, reason)
+        elif tail_ratio >= SLOW_DOWN_RATIO and task.pace > 0:
             percent = int(task.pace * SLOW_DOWN_FACTOR)
             if percent < PACE_MIN_PERCENT:
                 percent = 0
@@ -75,3 +84,10 @@
             percent = min(FULL_PERCENT, task.pace + SPEED_UP_STEP_PERCENT)
             yield PaceChange(task, percent, tail_ms, target_ms)
             return
+
+
+def _initial_percent(tail_ratio: float) -> int:
+    """Return the pace for a task of unknown pace."""
+    if not tail_ratio:
+        return FULL_PERCENT
+    return 0 if tail_ratio >= SLOW_DOWN_RATIO else UNKNOWN_PACE_PERCENT
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -54,6 +54,7 @@
             )
             upstream.slot.answering = False
             self._upstreams[task.upstream_id] = upstream
+        task.pace = None
         self._occupy_capacity(task, upstream.slot)
 
     def _inherited_lease_end_ms(self) -> float:
@@ -275,10 +276,11 @@
             return
         for change in list(pacing.pace_changes(upstream.slot.tasks.values(), now_ms)):
             task = change.task
+            text = "pace ordered again" if change.percent == task.pace else "pace changed"
             task.pace, task.paced_ms = change.percent, now_ms
             upstream.link.tell(SetPace(task.name, task.run, change.percent))
             logger.info(
-                "pace changed",
+                text,
                 extra={
                     "task": task.name,
                     "run": task.run,
@@ -286,6 +288,7 @@
                     "percent": change.percent,
                     "tail_ms": change.tail_ms,
                     "target_ms": change.target_ms,
+                    "reason": change.reason,
                 },
             )
 
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -18,6 +18,7 @@
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
 LONG_RUNNING_JOB = {"spec": "text", "steps": [{**TASK, "long-running": True}]}
+BEST_EFFORT_JOB = {"spec": "text", "steps": [{**TASK, "long-running": True, "fills": True}]}
 SPECULATIVE_JOB = {"spec": "text", "steps": [{**TASK, "speculative": True}]}
 PART_COUNT = 2
 # Bounds of the deployment: `cancel_ms` and `stop-ms`.
@@ -84,6 +85,18 @@
     assert not any(task.copies for task in tasks)
 
 
+async def test_runs_that_an_earlier_leader_slowed_down_get_a_pace_after_a_take_over(
+    runs_under_next_leader,
+):
+    """Guards against best-effort runs that stay at pace 0 as the next leader takes it for 100."""
+    worker, _, register = await runs_under_next_leader(False, BEST_EFFORT_JOB)
+    register()
+    assert await wait_until(lambda: len(worker.paces) == 2)
+    assert {percent for _, percent in worker.paces} == {100}
+    await asyncio.sleep(1.0)
+    assert len(worker.paces) == 2
+
+
 class RequestingFleet(Actor):
     """Stand-in for the owner of the VMs that requests every 100 ms that an upstream is vacated."""
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -62,3 +62,12 @@
     tasks[0].state = "waiting"
     tasks[1].pace = 90
     assert apply_changes(tasks, 10_000.0) == [100, 100]
+
+
+@pytest.mark.parametrize(("tail_ms", "paces"), [(0, [100, 100]), (70, [50, 50]), (150, [0, 0])])
+def test_a_pace_that_an_earlier_leader_may_have_set_is_set_again(tasks, tail_ms, paces):
+    """Guards against tasks that stay slowed down, or harm others, after a take-over."""
+    for task in tasks[1:]:
+        task.pace = None
+    tasks[0].load = tail_ms
+    assert apply_changes(tasks, 10_000.0) == paces
