Repeat an order for a pace until the upstream has answered it

Cause: the link only logged an order without an answer, and the scheduler took it as followed. At pace 0 no other order was due.

Evidence: of 2 orders without an answer none was repeated (test_an_order_for_a_pace_without_an_answer_is_repeated failed, 1 of 1).

Change: an order needs a confirmation. The link tells its outcome, and a later report repeats an unconfirmed order, at most once per run and SETTLE_MS, which is as long as a call may take. A refusal ends the repetition unless the upstream is unhealthy. The orders of a link that is gone are repeated as well.

After: both orders are repeated once; test_pacing, test_lost_orders and test_link pass (33).

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -34,6 +34,7 @@
 
     :param silent: whether calls get no response.
     :param lose_start_count: number of next starts that are carried out but get no response.
+    :param lose_pace_count: number of next orders for a pace that get no response.
     :param outcome: outcome of runs that are started from now on.
     :param refuse_start_count: number of next starts that are refused for lack of room.
     :param start_delay_ms: delay of the response to a start.
@@ -45,6 +46,7 @@
 
     silent: bool = False
     lose_start_count: int = 0
+    lose_pace_count: int = 0
     refuse_start_count: int = 0
     outcome: str = "done"
     stop_ms: float = 0.0
@@ -143,6 +145,10 @@
         handlers = {"/run-start": self._start, "/run-stop": self._stop, "/hold": self._hold}
         if request.path == "/pace":
             self.paces.append((data["task"], data["percent"]))
+            if self.faults.lose_pace_count:
+                self.faults.lose_pace_count -= 1
+                assert request.transport is not None
+                request.transport.abort()
             return _json_response({"clock-ms": self.clock_ms()})
         response = await handlers[request.path](request, data)
         if request.path in self.faults.bodies:
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -72,7 +72,8 @@
     :param pace: share of full speed last ordered, in percent; None if an earlier leader may have
         ordered another one.
     :param load: tail latency in ms of a serving task, otherwise cpu use in millicores.
-    :param paced_ms: time of the last change of its pace.
+    :param pace_confirmed: whether the upstream has answered the last order for its pace.
+    :param paced_ms: time of the last order for its pace.
     :param retry_ms: it is not assigned again before this time.
     :param must_list_after_ms: the current run is gone if a report requested after this time does
         not list it; earlier reports may miss it.
@@ -90,6 +91,7 @@
     copies: dict[int, str] = field(factory=dict)
     restart_count: int = 0
     pace: int | None = 100
+    pace_confirmed: bool = True
     load: int = 0
     assigned_ms: float = 0.0
     must_list_after_ms: float = 0.0
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -159,6 +159,19 @@
     run: int
 
 
+@frozen
+class PaceOutcome:
+    """Outcome of an order for a pace.
+
+    :param outcome: ``accepted``, ``refused``, or ``unanswered`` if a repetition may succeed.
+    """
+
+    task_name: str
+    run: int
+    percent: int
+    outcome: str
+
+
 @frozen
 class FencedByUpstream:
     """An upstream has seen a higher epoch."""
@@ -356,18 +369,25 @@
     async def _pace(self, order: SetPace) -> None:
         if not self._permitted():
             return
+        outcome = "accepted"
         try:
             await self._client.pace(order.task_name, order.run, order.percent, self._epoch)
         except TarragoncartError as error:
-            # Not retried. Later reports may change the pace again, starting from this one.
+            # Not retried here: a later report shows which pace is due by then.
+            reason = getattr(error, "reason", "")
+            self._report_if_fenced(reason)
+            outcome = "refused" if reason not in ("", "unhealthy") else "unanswered"
             logger.info(
                 "pace could not be set",
                 extra={
                     "task": order.task_name,
+                    "run": order.run,
                     "upstream": self._upstream_id,
+                    "percent": order.percent,
                     "reason": str(error),
                 },
             )
+        self._listener.tell(PaceOutcome(order.task_name, order.run, order.percent, outcome))
 
     def _report_if_fenced(self, reason: str) -> None:
         if reason == "fence":
--- a/src/tarragoncart/pacing.py
+++ b/src/tarragoncart/pacing.py
@@ -84,6 +84,24 @@
             percent = min(FULL_PERCENT, task.pace + SPEED_UP_STEP_PERCENT)
             yield PaceChange(task, percent, tail_ms, target_ms)
             return
+        elif not task.pace_confirmed:
+            reason = "the last order was not confirmed"
+            yield PaceChange(task, task.pace, tail_ms, target_ms, reason)
+
+
+def order_pace(change: PaceChange, now_ms: float) -> None:
+    """Note that a change is being ordered. The order may be lost, so it needs a confirmation."""
+    task = change.task
+    task.pace, task.pace_confirmed, task.paced_ms = change.percent, False, now_ms
+
+
+def note_outcome(task: Task, percent: int, outcome: str) -> None:
+    """Note the outcome of an order for a pace: ``accepted``, ``refused`` or ``unanswered``.
+
+    An order is refused if the run is not there. It need not be repeated.
+    """
+    if percent == task.pace and outcome != "unanswered":
+        task.pace_confirmed = True
 
 
 def _initial_percent(tail_ratio: float) -> int:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -16,6 +16,7 @@
     Acknowledge,
     ExtendPermission,
     Link,
+    PaceOutcome,
     PollFailed,
     RejectLateStart,
     ReportReceived,
@@ -277,7 +278,7 @@
         for change in list(pacing.pace_changes(upstream.slot.tasks.values(), now_ms)):
             task = change.task
             text = "pace ordered again" if change.percent == task.pace else "pace changed"
-            task.pace, task.paced_ms = change.percent, now_ms
+            pacing.order_pace(change, now_ms)
             upstream.link.tell(SetPace(task.name, task.run, change.percent))
             logger.info(
                 text,
@@ -292,6 +293,13 @@
                 },
             )
 
+    @receives(PaceOutcome)
+    def on_pace_outcome(self, message: PaceOutcome) -> None:
+        """Process the outcome of an order for a pace."""
+        task = self._find_task(message.task_name)
+        if task is not None and task.run == message.run:
+            pacing.note_outcome(task, message.percent, message.outcome)
+
     def _process_live_run(self, upstream: KnownUpstream, live: LiveRun) -> None:
         task = self._find_task(live.task_name)
         key = (live.task_name, live.run)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -347,7 +347,7 @@
         task.must_list_after_ms = 0.0
         task.percent, task.pace, task.load = 0, pacing.FULL_PERCENT, 0
         task.tracker = ProgressTracker()
-        task.paced_ms = 0.0
+        task.pace_confirmed, task.paced_ms = True, 0.0
         self._occupy_capacity(task, slot)
         self._effects.starts.append((task, task.run))
         self._dirty_steps[task.step] = None
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,14 +7,16 @@
 import pytest
 
 from tarragoncart import defaults
-from tarragoncart.errors import UpstreamUnknownError
+from tarragoncart.errors import UpstreamRefusedError, UpstreamUnknownError, UpstreamUnreachableError
 from tarragoncart.graph import Demand, UpstreamEntry
 from tarragoncart.link import (
     Acknowledge,
     ExtendPermission,
     Link,
+    PaceOutcome,
     PollFailed,
     ReportReceived,
+    SetPace,
     Start,
     StartOutcome,
 )
@@ -36,6 +38,7 @@
         self.started_ms = 1
         self.silent = False
         self.starts = []
+        self.pace_error = None
 
     async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
         self.acknowledged.append(acknowledged)
@@ -51,6 +54,11 @@
         self.leases_ms.append(until_ms - self.timer.now_ms())
         return int(self.timer.now_ms())
 
+    async def pace(self, task_name, run, percent, epoch):
+        if self.pace_error is not None:
+            raise self.pace_error
+        return int(self.timer.now_ms())
+
     async def close(self):
         pass
 
@@ -74,6 +82,11 @@
         """Record the outcome."""
         self.outcomes.append(message.outcome)
 
+    @receives(PaceOutcome)
+    def on_pace_outcome(self, message):
+        """Record the outcome."""
+        self.outcomes.append(message.outcome)
+
     @receives(PollFailed)
     def on_poll_failed(self, message):
         """Record the end of the lease."""
@@ -222,3 +235,22 @@
     await asyncio.sleep(0.2)
     assert (upstream.starts, listener.outcomes) == ([], ["refused"])
     await link.stop()
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome"),
+    [
+        (None, "accepted"),
+        (UpstreamRefusedError("old", step="pace"), "refused"),
+        (UpstreamRefusedError("unhealthy", step="pace"), "unanswered"),
+        (UpstreamUnknownError("no answer", step="pace"), "unanswered"),
+        (UpstreamUnreachableError("no connection", step="pace"), "unanswered"),
+    ],
+)
+async def test_the_outcome_of_an_order_for_a_pace_is_told(linked, error, outcome):
+    """Guards against an order without an answer that counts as followed."""
+    link, upstream, listener = linked
+    upstream.pace_error = error
+    link.tell(SetPace("j.0.0.0", 1, 0))
+    await asyncio.sleep(0.05)
+    assert listener.outcomes == [outcome]
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -97,6 +97,16 @@
     assert len(worker.paces) == 2
 
 
+async def test_an_order_for_a_pace_without_an_answer_is_repeated(runs_under_next_leader):
+    """Guards against best-effort runs whose pace counts as set although the order was lost."""
+    worker, _, register = await runs_under_next_leader(False, BEST_EFFORT_JOB)
+    worker.faults.lose_pace_count = 2
+    register()
+    assert await wait_until(lambda: len(worker.paces) == 4, 3.0)
+    await asyncio.sleep(1.0)
+    assert sorted(worker.paces) == sorted(2 * [(name, 100) for name in worker.runs])
+
+
 class RequestingFleet(Actor):
     """Stand-in for the owner of the VMs that requests every 100 ms that an upstream is vacated."""
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -6,7 +6,7 @@
 
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.jobmodel import Job
-from tarragoncart.pacing import SETTLE_MS, pace_changes
+from tarragoncart.pacing import SETTLE_MS, note_outcome, order_pace, pace_changes
 
 SERVING = StepSpec(1, Demand(1_000), long_running=True, target_tail_ms=100)
 BEST_EFFORT = StepSpec(2, Demand(1_000), long_running=True, fills=True)
@@ -27,7 +27,7 @@
 def apply_changes(tasks, now_ms):
     """Apply the changes and return the paces of the best-effort tasks."""
     for change in list(pace_changes(tasks, now_ms)):
-        change.task.pace, change.task.paced_ms = change.percent, now_ms
+        order_pace(change, now_ms)
     return [task.pace for task in tasks if task.step.spec.fills]
 
 
@@ -71,3 +71,42 @@
         task.pace = None
     tasks[0].load = tail_ms
     assert apply_changes(tasks, 10_000.0) == paces
+
+
+@pytest.mark.parametrize("outcome", ["unanswered", "lost"])
+def test_an_order_that_is_not_confirmed_is_repeated(tasks, outcome):
+    """Guards against a task that is taken for stopped and works on beside a missed target."""
+    tasks[0].load = 150
+    tasks[1].state = "waiting"
+    tasks[2].pace = 10
+    assert apply_changes(tasks, 10_000.0) == [100, 0]
+    if outcome != "lost":
+        note_outcome(tasks[2], 0, outcome)
+    tasks[0].load = 75
+    assert not list(pace_changes(tasks, 10_000.0 + SETTLE_MS - 1))
+    repeated = list(pace_changes(tasks, 10_000.0 + SETTLE_MS))
+    assert [(change.task, change.percent) for change in repeated] == [(tasks[2], 0)]
+
+
+@pytest.mark.parametrize("outcome", ["accepted", "refused"])
+def test_an_order_that_was_answered_is_not_repeated(tasks, outcome):
+    """Guards against a call with each report to an upstream that follows or has no such run."""
+    tasks[0].load = 150
+    tasks[1].pace = tasks[2].pace = 10
+    assert apply_changes(tasks, 10_000.0) == [0, 0]
+    for task in tasks[1:]:
+        note_outcome(task, 0, outcome)
+    tasks[0].load = 75
+    assert not list(pace_changes(tasks, 10_000.0 + SETTLE_MS))
+
+
+def test_the_answer_to_an_earlier_order_confirms_no_later_one(tasks):
+    """Guards against a late answer that hides the loss of a later order."""
+    tasks[0].load = 150
+    assert apply_changes(tasks, 10_000.0) == [50, 50]
+    assert apply_changes(tasks, 10_000.0 + SETTLE_MS) == [25, 25]
+    note_outcome(tasks[1], 50, "accepted")
+    note_outcome(tasks[2], 25, "accepted")
+    tasks[0].load = 75
+    repeated = list(pace_changes(tasks, 10_000.0 + 2 * SETTLE_MS))
+    assert [(change.task, change.percent) for change in repeated] == [(tasks[1], 25)]
