Order a pause again while the latency target is missed

Cause: an upstream may carry out an order seconds late, after newer ones. An earlier pace then replaced the pause, which was confirmed, so nothing followed.

Evidence: test_a_pause_is_ordered_again_while_the_target_is_missed failed (1 of 1): no order followed in 4 s.

Change: while the target is missed, a pause is ordered again each PAUSE_REPEAT_MS (1 s), whether or not it is still in force.

After: 4 orders in 4 s, none while the target is kept; test_pacing, test_lost_orders and test_link pass (35).

--- a/src/tarragoncart/pacing.py
+++ b/src/tarragoncart/pacing.py
@@ -22,6 +22,9 @@
 UNKNOWN_PACE_PERCENT = 50
 # Time until the tail latency reflects a change of pace.
 SETTLE_MS = 700
+# Interval at which a pause is ordered again while the target is missed. An earlier order that is
+# carried out late may undo it; a target may be missed for 4 s.
+PAUSE_REPEAT_MS = 1_000
 
 
 @frozen
@@ -87,6 +90,9 @@
         elif not task.pace_confirmed:
             reason = "the last order was not confirmed"
             yield PaceChange(task, task.pace, tail_ms, target_ms, reason)
+        elif task.pace == 0 and tail_ratio >= 1 and now_ms - task.paced_ms >= PAUSE_REPEAT_MS:
+            reason = "the target is missed although the task is paused"
+            yield PaceChange(task, task.pace, tail_ms, target_ms, reason)
 
 
 def order_pace(change: PaceChange, now_ms: float) -> None:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -6,7 +6,7 @@
 
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.jobmodel import Job
-from tarragoncart.pacing import SETTLE_MS, note_outcome, order_pace, pace_changes
+from tarragoncart.pacing import PAUSE_REPEAT_MS, SETTLE_MS, note_outcome, order_pace, pace_changes
 
 SERVING = StepSpec(1, Demand(1_000), long_running=True, target_tail_ms=100)
 BEST_EFFORT = StepSpec(2, Demand(1_000), long_running=True, fills=True)
@@ -110,3 +110,23 @@
     tasks[0].load = 75
     repeated = list(pace_changes(tasks, 10_000.0 + 2 * SETTLE_MS))
     assert [(change.task, change.percent) for change in repeated] == [(tasks[1], 25)]
+
+
+def test_a_pause_is_ordered_again_while_the_target_is_missed(tasks):
+    """Guards against a task that an earlier order, carried out late, has set to work again."""
+    tasks[0].load = 150
+    tasks[1].state = "waiting"
+    tasks[2].pace = 0
+    ordered_ms = []
+    for now_ms in range(10_000, 14_000, 100):
+        if apply_changes(tasks[::2], now_ms) and tasks[2].paced_ms == now_ms:
+            ordered_ms.append(now_ms)
+            note_outcome(tasks[2], 0, "accepted")
+    assert ordered_ms == list(range(10_000, 14_000, PAUSE_REPEAT_MS))
+
+
+def test_a_pause_is_not_ordered_again_while_the_target_is_kept(tasks):
+    """Guards against calls to each upstream whose best-effort tasks are paused."""
+    tasks[0].load = 95
+    tasks[1].pace = tasks[2].pace = 0
+    assert not list(pace_changes(tasks, 10_000.0))
