--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -16,6 +16,7 @@
     Acknowledge,
     ExtendPermission,
     Link,
+    PaceOutcome,
     PollFailed,
     RejectLateStart,
     ReportReceived,
@@ -54,6 +55,7 @@
             )
             upstream.slot.answering = False
             self._upstreams[task.upstream_id] = upstream
+        task.pace = None
         self._occupy_capacity(task, upstream.slot)
 
     def _inherited_lease_end_ms(self) -> float:
@@ -275,10 +277,11 @@
             return
         for change in list(pacing.pace_changes(upstream.slot.tasks.values(), now_ms)):
             task = change.task
-            task.pace, task.paced_ms = change.percent, now_ms
+            text = "pace ordered again" if change.percent == task.pace else "pace changed"
+            pacing.order_pace(change, now_ms)
             upstream.link.tell(SetPace(task.name, task.run, change.percent))
             logger.info(
-                "pace changed",
+                text,
                 extra={
                     "task": task.name,
                     "run": task.run,
@@ -286,9 +289,17 @@
                     "percent": change.percent,
                     "tail_ms": change.tail_ms,
                     "target_ms": change.target_ms,
+                    "reason": change.reason,
                 },
             )
 
+    @receives(PaceOutcome)
+    def on_pace_outcome(self, message: PaceOutcome) -> None:
+        """Process the outcome of an order for a pace."""
+        task = self._find_task(message.task_name)
+        if task is not None and task.run == message.run:
+            pacing.note_outcome(task, message.percent, message.outcome)
+
     def _process_live_run(self, upstream: KnownUpstream, live: LiveRun) -> None:
         task = self._find_task(live.task_name)
         key = (live.task_name, live.run)
