Check disruption budgets each time an upstream is reported as vacated

Cause: the scheduler checked the budgets once. From then on `may_go_down` skipped the check, so that a VM that is vacated in advance and waits for its wave's limit was ordered down whatever had happened to the other tasks meanwhile.

Evidence: the new test failed before; the scheduler reported the upstream as vacated 3 times in 0.8 s while a third task of a step that may miss two was away.

Change: the budgets are checked for each report, also while an upstream that was reported before is silent, since an order for its VM may have no answer yet.

After: tests/test_lost_orders.py passes.

--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -516,6 +516,9 @@
             self._stop_tasks_on_leaving_upstream(upstream)
             self._vacate(upstream, now_ms)
             return
+        if upstream.may_go_down:
+            # An order for its VM may have no answer yet and is only repeated while this holds.
+            self._confirm_vacated(upstream)
         if now_ms < upstream.lease_end_ms:
             self._allow_copies(upstream, now_ms)
             return
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -113,7 +113,12 @@
                 pending_count += 1
         if pending_count and may_wait:
             return
-        if upstream.may_go_down or assignment.within_disruption_budget(slot.tasks.values()):
+        self._confirm_vacated(upstream)
+
+    def _confirm_vacated(self, upstream: KnownUpstream) -> None:
+        """Report that the VM may go down now, if the disruption budgets allow it."""
+        slot = upstream.slot
+        if assignment.within_disruption_budget(slot.tasks.values()):
             upstream.may_go_down = True
             for task in slot.tasks.values():
                 task.percent = 0
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -152,3 +152,59 @@
     other = await add_worker("i-2", TaskWorker(work_ms=0))
     assert await wait_until(lambda: len(other.runs) == 2)
     assert not replacement.runs
+
+
+BUDGETED_JOB = {
+    "spec": "text",
+    "steps": [{**TASK, "count": 3, "long-running": True, "may-miss": 2}],
+}
+
+
+@pytest.fixture
+async def request_vacating_within_budget(run_node, add_worker):
+    """Return a function that vacates `i-1`, whose two tasks have no place elsewhere.
+
+    The third task of their step runs on `i-2`, and two of them may be away. The function that the
+    fixture returns gets a coroutine that runs on the worker of `i-2` first; it returns the fleet.
+    """
+    fleets = []
+
+    async def request(prepare):
+        first = await add_worker("i-1", TaskWorker(work_ms=0, cpu_millicores=2_000))
+        second = await add_worker("i-2", TaskWorker(work_ms=0, cpu_millicores=1_000))
+        node = await run_node()
+        assert await node.caller.submit(f"/q/{JOB_ID}", BUDGETED_JOB) == 200
+        assert await wait_until(lambda: len(first.runs) == 2 and len(second.runs) == 1)
+        tasks = node.scheduler._jobs[JOB_ID].steps[0, 0].tasks
+        assert await wait_until(lambda: all(task.at_full_speed for task in tasks))
+        await prepare(node.scheduler, second)
+        fleet = RequestingFleet(node.scheduler, None)
+        node.scheduler._fleet = fleet
+        fleet.start()
+        fleets.append(fleet)
+        return second, fleet
+
+    yield request
+    for fleet in fleets:
+        await fleet.stop()
+
+
+async def nothing(scheduler, worker):
+    """Leave the upstreams as they are."""
+
+
+async def test_a_vacated_upstream_whose_budget_is_used_up_since_is_not_vacated(
+    request_vacating_within_budget,
+):
+    """Guards against a VM that waits for its order while other tasks go away (rule AVAIL)."""
+    worker, fleet = await request_vacating_within_budget(nothing)
+    assert await wait_until(lambda: fleet.vacated)
+    for run in worker.runs.values():
+        run.percent = 0
+    await asyncio.sleep(1.2)
+    fleet.vacated.clear()
+    await asyncio.sleep(0.8)
+    assert not fleet.vacated
+    for run in worker.runs.values():
+        run.percent = 100
+    assert await wait_until(lambda: fleet.vacated)
