Send orders for VMs only while their upstreams are known to be vacated

Cause: the scheduler's word that an upstream is vacated started an order that was sent later, after it had waited for other orders and for the store, and was sent again every 500 ms without an answer, with no new word.

Change: the fleet notes when an upstream was last reported as vacated. An order that finds this older than 1 s is not sent and is tried again after the usual pause. The scheduler repeats its report each tick.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -248,6 +248,9 @@
 # Orders for VMs that wait for an answer at the same time; further ones wait before they are sent.
 VM_ORDER_LIMIT_COUNT = 8
 FLEET_RETRY_MS = 500
+# An order for a VM needs word from the scheduler, which repeats it each tick, that is at most this
+# old: disruption budgets that allowed the order may be used up since.
+VACATED_MAX_AGE_MS = 1_000
 # Before maintenance, tasks without saved progress are given this long to end.
 VACATE_GRACE_PERIOD_MS = 3_500
 # An upstream counts as slow for this long after its runs were last judged slow.
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -13,7 +13,7 @@
 from .leadership import Fenced
 from .loads import Loads
 from .mailbox import implements_action, receives
-from .pools import POLICIES, MovePlan, PoolDemand, PoolVm
+from .pools import POLICIES, PoolDemand, PoolVm
 from .vmorders import Move, UpstreamEnded, VmOrders
 
 logger = logging.getLogger(__name__)
@@ -190,17 +190,19 @@
 
     @implements_action("order_move")
     def _order_move(self, move: Move) -> None:
-        self.spawn(self._send_move_order(move.plan, 0))
+        self.spawn(self._send_move_order(move, 0))
 
     @implements_action("retry_move")
     def _retry_move(self, move: Move) -> None:
-        self.spawn(self._send_move_order(move.plan, defaults.FLEET_RETRY_MS))
+        self.spawn(self._send_move_order(move, defaults.FLEET_RETRY_MS))
 
-    async def _send_move_order(self, plan: MovePlan, delay_ms: float) -> None:
+    async def _send_move_order(self, move: Move, delay_ms: float) -> None:
+        plan = move.plan
         event, reason = await self._send_order(
             plan.vm_id,
             lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch),
             delay_ms,
+            move.upstream_id,
         )
         self.tell(_MoveEnded(plan.vm_id, event, reason))
 
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -65,7 +65,10 @@
 
 @frozen
 class UpstreamVacated:
-    """The upstream is vacated: any tasks that still run there may be ended."""
+    """The upstream is vacated: any tasks that still run there may be ended now.
+
+    Repeated while this holds, as the disruption budgets of the tasks' steps may forbid it later.
+    """
 
     upstream_id: str
 
@@ -135,6 +138,8 @@
         self._pools_logged_ms = 0.0
         self._order_slots = asyncio.Semaphore(defaults.VM_ORDER_LIMIT_COUNT)
         self._permitted_until_ms = 0.0
+        # By upstream, when it was last known to be vacated.
+        self._vacated_ms: dict[str, float] = {}
         self._listing = False
 
     @receives(ExtendPermission)
@@ -145,18 +150,29 @@
     def _may_order(self) -> bool:
         return self._timer.now_ms() < self._permitted_until_ms
 
+    def _is_vacated(self, upstream_id: str) -> bool:
+        vacated_ms = self._vacated_ms.get(upstream_id, float("-inf"))
+        return self._timer.now_ms() - vacated_ms <= defaults.VACATED_MAX_AGE_MS
+
     async def _send_order(
-        self, vm_id: str, call: Callable[[], Awaitable[None]], delay_ms: float
+        self,
+        vm_id: str,
+        call: Callable[[], Awaitable[None]],
+        delay_ms: float,
+        upstream_id: str = "",
     ) -> tuple[str, str]:
-        """Send an order; return the state chart's event for its outcome, and the reason."""
+        """Send an order; return the state chart's event for its outcome, and the reason.
+
+        :param upstream_id: upstream that has to be vacated when the order is sent; empty for none.
+        """
         if delay_ms:
             await self._sleep(delay_ms)
         # The age of an order and the permission for it must not become old in a queue.
         async with self._order_slots:
-            return await self._send_order_now(vm_id, call)
+            return await self._send_order_now(vm_id, call, upstream_id)
 
     async def _send_order_now(
-        self, vm_id: str, call: Callable[[], Awaitable[None]]
+        self, vm_id: str, call: Callable[[], Awaitable[None]], upstream_id: str
     ) -> tuple[str, str]:
         stored = new_reply()
         record = self._orders.add(vm_id, self._timer.now_ms())
@@ -166,6 +182,8 @@
         if self._timer.now_ms() >= self._permitted_until_ms:
             # A successor may already send orders, and both together could exceed a wave's limit.
             return "unanswered", "leadership is not confirmed"
+        if upstream_id and not self._is_vacated(upstream_id):
+            return "unanswered", "upstream is not confirmed as vacated"
         try:
             await call()
         except FleetRefusedError as error:
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -244,6 +244,7 @@
 
         Maintenance is ordered only if the wave's limit allows one more VM to be down.
         """
+        self._vacated_ms[message.upstream_id] = self._timer.now_ms()
         for wave in self._waves.values():
             for vm in wave.vms.values():
                 if vm.upstream_id != message.upstream_id or vm.state != "vacating":
@@ -257,17 +258,21 @@
 
     @implements_action("order")
     def _order(self, vm: VmUpkeep, wave: Wave) -> None:
-        self.spawn(self._send_maintenance_order(wave.request.number, vm.vm_id, 0))
+        self.spawn(self._send_maintenance_order(wave.request.number, vm, 0))
 
     @implements_action("retry_order")
     def _retry_order(self, vm: VmUpkeep, wave: Wave) -> None:
-        self.spawn(
-            self._send_maintenance_order(wave.request.number, vm.vm_id, defaults.FLEET_RETRY_MS)
-        )
+        self.spawn(self._send_maintenance_order(wave.request.number, vm, defaults.FLEET_RETRY_MS))
 
-    async def _send_maintenance_order(self, wave_number: int, vm_id: str, delay_ms: float) -> None:
+    async def _send_maintenance_order(
+        self, wave_number: int, vm: VmUpkeep, delay_ms: float
+    ) -> None:
+        vm_id = vm.vm_id
         event, reason = await self._send_order(
-            vm_id, lambda: self._calls.maintain(vm_id, wave_number, self._epoch), delay_ms
+            vm_id,
+            lambda: self._calls.maintain(vm_id, wave_number, self._epoch),
+            delay_ms,
+            vm.upstream_id,
         )
         self.tell(_OrderEnded(wave_number, vm_id, event, reason))
 
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from standins import polling
+from tarragoncart.defaults import VACATED_MAX_AGE_MS
 from tarragoncart.errors import FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
 from tarragoncart.link import ExtendPermission
@@ -82,6 +83,7 @@
         self.ended = []
         self.readmitted = []
         self.requests = Counter()
+        self.withdrawn = False
 
     @receives(VacateUpstream)
     def on_vacate(self, message):
@@ -91,7 +93,8 @@
 
     async def _tell_vacated(self, upstream_id):
         for _ in range(40):
-            self.fleet.tell(UpstreamVacated(upstream_id))
+            if not self.withdrawn:
+                self.fleet.tell(UpstreamVacated(upstream_id))
             await asyncio.sleep(0.1)
 
     @receives(UpstreamEnded)
@@ -354,3 +357,17 @@
     (demand,) = fleet._demands()
     assert demand.total_millicores == demand.free_millicores == 7 * 16_000
     assert demand.vm_count == 7
+
+
+async def test_an_order_that_is_sent_again_needs_an_upstream_that_is_still_vacated(fleet):
+    """Guards against a late order that exceeds a disruption budget (rule AVAIL)."""
+    fleet.calls.unanswered_count = 1_000
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: len(fleet.calls.maintained) >= 2)
+    fleet.recorder.withdrawn = True
+    await asyncio.sleep(VACATED_MAX_AGE_MS / 1_000 + 0.1)
+    sent_count = len(fleet.calls.maintained)
+    await asyncio.sleep(1.2)
+    assert len(fleet.calls.maintained) == sent_count
+    fleet.recorder.withdrawn = False
+    assert await wait_until(lambda: len(fleet.calls.maintained) > sent_count)
