Count tasks of a silent upstream as away for disruption budgets

Cause: a task kept the percent of its last report until the lease of its upstream had expired for certain. The runs of an upstream that is cut off end before that bound, while other upstreams were vacated as if these tasks were at work.

Evidence: the new test failed before; an upstream was reported as vacated 4 times in 0.8 s while a third task of a step that may miss two was on an upstream that did not answer.

Change: a failed poll or an old report sets the percent of the tasks there to 0; the next report sets it again.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -423,10 +423,20 @@
                     "report_age_ms": round(self._timer.now_ms() - upstream.reported_ms),
                 },
             )
+        self._assume_tasks_away(slot)
         upstream.lease_end_ms = max(upstream.lease_end_ms, message.lease_end_ms)
         if message.gone:
             self._remove_upstream(upstream, "another incarnation answered at its address")
 
+    @staticmethod
+    def _assume_tasks_away(slot: UpstreamSlot) -> None:
+        """Count the tasks of a silent upstream as away until it reports them again.
+
+        Its runs may have ended well before the time at which all leases have expired for certain.
+        """
+        for task in slot.tasks.values():
+            task.percent = 0
+
     def _mark_all_lost(self, upstream: KnownUpstream, reason: str, assigned: bool = True) -> None:
         """Treat all runs at an upstream as lost.
 
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -503,6 +503,7 @@
             report_age_ms = now_ms - upstream.reported_ms
             if report_age_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
                 slot.answering = False
+                self._assume_tasks_away(slot)
                 logger.info(
                     "upstream does not answer",
                     extra={
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -193,6 +193,13 @@
     """Leave the upstreams as they are."""
 
 
+async def silence(scheduler, worker):
+    """Cut an upstream off until the leader has noticed it."""
+    worker.faults.silent = True
+    slot = scheduler._upstreams["i-2"].slot
+    assert await wait_until(lambda: not slot.answering)
+
+
 async def test_a_vacated_upstream_whose_budget_is_used_up_since_is_not_vacated(
     request_vacating_within_budget,
 ):
@@ -208,3 +215,12 @@
     for run in worker.runs.values():
         run.percent = 100
     assert await wait_until(lambda: fleet.vacated)
+
+
+async def test_tasks_on_a_silent_upstream_use_up_the_disruption_budget(
+    request_vacating_within_budget,
+):
+    """Guards against an order while tasks of a cut-off upstream may have ended (rule AVAIL)."""
+    _, fleet = await request_vacating_within_budget(silence)
+    await asyncio.sleep(0.8)
+    assert not fleet.vacated
