--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -505,6 +505,7 @@
             report_age_ms = now_ms - upstream.reported_ms
             if report_age_ms > defaults.UPSTREAM_SILENT_MS and slot.known:
                 slot.answering = False
+                self._assume_tasks_away(slot)
                 logger.info(
                     "upstream does not answer",
                     extra={
@@ -518,6 +519,9 @@
             self._stop_tasks_on_leaving_upstream(upstream)
             self._vacate(upstream, now_ms)
             return
+        if upstream.may_go_down:
+            # An order for its VM may have no answer yet and is only repeated while this holds.
+            self._confirm_vacated(upstream)
         if now_ms < upstream.lease_end_ms:
             self._allow_copies(upstream, now_ms)
             return
