Select no VM for a wave while it moves

Cause: a wave could select a VM that a move vacates.

Change: a wave selects the VM once its move has ended. Times at which upstreams were vacated are dropped once they are too old to count.

Before: test_a_vm_that_moves_is_not_selected_for_a_wave failed. After: test_vms passes.

Tests: a job may be accepted before its entry VM leads.

--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -150,8 +150,14 @@
     def _may_order(self) -> bool:
         return self._timer.now_ms() < self._permitted_until_ms
 
+    def _note_vacated(self, upstream_id: str) -> None:
+        self._vacated_ms[upstream_id] = self._timer.now_ms()
+        self._vacated_ms = {key: at for key, at in self._vacated_ms.items() if self._is_recent(at)}
+
     def _is_vacated(self, upstream_id: str) -> bool:
-        vacated_ms = self._vacated_ms.get(upstream_id, float("-inf"))
+        return self._is_recent(self._vacated_ms.get(upstream_id, float("-inf")))
+
+    def _is_recent(self, vacated_ms: float) -> bool:
         return self._timer.now_ms() - vacated_ms <= defaults.VACATED_MAX_AGE_MS
 
     async def _send_order(
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -186,7 +186,11 @@
             return
         sizes = Counter(vm.pool for vm in self._vms.values())
         now_ms = self._timer.now_ms()
-        free = {key: vm for key, vm in self._vms.items() if self._orders.allows(key, now_ms)}
+        free = {
+            key: vm
+            for key, vm in self._vms.items()
+            if self._orders.allows(key, now_ms) and key not in self._moves
+        }
         for vm in list(next_vms(wave, free, self._loads.upstreams, sizes)):
             entry = self._vms[vm.vm_id]
             vm.upstream_id, vm.upstream_ended = entry.upstream_id, False
@@ -244,7 +248,7 @@
 
         Maintenance is ordered only if the wave's limit allows one more VM to be down.
         """
-        self._vacated_ms[message.upstream_id] = self._timer.now_ms()
+        self._note_vacated(message.upstream_id)
         for wave in self._waves.values():
             for vm in wave.vms.values():
                 if vm.upstream_id != message.upstream_id or vm.state != "vacating":
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -823,6 +823,12 @@
         """Its scheduler, None unless it is the leader."""
         return self.opened.node.scheduler
 
+    async def wait_to_lead(self) -> Scheduler:
+        """Wait until it leads and return its scheduler; a job may be accepted before that."""
+        while self.scheduler is None:
+            await asyncio.sleep(0.01)
+        return self.scheduler
+
     async def stop(self) -> None:
         """Stop it without a graceful shutdown, as in a crash."""
         self.stopped = True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -133,7 +133,7 @@
     node = await run_node()
     assert await submit(node, job_id="00000000000000aa") == 200
     assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
-    scheduler = node.scheduler
+    scheduler = await node.wait_to_lead()
     assert await wait_until(lambda: scheduler._early_cancels)
     assert f"c/{JOB_ID}" in store.standin.newest("keyed.intake")
     scheduler._retention_ms = -1_000_000
@@ -396,8 +396,8 @@
     worker = await add_worker("i-1", TaskWorker(work_ms=0))
     node = await run_node()
     assert await submit(node, {"spec": "", "steps": [{**TASK, "count": 1}]}) == 200
-    scheduler = node.scheduler
     assert await wait_until(lambda: len(worker.runs) == 1)
+    scheduler = node.scheduler
     task = scheduler._jobs[JOB_ID].steps[0, 0].tasks[0]
     assert await wait_until(lambda: task.state == "running")
     worker.faults.stop_ms = 300
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -363,7 +363,7 @@
     """Guards against a process that stops following a topic as its inbox was full for a moment."""
     node = await run_node()
     assert await node.caller.submit(f"/q/{JOB_ID}", JOB) == 200
-    scheduler = node.scheduler
+    scheduler = await node.wait_to_lead()
     limit_count, scheduler._inbox_limit_count = scheduler._inbox_limit_count, 0
     await add_worker("i-1")
     await asyncio.sleep(0.4)
@@ -377,7 +377,7 @@
     """Guards against a loop that ends with an error which nobody expected."""
     node = await run_node()
     assert await node.caller.submit(f"/q/{JOB_ID}", JOB) == 200
-    follower = node.scheduler._upstream_follower
+    follower = (await node.wait_to_lead())._upstream_follower
     read, failures = follower._store.read, iter([ZeroDivisionError("unexpected")])
 
     async def fail_once(*args):
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -194,6 +194,16 @@
     assert await wait_until(lambda: any(count > 2 for count in fleet.recorder.requests.values()))
 
 
+async def test_a_vm_that_moves_is_not_selected_for_a_wave(fleet):
+    """Guards against a move and a wave that vacate a VM in turns, with different grace periods."""
+    plan = MovePlan("m-0", "pool", "other", "test")
+    fleet._moves["m-0"] = Move(plan, "vacating", "i-0", LoopTimer().now_ms())
+    permit(fleet, 60_000)
+    wave_vms = fleet._waves
+    assert await wait_until(lambda: wave_vms and fleet.recorder.requests["i-1"])
+    assert wave_vms[1].vms["m-0"].state == "due"
+
+
 async def test_an_order_without_an_answer_is_repeated(fleet):
     """Guards against a wave that never ends because one answer was lost."""
     fleet.calls.unanswered_count = 1
