Keep an unanswered order for a VM unsettled until its outcome is known

Cause: a new leader treated a VM with an order of its predecessor as free once the order was 3 s old. An order without an answer may be carried out later than that, and fences apply to each VM separately, so nothing refused it while the new leader had already taken another VM down.

Change: the leader stores orders without a known outcome in 'fleet/unsettled', separate from the ages, which earlier releases still read. An accepted order for the VM, or a list requested after it that shows the change or lacks the VM, settles it; the refusal of a later order does not. An unsettled order for maintenance counts against the limit of its wave. The successor vacates the upstream at once and orders this VM before others after the pause. Unanswered moves are repeated in the same way; a wave that includes the VM does so with its own order. Records of earlier releases still cause only the pause.

Tests: calls of _may_go_down and _send_order get their new argument; the stand-in still rejects moves unless a test expects one.

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -13,6 +13,7 @@
 from .leadership import Fenced
 from .loads import Loads
 from .mailbox import implements_action, receives
+from .orders import VmOrder
 from .pools import POLICIES, MovePlan, PoolDemand, PoolVm
 from .vmorders import Move, UpstreamEnded, VmOrders
 
@@ -87,6 +88,41 @@
             if move.state == "done":
                 del self._moves[vm_id]
 
+    def _resume_moves(self) -> None:
+        """Repeat the moves without a known outcome, as the platform may still carry them out.
+
+        The order for a wave that includes the VM fences the move as well.
+        """
+        if not self._may_order():
+            return
+        now_ms = self._timer.now_ms()
+        in_waves = self._pending_wave_vms()
+        for vm_id, order in self._orders.unsettled.items():
+            entry = self._vms.get(vm_id)
+            if order.wave is not None or vm_id in self._moves or vm_id in in_waves:
+                continue
+            if entry is None or entry.state != "up":
+                continue
+            if not entry.upstream_id and not self._orders.allows(vm_id, now_ms):
+                continue
+            plan = MovePlan(vm_id, entry.pool, order.to_pool, "unanswered order")
+            move = Move(plan, "due", entry.upstream_id, now_ms)
+            self._moves[vm_id] = move
+            logger.info(
+                "unanswered VM order is repeated",
+                extra={"vm": vm_id, "to_pool": order.to_pool, "epoch": self._epoch},
+            )
+            self._move_event(move, "vacate" if entry.upstream_id else "already_off")
+
+    def _pending_wave_vms(self) -> set[str]:
+        """Return the VMs that a wave has not finished with."""
+        return {
+            vm.vm_id
+            for wave in self._waves.values()
+            for vm in wave.vms.values()
+            if vm.state != "done"
+        }
+
     def _plan_moves(self) -> None:
         if not self._may_order():
             return
@@ -162,6 +198,7 @@
 
     def _pool_vms(self) -> Iterator[PoolVm]:
         now_ms = self._timer.now_ms()
+        pending = self._pending_wave_vms() & self._orders.unsettled.keys()
         in_waves = {
             vm.vm_id
             for wave in self._waves.values()
@@ -180,6 +217,7 @@
                 vm.state == "up"
                 and vm.vm_id not in in_waves
                 and vm.vm_id not in self._moves
+                and vm.vm_id not in pending
                 and self._orders.allows(vm.vm_id, now_ms),
                 load.busy_millicores if load else 0,
                 vm.vm_id in self._moves and self._moves[vm.vm_id].state == "vacating",
@@ -199,6 +237,7 @@
     async def _send_move_order(self, plan: MovePlan, delay_ms: float) -> None:
         event, reason = await self._send_order(
             plan.vm_id,
+            VmOrder(to_pool=plan.to_pool),
             lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch),
             delay_ms,
         )
--- a/src/tarragoncart/upkeep.py
+++ b/src/tarragoncart/upkeep.py
@@ -48,19 +48,17 @@
         """Whether the maintenance of every VM has at least started."""
         return all(vm.state in ("down", "done") for vm in self.vms.values())
 
-    def down_count(
-        self, listed: Mapping[str, VmEntry], recently_ordered: Container[str] = ()
-    ) -> int:
+    def down_count(self, listed: Mapping[str, VmEntry], may_go_down: Container[str] = ()) -> int:
         """Return how many VMs are down or may be going down.
 
         :param listed: the platform's list of VMs, which shows those that an earlier leader has
             taken down.
-        :param recently_ordered: VMs with a recent order of an earlier leader, which may still take
+        :param may_go_down: VMs with an order, perhaps of an earlier leader, which may still take
             effect.
         """
         return sum(
             vm.state in ("ordered", "down")
-            or vm.vm_id in recently_ordered
+            or vm.vm_id in may_go_down
             or (vm.vm_id in listed and listed[vm.vm_id].state == "upkeep")
             for vm in self.vms.values()
         )
@@ -91,11 +89,14 @@
     loads: Mapping[str, UpstreamLoad],
     pool_sizes: Mapping[str, int],
     prefer: Preference = idle_first,
+    unsettled: Container[str] = (),
 ) -> Iterable[VmUpkeep]:
     """Yield the VMs to vacate now.
 
     The VMs that are vacating, ordered or down exceed the wave's limit by at most one, so that the
     next VM is vacated in advance. The limit is checked again before each order.
+
+    :param unsettled: VMs with an order that may still take effect; they come first.
     """
     in_progress = Counter(
         listed[vm.vm_id].pool
@@ -108,12 +109,18 @@
         for vm in wave.vms.values()
         if vm.state == "due" and vm.vm_id in listed and listed[vm.vm_id].state == "up"
     ]
-    candidates.sort(key=lambda item: prefer(item, loads.get(item[1].upstream_id)))
+    candidates.sort(
+        key=lambda item: (
+            item[0].vm_id not in unsettled,
+            prefer(item, loads.get(item[1].upstream_id)),
+        )
+    )
     for vm, entry in candidates:
         if remaining_count <= 0:
             return
         pool_limit_count = max(1, int(pool_sizes.get(entry.pool, 0) * POOL_MAX_DOWN_RATIO))
-        if entry.upstream_id and in_progress[entry.pool] >= pool_limit_count:
+        limited = entry.upstream_id and vm.vm_id not in unsettled
+        if limited and in_progress[entry.pool] >= pool_limit_count:
             continue
         in_progress[entry.pool] += 1
         remaining_count -= 1
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -14,7 +14,7 @@
 from .link import ExtendPermission
 from .loads import Loads
 from .mailbox import Actor, new_reply, receives, resolve
-from .orders import ORDERS_KEY, RecentOrders
+from .orders import ORDERS_KEY, UNSETTLED_KEY, RecentOrders, VmOrder
 from .pools import MovePlan
 from .timer import Timer
 from .upkeep import Wave
@@ -122,7 +122,10 @@
         self._restored = restored
         self._timer = timer
         self._orders = RecentOrders.restore(
-            handover_pause_ms, restored.get(ORDERS_KEY), timer.now_ms()
+            handover_pause_ms,
+            restored.get(ORDERS_KEY),
+            timer.now_ms(),
+            restored.get(UNSETTLED_KEY),
         )
         self._waves: dict[int, Wave] = {}
         self._vms: dict[str, VmEntry] = {}
@@ -146,21 +149,23 @@
         return self._timer.now_ms() < self._permitted_until_ms
 
     async def _send_order(
-        self, vm_id: str, call: Callable[[], Awaitable[None]], delay_ms: float
+        self, vm_id: str, order: VmOrder, call: Callable[[], Awaitable[None]], delay_ms: float
     ) -> tuple[str, str]:
         """Send an order; return the state chart's event for its outcome, and the reason."""
         if delay_ms:
             await self._sleep(delay_ms)
         # The age of an order and the permission for it must not become old in a queue.
         async with self._order_slots:
-            return await self._send_order_now(vm_id, call)
+            return await self._send_order_now(vm_id, order, call)
 
     async def _send_order_now(
-        self, vm_id: str, call: Callable[[], Awaitable[None]]
+        self, vm_id: str, order: VmOrder, call: Callable[[], Awaitable[None]]
     ) -> tuple[str, str]:
         stored = new_reply()
-        record = self._orders.add(vm_id, self._timer.now_ms())
-        self._state_writer.tell(Write((record,), stored))
+        ages = self._orders.add(vm_id, self._timer.now_ms(), order)
+        unsettled = self._orders.unsettled_record()
+        records = (ages,) if unsettled is None else (ages, unsettled)
+        self._state_writer.tell(Write(records, stored))
         if await stored == FENCED:
             return "unanswered", "fence"
         if self._timer.now_ms() >= self._permitted_until_ms:
@@ -169,11 +174,14 @@
         try:
             await call()
         except FleetRefusedError as error:
+            self._orders.refuse(vm_id)
             # The platform answers 429 above its rate limit and 503 while it is unavailable.
             event = "unanswered" if error.reason.startswith("status") else "refused"
             return event, error.reason
         except FleetUnknownError as error:
+            self._orders.uncertain.add(vm_id)
             return "unanswered", str(error)
+        self._orders.settle(vm_id)
         return "accepted", ""
 
     async def _sleep(self, delay_ms: float) -> None:
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -15,6 +15,7 @@
 from .graph import VmEntry
 from .leadership import Fenced
 from .mailbox import implements_action, new_reply, receives
+from .orders import VmOrder
 from .relocations import Relocations
 from .upkeep import UPKEEP_CHART, VmUpkeep, Wave, next_vms
 from .vmorders import (
@@ -80,6 +81,8 @@
         for vm_id in request.vm_ids:
             state = "done" if vm_id in begun else UPKEEP_CHART.initial
             wave.vms[vm_id] = VmUpkeep(vm_id, state)
+            if vm_id in begun and self._orders.unsettled.get(vm_id) == VmOrder(request.number):
+                self._settle(vm_id, "maintenance has begun")
         self._waves[request.number] = wave
         self._store_status(wave)
 
@@ -103,8 +106,10 @@
         ``FLEET_LIST_MS`` old.
         """
         renewal = self._orders.renewal_record(self._timer.now_ms())
-        if renewal is not None:
-            self._state_writer.tell(Write((renewal,), new_reply()))
+        unsettled = self._orders.unsettled_record()
+        records = tuple(record for record in (renewal, unsettled) if record is not None)
+        if records:
+            self._state_writer.tell(Write(records, new_reply()))
         self._repeat_vacating()
         all_finished = all(self._is_finished(wave) for wave in self._waves.values())
         age_ms = self._timer.now_ms() - self._listed_ms
@@ -132,13 +137,36 @@
         """Advance all waves and moves according to the new list."""
         self._vms = {vm.vm_id: vm for vm in message.vms}
         self._listed_ms = message.requested_ms
+        self._settle_listed()
         for wave in self._waves.values():
             for vm in wave.vms.values():
                 self._check_vm(wave, vm)
             self._advance_wave(wave)
         self._advance_moves()
+        self._resume_moves()
         self._plan_moves()
 
+    def _settle_listed(self) -> None:
+        """Settle the orders that the list shows as carried out, and those for VMs that are gone."""
+        for vm_id, order in list(self._orders.unsettled.items()):
+            if self._listed_ms <= self._orders.ordered_ms.get(vm_id, float("-inf")):
+                continue
+            entry = self._vms.get(vm_id)
+            if entry is None:
+                self._settle(vm_id, "not listed")
+            elif order.wave is not None and entry.state == "upkeep":
+                self._settle(vm_id, "in maintenance")
+            elif order.wave is None and entry.pool == order.to_pool:
+                self._settle(vm_id, "in its new pool")
+
+    def _settle(self, vm_id: str, reason: str) -> None:
+        if vm_id in self._orders.uncertain:
+            logger.info(
+                "unanswered VM order settled",
+                extra={"vm": vm_id, "reason": reason, "epoch": self._epoch},
+            )
+        self._orders.settle(vm_id)
+
     def _check_vm(self, wave: Wave, vm: VmUpkeep) -> None:
         """Check whether a VM has left the list, went down or has returned from its maintenance.
 
@@ -175,24 +203,52 @@
             vm.upstream_ended = True
             self._scheduler.tell(UpstreamEnded(vm.upstream_id))
 
-    def _may_go_down(self, wave: Wave) -> bool:
-        """Return whether the wave's limit allows one more VM to be down."""
+    def _may_go_down(self, wave: Wave, vm: VmUpkeep) -> bool:
+        """Return whether a VM may get its order now, and the wave's limit allows it to be down.
+
+        A VM with an unsettled order may go down anyway, so its own order does not wait for those of
+        other VMs to be settled.
+        """
         now_ms = self._timer.now_ms()
-        recently_ordered = {key for key in wave.vms if not self._orders.allows(key, now_ms)}
-        return wave.down_count(self._vms, recently_ordered) < wave.request.concurrent_count
+        if not self._orders.allows(vm.vm_id, now_ms):
+            return False
+        may_go_down = {key for key in wave.vms if not self._orders.allows(key, now_ms)}
+        unsettled = self._unsettled_vms(wave)
+        if vm.vm_id not in unsettled:
+            may_go_down |= unsettled
+        return wave.down_count(self._vms, may_go_down) < wave.request.concurrent_count
+
+    def _unsettled_vms(self, wave: Wave) -> set[str]:
+        """Return the VMs of a wave that an unsettled order for maintenance may take down."""
+        order, orders = VmOrder(wave.request.number), self._orders.unsettled
+        return {
+            key for key, vm in wave.vms.items() if vm.state != "done" and orders.get(key) == order
+        }
 
     def _advance_wave(self, wave: Wave) -> None:
         if not self._may_order():
             return
         sizes = Counter(vm.pool for vm in self._vms.values())
         now_ms = self._timer.now_ms()
-        free = {key: vm for key, vm in self._vms.items() if self._orders.allows(key, now_ms)}
-        for vm in list(next_vms(wave, free, self._loads.upstreams, sizes)):
+        unsettled = self._orders.unsettled.keys() - self._moves.keys()
+        # The upstream of a VM that may go down at any time is vacated before the pause has ended.
+        free = {
+            key: vm
+            for key, vm in self._vms.items()
+            if key in unsettled or self._orders.allows(key, now_ms)
+        }
+        selected = next_vms(wave, free, self._loads.upstreams, sizes, unsettled=unsettled)
+        for vm in list(selected):
             entry = self._vms[vm.vm_id]
+            if vm.vm_id in unsettled:
+                logger.info(
+                    "unanswered VM order is repeated",
+                    extra={"wave": wave.request.number, "vm": vm.vm_id, "epoch": self._epoch},
+                )
             vm.upstream_id, vm.upstream_ended = entry.upstream_id, False
             if entry.upstream_id:
                 self._apply_event(wave, vm, "select")
-            elif self._may_go_down(wave):
+            elif self._may_go_down(wave, vm):
                 self._apply_event(wave, vm, "already_off")
 
     def _apply_event(self, wave: Wave, vm: VmUpkeep, event: str, **details: Any) -> None:
@@ -248,11 +304,13 @@
             for vm in wave.vms.values():
                 if vm.upstream_id != message.upstream_id or vm.state != "vacating":
                     continue
-                if self._may_go_down(wave):
+                if self._may_go_down(wave, vm):
                     self._apply_event(wave, vm, "vacated")
                 return
         for move in self._moves.values():
-            if move.upstream_id == message.upstream_id and move.state == "vacating":
+            if move.upstream_id != message.upstream_id or move.state != "vacating":
+                continue
+            if self._orders.allows(move.plan.vm_id, self._timer.now_ms()):
                 self._move_event(move, "vacated")
 
     @implements_action("order")
@@ -267,7 +325,10 @@
 
     async def _send_maintenance_order(self, wave_number: int, vm_id: str, delay_ms: float) -> None:
         event, reason = await self._send_order(
-            vm_id, lambda: self._calls.maintain(vm_id, wave_number, self._epoch), delay_ms
+            vm_id,
+            VmOrder(wave_number),
+            lambda: self._calls.maintain(vm_id, wave_number, self._epoch),
+            delay_ms,
         )
         self.tell(_OrderEnded(wave_number, vm_id, event, reason))
 
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 from collections import Counter
 
@@ -15,7 +16,7 @@
 from tarragoncart.link import ExtendPermission
 from tarragoncart.loads import Loads, UpstreamLoad
 from tarragoncart.mailbox import Actor, receives, resolve
-from tarragoncart.orders import ORDERS_KEY, RecentOrders
+from tarragoncart.orders import ORDERS_KEY, UNSETTLED_KEY, RecentOrders, VmOrder
 from tarragoncart.platform.vms import VmClient
 from tarragoncart.pools import MovePlan
 from tarragoncart.timer import LoopTimer
@@ -53,14 +54,21 @@
         self.maintained = []
         self.maintained_before = set()
         self.unanswered_count = 0
+        self.moves_allowed = False
+        self.moved = []
+        self.tokens = {}
 
     async def list_vms(self):
         return tuple(self.vms.values())
 
     async def move(self, vm_id, pool, epoch):
-        raise AssertionError("unexpected move")
+        if not self.moves_allowed:
+            raise AssertionError("unexpected move")
+        self.tokens[vm_id] = epoch
+        self.moved.append((vm_id, pool))
 
     async def maintain(self, vm_id, wave, epoch):
+        self.tokens[vm_id] = epoch
         if vm_id not in self.maintained and vm_id not in self.maintained_before:
             self.vms[vm_id] = with_state(self.vms[vm_id], "upkeep", "")
         self.maintained.append(vm_id)
@@ -68,6 +76,11 @@
             self.unanswered_count -= 1
             raise FleetUnknownError("no answer", step="maintain VM")
 
+    def carry_out_late(self, vm_id, epoch):
+        """Carry out an order for maintenance unless its VM has had one with a higher token."""
+        if self.tokens.get(vm_id, 0) <= epoch:
+            self.vms[vm_id] = with_state(self.vms[vm_id], "upkeep", "")
+
     async def close(self):
         pass
 
@@ -116,7 +129,7 @@
     """Make a fleet of eight VMs and a wave over all of them, at most two at once."""
     made = []
 
-    def make(restored=None, handover_pause_ms=3_000.0):
+    def make(restored=None, handover_pause_ms=3_000.0, with_wave=True):
         calls, recorder = FleetStandin(), Recorder()
         actor = Fleet(
             7,
@@ -136,7 +149,8 @@
         # The fleet starts its status writer itself; here that is the recorder, which runs already.
         actor._status_writer.start = lambda: None
         actor.start()
-        actor.tell(WaveRequested(WaveRequest(1, tuple(calls.vms), 20.0, 2)))
+        if with_wave:
+            actor.tell(WaveRequested(WaveRequest(1, tuple(calls.vms), 20.0, 2)))
         actor.calls, actor.recorder = calls, recorder
         made.append(actor)
         return actor
@@ -187,7 +201,7 @@
 async def test_a_request_to_vacate_an_upstream_is_repeated(fleet):
     """Guards against a wave that waits for ever for an upstream that was registered again."""
     permit(fleet, 60_000)
-    fleet._may_go_down = lambda wave: False
+    fleet._may_go_down = lambda wave, vm: False
     assert await wait_until(lambda: any(count > 2 for count in fleet.recorder.requests.values()))
 
 
@@ -242,6 +256,80 @@
     assert await wait_until(lambda: len(set(fleet.calls.maintained)) == 2)
 
 
+def restored_order(vm_id, order, age_ms=0):
+    """Return the records of a leader that got no answer to an order."""
+    ages = json.dumps({vm_id: age_ms}).encode()
+    return {ORDERS_KEY: ages, UNSETTLED_KEY: json.dumps({vm_id: order}).encode()}
+
+
+@pytest.fixture
+async def successor(make_fleet):
+    """A leader whose predecessor got no answer to its order for the maintenance of m-5."""
+    return make_fleet(restored_order("m-5", {"wave": 1}), handover_pause_ms=900.0)
+
+
+async def test_a_late_order_of_an_earlier_leader_takes_no_vm_beyond_the_limit_down(successor):
+    """Guards against a late order that takes a VM down while the allowed number is down (LIMIT)."""
+    permit(successor, 60_000)
+    assert await wait_until(lambda: len(set(successor.calls.maintained)) == 2)
+    successor.calls.carry_out_late("m-5", 6)
+    down = [vm.vm_id for vm in successor.calls.vms.values() if vm.state == "upkeep"]
+    assert len(down) == 2
+
+
+async def test_the_vm_of_an_unanswered_order_is_vacated_before_the_pause_ends(successor):
+    """Guards against tasks that a late order of an earlier leader ends."""
+    permit(successor, 60_000)
+    assert await wait_until(lambda: successor.recorder.requests["i-5"], 0.8)
+    assert "m-5" not in successor.calls.maintained
+
+
+async def test_an_unanswered_order_for_a_vm_that_has_left_does_not_hold_up_a_wave(successor):
+    """Guards against a wave that waits for an order whose VM is no longer listed."""
+    del successor.calls.vms["m-5"]
+    permit(successor, 60_000)
+    assert await wait_until(lambda: len(set(successor.calls.maintained)) == 2)
+    assert successor._orders.unsettled == {}
+
+
+async def test_an_unanswered_move_of_an_earlier_leader_is_repeated(make_fleet):
+    """Guards against a late move that ends tasks on a VM that counts as staying."""
+    records = restored_order("m-5", {"to_pool": "other"})
+    fleet = make_fleet(records, handover_pause_ms=900.0, with_wave=False)
+    fleet.calls.moves_allowed = True
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: fleet.calls.moved == [("m-5", "other")])
+
+
+async def test_a_vm_with_an_unanswered_move_is_vacated_first_in_its_wave(make_fleet):
+    """Guards against a late move that ends tasks on a VM that waits for its maintenance."""
+    fleet = make_fleet(restored_order("m-5", {"to_pool": "other"}), handover_pause_ms=900.0)
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: fleet.recorder.requests["i-5"], 0.8)
+    assert await wait_until(lambda: "m-5" in fleet.calls.maintained)
+    assert fleet._orders.unsettled == {}
+
+
+@pytest.mark.parametrize("value", [b"[]", b'{"a":1}', b'{"a":{}}', b"\xff"])
+def test_a_malformed_record_of_unanswered_orders_is_skipped(value):
+    """Guards against a leader that cannot take over because of one malformed record."""
+    assert RecentOrders.restore(3_000.0, None, 0.0, value).unsettled == {}
+
+
+def test_an_unanswered_order_stays_recorded_until_its_outcome_is_known():
+    """Guards against a successor that takes a VM for free because its unanswered order is old."""
+    orders = RecentOrders(3_000.0)
+    orders.add("a", 0.0, VmOrder(1))
+    _, value = orders.unsettled_record()
+    later = RecentOrders.restore(3_000.0, b"{}", 60_000.0, value)
+    assert later.unsettled == {"a": VmOrder(1)}
+    later.add("a", 60_000.0, VmOrder(1))
+    later.refuse("a")
+    assert later.unsettled == {"a": VmOrder(1)}
+    later.settle("a")
+    assert later.unsettled_record() == (UNSETTLED_KEY, b"{}")
+
+
 def test_a_vm_that_an_earlier_leader_took_down_counts_against_the_limit():
     """Guards against exceeding the wave's limit after a change of the leader."""
     wave = Wave(WaveRequest(1, ("a", "b", "c"), 20.0, 2), 0.0)
@@ -317,7 +405,8 @@
     """Order moves of VMs at the same time and return the outcomes."""
 
     def move(vm_id):
-        return fleet._send_order(vm_id, lambda: fleet._calls.move(vm_id, "pool", 7), 0)
+        call = functools.partial(fleet._calls.move, vm_id, "pool", 7)
+        return fleet._send_order(vm_id, VmOrder(to_pool="pool"), call, 0)
 
     return await asyncio.gather(*(move(f"m-{n}") for n in range(count)))
 
