Test a start carried out late, after the end of its job and its leader

With the upstream polled by the next leader, the start is refused (409 for its fencing token). With the registration away, the start of the earlier leader runs; once registered again, the run is listed and stopped within cancel_ms + stop-ms.

--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -84,6 +85,36 @@
     assert not any(task.copies for task in tasks)
 
 
+@pytest.mark.parametrize("registered", [True, False])
+async def test_a_start_carried_out_after_its_job_and_its_leader_ended_does_not_stay(
+    runs_under_next_leader, store, registered
+):
+    """Guards against a run of a cancelled job that no leader knows of, and that nobody stops."""
+    worker, leader, register = await runs_under_next_leader(True)
+    registrations = (value for _, value in store.standin.part("keyed.servers").records)
+    address = json.loads(next(registrations))["address"]
+    # The starts of the earlier leader have not been carried out yet.
+    worker.runs.clear()
+    first_token = worker.fencing_token
+    if registered:
+        register()
+        assert await wait_until(lambda: worker.fencing_token > first_token)
+    assert await leader.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+    late_start = {
+        "task": f"{JOB_ID}.0.0.0",
+        "run": 1,
+        "spec": "text",
+        "until-ms": worker.clock_ms() + 3_000,
+        "fencing-token": first_token,
+    }
+    async with leader.session.post(f"http://{address}/run-start", json=late_start) as response:
+        assert response.status == (409 if registered else 200)
+    assert bool(worker.runs) is not registered
+    register()
+    assert await wait_until(lambda: not worker.runs, (CANCEL_MS + STOP_MS) / 1_000)
+    assert registered or worker.ends[-1] == (late_start["task"], 1, "stopped")
+
+
 class RequestingFleet(Actor):
     """Stand-in for the owner of the VMs that requests every 100 ms that an upstream is vacated."""
 
