Simulate lost orders: leaders that change while registrations are away

The scenario cancels lasting and short jobs at any entry VM while leaders follow each other, registrations are missing until up to 1.5 s after a take-over, calls are cut, delayed or lose their answers, and a maintenance wave is in progress. In calm stretches, contact-ms after the last fault, nothing is started cancel_ms after a cancelling was acknowledged, and nothing is at work stop-ms later. At the end the wave is complete, lasting tasks are at work, nothing is cordoned, and the leader's record of runs and accounts equals what is at work.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -21,7 +21,7 @@
 from standins.settings import make_node_settings
 from tarragoncart import node as node_module
 from tarragoncart.candidates import CandidateStatus
-from tarragoncart.entrance import RequestContext, Submit
+from tarragoncart.entrance import Accepted, Cancel, RequestContext, Submit
 from tarragoncart.errors import (
     FleetRefusedError,
     FleetUnknownError,
@@ -56,6 +56,10 @@
 LEASE_MAX_S = 6.0
 STOP_DURATION_S = 0.15
 MAINTENANCE_S = 2.0
+# Bounds of the deployment: `contact-ms`, `cancel_ms` and `stop-ms`.
+CONTACT_S = 3.0
+CANCEL_S = 3.0
+STOP_S = 0.4
 # Share of the runs of a job that fail by the job's own fault.
 JOB_FAIL_RATIO = 0.7
 PART_COUNT = 2
@@ -826,6 +830,8 @@
         an answer.
     :param jobs: spec of each submitted job.
     :param failing_jobs: jobs whose tasks fail by their own fault most of the time.
+    :param cancel_requested: jobs whose cancelling was requested, whatever the answer.
+    :param cancelled_s: time at which the cancelling of a job was acknowledged.
     :param starts: time of each start of a task, and whether the start was late.
     :param completed_runs: all runs that ended with outcome ``done``.
     :param failed_runs: all runs that ended with outcome ``failed``.
@@ -847,6 +853,8 @@
     nodes: dict[str, Node] = Factory(dict)
     jobs: dict[str, JobSpec] = Factory(dict)
     failing_jobs: set[str] = Factory(set)
+    cancel_requested: set[str] = Factory(set)
+    cancelled_s: dict[str, float] = Factory(dict)
     starts: dict[str, list[tuple[float, bool]]] = Factory(dict)
     completed_runs: list[CompletedRun] = Factory(list)
     failed_runs: list[CompletedRun] = Factory(list)
@@ -865,6 +873,8 @@
 
     def draw_work_s(self, task_name: str) -> float:
         """Draw the duration of a task's work at full speed."""
+        if self._step(task_name).long_running:
+            return float("inf")
         return self._step(task_name).estimate_ms / 1_000 * self.rng.uniform(0.8, 1.2)
 
     def _step(self, task_name: str) -> Any:
@@ -957,6 +967,70 @@
                         f"{task_name} started at {at_s:.3f} s after {max_attempts} failures"
                     )
 
+    def check_cancelled(self, calm_from_s: float) -> None:
+        """Check that nothing has been started or is at work for a cancelled job.
+
+        :param calm_from_s: end of the last disruption. Entry VMs are in touch ``CONTACT_S`` later.
+        """
+        now_s, touch_s = self.now_s(), calm_from_s + CONTACT_S
+        for worker in self.workers.values():
+            worker.advance()
+            for run in worker.runs.values():
+                cancelled_s = self.cancelled_s.get(run.task.partition(".")[0])
+                if cancelled_s is None:
+                    continue
+                started_s, late = self.starts[run.task][-1]
+                where = f"{run.task} run {run.run} at {worker.upstream_id}"
+                if not late and started_s > max(touch_s, cancelled_s + CANCEL_S):
+                    self._add_violation(f"started after it was cancelled: {where}")
+                since_s = max(touch_s, cancelled_s, run.started_s + CONTACT_S if late else 0.0)
+                if now_s > since_s + CANCEL_S + STOP_S:
+                    self._add_violation(f"at work after it was cancelled: {where}")
+
+    def _add_violation(self, text: str) -> None:
+        if text not in self.violations:
+            self.violations.append(text)
+
+    def check_at_rest(self, scheduler: Any, accepted: list[str]) -> None:
+        """Check what is at work, and the leader's record of it, long after the last disruption."""
+        running: dict[str, str] = {}
+        for worker in self.workers.values():
+            worker.advance()
+            running |= dict.fromkeys(worker.runs, worker.upstream_id)
+        for job_id in accepted:
+            for number, step in enumerate(self.jobs[job_id].steps):
+                if not step.long_running or job_id in self.cancel_requested:
+                    continue
+                names = (f"{job_id}.0.{number}.{index}" for index in range(step.task_count))
+                self.violations += [f"not at work: {name}" for name in names if name not in running]
+        for vm in self.vms.values():
+            if not vm.maintained_waves:
+                self.violations.append(f"without its maintenance: {vm.vm_id}")
+        self._check_records(scheduler, running)
+
+    def _check_records(self, scheduler: Any, running: dict[str, str]) -> None:
+        """Check the leader's record of capacity against what is at work."""
+        recorded: dict[str, str] = {}
+        for upstream_id, upstream in scheduler._upstreams.items():
+            recorded |= {task.name: upstream_id for task in upstream.slot.tasks.values()}
+            if upstream.orphans:
+                self.violations.append(f"orphans at {upstream_id}: {list(upstream.orphans)}")
+            if upstream.slot.cordoned and upstream.slot.listed:
+                self.violations.append(f"still cordoned: {upstream_id}")
+        if recorded != running:
+            self.violations.append(f"recorded {recorded}, at work {running}")
+        used = Demand()
+        for name in running:
+            used = used.plus(self._step(name).counted)
+        counted = Demand()
+        for usage in scheduler._usages.values():
+            counted = counted.plus(usage.running)
+        if counted != used:
+            self.violations.append(f"use of accounts {counted}, at work {used}")
+        for job in scheduler._jobs.values():
+            tasks = job.tasks() if hasattr(job, "tasks") else ()
+            self.violations += [f"copies of {task.name}" for task in tasks if task.copies]
+
     # Components.
 
     def add_worker(self, name: str, capacity: Demand) -> VirtualWorker:
@@ -1069,6 +1143,21 @@
             # The entry VM was killed before it replied.
             return None
 
+    async def cancel(self, node: Node, job_id: str) -> bool:
+        """Cancel a job and return whether the cancelling was acknowledged."""
+        self.cancel_requested.add(job_id)
+        caller = RequestContext(QUEUE_HOST, f"/q/{job_id}", "key", self.now_s() * 1_000)
+        reply = new_reply()
+        node.request_handler.tell(Cancel(caller, reply))
+        try:
+            acknowledged = isinstance(await asyncio.wait_for(reply, CALLER_TIMEOUT_S), Accepted)
+        except TimeoutError:
+            # The entry VM was killed before it replied.
+            return False
+        if acknowledged:
+            self.cancelled_s.setdefault(job_id, self.now_s())
+        return acknowledged
+
 
 def _decode_upstream(upstream_id: str, value: bytes) -> UpstreamEntry:
     data = json.loads(value)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -14,6 +14,8 @@
 from tarragoncart import assignment, defaults, jobmodel
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
+from tarragoncart.runstate import RunState
+from tarragoncart.vms import Fleet
 
 FAULT_S = 25.0
 # A gang that still ends alone so long after the last fault does so for another reason: a lease, the
@@ -21,10 +23,17 @@
 CALM_AFTER_S = 12.0
 # Time for all accepted jobs to end after the last fault.
 SETTLE_S = 60.0
+# Rounds of faults, each followed by a calm stretch of `contact-ms`, `cancel_ms` and `stop-ms`, and
+# three seconds of jobs that are cancelled in it.
+LOST_ORDERS_FAULT_S = 5.0
+LOST_ORDERS_SETTLE_S = 20.0
+LOST_ORDERS_CALM_S = virtual.CONTACT_S + virtual.CANCEL_S + virtual.STOP_S + 3.0
 SEEDS = range(int(os.environ.get("MODEL_SEEDS", "4")))
 # Seeds with which the leaders in series have violated an invariant.
 SUCCESSION_SEEDS = sorted({*SEEDS, 33, 36, 77, 88})
 
+LOST_ORDER_SEEDS = SEEDS
+
 
 @pytest.fixture
 def simulate(monkeypatch, platform_config):
@@ -72,15 +81,20 @@
     return await _settle(simulation, callers, accepted)
 
 
-async def _settle(simulation, callers, accepted):
-    """Wait until all accepted jobs should have ended, and make the final checks."""
+async def _settle(simulation, callers, accepted, settle_s=SETTLE_S, check=None):
+    """Wait until all accepted jobs should have ended, and make the final checks.
+
+    :param check: check of the scenario before the entry VMs are stopped.
+    """
     await callers
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(settle_s)
     simulation.check_starts_after_end()
     leader = next(node for node in simulation.nodes.values() if node.scheduler is not None)
     for job_id in accepted:
         job = leader.scheduler._jobs.get(job_id)
         simulation.phases[job_id] = job.phase if job else "unknown"
+    if check is not None:
+        check(leader.scheduler)
     for name in list(simulation.nodes):
         await simulation.kill_node(name)
     return simulation
@@ -187,9 +201,9 @@
     await simulation.submit(node, job_id, simulation.jobs[job_id])
 
 
-async def _inject_faults(simulation, faults):
+async def _inject_faults(simulation, faults, duration_s=FAULT_S):
     """Inject random faults one after the other."""
-    end_s = simulation.now_s() + FAULT_S
+    end_s = simulation.now_s() + duration_s
     while simulation.now_s() < end_s:
         await asyncio.sleep(simulation.rng.uniform(0.2, 2.0))
         await simulation.rng.choice(faults)(simulation)
@@ -415,6 +429,143 @@
 )
 
 
+async def _change_leaders_while_registrations_are_away(simulation):
+    """Remove registrations, change the leader, and write them again up to 1.5 s later.
+
+    Before, calls to the upstreams may be delayed. Meanwhile jobs with runs there are cancelled.
+    """
+    rng = simulation.rng
+    workers = [worker for worker in simulation.live_workers() if rng.random() < 0.5]
+    if rng.random() < 0.5:
+        for worker in workers:
+            worker.delayed_call_ratio = 0.7
+        await asyncio.sleep(rng.uniform(0.3, 1.0))
+    for worker in workers:
+        simulation.unregister(worker)
+    earlier = {id(node.scheduler) for node in simulation.nodes.values()}
+    change = rng.choice((_kill_the_leader, _replace_the_leader))
+    changes = [asyncio.ensure_future(change(simulation))]
+    job_ids = sorted({name.partition(".")[0] for worker in workers for name in worker.runs})
+    for job_id in rng.sample(job_ids, min(3, len(job_ids))):
+        cancel = _cancel_job(simulation, job_id, rng.uniform(0.0, 2.0))
+        changes.append(asyncio.ensure_future(cancel))
+    for _ in range(100):
+        await asyncio.sleep(0.05)
+        schedulers = [node.scheduler for node in simulation.nodes.values() if node.scheduler]
+        if any(s._loaded for s in schedulers if id(s) not in earlier):
+            break
+    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    for worker in workers:
+        worker.delayed_call_ratio = 0.0
+        if not worker.gone:
+            simulation.register(worker)
+    await asyncio.gather(*changes)
+
+
+async def _delay_calls_to_half_the_workers(simulation):
+    rng = simulation.rng
+    workers = [worker for worker in simulation.live_workers() if rng.random() < 0.5]
+    for worker in workers:
+        worker.delayed_call_ratio, worker.delayed_hold_ratio = 0.5, 0.1
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    for worker in workers:
+        worker.delayed_call_ratio = worker.delayed_hold_ratio = 0.0
+
+
+async def _replace_the_leader(simulation):
+    simulation.probes_lost = True
+    simulation.store.reassign_partitions()
+    await asyncio.sleep(simulation.rng.uniform(1.0, 2.5))
+    simulation.probes_lost = False
+
+
+LOST_ORDER_FAULTS = (
+    _change_leaders_while_registrations_are_away,
+    _change_leaders_while_registrations_are_away,
+    _change_leaders_while_registrations_are_away,
+    _cut_workers_from_a_node,
+    _disconnect_a_live_worker,
+    _lose_all_answers_of_a_worker,
+    _delay_calls_to_half_the_workers,
+    _restart_a_worker,
+    _restart_a_worker,
+    _remove_a_registration,
+    _lose_store_answers,
+    _refuse_store_calls_of_a_node,
+    _lose_answers_to_vm_orders,
+)
+
+
+def _lasting_or_short_job(rng):
+    if rng.random() < 0.4:
+        return random_job(rng)
+    step = StepSpec(rng.randint(1, 3), Demand(500, 100), 0, long_running=True)
+    return JobSpec("text", (step,))
+
+
+async def _submit_and_cancel_jobs(simulation, accepted, until):
+    """Submit jobs until an event is set, and cancel most of them, promptly or later."""
+    rng = simulation.rng
+    cancels = []
+    while not until.is_set():
+        await asyncio.sleep(rng.expovariate(1.0))
+        job_id = f"{len(simulation.jobs):016x}"
+        node = rng.choice(list(simulation.nodes.values()))
+        answer = await simulation.submit(node, job_id, _lasting_or_short_job(rng))
+        if isinstance(answer, Accepted):
+            accepted.append(job_id)
+        if rng.random() < 0.85:
+            delay_s = rng.choice((rng.uniform(0.0, 0.3), rng.uniform(0.5, 10.0)))
+            cancels.append(asyncio.ensure_future(_cancel_job(simulation, job_id, delay_s)))
+    await asyncio.gather(*cancels)
+
+
+async def _cancel_job(simulation, job_id, delay_s):
+    """Cancel a job at any entry VM; a caller does so again without an acknowledgement."""
+    for _ in range(3):
+        await asyncio.sleep(delay_s)
+        node = simulation.rng.choice(list(simulation.nodes.values()))
+        if await simulation.cancel(node, job_id):
+            return
+
+
+async def _check_cancelled_while_calm(simulation):
+    calm_from_s = simulation.now_s()
+    while simulation.now_s() < calm_from_s + LOST_ORDERS_CALM_S:
+        await asyncio.sleep(0.1)
+        simulation.check_cancelled(calm_from_s)
+
+
+async def _simulate_lost_orders(simulation, config, faults):
+    """Simulate cancelled jobs, and leaders that follow each other while upstreams are away."""
+    rng = simulation.rng
+    simulation.store.put("keyed.op", "config", config)
+    for number in range(6):
+        vm = simulation.add_vm(f"m-{number}", Demand(4_000, 1_000_000))
+        vm.worker.clock_ratio = rng.choice((0.98, 1.0, 1.02))
+    for name in ("n-1", "n-2", "n-3"):
+        await simulation.start_node(name)
+    await asyncio.sleep(2.0)
+    accepted, ended = [], asyncio.Event()
+    callers = asyncio.ensure_future(_submit_and_cancel_jobs(simulation, accepted, ended))
+    for number in range(3):
+        if number == 1:
+            wave = {"wave": 1, "machines": list(simulation.vms), "within-s": 20, "cap": 2}
+            simulation.store.put("keyed.op", "wave/1", json.dumps(wave).encode())
+        if faults:
+            injectors = [
+                _inject_faults(simulation, LOST_ORDER_FAULTS, LOST_ORDERS_FAULT_S) for _ in range(2)
+            ]
+            await asyncio.gather(*injectors)
+        await _check_cancelled_while_calm(simulation)
+    ended.set()
+
+    def check(leader):
+        simulation.check_at_rest(leader, accepted)
+
+    return await _settle(simulation, callers, accepted, LOST_ORDERS_SETTLE_S, check)
+
+
 def test_all_jobs_complete_without_faults(simulate):
     """Guards against a model that violates invariants or loses jobs without any fault."""
     simulation = simulate(1, faults=False)
@@ -459,6 +610,14 @@
     assert set(simulation.phases.values()) <= {jobmodel.COMPLETED, jobmodel.FAILED}
 
 
+@pytest.mark.parametrize("seed", LOST_ORDER_SEEDS)
+def test_orders_follow_from_reports_while_leaders_change(simulate, seed):
+    """Guards against stops, starts and requests to vacate that are lost with a leader or a link."""
+    simulation = simulate(seed, scenario=_simulate_lost_orders)
+    assert simulation.violations == []
+    assert simulation.cancelled_s and simulation.phases
+
+
 def _ignore_leases(patch):
     # The runs of an upstream that does not answer count as ended immediately.
     patch.setattr(defaults, "LEASE_MARGIN_MS", -2 * defaults.UPSTREAM_LEASE_MS)
@@ -512,6 +671,29 @@
     assert any(broken in violation for violation in found)
 
 
+def _repeat_no_stop(patch):
+    patch.setattr(RunState, "_repeat_stops", lambda *args: None)
+
+
+def _repeat_no_request_to_vacate(patch):
+    patch.setattr(Fleet, "_repeat_vacating", lambda self: None)
+
+
+@pytest.mark.parametrize(
+    ("inject_bug", "broken"),
+    [
+        (_repeat_no_stop, "at work after it was cancelled"),
+        (_repeat_no_request_to_vacate, "without its maintenance"),
+    ],
+)
+def test_lost_orders_are_detected(simulate, monkeypatch, inject_bug, broken):
+    """Guards against a test of lost orders that passes because none is lost in it."""
+    inject_bug(monkeypatch)
+    simulations = (simulate(seed, scenario=_simulate_lost_orders) for seed in range(20))
+    found = (violation for simulation in simulations for violation in simulation.violations)
+    assert any(broken in violation for violation in found)
+
+
 async def _take_over_with_a_late_fence(simulation, config, faults):
     """Let a leader end whose upstream is cut off, while the successor's fence takes four seconds.
 
