Assign nothing to an upstream that lists a run of unknown demand

Cause: a leader does not know the demand of a listed run whose job had ended before it took over. Such a run occupied no capacity in its record while the stop was under way, although the worker still ran it.

Change: the runs of unknown tasks at an upstream are counted, and it gets no new tasks until they are gone.

The use of the account is still without such runs, as their demand is not known.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -31,6 +31,8 @@
     :param failure_ratio: exponential moving average of failures among its runs.
     :param slow: most of its runs take far longer than estimated, as of ``slow_measured_ms``.
     :param full_until_ms: it gets no new tasks before this time, as it refused a start.
+    :param unknown_run_count: runs on it of tasks that are not known, whose demand ``free`` does not
+        include.
     :param tasks: tasks whose current run is on it, by name.
     :param long_running_count: long-running tasks among them.
     """
@@ -45,6 +47,7 @@
     slow: bool = False
     slow_measured_ms: float = 0.0
     full_until_ms: float = 0.0
+    unknown_run_count: int = 0
     tasks: dict[str, Task] = field(factory=dict)
     long_running_count: int = 0
 
@@ -187,7 +190,7 @@
 
 def admits(slot: UpstreamSlot, spec: StepSpec, now_ms: float) -> bool:
     """Return whether a task of the step can be assigned to an upstream now."""
-    if not slot.usable or slot.full_until_ms > now_ms:
+    if not slot.usable or slot.unknown_run_count or slot.full_until_ms > now_ms:
         return False
     if spec.label and spec.label not in slot.entry.labels:
         return False
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -115,6 +115,7 @@
             for orphan in known.orphans.values():
                 if orphan.task is not None:
                     slot.occupy(orphan.task)
+            slot.unknown_run_count = known.slot.unknown_run_count
             upstream.orphans = known.orphans
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -400,6 +400,8 @@
         """Release the capacity of an orphan that is gone."""
         orphan = upstream.orphans.pop(key)
         if orphan.task is None:
+            upstream.slot.unknown_run_count -= 1
+            self._request_pass()
             return
         orphan.task.copies.pop(key[1], None)
         upstream.slot.occupy(orphan.task, -1)
@@ -414,6 +416,8 @@
             task.copies[key[1]] = upstream.slot.entry.upstream_id
             upstream.slot.occupy(task)
             self._add_usage(task)
+        else:
+            upstream.slot.unknown_run_count += 1
         return orphan
 
     def _allow_copy(self, task: Task, reason: str) -> None:
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -85,34 +85,55 @@
     assert not any(task.copies for task in tasks)
 
 
+async def carry_out_late(worker, leader, store, token, job_id=JOB_ID):
+    """Carry out a start of an earlier leader and return the status of the response."""
+    registrations = (value for _, value in store.standin.part("keyed.servers").records)
+    address = json.loads(next(registrations))["address"]
+    late_start = {
+        "task": f"{job_id}.0.0.0",
+        "run": 1,
+        "spec": "text",
+        "until-ms": worker.clock_ms() + 3_000,
+        "fencing-token": token,
+    }
+    async with leader.session.post(f"http://{address}/run-start", json=late_start) as response:
+        return response.status
+
+
 @pytest.mark.parametrize("registered", [True, False])
 async def test_a_start_carried_out_after_its_job_and_its_leader_ended_does_not_stay(
     runs_under_next_leader, store, registered
 ):
     """Guards against a run of a cancelled job that no leader knows of, and that nobody stops."""
     worker, leader, register = await runs_under_next_leader(True)
-    registrations = (value for _, value in store.standin.part("keyed.servers").records)
-    address = json.loads(next(registrations))["address"]
     # The starts of the earlier leader have not been carried out yet.
     worker.runs.clear()
-    first_token = worker.fencing_token
+    token = worker.fencing_token
     if registered:
         register()
-        assert await wait_until(lambda: worker.fencing_token > first_token)
+        assert await wait_until(lambda: worker.fencing_token > token)
     assert await leader.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
-    late_start = {
-        "task": f"{JOB_ID}.0.0.0",
-        "run": 1,
-        "spec": "text",
-        "until-ms": worker.clock_ms() + 3_000,
-        "fencing-token": first_token,
-    }
-    async with leader.session.post(f"http://{address}/run-start", json=late_start) as response:
-        assert response.status == (409 if registered else 200)
+    status = await carry_out_late(worker, leader, store, token)
+    assert status == (409 if registered else 200)
     assert bool(worker.runs) is not registered
     register()
     assert await wait_until(lambda: not worker.runs, (CANCEL_MS + STOP_MS) / 1_000)
-    assert registered or worker.ends[-1] == (late_start["task"], 1, "stopped")
+    assert registered or worker.ends[-1] == (f"{JOB_ID}.0.0.0", 1, "stopped")
+
+
+async def test_nothing_starts_beside_a_run_whose_demand_is_not_known(runs_under_next_leader, store):
+    """Guards against starts beyond the capacity of an upstream that lists a run of an ended job."""
+    worker, leader, register = await runs_under_next_leader(True)
+    worker.runs.clear()
+    assert await wait_until(lambda: "i-1" not in leader.scheduler._upstreams, 8.0)
+    ended_id, next_id = "f" * 16, JOB_ID[::-1]
+    assert await carry_out_late(worker, leader, store, worker.fencing_token, ended_id) == 200
+    worker.faults.stop_ms = 300.0
+    step = {**TASK, "count": 1, "cpu": worker.cpu_millicores}
+    assert await leader.caller.submit(f"/q/{next_id}", {"spec": "text", "steps": [step]}) == 200
+    register()
+    assert await wait_until(lambda: f"{next_id}.0.0.0" in worker.runs)
+    assert worker.ends == [(f"{ended_id}.0.0.0", 1, "stopped")]
 
 
 class RequestingFleet(Actor):
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -32,7 +32,8 @@
 # Seeds with which the leaders in series have violated an invariant.
 SUCCESSION_SEEDS = sorted({*SEEDS, 33, 36, 77, 88})
 
-LOST_ORDER_SEEDS = SEEDS
+# Seeds with which lost orders have violated an invariant.
+LOST_ORDER_SEEDS = sorted({*SEEDS, 26, 46})
 
 
 @pytest.fixture
