End the pause of a stop that is ordered again

Cause: after a stop without an answer the link pauses up to 1 s before the next try, also if the upstream answers meanwhile and its report lists the run.

Change: the order to stop the same run again ends the pause.

Before: the link ignored the second order. After: test_an_order_to_stop_a_run_again_ends_the_pause_before_the_next_try passes.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Protocol
@@ -54,7 +55,8 @@
 class Stop:
     """Stop a run; retried until the upstream has confirmed it.
 
-    Ignored while an earlier order to stop the same run is being sent.
+    While an earlier order to stop the same run is being sent, it only ends the pause before the
+    next try.
     """
 
     task_name: str
@@ -219,8 +221,8 @@
         self._last_poll_answered = True
         self._started_ms = 0
         self._late_starts: set[tuple[str, int]] = set()
-        # Runs whose stop is being sent.
-        self._stopping: set[tuple[str, int]] = set()
+        # Runs whose stop is being sent, with an event that ends the pause before the next try.
+        self._stopping: dict[tuple[str, int], asyncio.Event] = {}
 
     async def on_open(self) -> None:
         """Start polling the upstream."""
@@ -250,15 +252,17 @@
     def on_stop(self, message: Stop) -> None:
         """Send a stop."""
         key = (message.task_name, message.run)
-        if key not in self._stopping:
-            self._stopping.add(key)
-            self.spawn(self._stop_once(key))
+        if key in self._stopping:
+            self._stopping[key].set()
+            return
+        self._stopping[key] = asyncio.Event()
+        self.spawn(self._stop_once(key))
 
     async def _stop_once(self, key: tuple[str, int]) -> None:
         try:
             await self._stop(*key)
         finally:
-            self._stopping.discard(key)
+            del self._stopping[key]
 
     @receives(RejectLateStart)
     def on_reject_late_start(self, message: RejectLateStart) -> None:
@@ -343,7 +347,7 @@
                 if failed_count == 1:
                     text = "stop failed; repeating it"
                     self._log_stop(text, task_name, run, ordered_ms, reason=reason or str(error))
-                await asyncio.sleep(delay_ms / 1_000)
+                await self._pause_stop((task_name, run), delay_ms)
                 delay_ms = min(2 * delay_ms, 1_000)
             else:
                 text = "stop confirmed"
@@ -351,6 +355,16 @@
                 self._listener.tell(StopConfirmed(self._upstream_id, task_name, run))
                 return
 
+    async def _pause_stop(self, key: tuple[str, int], delay_ms: float) -> None:
+        """Wait before the next try to send a stop; a report that still lists the run ends that."""
+        repeated = self._stopping.get(key)
+        if repeated is None:
+            await asyncio.sleep(delay_ms / 1_000)
+            return
+        repeated.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(repeated.wait(), delay_ms / 1_000)
+
     def _log_stop(
         self, text: str, task_name: str, run: int, ordered_ms: float, **inputs: str | int
     ) -> None:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -19,6 +19,8 @@
     SetPace,
     Start,
     StartOutcome,
+    Stop,
+    StopConfirmed,
 )
 from tarragoncart.mailbox import Actor, receives
 from tarragoncart.runs import StartOrder, UpstreamReport
@@ -39,6 +41,8 @@
         self.silent = False
         self.starts = []
         self.pace_error = None
+        self.failing_stops_count = 0
+        self.stops_ms = []
 
     async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
         self.acknowledged.append(acknowledged)
@@ -59,6 +63,12 @@
             raise self.pace_error
         return int(self.timer.now_ms())
 
+    async def stop(self, task_name, run, epoch):
+        self.stops_ms.append(self.timer.now_ms())
+        if len(self.stops_ms) <= self.failing_stops_count:
+            raise UpstreamUnknownError("no answer", step="stop")
+        return int(self.timer.now_ms())
+
     async def close(self):
         pass
 
@@ -87,6 +97,11 @@
         """Record the outcome."""
         self.outcomes.append(message.outcome)
 
+    @receives(StopConfirmed)
+    def on_stop_confirmed(self, message):
+        """Record the confirmation."""
+        self.outcomes.append("stopped")
+
     @receives(PollFailed)
     def on_poll_failed(self, message):
         """Record the end of the lease."""
@@ -254,3 +269,16 @@
     link.tell(SetPace("j.0.0.0", 1, 0))
     await asyncio.sleep(0.05)
     assert listener.outcomes == [outcome]
+
+
+async def test_an_order_to_stop_a_run_again_ends_the_pause_before_the_next_try(linked):
+    """Guards against a cancelled run that goes on while its upstream answers again."""
+    link, upstream, listener = linked
+    upstream.failing_stops_count = 4
+    link.tell(Stop("j.0.0.0", 1))
+    while len(upstream.stops_ms) < 4:
+        await asyncio.sleep(0.01)
+    link.tell(Stop("j.0.0.0", 1))
+    await asyncio.sleep(0.1)
+    assert listener.outcomes == ["stopped"]
+    assert len(upstream.stops_ms) == 5
