Delete only the cancellation of a job that never came

Cause: once the cancellation of an unknown job expired, the acceptance record of the same ID was deleted with it. A job submitted in the second before that ran, and the next leader did not know it.

Change: only the record of the cancellation is deleted.

After: test_a_job_submitted_while_its_old_cancellation_expires_keeps_its_record passes.

--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -127,12 +127,15 @@
 
 @frozen
 class DeleteJobRecords:
-    """Delete the records of jobs from a partition.
+    """Delete records of jobs from a partition.
 
+    :param job_ids: jobs whose records of acceptance and cancellation are deleted.
+    :param cancelled_ids: jobs of which only the record of cancellation is deleted.
     :param reply: resolved with whether they were deleted.
     """
 
     job_ids: tuple[str, ...]
+    cancelled_ids: tuple[str, ...]
     part: int
     reply: asyncio.Future[bool]
 
@@ -211,10 +214,10 @@
         self.spawn(self._delete_job_records(message))
 
     async def _delete_job_records(self, message: DeleteJobRecords) -> None:
-        records = tuple(
-            (prefix + job_id, b"")
-            for job_id in message.job_ids
-            for prefix in (JOB_PREFIX, CANCEL_PREFIX)
+        cancelled_ids = (*message.job_ids, *message.cancelled_ids)
+        records = (
+            *((JOB_PREFIX + job_id, b"") for job_id in message.job_ids),
+            *((CANCEL_PREFIX + job_id, b"") for job_id in cancelled_ids),
         )
         reply = new_reply()
         self._writer(message.part).tell(Write(records, reply))
--- a/src/tarragoncart/retention.py
+++ b/src/tarragoncart/retention.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from itertools import islice
 
@@ -22,9 +23,18 @@
 
     part: int
     job_ids: tuple[str, ...]
+    cancelled_ids: tuple[str, ...]
     succeeded: bool
 
 
+def _take_batch(job_ids: dict[str, None]) -> tuple[str, ...]:
+    """Remove and return the job IDs of the next deletion."""
+    batch = tuple(islice(job_ids, defaults.ENDED_RECORDS_BATCH_COUNT))
+    for job_id in batch:
+        del job_ids[job_id]
+    return batch
+
+
 class Retention(PlannedStops):
     """Deletes the acceptance records of ended jobs soon, and those of their ends later.
 
@@ -45,24 +55,24 @@
         if now_ms - self._deletions_sent_ms < defaults.ENDED_RECORDS_DELETE_MS:
             return
         self._deletions_sent_ms = now_ms
-        for part in self._deletable.keys() - self._deleting_parts:
-            job_ids = tuple(islice(self._deletable[part], defaults.ENDED_RECORDS_BATCH_COUNT))
-            for job_id in job_ids:
-                del self._deletable[part][job_id]
-            if job_ids:
+        for part in (self._deletable.keys() | self._expired_cancels.keys()) - self._deleting_parts:
+            job_ids = _take_batch(self._deletable.get(part, {}))
+            cancelled_ids = _take_batch(self._expired_cancels.get(part, {}))
+            if job_ids or cancelled_ids:
                 self._deleting_parts.add(part)
-                self._send_deletion(part, job_ids)
+                self._send_deletion(part, job_ids, cancelled_ids)
 
-    def _send_deletion(self, part: int, job_ids: tuple[str, ...]) -> None:
+    def _send_deletion(
+        self, part: int, job_ids: tuple[str, ...], cancelled_ids: tuple[str, ...]
+    ) -> None:
         reply = new_reply()
-        reply.add_done_callback(
-            lambda done: (
-                None
-                if done.cancelled()
-                else self.tell(_RecordsDeleted(part, job_ids, done.result()))
-            )
-        )
-        self._intake.tell(DeleteJobRecords(job_ids, part, reply))
+
+        def report(done: asyncio.Future[bool]) -> None:
+            if not done.cancelled():
+                self.tell(_RecordsDeleted(part, job_ids, cancelled_ids, done.result()))
+
+        reply.add_done_callback(report)
+        self._intake.tell(DeleteJobRecords(job_ids, cancelled_ids, part, reply))
 
     @receives(_RecordsDeleted)
     def on_records_deleted(self, message: _RecordsDeleted) -> None:
@@ -71,6 +81,9 @@
         A job that was submitted again in the meantime has another record there.
         """
         self._deleting_parts.discard(message.part)
+        if not message.succeeded:
+            expired = self._expired_cancels.setdefault(message.part, {})
+            expired.update(dict.fromkeys(message.cancelled_ids))
         deletable = self._deletable.setdefault(message.part, {})
         for job_id in message.job_ids:
             job = self._jobs.get(job_id)
@@ -80,7 +93,10 @@
                 job.parts.discard(message.part)
 
     def _drop_expired_cancels(self, now_ms: float) -> None:
-        """Have cancellations deleted whose jobs have not been read within the retention time."""
+        """Have cancellations deleted whose jobs have not been read within the retention time.
+
+        A record of acceptance that is appended now belongs to a job that must run.
+        """
         horizon_ms = now_ms - self._retention_ms - defaults.RETENTION_MARGIN_MS
         while self._early_cancels:
             job_id, cancel = next(iter(self._early_cancels.items()))
@@ -88,7 +104,7 @@
                 return
             del self._early_cancels[job_id]
             for part in cancel.parts:
-                self._deletable.setdefault(part, {})[job_id] = None
+                self._expired_cancels.setdefault(part, {})[job_id] = None
             logger.info("cancellation of an unknown job dropped", extra={"job": job_id})
 
     def _drop_expired_jobs(self) -> None:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -213,6 +213,8 @@
         self._ended: deque[Job | EndedJob] = deque()
         # By partition, ended jobs of which it may hold records that are not needed any more.
         self._deletable: dict[int, dict[str, None]] = {}
+        # By partition, cancellations of unknown jobs that are not needed any more.
+        self._expired_cancels: dict[int, dict[str, None]] = {}
         self._deleting_parts: set[int] = set()
         self._deletions_sent_ms = 0.0
         self._shares = SubmissionShares()
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -299,3 +299,49 @@
     _, fleet = await request_vacating_within_budget(silence)
     await asyncio.sleep(0.8)
     assert not fleet.vacated
+
+
+async def test_one_of_two_vacated_upstreams_may_go_down_once_the_budget_shrinks(
+    run_node, add_worker
+):
+    """Guards against a wave in which VMs that wait for their orders block each other."""
+    names = ("i-1", "i-2", "i-3")
+    workers = [await add_worker(n, TaskWorker(work_ms=0, cpu_millicores=1_000)) for n in names]
+    node = await run_node()
+    assert await node.caller.submit(f"/q/{JOB_ID}", BUDGETED_JOB) == 200
+    assert await wait_until(lambda: all(len(worker.runs) == 1 for worker in workers))
+    scheduler = node.scheduler
+    tasks = scheduler._jobs[JOB_ID].steps[0, 0].tasks
+    assert await wait_until(lambda: all(task.at_full_speed for task in tasks))
+    fleet = scheduler._fleet = RequestingFleet(scheduler, None)
+    fleet.start()
+    assert await wait_until(lambda: "i-1" in fleet.vacated)
+    scheduler.tell(VacateUpstream("i-2", None))
+    assert await wait_until(lambda: "i-2" in fleet.vacated)
+    for run in workers[2].runs.values():
+        run.percent = 0
+    await asyncio.sleep(1.5)
+    fleet.vacated.clear()
+    assert await wait_until(lambda: fleet.vacated)
+    await fleet.stop()
+
+
+async def test_a_job_submitted_while_its_old_cancellation_expires_keeps_its_record(
+    run_node, add_worker, store
+):
+    """Guards against a job that the next leader does not know (rule LOST)."""
+    await add_worker(worker=TaskWorker(work_ms=0))
+    node = await run_node()
+    assert await node.caller.submit("/q/00000000000000aa", LONG_RUNNING_JOB) == 200
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    scheduler = await node.wait_to_lead()
+    assert await wait_until(lambda: scheduler._early_cancels)
+    retention_ms = scheduler._retention_ms
+    scheduler._deletions_sent_ms = scheduler._timer.now_ms()
+    scheduler._retention_ms = -1_000_000
+    assert await wait_until(lambda: not scheduler._early_cancels)
+    scheduler._retention_ms = retention_ms
+    assert await node.caller.submit(f"/q/{JOB_ID}", LONG_RUNNING_JOB) == 200
+    records = store.standin.newest
+    assert await wait_until(lambda: f"c/{JOB_ID}" not in records("keyed.intake"))
+    assert f"j/{JOB_ID}" in records("keyed.intake")
