Count the tasks of a VM as away only while it may go down

Cause: a VM that was reported as vacated and waited for its wave kept counting as going down after the disruption budgets had forbidden it. Two such VMs blocked each other, and the wave, for as long as a third task was away. On the other hand the VM of an inherited order without an answer may go down at any moment, and its tasks counted as at work.

Change: the requests to vacate say whether an order may be under way. If none is and the budgets forbid it, the VM's tasks count again; if one is, they count as away from the first request on. An upstream that falls silent while it is vacated is reported as vacated once its tasks are lost.

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -228,6 +228,7 @@
 
     @implements_action("order_move")
     def _order_move(self, move: Move) -> None:
+        self._request_vacating(move)
         self.spawn(self._send_move_order(move, 0))
 
     @implements_action("retry_move")
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -107,6 +107,7 @@
         for no limit.
     :param may_go_down: its VM may go down at any moment, so that the tasks on it no longer count as
         available.
+    :param order_pending: an order for its VM has been sent or is about to be.
     """
 
     slot: UpstreamSlot
@@ -120,6 +121,7 @@
     vacating_since_ms: float = 0.0
     grace_period_ms: float | None = None
     may_go_down: bool = False
+    order_pending: bool = False
     orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
 
 
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -527,6 +527,7 @@
             return
         reason = "its upstream is silent and the lease has expired"
         self._mark_all_lost(upstream, reason, assigned=False)
+        self._vacate(upstream, now_ms)
         if (upstream.link is None or not slot.listed) and not slot.tasks:
             self._remove_upstream(upstream, "not registered and not answering")
 
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -71,6 +71,8 @@
         if upstream is None:
             self._send_vacated(message.upstream_id)
             return
+        upstream.order_pending = message.order_pending
+        upstream.may_go_down = upstream.may_go_down or message.order_pending
         if upstream.vacating_since_ms and upstream.grace_period_ms == message.grace_period_ms:
             return
         upstream.slot.cordoned = True
@@ -83,7 +85,7 @@
         """Allow new tasks on an upstream again."""
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is not None:
-            upstream.slot.cordoned = upstream.may_go_down = False
+            upstream.slot.cordoned = upstream.may_go_down = upstream.order_pending = False
             upstream.vacating_since_ms = 0.0
             self._request_pass()
 
@@ -123,6 +125,9 @@
             for task in slot.tasks.values():
                 task.percent = 0
             self._send_vacated(slot.entry.upstream_id)
+        elif not upstream.order_pending:
+            # Its tasks are at work and count again, so that another VM may go down instead.
+            upstream.may_go_down = False
 
     def _stop_if_movable(self, task: Task, slots: list[UpstreamSlot], now_ms: float) -> bool:
         """Stop a task that can continue elsewhere; returns whether it was stopped."""
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -17,7 +17,7 @@
 from .orders import ORDERS_KEY, UNSETTLED_KEY, RecentOrders, VmOrder
 from .pools import MovePlan
 from .timer import Timer
-from .upkeep import Wave
+from .upkeep import VmUpkeep, Wave
 from .writer import FENCED, Write
 
 # Prefixes of the records that :class:`VmOrders` keeps in the topic of the leader's state.
@@ -50,10 +50,13 @@
 
     :param grace_period_ms: how long tasks without saved progress may continue before they may be
         ended; None for no limit.
+    :param order_pending: an order for its VM has been sent or is about to be, so that it may go
+        down at any moment.
     """
 
     upstream_id: str
     grace_period_ms: float | None
+    order_pending: bool = False
 
 
 @frozen
@@ -89,6 +92,11 @@
     upstream_id: str
     since_ms: float
 
+    @property
+    def vm_id(self) -> str:
+        """ID of the VM that moves."""
+        return self.plan.vm_id
+
 
 class VmOrders(Actor):
     """Sends orders for VMs in one epoch of the leadership.
@@ -163,6 +171,16 @@
     def _is_recent(self, vacated_ms: float) -> bool:
         return self._timer.now_ms() - vacated_ms <= defaults.VACATED_MAX_AGE_MS
 
+    def _request_vacating(self, vm: VmUpkeep | Move) -> None:
+        """Request that a VM's upstream is vacated, if there is one."""
+        if not vm.upstream_id:
+            return
+        # Tasks are not ended for a move, however long they take; maintenance has a deadline.
+        moves = isinstance(vm, Move)
+        grace_period_ms = None if moves else defaults.VACATE_GRACE_PERIOD_MS
+        pending = vm.state == "ordered" or vm.vm_id in self._orders.unsettled
+        self._scheduler.tell(VacateUpstream(vm.upstream_id, grace_period_ms, pending))
+
     async def _send_order(
         self,
         vm_id: str,
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -24,7 +24,6 @@
     ReadmitUpstream,
     UpstreamEnded,
     UpstreamVacated,
-    VacateUpstream,
     WaveRequested,
 )
 from .writer import Write
@@ -261,21 +260,16 @@
         """
         for wave in self._waves.values():
             for vm in wave.vms.values():
-                if vm.state in ("vacating", "ordered") and vm.upstream_id:
-                    self._request_vacating(vm, wave)
+                if vm.state in ("vacating", "ordered"):
+                    self._request_vacating(vm)
         for move in self._moves.values():
-            if move.state in ("vacating", "ordered") and move.upstream_id:
-                self._request_vacating(move, None)
-
-    def _request_vacating(self, vm: VmUpkeep | Move, wave: Wave | None) -> None:
-        # Tasks are not ended for a move, however long they take; maintenance has a deadline.
-        grace_period_ms = None if wave is None else defaults.VACATE_GRACE_PERIOD_MS
-        self._scheduler.tell(VacateUpstream(vm.upstream_id, grace_period_ms))
+            if move.state in ("vacating", "ordered"):
+                self._request_vacating(move)
 
     @implements_action("vacate")
     def _vacate(self, vm: VmUpkeep | Move, wave: Wave | None = None) -> None:
         vm.since_ms = self._timer.now_ms()
-        self._request_vacating(vm, wave)
+        self._request_vacating(vm)
         if wave is None or isinstance(vm, Move):
             return
         logger.info(
@@ -316,6 +310,7 @@
 
     @implements_action("order")
     def _order(self, vm: VmUpkeep, wave: Wave) -> None:
+        self._request_vacating(vm)
         self.spawn(self._send_maintenance_order(wave.request.number, vm, 0))
 
     @implements_action("retry_order")
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -65,6 +65,7 @@
     await asyncio.sleep(away_ms / 1_000)
     register()
     assert await wait_until(lambda: not worker.runs, (CANCEL_MS + STOP_MS) / 1_000)
+    assert [outcome for _, _, outcome in worker.ends] == ["stopped", "stopped"]
     assert await leader.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
 
 
