Reject the starts of copies that were given up unconfirmed

Cause: a copy whose start had no answer and whose stop was not confirmed was forgotten once its upstream was silent beyond the lease. The late start could be carried out beside new tasks (LIMIT).

Change: it is rejected like the starts of other lost runs. OrphanRun.stopping is named must_stop, as the stop may not be sent yet.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -340,7 +340,7 @@
         orphan = upstream.orphans.get(key) or self._add_orphan(upstream, key)
         task = orphan.task
         wanted = task is not None and task.step.spec.copyable and not task.step.job.ended
-        if orphan.stopping or (wanted and task is not None and task.state not in FINAL):
+        if orphan.must_stop or (wanted and task is not None and task.state not in FINAL):
             return
         logger.warning(
             "upstream lists a run that is not expected there; stopping it",
@@ -454,21 +454,29 @@
 
         :param assigned: include runs whose start has not been sent.
         """
-        for key in list(upstream.orphans):
+        for key, orphan in list(upstream.orphans.items()):
+            if orphan.must_stop and orphan.conclusive_after_ms == float("inf"):
+                self._reject_late_start(upstream, key)
             self._release_orphan(upstream, key)
         for task in list(upstream.slot.tasks.values()):
             stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
             uncertain = stop_unconfirmed or task.state in ("starting", "unsure")
-            if uncertain and upstream.link is not None:
-                # Kept beyond the link: an upstream that is removed, as it is silent and not listed,
-                # may be registered again, and its new link must reject the start as well.
-                late_starts = self._late_starts.setdefault(upstream.slot.entry.upstream_id, set())
-                late_starts.add((task.name, task.run))
-                upstream.link.tell(RejectLateStart(task.name, task.run))
+            if uncertain:
+                self._reject_late_start(upstream, (task.name, task.run))
             # The loss of one task of a gang withdraws the others that are assigned here as well.
             if task.placed and (assigned or task.state != "assigned"):
                 self._mark_lost(task, reason)
 
+    def _reject_late_start(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
+        """Have a start rejected that a silent upstream may still carry out.
+
+        Kept beyond the link: an upstream that is removed, as it is silent and not listed, may be
+        registered again, and its new link must reject the start as well.
+        """
+        if upstream.link is not None:
+            self._late_starts.setdefault(upstream.slot.entry.upstream_id, set()).add(key)
+            upstream.link.tell(RejectLateStart(*key))
+
     def _remove_upstream(self, upstream: KnownUpstream, reason: str) -> None:
         upstream_id = upstream.slot.entry.upstream_id
         self._mark_all_lost(upstream, reason)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -82,12 +82,12 @@
     :param task: None if no such task is known.
     :param conclusive_after_ms: the run is gone if a report requested after this time does not list
         it.
-    :param stopping: it has to be stopped.
+    :param must_stop: a stop was ordered, and is repeated until the run is gone.
     """
 
     task: Task | None
     conclusive_after_ms: float
-    stopping: bool = False
+    must_stop: bool = False
 
 
 @define(eq=False)
@@ -397,7 +397,7 @@
 
         :param start_uncertain: the start may still reach the upstream; the orphan is stopped, as
             only a stop rules that out. Without a link the start was sent by an earlier leader, and
-            the first poll rules it out.
+            the higher epoch of the first poll rules it out.
         """
         upstream = self._upstreams.get(task.upstream_id)
         if upstream is None:
@@ -451,8 +451,8 @@
                 self._stop_run(upstream, (task.name, run), orphan)
 
     def _stop_run(self, upstream: KnownUpstream, key: tuple[str, int], orphan: OrphanRun) -> None:
-        if not orphan.stopping:
-            orphan.stopping, orphan.conclusive_after_ms = True, float("inf")
+        if not orphan.must_stop:
+            orphan.must_stop, orphan.conclusive_after_ms = True, float("inf")
             self._order_stop(upstream, key)
 
     def _order_stop(self, upstream: KnownUpstream | None, key: tuple[str, int]) -> None:
@@ -484,7 +484,7 @@
                 self._order_stop(upstream, key)
         for key, orphan in upstream.orphans.items():
             unconfirmed = orphan.conclusive_after_ms == unconfirmed_ms
-            if orphan.stopping and (unconfirmed or key in live):
+            if orphan.must_stop and (unconfirmed or key in live):
                 self._order_stop(upstream, key)
 
     def _requeue_step(self, task: Task) -> None:
