Tell an outcome for each start, whatever its error

Cause: only three kinds of errors of a start led to an outcome. After any other one the task would stay in 'starting', which no report changes.

Change: any other error of the product counts as no answer. test_link passes.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -14,7 +14,6 @@
 from .errors import (
     TarragoncartError,
     UpstreamRefusedError,
-    UpstreamUnknownError,
     UpstreamUnreachableError,
 )
 from .graph import UpstreamEntry
@@ -319,7 +318,7 @@
                 outcome, reason = "refused", error.reason
             except UpstreamUnreachableError as error:
                 outcome, reason = "refused", str(error)
-            except UpstreamUnknownError as error:
+            except TarragoncartError as error:
                 outcome, reason = "unanswered", str(error)
         self._report_if_fenced(reason)
         self._listener.tell(
