Keep an upstream that is registered again closed while it is vacated

Cause: the request to vacate was kept in the scheduler's record of an upstream. A registration that lapsed and came back replaced the record, and up to 300 ms passed until the request was repeated. Tasks placed in that time were ended by an order that had been checked before (AVAIL).

Change: the scheduler keeps the latest request by upstream and applies it to each new record, as long as the owner of the VMs repeats it.

Before: test_an_upstream_registered_again_before_its_order_gets_no_tasks failed. After: it passes, with test_lost_orders and test_vms.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -250,6 +250,9 @@
 # Orders for VMs that wait for an answer at the same time; further ones wait before they are sent.
 VM_ORDER_LIMIT_COUNT = 8
 FLEET_RETRY_MS = 500
+# A request to vacate an upstream that has not been repeated for this long is no longer in force; it
+# is repeated every FLEET_TICK_MS.
+VACATING_REQUEST_MAX_AGE_MS = 2_000
 # An order for a VM needs word from the scheduler, which repeats it each tick, that is at most this
 # old: disruption budgets that allowed the order may be used up since.
 VACATED_MAX_AGE_MS = 1_000
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -26,7 +26,7 @@
 from .mailbox import receives
 from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
-from .runstate import KnownUpstream, RunState, needs_jobs
+from .runstate import KnownUpstream, RunState, VacatingRequest, needs_jobs
 from .storage import Entry
 
 logger = logging.getLogger(__name__)
@@ -119,12 +119,33 @@
                     slot.occupy(orphan.task)
             slot.unknown_run_count = known.slot.unknown_run_count
             upstream.orphans = known.orphans
+        self._resume_vacating(upstream)
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
         if not self._unstarted:
             self.tell(_StartLinks())
         self._unstarted.append(upstream)
 
+    def _resume_vacating(self, upstream: KnownUpstream) -> None:
+        """Go on vacating an upstream that was registered again, so that it gets no tasks."""
+        now_ms = self._timer.now_ms()
+        self._vacating_requests = {
+            upstream_id: request
+            for upstream_id, request in self._vacating_requests.items()
+            if now_ms - request.requested_ms <= defaults.VACATING_REQUEST_MAX_AGE_MS
+        }
+        request = self._vacating_requests.get(upstream.slot.entry.upstream_id)
+        if request is not None:
+            self._apply_vacating_request(upstream, request)
+
+    def _apply_vacating_request(self, upstream: KnownUpstream, request: VacatingRequest) -> None:
+        upstream.slot.cordoned = True
+        upstream.order_pending = request.order_pending
+        upstream.may_go_down = upstream.may_go_down or request.order_pending
+        if not upstream.vacating_since_ms or upstream.grace_period_ms != request.grace_period_ms:
+            upstream.vacating_since_ms = self._timer.now_ms()
+            upstream.grace_period_ms = request.grace_period_ms
+
     @receives(_StartLinks)
     def on_start_links(self, message: _StartLinks) -> None:
         """Start the next links, and the others after a pause."""
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -90,6 +90,20 @@
     must_stop: bool = False
 
 
+@frozen
+class VacatingRequest:
+    """The latest request to vacate an upstream, which its owner repeats.
+
+    :param requested_ms: when it was received.
+    :param grace_period_ms: how long to wait for tasks without saved progress; None for no limit.
+    :param order_pending: an order for its VM has been sent or is about to be.
+    """
+
+    requested_ms: float
+    grace_period_ms: float | None
+    order_pending: bool
+
+
 @define(eq=False)
 class KnownUpstream:
     """An upstream with its link and the runs on it.
@@ -183,6 +197,8 @@
         self._upstreams: dict[str, KnownUpstream] = {}
         # Upstreams whose links are not started yet.
         self._unstarted: deque[KnownUpstream] = deque()
+        # By upstream; outlasts the record of an upstream that is registered again.
+        self._vacating_requests: dict[str, VacatingRequest] = {}
         self._usages: dict[str, Usage] = {}
         self._ready_steps: dict[str, dict[StepOccurrence, None]] = {}
         # Upstreams with links at the last scheduling pass.
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -14,7 +14,7 @@
 from .loads import UpstreamLoad
 from .mailbox import receives
 from .reports import Reports
-from .runstate import KnownUpstream, needs_jobs
+from .runstate import KnownUpstream, VacatingRequest, needs_jobs
 from .vmorders import ReadmitUpstream, UpstreamEnded, UpstreamVacated, VacateUpstream
 
 logger = logging.getLogger(__name__)
@@ -67,22 +67,23 @@
 
         The request is repeated until the VM is down or moves; each tick vacates further.
         """
+        request = self._vacating_requests[message.upstream_id] = VacatingRequest(
+            self._timer.now_ms(), message.grace_period_ms, message.order_pending
+        )
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is None:
             self._send_vacated(message.upstream_id)
             return
-        upstream.order_pending = message.order_pending
-        upstream.may_go_down = upstream.may_go_down or message.order_pending
-        if upstream.vacating_since_ms and upstream.grace_period_ms == message.grace_period_ms:
-            return
-        upstream.slot.cordoned = True
-        upstream.vacating_since_ms = self._timer.now_ms()
-        upstream.grace_period_ms = message.grace_period_ms
-        self._vacate(upstream, upstream.vacating_since_ms)
+        repeated = upstream.vacating_since_ms > 0
+        repeated = repeated and upstream.grace_period_ms == request.grace_period_ms
+        self._apply_vacating_request(upstream, request)
+        if not repeated:
+            self._vacate(upstream, upstream.vacating_since_ms)
 
     @receives(ReadmitUpstream)
     def on_readmit(self, message: ReadmitUpstream) -> None:
         """Allow new tasks on an upstream again."""
+        self._vacating_requests.pop(message.upstream_id, None)
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is not None:
             upstream.slot.cordoned = upstream.may_go_down = upstream.order_pending = False
@@ -92,6 +93,7 @@
     @receives(UpstreamEnded)
     def on_upstream_ended(self, message: UpstreamEnded) -> None:
         """Remove an upstream whose VM is down."""
+        self._vacating_requests.pop(message.upstream_id, None)
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is not None:
             started_ms = max(upstream.started_ms, upstream.slot.entry.started_ms)
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -302,6 +302,22 @@
     assert not fleet.vacated
 
 
+async def test_an_upstream_registered_again_before_its_order_gets_no_tasks(
+    request_vacating, add_worker
+):
+    """Guards against two tasks of a step on a VM whose order has been sent (rule AVAIL)."""
+    _, fleet = await request_vacating(LONG_RUNNING_JOB, None)
+    scheduler = fleet.scheduler
+    assert await wait_until(lambda: scheduler._upstreams["i-1"].slot.cordoned)
+    known = scheduler._upstreams["i-1"]
+    await fleet.stop()
+    replacement = await add_worker("i-1", TaskWorker(work_ms=0, started_ms=2))
+    assert await wait_until(lambda: scheduler._upstreams["i-1"] is not known)
+    await asyncio.sleep(0.5)
+    assert scheduler._upstreams["i-1"].slot.cordoned
+    assert not replacement.runs
+
+
 async def test_one_of_two_vacated_upstreams_may_go_down_once_the_budget_shrinks(
     run_node, add_worker
 ):
