Tests: detect requests to vacate that are lost with their upstreams

test_lost_orders_are_detected removed only the repetition of the requests. The decoder of unsettled orders gets its example in test_decoding.

--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -69,6 +69,7 @@
     "status of a candidate": (b'{"willing":true,"claiming":false,"leader_view":"leads"}',),
     "reach of a candidate": (b'{"reached_count":2}',),
     "recent orders": (b'{"m-1":100}',),
+    "unsettled orders": (b'{"m-1":{"wave":1},"m-2":{"to_pool":"pool"}}',),
     "progress of a wave": (b'{"begun":["m-1"]}',),
 }
 # Documents that some decoder could take for valid, or that break a parser or a number.
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -15,7 +15,9 @@
 from tarragoncart import assignment, defaults, jobmodel
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
+from tarragoncart.reports import Reports
 from tarragoncart.runstate import RunState
+from tarragoncart.stops import PlannedStops
 from tarragoncart.vms import Fleet
 
 FAULT_S = 25.0
@@ -677,21 +679,30 @@
     patch.setattr(RunState, "_repeat_stops", lambda *args: None)
 
 
-def _repeat_no_request_to_vacate(patch):
+def _lose_requests_to_vacate_with_their_upstreams(patch):
+    vacate = PlannedStops._vacate
+
+    def vacate_if_answering(self, upstream, now_ms):
+        if upstream.slot.answering:
+            vacate(self, upstream, now_ms)
+
     patch.setattr(Fleet, "_repeat_vacating", lambda self: None)
+    patch.setattr(Reports, "_resume_vacating", lambda self, upstream: None)
+    patch.setattr(PlannedStops, "_vacate", vacate_if_answering)
 
 
 @pytest.mark.parametrize(
-    ("inject_bug", "broken"),
+    ("inject_bug", "broken", "first_seed"),
     [
-        (_repeat_no_stop, "at work after it was cancelled"),
-        (_repeat_no_request_to_vacate, "without its maintenance"),
+        (_repeat_no_stop, "at work after it was cancelled", 0),
+        (_lose_requests_to_vacate_with_their_upstreams, "without its maintenance", 15),
     ],
 )
-def test_lost_orders_are_detected(simulate, monkeypatch, inject_bug, broken):
+def test_lost_orders_are_detected(simulate, monkeypatch, inject_bug, broken, first_seed):
     """Guards against a test of lost orders that passes because none is lost in it."""
     inject_bug(monkeypatch)
-    simulations = (simulate(seed, scenario=_simulate_lost_orders) for seed in range(20))
+    seeds = range(first_seed, first_seed + 20)
+    simulations = (simulate(seed, scenario=_simulate_lost_orders) for seed in seeds)
     found = (violation for simulation in simulations for violation in simulation.violations)
     assert any(broken in violation for violation in found)
 
