--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -193,24 +193,33 @@
 
 
 @pytest.fixture
-async def request_vacating(run_node, add_worker):
-    """Return a function that vacates an upstream with two tasks and returns it and the fleet."""
+async def open_fleet():
+    """Return a function that lets a stand-in of the owner of the VMs vacate `i-1`."""
     fleets = []
 
+    def open_for(scheduler, grace_period_ms):
+        fleet = scheduler._fleet = RequestingFleet(scheduler, grace_period_ms)
+        fleet.start()
+        fleets.append(fleet)
+        return fleet
+
+    yield open_for
+    for fleet in fleets:
+        await fleet.stop()
+
+
+@pytest.fixture
+def request_vacating(run_node, add_worker, open_fleet):
+    """Return a function that vacates an upstream with two tasks and returns it and the fleet."""
+
     async def request(job, grace_period_ms):
         worker = await add_worker("i-1", TaskWorker(work_ms=0))
         node = await run_node()
         assert await node.caller.submit(f"/q/{JOB_ID}", job) == 200
         assert await wait_until(lambda: len(worker.runs) == 2)
-        fleet = RequestingFleet(node.scheduler, grace_period_ms)
-        node.scheduler._fleet = fleet
-        fleet.start()
-        fleets.append(fleet)
-        return worker, fleet
+        return worker, open_fleet(node.scheduler, grace_period_ms)
 
-    yield request
-    for fleet in fleets:
-        await fleet.stop()
+    return request
 
 
 async def test_repeated_requests_to_vacate_extend_no_grace_period(request_vacating):
@@ -237,13 +246,12 @@
 
 
 @pytest.fixture
-async def request_vacating_within_budget(run_node, add_worker):
+def request_vacating_within_budget(run_node, add_worker, open_fleet):
     """Return a function that vacates `i-1`, whose two tasks have no place elsewhere.
 
     The third task of their step runs on `i-2`, and two of them may be away. The function that the
     fixture returns gets a coroutine that runs on the worker of `i-2` first; it returns the fleet.
     """
-    fleets = []
 
     async def request(prepare):
         first = await add_worker("i-1", TaskWorker(work_ms=0, cpu_millicores=2_000))
@@ -254,15 +262,9 @@
         tasks = node.scheduler._jobs[JOB_ID].steps[0, 0].tasks
         assert await wait_until(lambda: all(task.at_full_speed for task in tasks))
         await prepare(node.scheduler, second)
-        fleet = RequestingFleet(node.scheduler, None)
-        node.scheduler._fleet = fleet
-        fleet.start()
-        fleets.append(fleet)
-        return second, fleet
+        return second, open_fleet(node.scheduler, None)
 
-    yield request
-    for fleet in fleets:
-        await fleet.stop()
+    return request
 
 
 async def nothing(scheduler, worker):
@@ -319,7 +321,7 @@
 
 
 async def test_one_of_two_vacated_upstreams_may_go_down_once_the_budget_shrinks(
-    run_node, add_worker
+    run_node, add_worker, open_fleet
 ):
     """Guards against a wave in which VMs that wait for their orders block each other."""
     names = ("i-1", "i-2", "i-3")
@@ -330,8 +332,7 @@
     scheduler = node.scheduler
     tasks = scheduler._jobs[JOB_ID].steps[0, 0].tasks
     assert await wait_until(lambda: all(task.at_full_speed for task in tasks))
-    fleet = scheduler._fleet = RequestingFleet(scheduler, None)
-    fleet.start()
+    fleet = open_fleet(scheduler, None)
     assert await wait_until(lambda: "i-1" in fleet.vacated)
     scheduler.tell(VacateUpstream("i-2", None))
     assert await wait_until(lambda: "i-2" in fleet.vacated)
@@ -340,7 +341,6 @@
     await asyncio.sleep(1.5)
     fleet.vacated.clear()
     assert await wait_until(lambda: fleet.vacated)
-    await fleet.stop()
 
 
 async def test_a_job_submitted_while_its_old_cancellation_expires_keeps_its_record(
