Tests: one stand-in of the owner of the VMs for all tests of vacating

test_node and test_lost_orders each had one with the same handlers. It stands in standins.vacating now; no assertion is changed.

--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -9,12 +9,10 @@
 
 from standins.polling import wait_until
 from standins.taskworker import TaskWorker
+from standins.vacating import VacatingFleet
 from tarragoncart import intake
 from tarragoncart.graph import Demand
-from tarragoncart.link import ExtendPermission
-from tarragoncart.loads import Loads
-from tarragoncart.mailbox import Actor, receives
-from tarragoncart.vmorders import UpstreamVacated, VacateUpstream
+from tarragoncart.vmorders import VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -24,6 +22,8 @@
 PART_COUNT = 2
 # Bounds of the deployment: `cancel_ms` and `stop-ms`.
 CANCEL_MS, STOP_MS = 3_000, 400
+# Interval of the requests to vacate an upstream.
+REPEAT_MS = 100
 
 
 @pytest.fixture
@@ -160,45 +160,13 @@
     assert worker.ends == [(f"{ended_id}.0.0.0", 1, "stopped")]
 
 
-class RequestingFleet(Actor):
-    """Stand-in for the owner of the VMs that requests every 100 ms that an upstream is vacated."""
-
-    def __init__(self, scheduler, grace_period_ms):
-        super().__init__("fleet")
-        self.scheduler = scheduler
-        self.request = VacateUpstream("i-1", grace_period_ms)
-        self.vacated = []
-
-    async def on_open(self):
-        """Send the requests."""
-        self.spawn(self._request_repeatedly())
-
-    async def _request_repeatedly(self):
-        while True:
-            self.scheduler.tell(self.request)
-            await asyncio.sleep(0.1)
-
-    @receives(UpstreamVacated)
-    def on_vacated(self, message):
-        """Record the upstream."""
-        self.vacated.append(message.upstream_id)
-
-    @receives(ExtendPermission)
-    def on_extend_permission(self, message):
-        """Ignore the message."""
-
-    @receives(Loads)
-    def on_loads(self, message):
-        """Ignore the message."""
-
-
 @pytest.fixture
 async def open_fleet():
     """Return a function that lets a stand-in of the owner of the VMs vacate `i-1`."""
     fleets = []
 
     def open_for(scheduler, grace_period_ms):
-        fleet = scheduler._fleet = RequestingFleet(scheduler, grace_period_ms)
+        fleet = scheduler._fleet = VacatingFleet(scheduler, grace_period_ms, REPEAT_MS)
         fleet.start()
         fleets.append(fleet)
         return fleet
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -500,7 +500,7 @@
 )
 
 
-def _lasting_or_short_job(rng):
+def _long_running_or_short_job(rng):
     if rng.random() < 0.4:
         return random_job(rng)
     step = StepSpec(rng.randint(1, 3), Demand(500, 100), 0, long_running=True)
@@ -515,7 +515,7 @@
         await asyncio.sleep(rng.expovariate(1.0))
         job_id = f"{len(simulation.jobs):016x}"
         node = rng.choice(list(simulation.nodes.values()))
-        answer = await simulation.submit(node, job_id, _lasting_or_short_job(rng))
+        answer = await simulation.submit(node, job_id, _long_running_or_short_job(rng))
         if isinstance(answer, Accepted):
             accepted.append(job_id)
         if rng.random() < 0.85:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,15 +14,14 @@
 
 from standins.polling import wait_until
 from standins.taskworker import TaskWorker, WorkerFaults
+from standins.vacating import VacatingFleet
 from tarragoncart import defaults
 from tarragoncart.entrance import CurrentLeader
 from tarragoncart.intake import partitions_of
 from tarragoncart.leadership import Leader
-from tarragoncart.link import ExtendPermission, ReportReceived
-from tarragoncart.loads import Loads
-from tarragoncart.mailbox import Actor, receives
+from tarragoncart.link import ReportReceived
 from tarragoncart.runs import LiveRun, UpstreamReport
-from tarragoncart.vmorders import UpstreamEnded, UpstreamVacated, VacateUpstream
+from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -438,32 +437,6 @@
     assert await wait_until(lambda: not worker.runs)
 
 
-class VacatingFleet(Actor):
-    """Stand-in for the owner of the VMs that requests an upstream to be vacated until it is."""
-
-    def __init__(self, scheduler):
-        super().__init__("fleet")
-        self.scheduler = scheduler
-        self.vacated = []
-
-    async def on_open(self):
-        """Request the upstream to be vacated, as for maintenance whose grace period is over."""
-        self.scheduler.tell(VacateUpstream("i-1", 0.0))
-
-    @receives(UpstreamVacated)
-    def on_vacated(self, message):
-        """Record the upstream."""
-        self.vacated.append(message.upstream_id)
-
-    @receives(ExtendPermission)
-    def on_extend_permission(self, message):
-        """Ignore the message."""
-
-    @receives(Loads)
-    def on_loads(self, message):
-        """Ignore the message."""
-
-
 async def test_a_new_leader_vacates_no_upstream_before_its_state_is_restored(
     run_node, add_worker, store
 ):
@@ -479,7 +452,7 @@
     fleets = []
 
     def make_fleet(scheduler, records):
-        fleets.append(VacatingFleet(scheduler))
+        fleets.append(VacatingFleet(scheduler, 0.0))
         return fleets[0]
 
     second.opened.node._fleet_factory = lambda epoch, writer: make_fleet
