Logs: the clock behind a start, the incarnation that took it, the lease by which runs are given up

Callers saw a task run twice: the earlier run, started 0.5 s after its upstream had come back under its old id, outlasted the time after which the leader counted it as ended by 1.2 s. The logs could not tell the hypotheses apart: no line named the upstream's clock in the answer to a start, the incarnation that took it, or the end of the lease by which runs are given up.

Change: a warning when a start is accepted by an incarnation whose clock is behind the estimate (clock, estimate, end of the lease that was sent); a line when another incarnation answers (both start times, clock, estimate, lease left); a line when the lease of a silent upstream has expired and runs are given up (known and registered incarnation, ages of the first and last report).

No logic changes.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -207,6 +207,9 @@
 # the estimate of that clock.
 CLOCK_DRIFT_RATIO = 0.02
 LEASE_MARGIN_MS = 300
+# An upstream whose clock is behind the estimate by more than this is another incarnation. Less is
+# covered by LEASE_MARGIN_MS.
+CLOCK_BEHIND_TOLERANCE_MS = 100
 UPSTREAM_WAIT_MS = 600
 # A new leader opens the links to its upstreams in groups, as opening one takes about 0.7 ms of a
 # processor. 185 links are opened in 0.3 s, well before the leases of an earlier leader end.
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -305,6 +305,34 @@
         self._lease_end_ms = max(self._lease_end_ms, now_ms + max_lease_ms(self._lease_ms))
         return int(clock_ms + (now_ms - read_ms) + self._lease_ms)
 
+    def _estimated_clock_ms(self) -> float:
+        """Return the upstream's clock now, from its last reading."""
+        assert self._clock is not None
+        clock_ms, read_ms = self._clock
+        return clock_ms + self._timer.now_ms() - read_ms
+
+    def _check_clock(
+        self, order: StartOrder, until_ms: int, clock_ms: int, expected_ms: float
+    ) -> None:
+        """Log a start that an incarnation with another clock has accepted.
+
+        :param expected_ms: estimate of the clock when the start was sent.
+        """
+        if expected_ms - clock_ms <= defaults.CLOCK_BEHIND_TOLERANCE_MS:
+            return
+        logger.warning(
+            "start accepted by another incarnation: its clock is behind the estimate",
+            extra={
+                "task": order.task_name,
+                "run": order.run,
+                "upstream": self._upstream_id,
+                "clock_ms": clock_ms,
+                "expected_ms": round(expected_ms),
+                "until_ms": until_ms,
+                "started_ms": self._started_ms,
+            },
+        )
+
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
         until_ms = self._renewed_lease_end_ms() if self._permitted() else None
@@ -312,8 +340,10 @@
             outcome = "refused"
             reason = "upstream does not answer" if self._permitted() else "not permitted"
         else:
+            expected_ms = self._estimated_clock_ms()
             try:
-                await self._client.start(order, until_ms, self._epoch)
+                clock_ms = await self._client.start(order, until_ms, self._epoch)
+                self._check_clock(order, until_ms, clock_ms, expected_ms)
             except UpstreamRefusedError as error:
                 outcome, reason = "refused", error.reason
             except UpstreamUnreachableError as error:
@@ -460,6 +490,8 @@
             # An earlier leader may have renewed the lease until this answer, but not after it.
             self._lease_end_ms = self._timer.now_ms() + max_lease_ms(self._lease_ms)
         if report.started_ms > self._started_ms:
+            if self._started_ms:
+                self._log_new_incarnation(report)
             self._stored_end_number = self._acknowledged_end_number = 0
             self._started_ms = report.started_ms
         else:
@@ -472,6 +504,20 @@
         )
         return report
 
+    def _log_new_incarnation(self, report: UpstreamReport) -> None:
+        logger.info(
+            "another incarnation of the upstream has answered",
+            extra={
+                "upstream": self._upstream_id,
+                "started_ms": report.started_ms,
+                "earlier_started_ms": self._started_ms,
+                "clock_ms": report.clock_ms,
+                "expected_ms": round(self._estimated_clock_ms()) if self._clock else None,
+                "live_count": len(report.live),
+                "lease_left_ms": round(self._lease_end_ms - self._timer.now_ms()),
+            },
+        )
+
     async def _wait_for_acknowledgement(self, report: UpstreamReport) -> None:
         """Wait until the reported ends are stored, up to ``ACKNOWLEDGE_WAIT_MS``.
 
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -184,7 +184,14 @@
         if upstream.started_ms and report.started_ms and report.started_ms != upstream.started_ms:
             logger.info(
                 "upstream has started again",
-                extra={"upstream": message.upstream_id, "run_count": len(slot.tasks)},
+                extra={
+                    "upstream": message.upstream_id,
+                    "run_count": len(slot.tasks),
+                    "live_count": len(report.live),
+                    "started_ms": report.started_ms,
+                    "earlier_started_ms": upstream.started_ms,
+                    "lease_left_ms": round(message.lease_end_ms - self._timer.now_ms()),
+                },
             )
             upstream.last_ended_number = 0
         upstream.started_ms = report.started_ms or upstream.started_ms
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -526,11 +526,30 @@
             self._allow_copies(upstream, now_ms)
             return
         reason = "its upstream is silent and the lease has expired"
+        if upstream.orphans or any(task.state != "assigned" for task in slot.tasks.values()):
+            self._log_lease_expired(upstream, now_ms)
         self._mark_all_lost(upstream, reason, assigned=False)
         self._vacate(upstream, now_ms)
         if (upstream.link is None or not slot.listed) and not slot.tasks:
             self._remove_upstream(upstream, "not registered and not answering")
 
+    def _log_lease_expired(self, upstream: KnownUpstream, now_ms: float) -> None:
+        logger.info(
+            "lease of a silent upstream has expired",
+            extra={
+                "upstream": upstream.slot.entry.upstream_id,
+                "started_ms": upstream.started_ms,
+                "registered_started_ms": upstream.slot.entry.started_ms,
+                "run_count": len(upstream.slot.tasks),
+                "orphan_count": len(upstream.orphans),
+                "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
+                "report_age_ms": round(now_ms - upstream.reported_ms),
+                "first_report_age_ms": (
+                    round(now_ms - upstream.first_reported_ms) if upstream.reported_ms else None
+                ),
+            },
+        )
+
     def _allow_copies(self, upstream: KnownUpstream, now_ms: float) -> None:
         """Allow copies of the tasks of an upstream that does not answer.
 
