Stand-ins: give each incarnation of a task worker its own clock and lease

All incarnations of the worker shared one clock, and a lease outlasted a restart, so no test could show an order by the clock of an earlier incarnation. The clock of the first incarnation is still that of the process, with a settable offset; a restart starts the clock at 0 and drops the lease.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -64,6 +64,8 @@
     :param fencing_token: highest fencing token seen.
     :param started_ms: start time of the worker process, which identifies it.
     :param until_ms: end of the lease on the worker's clock.
+    :param clock_offset_ms: difference of the first incarnation's clock from this process's; the
+        clocks of the later ones start at 0.
     :param last_ended_runs: highest ended or stopped run number of each task.
     :param unacknowledged_ends: ends, as (sequence number, task, run, outcome, saved progress).
     :param ends: all ends, as (task, run, outcome).
@@ -78,6 +80,7 @@
     fencing_token: int = 0
     started_ms: int = 1
     until_ms: float = 0.0
+    clock_offset_ms: float = 0.0
     runs: dict[str, Run] = Factory(dict)
     last_ended_runs: dict[str, int] = Factory(dict)
     unacknowledged_ends: list[tuple[int, str, int, str, str]] = Factory(list)
@@ -93,14 +96,15 @@
     faults: WorkerFaults = Factory(WorkerFaults)
     changed: asyncio.Event = Factory(asyncio.Event)
 
-    @staticmethod
-    def clock_ms() -> int:
-        """Return the time of the worker's monotonic clock."""
-        return int(time.monotonic() * 1_000)
+    def clock_ms(self) -> int:
+        """Return the time of the monotonic clock of this incarnation."""
+        return int(time.monotonic() * 1_000 + self.clock_offset_ms)
 
     def restart(self) -> None:
-        """Simulate a restart of the process, which loses all runs and the fencing token."""
+        """Simulate a restart of the process, which loses runs, lease, clock and fencing token."""
         self.started_ms += 1
+        self.clock_offset_ms = -time.monotonic() * 1_000
+        self.until_ms = 0.0
         self.fencing_token = self.ended_count = self.acknowledged = 0
         self.runs.clear()
         self.last_ended_runs.clear()
