Tests of a link: orders by the clock of an earlier incarnation

An upstream that starts again under its ID within the 1,800 ms for which a link trusts the last reading of the clock carries out orders whose end of the lease is on the clock of the earlier incarnation. Its own clock is behind, so it grants its longest lease, which the link does not count.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -28,6 +29,12 @@
 
 ENTRY = UpstreamEntry("i-1", "pool", "x:1", "dc", False, Demand(1_000))
 LEASE_MS = 1_000
+# Longest lease that an upstream grants.
+LEASE_MAX_MS = 3_000
+# How long a call to an upstream that has ended without a trace stays unanswered.
+CALL_TIMEOUT_S = 0.3
+# Differences of the clock of the next incarnation.
+BEHIND_MS = (500, 50_000)
 
 
 class Upstream:
@@ -81,15 +88,22 @@
         self.lease_ends_ms = []
         self.reported_lease_ends_ms = []
         self.outcomes = []
+        self.told_lease_end_ms = 0.0
+
+    def _note_lease_end(self, message):
+        end_ms = getattr(message, "lease_end_ms", 0.0)
+        self.told_lease_end_ms = max(self.told_lease_end_ms, end_ms)
 
     @receives(ReportReceived)
     def on_report_received(self, message):
         """Record the end of the lease."""
+        self._note_lease_end(message)
         self.reported_lease_ends_ms.append(message.lease_end_ms)
 
     @receives(StartOutcome)
     def on_start_outcome(self, message):
         """Record the outcome."""
+        self._note_lease_end(message)
         self.outcomes.append(message.outcome)
 
     @receives(PaceOutcome)
@@ -105,15 +119,21 @@
     @receives(PollFailed)
     def on_poll_failed(self, message):
         """Record the end of the lease."""
+        self._note_lease_end(message)
         self.lease_ends_ms.append(message.lease_end_ms)
 
 
+def make_link(upstream, listener, timer):
+    """Create a link to an upstream stand-in."""
+    return Link(ENTRY, 1, LEASE_MS, lambda *_: upstream, listener, timer)
+
+
 @pytest.fixture
 async def linked(monkeypatch):
     """A running link, its upstream and its listener."""
     monkeypatch.setattr(defaults, "UPSTREAM_WAIT_MS", 150)
     upstream, listener = Upstream(), Listener()
-    link = Link(ENTRY, 1, LEASE_MS, lambda *_: upstream, listener, LoopTimer())
+    link = make_link(upstream, listener, LoopTimer())
     listener.start()
     link.start()
     link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
@@ -241,7 +261,7 @@
     """Guards against a process that wakes and acts on a permission of before its suspension."""
     _, upstream, listener = linked
     timer = SuspendableTimer()
-    link = Link(ENTRY, 1, LEASE_MS, lambda *_: upstream, listener, timer)
+    link = make_link(upstream, listener, timer)
     link.start()
     link.tell(ExtendPermission(timer.now_ms() + defaults.LEADERSHIP_VALID_MS))
     await asyncio.sleep(0.2)
@@ -282,3 +302,113 @@
     await asyncio.sleep(0.1)
     assert listener.outcomes == ["stopped"]
     assert len(upstream.stops_ms) == 5
+
+
+class RestartingUpstream:
+    """Upstream whose incarnations have clocks and leases of their own, in the leader's time.
+
+    :param late_poll_s: delay with which the next incarnation carries out the poll that was under
+        way at the restart; None for a poll that is lost.
+    """
+
+    def __init__(self, late_poll_s=None):
+        self.timer = LoopTimer()
+        self.late_poll_s = late_poll_s
+        self.started_ms = 1
+        self.behind_ms = 0.0
+        self.lease_end_ms = 0.0
+        self.run_count = 0
+        self.cut = False
+        self.restarted = asyncio.Event()
+        self.polled = asyncio.Event()
+
+    def restart(self, behind_ms):
+        """Let the next incarnation answer, whose clock is behind that of the earlier one."""
+        self.started_ms += 1
+        self.behind_ms += behind_ms
+        self.lease_end_ms = 0.0
+        self.run_count = 0
+        self.restarted.set()
+
+    def _clock_ms(self):
+        return int(self.timer.now_ms() - self.behind_ms)
+
+    def _extend_lease(self, until_ms):
+        granted_ms = min(until_ms - self._clock_ms(), LEASE_MAX_MS)
+        self.lease_end_ms = max(self.lease_end_ms, self.timer.now_ms() + granted_ms)
+
+    async def _lose_if_cut(self):
+        if self.cut:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise UpstreamUnknownError("no answer", step="call")
+
+    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
+        await self._lose_if_cut()
+        started_ms = self.started_ms
+        if until_ms is not None:
+            self._extend_lease(until_ms)
+        if wait_ms:
+            self.polled.set()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.restarted.wait(), wait_ms / 1_000)
+        if self.started_ms != started_ms:
+            if self.late_poll_s is not None and until_ms is not None:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.late_poll_s, self._extend_lease, until_ms)
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise UpstreamUnknownError("no answer", step="hold")
+        self.restarted.clear()
+        await self._lose_if_cut()
+        return UpstreamReport(self._clock_ms(), self.started_ms, (), ())
+
+    async def start(self, order, until_ms, epoch):
+        await self._lose_if_cut()
+        self._extend_lease(until_ms)
+        self.run_count += 1
+        return self._clock_ms()
+
+    async def close(self):
+        pass
+
+
+async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None):
+    """Restart an upstream, and return by how much a run outlasts the lease that the link tells.
+
+    :param start_s: time of a start after the restart.
+    :param cut_s: time after the restart from which no call reaches the upstream.
+    :param late_poll_s: time of the earlier incarnation's last poll after the restart.
+    """
+    upstream, listener = RestartingUpstream(late_poll_s), Listener()
+    link = make_link(upstream, listener, LoopTimer())
+    listener.start()
+    link.start()
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await upstream.polled.wait()
+    await asyncio.sleep(0.2)
+    upstream.restart(behind_ms)
+    await asyncio.sleep(start_s)
+    link.tell(Start(StartOrder("job.0.0.0", 1, "", "", "")))
+    await asyncio.sleep(cut_s - start_s)
+    upstream.cut = True
+    await asyncio.sleep(2.0)
+    await link.stop()
+    await listener.stop()
+    return upstream.lease_end_ms - listener.told_lease_end_ms if upstream.run_count else 0.0
+
+
+async def test_a_start_that_the_next_incarnation_gets_before_a_report_ends_with_its_lease():
+    """Guards against a start by the clock of an earlier incarnation, with the longest lease."""
+    orders = [outlast_ms(behind_ms, 0.0, cut_s) for behind_ms in BEHIND_MS for cut_s in (0.02, 0.2)]
+    assert max(await asyncio.gather(*orders)) <= 5
+
+
+async def test_a_report_does_not_shorten_the_lease_of_a_start_that_came_before_it():
+    """Guards against a report that hides the lease of a start by the clock before the restart."""
+    orders = [outlast_ms(behind_ms, 0.0, cut_s) for behind_ms in BEHIND_MS for cut_s in (0.6, 1.2)]
+    assert max(await asyncio.gather(*orders)) <= 5
+
+
+async def test_a_late_poll_does_not_extend_the_lease_of_the_next_incarnation_unnoticed():
+    """Guards against a poll without an answer that reaches the next incarnation seconds later."""
+    orders = [outlast_ms(behind_ms, 0.8, 1.3, late_poll_s=1.2) for behind_ms in BEHIND_MS]
+    assert max(await asyncio.gather(*orders)) <= 5
