Virtual workers: let late calls reach the next incarnation

A delayed start, stop or poll was lost if the worker restarted before it was carried out, so the model could not show an order for an earlier incarnation that the next one carries out. It is lost now only if the process is down.

- A worker can be down for less than the timeout of a call: calls under way get no answer, calls sent meanwhile fail, and the clock of the next incarnation starts when it comes up.
- An end that is acknowledged before anyone has read it is a violation of its own, as it is taken note of and its task may start again.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -383,6 +383,7 @@
 
     :param ended_s: time of its end.
     :param number: sequence number of its end on the worker.
+    :param read: whether a caller has received a report that lists its end.
     :param acknowledged_s: time at which its end was acknowledged, None before.
     :param lapsed: whether the worker's lease expired before the acknowledgement, so that the end
         does not count.
@@ -391,6 +392,7 @@
     task: str
     ended_s: float
     number: int
+    read: bool = False
     acknowledged_s: float | None = None
     lapsed: bool = False
 
@@ -404,6 +406,7 @@
     :param lease_end_s: end of the lease.
     :param last_ended_runs: highest ended or stopped run number of each task.
     :param unreachable: whether calls are lost.
+    :param down: whether its process is not running, so that calls that reach it are lost.
     :param gone: whether its VM has gone down for good.
     :param cut_entries: names of the entry VMs whose calls are lost.
     :param one_way: whether calls are carried out but get no response.
@@ -429,6 +432,7 @@
     ended_count: int = 0
     completed_runs: list[CompletedRun] = Factory(list)
     unreachable: bool = False
+    down: bool = False
     gone: bool = False
     cut_entries: set[str] = Factory(set)
     one_way: bool = False
@@ -502,6 +506,17 @@
         self.lease_end_s = 0.0
         self.clock_start_s = self.simulation.now_s()
 
+    def go_down(self) -> None:
+        """End the process without a trace: calls get no answer until the next one comes up."""
+        self.advance()
+        self.restart()
+        self.down = True
+
+    def come_up(self) -> None:
+        """Let the next incarnation answer, whose clock starts now."""
+        self.down = False
+        self.clock_start_s = self.simulation.now_s()
+
     def check_epoch(self, epoch: int) -> None:
         """Check and store the epoch of a call.
 
@@ -571,6 +586,11 @@
                 and not completed_run.lapsed
             ):
                 completed_run.acknowledged_s = self.simulation.now_s()
+                if not completed_run.read:
+                    self.simulation.violations.append(
+                        f"end acknowledged that nobody has read: {completed_run.task} at "
+                        f"{self.upstream_id}, {self.simulation.now_s():.3f} s"
+                    )
         self.unacknowledged_ends = [
             row for row in self.unacknowledged_ends if row.number > acknowledged
         ]
@@ -583,6 +603,11 @@
             self.clock_ms(), self.started_ms, live, tuple(self.unacknowledged_ends)
         )
 
+    def mark_ends_read(self) -> None:
+        """Note that a caller has received the ends that are not acknowledged."""
+        for completed_run in self.completed_runs:
+            completed_run.read = True
+
     def _progress_percent(self, run: WorkerRun) -> int:
         if self.simulation.is_gang(run.task) and not self.simulation.gangs.is_working(run):
             return 0
@@ -602,14 +627,15 @@
         self._entry = entry
 
     def _is_cut(self) -> bool:
-        return self._worker.unreachable or self._entry in self._worker.cut_entries
+        worker = self._worker
+        return worker.unreachable or worker.down or self._entry in worker.cut_entries
 
     def _carry_out_later(self, call: Callable[[bool], Any]) -> None:
-        worker, started_ms = self._worker, self._worker.started_ms
+        worker = self._worker
 
         def carry_out() -> None:
-            # A delayed call is lost if the worker process restarts before it is carried out.
-            if worker.started_ms == started_ms:
+            # It may reach the next incarnation, which answers at the same address.
+            if not worker.down and not worker.gone:
                 _make_delayed_call(call)
 
         delay_s = worker.simulation.rng.uniform(1.0, 6.0)
@@ -676,9 +702,14 @@
         while not worker.unacknowledged_ends and loop.time() < deadline_s:
             await asyncio.sleep(0.01)
             worker.advance()
+        if worker.started_ms != started_ms:
+            # The process that had the call has ended without closing the connection.
+            await asyncio.sleep(deadline_s + CALL_TIMEOUT_S - loop.time())
         if self._is_cut() or worker.one_way or worker.started_ms != started_ms:
             raise UpstreamUnknownError("no answer", step="hold", peer=worker.upstream_id)
-        return worker.report(acknowledged)
+        report = worker.report(acknowledged)
+        worker.mark_ends_read()
+        return report
 
     async def close(self) -> None:
         """Do nothing; there is no connection to close."""
@@ -1117,7 +1148,8 @@
     async def _reaches_upstream(self, entry: str, upstream_id: str) -> bool:
         await asyncio.sleep(CALL_DELAY_S)
         worker = self.workers[upstream_id]
-        return not worker.unreachable and entry not in worker.cut_entries
+        is_cut = worker.unreachable or entry in worker.cut_entries
+        return not worker.down and not is_cut
 
     def _adapter(self, name: str) -> Adapter:
         return Adapter(
