Model: restarts within the timeout of a call, and cuts after them

The model restarted workers for longer than the timeout of a call only, so that the leader's link had noticed before the next incarnation answered. The new scenario restarts busy workers for 0.2 to 1.0 s, mostly cuts them off 0 to 3 s later, kills the leader in between, and delays calls, with tasks of several seconds.

Three injected bugs are detected: leases that are not waited for, ends that are not recorded, and acknowledgements of ends that have not been read.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -413,6 +413,7 @@
     :param delayed_call_ratio: share of starts and stops that are carried out seconds later,
         without a response.
     :param delayed_hold_ratio: the same for polls.
+    :param call_delays_s: shortest and longest delay of a delayed call.
     :param lost_response_ratio: share of starts and stops that are carried out but get no response.
     :param clock_start_s: time at which its monotonic clock showed 0.
     :param clock_ratio: speed of its monotonic clock.
@@ -438,6 +439,7 @@
     one_way: bool = False
     delayed_call_ratio: float = 0.0
     delayed_hold_ratio: float = 0.0
+    call_delays_s: tuple[float, float] = (1.0, 6.0)
     lost_response_ratio: float = 0.0
     clock_start_s: float = 0.0
     clock_ratio: float = 1.0
@@ -638,7 +640,7 @@
             if not worker.down and not worker.gone:
                 _make_delayed_call(call)
 
-        delay_s = worker.simulation.rng.uniform(1.0, 6.0)
+        delay_s = worker.simulation.rng.uniform(*worker.call_delays_s)
         asyncio.get_running_loop().call_later(delay_s, carry_out)
 
     async def _send(self, call: Callable[[bool], int]) -> int:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,6 +24,7 @@
 from standins.settings import make_node_settings
 from standins.store import StoreStandin
 from standins.taskworker import TaskWorker
+from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
 from standins.worker import Worker, WorkerSettings
 from tarragoncart import defaults, operations, replay
 from tarragoncart.attempts import Evidence
@@ -805,6 +806,26 @@
     return json.loads(json.dumps(PLATFORM_CONFIG))
 
 
+@pytest.fixture
+def simulate_scenario(
+    monkeypatch: pytest.MonkeyPatch, platform_config: dict[str, Any]
+) -> Callable[..., Simulation]:
+    """Return a function that runs a scenario in virtual time and returns its simulation."""
+    platform_config["routes"][0] |= {"max-attempts": 5, "public": True}
+    # Each restored job is a slice of its own, so that all other messages come in between.
+    monkeypatch.setattr(defaults, "RESTORE_SLICE_MS", 0)
+
+    def run(scenario: Callable[..., Any], seed: int, *args: Any) -> Simulation:
+        simulation = Simulation(random.Random(seed))
+        patch_peer_client(simulation, monkeypatch.setattr)
+        config = json.dumps(platform_config).encode()
+        result = run_in_virtual_time(scenario(simulation, config, *args))
+        assert isinstance(result, Simulation)
+        return result
+
+    return run
+
+
 @define
 class RunningNode:
     """A running entry VM with a caller's session."""
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,15 +6,14 @@
 import json
 import math
 import os
-import random
 
 import pytest
 
 from standins import virtual
-from standins.virtual import Simulation, patch_peer_client, run_in_virtual_time
-from tarragoncart import assignment, defaults, jobmodel
+from tarragoncart import assignment, defaults, jobmodel, reports
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
+from tarragoncart.link import Acknowledge
 from tarragoncart.reports import Reports
 from tarragoncart.runstate import RunState
 from tarragoncart.stops import PlannedStops
@@ -26,6 +25,8 @@
 CALM_AFTER_S = 12.0
 # Time for all accepted jobs to end after the last fault.
 SETTLE_S = 60.0
+# The same for tasks of several seconds.
+LONG_SETTLE_S = 120.0
 # Rounds of faults, each followed by a calm stretch of `contact-ms`, `cancel_ms` and `stop-ms`, and
 # three seconds of jobs that are cancelled in it.
 LOST_ORDERS_FAULT_S = 5.0
@@ -35,22 +36,19 @@
 # Seeds with which the leaders in series have violated an invariant.
 SUCCESSION_SEEDS = sorted({*SEEDS, 33, 36, 77, 88})
 
+# Seeds with which restarts of workers have violated an invariant.
+RESTART_SEEDS = sorted({*SEEDS, 0, 6, 9, 10, 11, 13, 20, 23})
+
 # Seeds with which lost orders have violated an invariant.
 LOST_ORDER_SEEDS = sorted({*SEEDS, 26, 46})
 
 
 @pytest.fixture
-def simulate(monkeypatch, platform_config):
+def simulate(simulate_scenario):
     """Return a function that runs a simulation and returns it once all jobs should have ended."""
-    platform_config["routes"][0] |= {"max-attempts": 5, "public": True}
-    # Each restored job is a slice of its own, so that all other messages come in between.
-    monkeypatch.setattr(defaults, "RESTORE_SLICE_MS", 0)
 
     def run(seed, faults=True, scenario=_simulate):
-        simulation = Simulation(random.Random(seed))
-        patch_peer_client(simulation, monkeypatch.setattr)
-        config = json.dumps(platform_config).encode()
-        return run_in_virtual_time(scenario(simulation, config, faults))
+        return simulate_scenario(scenario, seed, faults)
 
     return run
 
@@ -570,6 +568,61 @@
     return await _settle(simulation, callers, accepted, LOST_ORDERS_SETTLE_S, check)
 
 
+async def _restart_a_worker_within_a_call(simulation):
+    """Restart a busy worker for less than the timeout of a call, and mostly cut it off then."""
+    rng = simulation.rng
+    workers = [worker for worker in simulation.live_workers() if not worker.down]
+    if not workers:
+        return
+    worker = rng.choice([w for w in workers if w.runs] or workers)
+    worker.go_down()
+    await asyncio.sleep(rng.uniform(0.2, 1.0))
+    worker.come_up()
+    simulation.register(worker)
+    if rng.random() < 0.3:
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        await _kill_the_leader(simulation)
+    if rng.random() < 0.8:
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+        worker.unreachable = True
+        await asyncio.sleep(rng.uniform(3.0, 9.0))
+        worker.unreachable = worker.gone
+
+
+RESTART_FAULTS = (
+    _restart_a_worker_within_a_call,
+    _restart_a_worker_within_a_call,
+    _restart_a_worker_within_a_call,
+    _kill_the_leader,
+    _cut_workers_from_a_node,
+    _delay_calls_to_a_worker,
+    _lose_all_answers_of_a_worker,
+)
+
+
+def _job_of_seconds(rng):
+    """Return a random job whose tasks last for several seconds."""
+    return random_job(rng, 0.2, (600, 3_000, 6_000))
+
+
+async def _simulate_restarts(simulation, config, faults):
+    """Simulate workers that restart within the timeout of a call and are then cut off."""
+    rng = simulation.rng
+    simulation.store.put("keyed.op", "config", config)
+    for number in range(5):
+        worker = simulation.add_worker(f"i-{number}", Demand(4_000, 1_000_000))
+        worker.clock_ratio = rng.choice((0.98, 1.0, 1.02))
+    for name in ("n-1", "n-2", "n-3"):
+        await simulation.start_node(name)
+    await asyncio.sleep(2.0)
+    accepted = []
+    callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, _job_of_seconds, 0.8))
+    if faults:
+        injectors = [_inject_faults(simulation, RESTART_FAULTS) for _ in range(3)]
+        await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
+    return await _settle(simulation, callers, accepted, LONG_SETTLE_S)
+
+
 def test_all_jobs_complete_without_faults(simulate):
     """Guards against a model that violates invariants or loses jobs without any fault."""
     simulation = simulate(1, faults=False)
@@ -622,6 +675,15 @@
     assert simulation.cancelled_s and simulation.phases
 
 
+@pytest.mark.parametrize("seed", RESTART_SEEDS)
+def test_orders_for_an_earlier_incarnation_break_no_invariant(simulate, seed):
+    """Guards against orders that the next incarnation of an upstream carries out (TWICE)."""
+    simulation = simulate(seed, scenario=_simulate_restarts)
+    assert simulation.violations == []
+    assert simulation.phases
+    assert set(simulation.phases.values()) <= {jobmodel.COMPLETED, jobmodel.FAILED}
+
+
 def _ignore_leases(patch):
     # The runs of an upstream that does not answer count as ended immediately.
     patch.setattr(defaults, "LEASE_MARGIN_MS", -2 * defaults.UPSTREAM_LEASE_MS)
@@ -675,6 +737,29 @@
     assert any(broken in violation for violation in found)
 
 
+def _acknowledge_the_next_end(patch):
+    def acknowledge(number, started_ms):
+        return Acknowledge(number + 1, started_ms)
+
+    patch.setattr(reports, "Acknowledge", acknowledge)
+
+
+@pytest.mark.parametrize(
+    ("inject_bug", "broken"),
+    [
+        (_ignore_leases, "two runs at once"),
+        (_lose_recorded_ends, "after its end"),
+        (_acknowledge_the_next_end, "end acknowledged that nobody has read"),
+    ],
+)
+def test_violations_beside_restarts_are_detected(simulate, monkeypatch, inject_bug, broken):
+    """Guards against a test of restarts that passes because nothing happens in it."""
+    inject_bug(monkeypatch)
+    simulations = (simulate(seed, scenario=_simulate_restarts) for seed in range(10))
+    found = (violation for simulation in simulations for violation in simulation.violations)
+    assert any(broken in violation for violation in found)
+
+
 def _repeat_no_stop(patch):
     patch.setattr(RunState, "_repeat_stops", lambda *args: None)
 
