Tests of orders that reach the next incarnation of an upstream

Scenarios in virtual time: a start without an answer, a start of an earlier leader and an acknowledgement are carried out by the next incarnation after 0.6 to 6 s, with its upstream cut off before, at or after that time.

A lease of 6 s that the next incarnation grants is counted as 3.4 s, also by a new leader from its first report on; a stop that the earlier incarnation confirmed does not keep a late start from running; a late acknowledgement drops an end that nobody has read.

--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,195 @@
+"""Orders for an earlier incarnation of an upstream that the next one carries out."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tarragoncart.graph import Demand, JobSpec, StepSpec
+
+FIRST_JOB, SECOND_JOB = f"{0:016x}", f"{1:016x}"
+DOWN_S = 0.3
+# Longer than the longest lease and the leases of an earlier leader together.
+RECOVERY_S = 15.0
+# Delays of a start that are longer than the restart, in the order of seconds.
+DELAYS_S = (0.6, 1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 6.0)
+LATE_MAX_S = 8.0
+
+
+def _job(estimate_ms):
+    return JobSpec("text", (StepSpec(1, Demand(1_000, 100), estimate_ms),))
+
+
+async def _start(simulation, config, worker_names):
+    """Start workers with room for one task each, and an entry VM that leads."""
+    simulation.store.put("keyed.op", "config", config)
+    for name in worker_names:
+        simulation.add_worker(name, Demand(1_000, 1_000))
+    node = await simulation.start_node("n-1")
+    await asyncio.sleep(2.0)
+    return node
+
+
+async def _restart(simulation, worker):
+    """Restart a worker within the timeout of a call."""
+    worker.go_down()
+    await asyncio.sleep(DOWN_S)
+    worker.come_up()
+    simulation.register(worker)
+
+
+async def _end(simulation):
+    """Check the ends of runs and stop the entry VMs."""
+    simulation.check_starts_after_end()
+    for name in list(simulation.nodes):
+        await simulation.kill_node(name)
+    return simulation
+
+
+def _assigned_worker(simulation, node):
+    (task,) = node.scheduler._jobs[FIRST_JOB].tasks()
+    return simulation.workers[task.upstream_id]
+
+
+async def _delay_a_start(simulation, config, delay_s):
+    """Let the start of a task get no answer; it is carried out ``delay_s`` later."""
+    node = await _start(simulation, config, ("i-0", "i-1"))
+    for worker in simulation.workers.values():
+        worker.delayed_call_ratio, worker.call_delays_s = 1.0, (delay_s, delay_s)
+    await simulation.submit(node, FIRST_JOB, _job(30_000))
+    await asyncio.sleep(0.2)
+    for worker in simulation.workers.values():
+        worker.delayed_call_ratio = 0.0
+    return node, _assigned_worker(simulation, node)
+
+
+async def _cut_off(simulation, worker, cut_after_s):
+    """Cut a worker off, ``cut_after_s`` after a late start or at once, and wait for the end of it.
+
+    :param cut_after_s: None for a cut before the start.
+    """
+    for _ in range(100):
+        if cut_after_s is None or worker.runs:
+            break
+        await asyncio.sleep(LATE_MAX_S / 100)
+    await asyncio.sleep(cut_after_s or 0.0)
+    worker.unreachable = True
+    await asyncio.sleep(RECOVERY_S)
+    worker.unreachable = False
+
+
+async def _carry_out_a_start_after_a_restart(simulation, config, delay_s, cut_after_s):
+    """Let the next incarnation carry out a start without an answer, and cut it off."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    await _restart(simulation, worker)
+    await _cut_off(simulation, worker, cut_after_s)
+    return await _end(simulation)
+
+
+def _violations(simulate_scenario, scenario, cut_after_s):
+    """Return the violations with starts of different delays, with the delay."""
+    return [
+        (delay_s, violation)
+        for delay_s in DELAYS_S
+        for violation in simulate_scenario(scenario, 1, delay_s, cut_after_s).violations
+    ]
+
+
+async def _carry_out_a_start_after_its_run_was_replaced(simulation, config, delay_s, _):
+    """Let the next incarnation, which gets no new tasks, carry out a start late."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    await _restart(simulation, worker)
+    simulation.unregister(worker)
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+async def _carry_out_a_start_after_a_forgotten_stop(simulation, config, delay_s, _):
+    """Restart a worker that has confirmed a stop, with no new tasks; the start comes later."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    for _ in range(100):
+        if worker.last_ended_runs:
+            break
+        await asyncio.sleep(0.02)
+    await _restart(simulation, worker)
+    simulation.unregister(worker)
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_a_start_without_an_answer_does_not_run_after_it_was_replaced(simulate_scenario):
+    """Guards against a second run because a report does not list a run that starts late."""
+    assert _violations(simulate_scenario, _carry_out_a_start_after_its_run_was_replaced, None) == []
+
+
+def test_a_start_does_not_run_though_a_restart_forgets_the_stop_of_its_run(simulate_scenario):
+    """Guards against a second run because only the earlier incarnation has confirmed a stop."""
+    assert _violations(simulate_scenario, _carry_out_a_start_after_a_forgotten_stop, None) == []
+
+
+def test_a_report_does_not_shorten_the_lease_of_a_late_start(simulate_scenario):
+    """Guards against a second run while the lease of a start lasts that came before the report."""
+    assert _violations(simulate_scenario, _carry_out_a_start_after_a_restart, 1.0) == []
+
+
+def test_a_late_start_counts_with_the_longest_lease_when_its_upstream_is_cut_off(simulate_scenario):
+    """Guards against a second run while the lease of a start lasts that nobody has reported."""
+    assert _violations(simulate_scenario, _carry_out_a_start_after_a_restart, 0.0) == []
+
+
+def test_a_start_that_is_carried_out_behind_a_cut_does_not_run_beside_another(simulate_scenario):
+    """Guards against a second run because of a start that comes after the last report."""
+    assert _violations(simulate_scenario, _carry_out_a_start_after_a_restart, None) == []
+
+
+async def _carry_out_a_start_of_an_earlier_leader(simulation, config, delay_s, cut_after_s):
+    """Restart a worker while its leader is replaced, let it carry out a start, and cut it off."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    await simulation.kill_node("n-1")
+    restart = asyncio.ensure_future(_restart(simulation, worker))
+    await simulation.start_node("n-2")
+    await restart
+    await _cut_off(simulation, worker, cut_after_s)
+    return await _end(simulation)
+
+
+def test_the_first_report_does_not_shorten_the_lease_of_an_earlier_start(simulate_scenario):
+    """Guards against a new leader that counts its own lease for a start of an earlier leader."""
+    assert _violations(simulate_scenario, _carry_out_a_start_of_an_earlier_leader, 1.0) == []
+
+
+def test_a_new_leader_counts_the_longest_lease_of_a_start_before_it(simulate_scenario):
+    """Guards against a second run while the lease lasts that a start of an earlier leader got."""
+    assert _violations(simulate_scenario, _carry_out_a_start_of_an_earlier_leader, 0.0) == []
+
+
+def test_a_start_of_an_earlier_leader_behind_a_cut_does_not_run_beside_another(simulate_scenario):
+    """Guards against a second run because of a start that comes before the first report."""
+    assert _violations(simulate_scenario, _carry_out_a_start_of_an_earlier_leader, None) == []
+
+
+async def _carry_out_an_acknowledgement_after_a_restart(simulation, config, delay_s):
+    """Let the acknowledgement of an end reach the next incarnation, which has an unread end."""
+    node = await _start(simulation, config, ("i-0",))
+    worker = simulation.workers["i-0"]
+    worker.call_delays_s = (delay_s, delay_s)
+    await simulation.submit(node, FIRST_JOB, _job(300))
+    while not worker.completed_runs or not worker.completed_runs[0].read:
+        await asyncio.sleep(0.001)
+    worker.delayed_hold_ratio = 1.0
+    await asyncio.sleep(0.1)
+    worker.delayed_hold_ratio = 0.0
+    await _restart(simulation, worker)
+    await simulation.submit(node, SECOND_JOB, _job(300))
+    while not worker.runs:
+        await asyncio.sleep(0.001)
+    worker.unreachable = True
+    await asyncio.sleep(delay_s)
+    worker.unreachable = False
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_an_acknowledgement_does_not_drop_an_end_of_the_next_incarnation(simulate_scenario):
+    """Guards against a task that runs again after an end that was dropped unread."""
+    scenario = _carry_out_an_acknowledgement_after_a_restart
+    assert simulate_scenario(scenario, 1, 4.0).violations == []
