--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -13,10 +13,12 @@
 from . import defaults, jobmodel, metrics, pacing
 from .assignment import UpstreamSlot, Usage
 from .decoding import MalformedLog
+from .fencing import FencingTokens
 from .follower import Follower, open_bulk_reads
 from .graph import Rules, UpstreamEntry
 from .intake import IntakeReader
 from .jobmodel import TASK_CHART, EndedJob, Job, StepOccurrence, Task
+from .leases import max_lease_ms
 from .link import (
     Acknowledge,
     ClientFactory,
@@ -26,7 +28,6 @@
     StartOutcome,
     Stop,
     StopConfirmed,
-    max_lease_ms,
 )
 from .loads import OfferedLoad, SubmissionShares
 from .mailbox import Actor, Handler, implements_action, receives
@@ -111,7 +112,10 @@
     :param link: None if the upstream is only known from runs of an earlier epoch.
     :param started_ms: Unix time at which the incarnation that answered last was started.
     :param last_ended_number: number of the last ended run that has been processed.
-    :param lease_end_ms: time by which all its runs end if its lease is not renewed again.
+    :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
+        renewed again.
+    :param uncertain_end_ms: time by which its other runs end, whose starts have no answer: an
+        incarnation that is not known yet may have taken them.
     :param reported_ms: time of its last report.
     :param first_reported_ms: time of its first report in this epoch, infinite before. From then on
         it refuses the orders of earlier leaders.
@@ -126,7 +130,8 @@
 
     slot: UpstreamSlot
     link: Link | None
-    lease_end_ms: float
+    lease_end_ms: float = 0.0
+    uncertain_end_ms: float = 0.0
     started_ms: int = 0
     last_ended_number: int = 0
     reported_ms: float = 0.0
@@ -138,6 +143,20 @@
     order_pending: bool = False
     orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
 
+    def note_lease_end(self, confirmed_ms: float, uncertain_ms: float = 0.0) -> None:
+        """Extend the times by which its runs end."""
+        self.lease_end_ms = max(self.lease_end_ms, confirmed_ms)
+        self.uncertain_end_ms = max(self.uncertain_end_ms, uncertain_ms)
+
+    def uncertain_runs_ended(self, now_ms: float) -> bool:
+        """Return whether also runs have ended that an unknown incarnation may have taken.
+
+        Once the registration has expired without one of a later incarnation, there is none.
+        """
+        if not self.slot.listed and self.slot.entry.started_ms <= self.started_ms:
+            return True
+        return now_ms >= self.uncertain_end_ms
+
 
 class RunState(Actor):
     """Owns the jobs, their runs and the capacity that the runs occupy.
@@ -145,6 +164,7 @@
     :param decode_upstream: decodes an upstream's registration; raises DecodeError.
     :param election: notified when a higher epoch is seen.
     :param lease_ms: duration of the lease of an upstream's runs.
+    :param lease_max_ms: longest lease that an upstream grants.
     :param stop_ms: how long an upstream may take to stop a run.
     :param retention_ms: how long an ended job can be looked up.
     :param link_mbps: capacity of this entry VM's link.
@@ -163,6 +183,7 @@
         timer: Timer,
         *,
         lease_ms: int,
+        lease_max_ms: int,
         stop_ms: int,
         retention_ms: int,
         intake_part_count: int,
@@ -180,6 +201,7 @@
         self._decode_upstream = decode_upstream
         self._timer = timer
         self._lease_ms = lease_ms
+        self._lease_max_ms = lease_max_ms
         self._stop_ms = stop_ms
         self._retention_ms = retention_ms
         self._bulk_reads = open_bulk_reads(link_mbps)
@@ -242,6 +264,8 @@
         # By upstream, start time of the incarnation that has ended: its registration stays in the
         # store for some time and must be ignored.
         self._ended_incarnations: dict[str, int] = {}
+        # By upstream; outlasts the link of an upstream that is registered again.
+        self._fencing_tokens: dict[str, FencingTokens] = {}
         # By upstream, runs that were given up though their starts may still be carried out there.
         self._late_starts: dict[str, set[tuple[str, int]]] = {}
         self._leader_since_ms = timer.now_ms()
@@ -574,8 +598,7 @@
             task.step.tickets.get(task.upstream_id, ""),
         )
         if upstream.link is not None:
-            lease_end_ms = self._timer.now_ms() + max_lease_ms(self._lease_ms)
-            upstream.lease_end_ms = max(upstream.lease_end_ms, lease_end_ms)
+            upstream.note_lease_end(self._timer.now_ms() + max_lease_ms(self._lease_ms))
             upstream.link.tell(Start(order))
 
     @implements_action("send_stop")
@@ -596,6 +619,9 @@
     def on_start_outcome(self, message: StartOutcome) -> None:
         """Process the outcome of a start."""
         metrics.STARTS.add(1, metrics.labels(outcome=message.outcome))
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            upstream.note_lease_end(message.lease_end_ms, message.uncertain_end_ms)
         task = self._find_task(message.task_name)
         if task is None or task.run != message.run or not task.placed:
             return
