--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -534,8 +534,6 @@
             self._requeue_step(task)
             return
         step.done_count += 1
-        if step.spec.gang:
-            self._finish_rest_of_gang(task)
         if job.ended or not step.done:
             return
         for other in job.steps.values():
@@ -543,14 +541,18 @@
                 self._queue_if_ready(other)
         self._complete_job_if_done(job)
 
-    def _finish_rest_of_gang(self, task: Task) -> None:
+    @implements_action("finish_gang")
+    def _finish_rest_of_gang(self, task: Task, **details: Any) -> None:
         """Finish the other tasks of a gang, which ends as a whole.
 
         Their own ends may never be listed, as an upstream that is lost takes them along.
         """
+        spec = task.step.spec
+        if not spec.gang or spec.long_running:
+            return
         for other in task.step.tasks:
-            if other.run == task.run and TASK_CHART.accepts(other.state, "done"):
-                self._apply_event(other, "done")
+            if other.run == task.run and TASK_CHART.accepts(other.state, "gang_done"):
+                self._apply_event(other, "gang_done")
 
     @implements_action("count_failure")
     def _count_failure(self, task: Task, **details: Any) -> None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -8,7 +8,8 @@
 from attrs import define
 
 from standins.polling import wait_until
-from standins.taskworker import TaskWorker, WorkerFaults
+from standins.taskworker import Run, TaskWorker, WorkerFaults
+from tarragoncart.intake import STEP_TASK_LIMIT_COUNT
 from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -16,6 +17,7 @@
 FIRST, SECOND = f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"
 # A worker has room for one task, so that each of them runs on a worker of its own.
 GANG = {"count": 2, "cpu": 9_000, "mem-mb": 256, "est-ms": 30_000, "gang": True}
+LARGEST_GANG = {"count": STEP_TASK_LIMIT_COUNT, "cpu": 10, "mem-mb": 1}
 # A run at an upstream that is lost is given up with the end of its lease.
 START_TIMEOUT_S = 8.0
 
@@ -84,6 +86,24 @@
     return start
 
 
+@pytest.fixture
+def assign_gang(submit_gang, store):
+    """Submit a gang of endless tasks whose assignment the store refuses, so that none starts."""
+
+    def refuse_appends(node, workers):
+        store.standin.faults.refused_parts = {"keyed.state": {0}}
+
+    async def assign(**step):
+        gang = await submit_gang(refuse_appends, **step)
+        jobs = gang.node.scheduler._jobs
+        assert await wait_until(lambda: JOB_ID in jobs)
+        tasks = list(jobs[JOB_ID].tasks())
+        assert await wait_until(lambda: all(task.state == "assigned" for task in tasks))
+        return gang
+
+    return assign
+
+
 async def test_a_gang_resumes_from_one_checkpoint(run_gang):
     """Guards against tasks of a gang that resume from values of their own and never meet."""
     gang = await run_gang(checkpointing=True)
@@ -144,6 +164,21 @@
     assert not gang.checkpoints(2)
 
 
+async def test_one_end_of_the_largest_gang_represents_all(assign_gang, store):
+    """Guards against a job that never ends, as the end of its gang exhausts the stack."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler = gang.node.scheduler
+    tasks = list(scheduler._jobs[JOB_ID].tasks())
+    for task in tasks:
+        worker = gang.workers[int(task.upstream_id.removeprefix("i-"))]
+        worker.runs[task.name] = Run(task.name, task.run, float("inf"), "done")
+    assert await gang.listed(1)
+    store.standin.faults.refused_parts = {}
+    gang.worker(FIRST).finish(FIRST)
+    assert await gang.node.caller.phase(PATH, "completed") == "completed"
+    assert not any(upstream.slot.tasks for upstream in scheduler._upstreams.values())
+
+
 async def test_a_gang_done_in_part_under_an_earlier_version_is_done(run_gang, run_node, store):
     """Guards against a job that an earlier version has left waiting for one task of a done gang."""
     gang = await run_gang()
