--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -394,17 +394,22 @@
             upstream.slot.long_running_count -= task.step.spec.long_running
         task.percent = 0
         self._dirty_steps[task.step] = None
-        if task.step.spec.gang and task.state == "waiting":
-            self._stop_rest_of_gang(task)
         self._requeue_step(task)
 
-    def _stop_rest_of_gang(self, task: Task) -> None:
+    @implements_action("stop_gang")
+    def _stop_rest_of_gang(self, task: Task, **details: Any) -> None:
         """Stop the other tasks of a run of a gang that one of them has left.
 
         Those that were at work end anyway; those still waiting for the others would do so in vain.
         """
+        if not task.step.spec.gang:
+            return
         for other in task.step.tasks:
-            if other.run == task.run:
+            if other.run != task.run:
+                continue
+            if other.state == "assigned":
+                self._apply_event(other, "gang_left")
+            else:
                 self._stop_task(other)
 
     @implements_action("detach")
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -9,10 +9,12 @@
 
 from standins.polling import wait_until
 from standins.taskworker import Run, TaskWorker, WorkerFaults
-from tarragoncart.intake import STEP_TASK_LIMIT_COUNT
+from tarragoncart.intake import CANCEL_PREFIX, STEP_TASK_LIMIT_COUNT, IntakeRead
+from tarragoncart.storage import Entry
 from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
+OTHER_JOB_ID = "00000000000000aa"
 PATH = f"/q/{JOB_ID}"
 FIRST, SECOND = f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"
 # A worker has room for one task, so that each of them runs on a worker of its own.
@@ -222,6 +224,31 @@
     assert not gang.checkpoints(1)
 
 
+async def test_cancellations_read_with_that_of_the_largest_gang_are_applied(assign_gang, store):
+    """Guards against tasks that run on, as the withdrawal of a gang exhausts the stack."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler, caller = gang.node.scheduler, gang.node.caller
+    other_path = f"/q/{OTHER_JOB_ID}"
+    job = {"spec": "text", "steps": [{**GANG, "count": 1}]}
+    assert await caller.submit(other_path, job) == 200
+    assert await wait_until(lambda: OTHER_JOB_ID in scheduler._jobs)
+    cancelled = [(0, Entry(f"{CANCEL_PREFIX}{name}", b"1", 0)) for name in (JOB_ID, OTHER_JOB_ID)]
+    scheduler.tell(IntakeRead(tuple(cancelled), scheduler._intake_as_of_ms))
+    store.standin.faults.refused_parts = {}
+    assert await caller.phase(other_path, "cancelled") == "cancelled"
+    assert await caller.phase(PATH, "cancelled") == "cancelled"
+    assert not any(upstream.slot.tasks for upstream in scheduler._upstreams.values())
+
+
+async def test_the_largest_gang_is_withdrawn_as_a_whole(assign_gang):
+    """Guards against a gang that is left assigned in part, as its withdrawal exhausts the stack."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler = gang.node.scheduler
+    tasks = list(scheduler._jobs[JOB_ID].tasks())
+    scheduler.tell(VacateUpstream(tasks[0].upstream_id, None))
+    assert await wait_until(lambda: all(task.state == "waiting" for task in tasks))
+
+
 async def test_a_new_leader_stops_the_rest_of_a_gang(run_gang, run_node, store):
     """Guards against a run that waits in vain, as only the earlier leader was to stop it."""
     gang = await run_gang()
