An error in one record of the intake costs only that record

Cause: the handler of the message processes all records in one go, and an unexpected error ends it.

Change: each record of a job and each cancellation is processed on its own; an error is logged with the key of the record, and the next one follows.

Evidence: the new test fails the cancellation of one job; the other job stayed `queued` before and is `cancelled` now.

--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -27,7 +27,7 @@
 from .mailbox import new_reply, receives, resolve
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
-from .takeover import TakeOver
+from .takeover import TakeOver, isolated_record
 from .traffic import TRAFFIC
 from .vmorders import WaveRequested
 from .writer import FENCED, Write
@@ -181,11 +181,13 @@
         cancelled: list[tuple[str, int]] = []
         for part, entry in message.entries:
             if entry.key.startswith(intake.JOB_PREFIX):
-                self._add_job(entry, part)
+                with isolated_record(entry.key):
+                    self._add_job(entry, part)
             elif entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
                 cancelled.append((entry.key.removeprefix(intake.CANCEL_PREFIX), part))
         for job_id, part in cancelled:
-            self._cancel_job(job_id, part)
+            with isolated_record(intake.CANCEL_PREFIX + job_id):
+                self._cancel_job(job_id, part)
         self._request_pass()
 
     def _add_job(self, entry: Entry, part: int) -> None:
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -6,6 +6,7 @@
 import logging
 from collections import deque
 from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from attrs import frozen
@@ -41,6 +42,19 @@
     """Restore jobs for the duration of a slice."""
 
 
+@contextmanager
+def isolated_record(key: str) -> Iterator[None]:
+    """Log an error in the processing of one record, so that it costs only that record.
+
+    Records are read once in an epoch: without this the others of a message would have no effect
+    until the next take-over.
+    """
+    try:
+        yield
+    except Exception:
+        logger.exception("record cannot be processed", extra={"key": key})
+
+
 class TakeOver(Retention):
     """Restores the stored jobs; the event loop runs and other messages are handled in between.
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -16,8 +16,11 @@
 from standins.polling import wait_until
 from standins.taskworker import TaskWorker
 from tarragoncart.entrance import CurrentLeader
+from tarragoncart.intake import IntakeRead
 from tarragoncart.leadership import Leader
 from tarragoncart.orders import RecentOrders
+from tarragoncart.scheduler import Scheduler
+from tarragoncart.storage import Entry
 
 JOB_ID = "5c0e7a21d94b36f8"
 OTHER_JOB_ID = "00000000000000aa"
@@ -209,6 +212,36 @@
         assert await second.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
 
 
+@pytest.fixture
+def fail_for_job(monkeypatch):
+    """Return a function that lets a method of the scheduler fail for one job."""
+
+    def patch(name, job_id):
+        method = getattr(Scheduler, name)
+
+        def call_or_fail(scheduler, job, *args):
+            if getattr(job, "job_id", job) == job_id:
+                raise RuntimeError("injected")
+            return method(scheduler, job, *args)
+
+        monkeypatch.setattr(Scheduler, name, call_or_fail)
+
+    return patch
+
+
+async def test_a_cancellation_that_fails_costs_only_itself(run_node, wait_for, fail_for_job):
+    """Guards against cancellations that are lost because another one in the message failed."""
+    node = await run_node()
+    scheduler = await node.wait_to_lead()
+    for job_id in (JOB_ID, OTHER_JOB_ID):
+        assert await node.caller.submit(f"/q/{job_id}", JOB) == 200
+    assert await wait_for(lambda: scheduler._jobs.keys() == {JOB_ID, OTHER_JOB_ID})
+    fail_for_job("_cancel_job", JOB_ID)
+    entries = [(0, Entry(f"c/{job_id}", b"1", 0)) for job_id in (JOB_ID, OTHER_JOB_ID)]
+    scheduler.tell(IntakeRead(tuple(entries), scheduler._intake_as_of_ms))
+    assert await node.caller.phase(f"/q/{OTHER_JOB_ID}", "cancelled") == "cancelled"
+
+
 @pytest.mark.parametrize("body", ODD_BODIES.values(), ids=ODD_BODIES)
 async def test_a_bad_configuration_leaves_the_one_in_force(
     run_node, store, platform_config, body, wait_for
