A record that cannot be processed does not end a take-over

Seen in a test: a leader whose restoration of one job failed answered 503 for all jobs and handled no report: the take-over went no further, as the next slice was never sent. With a stored cancellation that failed, the cancellations after it were lost, and so were the messages held during the take-over.

Cause: as for the intake, an unexpected error of one record ended the handler. Records that cannot be decoded were passed over already.

Change: each restored record and each stored cancellation is processed on its own, as in the handler of the intake. No record is known that fails today.

Evidence: both new tests failed before (503 instead of `completed`, `queued` instead of `cancelled`) and pass now.

--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -173,7 +173,8 @@
         end_ms = self._timer.now_ms() + defaults.RESTORE_SLICE_MS
         for restored in self._restoration:
             if restored is not None:
-                self._add_restored(restored)
+                with isolated_record(getattr(restored, "job_id", "")):
+                    self._add_restored(restored)
             if self._timer.now_ms() >= end_ms:
                 asyncio.get_running_loop().call_soon(self.tell, message)
                 return
@@ -217,7 +218,8 @@
         self._intake_as_of_ms = self._accepted.as_of_ms
         self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
         for cancellation in self._cancellations:
-            self._cancel_job(cancellation.job_id, cancellation.part)
+            with isolated_record(cancellation.job_id):
+                self._cancel_job(cancellation.job_id, cancellation.part)
         after_ms = self._timer.now_ms() - self._leader_since_ms
         metrics.TAKEOVER_DURATION.record(after_ms)
         logger.info(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -242,6 +242,33 @@
     assert await node.caller.phase(f"/q/{OTHER_JOB_ID}", "cancelled") == "cancelled"
 
 
+async def test_a_job_that_cannot_be_restored_costs_only_itself(
+    run_node, add_worker, run_job, fail_for_job
+):
+    """Guards against a take-over that never ends because the restoration of one job failed."""
+    first = await run_node("node-1")
+    assert await first.caller.submit(f"/q/{JOB_ID}", JOB) == 200
+    await first.stop()
+    fail_for_job("_admit", JOB_ID)
+    await add_worker("i-1")
+    second = await run_node("node-2")
+    assert await run_job(second, OTHER_JOB_ID, 8.0) == "completed"
+
+
+async def test_a_stored_cancellation_that_fails_costs_only_itself(run_node, store, fail_for_job):
+    """Guards against tasks of cancelled jobs that a new leader starts as another one failed."""
+    first = await run_node("node-1")
+    for job_id in (JOB_ID, OTHER_JOB_ID):
+        assert await first.caller.submit(f"/q/{job_id}", JOB) == 200
+    await first.stop()
+    for job_id in (JOB_ID, OTHER_JOB_ID):
+        store.standin.put_bytes("keyed.intake", f"c/{job_id}", b"1")
+    # The store lists this one first.
+    fail_for_job("_cancel_job", OTHER_JOB_ID)
+    second = await run_node("node-2")
+    assert await second.caller.phase(f"/q/{JOB_ID}", "cancelled", 8.0) == "cancelled"
+
+
 @pytest.mark.parametrize("body", ODD_BODIES.values(), ids=ODD_BODIES)
 async def test_a_bad_configuration_leaves_the_one_in_force(
     run_node, store, platform_config, body, wait_for
