A report with which a job ends is processed to its end

Seen in a test: a report that does not list a task whose copies have used up its attempts ends the job as failed; that withdraws another task of the job, which is assigned to the same upstream. The handler then failed with a ChartError ("'waiting' does not accept event 'vanish'"): the stops and paces that follow from the report were left out until the next one.

Cause: the loop over the tasks that a report does not list goes through a copy of the list, and did not see that one of them had left the upstream meanwhile.

Change: such a task is passed over, as where all tasks of an upstream are lost.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -426,6 +426,9 @@
         for task in list(upstream.slot.tasks.values()):
             if (task.name, task.run) in listed or task.state in ("assigned", "starting"):
                 continue
+            if not task.placed:
+                # The loss of another task has ended its job, which has withdrawn it.
+                continue
             if requested_ms <= task.must_list_after_ms:
                 continue
             if task.state == "unsure":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -758,3 +758,22 @@
 
 def _delays_ms(caplog):
     return [r.delay_ms for r in caplog.records if r.message == "event loop was delayed"]
+
+
+async def test_a_report_with_which_a_job_ends_is_processed_to_its_end(run_node, add_worker, store):
+    """Guards against the rest of a report that is lost, as a task in it was withdrawn meanwhile."""
+    await add_worker()
+    node = await run_node()
+    scheduler = await node.wait_to_lead()
+    store.standin.faults.refused_parts = {"keyed.state": {0}}
+    assert await submit(node, {"spec": "text", "steps": [TASK]}) == 200
+    assert await wait_until(lambda: JOB_ID in scheduler._jobs)
+    lost, assigned = scheduler._jobs[JOB_ID].tasks()
+    assert await wait_until(lambda: lost.state == assigned.state == "assigned")
+    scheduler._apply_event(lost, "listed")
+    # Two copies of the task have failed, which is as often as its queue allows.
+    lost.history.failed_runs |= {8, 9}
+    now_ms = scheduler._timer.now_ms()
+    scheduler.handle(ReportReceived("i-1", UpstreamReport(0, 1, (), ()), now_ms + 1, now_ms))
+    assert scheduler._jobs[JOB_ID].phase == "failed"
+    assert assigned.state == "waiting"
