--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -418,17 +418,22 @@
             upstream.slot.long_running_count -= task.step.spec.long_running
         task.percent = 0
         self._dirty_steps[task.step] = None
-        if task.step.spec.gang and task.state == "waiting":
-            self._stop_rest_of_gang(task)
         self._requeue_step(task)
 
-    def _stop_rest_of_gang(self, task: Task) -> None:
+    @implements_action("stop_gang")
+    def _stop_rest_of_gang(self, task: Task, **details: Any) -> None:
         """Stop the other tasks of a run of a gang that one of them has left.
 
         Those that were at work end anyway; those still waiting for the others would do so in vain.
         """
+        if not task.step.spec.gang:
+            return
         for other in task.step.tasks:
-            if other.run == task.run:
+            if other.run != task.run:
+                continue
+            if other.state == "assigned":
+                self._apply_event(other, "gang_left")
+            else:
                 self._stop_task(other)
 
     @implements_action("detach")
@@ -543,7 +548,7 @@
                 f"task {task.name} failed {len(task.history.failed_runs)} times",
             )
             return
-        if not task.exhausted:
+        if task.startable:
             self._queue_if_ready(task.step)
         self._request_pass()
 
@@ -558,8 +563,6 @@
             self._requeue_step(task)
             return
         step.done_count += 1
-        if step.spec.gang:
-            self._finish_rest_of_gang(task)
         if job.ended or not step.done:
             return
         for other in job.steps.values():
@@ -567,14 +570,18 @@
                 self._queue_if_ready(other)
         self._complete_job_if_done(job)
 
-    def _finish_rest_of_gang(self, task: Task) -> None:
+    @implements_action("finish_gang")
+    def _finish_rest_of_gang(self, task: Task, **details: Any) -> None:
         """Finish the other tasks of a gang, which ends as a whole.
 
         Their own ends may never be listed, as an upstream that is lost takes them along.
         """
+        spec = task.step.spec
+        if not spec.gang or spec.long_running:
+            return
         for other in task.step.tasks:
-            if other.run == task.run and TASK_CHART.accepts(other.state, "done"):
-                self._apply_event(other, "done")
+            if other.run == task.run and TASK_CHART.accepts(other.state, "gang_done"):
+                self._apply_event(other, "gang_done")
 
     @implements_action("count_failure")
     def _count_failure(self, task: Task, **details: Any) -> None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -8,14 +8,19 @@
 from attrs import define
 
 from standins.polling import wait_until
-from standins.taskworker import TaskWorker, WorkerFaults
+from standins.taskworker import Run, TaskWorker, WorkerFaults
+from tarragoncart.intake import CANCEL_PREFIX, STEP_TASK_LIMIT_COUNT, IntakeRead
+from tarragoncart.jobmodel import StepOccurrence
+from tarragoncart.storage import Entry
 from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
+OTHER_JOB_ID = "00000000000000aa"
 PATH = f"/q/{JOB_ID}"
 FIRST, SECOND = f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.0.1"
 # A worker has room for one task, so that each of them runs on a worker of its own.
 GANG = {"count": 2, "cpu": 9_000, "mem-mb": 256, "est-ms": 30_000, "gang": True}
+LARGEST_GANG = {"count": STEP_TASK_LIMIT_COUNT, "cpu": 10, "mem-mb": 1}
 # A run at an upstream that is lost is given up with the end of its lease.
 START_TIMEOUT_S = 8.0
 
@@ -84,6 +89,24 @@
     return start
 
 
+@pytest.fixture
+def assign_gang(submit_gang, store):
+    """Submit a gang of endless tasks whose assignment the store refuses, so that none starts."""
+
+    def refuse_appends(node, workers):
+        store.standin.faults.refused_parts = {"keyed.state": {0}}
+
+    async def assign(**step):
+        gang = await submit_gang(refuse_appends, **step)
+        jobs = gang.node.scheduler._jobs
+        assert await wait_until(lambda: JOB_ID in jobs)
+        tasks = list(jobs[JOB_ID].tasks())
+        assert await wait_until(lambda: all(task.state == "assigned" for task in tasks))
+        return gang
+
+    return assign
+
+
 async def test_a_gang_resumes_from_one_checkpoint(run_gang):
     """Guards against tasks of a gang that resume from values of their own and never meet."""
     gang = await run_gang(checkpointing=True)
@@ -144,6 +167,38 @@
     assert not gang.checkpoints(2)
 
 
+async def test_one_end_of_the_largest_gang_represents_all(assign_gang, store):
+    """Guards against a job that never ends, as the end of its gang exhausts the stack."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler = gang.node.scheduler
+    tasks = list(scheduler._jobs[JOB_ID].tasks())
+    for task in tasks:
+        worker = gang.workers[int(task.upstream_id.removeprefix("i-"))]
+        worker.runs[task.name] = Run(task.name, task.run, float("inf"), "done")
+    assert await gang.listed(1)
+    store.standin.faults.refused_parts = {}
+    gang.worker(FIRST).finish(FIRST)
+    assert await gang.node.caller.phase(PATH, "completed") == "completed"
+    assert not any(upstream.slot.tasks for upstream in scheduler._upstreams.values())
+
+
+async def test_the_end_of_the_largest_gang_does_not_search_its_step_for_each_task(
+    assign_gang, monkeypatch
+):
+    """Guards against an event loop that stands still for tasks times tasks when a gang ends."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler = gang.node.scheduler
+    first, *_ = scheduler._jobs[JOB_ID].tasks()
+    searched = []
+    waiting = StepOccurrence.waiting
+    monkeypatch.setattr(
+        StepOccurrence, "waiting", lambda step: searched.append(step) or waiting(step)
+    )
+    scheduler._apply_event(first, "done")
+    assert first.step.done
+    assert searched == [first.step]
+
+
 async def test_a_gang_done_in_part_under_an_earlier_version_is_done(run_gang, run_node, store):
     """Guards against a job that an earlier version has left waiting for one task of a done gang."""
     gang = await run_gang()
@@ -187,6 +242,31 @@
     assert not gang.checkpoints(1)
 
 
+async def test_cancellations_read_with_that_of_the_largest_gang_are_applied(assign_gang, store):
+    """Guards against tasks that run on, as the withdrawal of a gang exhausts the stack."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler, caller = gang.node.scheduler, gang.node.caller
+    other_path = f"/q/{OTHER_JOB_ID}"
+    job = {"spec": "text", "steps": [{**GANG, "count": 1}]}
+    assert await caller.submit(other_path, job) == 200
+    assert await wait_until(lambda: OTHER_JOB_ID in scheduler._jobs)
+    cancelled = [(0, Entry(f"{CANCEL_PREFIX}{name}", b"1", 0)) for name in (JOB_ID, OTHER_JOB_ID)]
+    scheduler.tell(IntakeRead(tuple(cancelled), scheduler._intake_as_of_ms))
+    store.standin.faults.refused_parts = {}
+    assert await caller.phase(other_path, "cancelled") == "cancelled"
+    assert await caller.phase(PATH, "cancelled") == "cancelled"
+    assert not any(upstream.slot.tasks for upstream in scheduler._upstreams.values())
+
+
+async def test_the_largest_gang_is_withdrawn_as_a_whole(assign_gang):
+    """Guards against a gang that is left assigned in part, as its withdrawal exhausts the stack."""
+    gang = await assign_gang(**LARGEST_GANG)
+    scheduler = gang.node.scheduler
+    tasks = list(scheduler._jobs[JOB_ID].tasks())
+    scheduler.tell(VacateUpstream(tasks[0].upstream_id, None))
+    assert await wait_until(lambda: all(task.state == "waiting" for task in tasks))
+
+
 async def test_a_new_leader_stops_the_rest_of_a_gang(run_gang, run_node, store):
     """Guards against a run that waits in vain, as only the earlier leader was to stop it."""
     gang = await run_gang()
