Follower: do not count a read of limited size as complete

Cause: a read returns 1,024 KB at most. `Follower._read_changes` took the time at which the read was sent as the time up to which its records are complete, although the response names a later end of the partition. The newest configuration of a backlog's first part counted as current.

Change: the time advances only when the records reach the end that the same response, or an earlier one, has named; an earlier end stands for the time at which that earlier read was sent, so that the time also advances behind a partition that keeps growing. All users of a follower depend on this time: the entry VM's configuration, and the leader's view of jobs (`IntakeReader`), which refused jobs behind a limited read as unknown (410). The stand-in store limits its responses as the users' store does.

The window cannot occur any more: before the last part of the backlog is read, the configuration keeps the age that it had when the store turned the entry VM away, and the key is refused with 503.

--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -15,6 +15,7 @@
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 PAGE_KEY_COUNT = 500
+READ_MAX_KB = 1_024
 PART_COUNT = 8
 
 
@@ -175,10 +176,14 @@
                 await asyncio.wait_for(part.changed.wait(), int(query.get("wait-ms", 0)) / 1_000)
             except TimeoutError:
                 pass
+        max_bytes = 1_024 * int(query.get("max-kb", READ_MAX_KB))
         body = OFFSETS.pack(len(part.records), part.first_offset)
         for key, value in part.records[offset:]:
             name = key.encode()
-            body += LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
+            record = LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
+            if len(body) > OFFSETS.size and len(body) + len(record) > max_bytes:
+                break
+            body += record
         return web.Response(body=body)
 
     async def _newest(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/tarragoncart/follower.py
+++ b/src/tarragoncart/follower.py
@@ -73,6 +73,18 @@
     part: int = 0
 
 
+@frozen
+class _Backlog:
+    """Records that a read left unread.
+
+    :param end_offset: end of the partition when the read was answered.
+    :param sent_ms: time at which it was sent; records appended before it end at ``end_offset``.
+    """
+
+    end_offset: int
+    sent_ms: float
+
+
 class Follower(Actor):
     """Reads a partition of a topic and sends its records to another actor.
 
@@ -103,6 +115,8 @@
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
         self._bulk_reads = bulk_reads or contextlib.nullcontext()
+        self._as_of_ms = float("-inf")
+        self._backlog: _Backlog | None = None
 
     async def on_open(self) -> None:
         """Start reading."""
@@ -150,6 +164,8 @@
             sent_ms = self._timer.now_ms()
             snapshot = await read_newest(self._store, self._topic, self._part)
         self._listener.tell(TopicSnapshot(self._topic, snapshot.entries, sent_ms, self._part))
+        self._as_of_ms = sent_ms
+        self._backlog = None
         return snapshot.end_offset
 
     async def _read_changes(self, offset: int) -> int:
@@ -161,13 +177,32 @@
                 extra={"topic": self._topic, "offset": offset},
             )
             return -1
-        as_of_ms = sent_ms
-        if not chunk.entries:
+        next_offset = offset + len(chunk.entries)
+        if next_offset < chunk.end_offset:
+            as_of_ms = self._complete_until_ms(next_offset, _Backlog(chunk.end_offset, sent_ms))
+        elif chunk.entries:
+            as_of_ms = sent_ms
+        else:
             # The store answers without records only after the whole wait, so nothing was appended
             # until then.
             as_of_ms = min(sent_ms + self._wait_ms, self._timer.now_ms())
         self._listener.tell(TopicChanges(self._topic, chunk.entries, as_of_ms, self._part))
-        return offset + len(chunk.entries) if chunk.entries else offset
+        self._as_of_ms = as_of_ms
+        return next_offset
+
+    def _complete_until_ms(self, next_offset: int, backlog: _Backlog) -> float:
+        """Return the time up to which the records are complete after a read of limited size.
+
+        Both the end of an earlier backlog and the time of its read are kept, so that the time
+        advances even if the reads never reach the end of a growing partition.
+        """
+        as_of_ms = self._as_of_ms
+        if self._backlog is not None and next_offset >= self._backlog.end_offset:
+            as_of_ms = max(as_of_ms, self._backlog.sent_ms)
+            self._backlog = None
+        if self._backlog is None:
+            self._backlog = backlog
+        return as_of_ms
 
     async def on_close(self) -> None:
         """Close the connections to the store."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
 from tarragoncart.intake import partitions_of
 from tarragoncart.leadership import Leader
 from tarragoncart.link import ReportReceived
+from tarragoncart.platform import store as platform_store
 from tarragoncart.runs import LiveRun, UpstreamReport
 from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
@@ -234,6 +235,38 @@
     assert (await node.caller.call("GET", f"/q/{JOB_ID}", key="key-2"))[0] == 200
 
 
+async def test_a_withdrawn_key_is_not_served_while_a_backlog_is_read(
+    run_node, store, platform_config, monkeypatch
+):
+    """Guards against taking an old configuration of a backlog's first part for the newest one."""
+    monkeypatch.setattr(platform_store, "READ_MAX_KB", 1)
+    monkeypatch.setattr(defaults, "RULES_WAIT_MS", 50)
+    node = await run_node()
+    assert await submit(node) == 200
+    request_handler = node.opened.node.request_handler
+    monkeypatch.setattr(request_handler, "_key_freshness_ms", 300.0)
+    store.standin.faults.unreadable_topics = frozenset({"keyed.op"})
+    assert await wait_until(lambda: request_handler.rules_age_ms > 300.0)
+    follower = node.opened.node._follower
+    read = follower._store.read
+
+    async def read_once(*args):
+        chunk = await read(*args)
+        store.standin.faults.unreadable_topics = frozenset({"keyed.op"})
+        return chunk
+
+    monkeypatch.setattr(follower._store, "read", read_once)
+    account = platform_config["tenants"][0]
+    filler = "x" * 1_024
+    for version, key in ((11, "key-1"), (12, "key-2")):
+        account["api-keys"] = [key]
+        changed = {**platform_config, "version": version, "filler": filler}
+        store.standin.put("keyed.op", "config", changed)
+    store.standin.faults.unreadable_topics = frozenset()
+    assert await wait_until(lambda: request_handler._rules.version == 11)
+    assert (await node.caller.call("GET", f"/q/{JOB_ID}"))[0] == 503
+
+
 async def test_an_old_configuration_serves_no_keys(run_node, store, monkeypatch):
     """Guards against accepting a key that may be withdrawn while the store is unreachable."""
     node = await run_node()
