Node: answer the requests that have been read before a planned stop ends

Cause: `OpenedNode.drain` slept for 3.7 s whatever was still in progress; then `serve` stopped the actors, which cancelled the requests. A query takes about 310 ms while no leader is known.

Change: after the time for callers to move, the request handler gets `Finish`. It refuses new requests with 503, waits for those in progress until five sixths of the shutdown time, answers the rest with 504 and replies. Only then are the connections closed, by the server's own shutdown, which takes idle ones first and waits for responses. A request on an open connection is answered until that moment.

The three new tests fail without the change: each request waits for an answer in vain. Cases: a query without a leader (503), a job whose append has no answer (504 within a shutdown time of 600 ms), and a request on an open connection during the wait (503).

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -246,6 +246,12 @@
 LOOKUP_RETRY_MS = 150
 DRAIN_SERVE_MS = 3_000
 DRAIN_CLOSE_MS = 700
+# Share of the shutdown time within which requests that have been read are answered; the rest is for
+# closing connections and stopping the actors.
+DRAIN_ANSWER_RATIO = 5 / 6
+# Requests whose body has not arrived completely within this time are dropped at a stop. The server
+# waits for it twice: for the handler, and for the handler without the rest of the body.
+CONNECTION_CLOSE_MS = 200
 FLEET_TICK_MS = 300
 # Orders for VMs that wait for an answer at the same time; further ones wait before they are sent.
 VM_ORDER_LIMIT_COUNT = 8
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -98,6 +98,19 @@
     reply: asyncio.Future[Any]
 
 
+@frozen
+class Finish:
+    """Refuse new requests and answer those in progress, before the entry VM stops.
+
+    :param timeout_ms: time after which the requests that are still in progress are answered without
+        their outcome.
+    :param reply: resolved when all requests are answered.
+    """
+
+    timeout_ms: float
+    reply: asyncio.Future[None]
+
+
 @frozen
 class Accepted:
     """The job or its cancellation is stored."""
@@ -149,6 +162,8 @@
         self._rules: Rules | None = None
         self._as_of_ms = 0.0
         self._leadership = CurrentLeader(None, None)
+        self._requests: set[asyncio.Task[None]] = set()
+        self._finishing = False
 
     @receives(CurrentRules)
     def on_rules(self, message: CurrentRules) -> None:
@@ -188,6 +203,8 @@
 
         :raises RequestError: if the request is refused.
         """
+        if self._finishing:
+            raise _refusal("the entry VM is stopping", "stopping", 503)
         rules, age_ms = self._rules, self.rules_age_ms
         if rules is None:
             raise _refusal("no configuration yet", "no_configuration", 503)
@@ -393,13 +410,19 @@
                 await work
             except RequestError as error:
                 self._refuse(context, error, reply)
+            except asyncio.CancelledError:
+                unknown = _refusal("the entry VM is stopping", "outcome_unknown", 504)
+                self._refuse(context, unknown, reply)
+                raise
             except Exception:
                 # The caller would wait for its deadline; a record may have been written.
                 logger.exception("request failed", extra={"path": context.path})
                 unknown = _refusal("unexpected error", "outcome_unknown", 504)
                 self._refuse(context, unknown, reply)
 
-        self.spawn(guarded())
+        request = self.spawn(guarded())
+        self._requests.add(request)
+        request.add_done_callback(self._requests.discard)
 
     def _refuse(
         self, context: RequestContext, error: RequestError, reply: asyncio.Future[Any]
@@ -419,6 +442,23 @@
         )
         resolve(reply, error)
 
+    # Planned stop.
+
+    @receives(Finish)
+    def on_finish(self, message: Finish) -> None:
+        """Refuse new requests and answer those in progress."""
+        self._finishing = True
+        self.spawn(self._finish(message))
+
+    async def _finish(self, message: Finish) -> None:
+        requests = tuple(self._requests)
+        if requests:
+            _, late = await asyncio.wait(requests, timeout=message.timeout_ms / 1_000)
+            for request in late:
+                request.cancel()
+            await asyncio.gather(*late, return_exceptions=True)
+        resolve(message.reply, None)
+
     async def on_close(self) -> None:
         """Close the connections to other entry VMs."""
         await self._peers.close()
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -20,7 +20,7 @@
 from .candidates import Candidate
 from .decoding import MalformedLog
 from .election import Election
-from .entrance import CurrentLeader, CurrentRules, RequestHandler
+from .entrance import CurrentLeader, CurrentRules, Finish, RequestHandler
 from .errors import DecodeError
 from .follower import Follower, TopicChanges, TopicSnapshot
 from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
@@ -370,7 +370,9 @@
     listener: socket.socket, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ) -> web.ServerRunner:
     """Serve HTTP on a socket with one handler, without an application and its router."""
-    runner = web.ServerRunner(web.Server(handler, access_log=None))
+    runner = web.ServerRunner(
+        web.Server(handler, access_log=None), shutdown_timeout=defaults.CONNECTION_CLOSE_MS / 1_000
+    )
     await runner.setup()
     await web.SockSite(runner, listener).start()
     return runner
@@ -393,7 +395,14 @@
     runners: list[web.ServerRunner]
 
     async def drain(self) -> None:
-        """Resign, serve until callers have moved to other entry VMs, then close the listeners."""
+        """Resign and serve until callers have moved to other entry VMs, then close the listeners.
+
+        Requests that have been read are answered before the connections are closed.
+        """
+        loop = asyncio.get_running_loop()
+        answer_until_s = (
+            loop.time() + defaults.DRAIN_ANSWER_RATIO * self.settings.shutdown_ms / 1_000
+        )
         self.caller_server.draining = True
         leave_reply = new_reply()
         self.node.election.tell(Leave(leave_reply))
@@ -403,11 +412,18 @@
             for site in tuple(runner.sites):
                 await site.stop()
         await asyncio.sleep(defaults.DRAIN_CLOSE_MS / 1_000)
+        answered = new_reply()
+        timeout_ms = max(0.0, answer_until_s - loop.time()) * 1_000
+        self.node.request_handler.tell(Finish(timeout_ms, answered))
+        await answered
+        await self._close_connections()
+
+    async def _close_connections(self) -> None:
+        await asyncio.gather(*(runner.cleanup() for runner in self.runners))
 
     async def close(self) -> None:
         """Close the listeners and stop all tasks at once."""
-        for runner in self.runners:
-            await runner.cleanup()
+        await self._close_connections()
         await self.node.stop()
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -780,6 +780,73 @@
     assert asyncio.get_running_loop().time() - started_s < 1.5
 
 
+@pytest.fixture
+def stop_as_planned(monkeypatch):
+    """Return a function that stops an entry VM as SIGTERM does, without the time for callers."""
+    monkeypatch.setattr(defaults, "DRAIN_SERVE_MS", 0)
+    monkeypatch.setattr(defaults, "DRAIN_CLOSE_MS", 0)
+
+    async def stop(node):
+        node.stopped = True
+        await node.opened.drain()
+        await node.opened.node.stop()
+
+    return stop
+
+
+async def _in_progress(work, node):
+    """Start a caller's request and return its task once the entry VM is at work on it."""
+    request = asyncio.create_task(work)
+    assert await wait_until(lambda: node.opened.node.request_handler._child_tasks)
+    return request
+
+
+async def test_a_query_that_was_read_is_answered_before_a_planned_stop(run_node, stop_as_planned):
+    """Guards against a connection that ends without an answer while no leader is known."""
+    node = await run_node()
+    assert await submit(node) == 200
+    node.opened.node.request_handler.tell(CurrentLeader(None, None))
+    query = await _in_progress(node.caller.call("GET", f"/q/{JOB_ID}"), node)
+    await stop_as_planned(node)
+    assert await asyncio.wait_for(query, 1.0) == (503, {"error": "leader_unavailable"})
+
+
+async def test_a_job_that_is_being_stored_is_answered_before_a_planned_stop(
+    run_node, stop_as_planned, store
+):
+    """Guards against a planned stop that outlasts its time or ends without an answer."""
+    node = await run_node(shutdown_ms=600)
+    assert await submit(node) == 200
+    store.standin.faults.unresponsive_parts = {"keyed.intake": set(range(8))}
+    path = "/q/00000000000000aa"
+    request = await _in_progress(node.caller.call("POST", path, TWO_STEP_JOB), node)
+    started_s = asyncio.get_running_loop().time()
+    await stop_as_planned(node)
+    assert asyncio.get_running_loop().time() - started_s < 0.6
+    assert await asyncio.wait_for(request, 1.0) == (504, {"error": "outcome_unknown"})
+
+
+async def test_requests_on_open_connections_are_answered_until_the_end_of_a_planned_stop(
+    run_node, stop_as_planned
+):
+    """Guards against a connection that takes a request and ends without an answer."""
+    node = await run_node()
+    assert await submit(node) == 200
+    node.opened.node.request_handler.tell(CurrentLeader(None, None))
+    query = await _in_progress(node.caller.call("GET", f"/q/{JOB_ID}"), node)
+    host, _, port = node.opened.settings.caller_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    stop = asyncio.create_task(stop_as_planned(node))
+    await asyncio.sleep(0.05)
+    writer.write(f"GET /q/{JOB_ID} HTTP/1.1\r\nHost: shop.example\r\n\r\n".encode())
+    answer = await asyncio.wait_for(reader.read(), 1.0)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert not query.done()
+    await stop
+    assert (await query)[0] == 503
+    writer.close()
+
+
 async def test_a_blocked_event_loop_is_logged_with_its_delay(run_node, caplog):
     """Guards against a late answer of an entry VM whose cause no log line shows."""
     caplog.set_level("INFO")
