Follower: skip records older than those of the newest pages

A later page can hold a record that was appended after the first page; the records of the same key between the two were then reported after it.

Effect: for the time of a read, or between two reads of limited size, a key falls back to an older record: an upstream that is draining is registered as ready, or one that is back is no longer listed.

Change: the follower keeps the offsets of the keys that a later page has returned beyond that end, and skips the changes that are not newer. The new test fails without it (the older record is reported).

--- a/src/tarragoncart/follower.py
+++ b/src/tarragoncart/follower.py
@@ -117,6 +117,8 @@
         self._bulk_reads = bulk_reads or contextlib.nullcontext()
         self._as_of_ms = float("-inf")
         self._backlog: _Backlog | None = None
+        # Offsets of the keys that were read with a record appended after the first page.
+        self._newest_offsets: dict[str, int] = {}
 
     async def on_open(self) -> None:
         """Start reading."""
@@ -166,6 +168,11 @@
         self._listener.tell(TopicSnapshot(self._topic, snapshot.entries, sent_ms, self._part))
         self._as_of_ms = sent_ms
         self._backlog = None
+        self._newest_offsets = {
+            entry.key: entry.offset
+            for entry in snapshot.entries
+            if entry.offset >= snapshot.end_offset
+        }
         return snapshot.end_offset
 
     async def _read_changes(self, offset: int) -> int:
@@ -186,7 +193,12 @@
             # The store answers without records only after the whole wait, so nothing was appended
             # until then.
             as_of_ms = min(sent_ms + self._wait_ms, self._timer.now_ms())
-        self._listener.tell(TopicChanges(self._topic, chunk.entries, as_of_ms, self._part))
+        entries = tuple(
+            entry
+            for entry in chunk.entries
+            if entry.offset > self._newest_offsets.get(entry.key, -1)
+        )
+        self._listener.tell(TopicChanges(self._topic, entries, as_of_ms, self._part))
         self._as_of_ms = as_of_ms
         return next_offset
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -14,22 +14,25 @@
 
 READ_MS = 100.0
 WAIT_MS = 1_000
+EMPTY_PAGE = Chunk(0, 0, ())
 
 
 class ChunkStore:
-    """Store with an empty partition that is followed by prepared chunks; each read takes time.
+    """Store with prepared pages of newest records, by default an empty one, and chunks.
 
-    It has no further answer after the last chunk.
+    Each call takes time. There is no further answer after the last chunk.
     """
 
-    def __init__(self, timer, chunks):
+    def __init__(self, timer, chunks, pages=(EMPTY_PAGE,)):
         self._timer = timer
         self._chunks = list(chunks)
+        self._pages = pages
 
     async def newest(self, topic, part=0):
-        """Yield an empty page."""
+        """Yield the pages."""
         self._timer.advance(READ_MS)
-        yield Chunk(0, 0, ())
+        for page in self._pages:
+            yield page
 
     async def read(self, topic, offset, wait_ms, part=0):
         """Return the next chunk."""
@@ -74,9 +77,9 @@
     """Return a function that reads chunks with a follower and returns its messages."""
     followers = []
 
-    async def read(*chunks):
+    async def read(*chunks, **options):
         listener = Listener()
-        store = ChunkStore(timer, chunks)
+        store = ChunkStore(timer, chunks, **options)
         follower = Follower(store, "topic", listener, timer, wait_ms=WAIT_MS)
         followers.append(follower)
         follower.start()
@@ -105,6 +108,17 @@
     assert ages_ms == [2 * READ_MS] * 4
 
 
+async def test_a_record_older_than_that_of_a_later_page_is_not_reported(follow):
+    """Guards against a key that falls back to an older record, as pages are not a snapshot."""
+    newer = Entry("key-0", b"newer", 2)
+    older = (Entry("key-0", b"older", 0), Entry("key-1", b"{}", 1), newer)
+    newest = Entry("key-0", b"newest", 3)
+    pages = (EMPTY_PAGE, Chunk(0, 3, (newer,)))
+    messages = await follow(Chunk(0, 4, (*older, newest)), pages=pages)
+    assert messages[0].entries == (newer,)
+    assert messages[1].entries == (older[1], newest)
+
+
 async def test_the_leaders_view_of_jobs_is_as_old_as_its_most_incomplete_partition(timer):
     """Guards against refusing a job as unknown whose record is behind a limited read."""
     listener = Listener()
