Dispatch: answer the callers of unfinished jobs at the shutdown timeout

docs/design.md: on SIGTERM "in-flight jobs finish"; `shutdown_timeout_ms` is the longest wait for them.

Cause: after the timeout the membership only ended its drain. The HTTP server then waited up to 60 s more for the handlers of unfinished jobs and cancelled them after that, so the process outlasted its time, and a caller whose process was killed meanwhile was not told that its job may have run.

Change: at the timeout the dispatch answers the callers that still wait: "outcome unknown", or "accepted" for a deferred job that is recorded. Their connections close while the entry VM lingers.

Evidence: the new test stops an entry VM whose job never ends; with a timeout of 50 ms the stop did not end within 3 s before; now it does and the caller gets 504 with `outcome_unknown`.

--- a/src/tarragoncart/dispatch.py
+++ b/src/tarragoncart/dispatch.py
@@ -14,6 +14,7 @@
 from .errors import RequestError
 from .fleetfollower import FleetFollower
 from .jobs import (
+    AnswerUnfinished,
     Cancel,
     Drain,
     FenceAndCountTasks,
@@ -307,6 +308,12 @@
                 self._jobs.pop(entry.job.request_id, None)
         self._check_drained()
 
+    @receives(AnswerUnfinished)
+    def _on_answer_unfinished(self, _: AnswerUnfinished) -> None:
+        for entry in self._jobs.values():
+            if entry.waiters:
+                self._reply_to_waiters(entry, pending_reply(entry), final=False)
+
     @receives(SetIncarnation)
     def _on_set_incarnation(self, message: SetIncarnation) -> None:
         self.incarnation = message.incarnation
--- a/src/tarragoncart/jobs.py
+++ b/src/tarragoncart/jobs.py
@@ -137,6 +137,11 @@
     reply: asyncio.Future[None]
 
 
+@frozen
+class AnswerUnfinished:
+    """Answer the callers of all jobs that have not ended, as the entry VM stops."""
+
+
 @frozen
 class SetIncarnation:
     """Start a new incarnation after this one was retired."""
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -12,7 +12,7 @@
 from . import defaults, records
 from .charts import load_chart
 from .dispatch import Dispatch
-from .jobs import Drain, FenceAndCountTasks, ReadReachability, SetIncarnation
+from .jobs import AnswerUnfinished, Drain, FenceAndCountTasks, ReadReachability, SetIncarnation
 from .journal import Append, Journal, ViewChanged
 from .mailbox import Actor, implements_action, new_reply, receives, resolve
 from .model import Member
@@ -218,6 +218,7 @@
             event = "drained"
         except TimeoutError:
             event = "timeout"
+            self._dispatch.tell(AnswerUnfinished())
         recorded = self._append(records.Retire(self.member.incarnation, "shutdown"))
         try:
             await asyncio.wait_for(recorded, defaults.LOG_UNAVAILABLE_MS / 1_000)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -215,6 +215,27 @@
     await stop
 
 
+async def test_a_request_that_outlasts_the_shutdown_timeout_is_answered(
+    entry, monkeypatch, wait_until
+):
+    """Guards against a stop that outlasts its time, with callers who wait for the job's end."""
+    monkeypatch.setattr(entry.process.membership, "_shutdown_timeout_ms", 50)
+    monkeypatch.setattr(defaults, "LINGER_MS", 50)
+    job = {"payload": {"never_ends": True}, "deadline_ms": 20_000}
+    request = asyncio.create_task(entry.submit("holds", job))
+
+    async def has_started():
+        return await entry.started_count() == 1
+
+    await wait_until(has_started)
+    terminated = new_reply()
+    entry.process.membership.tell(Terminate(terminated))
+    await terminated
+    await asyncio.wait_for(entry.process.stop(), 3)
+    status, data = await request
+    assert (status, data["outcome"]) == (504, "outcome_unknown")
+
+
 async def test_a_repeated_request_id_runs_once(entry):
     """Guards against starting a job twice, and returning its answer for another job."""
     _, issued = await entry.ask("POST", "/v1/request-ids", {"count": 1})
