Store client: read the pages after a page of malformed records

Cause: `Store.newest` ended, without an error, at a page that names further ones but has no readable record, as it continues at the last readable key. Its readers took what they had for all newest records and went on at the end of the partition, so the records of the later pages were never read.

PROTOCOL.md asks for the other records where a registration "can't be read" ("the others hold"); that a whole page is malformed is nothing that the pages name.

Change: the next page is asked for after the last key of the page, whether or not its record is readable. A page without any key is no answer, so that it is read again. The new test fails without the change: the record of the second page is missing.

--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -139,9 +139,13 @@
                 except DecodeError as error:
                     self._malformed.add(f"{topic} {part}", error)
             yield Chunk(0, page.end_offset, tuple(entries))
-            if not page.has_more or not entries:
+            if not page.has_more:
                 return
-            after = entries[-1].key
+            # A malformed record is skipped, but not the pages after it.
+            keys = [key for key in map(_key_of, page.items) if key]
+            if not keys:
+                raise StoreUnknownError("page without a key", step="newest", peer=self.address)
+            after = keys[-1]
 
     async def join(
         self, group: str, member: str, topic: str, ttl_ms: int, generation: int
@@ -276,6 +280,12 @@
     return Page(items, get_bool(data, "has-more"), get_int(data, "end"))
 
 
+def _key_of(item: Any) -> str:
+    """Return the key of a record that may be malformed, empty if there is none."""
+    key = item.get("key") if isinstance(item, dict) else None
+    return key if isinstance(key, str) else ""
+
+
 @decoder("record of a page")
 def decode_item(item: Any) -> Entry:
     """Decode a record of a page."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,19 +5,22 @@
 import json
 
 import pytest
+from aiohttp import web
 
 from standins.store import StoreStandin
 from tarragoncart.errors import (
     SettingsError,
     StoreConflictError,
     StoreRefusedError,
+    StoreUnknownError,
 )
+from tarragoncart.follower import read_newest
 from tarragoncart.graph import Demand
 from tarragoncart.platform.boot import decode_settings, load_settings
 from tarragoncart.platform.callers import decode_job
 from tarragoncart.platform.operator import decode_rules, decode_upstream, decode_wave
 from tarragoncart.platform.store import Store
-from tarragoncart.storage import Expired, Producer
+from tarragoncart.storage import Entry, Expired, Producer
 
 ENTRY = {
     "backend": "pool",
@@ -58,6 +61,41 @@
     await client.close()
 
 
+class PagedStore:
+    """Store whose first page has one record, followed by a page with a readable record."""
+
+    def __init__(self, first_item):
+        self._pages = {
+            "": {"items": [first_item], "has-more": True, "end": 2},
+            "a": {"items": [{"key": "b", "value": "e30=", "offset": 1}], "end": 2},
+        }
+
+    async def handle(self, request):
+        """Answer with the page after a key."""
+        return web.json_response(self._pages[request.query.get("depends-on", "")])
+
+
+@pytest.fixture
+async def read_pages(serve_standin):
+    """Return a function that reads the pages of a store whose first record is given."""
+
+    async def read(first_item):
+        client = Store((await serve_standin(PagedStore(first_item))).address)
+        try:
+            return (await read_newest(client, "topic")).entries
+        finally:
+            await client.close()
+
+    return read
+
+
+async def test_a_page_of_malformed_records_does_not_hide_the_pages_after_it(read_pages):
+    """Guards against taking the newest records for complete that end at a malformed page."""
+    assert await read_pages({"key": "a", "value": "!"}) == (Entry("b", b"{}", 1),)
+    with pytest.raises(StoreUnknownError):
+        await read_pages({"value": "e30="})
+
+
 def test_a_step_keeps_what_the_caller_asked_for():
     """Guards against mixing up fields with misleading names: a rack, a number and a label."""
     step = {
