Assignment: each step is checked against the limit of its account

Cause: `assignment.plan` and `_plan_gang` check the limit only if the dictionary of usages has an entry for the account. The entry is created for a job that is read while leading, for a placed task and for a step that has had to wait, but not for a job that is restored.

Change: the plan asks a function for the usage of an account, and the scheduler passes the function that creates a missing usage with the limit of the configuration. No caller can leave the check out.

--- a/src/bench/placement_pass.py
+++ b/src/bench/placement_pass.py
@@ -60,7 +60,7 @@
         waiting = [step for step in steps if step.job.pool == pool]
         waiting.sort(key=lambda step: assignment.by_deadline(step, 0.0))
         for _ in assignment.plan(
-            waiting, pool_slots, usages, 0.0, reserve, lambda step, reason: None
+            waiting, pool_slots, usages.__getitem__, 0.0, reserve, lambda step, reason: None
         ):
             pass
     return (time.perf_counter() - started_s) * 1_000, len(placed)
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -248,7 +248,7 @@
 def plan(
     steps: Iterable[StepOccurrence],
     slots: list[UpstreamSlot],
-    usages: dict[str, Usage],
+    usage_of: Callable[[str], Usage],
     now_ms: float,
     reserve: Callable[[Task, UpstreamSlot], None],
     report_wait: Callable[[StepOccurrence, WaitReason], None],
@@ -257,6 +257,7 @@
 ) -> Iterator[Task]:
     """Assign waiting tasks to upstreams in the order of the steps, and yield the assigned tasks.
 
+    :param usage_of: returns the usage of an account, with its limit, also before its first run.
     :param reserve: reserves the capacity; called for each assignment before the next choice.
     :param report_wait: called with the reason for each step of which a task cannot be assigned.
     :param limit_count: maximum of tasks to assign, which only a gang exceeds; None for no limit.
@@ -271,18 +272,18 @@
             report_wait(step, WaitReason.NO_ROOM)
             continue
         if spec.gang:
-            for task in _plan_gang(step, slots, usages, now_ms, reserve, report_wait, ranking):
+            for task in _plan_gang(step, slots, usage_of, now_ms, reserve, report_wait, ranking):
                 left_count -= 1
                 yield task
             continue
         counts = step.upstream_counts()
-        usage = usages.get(step.job.submission.account)
+        usage = usage_of(step.job.submission.account)
         for task in list(step.waiting()):
             if left_count <= 0:
                 return
             if task.retry_ms > now_ms:
                 continue
-            if usage is not None and not usage.allows(spec.demand):
+            if not usage.allows(spec.demand):
                 report_wait(step, WaitReason.ACCOUNT_LIMIT)
                 break
             slot = choose_slot(task, slots, counts, now_ms, ranking)
@@ -306,7 +307,7 @@
 def _plan_gang(
     step: StepOccurrence,
     slots: list[UpstreamSlot],
-    usages: dict[str, Usage],
+    usage_of: Callable[[str], Usage],
     now_ms: float,
     reserve: Callable[[Task, UpstreamSlot], None],
     report_wait: Callable[[StepOccurrence, WaitReason], None],
@@ -316,9 +317,9 @@
     tasks = step.tasks
     if any(not task.startable or task.retry_ms > now_ms for task in tasks):
         return
-    usage = usages.get(step.job.submission.account)
+    usage = usage_of(step.job.submission.account)
     total = Demand().plus(step.spec.demand, len(tasks))
-    if usage is not None and not usage.allows(total):
+    if not usage.allows(total):
         report_wait(step, WaitReason.ACCOUNT_LIMIT)
         return
     for group in _group_gang_slots(step.spec, slots):
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -258,7 +258,7 @@
             placed = assignment.plan(
                 ordered,
                 slots,
-                self._usages,
+                self._usage,
                 now_ms,
                 self._assign,
                 self._record_wait,
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -54,6 +54,11 @@
     ]
 
 
+def no_limit(account):
+    """Return the usage of an account without a limit."""
+    return Usage()
+
+
 @pytest.fixture
 def simulate_overload():
     """Run jobs of two steps on ten upstreams in virtual time, 1.5 times what these can run.
@@ -98,7 +103,7 @@
                 heapq.heappush(running, (end_ms, next(number), task.step, slot))
 
             waiting.sort(key=lambda step, now_ms=now_ms: order(step, now_ms))
-            list(plan(waiting, slots, {}, now_ms, reserve, lambda step, reason: None))
+            list(plan(waiting, slots, no_limit, now_ms, reserve, lambda step, reason: None))
             waiting = [step for step in waiting if any(True for _ in step.waiting())]
         return sum(ended) / len(ended)
 
@@ -118,14 +123,13 @@
             places[task.name] = task.upstream_id
 
         steps = [step for job in jobs for step in job.steps.values()]
+        usage_of = usages.__getitem__ if usages else no_limit
 
         def report_wait(step, reason):
             if reason is WaitReason.NO_ROOM:
                 short.append(step)
 
-        placed = plan(
-            steps, slots, usages or {}, now_ms, reserve, report_wait, limit_count=limit_count
-        )
+        placed = plan(steps, slots, usage_of, now_ms, reserve, report_wait, limit_count=limit_count)
         list(placed)
         return places, short
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -25,9 +25,10 @@
 LONGEST_BLOCK_S = defaults.MEMBERSHIP_TTL_MS / defaults.JOINS_PER_TTL_COUNT / 4 / 1_000
 
 
-def submission(number):
+def submission(number, **spec):
     """Return a job of two steps with 24 tasks."""
-    steps = (StepSpec(12, Demand(1_000, 256), 500), StepSpec(12, Demand(1_000, 256), 500, (0,)))
+    demand = Demand(1_000, 256)
+    steps = (StepSpec(12, demand, 500, **spec), StepSpec(12, demand, 500, (0,), **spec))
     spec = JobSpec("x" * 600, steps)
     return Submission(f"{number:016x}", "q", "pool", "shop", 0, 2, 1.6, 600, 1, spec)
 
@@ -36,8 +37,8 @@
 def store_jobs(store):
     """Return a function that stores jobs as earlier leaders left them, and returns their IDs."""
 
-    def put(count, ended=False, first=0):
-        jobs = [submission(number) for number in range(first, first + count)]
+    def put(count, ended=False, first=0, **spec):
+        jobs = [submission(number, **spec) for number in range(first, first + count)]
         for job in jobs:
             key, value = intake.submission_record(job)
             store.standin.put(intake.TOPIC, key, json.loads(value), int(job.job_id, 16) % 2)
@@ -281,20 +282,43 @@
     assert scheduler._deferred_millicore_ms["pool"] > 0
 
 
+def add_upstream(scheduler):
+    """Add an upstream with room for all tasks, and return its slot."""
+    capacity = Demand(1_000_000, 1_000_000)
+    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
+    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    return slot
+
+
 async def test_a_pass_assigns_a_limited_number_of_tasks(store_jobs, leader):
     """Guards against hundreds of starts that are sent at once and leave no time to answer."""
     store_jobs(20)
     scheduler = await leader()
     await wait_until_restored(scheduler)
-    capacity = Demand(1_000_000, 1_000_000)
-    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
-    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    slot = add_upstream(scheduler)
     scheduler._place()
     assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
     assert not scheduler._backlog_millicore_ms
     assert not scheduler._deferred_millicore_ms
 
 
+@pytest.mark.parametrize(("gang", "assigned_count"), [(False, 4), (True, 0)])
+async def test_a_restored_job_keeps_to_the_limit_of_its_account(
+    store_jobs, leader, store, platform_config, monkeypatch, gang, assigned_count
+):
+    """Guards against a new leader that starts the first step of an account without its limit."""
+    # The first pass is that of the test.
+    monkeypatch.setattr(defaults, "PLACEMENT_DELAY_MS", 60_000)
+    platform_config["tenants"][0]["cap"]["cpu"] = 4_000
+    store.standin.put("keyed.op", "config", platform_config)
+    store_jobs(1, gang=gang)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    slot = add_upstream(scheduler)
+    scheduler._place()
+    assert len(slot.tasks) == assigned_count
+
+
 async def test_pools_without_waiting_steps_leave_their_assignments_to_others(store_jobs, leader):
     """Guards against a pool with a backlog that gets a share for each pool that ever had work."""
     store_jobs(20)
@@ -302,9 +326,7 @@
     await wait_until_restored(scheduler)
     for number in range(29):
         scheduler._ready_steps[f"idle-{number}"] = {}
-    capacity = Demand(1_000_000, 1_000_000)
-    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
-    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    slot = add_upstream(scheduler)
     scheduler._place()
     assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
 
