Take-over: the runs of an ended job count until they are gone

Seen by callers: a tenant's job that fills its cap is cancelled while its worker is cut off, and the leader is stopped. The next leader starts the tenant's next job at once, so that twice the cap runs until the lease of the worker lapses. The same holds for a job that has failed.

Cause: the records of the steps are deleted with the end of the job, and its submission, which names the account and the demand, soon after, while the runs are still being stopped. A new leader restores an end without tasks and counts nothing, neither before the worker answers nor afterwards.

Change: the record of a step of an ended job is kept until no run of the step is left, and the submission until no run of the job is left. A new leader restores such a job with its tasks, counts them, and orders their stops again; the existing handling of reports and leases releases them. The submissions of ended jobs without runs are still not decoded.

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -170,6 +170,11 @@
         """Whether all its tasks are done."""
         return self.done_count == len(self.tasks) and not self.spec.long_running
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether runs of its tasks may still be active."""
+        return any(task.placed or task.copies for task in self.tasks)
+
     @property
     def ready(self) -> bool:
         """Whether the steps that it depends on are done."""
@@ -245,6 +250,11 @@
         """Whether the job has ended, so that none of its tasks may run."""
         return self.phase in ENDED
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether runs of its tasks may still be active."""
+        return any(step.has_runs for step in self.steps.values())
+
     @property
     def occurrence_count(self) -> int:
         """Number of times that its steps run."""
@@ -299,7 +309,7 @@
 
 @define(eq=False)
 class EndedJob:
-    """A job that has ended under an earlier leader; its submission is not needed any more.
+    """A job that has ended under an earlier leader and has no runs; its submission is not needed.
 
     :param ended_ms: Unix time of its end.
     :param parts: partitions that hold records of the job.
@@ -312,6 +322,7 @@
     cancelled: ClassVar[bool] = False
     ended: ClassVar[bool] = True
     stored: ClassVar[bool] = True
+    has_runs: ClassVar[bool] = False
     steps: ClassVar[Mapping[tuple[int, int], StepOccurrence]] = {}
 
 
@@ -326,7 +337,8 @@
 
 # Records of the state topic: key ``ID`` holds the phase of an ended job. Key ``ID.K.S`` (job,
 # occurrence, step) holds rows of [index, state, run, upstream, failed runs, checkpoint], one for
-# each task that has had a run; empty values at the end of a row are left out.
+# each task that has had a run; empty values at the end of a row are left out. After the end of a
+# job it is kept until the runs of the step are gone, as these count against the account's limit.
 _STATE_CODES = {"done": "d", "exhausted": "x"}
 _PLACED_CODE = "p"
 _WAITING_CODE = "w"
--- a/src/tarragoncart/restoration.py
+++ b/src/tarragoncart/restoration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Generator, Iterable, Iterator
 
 from attrs import Factory, define, frozen
 
@@ -67,7 +67,8 @@
     the record must be deleted there as well.
 
     The work between two values is at most that of one job, so that a caller can pause anywhere. The
-    submissions of ended jobs are not decoded, as their number grows with the time of operation.
+    submissions of ended jobs without runs are not decoded, as their number grows with the time of
+    operation.
 
     :param accepted: records of jobs and cancellations, with their partitions.
     :param stored: records of the leader's state that belong to jobs.
@@ -101,27 +102,40 @@
     if known is not None:
         # The same job was also submitted through another entry VM.
         known.parts.add(part)
-        yield known if isinstance(known, EndedJob) else None
+        yield known if known.ended else None
         return
-    job: Job | EndedJob | None = None
+    ended: EndedJob | None = None
     if job_id in state.ends:
         try:
-            job = jobmodel.decode_end(job_id, state.ends[job_id])
+            ended = jobmodel.decode_end(job_id, state.ends[job_id])
         except DecodeError as error:
             yield MalformedRecord(job_id, error)
+    job: Job | EndedJob | None = ended
+    if ended is None or job_id in state.steps:
+        job = (yield from _decode_job(job_id, entry, state, wall_ms)) or ended
     if job is None:
-        try:
-            submission = intake.decode_submission(job_id, entry.value)
-        except DecodeError as error:
-            yield MalformedRecord(entry.key, error)
-            return
-        # A record of its end, even an unreadable one, shows that it must not run again.
-        job = Job(submission, min(submission.accepted_ms, wall_ms), unreadable=job_id in state.ends)
-        for key, value in state.steps.get(job_id, ()):
-            try:
-                jobmodel.restore_step(job, key, value)
-            except DecodeError as error:
-                yield MalformedRecord(key, error)
+        return
+    if ended is not None and isinstance(job, Job):
+        job.phase, job.ended_ms, job.stored = ended.phase, ended.ended_ms, True
     job.parts.add(part)
     jobs[job_id] = job
     yield job
+
+
+def _decode_job(
+    job_id: str, entry: Entry, state: StoredState, wall_ms: int
+) -> Generator[MalformedRecord, None, Job | None]:
+    """Decode a submission and the state of its steps; return None if it is malformed."""
+    try:
+        submission = intake.decode_submission(job_id, entry.value)
+    except DecodeError as error:
+        yield MalformedRecord(entry.key, error)
+        return None
+    # A record of its end, even an unreadable one, shows that it must not run again.
+    job = Job(submission, min(submission.accepted_ms, wall_ms), unreadable=job_id in state.ends)
+    for key, value in state.steps.get(job_id, ()):
+        try:
+            jobmodel.restore_step(job, key, value)
+        except DecodeError as error:
+            yield MalformedRecord(key, error)
+    return job
--- a/src/tarragoncart/retention.py
+++ b/src/tarragoncart/retention.py
@@ -47,6 +47,10 @@
     def _retain(self, job: Job | EndedJob) -> None:
         """Retain a job whose end is stored, and have its acceptance records deleted."""
         self._ended.append(job)
+        self._release_parts(job)
+
+    def _release_parts(self, job: Job | EndedJob) -> None:
+        """Have the acceptance records of an ended job deleted unless runs of it are left."""
         for part in job.parts:
             self._add_part(job, part)
 
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -56,11 +56,13 @@
     :param starts: runs to start, as tasks with the number of the run.
     :param acknowledgements: by upstream, acknowledgement of the last ended run that it has listed.
     :param ended_jobs: jobs whose end becomes visible.
+    :param cleared_jobs: jobs whose end is stored and whose last run is gone.
     """
 
     starts: list[tuple[Task, int]] = field(factory=list)
     acknowledgements: dict[str, Acknowledge] = field(factory=dict)
     ended_jobs: list[Job] = field(factory=list)
+    cleared_jobs: list[Job] = field(factory=list)
 
 
 @define
@@ -269,9 +271,13 @@
     # Jobs.
 
     def _add_part(self, job: Job | EndedJob, part: int) -> None:
-        """Note that a partition holds a record of a job."""
+        """Note that a partition holds a record of a job.
+
+        It is not needed any more once the job has ended and no run of it is left; a new leader
+        takes the demand of the runs from it.
+        """
         job.parts.add(part)
-        if job.ended and job.stored:
+        if job.ended and job.stored and not job.has_runs:
             self._deletable.setdefault(part, {})[job.job_id] = None
 
     def _admit(self, job: Job) -> None:
@@ -439,6 +445,7 @@
         orphan.task.copies.pop(key[1], None)
         upstream.slot.occupy(orphan.task, -1)
         self._add_usage(orphan.task, -1)
+        self._dirty_steps[orphan.task.step] = None
         self._requeue_step(orphan.task)
 
     def _add_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> OrphanRun:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -384,6 +384,8 @@
         if not records and not effects.acknowledgements:
             return
         effects.ended_jobs.extend(self._dirty_jobs)
+        changed_jobs = dict.fromkeys(step.job for step in self._dirty_steps)
+        effects.cleared_jobs.extend(job for job in changed_jobs if job.stored and not job.has_runs)
         self._effects = DeferredEffects()
         self._dirty_steps = {}
         self._dirty_jobs = {}
@@ -402,11 +404,15 @@
         for job in self._dirty_jobs:
             yield job.job_id, jobmodel.encode_phase(job)
             for step in job.steps.values():
-                if any(task.run for task in step.tasks):
+                if step.has_runs:
+                    yield step.name, jobmodel.encode_step(step)
+                elif any(task.run for task in step.tasks):
                     yield step.name, b""
         for step in self._dirty_steps:
             if not step.job.ended:
                 yield step.name, jobmodel.encode_step(step)
+            elif step.job not in self._dirty_jobs and not step.has_runs:
+                yield step.name, b""
         for key in self._dropped_keys:
             yield key, b""
 
@@ -431,6 +437,8 @@
         for job in effects.ended_jobs:
             job.stored = True
             self._retain(job)
+        for job in effects.cleared_jobs:
+            self._release_parts(job)
 
     # Time.
 
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -167,9 +167,9 @@
 
     def _add_restored(self, restored: Restored) -> None:
         match restored:
-            case Job():
+            case Job(ended=False):
                 self._add_restored_job(restored)
-            case EndedJob():
+            case Job() | EndedJob():
                 self._add_restored_end(restored)
             case Cancellation():
                 self._cancellations.append(restored)
@@ -178,20 +178,26 @@
             case UnknownKey():
                 self._dropped_keys.append(restored.key)
 
-    def _add_restored_end(self, job: EndedJob) -> None:
-        if job.job_id not in self._restored_jobs:
-            self._restored_jobs[job.job_id] = job
-            self._retain(job)
+    def _add_restored_end(self, job: Job | EndedJob) -> None:
+        if job.job_id in self._restored_jobs:
+            self._release_parts(job)
             return
-        for part in job.parts:
-            self._add_part(job, part)
-
-    def _add_restored_job(self, job: Job) -> None:
         self._restored_jobs[job.job_id] = job
+        if isinstance(job, Job):
+            self._restore_runs(job)
+            for task in job.tasks():
+                self._stop_task(task)
+        self._retain(job)
+
+    def _restore_runs(self, job: Job) -> None:
         for task in job.tasks():
             if task.placed:
                 self._placed_count += 1
                 self._restore_placed_task(task)
+
+    def _add_restored_job(self, job: Job) -> None:
+        self._restored_jobs[job.job_id] = job
+        self._restore_runs(job)
         if any(task.run for task in job.tasks()):
             job.phase = jobmodel.RUNNING
         self._admit(job)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from standins.polling import wait_until
+from standins.taskworker import TaskWorker
 from tarragoncart import defaults, intake
 from tarragoncart.assignment import UpstreamSlot
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
@@ -319,6 +321,91 @@
     assert len(slot.tasks) == assigned_count
 
 
+JOB_ID, NEXT_ID = "5c0e7a21d94b36f8", "71ad2c0b9e5f4386"
+TASK_CPU_MILLICORES = 1_000
+
+
+@pytest.fixture
+async def runs_at_silent_upstream(run_node, add_worker, store, platform_config, monkeypatch):
+    """Return a function that starts two runs, which are the cap of their account, at an upstream.
+
+    The upstream does not answer any more afterwards. The function returns the worker and the entry
+    VM that leads.
+    """
+    monkeypatch.setattr("tarragoncart.platform.upstreams.CALL_TIMEOUT_MS", 300)
+    monkeypatch.setattr(defaults, "UPSTREAM_LEASE_MS", 5_000)
+    platform_config["tenants"][0]["cap"]["cpu"] = 2 * TASK_CPU_MILLICORES
+    store.standin.put("keyed.op", "config", platform_config)
+
+    async def start(**step):
+        worker = await add_worker("i-1", TaskWorker(work_ms=0))
+        node = await run_node("node-1")
+        task = {"count": 2, "cpu": TASK_CPU_MILLICORES, "mem-mb": 256, "est-ms": 60_000, **step}
+        job = {"spec": "", "steps": [task]}
+        assert await node.caller.submit(f"/q/{JOB_ID}", job) == 200
+        assert await wait_until(lambda: len(worker.runs) == task["count"])
+        worker.faults.silent = True
+        return worker, node
+
+    return start
+
+
+@pytest.fixture
+def next_leader(run_node):
+    """Return a function that ends a leader and returns the next one once it has restored jobs."""
+
+    async def follow(node):
+        following = await run_node("node-2")
+        await node.stop()
+        assert await wait_until(lambda: following.scheduler and following.scheduler._loaded, 6.0)
+        return following
+
+    return follow
+
+
+def running_millicores(node):
+    """Return what counts against the cap of the account."""
+    return node.scheduler._usage("shop").running.cpu_millicores
+
+
+async def test_runs_of_a_cancelled_job_count_against_the_cap_after_a_take_over(
+    runs_at_silent_upstream, next_leader, add_worker, store
+):
+    """Guards against an account that runs twice its cap while cancelled runs go on unreachable."""
+    first, node = await runs_at_silent_upstream()
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    assert await wait_until(lambda: JOB_ID in store.standin.newest("keyed.state"))
+    await asyncio.sleep(1.5 * defaults.ENDED_RECORDS_DELETE_MS / 1_000)
+    node = await next_leader(node)
+    assert running_millicores(node) == 2 * TASK_CPU_MILLICORES
+    second = await add_worker("i-2", TaskWorker(work_ms=0))
+    step = {"count": 2, "cpu": TASK_CPU_MILLICORES, "mem-mb": 256, "est-ms": 60_000}
+    assert await node.caller.submit(f"/q/{NEXT_ID}", {"spec": "", "steps": [step]}) == 200
+    while first.clock_ms() < first.until_ms - 100:
+        assert not second.starts
+        await asyncio.sleep(0.05)
+    first.faults.silent = False
+    assert await wait_until(lambda: len(second.runs) + len(first.runs) == 2)
+    assert await node.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+
+
+async def test_records_of_a_cancelled_job_are_deleted_once_its_runs_are_gone(
+    runs_at_silent_upstream, next_leader, store
+):
+    """Guards against records that every later leader reads, and runs that are counted for ever."""
+    worker, node = await runs_at_silent_upstream()
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    assert await wait_until(lambda: JOB_ID in store.standin.newest("keyed.state"))
+    node = await next_leader(node)
+    worker.faults.silent = False
+    assert await wait_until(lambda: not running_millicores(node))
+    assert [outcome for _, _, outcome in worker.ends] == ["stopped", "stopped"]
+    assert await wait_until(lambda: set(store.standin.newest("keyed.state")) == {JOB_ID})
+    key = f"{intake.JOB_PREFIX}{JOB_ID}"
+    assert await wait_until(lambda: key not in store.standin.newest(intake.TOPIC))
+    assert node.scheduler._jobs[JOB_ID].parts == set()
+
+
 async def test_pools_without_waiting_steps_leave_their_assignments_to_others(store_jobs, leader):
     """Guards against a pool with a backlog that gets a share for each pool that ever had work."""
     store_jobs(20)
