Take-over: the other runs of a task are restored with it

Seen by callers: a task with `speculative` gets a second run while the worker of the first one is silent. After a change of leaders only the second run counts against the tenant's cap, although the first one may go on until its lease lapses.

Cause: the record of a step names the current run of each task only; `Task.copies` is not stored.

Change: the record has a row for each other run, before the row of the task's state. A new leader restores these runs and counts their capacity until a report does not list them or the lease has expired, as it does with current runs. A run that is listed unexpectedly marks its step as changed. An older version takes the last row of a task, which is the row that it knows.

Evidence: both new tests fail on the code before (1,000 of 2,000 millicores counted; no other run restored) and pass now.

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -339,6 +339,8 @@
 # occurrence, step) holds rows of [index, state, run, upstream, failed runs, checkpoint], one for
 # each task that has had a run; empty values at the end of a row are left out. After the end of a
 # job it is kept until the runs of the step are gone, as these count against the account's limit.
+# Of the rows of one task the last one holds its state, and each earlier one another run of it that
+# may still be active; a version that does not know of such rows reads the last one only.
 _STATE_CODES = {"done": "d", "exhausted": "x"}
 _PLACED_CODE = "p"
 _WAITING_CODE = "w"
@@ -354,7 +356,8 @@
     """Encode the state of a step's tasks."""
     rows: list[list[Any]] = []
     for task in step.tasks:
-        if not task.run and task.state == TASK_CHART.initial:
+        rows += [[task.index, _PLACED_CODE, run, at] for run, at in sorted(task.copies.items())]
+        if not task.run and task.state == TASK_CHART.initial and not task.copies:
             continue
         placed = task.state in PLACED
         code = _PLACED_CODE if placed else _STATE_CODES.get(task.state, _WAITING_CODE)
@@ -403,8 +406,13 @@
 
     The first report of their upstream then shows whether their runs still exist.
     """
-    for row in _decode_rows(value, len(step.tasks)):
+    rows = _decode_rows(value, len(step.tasks))
+    last_rows = {row.index: row for row in rows}
+    for row in rows:
         task = step.tasks[row.index]
+        if row is not last_rows[row.index]:
+            task.copies[row.run] = row.upstream_id
+            continue
         task.state = row.state
         task.run = row.run
         task.upstream_id = row.upstream_id
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -26,7 +26,7 @@
 from .mailbox import receives
 from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
-from .runstate import KnownUpstream, RunState, VacatingRequest, needs_jobs
+from .runstate import KnownUpstream, OrphanRun, RunState, VacatingRequest, needs_jobs
 from .storage import Entry
 
 logger = logging.getLogger(__name__)
@@ -47,16 +47,29 @@
 
     def _restore_placed_task(self, task: Task) -> None:
         """Assign a run of an earlier epoch to its upstream and count its capacity."""
-        upstream = self._upstreams.get(task.upstream_id)
+        upstream = self._find_inherited_upstream(task.upstream_id, task.step.job.pool)
+        task.pace = None
+        self._occupy_capacity(task, upstream.slot)
+
+    def _restore_copies(self, task: Task) -> None:
+        """Count the other runs of a task, from an earlier epoch, until they are gone."""
+        for run, upstream_id in task.copies.items():
+            upstream = self._find_inherited_upstream(upstream_id, task.step.job.pool)
+            upstream.orphans[task.name, run] = OrphanRun(task, self._timer.now_ms())
+            upstream.slot.occupy(task)
+            self._add_usage(task)
+
+    def _find_inherited_upstream(self, upstream_id: str, pool: str) -> KnownUpstream:
+        """Return an upstream with runs of an earlier epoch, which may not be registered."""
+        upstream = self._upstreams.get(upstream_id)
         if upstream is None:
-            entry = UpstreamEntry(task.upstream_id, task.step.job.pool, "", "", False, Demand())
+            entry = UpstreamEntry(upstream_id, pool, "", "", False, Demand())
             upstream = KnownUpstream(
                 UpstreamSlot(entry, Demand()), None, self._inherited_lease_end_ms()
             )
             upstream.slot.answering = False
-            self._upstreams[task.upstream_id] = upstream
-        task.pace = None
-        self._occupy_capacity(task, upstream.slot)
+            self._upstreams[upstream_id] = upstream
+        return upstream
 
     def _inherited_lease_end_ms(self) -> float:
         """Return the time by which all leases that earlier leaders may have granted expire."""
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -456,6 +456,7 @@
             task.copies[key[1]] = upstream.slot.entry.upstream_id
             upstream.slot.occupy(task)
             self._add_usage(task)
+            self._dirty_steps[task.step] = None
         else:
             upstream.slot.unknown_run_count += 1
         return orphan
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -187,6 +187,7 @@
             self._restore_runs(job)
             for task in job.tasks():
                 self._stop_task(task)
+                self._stop_copies(task)
         self._retain(job)
 
     def _restore_runs(self, job: Job) -> None:
@@ -194,6 +195,7 @@
             if task.placed:
                 self._placed_count += 1
                 self._restore_placed_task(task)
+            self._restore_copies(task)
 
     def _add_restored_job(self, job: Job) -> None:
         self._restored_jobs[job.job_id] = job
--- a/tests/test_jobmodel.py
+++ b/tests/test_jobmodel.py
@@ -50,6 +50,24 @@
     assert restored.tasks[2].startable
 
 
+def test_a_step_record_restores_the_other_runs_of_its_tasks(make_step):
+    """Guards against a task that a new leader starts while a lost run of it is still active."""
+    step, restored = make_step(), make_step()
+    waiting, placed, done = step.tasks
+    waiting.run, waiting.copies = 1, {1: "i-1"}
+    placed.state, placed.run, placed.upstream_id = "running", 3, "i-3"
+    placed.copies = {1: "i-1", 2: "i-2"}
+    done.state, done.run, done.copies = "done", 2, {1: "i-1"}
+    decode_step(restored, encode_step(step))
+    assert [task.copies for task in restored.tasks] == [task.copies for task in step.tasks]
+    assert [(task.state, task.run) for task in restored.tasks] == [
+        ("waiting", 1),
+        ("started", 3),
+        ("done", 2),
+    ]
+    assert not restored.tasks[0].startable
+
+
 @pytest.mark.parametrize(("speculative", "startable"), [(False, False), (True, True)])
 def test_a_task_with_another_run_starts_only_if_speculative(make_step, speculative, startable):
     """Guards against two runs at once of a task whose earlier run is still listed."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -389,6 +389,23 @@
     assert await node.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
 
 
+async def test_both_runs_of_a_task_count_against_the_cap_after_a_take_over(
+    runs_at_silent_upstream, next_leader, add_worker
+):
+    """Guards against runs beside the replaced ones of a silent upstream that exceed the cap."""
+    first, node = await runs_at_silent_upstream(count=1, speculative=True)
+    second = await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await wait_until(lambda: second.runs)
+    node = await next_leader(node)
+    assert first.runs and second.runs
+    assert running_millicores(node) == 2 * TASK_CPU_MILLICORES
+    first.faults.silent = False
+    second.finish(f"{JOB_ID}.0.0.0")
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await wait_until(lambda: not running_millicores(node))
+    assert [outcome for _, _, outcome in first.ends] == ["stopped"]
+
+
 async def test_records_of_a_cancelled_job_are_deleted_once_its_runs_are_gone(
     runs_at_silent_upstream, next_leader, store
 ):
