Take-over: a job none of whose starts was carried out stays pending

Seen by callers: `pending` of a queue leaves out jobs of which no task has started.

Cause: a leader takes a job for running once an upstream accepts a start or lists a run. A new leader takes it for running if any task has a run number, which is given before the start is sent: a start that was refused, or that was lost with the earlier leader, counts as well, until the job ends.

Change: a restored job without a task that is done, has failed or has saved progress counts as pending until a start is accepted or a run is listed, live or ended. Its phase stays `running`, so that no caller sees a running job go back to `queued`. Until the first reports, running jobs count as pending too; nothing that is stored tells them apart.

Evidence: two of the four cases of the first new test (start lost; start refused) fail on the code before with 0 pending jobs instead of 1, and pass now. The second test guards the other direction and passes on both.

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -103,6 +103,12 @@
         """Name of the task in calls to upstreams."""
         return f"{self.step.name}.{self.index}"
 
+    @property
+    def has_left_traces(self) -> bool:
+        """Whether its state shows that a run of it has started."""
+        history = self.history
+        return self.state in FINAL or bool(history.failed_runs or history.checkpoint)
+
     @property
     def placed(self) -> bool:
         """Whether it has a current run, at an upstream or assigned to one."""
@@ -219,6 +225,7 @@
     :param beyond_share: its account had used up its share of submissions when the job arrived.
     :param steps: occurrences of steps, by number of the occurrence and number of the step.
     :param released_count: occurrences whose steps have been created.
+    :param start_uncertain: it was restored, and nothing shows yet that a run of it has started.
     :param unreadable: some of its stored state cannot be decoded. Tasks without a known state may
         have run, so none is started until the job is cancelled.
     """
@@ -233,6 +240,7 @@
     beyond_share: bool = False
     steps: dict[tuple[int, int], StepOccurrence] = field(factory=dict)
     released_count: int = 0
+    start_uncertain: bool = False
     unreadable: bool = False
 
     @property
@@ -250,6 +258,17 @@
         """Whether the job has ended, so that none of its tasks may run."""
         return self.phase in ENDED
 
+    @property
+    def pending(self) -> bool:
+        """Whether no task is known to have started."""
+        return self.phase == QUEUED or (self.start_uncertain and not self.ended)
+
+    def note_start(self) -> None:
+        """Note that a run of a task has started."""
+        self.start_uncertain = False
+        if self.phase == QUEUED:
+            self.phase = RUNNING
+
     @property
     def has_runs(self) -> bool:
         """Whether runs of its tasks may still be active."""
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from . import defaults, jobmodel, metrics, pacing
+from . import defaults, metrics, pacing
 from .assignment import UpstreamSlot, choose_slot, home_first
 from .errors import DecodeError
 from .graph import Demand, UpstreamEntry
@@ -356,8 +356,7 @@
             task.must_list_after_ms = max(task.must_list_after_ms, self._timer.now_ms())
             self._apply_event(task, "listed")
             job = task.step.job
-            if job.phase == jobmodel.QUEUED:
-                job.phase = jobmodel.RUNNING
+            job.note_start()
             if job.ended or (task.step.spec.gang and task.step.has_left(task.run)):
                 self._stop_task(task)
 
@@ -388,6 +387,7 @@
         if task is None or task.run != ended.run or task.upstream_id != upstream_id:
             self._process_ended_orphan(upstream, task, ended)
             return
+        task.step.job.note_start()
         if ended.checkpoint:
             task.history.checkpoint = ended.checkpoint
         if ended.outcome in ("done", "failed"):
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -612,8 +612,7 @@
             task.must_list_after_ms = self._timer.now_ms()
             if task.state in ("starting", "running", "stopping"):
                 self._apply_event(task, "accepted")
-            if job.phase == jobmodel.QUEUED:
-                job.phase = jobmodel.RUNNING
+            job.note_start()
             return
         logger.info(
             "start was not accepted",
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -569,7 +569,7 @@
     def on_count_pending(self, message: CountPending) -> None:
         """Count the jobs of a queue that have not started."""
         count = sum(
-            job.submission.queue == message.queue and job.phase == jobmodel.QUEUED
+            job.submission.queue == message.queue and job.pending
             for job in self._unfinished.values()
         )
         resolve(message.reply, PendingView(count, self._view_age_ms()))
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -202,6 +202,7 @@
         self._restore_runs(job)
         if any(task.run for task in job.tasks()):
             job.phase = jobmodel.RUNNING
+            job.start_uncertain = not any(task.has_left_traces for task in job.tasks())
         self._admit(job)
 
     def _complete_restoring(self) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -64,6 +64,18 @@
     return ask
 
 
+@pytest.fixture
+def count_pending():
+    """Return a function that asks a scheduler for the number of pending jobs."""
+
+    async def ask(scheduler):
+        reply = new_reply()
+        scheduler.tell(CountPending("q", reply))
+        return (await asyncio.wait_for(reply, 2.0)).count
+
+    return ask
+
+
 @pytest.fixture
 def leader(run_node):
     """Return a function that starts an entry VM and waits until it leads."""
@@ -159,6 +171,37 @@
     assert (await asyncio.wait_for(reply, 2.0)).view_age_ms == float("inf")
 
 
+@pytest.mark.parametrize(
+    ("row", "pending_count"),
+    [([0, "p", 1, "i-1"], 1), ([0, "w", 2], 1), ([0, "w", 2, "", [1]], 0), ([0, "d", 1], 0)],
+)
+async def test_a_job_none_of_whose_starts_was_carried_out_stays_pending_after_a_take_over(
+    store_jobs, leader, store, count_pending, row, pending_count
+):
+    """Guards against a number of pending jobs without those whose starts were refused or lost."""
+    (job_id,) = store_jobs(1)
+    store.standin.put("keyed.state", f"{job_id}.0.0", [row])
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    assert await count_pending(scheduler) == pending_count
+
+
+async def test_a_job_whose_run_is_listed_after_a_take_over_is_not_pending(
+    run_node, add_worker, next_leader, count_pending
+):
+    """Guards against jobs that count as pending although a new leader sees their runs."""
+    worker = await add_worker("i-1", TaskWorker(work_ms=0))
+    node = await run_node("node-1")
+    step = {"count": 1, "cpu": TASK_CPU_MILLICORES, "mem-mb": 256, "est-ms": 60_000}
+    assert await node.caller.submit(f"/q/{JOB_ID}", {"spec": "", "steps": [step]}) == 200
+    assert await wait_until(lambda: worker.runs)
+    node = await next_leader(node)
+    assert await node.caller.phase(f"/q/{JOB_ID}", "running") == "running"
+    task = node.scheduler._jobs[JOB_ID].steps[0, 0].tasks[0]
+    assert await wait_until(lambda: task.state == "running")
+    assert await count_pending(node.scheduler) == 0
+
+
 class Collector(Actor):
     """Actor that only stores what the scheduler tells it."""
 
