--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from . import defaults, jobmodel, metrics, pacing
+from . import defaults, metrics, pacing
 from .assignment import UpstreamSlot, choose_slot, home_first
 from .errors import DecodeError
 from .fencing import FencingTokens
@@ -27,7 +27,7 @@
 from .mailbox import receives
 from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
-from .runstate import KnownUpstream, RunState, VacatingRequest, needs_jobs
+from .runstate import KnownUpstream, OrphanRun, RunState, VacatingRequest, needs_jobs
 from .storage import Entry
 
 logger = logging.getLogger(__name__)
@@ -48,15 +48,28 @@
 
     def _restore_placed_task(self, task: Task) -> None:
         """Assign a run of an earlier epoch to its upstream and count its capacity."""
-        upstream = self._upstreams.get(task.upstream_id)
+        upstream = self._find_inherited_upstream(task.upstream_id, task.step.job.pool)
+        task.pace = None
+        self._occupy_capacity(task, upstream.slot)
+
+    def _restore_copies(self, task: Task) -> None:
+        """Count the other runs of a task, from an earlier epoch, until they are gone."""
+        for run, upstream_id in task.copies.items():
+            upstream = self._find_inherited_upstream(upstream_id, task.step.job.pool)
+            upstream.orphans[task.name, run] = OrphanRun(task, self._timer.now_ms())
+            upstream.slot.occupy(task)
+            self._add_usage(task)
+
+    def _find_inherited_upstream(self, upstream_id: str, pool: str) -> KnownUpstream:
+        """Return an upstream with runs of an earlier epoch, which may not be registered."""
+        upstream = self._upstreams.get(upstream_id)
         if upstream is None:
-            entry = UpstreamEntry(task.upstream_id, task.step.job.pool, "", "", False, Demand())
+            entry = UpstreamEntry(upstream_id, pool, "", "", False, Demand())
             upstream = KnownUpstream(UpstreamSlot(entry, Demand()), None)
             self._note_inherited_lease(upstream)
             upstream.slot.answering = False
-            self._upstreams[task.upstream_id] = upstream
-        task.pace = None
-        self._occupy_capacity(task, upstream.slot)
+            self._upstreams[upstream_id] = upstream
+        return upstream
 
     def _note_inherited_lease(self, upstream: KnownUpstream) -> None:
         """Count the leases that earlier leaders may have been granted.
@@ -374,8 +387,7 @@
             task.must_list_after_ms = max(task.must_list_after_ms, self._timer.now_ms())
             self._apply_event(task, "listed")
             job = task.step.job
-            if job.phase == jobmodel.QUEUED:
-                job.phase = jobmodel.RUNNING
+            job.note_start()
             if job.ended or (task.step.spec.gang and task.step.has_left(task.run)):
                 self._stop_task(task)
 
@@ -406,6 +418,7 @@
         if task is None or task.run != ended.run or task.upstream_id != upstream_id:
             self._process_ended_orphan(upstream, task, ended)
             return
+        task.step.job.note_start()
         if ended.checkpoint:
             task.history.checkpoint = ended.checkpoint
         if ended.outcome in ("done", "failed"):
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -57,11 +57,13 @@
     :param starts: runs to start, as tasks with the number of the run.
     :param acknowledgements: by upstream, acknowledgement of the last ended run that it has listed.
     :param ended_jobs: jobs whose end becomes visible.
+    :param cleared_jobs: jobs whose end is stored and whose last run is gone.
     """
 
     starts: list[tuple[Task, int]] = field(factory=list)
     acknowledgements: dict[str, Acknowledge] = field(factory=dict)
     ended_jobs: list[Job] = field(factory=list)
+    cleared_jobs: list[Job] = field(factory=list)
 
 
 @define
@@ -293,9 +295,13 @@
     # Jobs.
 
     def _add_part(self, job: Job | EndedJob, part: int) -> None:
-        """Note that a partition holds a record of a job."""
+        """Note that a partition holds a record of a job.
+
+        It is not needed any more once the job has ended and no run of it is left; a new leader
+        takes the demand of the runs from it.
+        """
         job.parts.add(part)
-        if job.ended and job.stored:
+        if job.ended and job.stored and not job.has_runs:
             self._deletable.setdefault(part, {})[job.job_id] = None
 
     def _admit(self, job: Job) -> None:
@@ -468,6 +474,7 @@
         orphan.task.copies.pop(key[1], None)
         upstream.slot.occupy(orphan.task, -1)
         self._add_usage(orphan.task, -1)
+        self._dirty_steps[orphan.task.step] = None
         self._requeue_step(orphan.task)
 
     def _add_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> OrphanRun:
@@ -478,6 +485,7 @@
             task.copies[key[1]] = upstream.slot.entry.upstream_id
             upstream.slot.occupy(task)
             self._add_usage(task)
+            self._dirty_steps[task.step] = None
         else:
             upstream.slot.unknown_run_count += 1
         return orphan
@@ -637,8 +645,7 @@
             task.must_list_after_ms = self._timer.now_ms()
             if task.state in ("starting", "running", "stopping"):
                 self._apply_event(task, "accepted")
-            if job.phase == jobmodel.QUEUED:
-                job.phase = jobmodel.RUNNING
+            job.note_start()
             return
         logger.info(
             "start was not accepted",
