Reports: an incarnation that is not registered yet gets no tasks

What callers would see: a task on an upstream without the label that it requires (ROUTE), or beyond its capacity (LIMIT): "A new incarnation may be of a different kind, even at the same address."

Cause: `UpstreamSlot.usable` did not compare the start time in the report with that in the registration.

Change: from the first report of a new incarnation until its registration is read the upstream is not usable, and tasks assigned to it whose start has not been sent are withdrawn. Starts before that report are not covered.

Evidence: test_an_incarnation_gets_no_tasks_before_its_own_registration_is_read failed before. A restart of the stand-in registers it, as a worker does; the test above restarts it without. No check was changed by that.

--- a/src/standins/taskworker.py
+++ b/src/standins/taskworker.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -72,6 +73,7 @@
     :param starts: all starts carried out, as (task, run, token).
     :param checkpoints: progress with which runs were started, as (task, run, saved progress).
     :param stopping: tasks whose run is being stopped.
+    :param register: writes its registration to the store.
     """
 
     cpu_millicores: int = 16_000
@@ -95,13 +97,17 @@
     paces: list[tuple[str, int]] = Factory(list)
     faults: WorkerFaults = Factory(WorkerFaults)
     changed: asyncio.Event = Factory(asyncio.Event)
+    register: Callable[[], None] = lambda: None
 
     def clock_ms(self) -> int:
         """Return the time of the monotonic clock of this incarnation."""
         return int(time.monotonic() * 1_000 + self.clock_offset_ms)
 
-    def restart(self) -> None:
-        """Simulate a restart of the process, which loses runs, lease, clock and fencing token."""
+    def restart(self, registers: bool = True) -> None:
+        """Simulate a restart of the process, which loses runs, lease, clock and fencing token.
+
+        :param registers: whether it registers at once, as a worker does.
+        """
         self.started_ms += 1
         self.clock_offset_ms = -time.monotonic() * 1_000
         self.until_ms = 0.0
@@ -109,6 +115,8 @@
         self.runs.clear()
         self.last_ended_runs.clear()
         self.unacknowledged_ends.clear()
+        if registers:
+            self.register()
 
     def finish(self, task: str, outcome: str = "done") -> None:
         """End the run of a task now."""
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -28,6 +28,8 @@
     :param cordoned: it gets no new tasks, because of a planned stop.
     :param answering: it has answered the latest calls.
     :param listed: its registration is in the store.
+    :param outdated: its registration is that of an earlier incarnation, which may have had another
+        capacity and other labels.
     :param failure_ratio: exponential moving average of failures among its runs.
     :param slow: most of its runs take far longer than estimated, as of ``slow_measured_ms``.
     :param full_until_ms: it gets no new tasks before this time, as it refused a start.
@@ -43,6 +45,7 @@
     cordoned: bool = False
     answering: bool = True
     listed: bool = True
+    outdated: bool = False
     failure_ratio: float = 0.0
     slow: bool = False
     slow_measured_ms: float = 0.0
@@ -58,6 +61,7 @@
             self.known
             and self.answering
             and self.listed
+            and not self.outdated
             and not self.cordoned
             and not self.entry.draining
         )
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -126,6 +126,7 @@
         slot.free = slot.free.plus(entry.capacity).plus(slot.entry.capacity, -1)
         restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
+        self._compare_registration(upstream)
         if restarted and not slot.known:
             self._note_inherited_lease(upstream)
         slot.listed = True
@@ -232,6 +233,7 @@
             )
             upstream.last_ended_number = 0
         upstream.started_ms = report.started_ms or upstream.started_ms
+        self._compare_registration(upstream)
         if slot.known:
             # A start that was sent since this poll may have extended the lease.
             upstream.note_lease_end(message.lease_end_ms)
@@ -271,6 +273,20 @@
         self._set_paces(upstream)
         self._detect_slow_upstream(upstream)
 
+    def _compare_registration(self, upstream: KnownUpstream) -> None:
+        """Place nothing at an incarnation that is not registered yet; it may be of another kind."""
+        slot = upstream.slot
+        outdated = slot.entry.started_ms < upstream.started_ms
+        if outdated == slot.outdated:
+            return
+        slot.outdated = outdated
+        if not outdated:
+            self._request_pass()
+            return
+        for task in list(slot.tasks.values()):
+            if task.state == "assigned":
+                self._apply_event(task, "withdraw")
+
     def _detect_slow_upstream(self, upstream: KnownUpstream) -> None:
         """Decide whether an upstream is slow; if so, rerun tasks that end sooner elsewhere."""
         slot = upstream.slot
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -715,17 +715,22 @@
     async def add(name: str = "i-1", worker: TaskWorker | None = None) -> TaskWorker:
         worker = worker or TaskWorker()
         served = await serve_standin(worker)
-        entry = {
-            "backend": "pool",
-            "address": served.address,
-            "zone": "dc-1",
-            "phase": "ready",
-            "capacity": {"cpu": worker.cpu_millicores, "mem-mb": 65_536, "gpu": 0},
-            "labels": ["a", "r1"],
-            "born": worker.started_ms,
-            "sequence": 1,
-        }
-        store.standin.put("keyed.servers", name, entry)
+
+        def register() -> None:
+            entry = {
+                "backend": "pool",
+                "address": served.address,
+                "zone": "dc-1",
+                "phase": "ready",
+                "capacity": {"cpu": worker.cpu_millicores, "mem-mb": 65_536, "gpu": 0},
+                "labels": ["a", "r1"],
+                "born": worker.started_ms,
+                "sequence": 1,
+            }
+            store.standin.put("keyed.servers", name, entry)
+
+        worker.register = register
+        register()
         return worker
 
     return add
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -878,3 +878,21 @@
     scheduler.handle(ReportReceived("i-1", UpstreamReport(0, 1, (), ()), now_ms + 1, now_ms))
     assert scheduler._jobs[JOB_ID].phase == "failed"
     assert assigned.state == "waiting"
+
+
+async def test_an_incarnation_gets_no_tasks_before_its_own_registration_is_read(
+    run_node, add_worker
+):
+    """Guards against tasks on a restarted worker of another kind (ROUTE), by the earlier labels."""
+    worker = await add_worker(worker=TaskWorker(work_ms=0))
+    node = await run_node()
+    assert await submit(node, LONG_RUNNING_JOB) == 200
+    assert await wait_until(lambda: len(worker.runs) == 2)
+    worker.restart(registers=False)
+    assert await wait_until(lambda: node.scheduler._upstreams["i-1"].started_ms == 2)
+    started_count = len(worker.starts)
+    assert await submit(node, job_id="00000000000000aa") == 200
+    await asyncio.sleep(0.8)
+    assert len(worker.starts) == started_count
+    worker.register()
+    assert await wait_until(lambda: len(worker.runs) == 4)
