Link: acknowledge stored ends before waiting for further ones

Since an acknowledgement needs an answer of the last 200 ms, and the link waits up to 400 ms after each answer for its ends to be stored. If that takes longer than 200 ms the next poll carries no acknowledgement, its answer lists new ends, and the link waits for those in turn.

Change: a link to which an acknowledgement is due polls at once after an answer, which is recent.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -603,9 +603,10 @@
     async def _wait_for_acknowledgement(self, report: UpstreamReport) -> None:
         """Wait until the reported ends are stored, up to ``ACKNOWLEDGE_WAIT_MS``.
 
-        The next poll would return at once with the same ends.
+        The next poll would return at once with the same ends. If earlier ends are stored, it
+        acknowledges them and is sent at once, as only a recent answer permits that.
         """
-        if not report.ended:
+        if not report.ended or self._stored_end_number > self._acknowledged_end_number:
             return
         last = report.ended[-1].number
         loop = asyncio.get_running_loop()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -27,7 +27,7 @@
     StopConfirmed,
 )
 from tarragoncart.mailbox import Actor, receives
-from tarragoncart.runs import StartOrder, UpstreamReport
+from tarragoncart.runs import EndedRun, StartOrder, UpstreamReport
 from tarragoncart.timer import LoopTimer
 
 ENTRY = UpstreamEntry("i-1", "pool", "x:1", "dc", False, Demand(1_000))
@@ -501,3 +501,54 @@
     link.tell(PollUpstream())
     await asyncio.sleep(0.1)
     assert 7 not in upstream.acknowledged
+
+
+class UpstreamWithEnds(Upstream):
+    """Upstream at which a run ends every 100 ms; a poll waits only while no end is listed."""
+
+    def __init__(self):
+        super().__init__()
+        self.opened_ms = self.timer.now_ms()
+        self.listed_count = 0
+
+    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
+        self.acknowledged.append(acknowledged)
+        await asyncio.sleep(0.005)
+        ended_count = int((self.timer.now_ms() - self.opened_ms) / 100)
+        numbers = range(max(self.acknowledged) + 1, ended_count + 1)
+        if not numbers:
+            await asyncio.sleep(0.1)
+        self.listed_count = max(self.listed_count, *numbers, 0)
+        ends = tuple(EndedRun(number, "job.0.0.0", number, "done", "") for number in numbers)
+        return UpstreamReport(int(self.timer.now_ms()), 1, (), ends)
+
+
+class SlowStoreListener(Listener):
+    """Acknowledges the ends of each report some time later."""
+
+    def __init__(self, store_s):
+        super().__init__()
+        self.store_s = store_s
+        self.link = None
+
+    @receives(ReportReceived)
+    def on_report_received(self, message):
+        """Acknowledge the ends once they are stored."""
+        if message.report.ended:
+            acknowledge = Acknowledge(message.report.ended[-1].number, 1)
+            asyncio.get_running_loop().call_later(self.store_s, self.link.tell, acknowledge)
+
+
+@pytest.mark.parametrize("store_s", [0.05, 0.25, 0.35, 0.6])
+async def test_ends_are_acknowledged_while_runs_end_faster_than_they_are_stored(store_s):
+    """Guards against ends that are listed again and again, as none is acknowledged in time."""
+    upstream, listener = UpstreamWithEnds(), SlowStoreListener(store_s)
+    listener.link = link = make_link(upstream, listener, LoopTimer())
+    listener.start()
+    link.start()
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await asyncio.sleep(3.0)
+    await link.stop()
+    await listener.stop()
+    assert max(upstream.acknowledged) >= upstream.listed_count * 0.6
+    assert len(upstream.acknowledged) <= 60
