--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -581,9 +581,9 @@
         self._started_ms = report.started_ms
 
     def _birth_ms(self, report: UpstreamReport, now_ms: float) -> float:
-        """Return the local time of the upstream's start.
+        """Return the local time of the upstream's start, or a later one.
 
-        Its clock starts anew with it. Wall clocks of VMs may differ; the later time counts.
+        Its clock starts anew at any value, so that it only limits the age. Wall clocks may differ.
         """
         return now_ms - min(report.clock_ms, self._timer.wall_ms() - report.started_ms)
 
