Mailbox: messages of an actor to itself are not refused by a full inbox

Cause: an actor tells itself the result of work that it waits for (the state that was read, the outcome of a commit) or the next slice of it. At its limit the inbox refused these as well, and nobody repeats them: the take-over, or every later commit, would stand still until the next leader. The test sets the limit to 0 while the take-over may still be going on.

Change: `Actor.tell_self` puts such messages without the limit; one is sent for each piece of work under way, which bounds them.

Evidence: test_a_full_inbox_does_not_end_a_take_over failed before (no jobs restored after 3 s) and passes now.

--- a/src/tarragoncart/delivery.py
+++ b/src/tarragoncart/delivery.py
@@ -95,7 +95,7 @@
         )
         upstream = self._upstreams.get(entry.placed_on)
         if upstream is None:
-            self.tell(AttemptEnded(entry.attempt, Evidence("not_started", None, "gone")))
+            self.tell_self(AttemptEnded(entry.attempt, Evidence("not_started", None, "gone")))
         else:
             upstream.tell(Transmit(entry.attempt))
 
@@ -107,7 +107,7 @@
         upstream = self._upstreams.get(entry.attempt.worker)
         if upstream is None:
             # The VM was removed from the fleet, so its guard can no longer be queried.
-            self.tell(AttemptEnded(entry.attempt, Evidence("guard_lost"), from_guard=True))
+            self.tell_self(AttemptEnded(entry.attempt, Evidence("guard_lost"), from_guard=True))
         else:
             upstream.tell(FenceRequest(entry.attempt, entry.boot_id))
 
--- a/src/tarragoncart/dispatchbase.py
+++ b/src/tarragoncart/dispatchbase.py
@@ -134,7 +134,7 @@
 
         def ended(done: asyncio.Future[Any]) -> None:
             if not done.cancelled():
-                self.tell(RecordEnded(record, done.result()))
+                self.tell_self(RecordEnded(record, done.result()))
 
         reply.add_done_callback(ended)
         self._journal.tell(Append(record, self.entry, reply, expires_at_ms))
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -236,7 +236,7 @@
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
             logger.warning("cannot join the group", extra={"reason": str(error)})
         else:
-            self.tell(_Joined(membership, sent_ms, self._timer.now_ms()))
+            self.tell_self(_Joined(membership, sent_ms, self._timer.now_ms()))
         finally:
             self._pending_join_count -= 1
 
@@ -322,7 +322,7 @@
         try:
             recorded, end_offset = await self._read_leader_record()
         except (StoreUnknownError, StoreRefusedError) as error:
-            self.tell(_Probed(Decision("postponed", str(error)), sent_ms))
+            self.tell_self(_Probed(Decision("postponed", str(error)), sent_ms))
             return
         address = recorded.address if recorded else ""
         view, reason = await self._surveyor.query_leader(address)
@@ -330,7 +330,7 @@
             metrics.PROBES.add(1, metrics.labels(result=view.value))
         if view is LeaderView.LEADS:
             self._leader_answered_ms = self._timer.now_ms()
-            self.tell(_Probed(Decision("occupied", reason), sent_ms, end_offset))
+            self.tell_self(_Probed(Decision("occupied", reason), sent_ms, end_offset))
             return
         # Only a leader that did not answer needs to be queried by others.
         queried_address = address if view is LeaderView.UNREACHABLE else ""
@@ -349,7 +349,7 @@
             candidates=candidates,
             statuses=statuses,
         )
-        self.tell(_Probed(decide(survey), sent_ms, end_offset))
+        self.tell_self(_Probed(decide(survey), sent_ms, end_offset))
 
     def _is_willing(self) -> bool:
         now_ms = self._timer.now_ms()
@@ -456,9 +456,9 @@
                 TOPIC, [(LEADER_KEY, leader.encode())], part=LEADER_PART, expected_end=end_offset
             )
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
-            self.tell(_ClaimFailed(str(error)))
+            self.tell_self(_ClaimFailed(str(error)))
             return
-        self.tell(_Claimed(appended.offset + 1))
+        self.tell_self(_Claimed(appended.offset + 1))
 
     @receives(_Claimed)
     def on_claimed(self, message: _Claimed) -> None:
@@ -521,11 +521,11 @@
         )
         if not answered and self._owned_count < self._part_count:
             reason = "neither upstreams nor candidates answer"
-            self.tell(_GivesUp(epoch, "isolated", reason))
+            self.tell_self(_GivesUp(epoch, "isolated", reason))
             return
         # The end of the partition is the epoch, as it holds the claims and nothing else.
         if successor is not None and await self._request_claim(successor, epoch):
-            self.tell(_GivesUp(epoch, "transferred", "most upstreams do not answer"))
+            self.tell_self(_GivesUp(epoch, "transferred", "most upstreams do not answer"))
 
     @receives(_GivesUp)
     def on_gives_up(self, message: _GivesUp) -> None:
@@ -593,7 +593,7 @@
             return
         self._listener.tell(LeaderFound(leader))
         if leader.name == self._member:
-            self.tell(_RecordConfirmed(leader.epoch, sent_ms, self._timer.now_ms()))
+            self.tell_self(_RecordConfirmed(leader.epoch, sent_ms, self._timer.now_ms()))
 
     async def _read_leader_record(self) -> tuple[Leader | None, int]:
         """Return the leader recorded in the store, if any, and the partition's end offset."""
--- a/src/tarragoncart/fleetfollower.py
+++ b/src/tarragoncart/fleetfollower.py
@@ -133,7 +133,7 @@
 
         def read(done: asyncio.Future[JobState | None]) -> None:
             if not done.cancelled() and (logged_job := done.result()) is not None:
-                self.tell(JobChanged(logged_job))
+                self.tell_self(JobChanged(logged_job))
 
         reply_future.add_done_callback(read)
         self._journal.tell(ReadJob(entry.job.request_id, reply_future))
@@ -256,7 +256,7 @@
         attempts += [attempt for attempt, _ in self._superseded_attempts.values()]
         for attempt in attempts:
             if attempt.worker == name:
-                self.tell(AttemptEnded(attempt, Evidence("no_answer")))
+                self.tell_self(AttemptEnded(attempt, Evidence("no_answer")))
 
     @receives(UpstreamChanged)
     def _on_upstream_changed(self, message: UpstreamChanged) -> None:
--- a/src/tarragoncart/journal.py
+++ b/src/tarragoncart/journal.py
@@ -265,10 +265,10 @@
             try:
                 chunk = await self._read(next_offset)
                 processed: asyncio.Future[int] = new_reply()
-                self.tell(ChunkRead(chunk, processed))
+                self.tell_self(ChunkRead(chunk, processed))
                 next_offset = await processed
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
-                self.tell(ReadFailed())
+                self.tell_self(ReadFailed())
                 await asyncio.sleep(defaults.LOG_RETRY_MS / 1_000)
             except InboxFullError:
                 await asyncio.sleep(defaults.LOG_RETRY_MS / 1_000)
@@ -548,7 +548,7 @@
         except (aiohttp.ClientError, TimeoutError):
             event = "no_answer"
         duration_ms = self._timer.now_ms() - started_ms
-        self.tell(AppendEnded(batch_id, event, duration_ms))
+        self.tell_self(AppendEnded(batch_id, event, duration_ms))
 
     @implements_action("drop_expired")
     def _drop_expired(self, batch: Batch) -> None:
@@ -593,7 +593,7 @@
         self._last_snapshot_offset = self.state.offset
         self._last_snapshot_at_ms = self._timer.wall_ms()
         for part in snapshots.encode_snapshot(self.state, secrets.token_hex(6)):
-            self.tell(Append(part, self.entry))
+            self.tell_self(Append(part, self.entry))
 
     @receives(ReadTail)
     def _on_read_tail(self, message: ReadTail) -> None:
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -88,6 +88,14 @@
             raise InboxFullError("inbox is full", step="tell", peer=self.name)
         self._put(message)
 
+    def tell_self(self, message: Any) -> None:
+        """Put a message to this actor itself into the inbox.
+
+        The limit does not apply, because the message would not be sent again: it tells of the end
+        of work that the actor waits for, or continues such work.
+        """
+        self._put(message)
+
     def _put(self, message: Any) -> None:
         self._inbox.append(message)
         if self._waiter is not None and not self._waiter.done():
--- a/src/tarragoncart/membership.py
+++ b/src/tarragoncart/membership.py
@@ -226,7 +226,7 @@
             logger.warning(
                 "the log did not confirm the retirement; another entry VM will record it"
             )
-        self.tell(Drained(event))
+        self.tell_self(Drained(event))
 
     @receives(Drained)
     def _on_drained(self, message: Drained) -> None:
--- a/src/tarragoncart/operations.py
+++ b/src/tarragoncart/operations.py
@@ -605,7 +605,7 @@
     async def _read_loads(self) -> None:
         reply: asyncio.Future[dict[str, tuple[int, int]]] = new_reply()
         self._peers.tell(ReadLoads(reply))
-        self.tell(LoadsRead(await reply))
+        self.tell_self(LoadsRead(await reply))
 
     @receives(LoadsRead)
     def _on_loads_read(self, message: LoadsRead) -> None:
@@ -654,7 +654,7 @@
 
         def ended(done: asyncio.Future[Any]) -> None:
             if not done.cancelled():
-                self.tell(RecordEnded(key, done.result()))
+                self.tell_self(RecordEnded(key, done.result()))
 
         reply.add_done_callback(ended)
         expires_ms = self._timer.now_ms() + defaults.LOG_UNAVAILABLE_MS
@@ -686,7 +686,7 @@
                     problem = f"status {response.status}"
         except (aiohttp.ClientError, TimeoutError) as error:
             problem = type(error).__name__
-        self.tell(CallEnded(step, problem))
+        self.tell_self(CallEnded(step, problem))
 
     @receives(CallEnded)
     def _on_call_ended(self, message: CallEnded) -> None:
--- a/src/tarragoncart/peers.py
+++ b/src/tarragoncart/peers.py
@@ -187,7 +187,7 @@
         """Open the session and start the heartbeats."""
         self._session = aiohttp.ClientSession(connector=make_connector(self._source_address))
         self.subscribe(self._timer.every(defaults.HEARTBEAT_PERIOD_MS), HeartbeatDue())
-        self.tell(HeartbeatDue())
+        self.tell_self(HeartbeatDue())
 
     async def on_close(self) -> None:
         """Close the session."""
@@ -236,7 +236,7 @@
             data = await self._post(address, "/peer/heartbeat", encode(heartbeat))
             answer = decode(data["beat"], Heartbeat)
             chunk = decode(data["chunk"], Chunk) if data.get("chunk") else None
-            self.tell(HeartbeatAnswered(address, answer, chunk, sent_at_ms))
+            self.tell_self(HeartbeatAnswered(address, answer, chunk, sent_at_ms))
         except (
             aiohttp.ClientError,
             TimeoutError,
@@ -244,7 +244,7 @@
             KeyError,
             cattrs.BaseValidationError,
         ):
-            self.tell(HeartbeatFailed(address))
+            self.tell_self(HeartbeatFailed(address))
 
     async def _post(
         self, address: str, path: str, body: Any, timeout_ms: float = defaults.PEER_TIMEOUT_MS
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -244,7 +244,7 @@
             delay_ms,
             move.upstream_id,
         )
-        self.tell(_MoveEnded(plan.vm_id, event, reason))
+        self.tell_self(_MoveEnded(plan.vm_id, event, reason))
 
     @receives(_MoveEnded)
     def on_move_ended(self, message: _MoveEnded) -> None:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -149,7 +149,7 @@
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
         if not self._unstarted:
-            self.tell(_StartLinks())
+            self.tell_self(_StartLinks())
         self._unstarted.append(upstream)
 
     def _make_link(self, entry: UpstreamEntry) -> Link:
--- a/src/tarragoncart/retention.py
+++ b/src/tarragoncart/retention.py
@@ -73,7 +73,7 @@
 
         def report(done: asyncio.Future[bool]) -> None:
             if not done.cancelled():
-                self.tell(_RecordsDeleted(part, job_ids, cancelled_ids, done.result()))
+                self.tell_self(_RecordsDeleted(part, job_ids, cancelled_ids, done.result()))
 
         reply.add_done_callback(report)
         self._intake.tell(DeleteJobRecords(job_ids, cancelled_ids, part, reply))
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -398,7 +398,9 @@
         self._committing = True
         reply = new_reply()
         reply.add_done_callback(
-            lambda done: None if done.cancelled() else self.tell(_Committed(done.result(), effects))
+            lambda done: (
+                None if done.cancelled() else self.tell_self(_Committed(done.result(), effects))
+            )
         )
         self._writer.tell(Write(records, reply))
 
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -95,7 +95,7 @@
         # between the two.
         self._upstream_follower.start()
         self._intake.start()
-        self.tell(_StateRead(await self._read_state()))
+        self.tell_self(_StateRead(await self._read_state()))
 
     def _log_takeover_step(self, step: str, entries: Iterable[Entry] = ()) -> None:
         """Log when a step of the take-over has ended, and the size of what it has read."""
@@ -165,7 +165,7 @@
             return
         records = _job_records(self._stored_state)
         self._restoration = restore(self._accepted.entries, records, self._timer.wall_ms())
-        self.tell(_RestoreSlice())
+        self.tell_self(_RestoreSlice())
 
     @receives(_RestoreSlice)
     def on_restore_slice(self, message: _RestoreSlice) -> None:
--- a/src/tarragoncart/upstream.py
+++ b/src/tarragoncart/upstream.py
@@ -188,7 +188,7 @@
         # Control calls use a separate session, so that attempts cannot delay a lease renewal.
         self._control = aiohttp.ClientSession(connector=make_connector(self._source_address, 2))
         self.subscribe(self._timer.every(defaults.LEASE_RENEWAL_MS), RenewLease())
-        self.tell(RenewLease())
+        self.tell_self(RenewLease())
 
     async def on_close(self) -> None:
         """Close the sessions and reply to the messages that are left in the inbox."""
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -129,7 +129,7 @@
             return
         finally:
             self._listing = False
-        self.tell(_VmsListed(vms, requested_ms))
+        self.tell_self(_VmsListed(vms, requested_ms))
 
     @receives(_VmsListed)
     def on_listed(self, message: _VmsListed) -> None:
@@ -328,7 +328,7 @@
             delay_ms,
             vm.upstream_id,
         )
-        self.tell(_OrderEnded(wave_number, vm_id, event, reason))
+        self.tell_self(_OrderEnded(wave_number, vm_id, event, reason))
 
     @receives(_OrderEnded)
     def on_order_ended(self, message: _OrderEnded) -> None:
--- a/src/tarragoncart/writer.py
+++ b/src/tarragoncart/writer.py
@@ -134,7 +134,7 @@
         while True:
             outcome = await self._try_append(batch)
             if outcome:
-                self.tell(AppendEnded(outcome))
+                self.tell_self(AppendEnded(outcome))
                 return
             await asyncio.sleep(delay_ms / 1_000)
             delay_ms = min(2 * delay_ms, defaults.STORE_RETRY_MAX_MS)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -509,3 +509,13 @@
     pauses_s = [after - before for before, after in zip(times_s[1::2], times_s[2::2], strict=False)]
     assert len(pauses_s) >= 2
     assert min(pauses_s) >= 0.03 * defaults.PASS_PAUSE_RATIO
+
+
+async def test_a_full_inbox_does_not_end_a_take_over(store_jobs, leader):
+    """Guards against a leader that never restores its jobs as its inbox was full for a moment."""
+    store_jobs(3)
+    scheduler = await leader()
+    limit_count, scheduler._inbox_limit_count = scheduler._inbox_limit_count, 0
+    await asyncio.sleep(0.3)
+    scheduler._inbox_limit_count = limit_count
+    await asyncio.wait_for(wait_until_restored(scheduler), 3.0)
