An unlisted upstream may have taken an order in time before it could register

A task ran twice at once: its start had no answer, the next incarnation of its upstream carried it out 0.6 s later, within the timeout of the call, and a cut kept that incarnation from the store. Its earlier registration expired, which counted as a proof that nobody had taken the start.

Change: without a later registration no order is counted as carried out seconds late, but one in time is: the wait is shorter by ORDER_DELAY_MAX_MS less the timeout of a call.

--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -153,11 +153,13 @@
     def uncertain_runs_ended(self, now_ms: float) -> bool:
         """Return whether also runs have ended that an unknown incarnation may have taken.
 
-        Once the registration has expired without one of a later incarnation, there is none.
+        Once the registration has expired without one of a later incarnation, none takes an order
+        late. One that was cut off before it could register may have taken an order in time.
         """
+        end_ms = self.uncertain_end_ms
         if not self.slot.listed and self.slot.entry.started_ms <= self.started_ms:
-            return True
-        return now_ms >= self.uncertain_end_ms
+            end_ms -= defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
+        return now_ms >= end_ms
 
 
 class RunState(Actor):
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -13,6 +13,10 @@
 # Delays of a start that are longer than the restart, in the order of seconds.
 DELAYS_S = (0.6, 1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 6.0)
 LATE_MAX_S = 8.0
+# Delay of a start that is longer than the restart, but within the timeout of a call.
+IN_TIME_S = 0.6
+# Time after which the registration of a silent worker is removed.
+EXPIRY_S = 2.5
 
 
 def _job(estimate_ms):
@@ -193,3 +197,24 @@
     """Guards against a task that runs again after an end that was dropped unread."""
     scenario = _carry_out_an_acknowledgement_after_a_restart
     assert simulate_scenario(scenario, 1, 4.0).violations == []
+
+
+async def _carry_out_a_start_at_an_unregistered_worker(simulation, config, delay_s, _):
+    """Restart a worker that is cut off before it registers; its earlier registration expires."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    worker.go_down()
+    await asyncio.sleep(DOWN_S)
+    worker.come_up()
+    worker.unreachable = True
+    await asyncio.sleep(EXPIRY_S)
+    simulation.unregister(worker)
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_a_start_in_time_at_an_unregistered_incarnation_does_not_run_beside_another(
+    simulate_scenario,
+):
+    """Guards against a second run because a cut has kept the next incarnation from the store."""
+    scenario = _carry_out_a_start_at_an_unregistered_worker
+    assert simulate_scenario(scenario, 1, IN_TIME_S, None).violations == []
