Link: a late order may extend the lease of an incarnation that has seen no token of its own

A run outlasted the lease by which the leader would start its task again: the next incarnation of an upstream accepted its start, was cut off before the poll that follows, and then carried out the last poll for the earlier incarnation, which had got no answer. That poll extends the lease of all runs there; the link counted it only for starts without an answer.

Change: while an incarnation has answered but has seen no token of its own, a failed poll tells the later of both ends. With the token the late order is refused, and the earlier end holds again.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -558,11 +558,22 @@
                 self._upstream_id,
                 reason,
                 reason == "instance",
-                self._lease.end_ms,
+                self._lease_end_at_failure_ms(),
                 self._lease.uncertain_end_ms,
             )
         )
 
+    def _lease_end_at_failure_ms(self) -> float:
+        """Return the time by which all runs end that the silent upstream has confirmed.
+
+        An incarnation that has answered, but has seen no token of its own, may still take an order
+        for an earlier one, which extends the lease of its confirmed runs.
+        """
+        answered_without_report = self._started_ms > 0 and self._lease.reading is None
+        if answered_without_report or self._unseen_token is not None:
+            return max(self._lease.end_ms, self._lease.uncertain_end_ms)
+        return self._lease.end_ms
+
     def _note_incarnation(self, report: UpstreamReport) -> None:
         """Note that the upstream has reported for the first time, or has started again.
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -373,11 +373,13 @@
 
     :param late_poll_s: delay with which the next incarnation carries out the poll that was under
         way at the restart; None for a poll that is lost.
+    :param cut_after_start: no call reaches it after its first start.
     """
 
-    def __init__(self, late_poll_s=None):
+    def __init__(self, late_poll_s=None, cut_after_start=False):
         self.timer = LoopTimer()
         self.late_poll_s = late_poll_s
+        self.cut_after_start = cut_after_start
         self.started_ms = 1
         self.behind_ms = 0.0
         self.lease_end_ms = 0.0
@@ -440,20 +442,22 @@
         self._check_token(epoch)
         self._extend_lease(until_ms)
         self.run_count += 1
+        self.cut = self.cut or self.cut_after_start
         return self._clock_ms()
 
     async def close(self):
         pass
 
 
-async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None):
+async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None, cut_after_start=False):
     """Restart an upstream, and return by how much a run outlasts the lease that the link tells.
 
     :param start_s: time of a start after the restart.
     :param cut_s: time after the restart from which no call reaches the upstream.
     :param late_poll_s: time of the earlier incarnation's last poll after the restart.
+    :param cut_after_start: no call reaches the upstream after the start.
     """
-    upstream, listener = RestartingUpstream(late_poll_s), Listener()
+    upstream, listener = RestartingUpstream(late_poll_s, cut_after_start), Listener()
     link = make_link(upstream, listener, LoopTimer())
     listener.start()
     link.start()
@@ -489,6 +493,15 @@
     assert max(await asyncio.gather(*orders)) <= 5
 
 
+async def test_a_late_poll_behind_a_cut_does_not_extend_the_lease_of_a_start_unnoticed():
+    """Guards against a late poll at an incarnation that has not seen a token of its own."""
+    orders = [
+        outlast_ms(behind_ms, 0.0, 0.2, late_poll_s=1.2, cut_after_start=True)
+        for behind_ms in BEHIND_MS
+    ]
+    assert max(await asyncio.gather(*orders)) <= 5
+
+
 async def test_an_acknowledgement_beside_a_poll_under_way_does_not_reach_the_next_incarnation(
     linked, monkeypatch
 ):
