Link: a pace refused for a later token of the same leader is repeated

Since a link has a new token for each incarnation and after an order without an answer. A pace that was sent with the token before it and arrives later is refused with 'fence', which counted as refused for good and so as confirmed: the run kept its old pace until another was due.

Evidence: test_a_pace_that_is_refused_for_a_later_token_of_the_same_leader_is_repeated failed ('refused') and passes ('unanswered', no resignation). tests/test_link.py -k pace: 6 passed.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -443,7 +443,8 @@
             # Not retried here: a later report shows which pace is due by then.
             reason = getattr(error, "reason", "")
             self._report_if_fenced(reason, token)
-            outcome = "refused" if reason not in ("", "unhealthy") else "unanswered"
+            repeatable = reason in ("", "unhealthy") or (reason == "fence" and token != self._token)
+            outcome = "unanswered" if repeatable else "refused"
             logger.info(
                 "pace could not be set",
                 extra={
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -565,3 +565,19 @@
     await listener.stop()
     assert max(upstream.acknowledged) >= upstream.listed_count * 0.6
     assert len(upstream.acknowledged) <= 60
+
+
+async def test_a_pace_that_is_refused_for_a_later_token_of_the_same_leader_is_repeated(linked):
+    """Guards against a run that keeps an old pace as an order beside another has issued a token."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+
+    async def pace_after_a_later_order(task_name, run, percent, token):
+        upstream.started_ms, upstream.highest_token = 2, 0
+        await asyncio.sleep(0.4)
+        upstream._check_token(token)
+
+    upstream.pace = pace_after_a_later_order
+    link.tell(SetPace("j.0.0.0", 1, 50))
+    await asyncio.sleep(0.8)
+    assert (listener.outcomes, listener.fenced_count) == (["unanswered"], 0)
