--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -581,3 +581,33 @@
     link.tell(SetPace("j.0.0.0", 1, 50))
     await asyncio.sleep(0.8)
     assert (listener.outcomes, listener.fenced_count) == (["unanswered"], 0)
+
+
+async def test_a_refused_start_does_not_extend_the_lease_of_the_next_incarnation_unnoticed():
+    """Guards against a start that is refused for want of room but renews the lease of all runs."""
+    upstream, listener = RestartingUpstream(cut_after_start=True), Listener()
+    link = make_link(upstream, listener, LoopTimer())
+    listener.start()
+    link.start()
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await upstream.polled.wait()
+    accept = upstream.start
+
+    async def start(order, until_ms, token):
+        await asyncio.sleep(0.01)
+        if order.run == 1:
+            return await accept(order, until_ms, token)
+        # It takes longer under way than the start that was sent together with it.
+        await asyncio.sleep(0.6)
+        upstream._extend_lease(until_ms)
+        raise UpstreamRefusedError("room", step="start")
+
+    upstream.start = start
+    upstream.restart(50_000)
+    for run in (1, 2):
+        link.tell(Start(StartOrder(f"job.0.0.{run}", run, "", "", "")))
+    await asyncio.sleep(2.0)
+    await link.stop()
+    await listener.stop()
+    assert listener.outcomes == ["accepted", "refused"]
+    assert upstream.lease_end_ms - listener.told_lease_end_ms <= 5
