Failing test: a late start of an earlier leader at an incarnation that has not registered

A new leader bounds the leases of earlier leaders by the registered start time. An upstream that has started again and was cut off from all machines before it registered counts as one that has been up for long: its runs are given up at the end of the leader's own lease. Not mended here: a bound without the registration lets all tasks at lost upstreams wait 21 s after a take-over (LOST).

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -218,3 +218,24 @@
     """Guards against a second run because a cut has kept the next incarnation from the store."""
     scenario = _carry_out_a_start_at_an_unregistered_worker
     assert simulate_scenario(scenario, 1, IN_TIME_S, None).violations == []
+
+
+async def _replace_the_leader_of_an_unregistered_worker(simulation, config, delay_s, _):
+    """Replace the leader while a worker is cut off that has started again but not registered."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    await simulation.kill_node("n-1")
+    worker.go_down()
+    await asyncio.sleep(DOWN_S)
+    worker.come_up()
+    worker.unreachable = True
+    await simulation.start_node("n-2")
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_a_late_start_of_an_earlier_leader_at_an_unregistered_incarnation_runs_alone(
+    simulate_scenario,
+):
+    """Guards against a second run because the registration is that of an earlier incarnation."""
+    scenario = _replace_the_leader_of_an_unregistered_worker
+    assert _violations(simulate_scenario, scenario, None) == []
