Failing test: a start seconds late at an incarnation that never registers

An expired registration without one of a later incarnation ends the wait for late starts. Not mended: to wait for ORDER_DELAY_MAX_MS as for a registered upstream is sound, but a task at an upstream that is lost for good then waits 18 s (LOST).

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -239,3 +239,9 @@
     """Guards against a second run because the registration is that of an earlier incarnation."""
     scenario = _replace_the_leader_of_an_unregistered_worker
     assert _violations(simulate_scenario, scenario, None) == []
+
+
+def test_a_late_start_at_an_incarnation_that_never_registers_runs_alone(simulate_scenario):
+    """Guards against a second run because an expired registration ends the wait for late starts."""
+    scenario = _carry_out_a_start_at_an_unregistered_worker
+    assert _violations(simulate_scenario, scenario, None) == []
