Link: an acknowledgement to one incarnation does not count for the next

Ends of an upstream that had started again stayed unacknowledged: a poll with the acknowledgement of end 7 of the earlier incarnation was answered by the next one after another poll had shown it, so that 7 counted as acknowledged there and its ends up to 7 were never acknowledged.

Change: the number counts only for the incarnation for which the poll was sent.

Evidence: test_an_acknowledgement_for_an_earlier_incarnation_does_not_hide_those_of_the_next failed (3 not in the numbers sent) and passes. tests/test_link.py: 29 passed.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -502,6 +502,7 @@
         :param wait_ms: how long the upstream may wait for the end of a run before it answers.
         """
         requested_ms, token = self._timer.now_ms(), self._token
+        expected_started_ms = self._started_ms
         acknowledged = self._due_acknowledgement()
         # The upstream may have received a renewal without an answer. Repeated renewals would
         # postpone forever the time at which its runs count as ended.
@@ -527,7 +528,8 @@
         if report.started_ms > self._started_ms:
             self._note_incarnation(report)
         else:
-            self._acknowledged_end_number = max(self._acknowledged_end_number, acknowledged)
+            if expected_started_ms == self._started_ms:
+                self._acknowledged_end_number = max(self._acknowledged_end_number, acknowledged)
             if self._unseen_token is not None and token >= self._unseen_token:
                 self._unseen_token = None
                 self._lease.note_misdirected(self._timer.now_ms())
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -611,3 +611,27 @@
     await listener.stop()
     assert listener.outcomes == ["accepted", "refused"]
     assert upstream.lease_end_ms - listener.told_lease_end_ms <= 5
+
+
+async def test_an_acknowledgement_for_an_earlier_incarnation_does_not_hide_those_of_the_next(
+    linked,
+):
+    """Guards against ends that are never acknowledged, as the earlier numbers were higher."""
+    link, upstream, _ = linked
+    await asyncio.sleep(0.2)
+    renew_lease = upstream.renew_lease
+
+    async def renew_lease_on_a_slow_link(*, acknowledged, **rest):
+        if acknowledged == 7 and upstream.started_ms == 1:
+            upstream.started_ms = 2
+            link.tell(PollUpstream())
+            await asyncio.sleep(0.1)
+            return UpstreamReport(int(upstream.timer.now_ms()), 2, (), ())
+        return await renew_lease(acknowledged=acknowledged, **rest)
+
+    upstream.renew_lease = renew_lease_on_a_slow_link
+    link.tell(Acknowledge(7, 1))
+    await asyncio.sleep(0.5)
+    link.tell(Acknowledge(3, 2))
+    await asyncio.sleep(0.5)
+    assert 3 in upstream.acknowledged
