Link: a clock that is behind counts beside an order without an answer

A link went on to start runs by the clock of an earlier incarnation although the answer to a start showed another one, if an order beside it had got no answer and so had issued a new token: the clock was compared only in answers to orders with the latest token.

Change: it is compared if the link still expects the incarnation for which the order was sent.

Evidence: test_a_clock_that_is_behind_counts_though_an_order_beside_it_got_no_answer failed (a third start was accepted) and passes. tests/test_link.py: 30 passed.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -316,6 +316,7 @@
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
         token, sent_ms = self._token, self._timer.now_ms()
+        expected_started_ms = self._started_ms
         until_ms = self._renewed_lease_end_ms() if self._permitted() else None
         if until_ms is None:
             outcome = "refused"
@@ -333,7 +334,7 @@
                 self._renew_token(token)
             else:
                 self._lease.note_granted(until_ms, clock_ms, self._timer.now_ms())
-                self._check_clock("start", clock_ms, sent_ms, token)
+                self._check_clock("start", clock_ms, sent_ms, expected_started_ms)
         self._report_if_fenced(reason, token)
         self._listener.tell(
             StartOutcome(
@@ -347,15 +348,17 @@
             )
         )
 
-    def _check_clock(self, call: str, clock_ms: int, sent_ms: float, token: int) -> None:
+    def _check_clock(
+        self, call: str, clock_ms: int, sent_ms: float, expected_started_ms: int
+    ) -> None:
         """Stop using the reading of the clock if the answer to a call shows another incarnation.
 
         :param clock_ms: the upstream's clock in the answer.
         :param sent_ms: when the call was sent.
-        :param token: token of the call.
+        :param expected_started_ms: start time of the incarnation for which it was sent.
         """
         reading = self._lease.reading
-        if reading is None or token != self._token:
+        if reading is None or expected_started_ms != self._started_ms:
             return
         expected_ms = reading.estimate_ms(sent_ms)
         if expected_ms - clock_ms <= defaults.CLOCK_BEHIND_TOLERANCE_MS:
@@ -386,6 +389,7 @@
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
             token, sent_ms = self._token, self._timer.now_ms()
+            expected_started_ms = self._started_ms
             try:
                 clock_ms = await self._client.stop(task_name, run, token)
             except TarragoncartError as error:
@@ -401,7 +405,7 @@
                 await self._pause_stop((task_name, run), delay_ms)
                 delay_ms = min(2 * delay_ms, 1_000)
             else:
-                self._check_clock("stop", clock_ms, sent_ms, token)
+                self._check_clock("stop", clock_ms, sent_ms, expected_started_ms)
                 text = "stop confirmed"
                 self._log_stop(text, task_name, run, ordered_ms, failed_count=failed_count)
                 self._listener.tell(StopConfirmed(self._upstream_id, task_name, run))
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -635,3 +635,28 @@
     link.tell(Acknowledge(3, 2))
     await asyncio.sleep(0.5)
     assert 3 in upstream.acknowledged
+
+
+async def test_a_clock_that_is_behind_counts_though_an_order_beside_it_got_no_answer(linked):
+    """Guards against starts by the clock of an earlier incarnation that has ended."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+
+    async def start(order, until_ms, token):
+        if order.run == 1:
+            await asyncio.sleep(0.01)
+            raise UpstreamUnknownError("no answer", step="start")
+        await asyncio.sleep(0.02)
+        return int(upstream.timer.now_ms()) - 50_000
+
+    async def renew_lease(**_):
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise UpstreamUnknownError("no answer", step="hold")
+
+    upstream.start, upstream.renew_lease = start, renew_lease
+    link.tell(Start(StartOrder("job.0.0.1", 1, "", "", "")))
+    link.tell(Start(StartOrder("job.0.0.2", 2, "", "", "")))
+    await asyncio.sleep(0.05)
+    link.tell(Start(StartOrder("job.0.0.3", 3, "", "", "")))
+    await asyncio.sleep(0.05)
+    assert listener.outcomes == ["unanswered", "accepted", "refused"]
