--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -316,6 +316,7 @@
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
         token, sent_ms = self._token, self._timer.now_ms()
+        expected_started_ms = self._started_ms
         until_ms = self._renewed_lease_end_ms() if self._permitted() else None
         if until_ms is None:
             outcome = "refused"
@@ -333,7 +334,7 @@
                 self._renew_token(token)
             else:
                 self._lease.note_granted(until_ms, clock_ms, self._timer.now_ms())
-                self._check_clock("start", clock_ms, sent_ms, token)
+                self._check_clock("start", clock_ms, sent_ms, expected_started_ms)
         self._report_if_fenced(reason, token)
         self._listener.tell(
             StartOutcome(
@@ -347,15 +348,17 @@
             )
         )
 
-    def _check_clock(self, call: str, clock_ms: int, sent_ms: float, token: int) -> None:
+    def _check_clock(
+        self, call: str, clock_ms: int, sent_ms: float, expected_started_ms: int
+    ) -> None:
         """Stop using the reading of the clock if the answer to a call shows another incarnation.
 
         :param clock_ms: the upstream's clock in the answer.
         :param sent_ms: when the call was sent.
-        :param token: token of the call.
+        :param expected_started_ms: start time of the incarnation for which it was sent.
         """
         reading = self._lease.reading
-        if reading is None or token != self._token:
+        if reading is None or expected_started_ms != self._started_ms:
             return
         expected_ms = reading.estimate_ms(sent_ms)
         if expected_ms - clock_ms <= defaults.CLOCK_BEHIND_TOLERANCE_MS:
@@ -386,6 +389,7 @@
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
             token, sent_ms = self._token, self._timer.now_ms()
+            expected_started_ms = self._started_ms
             try:
                 clock_ms = await self._client.stop(task_name, run, token)
             except TarragoncartError as error:
@@ -401,7 +405,7 @@
                 await self._pause_stop((task_name, run), delay_ms)
                 delay_ms = min(2 * delay_ms, 1_000)
             else:
-                self._check_clock("stop", clock_ms, sent_ms, token)
+                self._check_clock("stop", clock_ms, sent_ms, expected_started_ms)
                 text = "stop confirmed"
                 self._log_stop(text, task_name, run, ordered_ms, failed_count=failed_count)
                 self._listener.tell(StopConfirmed(self._upstream_id, task_name, run))
@@ -443,7 +447,8 @@
             # Not retried here: a later report shows which pace is due by then.
             reason = getattr(error, "reason", "")
             self._report_if_fenced(reason, token)
-            outcome = "refused" if reason not in ("", "unhealthy") else "unanswered"
+            repeatable = reason in ("", "unhealthy") or (reason == "fence" and token != self._token)
+            outcome = "unanswered" if repeatable else "refused"
             logger.info(
                 "pace could not be set",
                 extra={
@@ -501,6 +506,7 @@
         :param wait_ms: how long the upstream may wait for the end of a run before it answers.
         """
         requested_ms, token = self._timer.now_ms(), self._token
+        expected_started_ms = self._started_ms
         acknowledged = self._due_acknowledgement()
         # The upstream may have received a renewal without an answer. Repeated renewals would
         # postpone forever the time at which its runs count as ended.
@@ -526,7 +532,8 @@
         if report.started_ms > self._started_ms:
             self._note_incarnation(report)
         else:
-            self._acknowledged_end_number = max(self._acknowledged_end_number, acknowledged)
+            if expected_started_ms == self._started_ms:
+                self._acknowledged_end_number = max(self._acknowledged_end_number, acknowledged)
             if self._unseen_token is not None and token >= self._unseen_token:
                 self._unseen_token = None
                 self._lease.note_misdirected(self._timer.now_ms())
@@ -558,11 +565,22 @@
                 self._upstream_id,
                 reason,
                 reason == "instance",
-                self._lease.end_ms,
+                self._lease_end_at_failure_ms(),
                 self._lease.uncertain_end_ms,
             )
         )
 
+    def _lease_end_at_failure_ms(self) -> float:
+        """Return the time by which all runs end that the silent upstream has confirmed.
+
+        An incarnation that has answered, but has seen no token of its own, may still take an order
+        for an earlier one, which extends the lease of its confirmed runs.
+        """
+        answered_without_report = self._started_ms > 0 and self._lease.reading is None
+        if answered_without_report or self._unseen_token is not None:
+            return max(self._lease.end_ms, self._lease.uncertain_end_ms)
+        return self._lease.end_ms
+
     def _note_incarnation(self, report: UpstreamReport) -> None:
         """Note that the upstream has reported for the first time, or has started again.
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -373,11 +373,13 @@
 
     :param late_poll_s: delay with which the next incarnation carries out the poll that was under
         way at the restart; None for a poll that is lost.
+    :param cut_after_start: no call reaches it after its first start.
     """
 
-    def __init__(self, late_poll_s=None):
+    def __init__(self, late_poll_s=None, cut_after_start=False):
         self.timer = LoopTimer()
         self.late_poll_s = late_poll_s
+        self.cut_after_start = cut_after_start
         self.started_ms = 1
         self.behind_ms = 0.0
         self.lease_end_ms = 0.0
@@ -440,20 +442,22 @@
         self._check_token(epoch)
         self._extend_lease(until_ms)
         self.run_count += 1
+        self.cut = self.cut or self.cut_after_start
         return self._clock_ms()
 
     async def close(self):
         pass
 
 
-async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None):
+async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None, cut_after_start=False):
     """Restart an upstream, and return by how much a run outlasts the lease that the link tells.
 
     :param start_s: time of a start after the restart.
     :param cut_s: time after the restart from which no call reaches the upstream.
     :param late_poll_s: time of the earlier incarnation's last poll after the restart.
+    :param cut_after_start: no call reaches the upstream after the start.
     """
-    upstream, listener = RestartingUpstream(late_poll_s), Listener()
+    upstream, listener = RestartingUpstream(late_poll_s, cut_after_start), Listener()
     link = make_link(upstream, listener, LoopTimer())
     listener.start()
     link.start()
@@ -489,6 +493,15 @@
     assert max(await asyncio.gather(*orders)) <= 5
 
 
+async def test_a_late_poll_behind_a_cut_does_not_extend_the_lease_of_a_start_unnoticed():
+    """Guards against a late poll at an incarnation that has not seen a token of its own."""
+    orders = [
+        outlast_ms(behind_ms, 0.0, 0.2, late_poll_s=1.2, cut_after_start=True)
+        for behind_ms in BEHIND_MS
+    ]
+    assert max(await asyncio.gather(*orders)) <= 5
+
+
 async def test_an_acknowledgement_beside_a_poll_under_way_does_not_reach_the_next_incarnation(
     linked, monkeypatch
 ):
@@ -552,3 +565,98 @@
     await listener.stop()
     assert max(upstream.acknowledged) >= upstream.listed_count * 0.6
     assert len(upstream.acknowledged) <= 60
+
+
+async def test_a_pace_that_is_refused_for_a_later_token_of_the_same_leader_is_repeated(linked):
+    """Guards against a run that keeps an old pace as an order beside another has issued a token."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+
+    async def pace_after_a_later_order(task_name, run, percent, token):
+        upstream.started_ms, upstream.highest_token = 2, 0
+        await asyncio.sleep(0.4)
+        upstream._check_token(token)
+
+    upstream.pace = pace_after_a_later_order
+    link.tell(SetPace("j.0.0.0", 1, 50))
+    await asyncio.sleep(0.8)
+    assert (listener.outcomes, listener.fenced_count) == (["unanswered"], 0)
+
+
+async def test_a_refused_start_does_not_extend_the_lease_of_the_next_incarnation_unnoticed():
+    """Guards against a start that is refused for want of room but renews the lease of all runs."""
+    upstream, listener = RestartingUpstream(cut_after_start=True), Listener()
+    link = make_link(upstream, listener, LoopTimer())
+    listener.start()
+    link.start()
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await upstream.polled.wait()
+    accept = upstream.start
+
+    async def start(order, until_ms, token):
+        await asyncio.sleep(0.01)
+        if order.run == 1:
+            return await accept(order, until_ms, token)
+        # It takes longer under way than the start that was sent together with it.
+        await asyncio.sleep(0.6)
+        upstream._extend_lease(until_ms)
+        raise UpstreamRefusedError("room", step="start")
+
+    upstream.start = start
+    upstream.restart(50_000)
+    for run in (1, 2):
+        link.tell(Start(StartOrder(f"job.0.0.{run}", run, "", "", "")))
+    await asyncio.sleep(2.0)
+    await link.stop()
+    await listener.stop()
+    assert listener.outcomes == ["accepted", "refused"]
+    assert upstream.lease_end_ms - listener.told_lease_end_ms <= 5
+
+
+async def test_an_acknowledgement_for_an_earlier_incarnation_does_not_hide_those_of_the_next(
+    linked,
+):
+    """Guards against ends that are never acknowledged, as the earlier numbers were higher."""
+    link, upstream, _ = linked
+    await asyncio.sleep(0.2)
+    renew_lease = upstream.renew_lease
+
+    async def renew_lease_on_a_slow_link(*, acknowledged, **rest):
+        if acknowledged == 7 and upstream.started_ms == 1:
+            upstream.started_ms = 2
+            link.tell(PollUpstream())
+            await asyncio.sleep(0.1)
+            return UpstreamReport(int(upstream.timer.now_ms()), 2, (), ())
+        return await renew_lease(acknowledged=acknowledged, **rest)
+
+    upstream.renew_lease = renew_lease_on_a_slow_link
+    link.tell(Acknowledge(7, 1))
+    await asyncio.sleep(0.5)
+    link.tell(Acknowledge(3, 2))
+    await asyncio.sleep(0.5)
+    assert 3 in upstream.acknowledged
+
+
+async def test_a_clock_that_is_behind_counts_though_an_order_beside_it_got_no_answer(linked):
+    """Guards against starts by the clock of an earlier incarnation that has ended."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+
+    async def start(order, until_ms, token):
+        if order.run == 1:
+            await asyncio.sleep(0.01)
+            raise UpstreamUnknownError("no answer", step="start")
+        await asyncio.sleep(0.02)
+        return int(upstream.timer.now_ms()) - 50_000
+
+    async def renew_lease(**_):
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise UpstreamUnknownError("no answer", step="hold")
+
+    upstream.start, upstream.renew_lease = start, renew_lease
+    link.tell(Start(StartOrder("job.0.0.1", 1, "", "", "")))
+    link.tell(Start(StartOrder("job.0.0.2", 2, "", "", "")))
+    await asyncio.sleep(0.05)
+    link.tell(Start(StartOrder("job.0.0.3", 3, "", "", "")))
+    await asyncio.sleep(0.05)
+    assert listener.outcomes == ["unanswered", "accepted", "refused"]
