Long-running tasks do not wait for an incarnation that never registered

A run whose start has no answer waits, once the registration of its upstream has expired, for an order in time at an incarnation that was cut off before it could register: the timeout of a call plus the longest lease, 11.2 s where that is 10 s. A task that lasts must be at work again from 6 s after its last run in 3 calm seconds (LOST), and upstreams that are lost for good are far more frequent than such an incarnation.

Change: the wait holds for tasks that end; long-running ones start again once the registration has expired and the leader's own lease has ended, as before. `_mark_all_lost` gets a time instead of a flag.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -539,24 +539,28 @@
         reason: str,
         *,
         assigned: bool = True,
-        uncertain: bool = True,
+        as_of_ms: float = float("inf"),
     ) -> None:
         """Treat all runs at an upstream as lost.
 
         :param assigned: include runs whose start has not been sent.
-        :param uncertain: include runs whose start another incarnation may carry out, which are all
-            runs at an upstream that has not reported in this epoch.
+        :param as_of_ms: leave out the runs that another incarnation may have taken and that may go
+            on after this time. At an upstream that has not reported in this epoch these are all.
         """
+        known = upstream.slot.known
         for key, orphan in list(upstream.orphans.items()):
             stop_unconfirmed = orphan.must_stop and orphan.conclusive_after_ms == float("inf")
-            if not uncertain and (stop_unconfirmed or not upstream.slot.known):
+            long_running = orphan.task is not None and orphan.task.step.spec.long_running
+            goes_on = upstream.uncertain_run_end_ms(long_running) > as_of_ms
+            if goes_on and (stop_unconfirmed or not known):
                 continue
             if stop_unconfirmed:
                 self._reject_late_start(upstream, key)
             self._release_orphan(upstream, key)
         for task in list(upstream.slot.tasks.values()):
             start_uncertain = _start_is_uncertain(task)
-            if not uncertain and (start_uncertain or not upstream.slot.known):
+            goes_on = upstream.uncertain_run_end_ms(task.step.spec.long_running) > as_of_ms
+            if goes_on and (start_uncertain or not known):
                 continue
             if start_uncertain:
                 self._reject_late_start(upstream, (task.name, task.run))
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -150,16 +150,19 @@
         self.lease_end_ms = max(self.lease_end_ms, confirmed_ms)
         self.uncertain_end_ms = max(self.uncertain_end_ms, uncertain_ms)
 
-    def uncertain_runs_ended(self, now_ms: float) -> bool:
-        """Return whether also runs have ended that an unknown incarnation may have taken.
+    def uncertain_run_end_ms(self, long_running: bool) -> float:
+        """Return the time by which a run ends that an unknown incarnation may have taken.
 
         Once the registration has expired without one of a later incarnation, none takes an order
-        late. One that was cut off before it could register may have taken an order in time.
+        late. One that was cut off before it could register may have taken an order in time; only
+        long-running tasks do not wait for that, as they must be at work again within seconds.
         """
-        end_ms = self.uncertain_end_ms
-        if not self.slot.listed and self.slot.entry.started_ms <= self.started_ms:
-            end_ms -= defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
-        return now_ms >= end_ms
+        if self.slot.listed or self.slot.entry.started_ms > self.started_ms:
+            return self.uncertain_end_ms
+        if long_running:
+            return 0.0
+        delay_ms = defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
+        return self.uncertain_end_ms - delay_ms
 
 
 class RunState(Actor):
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -540,8 +540,7 @@
         reason = "its upstream is silent and the lease has expired"
         if upstream.orphans or any(task.state != "assigned" for task in slot.tasks.values()):
             self._log_lease_expired(upstream, now_ms)
-        uncertain = upstream.uncertain_runs_ended(now_ms)
-        self._mark_all_lost(upstream, reason, assigned=False, uncertain=uncertain)
+        self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
         if gone and not slot.tasks and not upstream.orphans:
