--- a/src/tarragoncart/leases.py
+++ b/src/tarragoncart/leases.py
@@ -1,4 +1,9 @@
-"""The leader's estimate of when the runs at an upstream end if their lease is not renewed again."""
+"""The leader's estimate of when the runs at an upstream end if their lease is not renewed again.
+
+A lease ends at a time on the clock of the incarnation for which it was computed. A misdirected
+order is one for an earlier incarnation that a later one takes. Its clock may be behind, so that it
+grants its longest lease.
+"""
 
 from __future__ import annotations
 
@@ -32,21 +37,18 @@
 class LeaseEstimate:
     """The lease of the runs at one upstream, as far as the leader knows.
 
-    A lease ends at a time on the clock of the incarnation for which it was computed. Another
-    incarnation that takes the order, with a clock that is behind, grants its longest lease.
-
     :param lease_ms: duration of the lease that the leader asks for.
     :param longest_ms: longest lease that the upstream grants.
     :param end_ms: time by which all runs end that are known to be at the incarnation that answered
         last.
-    :param uncertain_end_ms: time by which a run ends whose start has no answer, so that a later
+    :param unanswered_end_ms: time by which a run ends whose start has no answer, so that a later
         incarnation may have taken it.
     """
 
     lease_ms: float
     longest_ms: float
     end_ms: float = field(default=0.0, init=False)
-    uncertain_end_ms: float = field(default=0.0, init=False)
+    unanswered_end_ms: float = field(default=0.0, init=False)
     reading: ClockReading | None = field(default=None, init=False)
 
     def renew(self, reading: ClockReading, now_ms: float) -> int:
@@ -62,9 +64,9 @@
         granted_ms = min(max(0, until_ms - clock_ms), self.longest_ms)
         self._extend(now_ms + max_lease_ms(granted_ms))
 
-    def note_misdirected(self, until_ms: float) -> None:
-        """Note that the upstream may have taken orders for another incarnation until a time."""
-        self._extend(until_ms + max_lease_ms(self.longest_ms))
+    def note_misdirected(self, taken_until_ms: float) -> None:
+        """Note that the upstream may have taken misdirected orders until a local time."""
+        self._extend(taken_until_ms + max_lease_ms(self.longest_ms))
 
     def note_inherited(self, birth_ms: float, now_ms: float) -> None:
         """Note the first answer in an epoch; earlier leaders may have renewed the lease.
@@ -78,14 +80,14 @@
         """Note an order without an answer that may have extended a lease."""
         taken_ms = sent_ms + defaults.ORDER_DELAY_MAX_MS
         end_ms = taken_ms + max_lease_ms(self.longest_ms)
-        self.uncertain_end_ms = max(self.uncertain_end_ms, end_ms)
+        self.unanswered_end_ms = max(self.unanswered_end_ms, end_ms)
 
     def _extend(self, end_ms: float) -> None:
         self.end_ms = max(self.end_ms, end_ms)
 
 
 def last_misdirected_ms(birth_ms: float, now_ms: float) -> float:
-    """Return until when an upstream may have taken orders for the incarnation before it.
+    """Return until when an upstream may have taken misdirected orders.
 
     :param birth_ms: local time of its start.
     """
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -29,14 +29,14 @@
 class UpstreamCalls(Protocol):
     """The calls to an upstream that a link uses."""
 
-    async def start(self, order: StartOrder, until_ms: int, epoch: int) -> int: ...
+    async def start(self, order: StartOrder, until_ms: int, token: int) -> int: ...
 
-    async def stop(self, task_name: str, run: int, epoch: int) -> int: ...
+    async def stop(self, task_name: str, run: int, token: int) -> int: ...
 
-    async def pace(self, task_name: str, run: int, percent: int, epoch: int) -> int: ...
+    async def pace(self, task_name: str, run: int, percent: int, token: int) -> int: ...
 
     async def renew_lease(
-        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, epoch: int
+        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, token: int
     ) -> UpstreamReport: ...
 
     async def close(self) -> None: ...
@@ -133,14 +133,14 @@
     :param gone: another upstream answered at its address.
     :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
         renewed again.
-    :param uncertain_end_ms: time by which its other runs end, whose starts have no answer.
+    :param unanswered_end_ms: time by which its other runs end, whose starts have no answer.
     """
 
     upstream_id: str
     reason: str
     gone: bool
     lease_end_ms: float
-    uncertain_end_ms: float = 0.0
+    unanswered_end_ms: float = 0.0
 
 
 @frozen
@@ -149,7 +149,7 @@
 
     :param outcome: ``accepted``, ``refused`` or ``unanswered``.
     :param lease_end_ms: time by which the run ends if it was accepted and its lease is not renewed.
-    :param uncertain_end_ms: time by which it ends if there was no answer.
+    :param unanswered_end_ms: time by which it ends if there was no answer.
     """
 
     upstream_id: str
@@ -158,7 +158,7 @@
     outcome: str
     reason: str = ""
     lease_end_ms: float = 0.0
-    uncertain_end_ms: float = 0.0
+    unanswered_end_ms: float = 0.0
 
 
 @frozen
@@ -185,7 +185,7 @@
 
 @frozen
 class FencedByUpstream:
-    """An upstream has seen a higher epoch."""
+    """An upstream has seen a fencing token of a later leader."""
 
     upstream_id: str
 
@@ -214,7 +214,8 @@
         self._upstream_id = entry.upstream_id
         self._tokens = tokens
         self._token = tokens.issue()
-        # Token that a new incarnation has not seen yet, so that it takes orders for an earlier one.
+        # Token of a new incarnation until a poll with it is answered; before, the incarnation takes
+        # orders for an earlier one.
         self._unseen_token: int | None = None
         self._lease = LeaseEstimate(lease_ms, lease_max_ms)
         self._client = make_client(entry.upstream_id, entry.address)
@@ -344,7 +345,7 @@
                 outcome,
                 reason,
                 self._lease.end_ms,
-                self._lease.uncertain_end_ms,
+                self._lease.unanswered_end_ms,
             )
         )
 
@@ -360,6 +361,9 @@
         reading = self._lease.reading
         if reading is None or expected_started_ms != self._started_ms:
             return
+        if sent_ms - reading.read_ms >= defaults.UPSTREAM_SILENT_MS:
+            # The drift of the clock since then exceeds the tolerance.
+            return
         expected_ms = reading.estimate_ms(sent_ms)
         if expected_ms - clock_ms <= defaults.CLOCK_BEHIND_TOLERANCE_MS:
             return
@@ -513,7 +517,7 @@
         until_ms = self._renewed_lease_end_ms()
         try:
             report = await self._client.renew_lease(
-                until_ms=until_ms, acknowledged=acknowledged, wait_ms=wait_ms, epoch=token
+                until_ms=until_ms, acknowledged=acknowledged, wait_ms=wait_ms, token=token
             )
         except TarragoncartError as error:
             reason = getattr(error, "reason", "") or str(error)
@@ -548,8 +552,9 @@
     def _due_acknowledgement(self) -> int:
         """Return the number of the last end to acknowledge with the next poll, 0 for none.
 
-        It is sent once, and only to the incarnation that answered just before: a new one numbers
-        its ends from 1 and would drop ends that the leader has not received.
+        It is sent until a poll with it is answered, and only to the incarnation that answered just
+        before: a new one numbers its ends from 1 and would drop ends that the leader has not
+        received.
         """
         reading = self._recent_reading()
         if reading is None or self._stored_end_number <= self._acknowledged_end_number:
@@ -566,7 +571,7 @@
                 reason,
                 reason == "instance",
                 self._lease_end_at_failure_ms(),
-                self._lease.uncertain_end_ms,
+                self._lease.unanswered_end_ms,
             )
         )
 
@@ -578,7 +583,7 @@
         """
         answered_without_report = self._started_ms > 0 and self._lease.reading is None
         if answered_without_report or self._unseen_token is not None:
-            return max(self._lease.end_ms, self._lease.uncertain_end_ms)
+            return max(self._lease.end_ms, self._lease.unanswered_end_ms)
         return self._lease.end_ms
 
     def _note_incarnation(self, report: UpstreamReport) -> None:
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -82,7 +82,7 @@
             await self._session.close()
             self._session = None
 
-    async def start(self, order: StartOrder, until_ms: int, epoch: int) -> int:
+    async def start(self, order: StartOrder, until_ms: int, token: int) -> int:
         """Start a run and return the upstream's clock in ms.
 
         :param until_ms: end of the lease by the upstream's clock.
@@ -94,7 +94,7 @@
             "run": order.run,
             "spec": order.text,
             "until-ms": until_ms,
-            "fencing-token": epoch,
+            "fencing-token": token,
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
@@ -102,21 +102,21 @@
             body["ticket"] = order.ticket
         return await self._call("start", "/run-start", body, decode_clock_ms)
 
-    async def stop(self, task_name: str, run: int, epoch: int) -> int:
+    async def stop(self, task_name: str, run: int, token: int) -> int:
         """Stop a run and return the upstream's clock in ms.
 
         Also stops a run whose start reaches the upstream only later.
         """
-        body = {"task": task_name, "run": run, "fencing-token": epoch}
+        body = {"task": task_name, "run": run, "fencing-token": token}
         return await self._call("stop", "/run-stop", body, decode_clock_ms)
 
-    async def pace(self, task_name: str, run: int, percent: int, epoch: int) -> int:
+    async def pace(self, task_name: str, run: int, percent: int, token: int) -> int:
         """Limit a run to a percentage of its speed and return the upstream's clock in ms."""
-        body = {"task": task_name, "run": run, "percent": percent, "fencing-token": epoch}
+        body = {"task": task_name, "run": run, "percent": percent, "fencing-token": token}
         return await self._call("pace", "/pace", body, decode_clock_ms)
 
     async def renew_lease(
-        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, epoch: int
+        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, token: int
     ) -> UpstreamReport:
         """Renew the lease of all runs, acknowledge ended runs, list live and newly ended runs.
 
@@ -124,7 +124,7 @@
         :param acknowledged: number up to which ended runs are acknowledged, 0 for none.
         :param wait_ms: how long the upstream may wait for a run to end before it answers.
         """
-        body: dict[str, Any] = {"fencing-token": epoch, "ack-cursor": acknowledged}
+        body: dict[str, Any] = {"fencing-token": token, "ack-cursor": acknowledged}
         if until_ms is not None:
             body["until-ms"] = until_ms
         if wait_ms:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -520,7 +520,7 @@
                 },
             )
         self._assume_tasks_away(slot)
-        upstream.note_lease_end(message.lease_end_ms, message.uncertain_end_ms)
+        upstream.note_lease_end(message.lease_end_ms, message.unanswered_end_ms)
         if message.gone:
             self._remove_upstream(upstream, "another incarnation answered at its address")
 
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -116,7 +116,7 @@
     :param last_ended_number: number of the last ended run that has been processed.
     :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
         renewed again.
-    :param uncertain_end_ms: time by which its other runs end, whose starts have no answer: an
+    :param unanswered_end_ms: time by which its other runs end, whose starts have no answer: an
         incarnation that is not known yet may have taken them.
     :param reported_ms: time of its last report.
     :param first_reported_ms: time of its first report in this epoch, infinite before. From then on
@@ -133,7 +133,7 @@
     slot: UpstreamSlot
     link: Link | None
     lease_end_ms: float = 0.0
-    uncertain_end_ms: float = 0.0
+    unanswered_end_ms: float = 0.0
     started_ms: int = 0
     last_ended_number: int = 0
     reported_ms: float = 0.0
@@ -145,10 +145,10 @@
     order_pending: bool = False
     orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
 
-    def note_lease_end(self, confirmed_ms: float, uncertain_ms: float = 0.0) -> None:
+    def note_lease_end(self, confirmed_ms: float, unanswered_ms: float = 0.0) -> None:
         """Extend the times by which its runs end."""
         self.lease_end_ms = max(self.lease_end_ms, confirmed_ms)
-        self.uncertain_end_ms = max(self.uncertain_end_ms, uncertain_ms)
+        self.unanswered_end_ms = max(self.unanswered_end_ms, unanswered_ms)
 
     def uncertain_run_end_ms(self, long_running: bool) -> float:
         """Return the time by which a run ends that an unknown incarnation may have taken.
@@ -158,11 +158,11 @@
         long-running tasks do not wait for that, as they must be at work again within seconds.
         """
         if self.slot.listed or self.slot.entry.started_ms > self.started_ms:
-            return self.uncertain_end_ms
+            return self.unanswered_end_ms
         if long_running:
             return 0.0
         delay_ms = defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
-        return self.uncertain_end_ms - delay_ms
+        return self.unanswered_end_ms - delay_ms
 
 
 class RunState(Actor):
@@ -641,7 +641,7 @@
         metrics.STARTS.add(1, metrics.labels(outcome=message.outcome))
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is not None:
-            upstream.note_lease_end(message.lease_end_ms, message.uncertain_end_ms)
+            upstream.note_lease_end(message.lease_end_ms, message.unanswered_end_ms)
         task = self._find_task(message.task_name)
         if task is None or task.run != message.run or not task.placed:
             return
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -556,7 +556,7 @@
                 "run_count": len(upstream.slot.tasks),
                 "orphan_count": len(upstream.orphans),
                 "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
-                "uncertain_left_ms": round(upstream.uncertain_end_ms - now_ms),
+                "unanswered_left_ms": round(upstream.unanswered_end_ms - now_ms),
                 "report_age_ms": round(now_ms - upstream.reported_ms),
                 "first_report_age_ms": (
                     round(now_ms - upstream.first_reported_ms) if upstream.reported_ms else None
