--- a/src/standins/vacating.py
+++ b/src/standins/vacating.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from tarragoncart.link import ExtendPermission
 from tarragoncart.loads import Loads
 from tarragoncart.mailbox import Actor, receives
+from tarragoncart.runorders import ExtendPermission
 from tarragoncart.vmorders import UpstreamVacated, VacateUpstream
 
 
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -14,18 +14,18 @@
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
 from .leases import last_misdirected_ms, max_lease_ms
-from .link import (
+from .link import Link
+from .mailbox import receives
+from .progress import mostly_slow
+from .runorders import (
     Acknowledge,
     ExtendPermission,
-    Link,
     PaceOutcome,
     PollFailed,
     RejectLateStart,
     ReportReceived,
     SetPace,
 )
-from .mailbox import receives
-from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
 from .runstate import KnownUpstream, OrphanRun, RunState, VacatingRequest, needs_jobs
 from .storage import Entry
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -19,19 +19,11 @@
 from .intake import IntakeReader
 from .jobmodel import TASK_CHART, EndedJob, Job, StepOccurrence, Task
 from .leases import max_lease_ms
-from .link import (
-    Acknowledge,
-    ClientFactory,
-    Link,
-    PollUpstream,
-    Start,
-    StartOutcome,
-    Stop,
-    StopConfirmed,
-)
+from .link import ClientFactory, Link
 from .loads import OfferedLoad, SubmissionShares
 from .mailbox import Actor, Handler, implements_action, receives
 from .progress import ProgressTracker
+from .runorders import Acknowledge, PollUpstream, Start, StartOutcome, Stop, StopConfirmed
 from .runs import StartOrder
 from .timer import Timer
 from .writer import Writer
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -19,12 +19,9 @@
 from .intake import IntakeRead
 from .jobmodel import Job, StepOccurrence
 from .leadership import Fenced, LeadershipConfirmed, ReachMeasured
-from .link import (
-    ExtendPermission,
-    FencedByUpstream,
-)
 from .loads import Loads
 from .mailbox import new_reply, receives, resolve
+from .runorders import ExtendPermission, FencedByUpstream
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
 from .takeover import TakeOver, isolated_record
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -17,10 +17,10 @@
 from .intake import IntakeRead
 from .jobmodel import EndedJob, Job
 from .leadership import Fenced
-from .link import ExtendPermission, PollFailed, ReportReceived
 from .mailbox import new_reply, receives
 from .restoration import Cancellation, MalformedRecord, Restored, UnknownKey, restore
 from .retention import Retention
+from .runorders import ExtendPermission, PollFailed, ReportReceived
 from .storage import Entry
 from .vmorders import FLEET_KEY_PREFIX
 from .writer import STORED, Write
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -11,11 +11,11 @@
 from . import defaults
 from .errors import FleetRefusedError, FleetUnknownError
 from .graph import PoolRule, VmEntry, WaveRequest
-from .link import ExtendPermission
 from .loads import Loads
 from .mailbox import Actor, new_reply, receives, resolve
 from .orders import ORDERS_KEY, UNSETTLED_KEY, RecentOrders, VmOrder
 from .pools import MovePlan
+from .runorders import ExtendPermission
 from .timer import Timer
 from .upkeep import VmUpkeep, Wave
 from .writer import FENCED, Write
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -11,11 +11,12 @@
 from tarragoncart.errors import UpstreamRefusedError, UpstreamUnknownError, UpstreamUnreachableError
 from tarragoncart.fencing import FencingTokens
 from tarragoncart.graph import Demand, UpstreamEntry
-from tarragoncart.link import (
+from tarragoncart.link import Link
+from tarragoncart.mailbox import Actor, receives
+from tarragoncart.runorders import (
     Acknowledge,
     ExtendPermission,
     FencedByUpstream,
-    Link,
     PaceOutcome,
     PollFailed,
     PollUpstream,
@@ -26,7 +27,6 @@
     Stop,
     StopConfirmed,
 )
-from tarragoncart.mailbox import Actor, receives
 from tarragoncart.runs import EndedRun, StartOrder, UpstreamReport
 from tarragoncart.timer import LoopTimer
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -13,8 +13,8 @@
 from tarragoncart import assignment, defaults, jobmodel, reports
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
-from tarragoncart.link import Acknowledge
 from tarragoncart.reports import Reports
+from tarragoncart.runorders import Acknowledge
 from tarragoncart.runstate import RunState
 from tarragoncart.stops import PlannedStops
 from tarragoncart.vms import Fleet
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,8 +20,8 @@
 from tarragoncart.fencing import epoch_of
 from tarragoncart.intake import partitions_of
 from tarragoncart.leadership import Leader
-from tarragoncart.link import ReportReceived
 from tarragoncart.platform import store as platform_store
+from tarragoncart.runorders import ReportReceived
 from tarragoncart.runs import LiveRun, UpstreamReport
 from tarragoncart.vmorders import UpstreamEnded, VacateUpstream
 
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -14,12 +14,12 @@
 from tarragoncart.defaults import VACATED_MAX_AGE_MS
 from tarragoncart.errors import FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
-from tarragoncart.link import ExtendPermission
 from tarragoncart.loads import Loads, UpstreamLoad
 from tarragoncart.mailbox import Actor, receives, resolve
 from tarragoncart.orders import ORDERS_KEY, UNSETTLED_KEY, RecentOrders, VmOrder
 from tarragoncart.platform.vms import VmClient
 from tarragoncart.pools import MovePlan
+from tarragoncart.runorders import ExtendPermission
 from tarragoncart.timer import LoopTimer
 from tarragoncart.upkeep import VmUpkeep, Wave, next_vms
 from tarragoncart.vmorders import (
