--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -540,14 +540,15 @@
         *,
         assigned: bool = True,
         as_of_ms: float = float("inf"),
-    ) -> None:
-        """Treat all runs at an upstream as lost.
+    ) -> int:
+        """Treat all runs at an upstream as lost; return how many were.
 
         :param assigned: include runs whose start has not been sent.
         :param as_of_ms: leave out the runs that another incarnation may have taken and that may go
             on after this time. At an upstream that has not reported in this epoch these are all.
         """
         known = upstream.slot.known
+        lost_count = 0
         for key, orphan in list(upstream.orphans.items()):
             stop_unconfirmed = orphan.must_stop and orphan.conclusive_after_ms == float("inf")
             long_running = orphan.task is not None and orphan.task.step.spec.long_running
@@ -557,6 +558,7 @@
             if stop_unconfirmed:
                 self._reject_late_start(upstream, key)
             self._release_orphan(upstream, key)
+            lost_count += 1
         for task in list(upstream.slot.tasks.values()):
             start_uncertain = _start_is_uncertain(task)
             goes_on = upstream.uncertain_run_end_ms(task.step.spec.long_running) > as_of_ms
@@ -567,6 +569,8 @@
             # The loss of one task of a gang withdraws the others that are assigned here as well.
             if task.placed and (assigned or task.state != "assigned"):
                 self._mark_lost(task, reason)
+                lost_count += 1
+        return lost_count
 
     def _reject_late_start(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
         """Have a start rejected that a silent upstream may still carry out.
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -535,9 +535,8 @@
             self._allow_copies(upstream, now_ms)
             return
         reason = "its upstream is silent and the lease has expired"
-        if upstream.orphans or any(task.state != "assigned" for task in slot.tasks.values()):
+        if self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms):
             self._log_lease_expired(upstream, now_ms)
-        self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
         if gone and not slot.tasks and not upstream.orphans:
