--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -103,6 +103,12 @@
         """Name of the task in calls to upstreams."""
         return f"{self.step.name}.{self.index}"
 
+    @property
+    def has_left_traces(self) -> bool:
+        """Whether its state shows that a run of it has started."""
+        history = self.history
+        return self.state in FINAL or bool(history.failed_runs or history.checkpoint)
+
     @property
     def placed(self) -> bool:
         """Whether it has a current run, at an upstream or assigned to one."""
@@ -170,6 +176,11 @@
         """Whether all its tasks are done."""
         return self.done_count == len(self.tasks) and not self.spec.long_running
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether runs of its tasks may still be active."""
+        return any(task.placed or task.copies for task in self.tasks)
+
     @property
     def ready(self) -> bool:
         """Whether the steps that it depends on are done."""
@@ -214,6 +225,7 @@
     :param beyond_share: its account had used up its share of submissions when the job arrived.
     :param steps: occurrences of steps, by number of the occurrence and number of the step.
     :param released_count: occurrences whose steps have been created.
+    :param start_uncertain: it was restored, and nothing shows yet that a run of it has started.
     :param unreadable: some of its stored state cannot be decoded. Tasks without a known state may
         have run, so none is started until the job is cancelled.
     """
@@ -228,6 +240,7 @@
     beyond_share: bool = False
     steps: dict[tuple[int, int], StepOccurrence] = field(factory=dict)
     released_count: int = 0
+    start_uncertain: bool = False
     unreadable: bool = False
 
     @property
@@ -245,6 +258,22 @@
         """Whether the job has ended, so that none of its tasks may run."""
         return self.phase in ENDED
 
+    @property
+    def pending(self) -> bool:
+        """Whether no task is known to have started."""
+        return self.phase == QUEUED or (self.start_uncertain and not self.ended)
+
+    def note_start(self) -> None:
+        """Note that a run of a task has started."""
+        self.start_uncertain = False
+        if self.phase == QUEUED:
+            self.phase = RUNNING
+
+    @property
+    def has_runs(self) -> bool:
+        """Whether runs of its tasks may still be active."""
+        return any(step.has_runs for step in self.steps.values())
+
     @property
     def occurrence_count(self) -> int:
         """Number of times that its steps run."""
@@ -299,7 +328,7 @@
 
 @define(eq=False)
 class EndedJob:
-    """A job that has ended under an earlier leader; its submission is not needed any more.
+    """A job that has ended under an earlier leader and has no runs; its submission is not needed.
 
     :param ended_ms: Unix time of its end.
     :param parts: partitions that hold records of the job.
@@ -312,6 +341,7 @@
     cancelled: ClassVar[bool] = False
     ended: ClassVar[bool] = True
     stored: ClassVar[bool] = True
+    has_runs: ClassVar[bool] = False
     steps: ClassVar[Mapping[tuple[int, int], StepOccurrence]] = {}
 
 
@@ -326,7 +356,10 @@
 
 # Records of the state topic: key ``ID`` holds the phase of an ended job. Key ``ID.K.S`` (job,
 # occurrence, step) holds rows of [index, state, run, upstream, failed runs, checkpoint], one for
-# each task that has had a run; empty values at the end of a row are left out.
+# each task that has had a run; empty values at the end of a row are left out. After the end of a
+# job it is kept until the runs of the step are gone, as these count against the account's limit.
+# Of the rows of one task the last one holds its state, and each earlier one another run of it that
+# may still be active; a version that does not know of such rows reads the last one only.
 _STATE_CODES = {"done": "d", "exhausted": "x"}
 _PLACED_CODE = "p"
 _WAITING_CODE = "w"
@@ -342,7 +375,8 @@
     """Encode the state of a step's tasks."""
     rows: list[list[Any]] = []
     for task in step.tasks:
-        if not task.run and task.state == TASK_CHART.initial:
+        rows += [[task.index, _PLACED_CODE, run, at] for run, at in sorted(task.copies.items())]
+        if not task.run and task.state == TASK_CHART.initial and not task.copies:
             continue
         placed = task.state in PLACED
         code = _PLACED_CODE if placed else _STATE_CODES.get(task.state, _WAITING_CODE)
@@ -391,8 +425,13 @@
 
     The first report of their upstream then shows whether their runs still exist.
     """
-    for row in _decode_rows(value, len(step.tasks)):
+    rows = _decode_rows(value, len(step.tasks))
+    last_rows = {row.index: row for row in rows}
+    for row in rows:
         task = step.tasks[row.index]
+        if row is not last_rows[row.index]:
+            task.copies[row.run] = row.upstream_id
+            continue
         task.state = row.state
         task.run = row.run
         task.upstream_id = row.upstream_id
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -7,11 +7,13 @@
 
 from attrs import frozen
 
-from . import defaults, jobmodel, metrics, pacing
+from . import defaults, metrics, pacing
 from .assignment import UpstreamSlot, choose_slot, home_first
 from .errors import DecodeError
+from .fencing import FencingTokens
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
+from .leases import last_misdirected_ms, max_lease_ms
 from .link import (
     Acknowledge,
     ExtendPermission,
@@ -21,12 +23,11 @@
     RejectLateStart,
     ReportReceived,
     SetPace,
-    max_lease_ms,
 )
 from .mailbox import receives
 from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
-from .runstate import KnownUpstream, RunState, VacatingRequest, needs_jobs
+from .runstate import KnownUpstream, OrphanRun, RunState, VacatingRequest, needs_jobs
 from .storage import Entry
 
 logger = logging.getLogger(__name__)
@@ -47,20 +48,42 @@
 
     def _restore_placed_task(self, task: Task) -> None:
         """Assign a run of an earlier epoch to its upstream and count its capacity."""
-        upstream = self._upstreams.get(task.upstream_id)
-        if upstream is None:
-            entry = UpstreamEntry(task.upstream_id, task.step.job.pool, "", "", False, Demand())
-            upstream = KnownUpstream(
-                UpstreamSlot(entry, Demand()), None, self._inherited_lease_end_ms()
-            )
-            upstream.slot.answering = False
-            self._upstreams[task.upstream_id] = upstream
+        upstream = self._find_inherited_upstream(task.upstream_id, task.step.job.pool)
         task.pace = None
         self._occupy_capacity(task, upstream.slot)
 
-    def _inherited_lease_end_ms(self) -> float:
-        """Return the time by which all leases that earlier leaders may have granted expire."""
-        return self._fenced_ms + defaults.LEADERSHIP_VALID_MS + max_lease_ms(self._lease_ms)
+    def _restore_copies(self, task: Task) -> None:
+        """Count the other runs of a task, from an earlier epoch, until they are gone."""
+        for run, upstream_id in task.copies.items():
+            upstream = self._find_inherited_upstream(upstream_id, task.step.job.pool)
+            upstream.orphans[task.name, run] = OrphanRun(task, self._timer.now_ms())
+            upstream.slot.occupy(task)
+            self._add_usage(task)
+
+    def _find_inherited_upstream(self, upstream_id: str, pool: str) -> KnownUpstream:
+        """Return an upstream with runs of an earlier epoch, which may not be registered."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            entry = UpstreamEntry(upstream_id, pool, "", "", False, Demand())
+            upstream = KnownUpstream(UpstreamSlot(entry, Demand()), None)
+            self._note_inherited_lease(upstream)
+            upstream.slot.answering = False
+            self._upstreams[upstream_id] = upstream
+        return upstream
+
+    def _note_inherited_lease(self, upstream: KnownUpstream) -> None:
+        """Count the leases that earlier leaders may have been granted.
+
+        An upstream that has started again may have granted its longest lease, also late.
+        """
+        entry = upstream.slot.entry
+        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
+        birth_ms = self._timer.now_ms() - (self._timer.wall_ms() - entry.started_ms)
+        misdirected_ms = last_misdirected_ms(birth_ms, last_order_ms + defaults.ORDER_DELAY_MAX_MS)
+        upstream.note_lease_end(
+            last_order_ms + max_lease_ms(self._lease_ms),
+            misdirected_ms + max_lease_ms(self._lease_max_ms),
+        )
 
     def _process_registrations(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
@@ -101,15 +124,17 @@
                 },
             )
         slot.free = slot.free.plus(entry.capacity).plus(slot.entry.capacity, -1)
+        restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
+        if restarted and not slot.known:
+            self._note_inherited_lease(upstream)
         slot.listed = True
 
     def _connect(self, entry: UpstreamEntry, known: KnownUpstream | None) -> None:
         slot = UpstreamSlot(entry, entry.capacity)
-        link = Link(entry, self._epoch, self._lease_ms, self._make_client, self, self._timer)
-        upstream = KnownUpstream(
-            slot, link, self._inherited_lease_end_ms(), inherited=not self._registrations_read
-        )
+        link = self._make_link(entry)
+        upstream = KnownUpstream(slot, link, inherited=not self._registrations_read)
+        self._note_inherited_lease(upstream)
         self._upstreams[entry.upstream_id] = upstream
         if known is not None:
             for task in known.slot.tasks.values():
@@ -126,6 +151,18 @@
             self.tell(_StartLinks())
         self._unstarted.append(upstream)
 
+    def _make_link(self, entry: UpstreamEntry) -> Link:
+        tokens = self._fencing_tokens.setdefault(entry.upstream_id, FencingTokens(self._epoch))
+        return Link(
+            entry,
+            tokens,
+            self._lease_ms,
+            self._lease_max_ms,
+            self._make_client,
+            self,
+            self._timer,
+        )
+
     def _resume_vacating(self, upstream: KnownUpstream) -> None:
         """Go on vacating an upstream that was registered again, so that it gets no tasks."""
         now_ms = self._timer.now_ms()
@@ -197,7 +234,7 @@
         upstream.started_ms = report.started_ms or upstream.started_ms
         if slot.known:
             # A start that was sent since this poll may have extended the lease.
-            upstream.lease_end_ms = max(upstream.lease_end_ms, message.lease_end_ms)
+            upstream.note_lease_end(message.lease_end_ms)
         else:
             upstream.lease_end_ms = message.lease_end_ms
         upstream.reported_ms = self._timer.now_ms()
@@ -350,8 +387,7 @@
             task.must_list_after_ms = max(task.must_list_after_ms, self._timer.now_ms())
             self._apply_event(task, "listed")
             job = task.step.job
-            if job.phase == jobmodel.QUEUED:
-                job.phase = jobmodel.RUNNING
+            job.note_start()
             if job.ended or (task.step.spec.gang and task.step.has_left(task.run)):
                 self._stop_task(task)
 
@@ -382,6 +418,7 @@
         if task is None or task.run != ended.run or task.upstream_id != upstream_id:
             self._process_ended_orphan(upstream, task, ended)
             return
+        task.step.job.note_start()
         if ended.checkpoint:
             task.history.checkpoint = ended.checkpoint
         if ended.outcome in ("done", "failed"):
@@ -433,6 +470,9 @@
         for task in list(upstream.slot.tasks.values()):
             if (task.name, task.run) in listed or task.state in ("assigned", "starting"):
                 continue
+            if not task.placed:
+                # The loss of another task has ended its job, which has withdrawn it.
+                continue
             if requested_ms <= task.must_list_after_ms:
                 continue
             if task.state == "unsure":
@@ -464,7 +504,7 @@
                 },
             )
         self._assume_tasks_away(slot)
-        upstream.lease_end_ms = max(upstream.lease_end_ms, message.lease_end_ms)
+        upstream.note_lease_end(message.lease_end_ms, message.uncertain_end_ms)
         if message.gone:
             self._remove_upstream(upstream, "another incarnation answered at its address")
 
@@ -477,19 +517,32 @@
         for task in slot.tasks.values():
             task.percent = 0
 
-    def _mark_all_lost(self, upstream: KnownUpstream, reason: str, assigned: bool = True) -> None:
+    def _mark_all_lost(
+        self,
+        upstream: KnownUpstream,
+        reason: str,
+        *,
+        assigned: bool = True,
+        uncertain: bool = True,
+    ) -> None:
         """Treat all runs at an upstream as lost.
 
         :param assigned: include runs whose start has not been sent.
+        :param uncertain: include runs whose start another incarnation may carry out, which are all
+            runs at an upstream that has not reported in this epoch.
         """
         for key, orphan in list(upstream.orphans.items()):
-            if orphan.must_stop and orphan.conclusive_after_ms == float("inf"):
+            stop_unconfirmed = orphan.must_stop and orphan.conclusive_after_ms == float("inf")
+            if not uncertain and (stop_unconfirmed or not upstream.slot.known):
+                continue
+            if stop_unconfirmed:
                 self._reject_late_start(upstream, key)
             self._release_orphan(upstream, key)
         for task in list(upstream.slot.tasks.values()):
-            stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
-            uncertain = stop_unconfirmed or task.state in ("starting", "unsure")
-            if uncertain:
+            start_uncertain = _start_is_uncertain(task)
+            if not uncertain and (start_uncertain or not upstream.slot.known):
+                continue
+            if start_uncertain:
                 self._reject_late_start(upstream, (task.name, task.run))
             # The loss of one task of a gang withdraws the others that are assigned here as well.
             if task.placed and (assigned or task.state != "assigned"):
@@ -512,3 +565,9 @@
         if upstream.link is not None:
             self.spawn(upstream.link.stop())
         logger.info("upstream removed", extra={"upstream": upstream_id, "reason": reason})
+
+
+def _start_is_uncertain(task: Task) -> bool:
+    """Return whether the start of a task's run may still be carried out, or may have been."""
+    stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
+    return stop_unconfirmed or task.state in ("starting", "unsure")
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -13,10 +13,12 @@
 from . import defaults, jobmodel, metrics, pacing
 from .assignment import UpstreamSlot, Usage
 from .decoding import MalformedLog
+from .fencing import FencingTokens
 from .follower import Follower, open_bulk_reads
 from .graph import Rules, UpstreamEntry
 from .intake import IntakeReader
 from .jobmodel import TASK_CHART, EndedJob, Job, StepOccurrence, Task
+from .leases import max_lease_ms
 from .link import (
     Acknowledge,
     ClientFactory,
@@ -26,7 +28,6 @@
     StartOutcome,
     Stop,
     StopConfirmed,
-    max_lease_ms,
 )
 from .loads import OfferedLoad, SubmissionShares
 from .mailbox import Actor, Handler, implements_action, receives
@@ -56,11 +57,13 @@
     :param starts: runs to start, as tasks with the number of the run.
     :param acknowledgements: by upstream, acknowledgement of the last ended run that it has listed.
     :param ended_jobs: jobs whose end becomes visible.
+    :param cleared_jobs: jobs whose end is stored and whose last run is gone.
     """
 
     starts: list[tuple[Task, int]] = field(factory=list)
     acknowledgements: dict[str, Acknowledge] = field(factory=dict)
     ended_jobs: list[Job] = field(factory=list)
+    cleared_jobs: list[Job] = field(factory=list)
 
 
 @define
@@ -111,7 +114,10 @@
     :param link: None if the upstream is only known from runs of an earlier epoch.
     :param started_ms: Unix time at which the incarnation that answered last was started.
     :param last_ended_number: number of the last ended run that has been processed.
-    :param lease_end_ms: time by which all its runs end if its lease is not renewed again.
+    :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
+        renewed again.
+    :param uncertain_end_ms: time by which its other runs end, whose starts have no answer: an
+        incarnation that is not known yet may have taken them.
     :param reported_ms: time of its last report.
     :param first_reported_ms: time of its first report in this epoch, infinite before. From then on
         it refuses the orders of earlier leaders.
@@ -126,7 +132,8 @@
 
     slot: UpstreamSlot
     link: Link | None
-    lease_end_ms: float
+    lease_end_ms: float = 0.0
+    uncertain_end_ms: float = 0.0
     started_ms: int = 0
     last_ended_number: int = 0
     reported_ms: float = 0.0
@@ -138,6 +145,20 @@
     order_pending: bool = False
     orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
 
+    def note_lease_end(self, confirmed_ms: float, uncertain_ms: float = 0.0) -> None:
+        """Extend the times by which its runs end."""
+        self.lease_end_ms = max(self.lease_end_ms, confirmed_ms)
+        self.uncertain_end_ms = max(self.uncertain_end_ms, uncertain_ms)
+
+    def uncertain_runs_ended(self, now_ms: float) -> bool:
+        """Return whether also runs have ended that an unknown incarnation may have taken.
+
+        Once the registration has expired without one of a later incarnation, there is none.
+        """
+        if not self.slot.listed and self.slot.entry.started_ms <= self.started_ms:
+            return True
+        return now_ms >= self.uncertain_end_ms
+
 
 class RunState(Actor):
     """Owns the jobs, their runs and the capacity that the runs occupy.
@@ -145,6 +166,7 @@
     :param decode_upstream: decodes an upstream's registration; raises DecodeError.
     :param election: notified when a higher epoch is seen.
     :param lease_ms: duration of the lease of an upstream's runs.
+    :param lease_max_ms: longest lease that an upstream grants.
     :param stop_ms: how long an upstream may take to stop a run.
     :param retention_ms: how long an ended job can be looked up.
     :param link_mbps: capacity of this entry VM's link.
@@ -163,6 +185,7 @@
         timer: Timer,
         *,
         lease_ms: int,
+        lease_max_ms: int,
         stop_ms: int,
         retention_ms: int,
         intake_part_count: int,
@@ -180,6 +203,7 @@
         self._decode_upstream = decode_upstream
         self._timer = timer
         self._lease_ms = lease_ms
+        self._lease_max_ms = lease_max_ms
         self._stop_ms = stop_ms
         self._retention_ms = retention_ms
         self._bulk_reads = open_bulk_reads(link_mbps)
@@ -242,6 +266,8 @@
         # By upstream, start time of the incarnation that has ended: its registration stays in the
         # store for some time and must be ignored.
         self._ended_incarnations: dict[str, int] = {}
+        # By upstream; outlasts the link of an upstream that is registered again.
+        self._fencing_tokens: dict[str, FencingTokens] = {}
         # By upstream, runs that were given up though their starts may still be carried out there.
         self._late_starts: dict[str, set[tuple[str, int]]] = {}
         self._leader_since_ms = timer.now_ms()
@@ -269,9 +295,13 @@
     # Jobs.
 
     def _add_part(self, job: Job | EndedJob, part: int) -> None:
-        """Note that a partition holds a record of a job."""
+        """Note that a partition holds a record of a job.
+
+        It is not needed any more once the job has ended and no run of it is left; a new leader
+        takes the demand of the runs from it.
+        """
         job.parts.add(part)
-        if job.ended and job.stored:
+        if job.ended and job.stored and not job.has_runs:
             self._deletable.setdefault(part, {})[job.job_id] = None
 
     def _admit(self, job: Job) -> None:
@@ -394,17 +424,22 @@
             upstream.slot.long_running_count -= task.step.spec.long_running
         task.percent = 0
         self._dirty_steps[task.step] = None
-        if task.step.spec.gang and task.state == "waiting":
-            self._stop_rest_of_gang(task)
         self._requeue_step(task)
 
-    def _stop_rest_of_gang(self, task: Task) -> None:
+    @implements_action("stop_gang")
+    def _stop_rest_of_gang(self, task: Task, **details: Any) -> None:
         """Stop the other tasks of a run of a gang that one of them has left.
 
         Those that were at work end anyway; those still waiting for the others would do so in vain.
         """
+        if not task.step.spec.gang:
+            return
         for other in task.step.tasks:
-            if other.run == task.run:
+            if other.run != task.run:
+                continue
+            if other.state == "assigned":
+                self._apply_event(other, "gang_left")
+            else:
                 self._stop_task(other)
 
     @implements_action("detach")
@@ -439,6 +474,7 @@
         orphan.task.copies.pop(key[1], None)
         upstream.slot.occupy(orphan.task, -1)
         self._add_usage(orphan.task, -1)
+        self._dirty_steps[orphan.task.step] = None
         self._requeue_step(orphan.task)
 
     def _add_orphan(self, upstream: KnownUpstream, key: tuple[str, int]) -> OrphanRun:
@@ -449,6 +485,7 @@
             task.copies[key[1]] = upstream.slot.entry.upstream_id
             upstream.slot.occupy(task)
             self._add_usage(task)
+            self._dirty_steps[task.step] = None
         else:
             upstream.slot.unknown_run_count += 1
         return orphan
@@ -519,7 +556,7 @@
                 f"task {task.name} failed {len(task.history.failed_runs)} times",
             )
             return
-        if not task.exhausted:
+        if task.startable:
             self._queue_if_ready(task.step)
         self._request_pass()
 
@@ -534,8 +571,6 @@
             self._requeue_step(task)
             return
         step.done_count += 1
-        if step.spec.gang:
-            self._finish_rest_of_gang(task)
         if job.ended or not step.done:
             return
         for other in job.steps.values():
@@ -543,14 +578,18 @@
                 self._queue_if_ready(other)
         self._complete_job_if_done(job)
 
-    def _finish_rest_of_gang(self, task: Task) -> None:
+    @implements_action("finish_gang")
+    def _finish_rest_of_gang(self, task: Task, **details: Any) -> None:
         """Finish the other tasks of a gang, which ends as a whole.
 
         Their own ends may never be listed, as an upstream that is lost takes them along.
         """
+        spec = task.step.spec
+        if not spec.gang or spec.long_running:
+            return
         for other in task.step.tasks:
-            if other.run == task.run and TASK_CHART.accepts(other.state, "done"):
-                self._apply_event(other, "done")
+            if other.run == task.run and TASK_CHART.accepts(other.state, "gang_done"):
+                self._apply_event(other, "gang_done")
 
     @implements_action("count_failure")
     def _count_failure(self, task: Task, **details: Any) -> None:
@@ -574,8 +613,7 @@
             task.step.tickets.get(task.upstream_id, ""),
         )
         if upstream.link is not None:
-            lease_end_ms = self._timer.now_ms() + max_lease_ms(self._lease_ms)
-            upstream.lease_end_ms = max(upstream.lease_end_ms, lease_end_ms)
+            upstream.note_lease_end(self._timer.now_ms() + max_lease_ms(self._lease_ms))
             upstream.link.tell(Start(order))
 
     @implements_action("send_stop")
@@ -596,6 +634,9 @@
     def on_start_outcome(self, message: StartOutcome) -> None:
         """Process the outcome of a start."""
         metrics.STARTS.add(1, metrics.labels(outcome=message.outcome))
+        upstream = self._upstreams.get(message.upstream_id)
+        if upstream is not None:
+            upstream.note_lease_end(message.lease_end_ms, message.uncertain_end_ms)
         task = self._find_task(message.task_name)
         if task is None or task.run != message.run or not task.placed:
             return
@@ -604,8 +645,7 @@
             task.must_list_after_ms = self._timer.now_ms()
             if task.state in ("starting", "running", "stopping"):
                 self._apply_event(task, "accepted")
-            if job.phase == jobmodel.QUEUED:
-                job.phase = jobmodel.RUNNING
+            job.note_start()
             return
         logger.info(
             "start was not accepted",
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -27,7 +27,7 @@
 from .mailbox import new_reply, receives, resolve
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
-from .takeover import TakeOver
+from .takeover import TakeOver, isolated_record
 from .traffic import TRAFFIC
 from .vmorders import WaveRequested
 from .writer import FENCED, Write
@@ -181,11 +181,13 @@
         cancelled: list[tuple[str, int]] = []
         for part, entry in message.entries:
             if entry.key.startswith(intake.JOB_PREFIX):
-                self._add_job(entry, part)
+                with isolated_record(entry.key):
+                    self._add_job(entry, part)
             elif entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
                 cancelled.append((entry.key.removeprefix(intake.CANCEL_PREFIX), part))
         for job_id, part in cancelled:
-            self._cancel_job(job_id, part)
+            with isolated_record(intake.CANCEL_PREFIX + job_id):
+                self._cancel_job(job_id, part)
         self._request_pass()
 
     def _add_job(self, entry: Entry, part: int) -> None:
@@ -258,7 +260,7 @@
             placed = assignment.plan(
                 ordered,
                 slots,
-                self._usages,
+                self._usage,
                 now_ms,
                 self._assign,
                 self._record_wait,
@@ -384,6 +386,8 @@
         if not records and not effects.acknowledgements:
             return
         effects.ended_jobs.extend(self._dirty_jobs)
+        changed_jobs = dict.fromkeys(step.job for step in self._dirty_steps)
+        effects.cleared_jobs.extend(job for job in changed_jobs if job.stored and not job.has_runs)
         self._effects = DeferredEffects()
         self._dirty_steps = {}
         self._dirty_jobs = {}
@@ -402,11 +406,15 @@
         for job in self._dirty_jobs:
             yield job.job_id, jobmodel.encode_phase(job)
             for step in job.steps.values():
-                if any(task.run for task in step.tasks):
+                if step.has_runs:
+                    yield step.name, jobmodel.encode_step(step)
+                elif any(task.run for task in step.tasks):
                     yield step.name, b""
         for step in self._dirty_steps:
             if not step.job.ended:
                 yield step.name, jobmodel.encode_step(step)
+            elif step.job not in self._dirty_jobs and not step.has_runs:
+                yield step.name, b""
         for key in self._dropped_keys:
             yield key, b""
 
@@ -431,6 +439,8 @@
         for job in effects.ended_jobs:
             job.stored = True
             self._retain(job)
+        for job in effects.cleared_jobs:
+            self._release_parts(job)
 
     # Time.
 
@@ -528,9 +538,11 @@
         reason = "its upstream is silent and the lease has expired"
         if upstream.orphans or any(task.state != "assigned" for task in slot.tasks.values()):
             self._log_lease_expired(upstream, now_ms)
-        self._mark_all_lost(upstream, reason, assigned=False)
+        uncertain = upstream.uncertain_runs_ended(now_ms)
+        self._mark_all_lost(upstream, reason, assigned=False, uncertain=uncertain)
         self._vacate(upstream, now_ms)
-        if (upstream.link is None or not slot.listed) and not slot.tasks:
+        gone = upstream.link is None or not slot.listed
+        if gone and not slot.tasks and not upstream.orphans:
             self._remove_upstream(upstream, "not registered and not answering")
 
     def _log_lease_expired(self, upstream: KnownUpstream, now_ms: float) -> None:
@@ -543,6 +555,7 @@
                 "run_count": len(upstream.slot.tasks),
                 "orphan_count": len(upstream.orphans),
                 "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
+                "uncertain_left_ms": round(upstream.uncertain_end_ms - now_ms),
                 "report_age_ms": round(now_ms - upstream.reported_ms),
                 "first_report_age_ms": (
                     round(now_ms - upstream.first_reported_ms) if upstream.reported_ms else None
@@ -580,7 +593,7 @@
     def on_count_pending(self, message: CountPending) -> None:
         """Count the jobs of a queue that have not started."""
         count = sum(
-            job.submission.queue == message.queue and job.phase == jobmodel.QUEUED
+            job.submission.queue == message.queue and job.pending
             for job in self._unfinished.values()
         )
         resolve(message.reply, PendingView(count, self._view_age_ms()))
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -6,6 +6,7 @@
 import logging
 from collections import deque
 from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from attrs import frozen
@@ -41,6 +42,19 @@
     """Restore jobs for the duration of a slice."""
 
 
+@contextmanager
+def isolated_record(key: str) -> Iterator[None]:
+    """Log an error in the processing of one record, so that it costs only that record.
+
+    Records are read once in an epoch: without this the others of a message would have no effect
+    until the next take-over.
+    """
+    try:
+        yield
+    except Exception:
+        logger.exception("record cannot be processed", extra={"key": key})
+
+
 class TakeOver(Retention):
     """Restores the stored jobs; the event loop runs and other messages are handled in between.
 
@@ -159,7 +173,8 @@
         end_ms = self._timer.now_ms() + defaults.RESTORE_SLICE_MS
         for restored in self._restoration:
             if restored is not None:
-                self._add_restored(restored)
+                with isolated_record(getattr(restored, "job_id", "")):
+                    self._add_restored(restored)
             if self._timer.now_ms() >= end_ms:
                 asyncio.get_running_loop().call_soon(self.tell, message)
                 return
@@ -167,9 +182,9 @@
 
     def _add_restored(self, restored: Restored) -> None:
         match restored:
-            case Job():
+            case Job(ended=False):
                 self._add_restored_job(restored)
-            case EndedJob():
+            case Job() | EndedJob():
                 self._add_restored_end(restored)
             case Cancellation():
                 self._cancellations.append(restored)
@@ -178,22 +193,31 @@
             case UnknownKey():
                 self._dropped_keys.append(restored.key)
 
-    def _add_restored_end(self, job: EndedJob) -> None:
-        if job.job_id not in self._restored_jobs:
-            self._restored_jobs[job.job_id] = job
-            self._retain(job)
+    def _add_restored_end(self, job: Job | EndedJob) -> None:
+        if job.job_id in self._restored_jobs:
+            self._release_parts(job)
             return
-        for part in job.parts:
-            self._add_part(job, part)
-
-    def _add_restored_job(self, job: Job) -> None:
         self._restored_jobs[job.job_id] = job
+        if isinstance(job, Job):
+            self._restore_runs(job)
+            for task in job.tasks():
+                self._stop_task(task)
+                self._stop_copies(task)
+        self._retain(job)
+
+    def _restore_runs(self, job: Job) -> None:
         for task in job.tasks():
             if task.placed:
                 self._placed_count += 1
                 self._restore_placed_task(task)
+            self._restore_copies(task)
+
+    def _add_restored_job(self, job: Job) -> None:
+        self._restored_jobs[job.job_id] = job
+        self._restore_runs(job)
         if any(task.run for task in job.tasks()):
             job.phase = jobmodel.RUNNING
+            job.start_uncertain = not any(task.has_left_traces for task in job.tasks())
         self._admit(job)
 
     def _complete_restoring(self) -> None:
@@ -203,7 +227,8 @@
         self._intake_as_of_ms = self._accepted.as_of_ms
         self._ended = deque(sorted(self._ended, key=lambda job: job.ended_ms))
         for cancellation in self._cancellations:
-            self._cancel_job(cancellation.job_id, cancellation.part)
+            with isolated_record(cancellation.job_id):
+                self._cancel_job(cancellation.job_id, cancellation.part)
         after_ms = self._timer.now_ms() - self._leader_since_ms
         metrics.TAKEOVER_DURATION.record(after_ms)
         logger.info(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from standins.polling import wait_until
+from standins.taskworker import TaskWorker
 from tarragoncart import defaults, intake
 from tarragoncart.assignment import UpstreamSlot
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
@@ -25,9 +27,10 @@
 LONGEST_BLOCK_S = defaults.MEMBERSHIP_TTL_MS / defaults.JOINS_PER_TTL_COUNT / 4 / 1_000
 
 
-def submission(number):
+def submission(number, **spec):
     """Return a job of two steps with 24 tasks."""
-    steps = (StepSpec(12, Demand(1_000, 256), 500), StepSpec(12, Demand(1_000, 256), 500, (0,)))
+    demand = Demand(1_000, 256)
+    steps = (StepSpec(12, demand, 500, **spec), StepSpec(12, demand, 500, (0,), **spec))
     spec = JobSpec("x" * 600, steps)
     return Submission(f"{number:016x}", "q", "pool", "shop", 0, 2, 1.6, 600, 1, spec)
 
@@ -36,8 +39,8 @@
 def store_jobs(store):
     """Return a function that stores jobs as earlier leaders left them, and returns their IDs."""
 
-    def put(count, ended=False, first=0):
-        jobs = [submission(number) for number in range(first, first + count)]
+    def put(count, ended=False, first=0, **spec):
+        jobs = [submission(number, **spec) for number in range(first, first + count)]
         for job in jobs:
             key, value = intake.submission_record(job)
             store.standin.put(intake.TOPIC, key, json.loads(value), int(job.job_id, 16) % 2)
@@ -61,6 +64,18 @@
     return ask
 
 
+@pytest.fixture
+def count_pending():
+    """Return a function that asks a scheduler for the number of pending jobs."""
+
+    async def ask(scheduler):
+        reply = new_reply()
+        scheduler.tell(CountPending("q", reply))
+        return (await asyncio.wait_for(reply, 2.0)).count
+
+    return ask
+
+
 @pytest.fixture
 def leader(run_node):
     """Return a function that starts an entry VM and waits until it leads."""
@@ -156,6 +171,37 @@
     assert (await asyncio.wait_for(reply, 2.0)).view_age_ms == float("inf")
 
 
+@pytest.mark.parametrize(
+    ("row", "pending_count"),
+    [([0, "p", 1, "i-1"], 1), ([0, "w", 2], 1), ([0, "w", 2, "", [1]], 0), ([0, "d", 1], 0)],
+)
+async def test_a_job_none_of_whose_starts_was_carried_out_stays_pending_after_a_take_over(
+    store_jobs, leader, store, count_pending, row, pending_count
+):
+    """Guards against a number of pending jobs without those whose starts were refused or lost."""
+    (job_id,) = store_jobs(1)
+    store.standin.put("keyed.state", f"{job_id}.0.0", [row])
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    assert await count_pending(scheduler) == pending_count
+
+
+async def test_a_job_whose_run_is_listed_after_a_take_over_is_not_pending(
+    run_node, add_worker, next_leader, count_pending
+):
+    """Guards against jobs that count as pending although a new leader sees their runs."""
+    worker = await add_worker("i-1", TaskWorker(work_ms=0))
+    node = await run_node("node-1")
+    step = {"count": 1, "cpu": TASK_CPU_MILLICORES, "mem-mb": 256, "est-ms": 60_000}
+    assert await node.caller.submit(f"/q/{JOB_ID}", {"spec": "", "steps": [step]}) == 200
+    assert await wait_until(lambda: worker.runs)
+    node = await next_leader(node)
+    assert await node.caller.phase(f"/q/{JOB_ID}", "running") == "running"
+    task = node.scheduler._jobs[JOB_ID].steps[0, 0].tasks[0]
+    assert await wait_until(lambda: task.state == "running")
+    assert await count_pending(node.scheduler) == 0
+
+
 class Collector(Actor):
     """Actor that only stores what the scheduler tells it."""
 
@@ -281,20 +327,145 @@
     assert scheduler._deferred_millicore_ms["pool"] > 0
 
 
+def add_upstream(scheduler):
+    """Add an upstream with room for all tasks, and return its slot."""
+    capacity = Demand(1_000_000, 1_000_000)
+    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
+    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    return slot
+
+
 async def test_a_pass_assigns_a_limited_number_of_tasks(store_jobs, leader):
     """Guards against hundreds of starts that are sent at once and leave no time to answer."""
     store_jobs(20)
     scheduler = await leader()
     await wait_until_restored(scheduler)
-    capacity = Demand(1_000_000, 1_000_000)
-    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
-    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    slot = add_upstream(scheduler)
     scheduler._place()
     assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
     assert not scheduler._backlog_millicore_ms
     assert not scheduler._deferred_millicore_ms
 
 
+@pytest.mark.parametrize(("gang", "assigned_count"), [(False, 4), (True, 0)])
+async def test_a_restored_job_keeps_to_the_limit_of_its_account(
+    store_jobs, leader, store, platform_config, monkeypatch, gang, assigned_count
+):
+    """Guards against a new leader that starts the first step of an account without its limit."""
+    # The first pass is that of the test.
+    monkeypatch.setattr(defaults, "PLACEMENT_DELAY_MS", 60_000)
+    platform_config["tenants"][0]["cap"]["cpu"] = 4_000
+    store.standin.put("keyed.op", "config", platform_config)
+    store_jobs(1, gang=gang)
+    scheduler = await leader()
+    await wait_until_restored(scheduler)
+    slot = add_upstream(scheduler)
+    scheduler._place()
+    assert len(slot.tasks) == assigned_count
+
+
+JOB_ID, NEXT_ID = "5c0e7a21d94b36f8", "71ad2c0b9e5f4386"
+TASK_CPU_MILLICORES = 1_000
+
+
+@pytest.fixture
+async def runs_at_silent_upstream(run_node, add_worker, store, platform_config, monkeypatch):
+    """Return a function that starts two runs, which are the cap of their account, at an upstream.
+
+    The upstream does not answer any more afterwards. The function returns the worker and the entry
+    VM that leads.
+    """
+    monkeypatch.setattr("tarragoncart.defaults.UPSTREAM_CALL_TIMEOUT_MS", 300)
+    monkeypatch.setattr(defaults, "UPSTREAM_LEASE_MS", 5_000)
+    platform_config["tenants"][0]["cap"]["cpu"] = 2 * TASK_CPU_MILLICORES
+    store.standin.put("keyed.op", "config", platform_config)
+
+    async def start(**step):
+        worker = await add_worker("i-1", TaskWorker(work_ms=0))
+        node = await run_node("node-1")
+        task = {"count": 2, "cpu": TASK_CPU_MILLICORES, "mem-mb": 256, "est-ms": 60_000, **step}
+        job = {"spec": "", "steps": [task]}
+        assert await node.caller.submit(f"/q/{JOB_ID}", job) == 200
+        assert await wait_until(lambda: len(worker.runs) == task["count"])
+        worker.faults.silent = True
+        return worker, node
+
+    return start
+
+
+@pytest.fixture
+def next_leader(run_node):
+    """Return a function that ends a leader and returns the next one once it has restored jobs."""
+
+    async def follow(node):
+        following = await run_node("node-2")
+        await node.stop()
+        assert await wait_until(lambda: following.scheduler and following.scheduler._loaded, 6.0)
+        return following
+
+    return follow
+
+
+def running_millicores(node):
+    """Return what counts against the cap of the account."""
+    return node.scheduler._usage("shop").running.cpu_millicores
+
+
+async def test_runs_of_a_cancelled_job_count_against_the_cap_after_a_take_over(
+    runs_at_silent_upstream, next_leader, add_worker, store
+):
+    """Guards against an account that runs twice its cap while cancelled runs go on unreachable."""
+    first, node = await runs_at_silent_upstream()
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    assert await wait_until(lambda: JOB_ID in store.standin.newest("keyed.state"))
+    await asyncio.sleep(1.5 * defaults.ENDED_RECORDS_DELETE_MS / 1_000)
+    node = await next_leader(node)
+    assert running_millicores(node) == 2 * TASK_CPU_MILLICORES
+    second = await add_worker("i-2", TaskWorker(work_ms=0))
+    step = {"count": 2, "cpu": TASK_CPU_MILLICORES, "mem-mb": 256, "est-ms": 60_000}
+    assert await node.caller.submit(f"/q/{NEXT_ID}", {"spec": "", "steps": [step]}) == 200
+    while first.clock_ms() < first.until_ms - 100:
+        assert not second.starts
+        await asyncio.sleep(0.05)
+    first.faults.silent = False
+    assert await wait_until(lambda: len(second.runs) + len(first.runs) == 2)
+    assert await node.caller.phase(f"/q/{JOB_ID}", "cancelled") == "cancelled"
+
+
+async def test_both_runs_of_a_task_count_against_the_cap_after_a_take_over(
+    runs_at_silent_upstream, next_leader, add_worker
+):
+    """Guards against runs beside the replaced ones of a silent upstream that exceed the cap."""
+    first, node = await runs_at_silent_upstream(count=1, speculative=True)
+    second = await add_worker("i-2", TaskWorker(work_ms=0))
+    assert await wait_until(lambda: second.runs)
+    node = await next_leader(node)
+    assert first.runs and second.runs
+    assert running_millicores(node) == 2 * TASK_CPU_MILLICORES
+    first.faults.silent = False
+    second.finish(f"{JOB_ID}.0.0.0")
+    assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
+    assert await wait_until(lambda: not running_millicores(node))
+    assert [outcome for _, _, outcome in first.ends] == ["stopped"]
+
+
+async def test_records_of_a_cancelled_job_are_deleted_once_its_runs_are_gone(
+    runs_at_silent_upstream, next_leader, store
+):
+    """Guards against records that every later leader reads, and runs that are counted for ever."""
+    worker, node = await runs_at_silent_upstream()
+    assert (await node.caller.call("DELETE", f"/q/{JOB_ID}"))[0] == 200
+    assert await wait_until(lambda: JOB_ID in store.standin.newest("keyed.state"))
+    node = await next_leader(node)
+    worker.faults.silent = False
+    assert await wait_until(lambda: not running_millicores(node))
+    assert [outcome for _, _, outcome in worker.ends] == ["stopped", "stopped"]
+    assert await wait_until(lambda: set(store.standin.newest("keyed.state")) == {JOB_ID})
+    key = f"{intake.JOB_PREFIX}{JOB_ID}"
+    assert await wait_until(lambda: key not in store.standin.newest(intake.TOPIC))
+    assert node.scheduler._jobs[JOB_ID].parts == set()
+
+
 async def test_pools_without_waiting_steps_leave_their_assignments_to_others(store_jobs, leader):
     """Guards against a pool with a backlog that gets a share for each pool that ever had work."""
     store_jobs(20)
@@ -302,9 +473,7 @@
     await wait_until_restored(scheduler)
     for number in range(29):
         scheduler._ready_steps[f"idle-{number}"] = {}
-    capacity = Demand(1_000_000, 1_000_000)
-    slot = UpstreamSlot(UpstreamEntry("i-1", "pool", "", "dc", False, capacity), capacity, True)
-    scheduler._upstreams["i-1"] = KnownUpstream(slot, Collector(), float("inf"))
+    slot = add_upstream(scheduler)
     scheduler._place()
     assert len(slot.tasks) == defaults.ASSIGNMENT_LIMIT_COUNT
 
