--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -866,6 +866,7 @@
     await add_worker()
     node = await run_node()
     scheduler = await node.wait_to_lead()
+    assert await wait_until(lambda: scheduler._loaded)
     store.standin.faults.refused_parts = {"keyed.state": {0}}
     assert await submit(node, {"spec": "text", "steps": [TASK]}) == 200
     assert await wait_until(lambda: JOB_ID in scheduler._jobs)
