Intake: records that a full inbox refuses are forwarded with the next ones

Cause: the reader of accepted jobs emptied its buffer before it told the scheduler. If the scheduler's inbox was full, the newest records of all partitions were lost, while the followers had advanced; the leader took over without these jobs.

--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import logging
 from collections.abc import Callable
 from typing import Any
 from zlib import crc32
@@ -20,7 +21,7 @@
 
 from . import defaults
 from .decoding import UNIX_MS_MAX, check_float, check_int, decoder, is_identifier
-from .errors import DecodeError
+from .errors import DecodeError, InboxFullError
 from .follower import BulkReads, Follower, TopicChanges, TopicSnapshot
 from .graph import Demand, JobSpec, StepSpec, Submission
 from .mailbox import Actor, new_reply, receives, resolve
@@ -28,6 +29,8 @@
 from .timer import Timer
 from .writer import STORED, Write, Writer
 
+logger = logging.getLogger(__name__)
+
 TOPIC = "keyed.intake"
 # Producer name under which the leader deletes the records of jobs past their retention.
 DELETE_PRODUCER = "dropper"
@@ -204,9 +207,18 @@
         """Buffer records until each partition has been read once; from then on, forward them."""
         self._buffered.extend((part, entry) for entry in entries)
         self._as_of_ms[part] = as_of_ms
-        if len(self._as_of_ms) == self._part_count:
-            read, self._buffered = tuple(self._buffered), []
-            self._listener.tell(IntakeRead(read, min(self._as_of_ms.values())))
+        if len(self._as_of_ms) < self._part_count:
+            return
+        try:
+            self._listener.tell(IntakeRead(tuple(self._buffered), min(self._as_of_ms.values())))
+        except InboxFullError as error:
+            # No follower reads the records again; they are forwarded with the next ones.
+            logger.warning(
+                "records of the intake cannot be forwarded",
+                extra={"count": len(self._buffered), "reason": str(error)},
+            )
+            return
+        self._buffered = []
 
     @receives(DeleteJobRecords)
     def on_delete_job_records(self, message: DeleteJobRecords) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -513,9 +513,10 @@
 
 async def test_a_full_inbox_does_not_end_a_take_over(store_jobs, leader):
     """Guards against a leader that never restores its jobs as its inbox was full for a moment."""
-    store_jobs(3)
+    job_ids = store_jobs(3)
     scheduler = await leader()
     limit_count, scheduler._inbox_limit_count = scheduler._inbox_limit_count, 0
     await asyncio.sleep(0.3)
     scheduler._inbox_limit_count = limit_count
     await asyncio.wait_for(wait_until_restored(scheduler), 3.0)
+    assert set(scheduler._jobs) == set(job_ids)
