--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -29,14 +29,14 @@
 class UpstreamCalls(Protocol):
     """The calls to an upstream that a link uses."""
 
-    async def start(self, order: StartOrder, until_ms: int, epoch: int) -> int: ...
+    async def start(self, order: StartOrder, until_ms: int, token: int) -> int: ...
 
-    async def stop(self, task_name: str, run: int, epoch: int) -> int: ...
+    async def stop(self, task_name: str, run: int, token: int) -> int: ...
 
-    async def pace(self, task_name: str, run: int, percent: int, epoch: int) -> int: ...
+    async def pace(self, task_name: str, run: int, percent: int, token: int) -> int: ...
 
     async def renew_lease(
-        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, epoch: int
+        self, *, until_ms: int | None, acknowledged: int, wait_ms: int, token: int
     ) -> UpstreamReport: ...
 
     async def close(self) -> None: ...
@@ -133,14 +133,14 @@
     :param gone: another upstream answered at its address.
     :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
         renewed again.
-    :param uncertain_end_ms: time by which its other runs end, whose starts have no answer.
+    :param unanswered_end_ms: time by which its other runs end, whose starts have no answer.
     """
 
     upstream_id: str
     reason: str
     gone: bool
     lease_end_ms: float
-    uncertain_end_ms: float = 0.0
+    unanswered_end_ms: float = 0.0
 
 
 @frozen
@@ -149,7 +149,7 @@
 
     :param outcome: ``accepted``, ``refused`` or ``unanswered``.
     :param lease_end_ms: time by which the run ends if it was accepted and its lease is not renewed.
-    :param uncertain_end_ms: time by which it ends if there was no answer.
+    :param unanswered_end_ms: time by which it ends if there was no answer.
     """
 
     upstream_id: str
@@ -158,7 +158,7 @@
     outcome: str
     reason: str = ""
     lease_end_ms: float = 0.0
-    uncertain_end_ms: float = 0.0
+    unanswered_end_ms: float = 0.0
 
 
 @frozen
@@ -185,7 +185,7 @@
 
 @frozen
 class FencedByUpstream:
-    """An upstream has seen a higher epoch."""
+    """An upstream has seen a fencing token of a later leader."""
 
     upstream_id: str
 
@@ -214,7 +214,8 @@
         self._upstream_id = entry.upstream_id
         self._tokens = tokens
         self._token = tokens.issue()
-        # Token that a new incarnation has not seen yet, so that it takes orders for an earlier one.
+        # Token of a new incarnation until a poll with it is answered; before, the incarnation takes
+        # orders for an earlier one.
         self._unseen_token: int | None = None
         self._lease = LeaseEstimate(lease_ms, lease_max_ms)
         self._client = make_client(entry.upstream_id, entry.address)
@@ -316,6 +317,7 @@
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
         token, sent_ms = self._token, self._timer.now_ms()
+        expected_started_ms = self._started_ms
         until_ms = self._renewed_lease_end_ms() if self._permitted() else None
         if until_ms is None:
             outcome = "refused"
@@ -333,7 +335,7 @@
                 self._renew_token(token)
             else:
                 self._lease.note_granted(until_ms, clock_ms, self._timer.now_ms())
-                self._check_clock("start", clock_ms, sent_ms, token)
+                self._check_clock("start", clock_ms, sent_ms, expected_started_ms)
         self._report_if_fenced(reason, token)
         self._listener.tell(
             StartOutcome(
@@ -343,19 +345,24 @@
                 outcome,
                 reason,
                 self._lease.end_ms,
-                self._lease.uncertain_end_ms,
+                self._lease.unanswered_end_ms,
             )
         )
 
-    def _check_clock(self, call: str, clock_ms: int, sent_ms: float, token: int) -> None:
+    def _check_clock(
+        self, call: str, clock_ms: int, sent_ms: float, expected_started_ms: int
+    ) -> None:
         """Stop using the reading of the clock if the answer to a call shows another incarnation.
 
         :param clock_ms: the upstream's clock in the answer.
         :param sent_ms: when the call was sent.
-        :param token: token of the call.
+        :param expected_started_ms: start time of the incarnation for which it was sent.
         """
         reading = self._lease.reading
-        if reading is None or token != self._token:
+        if reading is None or expected_started_ms != self._started_ms:
+            return
+        if sent_ms - reading.read_ms >= defaults.UPSTREAM_SILENT_MS:
+            # The drift of the clock since then exceeds the tolerance.
             return
         expected_ms = reading.estimate_ms(sent_ms)
         if expected_ms - clock_ms <= defaults.CLOCK_BEHIND_TOLERANCE_MS:
@@ -386,6 +393,7 @@
                 await asyncio.sleep(defaults.STORE_RETRY_MS / 1_000)
                 continue
             token, sent_ms = self._token, self._timer.now_ms()
+            expected_started_ms = self._started_ms
             try:
                 clock_ms = await self._client.stop(task_name, run, token)
             except TarragoncartError as error:
@@ -401,7 +409,7 @@
                 await self._pause_stop((task_name, run), delay_ms)
                 delay_ms = min(2 * delay_ms, 1_000)
             else:
-                self._check_clock("stop", clock_ms, sent_ms, token)
+                self._check_clock("stop", clock_ms, sent_ms, expected_started_ms)
                 text = "stop confirmed"
                 self._log_stop(text, task_name, run, ordered_ms, failed_count=failed_count)
                 self._listener.tell(StopConfirmed(self._upstream_id, task_name, run))
@@ -443,7 +451,8 @@
             # Not retried here: a later report shows which pace is due by then.
             reason = getattr(error, "reason", "")
             self._report_if_fenced(reason, token)
-            outcome = "refused" if reason not in ("", "unhealthy") else "unanswered"
+            repeatable = reason in ("", "unhealthy") or (reason == "fence" and token != self._token)
+            outcome = "unanswered" if repeatable else "refused"
             logger.info(
                 "pace could not be set",
                 extra={
@@ -501,13 +510,14 @@
         :param wait_ms: how long the upstream may wait for the end of a run before it answers.
         """
         requested_ms, token = self._timer.now_ms(), self._token
+        expected_started_ms = self._started_ms
         acknowledged = self._due_acknowledgement()
         # The upstream may have received a renewal without an answer. Repeated renewals would
         # postpone forever the time at which its runs count as ended.
         until_ms = self._renewed_lease_end_ms()
         try:
             report = await self._client.renew_lease(
-                until_ms=until_ms, acknowledged=acknowledged, wait_ms=wait_ms, epoch=token
+                until_ms=until_ms, acknowledged=acknowledged, wait_ms=wait_ms, token=token
             )
         except TarragoncartError as error:
             reason = getattr(error, "reason", "") or str(error)
@@ -526,7 +536,8 @@
         if report.started_ms > self._started_ms:
             self._note_incarnation(report)
         else:
-            self._acknowledged_end_number = max(self._acknowledged_end_number, acknowledged)
+            if expected_started_ms == self._started_ms:
+                self._acknowledged_end_number = max(self._acknowledged_end_number, acknowledged)
             if self._unseen_token is not None and token >= self._unseen_token:
                 self._unseen_token = None
                 self._lease.note_misdirected(self._timer.now_ms())
@@ -541,8 +552,9 @@
     def _due_acknowledgement(self) -> int:
         """Return the number of the last end to acknowledge with the next poll, 0 for none.
 
-        It is sent once, and only to the incarnation that answered just before: a new one numbers
-        its ends from 1 and would drop ends that the leader has not received.
+        It is sent until a poll with it is answered, and only to the incarnation that answered just
+        before: a new one numbers its ends from 1 and would drop ends that the leader has not
+        received.
         """
         reading = self._recent_reading()
         if reading is None or self._stored_end_number <= self._acknowledged_end_number:
@@ -558,11 +570,22 @@
                 self._upstream_id,
                 reason,
                 reason == "instance",
-                self._lease.end_ms,
-                self._lease.uncertain_end_ms,
+                self._lease_end_at_failure_ms(),
+                self._lease.unanswered_end_ms,
             )
         )
 
+    def _lease_end_at_failure_ms(self) -> float:
+        """Return the time by which all runs end that the silent upstream has confirmed.
+
+        An incarnation that has answered, but has seen no token of its own, may still take an order
+        for an earlier one, which extends the lease of its confirmed runs.
+        """
+        answered_without_report = self._started_ms > 0 and self._lease.reading is None
+        if answered_without_report or self._unseen_token is not None:
+            return max(self._lease.end_ms, self._lease.unanswered_end_ms)
+        return self._lease.end_ms
+
     def _note_incarnation(self, report: UpstreamReport) -> None:
         """Note that the upstream has reported for the first time, or has started again.
 
@@ -581,9 +604,9 @@
         self._started_ms = report.started_ms
 
     def _birth_ms(self, report: UpstreamReport, now_ms: float) -> float:
-        """Return the local time of the upstream's start.
+        """Return the local time of the upstream's start, or a later one.
 
-        Its clock starts anew with it. Wall clocks of VMs may differ; the later time counts.
+        Its clock starts anew at any value, so that it only limits the age. Wall clocks may differ.
         """
         return now_ms - min(report.clock_ms, self._timer.wall_ms() - report.started_ms)
 
@@ -603,9 +626,10 @@
     async def _wait_for_acknowledgement(self, report: UpstreamReport) -> None:
         """Wait until the reported ends are stored, up to ``ACKNOWLEDGE_WAIT_MS``.
 
-        The next poll would return at once with the same ends.
+        The next poll would return at once with the same ends. If earlier ends are stored, it
+        acknowledges them and is sent at once, as only a recent answer permits that.
         """
-        if not report.ended:
+        if not report.ended or self._stored_end_number > self._acknowledged_end_number:
             return
         last = report.ended[-1].number
         loop = asyncio.get_running_loop()
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -126,6 +126,7 @@
         slot.free = slot.free.plus(entry.capacity).plus(slot.entry.capacity, -1)
         restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
+        self._compare_registration(upstream)
         if restarted and not slot.known:
             self._note_inherited_lease(upstream)
         slot.listed = True
@@ -148,7 +149,7 @@
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
         if not self._unstarted:
-            self.tell(_StartLinks())
+            self.tell_self(_StartLinks())
         self._unstarted.append(upstream)
 
     def _make_link(self, entry: UpstreamEntry) -> Link:
@@ -232,6 +233,7 @@
             )
             upstream.last_ended_number = 0
         upstream.started_ms = report.started_ms or upstream.started_ms
+        self._compare_registration(upstream)
         if slot.known:
             # A start that was sent since this poll may have extended the lease.
             upstream.note_lease_end(message.lease_end_ms)
@@ -271,6 +273,20 @@
         self._set_paces(upstream)
         self._detect_slow_upstream(upstream)
 
+    def _compare_registration(self, upstream: KnownUpstream) -> None:
+        """Place nothing at an incarnation that is not registered yet; it may be of another kind."""
+        slot = upstream.slot
+        outdated = slot.entry.started_ms < upstream.started_ms
+        if outdated == slot.outdated:
+            return
+        slot.outdated = outdated
+        if not outdated:
+            self._request_pass()
+            return
+        for task in list(slot.tasks.values()):
+            if task.state == "assigned":
+                self._apply_event(task, "withdraw")
+
     def _detect_slow_upstream(self, upstream: KnownUpstream) -> None:
         """Decide whether an upstream is slow; if so, rerun tasks that end sooner elsewhere."""
         slot = upstream.slot
@@ -504,7 +520,7 @@
                 },
             )
         self._assume_tasks_away(slot)
-        upstream.note_lease_end(message.lease_end_ms, message.uncertain_end_ms)
+        upstream.note_lease_end(message.lease_end_ms, message.unanswered_end_ms)
         if message.gone:
             self._remove_upstream(upstream, "another incarnation answered at its address")
 
@@ -523,24 +539,28 @@
         reason: str,
         *,
         assigned: bool = True,
-        uncertain: bool = True,
+        as_of_ms: float = float("inf"),
     ) -> None:
         """Treat all runs at an upstream as lost.
 
         :param assigned: include runs whose start has not been sent.
-        :param uncertain: include runs whose start another incarnation may carry out, which are all
-            runs at an upstream that has not reported in this epoch.
+        :param as_of_ms: leave out the runs that another incarnation may have taken and that may go
+            on after this time. At an upstream that has not reported in this epoch these are all.
         """
+        known = upstream.slot.known
         for key, orphan in list(upstream.orphans.items()):
             stop_unconfirmed = orphan.must_stop and orphan.conclusive_after_ms == float("inf")
-            if not uncertain and (stop_unconfirmed or not upstream.slot.known):
+            long_running = orphan.task is not None and orphan.task.step.spec.long_running
+            goes_on = upstream.uncertain_run_end_ms(long_running) > as_of_ms
+            if goes_on and (stop_unconfirmed or not known):
                 continue
             if stop_unconfirmed:
                 self._reject_late_start(upstream, key)
             self._release_orphan(upstream, key)
         for task in list(upstream.slot.tasks.values()):
             start_uncertain = _start_is_uncertain(task)
-            if not uncertain and (start_uncertain or not upstream.slot.known):
+            goes_on = upstream.uncertain_run_end_ms(task.step.spec.long_running) > as_of_ms
+            if goes_on and (start_uncertain or not known):
                 continue
             if start_uncertain:
                 self._reject_late_start(upstream, (task.name, task.run))
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -398,7 +398,9 @@
         self._committing = True
         reply = new_reply()
         reply.add_done_callback(
-            lambda done: None if done.cancelled() else self.tell(_Committed(done.result(), effects))
+            lambda done: (
+                None if done.cancelled() else self.tell_self(_Committed(done.result(), effects))
+            )
         )
         self._writer.tell(Write(records, reply))
 
@@ -538,8 +540,7 @@
         reason = "its upstream is silent and the lease has expired"
         if upstream.orphans or any(task.state != "assigned" for task in slot.tasks.values()):
             self._log_lease_expired(upstream, now_ms)
-        uncertain = upstream.uncertain_runs_ended(now_ms)
-        self._mark_all_lost(upstream, reason, assigned=False, uncertain=uncertain)
+        self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
         if gone and not slot.tasks and not upstream.orphans:
@@ -555,7 +556,7 @@
                 "run_count": len(upstream.slot.tasks),
                 "orphan_count": len(upstream.orphans),
                 "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
-                "uncertain_left_ms": round(upstream.uncertain_end_ms - now_ms),
+                "unanswered_left_ms": round(upstream.unanswered_end_ms - now_ms),
                 "report_age_ms": round(now_ms - upstream.reported_ms),
                 "first_report_age_ms": (
                     round(now_ms - upstream.first_reported_ms) if upstream.reported_ms else None
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -27,7 +27,7 @@
     StopConfirmed,
 )
 from tarragoncart.mailbox import Actor, receives
-from tarragoncart.runs import StartOrder, UpstreamReport
+from tarragoncart.runs import EndedRun, StartOrder, UpstreamReport
 from tarragoncart.timer import LoopTimer
 
 ENTRY = UpstreamEntry("i-1", "pool", "x:1", "dc", False, Demand(1_000))
@@ -56,8 +56,8 @@
         self.failing_stops_count = 0
         self.stops_ms = []
 
-    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
-        self._check_token(epoch)
+    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, token):
+        self._check_token(token)
         self.acknowledged.append(acknowledged)
         if until_ms is not None:
             self.leases_ms.append(until_ms - self.timer.now_ms())
@@ -66,17 +66,17 @@
             raise UpstreamUnknownError("no answer", step="hold")
         return UpstreamReport(int(self.timer.now_ms()), self.started_ms, (), ())
 
-    async def start(self, order, until_ms, epoch):
+    async def start(self, order, until_ms, token):
         self.starts.append(order.task_name)
         self.leases_ms.append(until_ms - self.timer.now_ms())
         return int(self.timer.now_ms())
 
-    async def pace(self, task_name, run, percent, epoch):
+    async def pace(self, task_name, run, percent, token):
         if self.pace_error is not None:
             raise self.pace_error
         return int(self.timer.now_ms())
 
-    async def stop(self, task_name, run, epoch):
+    async def stop(self, task_name, run, token):
         self.stops_ms.append(self.timer.now_ms())
         if len(self.stops_ms) <= self.failing_stops_count:
             raise UpstreamUnknownError("no answer", step="stop")
@@ -373,11 +373,13 @@
 
     :param late_poll_s: delay with which the next incarnation carries out the poll that was under
         way at the restart; None for a poll that is lost.
+    :param cut_after_start: no call reaches it after its first start.
     """
 
-    def __init__(self, late_poll_s=None):
+    def __init__(self, late_poll_s=None, cut_after_start=False):
         self.timer = LoopTimer()
         self.late_poll_s = late_poll_s
+        self.cut_after_start = cut_after_start
         self.started_ms = 1
         self.behind_ms = 0.0
         self.lease_end_ms = 0.0
@@ -415,9 +417,9 @@
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise UpstreamUnknownError("no answer", step="call")
 
-    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, epoch):
+    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, token):
         await self._lose_if_cut()
-        self._check_token(epoch)
+        self._check_token(token)
         started_ms = self.started_ms
         if until_ms is not None:
             self._extend_lease(until_ms)
@@ -428,32 +430,34 @@
         if self.started_ms != started_ms:
             if self.late_poll_s is not None and until_ms is not None:
                 loop = asyncio.get_running_loop()
-                loop.call_later(self.late_poll_s, self._carry_out_late, until_ms, epoch)
+                loop.call_later(self.late_poll_s, self._carry_out_late, until_ms, token)
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise UpstreamUnknownError("no answer", step="hold")
         self.restarted.clear()
         await self._lose_if_cut()
         return UpstreamReport(self._clock_ms(), self.started_ms, (), ())
 
-    async def start(self, order, until_ms, epoch):
+    async def start(self, order, until_ms, token):
         await self._lose_if_cut()
-        self._check_token(epoch)
+        self._check_token(token)
         self._extend_lease(until_ms)
         self.run_count += 1
+        self.cut = self.cut or self.cut_after_start
         return self._clock_ms()
 
     async def close(self):
         pass
 
 
-async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None):
+async def outlast_ms(behind_ms, start_s, cut_s, late_poll_s=None, cut_after_start=False):
     """Restart an upstream, and return by how much a run outlasts the lease that the link tells.
 
     :param start_s: time of a start after the restart.
     :param cut_s: time after the restart from which no call reaches the upstream.
     :param late_poll_s: time of the earlier incarnation's last poll after the restart.
+    :param cut_after_start: no call reaches the upstream after the start.
     """
-    upstream, listener = RestartingUpstream(late_poll_s), Listener()
+    upstream, listener = RestartingUpstream(late_poll_s, cut_after_start), Listener()
     link = make_link(upstream, listener, LoopTimer())
     listener.start()
     link.start()
@@ -489,6 +493,15 @@
     assert max(await asyncio.gather(*orders)) <= 5
 
 
+async def test_a_late_poll_behind_a_cut_does_not_extend_the_lease_of_a_start_unnoticed():
+    """Guards against a late poll at an incarnation that has not seen a token of its own."""
+    orders = [
+        outlast_ms(behind_ms, 0.0, 0.2, late_poll_s=1.2, cut_after_start=True)
+        for behind_ms in BEHIND_MS
+    ]
+    assert max(await asyncio.gather(*orders)) <= 5
+
+
 async def test_an_acknowledgement_beside_a_poll_under_way_does_not_reach_the_next_incarnation(
     linked, monkeypatch
 ):
@@ -501,3 +514,149 @@
     link.tell(PollUpstream())
     await asyncio.sleep(0.1)
     assert 7 not in upstream.acknowledged
+
+
+class UpstreamWithEnds(Upstream):
+    """Upstream at which a run ends every 100 ms; a poll waits only while no end is listed."""
+
+    def __init__(self):
+        super().__init__()
+        self.opened_ms = self.timer.now_ms()
+        self.listed_count = 0
+
+    async def renew_lease(self, *, until_ms, acknowledged, wait_ms, token):
+        self.acknowledged.append(acknowledged)
+        await asyncio.sleep(0.005)
+        ended_count = int((self.timer.now_ms() - self.opened_ms) / 100)
+        numbers = range(max(self.acknowledged) + 1, ended_count + 1)
+        if not numbers:
+            await asyncio.sleep(0.1)
+        self.listed_count = max(self.listed_count, *numbers, 0)
+        ends = tuple(EndedRun(number, "job.0.0.0", number, "done", "") for number in numbers)
+        return UpstreamReport(int(self.timer.now_ms()), 1, (), ends)
+
+
+class SlowStoreListener(Listener):
+    """Acknowledges the ends of each report some time later."""
+
+    def __init__(self, store_s):
+        super().__init__()
+        self.store_s = store_s
+        self.link = None
+
+    @receives(ReportReceived)
+    def on_report_received(self, message):
+        """Acknowledge the ends once they are stored."""
+        if message.report.ended:
+            acknowledge = Acknowledge(message.report.ended[-1].number, 1)
+            asyncio.get_running_loop().call_later(self.store_s, self.link.tell, acknowledge)
+
+
+@pytest.mark.parametrize("store_s", [0.05, 0.25, 0.35, 0.6])
+async def test_ends_are_acknowledged_while_runs_end_faster_than_they_are_stored(store_s):
+    """Guards against ends that are listed again and again, as none is acknowledged in time."""
+    upstream, listener = UpstreamWithEnds(), SlowStoreListener(store_s)
+    listener.link = link = make_link(upstream, listener, LoopTimer())
+    listener.start()
+    link.start()
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await asyncio.sleep(3.0)
+    await link.stop()
+    await listener.stop()
+    assert max(upstream.acknowledged) >= upstream.listed_count * 0.6
+    assert len(upstream.acknowledged) <= 60
+
+
+async def test_a_pace_that_is_refused_for_a_later_token_of_the_same_leader_is_repeated(linked):
+    """Guards against a run that keeps an old pace as an order beside another has issued a token."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+
+    async def pace_after_a_later_order(task_name, run, percent, token):
+        upstream.started_ms, upstream.highest_token = 2, 0
+        await asyncio.sleep(0.4)
+        upstream._check_token(token)
+
+    upstream.pace = pace_after_a_later_order
+    link.tell(SetPace("j.0.0.0", 1, 50))
+    await asyncio.sleep(0.8)
+    assert (listener.outcomes, listener.fenced_count) == (["unanswered"], 0)
+
+
+async def test_a_refused_start_does_not_extend_the_lease_of_the_next_incarnation_unnoticed():
+    """Guards against a start that is refused for want of room but renews the lease of all runs."""
+    upstream, listener = RestartingUpstream(cut_after_start=True), Listener()
+    link = make_link(upstream, listener, LoopTimer())
+    listener.start()
+    link.start()
+    link.tell(ExtendPermission(LoopTimer().now_ms() + 60_000))
+    await upstream.polled.wait()
+    accept = upstream.start
+
+    async def start(order, until_ms, token):
+        await asyncio.sleep(0.01)
+        if order.run == 1:
+            return await accept(order, until_ms, token)
+        # It takes longer under way than the start that was sent together with it.
+        await asyncio.sleep(0.6)
+        upstream._extend_lease(until_ms)
+        raise UpstreamRefusedError("room", step="start")
+
+    upstream.start = start
+    upstream.restart(50_000)
+    for run in (1, 2):
+        link.tell(Start(StartOrder(f"job.0.0.{run}", run, "", "", "")))
+    await asyncio.sleep(2.0)
+    await link.stop()
+    await listener.stop()
+    assert listener.outcomes == ["accepted", "refused"]
+    assert upstream.lease_end_ms - listener.told_lease_end_ms <= 5
+
+
+async def test_an_acknowledgement_for_an_earlier_incarnation_does_not_hide_those_of_the_next(
+    linked,
+):
+    """Guards against ends that are never acknowledged, as the earlier numbers were higher."""
+    link, upstream, _ = linked
+    await asyncio.sleep(0.2)
+    renew_lease = upstream.renew_lease
+
+    async def renew_lease_on_a_slow_link(*, acknowledged, **rest):
+        if acknowledged == 7 and upstream.started_ms == 1:
+            upstream.started_ms = 2
+            link.tell(PollUpstream())
+            await asyncio.sleep(0.1)
+            return UpstreamReport(int(upstream.timer.now_ms()), 2, (), ())
+        return await renew_lease(acknowledged=acknowledged, **rest)
+
+    upstream.renew_lease = renew_lease_on_a_slow_link
+    link.tell(Acknowledge(7, 1))
+    await asyncio.sleep(0.5)
+    link.tell(Acknowledge(3, 2))
+    await asyncio.sleep(0.5)
+    assert 3 in upstream.acknowledged
+
+
+async def test_a_clock_that_is_behind_counts_though_an_order_beside_it_got_no_answer(linked):
+    """Guards against starts by the clock of an earlier incarnation that has ended."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+
+    async def start(order, until_ms, token):
+        if order.run == 1:
+            await asyncio.sleep(0.01)
+            raise UpstreamUnknownError("no answer", step="start")
+        await asyncio.sleep(0.02)
+        return int(upstream.timer.now_ms()) - 50_000
+
+    async def renew_lease(**_):
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise UpstreamUnknownError("no answer", step="hold")
+
+    upstream.start, upstream.renew_lease = start, renew_lease
+    link.tell(Start(StartOrder("job.0.0.1", 1, "", "", "")))
+    link.tell(Start(StartOrder("job.0.0.2", 2, "", "", "")))
+    await asyncio.sleep(0.05)
+    link.tell(Start(StartOrder("job.0.0.3", 3, "", "", "")))
+    await asyncio.sleep(0.05)
+    assert listener.outcomes == ["unanswered", "accepted", "refused"]
