--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -14,18 +14,18 @@
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
 from .leases import last_misdirected_ms, max_lease_ms
-from .link import (
+from .link import Link
+from .mailbox import receives
+from .progress import mostly_slow
+from .runorders import (
     Acknowledge,
     ExtendPermission,
-    Link,
     PaceOutcome,
     PollFailed,
     RejectLateStart,
     ReportReceived,
     SetPace,
 )
-from .mailbox import receives
-from .progress import mostly_slow
 from .runs import EndedRun, LiveRun
 from .runstate import KnownUpstream, OrphanRun, RunState, VacatingRequest, needs_jobs
 from .storage import Entry
@@ -126,6 +126,8 @@
         slot.free = slot.free.plus(entry.capacity).plus(slot.entry.capacity, -1)
         restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
+        if entry.started_ms == upstream.started_ms:
+            upstream.registered_ms = self._timer.now_ms()
         self._compare_registration(upstream)
         if restarted and not slot.known:
             self._note_inherited_lease(upstream)
@@ -540,26 +542,29 @@
         *,
         assigned: bool = True,
         as_of_ms: float = float("inf"),
-    ) -> None:
-        """Treat all runs at an upstream as lost.
+    ) -> int:
+        """Treat all runs at an upstream as lost; return how many were.
 
         :param assigned: include runs whose start has not been sent.
         :param as_of_ms: leave out the runs that another incarnation may have taken and that may go
             on after this time. At an upstream that has not reported in this epoch these are all.
         """
         known = upstream.slot.known
+        lost_count = 0
         for key, orphan in list(upstream.orphans.items()):
             stop_unconfirmed = orphan.must_stop and orphan.conclusive_after_ms == float("inf")
             long_running = orphan.task is not None and orphan.task.step.spec.long_running
-            goes_on = upstream.uncertain_run_end_ms(long_running) > as_of_ms
+            goes_on = self._uncertain_run_end_ms(upstream, long_running) > as_of_ms
             if goes_on and (stop_unconfirmed or not known):
                 continue
             if stop_unconfirmed:
                 self._reject_late_start(upstream, key)
             self._release_orphan(upstream, key)
+            lost_count += 1
         for task in list(upstream.slot.tasks.values()):
             start_uncertain = _start_is_uncertain(task)
-            goes_on = upstream.uncertain_run_end_ms(task.step.spec.long_running) > as_of_ms
+            long_running = task.step.spec.long_running
+            goes_on = self._uncertain_run_end_ms(upstream, long_running) > as_of_ms
             if goes_on and (start_uncertain or not known):
                 continue
             if start_uncertain:
@@ -567,6 +572,26 @@
             # The loss of one task of a gang withdraws the others that are assigned here as well.
             if task.placed and (assigned or task.state != "assigned"):
                 self._mark_lost(task, reason)
+                lost_count += 1
+        return lost_count
+
+    def _uncertain_run_end_ms(self, upstream: KnownUpstream, long_running: bool) -> float:
+        """Return the time by which a run ends that an unknown incarnation may have taken.
+
+        Without a registration of a later incarnation no order is counted as carried out late. A
+        registration of the known one that was read after the call shows that there was no other
+        when an order in time was carried out. Once it has expired, long-running tasks do not wait:
+        they must be at work again within seconds.
+        """
+        slot = upstream.slot
+        if not slot.known or slot.entry.started_ms > upstream.started_ms:
+            return upstream.unanswered_end_ms
+        delay_ms = defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
+        end_ms = upstream.unanswered_end_ms - delay_ms
+        taken_ms = end_ms - max_lease_ms(self._lease_max_ms)
+        if upstream.registered_ms > taken_ms or (long_running and not slot.listed):
+            return 0.0
+        return end_ms
 
     def _reject_late_start(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
         """Have a start rejected that a silent upstream may still carry out.
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -19,12 +19,9 @@
 from .intake import IntakeRead
 from .jobmodel import Job, StepOccurrence
 from .leadership import Fenced, LeadershipConfirmed, ReachMeasured
-from .link import (
-    ExtendPermission,
-    FencedByUpstream,
-)
 from .loads import Loads
 from .mailbox import new_reply, receives, resolve
+from .runorders import ExtendPermission, FencedByUpstream
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
 from .takeover import TakeOver, isolated_record
@@ -538,9 +535,8 @@
             self._allow_copies(upstream, now_ms)
             return
         reason = "its upstream is silent and the lease has expired"
-        if upstream.orphans or any(task.state != "assigned" for task in slot.tasks.values()):
+        if self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms):
             self._log_lease_expired(upstream, now_ms)
-        self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
         if gone and not slot.tasks and not upstream.orphans:
