Take-over: the next slice of restored jobs is not refused by a full inbox

If the inbox was full between two slices, the take-over stood still until the next leader, and queries were answered as not known yet.

Change: that call uses `tell_self` as well; `self.tell` is not used any more.

--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -176,7 +176,7 @@
                 with isolated_record(getattr(restored, "job_id", "")):
                     self._add_restored(restored)
             if self._timer.now_ms() >= end_ms:
-                asyncio.get_running_loop().call_soon(self.tell, message)
+                asyncio.get_running_loop().call_soon(self.tell_self, message)
                 return
         self._complete_restoring()
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -520,3 +520,20 @@
     scheduler._inbox_limit_count = limit_count
     await asyncio.wait_for(wait_until_restored(scheduler), 3.0)
     assert set(scheduler._jobs) == set(job_ids)
+
+
+async def test_a_full_inbox_between_two_slices_does_not_end_a_take_over(
+    store_jobs, leader, monkeypatch
+):
+    """Guards against a leader whose next slice of restored jobs is refused and never repeated."""
+    monkeypatch.setattr(defaults, "RESTORE_SLICE_MS", 0)
+    job_ids = store_jobs(30)
+    scheduler = await leader()
+    while not scheduler._restored_jobs:
+        await asyncio.sleep(0)
+    assert not scheduler._loaded
+    limit_count, scheduler._inbox_limit_count = scheduler._inbox_limit_count, 0
+    await asyncio.sleep(0.3)
+    scheduler._inbox_limit_count = limit_count
+    await asyncio.wait_for(wait_until_restored(scheduler), 3.0)
+    assert set(scheduler._jobs) == set(job_ids)
