Link: the reading of the clock is the link's, one test for a refusal by an own later token

LeaseEstimate stored a reading that none of its methods used, beside the one that renew() is passed. The condition for a refusal because of a later token of the same link stood in the poll and in the pace. No change of behaviour; tests/test_link.py and tests/test_leases.py pass.

--- a/src/tarragoncart/leases.py
+++ b/src/tarragoncart/leases.py
@@ -49,7 +49,6 @@
     longest_ms: float
     end_ms: float = field(default=0.0, init=False)
     unanswered_end_ms: float = field(default=0.0, init=False)
-    reading: ClockReading | None = field(default=None, init=False)
 
     def renew(self, reading: ClockReading, now_ms: float) -> int:
         """Extend the lease; return its new end on the upstream's clock."""
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -86,6 +86,8 @@
         # orders for an earlier one.
         self._unseen_token: int | None = None
         self._lease = LeaseEstimate(lease_ms, lease_max_ms)
+        # The upstream's clock in its last report; None if another incarnation may have answered.
+        self._reading: ClockReading | None = None
         self._client = make_client(entry.upstream_id, entry.address)
         self._listener = listener
         self._timer = timer
@@ -169,7 +171,7 @@
         Another incarnation has another clock, which may be far behind, so that a lease by the clock
         of an earlier one would last for as long as the upstream allows.
         """
-        reading = self._lease.reading
+        reading = self._reading
         if reading is None or not self._last_poll_answered:
             return None
         age_ms = self._timer.now_ms() - reading.read_ms
@@ -226,7 +228,7 @@
         :param sent_ms: when the call was sent.
         :param expected_started_ms: start time of the incarnation for which it was sent.
         """
-        reading = self._lease.reading
+        reading = self._reading
         if reading is None or expected_started_ms != self._started_ms:
             return
         if sent_ms - reading.read_ms >= defaults.UPSTREAM_SILENT_MS:
@@ -237,7 +239,7 @@
             return
         now_ms = self._timer.now_ms()
         self._lease.note_misdirected(now_ms)
-        self._lease.reading = None
+        self._reading = None
         logger.warning(
             "call answered by another incarnation: its clock is behind the estimate",
             extra={
@@ -319,7 +321,7 @@
             # Not retried here: a later report shows which pace is due by then.
             reason = getattr(error, "reason", "")
             self._report_if_fenced(reason, token)
-            repeatable = reason in ("", "unhealthy") or (reason == "fence" and token != self._token)
+            repeatable = reason in ("", "unhealthy") or self._superseded(reason, token)
             outcome = "unanswered" if repeatable else "refused"
             logger.info(
                 "pace could not be set",
@@ -334,12 +336,13 @@
         self._listener.tell(PaceOutcome(order.task_name, order.run, order.percent, outcome))
 
     def _fenced(self, reason: str, token: int) -> bool:
-        """Return whether the upstream has refused an order because of another leader.
-
-        Orders with an earlier token of this link are refused as well.
-        """
+        """Return whether the upstream has refused an order because of another leader."""
         return reason == "fence" and token == self._token
 
+    def _superseded(self, reason: str, token: int) -> bool:
+        """Return whether the upstream has refused an order because of a later token of this link."""
+        return reason == "fence" and token != self._token
+
     def _report_if_fenced(self, reason: str, token: int) -> None:
         if self._fenced(reason, token):
             self._listener.tell(FencedByUpstream(self._upstream_id))
@@ -389,7 +392,7 @@
             )
         except TarragoncartError as error:
             reason = getattr(error, "reason", "") or str(error)
-            if reason == "fence" and token != self._token:
+            if self._superseded(reason, token):
                 return None
             if until_ms is not None:
                 self._lease.note_unanswered(requested_ms)
@@ -411,7 +414,7 @@
                 self._lease.note_misdirected(self._timer.now_ms())
         # The upstream read its clock when it answered. Paired with the time of the request, the
         # clock would seem ahead by the wait, and leases would last longer than expected here.
-        self._lease.reading = ClockReading(report.clock_ms, self._timer.now_ms())
+        self._reading = ClockReading(report.clock_ms, self._timer.now_ms())
         self._listener.tell(
             ReportReceived(self._upstream_id, report, requested_ms, self._lease.end_ms)
         )
@@ -449,7 +452,7 @@
         An incarnation that has answered, but has seen no token of its own, may still take an order
         for an earlier one, which extends the lease of its confirmed runs.
         """
-        answered_without_report = self._started_ms > 0 and self._lease.reading is None
+        answered_without_report = self._started_ms > 0 and self._reading is None
         if answered_without_report or self._unseen_token is not None:
             return max(self._lease.end_ms, self._lease.unanswered_end_ms)
         return self._lease.end_ms
