--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -213,9 +213,6 @@
 UPSTREAM_CALL_TIMEOUT_MS = 700
 # An upstream may carry an order without an answer out this much later.
 ORDER_DELAY_MAX_MS = 12_000
-# For this long after its start an upstream may carry out orders for the incarnation before it:
-# UPSTREAM_SILENT_MS plus ORDER_DELAY_MAX_MS.
-MISDIRECTED_ORDERS_MS = 13_800
 # An acknowledgement is sent only if the upstream has answered this recently. Another incarnation
 # would drop ends that nobody has read.
 ACKNOWLEDGE_READING_MAX_AGE_MS = 200
@@ -226,6 +223,8 @@
 LINK_START_PAUSE_MS = 5
 # An upstream that has not answered for this long is assigned no new tasks.
 UPSTREAM_SILENT_MS = 1_800
+# For this long after its start an upstream may carry out orders for the incarnation before it.
+MISDIRECTED_ORDERS_MS = UPSTREAM_SILENT_MS + ORDER_DELAY_MAX_MS
 ACKNOWLEDGE_WAIT_MS = 400
 PLACEMENT_DELAY_MS = 4
 # Pause before the next pass, as a multiple of the duration of the last one: passes over many
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -535,20 +535,22 @@
             self._allow_copies(upstream, now_ms)
             return
         reason = "its upstream is silent and the lease has expired"
-        if self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms):
-            self._log_lease_expired(upstream, now_ms)
+        lost_count = self._mark_all_lost(upstream, reason, assigned=False, as_of_ms=now_ms)
+        if lost_count:
+            self._log_lease_expired(upstream, lost_count, now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
         if gone and not slot.tasks and not upstream.orphans:
             self._remove_upstream(upstream, "not registered and not answering")
 
-    def _log_lease_expired(self, upstream: KnownUpstream, now_ms: float) -> None:
+    def _log_lease_expired(self, upstream: KnownUpstream, lost_count: int, now_ms: float) -> None:
         logger.info(
             "lease of a silent upstream has expired",
             extra={
                 "upstream": upstream.slot.entry.upstream_id,
                 "started_ms": upstream.started_ms,
                 "registered_started_ms": upstream.slot.entry.started_ms,
+                "lost_count": lost_count,
                 "run_count": len(upstream.slot.tasks),
                 "orphan_count": len(upstream.orphans),
                 "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
