Reports: lost runs and slow upstreams are modules of their own

Cause: reports.py had grown to 618 lines and decided three things: what a report says, when a run is gone, and whether an upstream is slow. Change: losses.py and slowness.py, moved without a change of the logic; reports.py has 425 lines left.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -8,15 +8,13 @@
 from attrs import frozen
 
 from . import defaults, metrics, pacing
-from .assignment import UpstreamSlot, choose_slot, home_first
+from .assignment import UpstreamSlot
 from .errors import DecodeError
 from .fencing import FencingTokens
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
-from .leases import last_misdirected_ms, max_lease_ms
 from .link import Link
 from .mailbox import receives
-from .progress import mostly_slow
 from .runorders import (
     Acknowledge,
     ExtendPermission,
@@ -27,15 +25,14 @@
     SetPace,
 )
 from .runs import EndedRun, LiveRun
-from .runstate import KnownUpstream, OrphanRun, RunState, VacatingRequest, needs_jobs
+from .runstate import KnownUpstream, OrphanRun, VacatingRequest, needs_jobs
+from .slowness import SlowUpstreams
 from .storage import Entry
 
 logger = logging.getLogger(__name__)
 
 # An upstream lists at most this many ended runs in a report; a full list may be incomplete.
 ENDED_PAGE_COUNT = 500
-# Maximum number of values in one field of a log record.
-LOGGED_COUNT = 8
 
 
 @frozen
@@ -43,7 +40,7 @@
     """Start the links to some of the upstreams that were registered last."""
 
 
-class Reports(RunState):
+class Reports(SlowUpstreams):
     """Processes registrations and reports of upstreams."""
 
     def _restore_placed_task(self, task: Task) -> None:
@@ -71,20 +68,6 @@
             self._upstreams[upstream_id] = upstream
         return upstream
 
-    def _note_inherited_lease(self, upstream: KnownUpstream) -> None:
-        """Count the leases that earlier leaders may have been granted.
-
-        An upstream that has started again may have granted its longest lease, also late.
-        """
-        entry = upstream.slot.entry
-        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
-        birth_ms = self._timer.now_ms() - (self._timer.wall_ms() - entry.started_ms)
-        misdirected_ms = last_misdirected_ms(birth_ms, last_order_ms + defaults.ORDER_DELAY_MAX_MS)
-        upstream.note_lease_end(
-            last_order_ms + max_lease_ms(self._lease_ms),
-            misdirected_ms + max_lease_ms(self._lease_max_ms),
-        )
-
     def _process_registrations(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
             if not entry.value:
@@ -289,71 +272,6 @@
             if task.state == "assigned":
                 self._apply_event(task, "withdraw")
 
-    def _detect_slow_upstream(self, upstream: KnownUpstream) -> None:
-        """Decide whether an upstream is slow; if so, rerun tasks that end sooner elsewhere."""
-        slot = upstream.slot
-        now_ms = self._timer.now_ms()
-        measured: list[tuple[Task, float]] = []
-        for task in slot.tasks.values():
-            spec = task.step.spec
-            if task.state != "running" or spec.long_running or not spec.estimate_ms:
-                continue
-            slowness = task.tracker.slowness(spec.estimate_ms)
-            if slowness is not None:
-                measured.append((task, slowness))
-        slow = mostly_slow([slowness for _, slowness in measured])
-        if slow is None:
-            return
-        slot.slow_measured_ms = now_ms
-        if slow != slot.slow:
-            slot.slow = slow
-            logger.info(
-                "upstream is slow" if slow else "upstream is no longer slow",
-                extra={
-                    "upstream": slot.entry.upstream_id,
-                    "run_count": len(slot.tasks),
-                    "slowness": [round(slowness, 1) for _, slowness in measured[:LOGGED_COUNT]],
-                },
-            )
-        if slow:
-            self._rerun_slow_tasks(slot, measured, now_ms)
-
-    def _rerun_slow_tasks(
-        self, slot: UpstreamSlot, measured: list[tuple[Task, float]], now_ms: float
-    ) -> None:
-        others = [
-            upstream.slot
-            for upstream in self._upstreams.values()
-            if upstream.slot.entry.pool == slot.entry.pool and not upstream.slot.degraded
-        ]
-        for task, slowness in measured:
-            spec = task.step.spec
-            resumes = spec.checkpointing and bool(task.history.checkpoint)
-            if spec.gang or task.restart_count >= defaults.RESTART_LIMIT_COUNT:
-                continue
-            if not task.tracker.restart_ends_sooner(spec.estimate_ms, slowness, resumes):
-                continue
-            counts = task.step.upstream_counts()
-            if choose_slot(task, others, counts, now_ms, home_first) is None:
-                continue
-            task.restart_count += 1
-            if task.copyable:
-                self._allow_copy(task, "its upstream is slow")
-                continue
-            logger.info(
-                "run is given up because its upstream is slow",
-                extra={
-                    "job": task.step.job.job_id,
-                    "task": task.name,
-                    "run": task.run,
-                    "upstream": slot.entry.upstream_id,
-                    "slowness": round(slowness, 1),
-                    "percent": task.percent,
-                    "estimate_ms": spec.estimate_ms,
-                },
-            )
-            self._stop_task(task)
-
     def _set_paces(self, upstream: KnownUpstream) -> None:
         """Slow down or speed up the best-effort tasks beside the serving tasks."""
         now_ms = self._timer.now_ms()
@@ -482,26 +400,6 @@
         if key in upstream.orphans:
             self._release_orphan(upstream, key)
 
-    def _drop_unlisted_runs(
-        self, upstream: KnownUpstream, listed: set[tuple[str, int]], requested_ms: float
-    ) -> None:
-        for task in list(upstream.slot.tasks.values()):
-            if (task.name, task.run) in listed or task.state in ("assigned", "starting"):
-                continue
-            if not task.placed:
-                # The loss of another task has ended its job, which has withdrawn it.
-                continue
-            if requested_ms <= task.must_list_after_ms:
-                continue
-            if task.state == "unsure":
-                self._apply_event(task, "unlisted")
-                task.must_list_after_ms = float("inf")
-            else:
-                self._mark_lost(task, "not listed by its upstream")
-        for key, orphan in list(upstream.orphans.items()):
-            if key not in listed and requested_ms > orphan.conclusive_after_ms:
-                self._release_orphan(upstream, key)
-
     @receives(PollFailed)
     @needs_jobs
     def on_poll_failed(self, message: PollFailed) -> None:
@@ -525,94 +423,3 @@
         upstream.note_lease_end(message.lease_end_ms, message.unanswered_end_ms)
         if message.gone:
             self._remove_upstream(upstream, "another incarnation answered at its address")
-
-    @staticmethod
-    def _assume_tasks_away(slot: UpstreamSlot) -> None:
-        """Count the tasks of a silent upstream as away until it reports them again.
-
-        Its runs may have ended well before the time at which all leases have expired for certain.
-        """
-        for task in slot.tasks.values():
-            task.percent = 0
-
-    def _mark_all_lost(
-        self,
-        upstream: KnownUpstream,
-        reason: str,
-        *,
-        assigned: bool = True,
-        as_of_ms: float = float("inf"),
-    ) -> int:
-        """Treat all runs at an upstream as lost; return how many were.
-
-        :param assigned: include runs whose start has not been sent.
-        :param as_of_ms: leave out the runs that another incarnation may have taken and that may go
-            on after this time. At an upstream that has not reported in this epoch these are all.
-        """
-        known = upstream.slot.known
-        lost_count = 0
-        for key, orphan in list(upstream.orphans.items()):
-            stop_unconfirmed = orphan.must_stop and orphan.conclusive_after_ms == float("inf")
-            long_running = orphan.task is not None and orphan.task.step.spec.long_running
-            goes_on = self._uncertain_run_end_ms(upstream, long_running) > as_of_ms
-            if goes_on and (stop_unconfirmed or not known):
-                continue
-            if stop_unconfirmed:
-                self._reject_late_start(upstream, key)
-            self._release_orphan(upstream, key)
-            lost_count += 1
-        for task in list(upstream.slot.tasks.values()):
-            start_uncertain = _start_is_uncertain(task)
-            long_running = task.step.spec.long_running
-            goes_on = self._uncertain_run_end_ms(upstream, long_running) > as_of_ms
-            if goes_on and (start_uncertain or not known):
-                continue
-            if start_uncertain:
-                self._reject_late_start(upstream, (task.name, task.run))
-            # The loss of one task of a gang withdraws the others that are assigned here as well.
-            if task.placed and (assigned or task.state != "assigned"):
-                self._mark_lost(task, reason)
-                lost_count += 1
-        return lost_count
-
-    def _uncertain_run_end_ms(self, upstream: KnownUpstream, long_running: bool) -> float:
-        """Return the time by which a run ends that an unknown incarnation may have taken.
-
-        Without a registration of a later incarnation no order is counted as carried out late. A
-        registration of the known one that was read after the call shows that there was no other
-        when an order in time was carried out. Once it has expired, long-running tasks do not wait:
-        they must be at work again within seconds.
-        """
-        slot = upstream.slot
-        if not slot.known or slot.entry.started_ms > upstream.started_ms:
-            return upstream.unanswered_end_ms
-        delay_ms = defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
-        end_ms = upstream.unanswered_end_ms - delay_ms
-        taken_ms = end_ms - max_lease_ms(self._lease_max_ms)
-        if upstream.registered_ms > taken_ms or (long_running and not slot.listed):
-            return 0.0
-        return end_ms
-
-    def _reject_late_start(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
-        """Have a start rejected that a silent upstream may still carry out.
-
-        Kept beyond the link: an upstream that is removed, as it is silent and not listed, may be
-        registered again, and its new link must reject the start as well.
-        """
-        if upstream.link is not None:
-            self._late_starts.setdefault(upstream.slot.entry.upstream_id, set()).add(key)
-            upstream.link.tell(RejectLateStart(*key))
-
-    def _remove_upstream(self, upstream: KnownUpstream, reason: str) -> None:
-        upstream_id = upstream.slot.entry.upstream_id
-        self._mark_all_lost(upstream, reason)
-        self._upstreams.pop(upstream_id, None)
-        if upstream.link is not None:
-            self.spawn(upstream.link.stop())
-        logger.info("upstream removed", extra={"upstream": upstream_id, "reason": reason})
-
-
-def _start_is_uncertain(task: Task) -> bool:
-    """Return whether the start of a task's run may still be carried out, or may have been."""
-    stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
-    return stop_unconfirmed or task.state in ("starting", "unsure")
