Links tell when an order without an answer was sent, not by when its run ends

Change: LeaseEstimate, the messages of a link and KnownUpstream carry the time of the order; the two bounds are added where they are used. The log line of an expired lease has unanswered_age_ms.

--- a/src/tarragoncart/leases.py
+++ b/src/tarragoncart/leases.py
@@ -11,6 +11,9 @@
 
 from . import defaults
 
+# Time of an order that was never sent.
+NEVER_MS = float("-inf")
+
 
 def max_lease_ms(lease_ms: float) -> float:
     """Return the longest time for which a lease may last, by the leader's clock."""
@@ -41,14 +44,14 @@
     :param longest_ms: longest lease that the upstream grants.
     :param end_ms: time by which all runs end that are known to be at the incarnation that answered
         last.
-    :param unanswered_end_ms: time by which a run ends whose start has no answer, so that a later
-        incarnation may have taken it.
+    :param unanswered_sent_ms: when the latest order without an answer was sent that may have
+        extended a lease, possibly that of a later incarnation; negative infinity for none.
     """
 
     lease_ms: float
     longest_ms: float
     end_ms: float = field(default=0.0, init=False)
-    unanswered_end_ms: float = field(default=0.0, init=False)
+    unanswered_sent_ms: float = field(default=NEVER_MS, init=False)
 
     def renew(self, reading: ClockReading, now_ms: float) -> int:
         """Extend the lease; return its new end on the upstream's clock."""
@@ -77,9 +80,13 @@
 
     def note_unanswered(self, sent_ms: float) -> None:
         """Note an order without an answer that may have extended a lease."""
-        taken_ms = sent_ms + defaults.ORDER_DELAY_MAX_MS
-        end_ms = taken_ms + max_lease_ms(self.longest_ms)
-        self.unanswered_end_ms = max(self.unanswered_end_ms, end_ms)
+        self.unanswered_sent_ms = max(self.unanswered_sent_ms, sent_ms)
+
+    @property
+    def unanswered_end_ms(self) -> float:
+        """Time by which a run ends that an order without an answer has started, however late."""
+        taken_ms = self.unanswered_sent_ms + defaults.ORDER_DELAY_MAX_MS
+        return taken_ms + max_lease_ms(self.longest_ms)
 
     def _extend(self, end_ms: float) -> None:
         self.end_ms = max(self.end_ms, end_ms)
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -215,7 +215,7 @@
                 outcome,
                 reason,
                 self._lease.end_ms,
-                self._lease.unanswered_end_ms,
+                self._lease.unanswered_sent_ms,
             )
         )
 
@@ -442,7 +442,7 @@
                 reason,
                 reason == "instance",
                 self._lease_end_at_failure_ms(),
-                self._lease.unanswered_end_ms,
+                self._lease.unanswered_sent_ms,
             )
         )
 
--- a/src/tarragoncart/losses.py
+++ b/src/tarragoncart/losses.py
@@ -28,7 +28,7 @@
         misdirected_ms = last_misdirected_ms(birth_ms, last_order_ms + defaults.ORDER_DELAY_MAX_MS)
         upstream.note_lease_end(
             last_order_ms + max_lease_ms(self._lease_ms),
-            misdirected_ms + max_lease_ms(self._lease_max_ms),
+            misdirected_ms - defaults.ORDER_DELAY_MAX_MS,
         )
 
     def _drop_unlisted_runs(
@@ -109,14 +109,13 @@
         they must be at work again within seconds.
         """
         slot = upstream.slot
+        lease_ms = max_lease_ms(self._lease_max_ms)
         if not slot.known or slot.entry.started_ms > upstream.started_ms:
-            return upstream.unanswered_end_ms
-        delay_ms = defaults.ORDER_DELAY_MAX_MS - defaults.UPSTREAM_CALL_TIMEOUT_MS
-        end_ms = upstream.unanswered_end_ms - delay_ms
-        taken_ms = end_ms - max_lease_ms(self._lease_max_ms)
+            return upstream.unanswered_sent_ms + defaults.ORDER_DELAY_MAX_MS + lease_ms
+        taken_ms = upstream.unanswered_sent_ms + defaults.UPSTREAM_CALL_TIMEOUT_MS
         if upstream.registered_ms > taken_ms or (long_running and not slot.listed):
             return 0.0
-        return end_ms
+        return taken_ms + lease_ms
 
     def _reject_late_start(self, upstream: KnownUpstream, key: tuple[str, int]) -> None:
         """Have a start rejected that a silent upstream may still carry out.
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -420,6 +420,6 @@
                 },
             )
         self._assume_tasks_away(slot)
-        upstream.note_lease_end(message.lease_end_ms, message.unanswered_end_ms)
+        upstream.note_lease_end(message.lease_end_ms, message.unanswered_sent_ms)
         if message.gone:
             self._remove_upstream(upstream, "another incarnation answered at its address")
--- a/src/tarragoncart/runorders.py
+++ b/src/tarragoncart/runorders.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from .leases import NEVER_MS
 from .runs import StartOrder, UpstreamReport
 
 
@@ -95,14 +96,15 @@
     :param gone: another upstream answered at its address.
     :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
         renewed again.
-    :param unanswered_end_ms: time by which its other runs end, whose starts have no answer.
+    :param unanswered_sent_ms: when the latest order without an answer was sent that may have
+        extended a lease, negative infinity for none.
     """
 
     upstream_id: str
     reason: str
     gone: bool
     lease_end_ms: float
-    unanswered_end_ms: float = 0.0
+    unanswered_sent_ms: float = NEVER_MS
 
 
 @frozen
@@ -111,7 +113,8 @@
 
     :param outcome: ``accepted``, ``refused`` or ``unanswered``.
     :param lease_end_ms: time by which the run ends if it was accepted and its lease is not renewed.
-    :param unanswered_end_ms: time by which it ends if there was no answer.
+    :param unanswered_sent_ms: when the latest order without an answer was sent that may have
+        extended a lease, negative infinity for none.
     """
 
     upstream_id: str
@@ -120,7 +123,7 @@
     outcome: str
     reason: str = ""
     lease_end_ms: float = 0.0
-    unanswered_end_ms: float = 0.0
+    unanswered_sent_ms: float = NEVER_MS
 
 
 @frozen
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -18,7 +18,7 @@
 from .graph import Rules, UpstreamEntry
 from .intake import IntakeReader
 from .jobmodel import TASK_CHART, EndedJob, Job, StepOccurrence, Task
-from .leases import max_lease_ms
+from .leases import NEVER_MS, max_lease_ms
 from .link import ClientFactory, Link
 from .loads import OfferedLoad, SubmissionShares
 from .mailbox import Actor, Handler, implements_action, receives
@@ -108,8 +108,8 @@
     :param last_ended_number: number of the last ended run that has been processed.
     :param lease_end_ms: time by which all runs end that it has confirmed, if its lease is not
         renewed again.
-    :param unanswered_end_ms: time by which its other runs end, whose starts have no answer: an
-        incarnation that is not known yet may have taken them.
+    :param unanswered_sent_ms: when the latest order without an answer was sent to it that may have
+        started a run or extended a lease; an incarnation that is not known yet may have taken it.
     :param reported_ms: time of its last report.
     :param registered_ms: time at which a registration of the known incarnation was read last.
     :param first_reported_ms: time of its first report in this epoch, infinite before. From then on
@@ -126,7 +126,7 @@
     slot: UpstreamSlot
     link: Link | None
     lease_end_ms: float = 0.0
-    unanswered_end_ms: float = 0.0
+    unanswered_sent_ms: float = NEVER_MS
     started_ms: int = 0
     last_ended_number: int = 0
     reported_ms: float = 0.0
@@ -139,10 +139,10 @@
     order_pending: bool = False
     orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
 
-    def note_lease_end(self, confirmed_ms: float, unanswered_ms: float = 0.0) -> None:
-        """Extend the times by which its runs end."""
-        self.lease_end_ms = max(self.lease_end_ms, confirmed_ms)
-        self.unanswered_end_ms = max(self.unanswered_end_ms, unanswered_ms)
+    def note_lease_end(self, end_ms: float, unanswered_sent_ms: float = NEVER_MS) -> None:
+        """Note a later end of its lease, and a later order without an answer."""
+        self.lease_end_ms = max(self.lease_end_ms, end_ms)
+        self.unanswered_sent_ms = max(self.unanswered_sent_ms, unanswered_sent_ms)
 
 
 class RunState(Actor):
@@ -621,7 +621,7 @@
         metrics.STARTS.add(1, metrics.labels(outcome=message.outcome))
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is not None:
-            upstream.note_lease_end(message.lease_end_ms, message.unanswered_end_ms)
+            upstream.note_lease_end(message.lease_end_ms, message.unanswered_sent_ms)
         task = self._find_task(message.task_name)
         if task is None or task.run != message.run or not task.placed:
             return
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from collections.abc import Iterator
 
@@ -554,11 +555,9 @@
                 "run_count": len(upstream.slot.tasks),
                 "orphan_count": len(upstream.orphans),
                 "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
-                "unanswered_left_ms": round(upstream.unanswered_end_ms - now_ms),
+                "unanswered_age_ms": _age_ms(upstream.unanswered_sent_ms, now_ms),
                 "report_age_ms": round(now_ms - upstream.reported_ms),
-                "first_report_age_ms": (
-                    round(now_ms - upstream.first_reported_ms) if upstream.reported_ms else None
-                ),
+                "first_report_age_ms": _age_ms(upstream.first_reported_ms, now_ms),
             },
         )
 
@@ -603,3 +602,8 @@
         if not self._loaded or now_ms >= self._permitted_until_ms:
             return float("inf")
         return now_ms - self._intake_as_of_ms
+
+
+def _age_ms(since_ms: float, now_ms: float) -> int | None:
+    """Return the time since an event, None if it has not happened."""
+    return round(now_ms - since_ms) if math.isfinite(since_ms) else None
