A task whose start may be carried out late runs only at that upstream

A start had no answer, its upstream confirmed a stop of the run, and the task started elsewhere. The upstream then started again under its id and carried the start out: it knew neither the stop nor a fencing token. The same for a start of an earlier leader that the first report did not list. Cause: a confirmed stop was taken to bind the upstream, but it binds one incarnation of it. A later run there has a higher number and token, and is gone with its incarnation before the next one can carry the start out. When a silent upstream is given up, its bound tasks are released by the rule for its runs.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -107,6 +107,7 @@
 
     NO_ROOM = "no upstream has room"
     ACCOUNT_LIMIT = "the account is at its limit"
+    BOUND = "the start of an earlier run may still be carried out at its upstream"
 
 
 Order = Callable[[StepOccurrence, float], tuple[float, ...]]
@@ -232,6 +233,8 @@
         if not admits(slot, spec, now_ms):
             continue
         upstream_id = slot.entry.upstream_id
+        if task.bound_to not in ("", upstream_id):
+            continue
         if needs_advice and upstream_id not in step.tickets:
             continue
         if upstream_id in task.copies.values():
@@ -282,6 +285,7 @@
             continue
         counts = step.upstream_counts()
         usage = usage_of(step.job.submission.account)
+        bound_count = 0
         for task in list(step.waiting()):
             if left_count <= 0:
                 return
@@ -291,6 +295,9 @@
                 report_wait(step, WaitReason.ACCOUNT_LIMIT)
                 break
             slot = choose_slot(task, slots, counts, now_ms, ranking)
+            if slot is None and task.bound_to:
+                bound_count += 1
+                continue
             if slot is None:
                 unconstrained = not spec.max_per_upstream_count and not spec.label
                 if unconstrained and not step.job.submission.needs_advice:
@@ -301,6 +308,9 @@
             counts[slot.entry.upstream_id] = counts.get(slot.entry.upstream_id, 0) + 1
             left_count -= 1
             yield task
+        else:
+            if bound_count:
+                report_wait(step, WaitReason.BOUND)
 
 
 def _needs_at_least(spec: StepSpec, other: StepSpec) -> bool:
@@ -356,7 +366,7 @@
     spec = step.spec
     free = {slot.entry.upstream_id: slot.free for slot in slots}
     counts = step.upstream_counts()
-    places: list[UpstreamSlot] = []
+    places: dict[Task, UpstreamSlot] = {}
     needs_advice = step.job.submission.needs_advice
     if needs_advice and now_ms >= step.tickets_until_ms:
         return None
@@ -364,20 +374,23 @@
     candidates = sorted(
         (slot for slot in allowed if admits(slot, spec, now_ms)), key=lambda s: ranking(s, step)
     )
-    for _ in step.tasks:
+    # Bound tasks first, as the others may take any upstream.
+    for task in sorted(step.tasks, key=lambda task: not task.bound_to):
         for slot in candidates:
             upstream_id = slot.entry.upstream_id
+            if task.bound_to not in ("", upstream_id):
+                continue
             max_count = spec.max_per_upstream_count
             if max_count and counts.get(upstream_id, 0) >= max_count:
                 continue
             if spec.counted.fits(free[upstream_id]):
                 free[upstream_id] = free[upstream_id].plus(spec.counted, -1)
                 counts[upstream_id] = counts.get(upstream_id, 0) + 1
-                places.append(slot)
+                places[task] = slot
                 break
         else:
             return None
-    return places
+    return [places[task] for task in step.tasks]
 
 
 def within_disruption_budget(tasks: Iterable[Task]) -> bool:
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -77,6 +77,10 @@
     :param retry_ms: it is not assigned again before this time.
     :param must_list_after_ms: the current run is gone if a report requested after this time does
         not list it; earlier reports may miss it.
+    :param start_pending_until_ms: until when the start of the current run may be carried out; 0
+        once its upstream has answered it or listed the run.
+    :param bound_to: the only upstream at which it may run, empty for any. An incarnation that is
+        not known yet may carry out the start of an earlier run there.
     """
 
     step: StepOccurrence
@@ -95,6 +99,8 @@
     load: int = 0
     assigned_ms: float = 0.0
     must_list_after_ms: float = 0.0
+    start_pending_until_ms: float = 0.0
+    bound_to: str = ""
     paced_ms: float = 0.0
     retry_ms: float = 0.0
 
--- a/src/tarragoncart/losses.py
+++ b/src/tarragoncart/losses.py
@@ -46,11 +46,37 @@
                 self._apply_event(task, "unlisted")
                 task.must_list_after_ms = float("inf")
             else:
+                self._bind_task(upstream, task)
                 self._mark_lost(task, "not listed by its upstream")
         for key, orphan in list(upstream.orphans.items()):
             if key not in listed and requested_ms > orphan.conclusive_after_ms:
                 self._release_orphan(upstream, key)
 
+    def _bind_task(self, upstream: KnownUpstream, task: Task) -> None:
+        """Let a task run only where the start of its run may still be carried out.
+
+        A later run at the same upstream rules the start out. If it starts again, that run is gone
+        before the next incarnation, which does not know of a stop, can carry the start out.
+        """
+        now_ms = self._timer.now_ms()
+        until_ms = min(task.start_pending_until_ms, now_ms + defaults.ORDER_DELAY_MAX_MS)
+        if until_ms <= now_ms or task.step.job.ended or task.step.spec.copyable:
+            return
+        task.bound_to = upstream.slot.entry.upstream_id
+        upstream.bound_until_ms[task] = until_ms
+        self._log_run("task is bound to its upstream", task, "its start may be carried out late")
+
+    def _release_bound_tasks(self, upstream: KnownUpstream, requested_ms: float) -> None:
+        """Let tasks run elsewhere whose starts cannot have been carried out after a report.
+
+        :param requested_ms: when the report was requested.
+        """
+        for task, until_ms in list(upstream.bound_until_ms.items()):
+            if requested_ms > until_ms:
+                del upstream.bound_until_ms[task]
+                task.bound_to = ""
+                self._request_pass()
+
     @staticmethod
     def _assume_tasks_away(slot: UpstreamSlot) -> None:
         """Count the tasks of a silent upstream as away until it reports them again.
@@ -98,6 +124,10 @@
             if task.placed and (assigned or task.state != "assigned"):
                 self._mark_lost(task, reason)
                 lost_count += 1
+        for task in list(upstream.bound_until_ms):
+            if self._uncertain_run_end_ms(upstream, task.step.spec.long_running) <= as_of_ms:
+                del upstream.bound_until_ms[task]
+                task.bound_to = ""
         return lost_count
 
     def _uncertain_run_end_ms(self, upstream: KnownUpstream, long_running: bool) -> float:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -47,6 +47,8 @@
         """Assign a run of an earlier epoch to its upstream and count its capacity."""
         upstream = self._find_inherited_upstream(task.upstream_id, task.step.job.pool)
         task.pace = None
+        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
+        task.start_pending_until_ms = last_order_ms + defaults.ORDER_DELAY_MAX_MS
         self._occupy_capacity(task, upstream.slot)
 
     def _restore_copies(self, task: Task) -> None:
@@ -254,6 +256,7 @@
             self._request_pass()
         if len(report.ended) < ENDED_PAGE_COUNT:
             self._drop_unlisted_runs(upstream, listed, message.requested_ms)
+            self._release_bound_tasks(upstream, message.requested_ms)
         self._repeat_stops(upstream, live_keys)
         self._set_paces(upstream)
         self._detect_slow_upstream(upstream)
@@ -318,6 +321,7 @@
             task.tracker.observe(now_ms, live.percent)
         if task.state == "stopping":
             self._log_run("upstream lists a run that is being stopped", task, "")
+        task.start_pending_until_ms = 0.0
         if task.state != "running":
             # Polls overlap: a report that was requested before now may not list the run yet.
             task.must_list_after_ms = max(task.must_list_after_ms, self._timer.now_ms())
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -121,6 +121,8 @@
     :param may_go_down: its VM may go down at any moment, so that the tasks on it no longer count as
         available.
     :param order_pending: an order for its VM has been sent or is about to be.
+    :param bound_until_ms: tasks that may run nowhere else until a report that was requested after
+        this time.
     """
 
     slot: UpstreamSlot
@@ -138,6 +140,7 @@
     may_go_down: bool = False
     order_pending: bool = False
     orphans: dict[tuple[str, int], OrphanRun] = field(factory=dict)
+    bound_until_ms: dict[Task, float] = field(factory=dict)
 
     def note_lease_end(self, end_ms: float, unanswered_sent_ms: float = NEVER_MS) -> None:
         """Note a later end of its lease, and a later order without an answer."""
@@ -393,6 +396,7 @@
         task.upstream_id = slot.entry.upstream_id
         task.assigned_ms = self._timer.now_ms()
         task.must_list_after_ms = 0.0
+        task.start_pending_until_ms = float("inf")
         task.percent, task.pace, task.load = 0, pacing.FULL_PERCENT, 0
         task.tracker = ProgressTracker()
         task.pace_confirmed, task.paced_ms = True, 0.0
@@ -625,6 +629,10 @@
         task = self._find_task(message.task_name)
         if task is None or task.run != message.run or not task.placed:
             return
+        task.start_pending_until_ms = 0.0
+        if message.outcome == "unanswered":
+            sent_ms = message.unanswered_sent_ms
+            task.start_pending_until_ms = sent_ms + defaults.ORDER_DELAY_MAX_MS
         job = task.step.job
         if message.outcome == "accepted":
             task.must_list_after_ms = self._timer.now_ms()
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -541,7 +541,7 @@
             self._log_lease_expired(upstream, lost_count, now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
-        if gone and not slot.tasks and not upstream.orphans:
+        if gone and not (slot.tasks or upstream.orphans or upstream.bound_until_ms):
             self._remove_upstream(upstream, "not registered and not answering")
 
     def _log_lease_expired(self, upstream: KnownUpstream, lost_count: int, now_ms: float) -> None:
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -208,6 +208,39 @@
     assert slot is slots[1]
 
 
+def test_a_bound_task_waits_for_its_upstream_and_delays_no_other(slots, make_job):
+    """Guards against a task that runs elsewhere while an earlier start of it may be carried out."""
+    job = make_job(task_count=3)
+    bound, *others = job.tasks()
+    bound.bound_to, slots[1].free = "i-2", Demand()
+    placed, waits = [], []
+
+    def reserve(task, slot):
+        task.state, task.upstream_id = "assigned", slot.entry.upstream_id
+
+    def report_wait(step, reason):
+        waits.append(reason)
+
+    def assign_waiting():
+        steps = list(job.steps.values())
+        placed.extend(plan(steps, slots, no_limit, 0.0, reserve, report_wait))
+
+    assign_waiting()
+    assert (placed, waits) == (others, [WaitReason.BOUND])
+    slots[1].free = Demand(CPU, 99)
+    assign_waiting()
+    assert (placed[-1], bound.upstream_id) == (bound, "i-2")
+
+
+def test_a_gang_leaves_room_for_its_bound_task(make_job, assign):
+    """Guards against a gang that waits because its other tasks take the room of the bound one."""
+    job = make_job(task_count=8, gang=True)
+    *_, bound = job.tasks()
+    bound.bound_to = "i-1"
+    places, _ = assign(job)
+    assert len(places) == 8 and places[bound.name] == "i-1"
+
+
 def test_a_cordoned_or_silent_upstream_gets_no_tasks(slots, make_job):
     """Guards against starts on an upstream that is about to go down or does not answer."""
     task = next(make_job().tasks())
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -56,12 +56,12 @@
     return simulation.workers[task.upstream_id]
 
 
-async def _delay_a_start(simulation, config, delay_s):
+async def _delay_a_start(simulation, config, delay_s, estimate_ms=30_000):
     """Let the start of a task get no answer; it is carried out ``delay_s`` later."""
     node = await _start(simulation, config, ("i-0", "i-1"))
     for worker in simulation.workers.values():
         worker.delayed_call_ratio, worker.call_delays_s = 1.0, (delay_s, delay_s)
-    await simulation.submit(node, FIRST_JOB, _job(30_000))
+    await simulation.submit(node, FIRST_JOB, _job(estimate_ms))
     await asyncio.sleep(0.2)
     for worker in simulation.workers.values():
         worker.delayed_call_ratio = 0.0
@@ -271,3 +271,89 @@
     waits_s = []
     simulate_scenario(_cut_a_worker_off_from_the_leader, 1, registers, waits_s)
     assert waits_s[0] <= longest_wait_s
+
+
+async def _wait_for_the_second_run(simulation):
+    """Wait until a task has been started again after a stop of its first run was confirmed."""
+    while True:
+        runs = [run.run for worker in simulation.workers.values() for run in worker.runs.values()]
+        if runs == [2]:
+            return
+        assert not runs
+        await asyncio.sleep(0.01)
+
+
+async def _carry_out_a_start_beside_the_next_run(simulation, config, delay_s, cut_after_s):
+    """Let the next incarnation carry out a start whose run has been replaced, behind a cut."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    await _wait_for_the_second_run(simulation)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    await _cut_off(simulation, worker, cut_after_s)
+    return await _end(simulation)
+
+
+# Delays of a start that are longer than it takes to confirm a stop of its run and to replace it.
+AFTER_STOP_DELAYS_S = (3.0, 4.0, 6.0, 8.0)
+
+
+@pytest.mark.parametrize("cut_after_s", [None, 0.0, 1.0])
+def test_a_start_does_not_run_beside_the_run_that_replaced_it(simulate_scenario, cut_after_s):
+    """Guards against a second run at an incarnation that does not know of the stop of the first."""
+    scenario = _carry_out_a_start_beside_the_next_run
+    violations = [
+        violation
+        for delay_s in AFTER_STOP_DELAYS_S
+        for violation in simulate_scenario(scenario, 1, delay_s, cut_after_s).violations
+    ]
+    assert violations == []
+
+
+async def _carry_out_a_start_beside_a_run_of_the_next_leader(
+    simulation, config, delay_s, cut_after_s
+):
+    """Let an incarnation that the next leader does not know carry out a start of the first."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    await simulation.kill_node("n-1")
+    await simulation.start_node("n-2")
+    await _wait_for_the_second_run(simulation)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    await _cut_off(simulation, worker, cut_after_s)
+    return await _end(simulation)
+
+
+@pytest.mark.parametrize("cut_after_s", [None, 0.0, 1.0])
+def test_a_start_of_an_earlier_leader_does_not_run_beside_the_run_that_replaced_it(
+    simulate_scenario, cut_after_s
+):
+    """Guards against a second run because the first report does not list the first one."""
+    scenario = _carry_out_a_start_beside_a_run_of_the_next_leader
+    violations = [
+        violation
+        for delay_s in (8.0, 9.0, 10.0, 11.0)
+        for violation in simulate_scenario(scenario, 1, delay_s, cut_after_s).violations
+    ]
+    assert violations == []
+
+
+async def _carry_out_a_start_after_the_next_run(simulation, config, delay_s, _):
+    """Let the next incarnation carry out a start of a task that is done."""
+    node, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=300)
+    (task,) = node.scheduler._jobs[FIRST_JOB].tasks()
+    while task.state != "done":
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    await _restart(simulation, worker)
+    worker.unreachable = True
+    await asyncio.sleep(RECOVERY_S)
+    worker.unreachable = False
+    return await _end(simulation)
+
+
+def test_a_start_is_not_carried_out_after_the_run_that_replaced_it_is_done(simulate_scenario):
+    """Guards against a task that runs again at an incarnation that does not know of its end."""
+    scenario = _carry_out_a_start_after_the_next_run
+    assert simulate_scenario(scenario, 1, 4.0, None).violations == []
