Link: a start beside an acknowledgement carries a later fencing token

A poll that acknowledges ends has no answer for up to 0.7 s; a start that is sent meanwhile may be taken by an incarnation that is not known yet, its run ends, and the acknowledgement, carried out seconds late, drops that end unread. Cause: both orders had one token, so that the incarnation could not tell that the acknowledgement was older. Change: a start that is sent while a poll acknowledges ends gets a new token. Tokens have 32 bits below the epoch instead of 20: at ten tokens a second, 20 bits would reach the next epoch's after 29 hours. Remains: a start that was sent before the acknowledgement and is taken by the next incarnation first.

--- a/src/tarragoncart/fencing.py
+++ b/src/tarragoncart/fencing.py
@@ -4,9 +4,9 @@
 
 from attrs import define
 
-# Bits of a token below the epoch. They number the incarnations of one upstream and the links to it
-# during one leadership.
-SEQUENCE_BITS = 20
+# Bits of a token below the epoch. They number the tokens for one upstream during one leadership,
+# which may need several a second for years.
+SEQUENCE_BITS = 32
 
 
 @define
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -85,6 +85,8 @@
         # Token of a new incarnation until a poll with it is answered; before, the incarnation takes
         # orders for an earlier one.
         self._unseen_token: int | None = None
+        # Polls under way that acknowledge ends with the current token.
+        self._acknowledging_count = 0
         self._lease = LeaseEstimate(lease_ms, lease_max_ms)
         # The upstream's clock in its last report; None if another incarnation may have answered.
         self._reading: ClockReading | None = None
@@ -186,6 +188,7 @@
 
     async def _start(self, order: StartOrder) -> None:
         outcome, reason = "accepted", ""
+        self._supersede_acknowledgement()
         token, sent_ms = self._token, self._timer.now_ms()
         expected_started_ms = self._started_ms
         until_ms = self._renewed_lease_end_ms() if self._permitted() else None
@@ -353,7 +356,20 @@
         An upstream that has seen a later order then refuses it if it is carried out late.
         """
         if token == self._token:
-            self._token = self._tokens.issue()
+            self._issue_token()
+
+    def _issue_token(self) -> None:
+        self._token = self._tokens.issue()
+        self._acknowledging_count = 0
+
+    def _supersede_acknowledgement(self) -> None:
+        """Issue a new token for a start that is sent while a poll acknowledges ends.
+
+        If another incarnation takes the start, it refuses the acknowledgement, which would drop the
+        unread end of the run.
+        """
+        if self._acknowledging_count:
+            self._issue_token()
 
     async def _poll_repeatedly(self) -> None:
         wait_ms = 0
@@ -386,6 +402,7 @@
         # The upstream may have received a renewal without an answer. Repeated renewals would
         # postpone forever the time at which its runs count as ended.
         until_ms = self._renewed_lease_end_ms()
+        self._acknowledging_count += acknowledged > 0
         try:
             report = await self._client.renew_lease(
                 until_ms=until_ms, acknowledged=acknowledged, wait_ms=wait_ms, token=token
@@ -400,6 +417,8 @@
             if until_ms is not None or acknowledged:
                 self._renew_token(token)
             return None
+        if acknowledged and token == self._token:
+            self._acknowledging_count -= 1
         self._last_poll_answered = True
         if report.started_ms < self._started_ms:
             # A late answer of an earlier incarnation.
@@ -467,7 +486,8 @@
         if self._started_ms:
             self._log_new_incarnation(report)
             self._lease.note_misdirected(now_ms)
-            self._token = self._unseen_token = self._tokens.issue()
+            self._issue_token()
+            self._unseen_token = self._token
             self.spawn(self._poll_later(0.0))
         else:
             self._lease.note_inherited(self._birth_ms(report, now_ms), now_ms)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -75,3 +75,9 @@
     tokens = [earlier.issue() for _ in range(1_000)] + [later.issue(), later.issue()]
     assert tokens == sorted(set(tokens))
     assert {epoch_of(token) for token in tokens} == {3, 4}
+
+
+def test_the_tokens_of_a_leader_of_months_stay_below_those_of_the_next():
+    """Guards against a new leader that upstreams refuse, as the earlier one issued many tokens."""
+    earlier, later = FencingTokens(3, issued_count=10**9), FencingTokens(4)
+    assert earlier.issue() < later.issue()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -52,6 +52,7 @@
         self.started_ms = 1
         self.silent = False
         self.starts = []
+        self.start_tokens = []
         self.pace_error = None
         self.failing_stops_count = 0
         self.stops_ms = []
@@ -67,6 +68,7 @@
         return UpstreamReport(int(self.timer.now_ms()), self.started_ms, (), ())
 
     async def start(self, order, until_ms, token):
+        self.start_tokens.append(token)
         self.starts.append(order.task_name)
         self.leases_ms.append(until_ms - self.timer.now_ms())
         return int(self.timer.now_ms())
@@ -660,3 +662,23 @@
     link.tell(Start(StartOrder("job.0.0.3", 3, "", "", "")))
     await asyncio.sleep(0.05)
     assert listener.outcomes == ["unanswered", "accepted", "refused"]
+
+
+async def test_a_start_beside_an_acknowledgement_has_a_later_token(linked):
+    """Guards against an acknowledgement that a new incarnation takes after the start of a run."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+    link.tell(Acknowledge(7, 1))
+    while not any(upstream.acknowledged):
+        await asyncio.sleep(0.005)
+    acknowledging_token = upstream.tokens[-1]
+    for run in (1, 2):
+        link.tell(Start(StartOrder(f"job.0.0.{run}", run, "", "", "")))
+    await asyncio.sleep(0.02)
+    assert acknowledging_token < upstream.start_tokens[0] == upstream.start_tokens[1]
+    await asyncio.sleep(0.3)
+    link.tell(Start(StartOrder("job.0.0.3", 3, "", "", "")))
+    await asyncio.sleep(0.02)
+    assert upstream.start_tokens[2] == upstream.start_tokens[0]
+    assert upstream.acknowledged.count(7) == 1
+    assert listener.fenced_count == 0
