Reports: a registration counts from the earliest time at which it can have been written

A start has no answer, its upstream writes its registration, starts again and carries the start out behind a cut, with its longest lease. The store takes 1.3 s for a read; the leader reads that registration more than 0.7 s after the start and takes it as a sign that there was no other incarnation, so it counts its own lease. Cause: the time at which a registration was read was taken for the time at which it was written. Change: it counts as written at the time up to which all registrations had been read before. Remains: a registration that the store itself carries out seconds after its worker has sent it.

--- a/src/tarragoncart/losses.py
+++ b/src/tarragoncart/losses.py
@@ -134,8 +134,8 @@
         """Return the time by which a run ends that an unknown incarnation may have taken.
 
         Without a registration of a later incarnation no order is counted as carried out late. A
-        registration of the known one that was read after the call shows that there was no other
-        when an order in time was carried out. Once it has expired, long-running tasks do not wait:
+        registration that the known one wrote after the call shows that there was no other when an
+        order in time was carried out. Once it has expired, long-running tasks do not wait:
         they must be at work again within seconds.
         """
         slot = upstream.slot
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -13,6 +13,7 @@
 from .fencing import FencingTokens
 from .graph import Demand, UpstreamEntry
 from .jobmodel import FINAL, TASK_CHART, Task
+from .leases import NEVER_MS
 from .link import Link
 from .mailbox import receives
 from .runorders import (
@@ -70,7 +71,13 @@
             self._upstreams[upstream_id] = upstream
         return upstream
 
-    def _process_registrations(self, entries: Iterable[Entry]) -> None:
+    def _process_registrations(
+        self, entries: Iterable[Entry], written_after_ms: float = NEVER_MS
+    ) -> None:
+        """Apply registrations.
+
+        :param written_after_ms: time after which all of them were written.
+        """
         for entry in entries:
             if not entry.value:
                 self._mark_unlisted(entry.key)
@@ -80,10 +87,10 @@
             except DecodeError as error:
                 self._malformed.add(entry.key, error, entry.offset)
                 continue
-            self._update_registration(registered)
+            self._update_registration(registered, written_after_ms)
         self._request_pass()
 
-    def _update_registration(self, entry: UpstreamEntry) -> None:
+    def _update_registration(self, entry: UpstreamEntry, written_after_ms: float) -> None:
         upstream = self._upstreams.get(entry.upstream_id)
         if entry.started_ms <= self._ended_incarnations.get(entry.upstream_id, -1):
             return
@@ -112,7 +119,8 @@
         restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
         if entry.started_ms == upstream.started_ms:
-            upstream.registered_ms = self._timer.now_ms()
+            # The time at which it was read would be too late while the store is slow.
+            upstream.registered_ms = max(upstream.registered_ms, written_after_ms)
         self._compare_registration(upstream)
         if restarted and not slot.known:
             self._note_inherited_lease(upstream)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -111,7 +111,7 @@
     :param unanswered_sent_ms: when the latest order without an answer was sent to it that may have
         started a run or extended a lease; an incarnation that is not known yet may have taken it.
     :param reported_ms: time of its last report.
-    :param registered_ms: time at which a registration of the known incarnation was read last.
+    :param registered_ms: time after which the known incarnation wrote its latest registration.
     :param first_reported_ms: time of its first report in this epoch, infinite before. From then on
         it refuses the orders of earlier leaders.
     :param inherited: it was registered before this epoch and may have runs of earlier ones.
@@ -251,6 +251,8 @@
         self._offered_load = OfferedLoad(defaults.OFFERED_WINDOWS_MS, defaults.OFFERED_MIN_COUNT)
         self._malformed = MalformedLog("leader")
         self._registrations_read = False
+        # All registrations that were written before this time have been read.
+        self._registrations_as_of_ms = NEVER_MS
         # By upstream, start time of the incarnation that has ended: its registration stays in the
         # store for some time and must be ignored.
         self._ended_incarnations: dict[str, int] = {}
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -163,13 +163,15 @@
                 self._mark_unlisted(upstream_id)
         self._process_registrations(message.entries)
         self._registrations_read = True
+        self._registrations_as_of_ms = message.as_of_ms
         self._start_fleet_if_ready()
 
     @receives(TopicChanges)
     def on_changes(self, message: TopicChanges) -> None:
         """Process new upstream registrations."""
         if message.entries:
-            self._process_registrations(message.entries)
+            self._process_registrations(message.entries, self._registrations_as_of_ms)
+        self._registrations_as_of_ms = message.as_of_ms
 
     @receives(IntakeRead)
     @needs_jobs
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -379,3 +379,21 @@
     """Guards against a second run because an upstream seems to have been up for longer."""
     scenario = _replace_the_leader_by_one_whose_wall_clock_is_ahead
     assert simulate_scenario(scenario, 1, 11.5, ahead_s).violations == []
+
+
+async def _read_a_registration_late(simulation, config, delay_s):
+    """Let the leader read a registration that its upstream wrote just before it started again."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    simulation.store.call_delay_s = 1.3
+    simulation.register(worker)
+    worker.go_down()
+    await asyncio.sleep(DOWN_S)
+    worker.come_up()
+    worker.unreachable = True
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_a_registration_that_is_read_late_does_not_end_the_wait_for_a_start(simulate_scenario):
+    """Guards against a second run as a slow store makes an earlier incarnation seem alive."""
+    assert simulate_scenario(_read_a_registration_late, 1, IN_TIME_S).violations == []
