--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -283,9 +283,8 @@
         await asyncio.sleep(0.01)
 
 
-async def _carry_out_a_start_beside_the_next_run(simulation, config, delay_s, cut_after_s):
-    """Let the next incarnation carry out a start whose run has been replaced, behind a cut."""
-    _, worker = await _delay_a_start(simulation, config, delay_s)
+async def _break_off_the_second_run(simulation, worker, cut_after_s):
+    """Restart the worker of a start without an answer once its task has been started again."""
     await _wait_for_the_second_run(simulation)
     worker.go_down()
     worker.come_up()
@@ -294,6 +293,12 @@
     return await _end(simulation)
 
 
+async def _carry_out_a_start_beside_the_next_run(simulation, config, delay_s, cut_after_s):
+    """Let the next incarnation carry out a start whose run has been replaced, behind a cut."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    return await _break_off_the_second_run(simulation, worker, cut_after_s)
+
+
 # Delays of a start that are longer than it takes to confirm a stop of its run and to replace it.
 AFTER_STOP_DELAYS_S = (3.0, 4.0, 6.0, 8.0)
 
@@ -317,12 +322,7 @@
     _, worker = await _delay_a_start(simulation, config, delay_s)
     await simulation.kill_node("n-1")
     await simulation.start_node("n-2")
-    await _wait_for_the_second_run(simulation)
-    worker.go_down()
-    worker.come_up()
-    simulation.register(worker)
-    await _cut_off(simulation, worker, cut_after_s)
-    return await _end(simulation)
+    return await _break_off_the_second_run(simulation, worker, cut_after_s)
 
 
 @pytest.mark.parametrize("cut_after_s", [None, 0.0, 1.0])
