A confirmed stop does not end the wait for a start that may be carried out late

A start had no answer, its upstream confirmed the stop of the run, started again before its next report and was cut off; the task was given up at the end of the leader's own lease and started elsewhere, and the next incarnation carried the start out. Cause: a run whose stop was confirmed was counted like one whose start was answered. Change: a start counts as uncertain until its upstream has answered it or listed its run.

--- a/src/tarragoncart/losses.py
+++ b/src/tarragoncart/losses.py
@@ -167,6 +167,9 @@
 
 
 def _start_is_uncertain(task: Task) -> bool:
-    """Return whether the start of a task's run may still be carried out, or may have been."""
+    """Return whether the start of a task's run may still be carried out, or may have been.
+
+    A confirmed stop does not rule that out, as the next incarnation does not know of it.
+    """
     stop_unconfirmed = task.state == "stopping" and task.must_list_after_ms == float("inf")
-    return stop_unconfirmed or task.state in ("starting", "unsure")
+    return stop_unconfirmed or task.start_pending_until_ms > 0
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -397,3 +397,28 @@
 def test_a_registration_that_is_read_late_does_not_end_the_wait_for_a_start(simulate_scenario):
     """Guards against a second run as a slow store makes an earlier incarnation seem alive."""
     assert simulate_scenario(_read_a_registration_late, 1, IN_TIME_S).violations == []
+
+
+async def _give_up_a_run_whose_stop_was_confirmed(simulation, config, delay_s, _):
+    """Restart and cut off a worker between its answer to a stop and its next report."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    while not worker.last_ended_runs:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.02)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    return await _end_after_cut(simulation, worker)
+
+
+async def _end_after_cut(simulation, worker):
+    worker.unreachable = True
+    await asyncio.sleep(RECOVERY_S)
+    worker.unreachable = False
+    return await _end(simulation)
+
+
+def test_a_confirmed_stop_does_not_end_the_wait_for_a_late_start(simulate_scenario):
+    """Guards against a second run as the stop was confirmed by an incarnation that has ended."""
+    scenario = _give_up_a_run_whose_stop_was_confirmed
+    assert _violations(simulate_scenario, scenario, None) == []
