The end of a late run that is done ends its task

Seen: a task ran again after an end done that was acknowledged (virtual time, 4 of 4 delays). A late start ran at the next incarnation while its task waited; the run was listed and a stop ordered, but it was done first. Cause: an end done of a run that is not the current one was counted only for tasks that may run twice. Change: it counts for any task if a report had listed the run, so that its lease had not lapsed. Evidence: the new test fails before with 3, 4, 6 and 8 s and passes now. Remains: a run that no report had listed.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -405,7 +405,8 @@
         if task is not None and not task.step.job.ended:
             if ended.outcome == "failed":
                 self._record_failure(task, ended.run, upstream.slot.entry.upstream_id)
-            elif ended.outcome == "done" and task.step.spec.copyable:
+            elif ended.outcome == "done" and (key in upstream.orphans or task.step.spec.copyable):
+                # A run that was listed ended under its lease, so that the task must not run again.
                 event = "done" if task.state == "waiting" else "done_elsewhere"
                 if TASK_CHART.accepts(task.state, event):
                     self._apply_event(task, event)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -422,3 +422,51 @@
     """Guards against a second run as the stop was confirmed by an incarnation that has ended."""
     scenario = _give_up_a_run_whose_stop_was_confirmed
     assert _violations(simulate_scenario, scenario, None) == []
+
+
+async def _end_a_late_run_before_its_stop(simulation, config, delay_s):
+    """Let a late run be done while the order to stop it is under way."""
+    _, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=2_000)
+    await _wait_for_the_second_run(simulation)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    worker.unreachable = True
+    while not worker.runs:
+        await asyncio.sleep(0.01)
+    worker.delayed_call_ratio = 1.0
+    worker.unreachable = False
+    while worker.runs:
+        await asyncio.sleep(0.01)
+    worker.delayed_call_ratio = 0.0
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+@pytest.mark.parametrize("delay_s", AFTER_STOP_DELAYS_S)
+def test_a_task_does_not_start_again_after_a_late_run_is_done(simulate_scenario, delay_s):
+    """Guards against a run after an end that was acknowledged, as another run was expected."""
+    assert simulate_scenario(_end_a_late_run_before_its_stop, 1, delay_s).violations == []
+
+
+async def _end_a_late_run_behind_a_cut(simulation, config, delay_s):
+    """Let a late run be done behind a cut that ends before its lease does."""
+    _, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=2_000)
+    await _wait_for_the_second_run(simulation)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    worker.unreachable = True
+    while not worker.runs:
+        await asyncio.sleep(0.01)
+    while worker.runs:
+        await asyncio.sleep(0.01)
+        worker.advance()
+    worker.unreachable = False
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_a_task_does_not_start_again_after_a_late_run_is_done_behind_a_cut(simulate_scenario):
+    """Guards against a run after an end that was acknowledged, though no report listed its run."""
+    assert simulate_scenario(_end_a_late_run_behind_a_cut, 1, 6.0).violations == []
