A task stays bound to its upstream when the leader is replaced

A new leader bound a task, as the first report did not list its run, and was killed; the next one restored the task as waiting and started it elsewhere, while the start of the first leader was still under way. Cause: that a task is bound was not stored. Change: the record of a step names the upstream of a bound task in the place where it names that of a placed one; a new leader binds the task until no order of an earlier one can be carried out.

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -362,7 +362,8 @@
 
 # Records of the state topic: key ``ID`` holds the phase of an ended job. Key ``ID.K.S`` (job,
 # occurrence, step) holds rows of [index, state, run, upstream, failed runs, checkpoint], one for
-# each task that has had a run; empty values at the end of a row are left out. After the end of a
+# each task that has had a run; empty values at the end of a row are left out. The upstream of a
+# waiting task is the one to which it is bound. After the end of a
 # job it is kept until the runs of the step are gone, as these count against the account's limit.
 # Of the rows of one task the last one holds its state, and each earlier one another run of it that
 # may still be active; a version that does not know of such rows reads the last one only.
@@ -389,7 +390,11 @@
         row: list[Any] = [task.index, code, task.run]
         if code != "d":
             failed_runs = sorted(task.history.failed_runs)
-            row += [task.upstream_id if placed else "", failed_runs, task.history.checkpoint]
+            row += [
+                task.upstream_id if placed else task.bound_to,
+                failed_runs,
+                task.history.checkpoint,
+            ]
             while not row[-1] and len(row) > 3:
                 row.pop()
         rows.append(row)
@@ -441,6 +446,7 @@
         task.state = row.state
         task.run = row.run
         task.upstream_id = row.upstream_id
+        task.bound_to = row.upstream_id if task.state == "waiting" else ""
         task.history.failed_runs.update(row.failed_runs)
         # Earlier versions stored a value for each task of a gang; any of them is valid for all.
         task.history.checkpoint = row.checkpoint or task.history.checkpoint
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -48,10 +48,20 @@
         """Assign a run of an earlier epoch to its upstream and count its capacity."""
         upstream = self._find_inherited_upstream(task.upstream_id, task.step.job.pool)
         task.pace = None
-        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
-        task.start_pending_until_ms = last_order_ms + defaults.ORDER_DELAY_MAX_MS
+        task.start_pending_until_ms = self._inherited_orders_until_ms
         self._occupy_capacity(task, upstream.slot)
 
+    def _restore_bound_task(self, task: Task) -> None:
+        """Let a task run only where an earlier leader has bound it."""
+        upstream = self._find_inherited_upstream(task.bound_to, task.step.job.pool)
+        upstream.bound_until_ms[task] = self._inherited_orders_until_ms
+
+    @property
+    def _inherited_orders_until_ms(self) -> float:
+        """Time until which upstreams may carry out orders of earlier leaders."""
+        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
+        return last_order_ms + defaults.ORDER_DELAY_MAX_MS
+
     def _restore_copies(self, task: Task) -> None:
         """Count the other runs of a task, from an earlier epoch, until they are gone."""
         for run, upstream_id in task.copies.items():
@@ -140,6 +150,7 @@
                     slot.occupy(orphan.task)
             slot.unknown_run_count = known.slot.unknown_run_count
             upstream.orphans = known.orphans
+            upstream.bound_until_ms = known.bound_until_ms
         self._resume_vacating(upstream)
         for task_name, run in self._late_starts.get(entry.upstream_id, ()):
             link.tell(RejectLateStart(task_name, run))
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -210,6 +210,8 @@
             if task.placed:
                 self._placed_count += 1
                 self._restore_placed_task(task)
+            elif task.bound_to:
+                self._restore_bound_task(task)
             self._restore_copies(task)
 
     def _add_restored_job(self, job: Job) -> None:
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -470,3 +470,34 @@
 def test_a_task_does_not_start_again_after_a_late_run_is_done_behind_a_cut(simulate_scenario):
     """Guards against a run after an end that was acknowledged, though no report listed its run."""
     assert simulate_scenario(_end_a_late_run_behind_a_cut, 1, 6.0).violations == []
+
+
+async def _replace_the_leader_of_a_bound_task(simulation, config, delay_s, cut_after_s):
+    """Replace a leader that has bound a task to a worker without room for it."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    capacity, worker.capacity = worker.capacity, Demand(500, 1_000)
+    simulation.register(worker)
+    await simulation.kill_node("n-1")
+    node = await simulation.start_node("n-2")
+    while not _is_bound(node):
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.1)
+    await simulation.kill_node("n-2")
+    worker.go_down()
+    await simulation.start_node("n-3")
+    worker.come_up()
+    worker.capacity = capacity
+    simulation.register(worker)
+    await _cut_off(simulation, worker, cut_after_s)
+    return await _end(simulation)
+
+
+def _is_bound(node):
+    job = node.scheduler._jobs.get(FIRST_JOB) if node.scheduler is not None else None
+    return job is not None and any(task.bound_to for task in job.tasks())
+
+
+@pytest.mark.parametrize("delay_s", [9.0, 10.0, 11.0])
+def test_a_task_stays_bound_when_the_leader_is_replaced(simulate_scenario, delay_s):
+    """Guards against a second run as a series of leaders forgets that a start may be late."""
+    assert simulate_scenario(_replace_the_leader_of_a_bound_task, 1, delay_s, None).violations == []
--- a/tests/test_jobmodel.py
+++ b/tests/test_jobmodel.py
@@ -82,3 +82,15 @@
         task = make_step(speculative=True, **spec).tasks[0]
         task.state = "running"
         assert not task.copyable
+
+
+def test_a_step_record_restores_the_upstream_to_which_a_task_is_bound(make_step):
+    """Guards against a new leader that starts a task elsewhere beside a late start of it."""
+    step, restored = make_step(), make_step()
+    bound, placed, free = step.tasks
+    bound.run, bound.bound_to = 1, "i-1"
+    placed.state, placed.run, placed.upstream_id, placed.bound_to = "running", 2, "i-2", "i-2"
+    free.run = 1
+    decode_step(restored, encode_step(step))
+    assert [task.bound_to for task in restored.tasks] == ["i-1", "", ""]
+    assert [task.state for task in restored.tasks] == ["waiting", "started", "waiting"]
