Model: late calls to busy workers that restart and are cut off, with leaders in series

Change: a scenario in which 15 of 100 orders and 5 of 100 polls are carried out 2 to 12 s late; it checks that no two runs of a task are at work at once. Starts after an end are known failures of test_incarnations and not checked here.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -40,6 +40,9 @@
 # Seeds with which restarts of workers have violated an invariant.
 RESTART_SEEDS = sorted({*SEEDS, 0, 6, 9, 10, 11, 13, 20, 23})
 
+# Seeds with which late calls to busy workers have started second runs.
+LATE_CALL_SEEDS = sorted({*SEEDS, 17, 27, 30})
+
 # Seeds with which lost orders have violated an invariant.
 LOST_ORDER_SEEDS = sorted({*SEEDS, 26, 46})
 
@@ -736,6 +739,36 @@
     return await _settle(simulation, callers, accepted, LONG_SETTLE_S)
 
 
+async def _simulate_late_calls_to_busy_workers(simulation, config, faults):
+    """Simulate restarts, cuts and leaders in series while calls are carried out 2 to 12 s late."""
+    simulation.store.put("keyed.op", "config", config)
+    for number in range(6):
+        worker = simulation.add_worker(f"i-{number}", Demand(8_000, 1_000_000))
+        worker.delayed_call_ratio, worker.delayed_hold_ratio = 0.15, 0.05
+        worker.call_delays_s = (2.0, 12.0)
+    for name in ("n-1", "n-2", "n-3"):
+        await simulation.start_node(name)
+    await asyncio.sleep(2.0)
+
+    def make_job(rng):
+        return JobSpec("text", (StepSpec(rng.randint(1, 3), Demand(500, 100), 12_000),))
+
+    accepted = []
+    callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, make_job, 4.0))
+    faults = (_break_off_a_busy_worker,), (_break_off_a_busy_worker,), (_kill_the_leader,)
+    injectors = [_inject_faults(simulation, kinds) for kinds in faults]
+    await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
+    return await _settle(simulation, callers, accepted, LONG_SETTLE_S)
+
+
+@pytest.mark.parametrize("seed", LATE_CALL_SEEDS)
+def test_late_calls_to_busy_workers_start_no_second_run(simulate, seed):
+    """Guards against two runs at once as a late start outlasts what its leader knew of it."""
+    simulation = simulate(seed, scenario=_simulate_late_calls_to_busy_workers)
+    assert not [text for text in simulation.violations if "two runs at once" in text]
+    assert simulation.phases
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_starts_that_the_next_incarnation_takes_break_no_invariant(simulate, seed):
     """Guards against a run with the longest lease of which the leader counts its own (TWICE)."""
