--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -424,8 +424,8 @@
     assert _violations(simulate_scenario, scenario, None) == []
 
 
-async def _end_a_late_run_before_its_stop(simulation, config, delay_s):
-    """Let a late run be done while the order to stop it is under way."""
+async def _carry_out_a_short_start_behind_a_cut(simulation, config, delay_s):
+    """Return a worker that is cut off and has started a run late."""
     _, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=2_000)
     await _wait_for_the_second_run(simulation)
     worker.go_down()
@@ -434,6 +434,12 @@
     worker.unreachable = True
     while not worker.runs:
         await asyncio.sleep(0.01)
+    return worker
+
+
+async def _end_a_late_run_before_its_stop(simulation, config, delay_s):
+    """Let a late run be done while the order to stop it is under way."""
+    worker = await _carry_out_a_short_start_behind_a_cut(simulation, config, delay_s)
     worker.delayed_call_ratio = 1.0
     worker.unreachable = False
     while worker.runs:
@@ -451,14 +457,7 @@
 
 async def _end_a_late_run_behind_a_cut(simulation, config, delay_s):
     """Let a late run be done behind a cut that ends before its lease does."""
-    _, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=2_000)
-    await _wait_for_the_second_run(simulation)
-    worker.go_down()
-    worker.come_up()
-    simulation.register(worker)
-    worker.unreachable = True
-    while not worker.runs:
-        await asyncio.sleep(0.01)
+    worker = await _carry_out_a_short_start_behind_a_cut(simulation, config, delay_s)
     while worker.runs:
         await asyncio.sleep(0.01)
         worker.advance()
