Test of a withdrawn key beside a backlog: no read is under way when the topic becomes readable

The log has two failed reads and the version never was 11. A read that was sent before the test replaced the follower's read reached the store after the topic had become readable; it read the first part without making the topic unreadable again, and the next one read the second part. Change: the test waits for a read through its own function first. What it checks is the same.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -250,13 +250,17 @@
     assert await wait_until(lambda: request_handler.rules_age_ms > 300.0)
     follower = node.opened.node._follower
     read = follower._store.read
+    attempted = asyncio.Event()
 
     async def read_once(*args):
+        attempted.set()
         chunk = await read(*args)
         store.standin.faults.unreadable_topics = frozenset({"keyed.op"})
         return chunk
 
     monkeypatch.setattr(follower._store, "read", read_once)
+    # A read that was already under way would leave the topic readable.
+    await attempted.wait()
     account = platform_config["tenants"][0]
     filler = "x" * 1_024
     for version, key in ((11, "key-1"), (12, "key-2")):
