Test of refusals by key and queue: an unknown job is asked for once its entry VM leads

A job may be accepted before there is a leader; a query is answered 503 until then. Shown by an election that settles for 6 s: the test then fails in the same way. Change: the test waits until its entry VM leads and has read all jobs. What it checks is the same.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -221,6 +221,8 @@
     assert await submit(node) == 200
     assert (await node.caller.call("GET", f"/q/{JOB_ID}", key="wrong"))[0] == 401
     assert (await node.caller.call("GET", "/other/1"))[0] == 404
+    scheduler = await node.wait_to_lead()
+    assert await wait_until(lambda: scheduler._loaded)
     assert (await node.caller.call("GET", "/q/0123456789abcdef"))[0] == 410
 
 
