--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -397,3 +397,107 @@
 def test_a_registration_that_is_read_late_does_not_end_the_wait_for_a_start(simulate_scenario):
     """Guards against a second run as a slow store makes an earlier incarnation seem alive."""
     assert simulate_scenario(_read_a_registration_late, 1, IN_TIME_S).violations == []
+
+
+async def _give_up_a_run_whose_stop_was_confirmed(simulation, config, delay_s, _):
+    """Restart and cut off a worker between its answer to a stop and its next report."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    while not worker.last_ended_runs:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.02)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    return await _end_after_cut(simulation, worker)
+
+
+async def _end_after_cut(simulation, worker):
+    worker.unreachable = True
+    await asyncio.sleep(RECOVERY_S)
+    worker.unreachable = False
+    return await _end(simulation)
+
+
+def test_a_confirmed_stop_does_not_end_the_wait_for_a_late_start(simulate_scenario):
+    """Guards against a second run as the stop was confirmed by an incarnation that has ended."""
+    scenario = _give_up_a_run_whose_stop_was_confirmed
+    assert _violations(simulate_scenario, scenario, None) == []
+
+
+async def _end_a_late_run_before_its_stop(simulation, config, delay_s):
+    """Let a late run be done while the order to stop it is under way."""
+    _, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=2_000)
+    await _wait_for_the_second_run(simulation)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    worker.unreachable = True
+    while not worker.runs:
+        await asyncio.sleep(0.01)
+    worker.delayed_call_ratio = 1.0
+    worker.unreachable = False
+    while worker.runs:
+        await asyncio.sleep(0.01)
+    worker.delayed_call_ratio = 0.0
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+@pytest.mark.parametrize("delay_s", AFTER_STOP_DELAYS_S)
+def test_a_task_does_not_start_again_after_a_late_run_is_done(simulate_scenario, delay_s):
+    """Guards against a run after an end that was acknowledged, as another run was expected."""
+    assert simulate_scenario(_end_a_late_run_before_its_stop, 1, delay_s).violations == []
+
+
+async def _end_a_late_run_behind_a_cut(simulation, config, delay_s):
+    """Let a late run be done behind a cut that ends before its lease does."""
+    _, worker = await _delay_a_start(simulation, config, delay_s, estimate_ms=2_000)
+    await _wait_for_the_second_run(simulation)
+    worker.go_down()
+    worker.come_up()
+    simulation.register(worker)
+    worker.unreachable = True
+    while not worker.runs:
+        await asyncio.sleep(0.01)
+    while worker.runs:
+        await asyncio.sleep(0.01)
+        worker.advance()
+    worker.unreachable = False
+    await asyncio.sleep(RECOVERY_S)
+    return await _end(simulation)
+
+
+def test_a_task_does_not_start_again_after_a_late_run_is_done_behind_a_cut(simulate_scenario):
+    """Guards against a run after an end that was acknowledged, though no report listed its run."""
+    assert simulate_scenario(_end_a_late_run_behind_a_cut, 1, 6.0).violations == []
+
+
+async def _replace_the_leader_of_a_bound_task(simulation, config, delay_s, cut_after_s):
+    """Replace a leader that has bound a task to a worker without room for it."""
+    _, worker = await _delay_a_start(simulation, config, delay_s)
+    capacity, worker.capacity = worker.capacity, Demand(500, 1_000)
+    simulation.register(worker)
+    await simulation.kill_node("n-1")
+    node = await simulation.start_node("n-2")
+    while not _is_bound(node):
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.1)
+    await simulation.kill_node("n-2")
+    worker.go_down()
+    await simulation.start_node("n-3")
+    worker.come_up()
+    worker.capacity = capacity
+    simulation.register(worker)
+    await _cut_off(simulation, worker, cut_after_s)
+    return await _end(simulation)
+
+
+def _is_bound(node):
+    job = node.scheduler._jobs.get(FIRST_JOB) if node.scheduler is not None else None
+    return job is not None and any(task.bound_to for task in job.tasks())
+
+
+@pytest.mark.parametrize("delay_s", [9.0, 10.0, 11.0])
+def test_a_task_stays_bound_when_the_leader_is_replaced(simulate_scenario, delay_s):
+    """Guards against a second run as a series of leaders forgets that a start may be late."""
+    assert simulate_scenario(_replace_the_leader_of_a_bound_task, 1, delay_s, None).violations == []
