--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from collections.abc import Iterator
 
@@ -162,13 +163,15 @@
                 self._mark_unlisted(upstream_id)
         self._process_registrations(message.entries)
         self._registrations_read = True
+        self._registrations_as_of_ms = message.as_of_ms
         self._start_fleet_if_ready()
 
     @receives(TopicChanges)
     def on_changes(self, message: TopicChanges) -> None:
         """Process new upstream registrations."""
         if message.entries:
-            self._process_registrations(message.entries)
+            self._process_registrations(message.entries, self._registrations_as_of_ms)
+        self._registrations_as_of_ms = message.as_of_ms
 
     @receives(IntakeRead)
     @needs_jobs
@@ -540,7 +543,7 @@
             self._log_lease_expired(upstream, lost_count, now_ms)
         self._vacate(upstream, now_ms)
         gone = upstream.link is None or not slot.listed
-        if gone and not slot.tasks and not upstream.orphans:
+        if gone and not (slot.tasks or upstream.orphans or upstream.bound_until_ms):
             self._remove_upstream(upstream, "not registered and not answering")
 
     def _log_lease_expired(self, upstream: KnownUpstream, lost_count: int, now_ms: float) -> None:
@@ -554,11 +557,9 @@
                 "run_count": len(upstream.slot.tasks),
                 "orphan_count": len(upstream.orphans),
                 "expired_ago_ms": round(now_ms - upstream.lease_end_ms),
-                "unanswered_left_ms": round(upstream.unanswered_end_ms - now_ms),
+                "unanswered_age_ms": _age_ms(upstream.unanswered_sent_ms, now_ms),
                 "report_age_ms": round(now_ms - upstream.reported_ms),
-                "first_report_age_ms": (
-                    round(now_ms - upstream.first_reported_ms) if upstream.reported_ms else None
-                ),
+                "first_report_age_ms": _age_ms(upstream.first_reported_ms, now_ms),
             },
         )
 
@@ -603,3 +604,8 @@
         if not self._loaded or now_ms >= self._permitted_until_ms:
             return float("inf")
         return now_ms - self._intake_as_of_ms
+
+
+def _age_ms(since_ms: float, now_ms: float) -> int | None:
+    """Return the time since an event, None if it has not happened."""
+    return round(now_ms - since_ms) if math.isfinite(since_ms) else None
