Losses: one place for the last order of earlier leaders, and for the release of a bound task

Cause: read once more, the time until which upstreams may carry out orders of earlier leaders was computed in losses.py and in reports.py, and a bound task was released in two places. The comment on the stored rows had a broken line. Change: two properties and one function; no change of behaviour. Checks: black, ruff and mypy; test_incarnations (its four known failures, no other), test_takeover, test_jobmodel, test_assignment, test_leases and 22 tests of test_model pass.

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -363,10 +363,10 @@
 # Records of the state topic: key ``ID`` holds the phase of an ended job. Key ``ID.K.S`` (job,
 # occurrence, step) holds rows of [index, state, run, upstream, failed runs, checkpoint], one for
 # each task that has had a run; empty values at the end of a row are left out. The upstream of a
-# waiting task is the one to which it is bound. After the end of a
-# job it is kept until the runs of the step are gone, as these count against the account's limit.
-# Of the rows of one task the last one holds its state, and each earlier one another run of it that
-# may still be active; a version that does not know of such rows reads the last one only.
+# waiting task is the one to which it is bound. After the end of a job it is kept until the runs of
+# the step are gone, as these count against the account's limit. Of the rows of one task the last
+# one holds its state, and each earlier one another run of it that may still be active; a version
+# that does not know of such rows reads the last one only.
 _STATE_CODES = {"done": "d", "exhausted": "x"}
 _PLACED_CODE = "p"
 _WAITING_CODE = "w"
--- a/src/tarragoncart/losses.py
+++ b/src/tarragoncart/losses.py
@@ -17,17 +17,26 @@
 class Losses(RunState):
     """Decides when a run at an upstream is gone, so that its task may run elsewhere."""
 
+    @property
+    def _last_inherited_order_ms(self) -> float:
+        """Time until which earlier leaders may have sent orders."""
+        return self._fenced_ms + defaults.LEADERSHIP_VALID_MS
+
+    @property
+    def _inherited_orders_until_ms(self) -> float:
+        """Time until which upstreams may carry out orders of earlier leaders."""
+        return self._last_inherited_order_ms + defaults.ORDER_DELAY_MAX_MS
+
     def _note_inherited_lease(self, upstream: KnownUpstream) -> None:
         """Count the leases that earlier leaders may have been granted.
 
         An upstream that has started again may have granted its longest lease, also late.
         """
         entry = upstream.slot.entry
-        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
         birth_ms = self._timer.now_ms() - (self._timer.wall_ms() - entry.started_ms)
-        misdirected_ms = last_misdirected_ms(birth_ms, last_order_ms + defaults.ORDER_DELAY_MAX_MS)
+        misdirected_ms = last_misdirected_ms(birth_ms, self._inherited_orders_until_ms)
         upstream.note_lease_end(
-            last_order_ms + max_lease_ms(self._lease_ms),
+            self._last_inherited_order_ms + max_lease_ms(self._lease_ms),
             misdirected_ms - defaults.ORDER_DELAY_MAX_MS,
         )
 
@@ -73,8 +82,7 @@
         """
         for task, until_ms in list(upstream.bound_until_ms.items()):
             if requested_ms > until_ms:
-                del upstream.bound_until_ms[task]
-                task.bound_to = ""
+                _release_bound_task(upstream, task)
                 self._request_pass()
 
     @staticmethod
@@ -126,8 +134,7 @@
                 lost_count += 1
         for task in list(upstream.bound_until_ms):
             if self._uncertain_run_end_ms(upstream, task.step.spec.long_running) <= as_of_ms:
-                del upstream.bound_until_ms[task]
-                task.bound_to = ""
+                _release_bound_task(upstream, task)
         return lost_count
 
     def _uncertain_run_end_ms(self, upstream: KnownUpstream, long_running: bool) -> float:
@@ -166,6 +173,11 @@
         logger.info("upstream removed", extra={"upstream": upstream_id, "reason": reason})
 
 
+def _release_bound_task(upstream: KnownUpstream, task: Task) -> None:
+    del upstream.bound_until_ms[task]
+    task.bound_to = ""
+
+
 def _start_is_uncertain(task: Task) -> bool:
     """Return whether the start of a task's run may still be carried out, or may have been.
 
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -56,12 +56,6 @@
         upstream = self._find_inherited_upstream(task.bound_to, task.step.job.pool)
         upstream.bound_until_ms[task] = self._inherited_orders_until_ms
 
-    @property
-    def _inherited_orders_until_ms(self) -> float:
-        """Time until which upstreams may carry out orders of earlier leaders."""
-        last_order_ms = self._fenced_ms + defaults.LEADERSHIP_VALID_MS
-        return last_order_ms + defaults.ORDER_DELAY_MAX_MS
-
     def _restore_copies(self, task: Task) -> None:
         """Count the other runs of a task, from an earlier epoch, until they are gone."""
         for run, upstream_id in task.copies.items():
