--- a/src/tarragoncart/__main__.py
+++ b/src/tarragoncart/__main__.py
@@ -12,8 +12,8 @@
     match sys.argv[1:]:
         case ["entry", path] if not path.startswith("-"):
             run_entry(path)
-        case ["node"]:
-            run_node()
+        case ["node", *options]:
+            run_node(options)
         case _:
             importlib.import_module("tarragoncart.cli").main()
 
@@ -25,10 +25,13 @@
     os.environ.setdefault("SSL_CERT_DIR", os.devnull)
 
 
-def run_node() -> None:
-    """Run an entry VM on the platform, with settings that the platform provides."""
+def run_node(options: list[str]) -> None:
+    """Run an entry VM on the platform, with settings that the platform provides.
+
+    :param options: command-line options that select policies.
+    """
     _skip_certificates()
-    importlib.import_module("tarragoncart.platform.main").main()
+    importlib.import_module("tarragoncart.platform.main").main(options)
 
 
 def run_entry(path: str) -> None:
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -36,6 +36,7 @@
 )
 from .link import ClientFactory
 from .mailbox import Actor, new_reply, receives
+from .policies import PolicySettings
 from .scheduler import PRODUCER, RulesChanged, Scheduler
 from .storage import Entry
 from .takeover import STATE_TOPIC
@@ -60,6 +61,11 @@
     :param store_record_bytes: maximum size of a record in the store.
     :param topic_part_count: partitions of each topic of the store.
     :param cpu_millicores: processor time that the entry VM may use a second.
+    :param memory_mb: memory that the process may use; 0 if it is not known.
+    :param fd_limit_count: file descriptors that the process may open; 0 if it is not known.
+    :param evacuation_ms: time within which an evacuated data centre gets no more tasks; None if
+        the platform has no evacuations.
+    :param policies: policies of the leader.
     """
 
     name: str
@@ -84,6 +90,10 @@
     topic_part_count: int
     cpu_millicores: int
     link_mbps: float
+    memory_mb: int = 0
+    fd_limit_count: int = 0
+    evacuation_ms: int | None = None
+    policies: PolicySettings = PolicySettings()
 
 
 @frozen
--- a/src/tarragoncart/platform/boot.py
+++ b/src/tarragoncart/platform/boot.py
@@ -68,6 +68,10 @@
             shutdown_ms=int(bounds["grace-s"] * 1_000),
             cpu_millicores=round(1_000 * core_count),
             link_mbps=float(limits.get("link-mbps", LINK_DEFAULT_MBPS)),
+            memory_mb=int(limits.get("memory-mb", 0)),
+            fd_limit_count=int(limits.get("max-fds", 0)),
+            # ``evacuate-ms`` is there only if operators may evacuate data centres.
+            evacuation_ms=int(bounds["evacuate-ms"]) if "evacuate-ms" in bounds else None,
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         raise SettingsError(
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from attrs import evolve
+
 from .. import node
+from ..policies import parse_policies
 from . import operator
 from .advice import AdviceClient
 from .boot import load_settings
@@ -45,7 +50,11 @@
     )
 
 
-def main() -> None:
-    """Run an entry VM with the settings file that the platform provides."""
-    settings = load_settings()
+def main(options: Sequence[str] = ()) -> None:
+    """Run an entry VM with the settings file that the platform provides.
+
+    :param options: command-line options that select policies.
+    """
+    policies = parse_policies(options)
+    settings = evolve(load_settings(), policies=policies)
     node.run(settings, make_adapter(settings))
--- a/src/tarragoncart/settings.py
+++ b/src/tarragoncart/settings.py
@@ -84,6 +84,8 @@
     :param shutdown_timeout_ms: longest wait for requests in flight after SIGTERM.
     :param key_freshness_ms: greatest age of the view of the log at which keys are accepted.
     :param flush_window_ms: time during which log records are collected into one append.
+    :param memory_mb: memory that the process may use; 0 if it is not known.
+    :param fd_limit_count: file descriptors that the process may open; 0 if it is not known.
     """
 
     name: str
@@ -100,6 +102,8 @@
     shutdown_timeout_ms: int = defaults.SHUTDOWN_TIMEOUT_MS
     key_freshness_ms: int = defaults.KEY_FRESHNESS_MS
     flush_window_ms: int = defaults.FLUSH_WINDOW_MS
+    memory_mb: int = 0
+    fd_limit_count: int = 0
 
 
 EntryCheck = Callable[[EntrySettings], Iterator[SettingsError]]
