--- /dev/null
+++ b/tests/test_untrusted_clients.py
@@ -0,0 +1,68 @@
+"""Tests that clients which respect no limit neither end a front end nor shut out other callers.
+
+Each test starts the front end's own process with the limits of a small VM in its settings. It checks
+that the process still runs, that its peak memory and its descriptors stay within these limits, and
+that an ordinary request is answered while the clients are connected. It checks no times and no
+shares.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.untrusted import (
+    BODY_CASES,
+    HEAD_CASES,
+    IDLE_CASES,
+    OTHER_LISTENER_CASES,
+    UNREAD_CASES,
+    describe,
+    run_case,
+)
+
+
+def _by_name(cases):
+    return pytest.mark.parametrize("case", cases, ids=lambda case: case.name)
+
+
+@pytest.fixture
+def check_case(tmp_path):
+    """Return a function that runs a case and checks its outcome."""
+
+    async def check(case):
+        outcome = await run_case(case, tmp_path)
+        line = describe(case, outcome)
+        print(line)
+        assert not list(outcome.problems()), line
+
+    return check
+
+
+@_by_name(HEAD_CASES)
+async def test_heads_are_bounded(check_case, case):
+    """Guards against holding all header fields that a client sends, or its empty lines."""
+    await check_case(case)
+
+
+@_by_name(BODY_CASES)
+async def test_bodies_held_at_once_are_bounded(check_case, case):
+    """Guards against holding the bodies of all clients at once, each of legal size or larger."""
+    await check_case(case)
+
+
+@_by_name(UNREAD_CASES)
+async def test_unread_answers_are_bounded(check_case, case):
+    """Guards against holding pipelined requests and answers of clients that do not read."""
+    await check_case(case)
+
+
+@_by_name(IDLE_CASES)
+async def test_idle_connections_are_bounded(check_case, case):
+    """Guards against idle connections that take the descriptors reserved for files."""
+    await check_case(case)
+
+
+@_by_name(OTHER_LISTENER_CASES)
+async def test_other_listeners_are_bounded(check_case, case):
+    """Guards against listeners for readiness, other entry VMs or metrics that have no bounds."""
+    await check_case(case)
