--- a/src/bench/untrusted.py
+++ b/src/bench/untrusted.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import socket
 import sys
 import tempfile
@@ -43,6 +44,9 @@
 START_TIMEOUT_S = 30.0
 # The platform reserves this many of a VM's descriptors for files.
 FILE_RESERVE_COUNT = 200
+# Below the ports that the system gives to outgoing connections: one of those may be taken by another
+# process before the front end binds it.
+PORT_RANGE = (20_000, 32_000)
 HOSTNAME = "shop.example"
 PLATFORM_CONFIG = {
     "version": 1,
@@ -97,12 +101,14 @@
     :param endpoints: listeners by name; ``callers`` is the one of ordinary callers.
     :param ordinary: method, path, headers and body of an ordinary request to the first endpoint.
     :param expected: status and some fields of the complete answer to it.
+    :param error_file: error output of the process.
     """
 
     process: asyncio.subprocess.Process
     endpoints: Mapping[str, Endpoint]
     ordinary: tuple[str, str, Mapping[str, str], Any]
     expected: tuple[int, Mapping[str, Any]]
+    error_file: Path
 
 
 OpenFrontEnd = Callable[[VmLimits, Path], AbstractAsyncContextManager[FrontEnd]]
@@ -161,8 +167,9 @@
         for name, port in ports.items()
     }
     ordinary = ("POST", "/q/ordinary", {"Host": HOSTNAME}, NODE_JOB)
+    error_file = directory / "node.err"
     try:
-        with (directory / "node.err").open("wb") as errors:
+        with error_file.open("wb") as errors:
             process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "tarragoncart", "node"),
                 stdin=asyncio.subprocess.DEVNULL,
@@ -171,7 +178,7 @@
                 env={**os.environ, SETTINGS_VARIABLE: str(path)},
             )
         try:
-            yield FrontEnd(process, endpoints, ordinary, (200, {}))
+            yield FrontEnd(process, endpoints, ordinary, (200, {}), error_file)
         finally:
             await _kill(process)
     finally:
@@ -204,6 +211,7 @@
                 # A submission to a queue that does not exist is refused with a complete answer.
                 ("POST", "/v1/queues/none/jobs", {}, ENTRY_JOB),
                 (404, {"outcome": "not_run"}),
+                directory / f"{settings.name}.err",
             )
         finally:
             await _kill(started.process)
@@ -242,14 +250,11 @@
 def _free_ports() -> tuple[int, int, int]:
     """Return three free ports; the one after the last is free, too."""
     while True:
-        with contextlib.ExitStack() as stack:
-            bound = [stack.enter_context(socket.socket()) for _ in range(4)]
-            for listener in bound[:3]:
-                listener.bind((LOOPBACK, 0))
-            callers, ready, peers = (listener.getsockname()[1] for listener in bound[:3])
-            with contextlib.suppress(OSError, OverflowError):
-                bound[3].bind((LOOPBACK, peers + METRICS_PORT_OFFSET))
-                return callers, ready, peers
+        first = random.randrange(*PORT_RANGE)
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for port in range(first, first + 4):
+                stack.enter_context(socket.create_server((LOOPBACK, port)))
+            return first, first + 1, first + 2
 
 
 async def _kill(process: asyncio.subprocess.Process) -> None:
@@ -455,7 +460,9 @@
     """
     async with front_ends.get(case.front_end)(case.limits, directory) as front_end:
         if not await ask_ordinary(front_end, START_TIMEOUT_S):
-            raise RuntimeError(f"front end did not start; see {directory}")
+            raise RuntimeError(
+                f"front end did not start: {front_end.error_file.read_text()[-500:]}"
+            )
         pid = front_end.process.pid
         idle_memory_mb = read_peak_memory_mb(pid)
         sampler = Sampler(pid)
