--- a/src/bench/untrusted.py
+++ b/src/bench/untrusted.py
@@ -45,8 +45,7 @@
 # The platform reserves this many of a VM's descriptors for files.
 FILE_RESERVE_COUNT = 200
 # Below the ports that the system gives to outgoing connections: another process may take one of
-# those
-# before the front end binds it.
+# those before the front end binds it.
 PORT_RANGE = (20_000, 32_000)
 HOSTNAME = "shop.example"
 PLATFORM_CONFIG = {
