--- a/src/bench/untrusted.py
+++ b/src/bench/untrusted.py
@@ -300,6 +300,7 @@
     "unfinished_body": 200,
     "oversized_announced_body": 100,
     "oversized_chunked_body": 100,
+    "compressed_body": 200,
 }
 HEAD_CASES = tuple(
     case for front_end in ("node", "entry") for case in _cases(front_end, "callers", HEAD_COUNTS)
--- a/src/standins/crowd.py
+++ b/src/standins/crowd.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import socket
+import zlib
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -27,6 +28,8 @@
 WHOLE_BODY_COUNT = 2
 OVERSIZED_SENT_BYTES = 1_000_000
 OVERSIZED_ANNOUNCED_BYTES = 64 * 1024 * 1024
+# Compressed, this is about a kilobyte.
+COMPRESSED_BODY_BYTES = 1_000_000
 PIPELINED_COUNT = 2_000
 # With a small receive buffer, answers that are not read soon stay with the server.
 RECEIVE_BUFFER_BYTES = 4_096
@@ -136,6 +139,14 @@
         yield f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
 
 
+@behaviours.register("compressed_body")
+def _compressed_body(endpoint: Endpoint, number: int) -> Iterator[bytes]:
+    body = zlib.compress(b"x" * COMPRESSED_BODY_BYTES)
+    yield endpoint.post_head(
+        number, "Content-Encoding: deflate", f"Content-Length: {len(body)}"
+    ) + body
+
+
 @behaviours.register("pipelined_unread")
 def _pipelined_unread(endpoint: Endpoint, number: int) -> Iterator[bytes]:
     yield from _pieces(endpoint.head("GET", endpoint.get_path) * PIPELINED_COUNT)
