Tests of queries: the entry VM leads before the test replaces its leader or counts jobs

A job may be accepted before there is a leader; the view of a leader that has just been elected is too old for a count, and its election replaces the leader that the test has set. The tests wait until their entry VM leads; what they check is the same. A fourth test of the same form waits, too.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -532,6 +532,8 @@
     """Guards against waiting jobs that are not counted."""
     node = await run_node()
     assert await submit(node) == 200
+    scheduler = await node.wait_to_lead()
+    assert await wait_until(lambda: scheduler._loaded)
     assert await node.caller.call("GET", "/q/") == (200, {"pending": 1})
     await add_worker()
     assert await node.caller.phase(f"/q/{JOB_ID}", "completed") == "completed"
@@ -778,6 +780,7 @@
     served = await serve_standin(silent)
     node = await run_node()
     assert await submit(node) == 200
+    await node.wait_to_lead()
     request_handler = node.opened.node.request_handler
     request_handler.tell(CurrentLeader(Leader("elsewhere", served.address, 99), None))
     started_s = asyncio.get_running_loop().time()
@@ -812,6 +815,7 @@
     """Guards against a connection that ends without an answer while no leader is known."""
     node = await run_node()
     assert await submit(node) == 200
+    await node.wait_to_lead()
     node.opened.node.request_handler.tell(CurrentLeader(None, None))
     query = await _in_progress(node.caller.call("GET", f"/q/{JOB_ID}"), node)
     await stop_as_planned(node)
@@ -839,6 +843,7 @@
     """Guards against a connection that takes a request and ends without an answer."""
     node = await run_node()
     assert await submit(node) == 200
+    await node.wait_to_lead()
     node.opened.node.request_handler.tell(CurrentLeader(None, None))
     query = await _in_progress(node.caller.call("GET", f"/q/{JOB_ID}"), node)
     host, _, port = node.opened.settings.caller_address.rpartition(":")
