--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -57,6 +57,9 @@
 LEASE_MAX_S = 6.0
 STOP_DURATION_S = 0.15
 MAINTENANCE_S = 2.0
+MOVE_S = 1.5
+# Time until a long-running task is at full speed.
+RAMP_UP_S = 0.5
 # Bounds of the deployment: `contact-ms`, `cancel_ms` and `stop-ms`.
 CONTACT_S = 3.0
 CANCEL_S = 3.0
@@ -65,6 +68,7 @@
 JOB_FAIL_RATIO = 0.7
 PART_COUNT = 2
 POOL = "pool"
+DATA_CENTRE = "dc"
 QUEUE_HOST = "shop.example"
 
 
@@ -136,6 +140,7 @@
 @define
 class _Partition:
     records: list[tuple[str, bytes]] = Factory(list)
+    start_offset: int = 0
     epochs: dict[str, int] = Factory(dict)
     sequences: dict[str, int] = Factory(dict)
     append_results: dict[tuple[str, int, int], Appended] = Factory(dict)
@@ -164,6 +169,7 @@
 
     :param members: end of each group member's membership, in seconds of virtual time.
     :param refused_entries: names of the entry VMs whose calls are refused.
+    :param silent_topics: pairs of entry VM and topic whose reads get no response.
     :param silent_entries: names of the entry VMs whose calls get no response and are not applied.
     :param lost_response_ratio: share of appends that are applied but get no response.
     :param lost_join_ratio: the same for renewals of a membership.
@@ -182,6 +188,7 @@
     generation: int = 0
     refused_entries: set[str] = Factory(set)
     silent_entries: set[str] = Factory(set)
+    silent_topics: set[tuple[str, str]] = Factory(set)
     lost_response_ratio: float = 0.0
     lost_join_ratio: float = 0.0
     lost_newest_ratio: float = 0.0
@@ -201,6 +208,11 @@
         part.changed.set()
         part.changed = asyncio.Event()
 
+    def expire(self, topic: str, number: int = 0) -> None:
+        """Let all records expire that are not the newest ones of their keys."""
+        part = self.part(topic, number)
+        part.start_offset = len(part.records)
+
     def reassign_partitions(self) -> None:
         """Assign the partitions to other members, as the platform does at times."""
         if self.members:
@@ -294,12 +306,17 @@
         """Read records from an offset on, waiting up to ``wait_ms`` for the first one."""
         timeout_s = asyncio.get_running_loop().time() + wait_ms / 1_000 + STORE_TIMEOUT_S
         await self._simulate_call("read")
+        if (self._entry, topic) in self._state.silent_topics:
+            await asyncio.sleep(timeout_s - asyncio.get_running_loop().time())
+            raise StoreUnknownError("no answer", step="read", peer="store")
         partition = self._state.part(topic, part)
         if offset >= len(partition.records) and wait_ms:
             try:
                 await asyncio.wait_for(partition.changed.wait(), wait_ms / 1_000)
             except TimeoutError:
                 pass
+        if offset < partition.start_offset:
+            return Expired()
         entries = [Entry(key, value, n) for n, (key, value) in enumerate(partition.records)]
         if entries[offset:] and topic == intake.TOPIC and self._state.lost_intake_reads_count:
             self._state.lost_intake_reads_count -= 1
@@ -310,6 +327,9 @@
     async def newest(self, topic: str, part: int = 0) -> AsyncIterator[Chunk]:
         """Yield the newest record of each key that is not deleted."""
         await self._simulate_call("newest")
+        if (self._entry, topic) in self._state.silent_topics:
+            await asyncio.sleep(STORE_TIMEOUT_S)
+            raise StoreUnknownError("no answer", step="newest", peer="store")
         lost_ratio = self._state.lost_newest_ratio
         if lost_ratio and self._state.rng.random() < lost_ratio:
             await asyncio.sleep(STORE_TIMEOUT_S)
@@ -424,6 +444,8 @@
     simulation: Simulation
     upstream_id: str
     capacity: Demand
+    pool: str = POOL
+    data_centre: str = DATA_CENTRE
     started_ms: int = 1
     highest_token: int = 0
     lease_end_s: float = 0.0
@@ -623,6 +645,8 @@
     def _progress_percent(self, run: WorkerRun) -> int:
         if self.simulation.is_gang(run.task) and not self.simulation.gangs.is_working(run):
             return 0
+        if run.ends_s == float("inf"):
+            return 100 if self.simulation.now_s() - run.started_s >= RAMP_UP_S else 0
         share = (self.simulation.now_s() - run.started_s) / max(run.ends_s - run.started_s, 0.001)
         return min(99, int(100 * share))
 
@@ -808,14 +832,19 @@
     :param incarnation_count: workers that have run on it.
     :param highest_epoch: highest epoch of the orders for it.
     :param maintained_waves: waves in which it has had its maintenance.
+    :param moved: pools to which it has been moved.
     """
 
     vm_id: str
     capacity: Demand
+    pool: str = POOL
+    data_centre: str = DATA_CENTRE
     worker: VirtualWorker | None = None
+    is_moving: bool = False
     incarnation_count: int = 0
     highest_epoch: int = 0
     maintained_waves: set[int] = Factory(set)
+    moved: list[str] = Factory(list)
 
 
 class VirtualFleetClient:
@@ -830,9 +859,9 @@
         return tuple(
             VmEntry(
                 vm.vm_id,
-                POOL,
-                "up" if vm.worker else "upkeep",
-                "dc",
+                vm.pool,
+                "up" if vm.worker else "moving" if vm.is_moving else "upkeep",
+                vm.data_centre,
                 "rack",
                 vm.capacity,
                 vm.worker.upstream_id if vm.worker else "",
@@ -841,8 +870,9 @@
         )
 
     async def move(self, vm_id: str, pool: str, epoch: int) -> None:
-        """Refuse the call; there is only one pool."""
-        raise FleetRefusedError("busy", step="move VM", peer="platform")
+        """Move a VM to another pool, if the scenario has several."""
+        await asyncio.sleep(CALL_DELAY_S)
+        self._simulation.move(vm_id, pool, epoch)
 
     async def maintain(self, vm_id: str, wave: int, epoch: int) -> None:
         """Take a VM down for its maintenance; does nothing if it has had it."""
@@ -885,6 +915,7 @@
     :param cancel_requested: jobs whose cancelling was requested, whatever the answer.
     :param cancelled_s: time at which the cancelling of a job was acknowledged.
     :param starts: time of each start of a task, and whether the start was late.
+    :param starts_by_data_centre: the same by data centre.
     :param completed_runs: all runs that ended with outcome ``done``.
     :param failed_runs: all runs that ended with outcome ``failed``.
     :param phases: phase of each accepted job at the end of the simulation.
@@ -910,6 +941,7 @@
     cancel_requested: set[str] = Factory(set)
     cancelled_s: dict[str, float] = Factory(dict)
     starts: dict[str, list[tuple[float, bool]]] = Factory(dict)
+    starts_by_data_centre: dict[str, list[tuple[float, bool]]] = Factory(dict)
     completed_runs: list[CompletedRun] = Factory(list)
     failed_runs: list[CompletedRun] = Factory(list)
     phases: dict[str, str] = Factory(dict)
@@ -957,6 +989,8 @@
         step = self._step(run.task)
         where = f"{run.task} run {run.run} at {worker.upstream_id}, {self.now_s():.3f} s"
         self.starts.setdefault(run.task, []).append((self.now_s(), late))
+        in_data_centre = self.starts_by_data_centre.setdefault(worker.data_centre, [])
+        in_data_centre.append((self.now_s(), late))
         for other in self.workers.values():
             other.advance()
             if other is not worker and run.task in other.runs and not step.speculative:
@@ -1088,21 +1122,27 @@
 
     # Components.
 
-    def add_worker(self, name: str, capacity: Demand) -> VirtualWorker:
+    def add_worker(
+        self, name: str, capacity: Demand, pool: str = POOL, data_centre: str = DATA_CENTRE
+    ) -> VirtualWorker:
         """Start a worker and register it."""
-        worker = self.workers[name] = VirtualWorker(self, name, capacity)
+        worker = self.workers[name] = VirtualWorker(self, name, capacity, pool, data_centre)
         self.register(worker)
         return worker
 
-    def add_vm(self, vm_id: str, capacity: Demand) -> VirtualVm:
+    def add_vm(
+        self, vm_id: str, capacity: Demand, pool: str = POOL, data_centre: str = DATA_CENTRE
+    ) -> VirtualVm:
         """Add a VM and start its worker."""
-        vm = self.vms[vm_id] = VirtualVm(vm_id, capacity)
+        vm = self.vms[vm_id] = VirtualVm(vm_id, capacity, pool, data_centre)
         self._start_vm(vm)
         return vm
 
     def _start_vm(self, vm: VirtualVm) -> None:
         vm.incarnation_count += 1
-        vm.worker = self.add_worker(f"{vm.vm_id}-{vm.incarnation_count}", vm.capacity)
+        vm.is_moving = False
+        name = f"{vm.vm_id}-{vm.incarnation_count}"
+        vm.worker = self.add_worker(name, vm.capacity, vm.pool, vm.data_centre)
         vm.worker.clock_start_s = self.now_s()
 
     def maintain(self, vm_id: str, wave: int, epoch: int) -> None:
@@ -1119,13 +1159,32 @@
         if vm.worker is None:
             raise FleetRefusedError("busy", step="maintain VM", peer="platform")
         vm.maintained_waves.add(wave)
+        self._restart_vm(vm, MAINTENANCE_S)
+
+    def move(self, vm_id: str, pool: str, epoch: int) -> None:
+        """Move a VM to another pool, which ends everything that runs on it.
+
+        :raises FleetRefusedError: if a higher epoch has ordered before, or the VM is not up.
+        """
+        vm = self.vms[vm_id]
+        if epoch < vm.highest_epoch:
+            raise FleetRefusedError("fence", step="move VM", peer="platform")
+        vm.highest_epoch = epoch
+        if vm.worker is None:
+            raise FleetRefusedError("busy", step="move VM", peer="platform")
+        vm.pool, vm.is_moving = pool, True
+        vm.moved.append(pool)
+        self._restart_vm(vm, MOVE_S)
+
+    def _restart_vm(self, vm: VirtualVm, after_s: float) -> None:
         worker, vm.worker = vm.worker, None
+        assert worker is not None
         worker.advance()
         worker.restart()
         worker.unreachable = worker.gone = True
         loop = asyncio.get_running_loop()
         loop.call_later(self.rng.uniform(0.0, 3.0), self.unregister, worker)
-        loop.call_later(MAINTENANCE_S, self._start_vm, vm)
+        loop.call_later(after_s, self._start_vm, vm)
 
     def live_workers(self) -> list[VirtualWorker]:
         """Return the workers whose VM has not gone down."""
@@ -1138,6 +1197,7 @@
     def register(self, worker: VirtualWorker) -> None:
         """Write a worker's registration to the store."""
         data = {"id": worker.upstream_id, "cpu": worker.capacity.cpu_millicores}
+        data |= {"pool": worker.pool, "zone": worker.data_centre}
         value = json.dumps({**data, "born": worker.started_ms}).encode()
         self.store.put(operator.UPSTREAM_TOPIC, worker.upstream_id, value)
 
@@ -1180,6 +1240,7 @@
             status_topic=operator.STATUS_TOPIC,
             config_key=operator.CONFIG_KEY,
             wave_prefix=operator.WAVE_PREFIX,
+            evacuation_prefix=operator.EVACUATION_PREFIX,
             decode_rules=operator.decode_rules,
             decode_wave=operator.decode_wave,
             decode_upstream=_decode_upstream,
@@ -1219,7 +1280,13 @@
     data = json.loads(value)
     capacity = Demand(data["cpu"], 1_000_000)
     return UpstreamEntry(
-        upstream_id, POOL, upstream_id, "dc", False, capacity, started_ms=data["born"]
+        upstream_id,
+        data["pool"],
+        upstream_id,
+        data["zone"],
+        False,
+        capacity,
+        started_ms=data["born"],
     )
 
 
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -37,6 +37,8 @@
         include.
     :param tasks: tasks whose current run is on it, by name.
     :param long_running_count: long-running tasks among them.
+    :param evacuated: its data centre is evacuated.
+    :param cold_until_ms: it is slow until this time, as it has started recently.
     """
 
     entry: UpstreamEntry
@@ -53,6 +55,8 @@
     unknown_run_count: int = 0
     tasks: dict[str, Task] = field(factory=dict)
     long_running_count: int = 0
+    evacuated: bool = False
+    cold_until_ms: float = 0.0
 
     @property
     def usable(self) -> bool:
@@ -64,6 +68,7 @@
             and not self.outdated
             and not self.cordoned
             and not self.entry.draining
+            and not self.evacuated
         )
 
     @property
@@ -209,6 +214,11 @@
     return spec.counted.fits(slot.entry.capacity)
 
 
+def _by_warmth(slot: UpstreamSlot, now_ms: float) -> tuple[float, ...]:
+    """Rank warm upstreams before those that have started recently, among the healthy ones first."""
+    return (float(slot.degraded), float(slot.cold_until_ms > now_ms))
+
+
 def choose_slot(
     task: Task,
     slots: Iterable[UpstreamSlot],
@@ -245,6 +255,7 @@
         rank = (
             float(upstream_id in task.failed_on),
             float(bool(spec.rack) and spec.rack not in slot.entry.labels),
+            *_by_warmth(slot, now_ms),
             *ranking(slot, step),
         )
         if best is None or rank < best_rank:
@@ -372,7 +383,8 @@
         return None
     allowed = [s for s in slots if not needs_advice or s.entry.upstream_id in step.tickets]
     candidates = sorted(
-        (slot for slot in allowed if admits(slot, spec, now_ms)), key=lambda s: ranking(s, step)
+        (slot for slot in allowed if admits(slot, spec, now_ms)),
+        key=lambda s: (*_by_warmth(s, now_ms), *ranking(s, step)),
     )
     # Bound tasks first, as the others may take any upstream.
     for task in sorted(step.tasks, key=lambda task: not task.bound_to):
--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -126,7 +126,7 @@
     @receives(Start)
     def on_start(self, message: Start) -> None:
         """Send a start."""
-        self.spawn(self._start(message.order))
+        self.spawn(self._start(message.order, message.until_ms))
 
     @receives(Stop)
     def on_stop(self, message: Stop) -> None:
@@ -186,15 +186,16 @@
             return None
         return self._lease.renew(reading, self._timer.now_ms())
 
-    async def _start(self, order: StartOrder) -> None:
+    async def _start(self, order: StartOrder, send_until_ms: float) -> None:
         outcome, reason = "accepted", ""
         self._supersede_acknowledgement()
         token, sent_ms = self._token, self._timer.now_ms()
         expected_started_ms = self._started_ms
-        until_ms = self._renewed_lease_end_ms() if self._permitted() else None
+        permitted = self._permitted() and self._timer.now_ms() < send_until_ms
+        until_ms = self._renewed_lease_end_ms() if permitted else None
         if until_ms is None:
             outcome = "refused"
-            reason = "upstream does not answer" if self._permitted() else "not permitted"
+            reason = "upstream does not answer" if permitted else "not permitted"
         else:
             try:
                 clock_ms = await self._client.start(order, until_ms, token)
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -63,6 +63,10 @@
 HEARTBEATS = _counter("peer.heartbeats", "heartbeat", "Heartbeats sent, by result.")
 RIGHTS_MOVED = _counter("rights.moved", "right", "Rights taken, passed on or returned.")
 VM_MOVES = _counter("vm.moves", "move", "Moves of VMs between pools.")
+EVACUATIONS = _counter("evacuations", "evacuation", "Evacuations that this leader began.")
+EVACUATION_MOVES = _counter(
+    "evacuation.moves", "task", "Long-running tasks moved out of evacuated data centres."
+)
 VM_STOPS = _counter("vm.stops", "stop", "Planned stops, by result.")
 
 
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -15,13 +15,14 @@
 from aiohttp import web
 from attrs import define, evolve, frozen
 
-from . import defaults, intake, logs, metrics
+from . import defaults, evacuations, intake, logs, metrics
 from .advisor import AdviceCalls, Advisor
 from .candidates import Candidate
 from .decoding import MalformedLog
 from .election import Election
 from .entrance import CurrentLeader, CurrentRules, Finish, RequestHandler
 from .errors import DecodeError
+from .evacuations import EvacuationsChanged
 from .follower import Follower, TopicChanges, TopicSnapshot
 from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
 from .leaderapi import PeerClient, PeerServer
@@ -110,6 +111,7 @@
     status_topic: str
     config_key: str
     wave_prefix: str
+    evacuation_prefix: str
     decode_rules: Callable[[bytes], Rules]
     decode_wave: Callable[[bytes], WaveRequest]
     decode_upstream: Callable[[str, bytes], UpstreamEntry]
@@ -128,6 +130,8 @@
         self.incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._rules: Rules | None = None
         self._waves: dict[str, WaveRequest] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._records_as_of_ms = float("-inf")
         self._malformed = MalformedLog("operators")
         self._leader: Leader | None = None
         self.scheduler: Scheduler | None = None
@@ -177,7 +181,7 @@
             adapter.operator_topic,
             self,
             timer,
-            wait_ms=defaults.RULES_WAIT_MS,
+            wait_ms=self._read_wait_ms(),
         )
 
     async def on_open(self) -> None:
@@ -197,11 +201,14 @@
     @receives(TopicSnapshot)
     def on_snapshot(self, message: TopicSnapshot) -> None:
         """Apply all records that operators have written."""
+        self._evacuated = evacuations.requested(self._adapter.evacuation_prefix, message.entries)
         self._apply_records(message.entries, message.as_of_ms)
 
     @receives(TopicChanges)
     def on_changes(self, message: TopicChanges) -> None:
         """Apply the records that operators have written since the last message."""
+        prefix = self._adapter.evacuation_prefix
+        self._evacuated = evacuations.requested(prefix, message.entries, self._evacuated)
         self._apply_records(message.entries, message.as_of_ms)
 
     def _apply_records(self, entries: tuple[Entry, ...], as_of_ms: float) -> None:
@@ -217,6 +224,20 @@
                 self._malformed.add(entry.key, error, entry.offset)
         if self._rules is not None:
             self.request_handler.tell(CurrentRules(self._rules, as_of_ms))
+        self._records_as_of_ms = as_of_ms
+        self._publish_evacuations()
+
+    def _read_wait_ms(self) -> int:
+        """Return how long the store may hold a read of the operators' records open."""
+        bound_ms = self._settings.evacuation_ms
+        if bound_ms is None:
+            return defaults.RULES_WAIT_MS
+        wait_ms = bound_ms // evacuations.READS_PER_BOUND_COUNT
+        return min(defaults.RULES_WAIT_MS, max(defaults.STORE_RETRY_MS, wait_ms))
+
+    def _publish_evacuations(self) -> None:
+        if self.scheduler is not None and self._settings.evacuation_ms is not None:
+            self.scheduler.tell(EvacuationsChanged(self._evacuated, self._records_as_of_ms))
 
     def _apply_rules(self, rules: Rules, entry: Entry) -> None:
         if self._rules is not None and rules.version <= self._rules.version:
@@ -287,8 +308,10 @@
             link_mbps=settings.link_mbps,
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
+            evacuation_ms=settings.evacuation_ms,
         )
         self.scheduler.start()
+        self._publish_evacuations()
         for wave in self._waves.values():
             self.scheduler.tell(WaveRequested(wave))
         self._publish_leader()
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -42,6 +42,7 @@
         status_topic=operator.STATUS_TOPIC,
         config_key=operator.CONFIG_KEY,
         wave_prefix=operator.WAVE_PREFIX,
+        evacuation_prefix=operator.EVACUATION_PREFIX,
         decode_rules=operator.decode_rules,
         decode_wave=operator.decode_wave,
         decode_upstream=operator.decode_upstream,
--- a/src/tarragoncart/platform/operator.py
+++ b/src/tarragoncart/platform/operator.py
@@ -35,6 +35,8 @@
 STATUS_TOPIC = "keyed.status"
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
+# The rest of the key names a data centre.
+EVACUATION_PREFIX = "evacuate/"
 
 
 def decode_demand(data: Any) -> Demand:
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -10,6 +10,8 @@
 
 from . import defaults
 from .charts import load_chart
+from .evacuations import EvacuationsChanged
+from .graph import VmEntry
 from .leadership import Fenced
 from .loads import Loads
 from .mailbox import implements_action, receives
@@ -45,6 +47,26 @@
         idle = {load.upstream_id for load in message.upstreams.values() if not load.run_count}
         self._idle_since_ms = {key: self._idle_since_ms.get(key, now_ms) for key in idle}
 
+    @receives(EvacuationsChanged)
+    def on_evacuations_changed(self, message: EvacuationsChanged) -> None:
+        """Take evacuated data centres out of the pools' capacity, and replace it at once."""
+        self._evacuated = message.data_centres
+        if self._vms:
+            self._give_up_evacuated_moves()
+            self._plan_moves()
+
+    def _is_evacuated(self, vm: VmEntry) -> bool:
+        return vm.data_centre in self._evacuated
+
+    def _give_up_evacuated_moves(self) -> None:
+        """Keep VMs in evacuated data centres in their pools, unless an order may move them yet."""
+        for vm_id, move in list(self._moves.items()):
+            entry = self._vms.get(vm_id)
+            evacuated = entry is not None and self._is_evacuated(entry)
+            if evacuated and move.state == "vacating" and vm_id not in self._orders.unsettled:
+                self._move_event(move, "give_up")
+                del self._moves[vm_id]
+
     def _log_pools(self, now_ms: float) -> None:
         """Log once a second what each pool needs, has and awaits."""
         if now_ms - self._pools_logged_ms < defaults.LEADER_SUMMARY_MS:
@@ -153,8 +175,15 @@
         total: Counter[str] = Counter()
         long_running: Counter[str] = Counter()
         # A registration can outlast its VM's move, and a VM that leaves serves its pool no more.
+        evacuated = {vm.upstream_id for vm in self._vms.values() if self._is_evacuated(vm)}
         staying = {vm.upstream_id for vm in self._vms.values() if vm.vm_id not in self._moves}
         for load in self._loads.upstreams.values():
+            if load.upstream_id in evacuated:
+                # Its long-running tasks need capacity elsewhere. It is not free for others until
+                # they have moved, or its VMs would return to the spare pool and be fetched again.
+                long_running[load.pool] += load.long_running_millicores
+                free[load.pool] -= load.long_running_millicores
+                continue
             if load.upstream_id not in staying:
                 continue
             total[load.pool] += load.capacity_millicores
@@ -164,15 +193,21 @@
         counts.subtract(
             move.plan.from_pool
             for vm_id, move in self._moves.items()
-            if vm_id in self._vms and self._vms[vm_id].pool == move.plan.from_pool
+            if vm_id in self._vms
+            and self._vms[vm_id].pool == move.plan.from_pool
+            and not self._is_evacuated(self._vms[vm_id])
         )
+        counts.subtract(vm.pool for vm in self._vms.values() if self._is_evacuated(vm))
         incoming: Counter[str] = Counter()
         for vm_id, move in self._moves.items():
-            if vm_id in self._vms and move.state != "done":
+            if vm_id not in self._vms or self._is_evacuated(self._vms[vm_id]):
+                continue
+            if move.state != "done":
                 incoming[move.plan.to_pool] += self._vms[vm_id].capacity.cpu_millicores
         for vm in self._vms.values():
             # Includes VMs that an earlier leader has moved and VMs that return from maintenance.
             arriving = vm.state != "down" and vm.upstream_id not in self._loads.upstreams
+            arriving = arriving and not self._is_evacuated(vm)
             if arriving and vm.vm_id not in self._moves and not self._is_spare_pool(vm.pool):
                 incoming[vm.pool] += vm.capacity.cpu_millicores
         # A spare pool without any VMs left appears only in the configuration.
@@ -206,6 +241,8 @@
             if vm.state in ("vacating", "ordered", "down")
         }
         for vm in self._vms.values():
+            if self._is_evacuated(vm):
+                continue
             load = self._loads.upstreams.get(vm.upstream_id)
             idle_since_ms = self._idle_since_ms.get(vm.upstream_id)
             yield PoolVm(
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -122,6 +122,8 @@
         slot.free = slot.free.plus(entry.capacity).plus(slot.entry.capacity, -1)
         restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
+        self._apply_evacuation(upstream)
+        self._note_cold_start(slot)
         if entry.started_ms == upstream.started_ms:
             # The time at which it was read would be too late while the store is slow.
             upstream.registered_ms = max(upstream.registered_ms, written_after_ms)
@@ -136,6 +138,8 @@
         upstream = KnownUpstream(slot, link, inherited=not self._registrations_read)
         self._note_inherited_lease(upstream)
         self._upstreams[entry.upstream_id] = upstream
+        self._apply_evacuation(upstream)
+        self._note_cold_start(slot)
         if known is not None:
             for task in known.slot.tasks.values():
                 self._occupy_capacity(task, slot, already_counted=True)
@@ -284,9 +288,27 @@
         if not outdated:
             self._request_pass()
             return
+        self._withdraw_assigned(slot)
+
+    def _apply_evacuation(self, upstream: KnownUpstream) -> int:
+        """Place nothing in an evacuated data centre; return how many tasks were withdrawn."""
+        slot = upstream.slot
+        slot.evacuated = slot.entry.data_centre in self._evacuations.data_centres
+        return self._withdraw_assigned(slot) if slot.evacuated else 0
+
+    def _withdraw_assigned(self, slot: UpstreamSlot) -> int:
+        """Withdraw the tasks whose start has not been sent; return how many there were."""
+        count = 0
         for task in list(slot.tasks.values()):
+            # The tasks of a gang are withdrawn together.
             if task.state == "assigned":
                 self._apply_event(task, "withdraw")
+                count += 1
+        return count
+
+    def _note_cold_start(self, slot: UpstreamSlot) -> None:
+        if self._evacuations.enabled:
+            slot.cold_until_ms = self._timer.now_ms() + slot.entry.cold_left_ms
 
     def _set_paces(self, upstream: KnownUpstream) -> None:
         """Slow down or speed up the best-effort tasks beside the serving tasks."""
--- a/src/tarragoncart/runorders.py
+++ b/src/tarragoncart/runorders.py
@@ -10,9 +10,13 @@
 
 @frozen
 class Start:
-    """Start a run."""
+    """Start a run.
+
+    :param until_ms: the start is not sent after this time, but counts as refused.
+    """
 
     order: StartOrder
+    until_ms: float = float("inf")
 
 
 @frozen
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -13,6 +13,7 @@
 from . import defaults, jobmodel, metrics, pacing
 from .assignment import UpstreamSlot, Usage
 from .decoding import MalformedLog
+from .evacuations import Evacuations
 from .fencing import FencingTokens
 from .follower import Follower, open_bulk_reads
 from .graph import Rules, UpstreamEntry
@@ -158,6 +159,8 @@
     :param stop_ms: how long an upstream may take to stop a run.
     :param retention_ms: how long an ended job can be looked up.
     :param link_mbps: capacity of this entry VM's link.
+    :param evacuation_ms: time within which an evacuated data centre gets no more tasks; None if the
+        platform has no evacuations.
     """
 
     def __init__(
@@ -180,6 +183,7 @@
         link_mbps: float,
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
         make_advisor: Callable[[Actor], Actor] | None = None,
+        evacuation_ms: int | None = None,
     ) -> None:
         super().__init__("scheduler")
         self._epoch = epoch
@@ -203,6 +207,8 @@
         self._make_advisor = make_advisor
         self._advisor: Actor | None = None
         self._permitted_until_ms = 0.0
+        self._evacuations = Evacuations(evacuation_ms)
+        self._placement_held = False
         self._jobs: dict[str, Job | EndedJob] = {}
         # By job ID, cancellations that were read before their jobs, the oldest ones first.
         self._early_cancels: dict[str, EarlyCancel] = {}
@@ -235,6 +241,8 @@
             bulk_reads=self._bulk_reads,
         )
         self._short_millicores: Counter[str] = Counter()
+        # By pool, cpu of long-running tasks that cannot leave an evacuated data centre.
+        self._stuck_millicores: Counter[str] = Counter()
         self._backlog_millicore_ms: Counter[str] = Counter()
         self._deferred_millicore_ms: Counter[str] = Counter()
         self._loads_sent_ms = 0.0
@@ -605,7 +613,7 @@
         )
         if upstream.link is not None:
             upstream.note_lease_end(self._timer.now_ms() + max_lease_ms(self._lease_ms))
-            upstream.link.tell(Start(order))
+            upstream.link.tell(Start(order, self._evacuations.starts_until_ms))
 
     @implements_action("send_stop")
     def _send_stop(self, task: Task, **details: Any) -> None:
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -15,6 +15,7 @@
 from .assignment import UpstreamSlot, WaitReason
 from .candidates import Reach
 from .errors import DecodeError
+from .evacuations import remaining_slots
 from .follower import TopicChanges, TopicSnapshot
 from .graph import Rules
 from .intake import IntakeRead
@@ -228,7 +229,8 @@
         if not self._loaded:
             return
         started_ms = self._timer.now_ms()
-        if started_ms < self._permitted_until_ms and not self._committing:
+        permitted = started_ms < self._permitted_until_ms and self._may_start_tasks()
+        if permitted and not self._committing:
             self._place()
             self._pass_duration_ms = self._timer.now_ms() - started_ms
         self._commit()
@@ -289,10 +291,12 @@
         if self._fleet is None:
             return
         self._loads_sent_ms = self._timer.now_ms()
+        short_millicores = self._short_millicores.copy()
+        short_millicores.update(self._stuck_millicores)
         self._fleet.tell(
             Loads(
                 {load.upstream_id: load for load in self._upstream_loads()},
-                dict(self._short_millicores),
+                dict(short_millicores),
                 dict(self._backlog_millicore_ms),
                 self._offered_load.rates(self._loads_sent_ms),
                 dict(self._deferred_millicore_ms),
@@ -360,7 +364,7 @@
         given more and more VMs, none of which could run the step.
         """
         pool, spec = step.job.pool, step.spec
-        slots = self._slots_by_pool.get(pool, [])
+        slots = remaining_slots(self._slots_by_pool.get(pool, []))
         if slots and not any(assignment.admits_when_empty(slot, spec) for slot in slots):
             return
         cpu_millicores = spec.counted.cpu_millicores
@@ -431,9 +435,11 @@
         self._request_pass()
 
     def _apply_effects(self, effects: DeferredEffects) -> None:
+        # The view may have become too old while the assignments were stored.
+        may_start = not effects.starts or self._may_start_tasks()
         for task, run in effects.starts:
             if task.state == "assigned" and task.run == run:
-                self._apply_event(task, "commit")
+                self._apply_event(task, "commit" if may_start else "withdraw")
         for upstream_id, acknowledgement in effects.acknowledgements.items():
             upstream = self._upstreams.get(upstream_id)
             if upstream is not None and upstream.link is not None:
@@ -454,6 +460,7 @@
         now_ms = self._timer.now_ms()
         for upstream in list(self._upstreams.values()):
             self._check_upstream(upstream, now_ms)
+        self._move_evacuated_tasks(now_ms)
         for job in list(self._unfinished.values()):
             if job.released_count < job.occurrence_count:
                 self._admit(job)
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Iterator
 from functools import reduce
 
-from . import assignment
+from . import assignment, metrics
 from .assignment import UpstreamSlot
+from .evacuations import EvacuationsChanged, plan_moves_away
 from .graph import Demand
 from .jobmodel import Task
 from .loads import UpstreamLoad
@@ -80,6 +82,90 @@
         if not repeated:
             self._vacate(upstream, upstream.vacating_since_ms)
 
+    @receives(EvacuationsChanged)
+    def on_evacuations_changed(self, message: EvacuationsChanged) -> None:
+        """Start nothing more in evacuated data centres, and use the others again."""
+        begun, ended = self._evacuations.update(message)
+        for upstream in list(self._upstreams.values()) if begun or ended else ():
+            self._apply_evacuation(upstream)
+        for data_centre in sorted(begun):
+            metrics.EVACUATIONS.add(1)
+            self._log_evacuation("evacuation in force", data_centre)
+        for data_centre in sorted(ended):
+            self._log_evacuation("evacuation ended", data_centre)
+        if begun or ended:
+            self._stuck_millicores.clear()
+            self._forward_evacuations()
+        if begun or ended or self._placement_held:
+            self._request_pass()
+
+    def _log_evacuation(self, text: str, data_centre: str) -> None:
+        slots = [upstream.slot for upstream in self._upstreams.values()]
+        slots = [slot for slot in slots if slot.entry.data_centre == data_centre]
+        logger.info(
+            text,
+            extra={
+                "data_centre": data_centre,
+                "epoch": self._epoch,
+                "upstream_count": len(slots),
+                "run_count": sum(len(slot.tasks) for slot in slots),
+                "long_running_count": sum(slot.long_running_count for slot in slots),
+                "view_age_ms": round(self._evacuations.view_age_ms(self._timer.now_ms())),
+            },
+        )
+
+    def _forward_evacuations(self) -> None:
+        """Send the evacuated data centres to the owner of the VMs."""
+        if self._fleet is not None and self._evacuations.enabled:
+            as_of_ms = self._timer.now_ms()
+            self._fleet.tell(EvacuationsChanged(self._evacuations.data_centres, as_of_ms))
+
+    def _may_start_tasks(self) -> bool:
+        """Return whether the operators' records are recent enough for tasks to be started."""
+        now_ms = self._timer.now_ms()
+        held = now_ms >= self._evacuations.starts_until_ms
+        if held != self._placement_held:
+            self._placement_held = held
+            text = "placement held: operators' records are too old"
+            age_ms = self._evacuations.view_age_ms(now_ms)
+            logger.info(
+                text if held else "placement goes on: operators' records are recent",
+                extra={
+                    "epoch": self._epoch,
+                    "view_age_ms": round(age_ms) if math.isfinite(age_ms) else None,
+                },
+            )
+        return not held
+
+    def _move_evacuated_tasks(self, now_ms: float) -> None:
+        """Stop the long-running tasks in evacuated data centres that can continue elsewhere."""
+        self._stuck_millicores.clear()
+        if not self._evacuations.data_centres or not self._may_start_tasks():
+            return
+        slots_by_pool: dict[str, list[UpstreamSlot]] = {}
+        for upstream in self._upstreams.values():
+            slots_by_pool.setdefault(upstream.slot.entry.pool, []).append(upstream.slot)
+        for pool, slots in slots_by_pool.items():
+            tasks = [
+                task
+                for slot in slots
+                if slot.evacuated and slot.answering and slot.long_running_count
+                for task in slot.tasks.values()
+                if task.step.spec.long_running
+            ]
+            if not tasks:
+                continue
+            in_transit = [task for task in tasks if task.state == "stopping"]
+            for step in self._ready_steps.get(pool, ()):
+                if step.spec.long_running:
+                    in_transit.extend(step.waiting())
+            moves = plan_moves_away(tasks, in_transit, slots, self._usage, now_ms)
+            if moves.short_millicores:
+                self._stuck_millicores[pool] = moves.short_millicores
+            for task in moves.moving:
+                metrics.EVACUATION_MOVES.add(1)
+                self._move_away(task, "its data centre is evacuated")
+
     @receives(ReadmitUpstream)
     def on_readmit(self, message: ReadmitUpstream) -> None:
         """Allow new tasks on an upstream again."""
@@ -142,13 +228,13 @@
         counts = task.step.upstream_counts()
         if assignment.choose_slot(task, slots, counts, now_ms, assignment.spread) is None:
             return False
-        logger.info(
-            "task moves away from its upstream",
-            extra={"task": task.name, "run": task.run, "upstream": task.upstream_id},
-        )
-        self._stop_task(task)
+        self._move_away(task, "its upstream is vacated")
         return True
 
+    def _move_away(self, task: Task, reason: str) -> None:
+        self._log_run("task moves away from its upstream", task, reason)
+        self._stop_task(task)
+
     def _send_vacated(self, upstream_id: str) -> None:
         if self._fleet is not None:
             self._fleet.tell(UpstreamVacated(upstream_id))
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -158,6 +158,7 @@
             }
             self._fleet = self._make_fleet(self, fleet_records)
             self._fleet.tell(ExtendPermission(self._permitted_until_ms))
+            self._forward_evacuations()
         self._start_restoring()
 
     def _start_restoring(self) -> None:
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -143,6 +143,7 @@
         self._pool_rules = pool_rules
         self._loads = Loads({}, {}, {}, {})
         self._moves: dict[str, Move] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._idle_since_ms: dict[str, float] = {}
         self._last_short_ms: dict[str, float] = {}
         self._listed_ms = 0.0
