--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -226,6 +226,18 @@
     assert upstream.acknowledged.count(3) == 1
 
 
+async def test_no_start_is_sent_after_its_time(linked):
+    """Guards against a start that waits in an inbox while its data centre is evacuated."""
+    link, upstream, listener = linked
+    await asyncio.sleep(0.2)
+    now_ms = LoopTimer().now_ms()
+    link.tell(Start(StartOrder("job.0.0.0", 1, "", "", ""), now_ms - 1))
+    link.tell(Start(StartOrder("job.0.0.1", 1, "", "", ""), now_ms + 60_000))
+    await asyncio.sleep(0.1)
+    assert upstream.starts == ["job.0.0.1"]
+    assert sorted(listener.outcomes) == ["accepted", "refused"]
+
+
 async def test_no_start_is_sent_to_an_upstream_that_does_not_answer(linked):
     """Guards against a start that reaches an upstream whose runs are just counted as ended."""
     link, upstream, listener = linked
