--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -214,11 +214,6 @@
     return spec.counted.fits(slot.entry.capacity)
 
 
-def _by_warmth(slot: UpstreamSlot, now_ms: float) -> tuple[float, ...]:
-    """Rank warm upstreams before those that have started recently, among the healthy ones first."""
-    return (float(slot.degraded), float(slot.cold_until_ms > now_ms))
-
-
 def choose_slot(
     task: Task,
     slots: Iterable[UpstreamSlot],
@@ -228,7 +223,8 @@
 ) -> UpstreamSlot | None:
     """Return the best upstream for a task, None if none admits it now.
 
-    Upstreams on which the task failed come last, then those outside the rack with its data.
+    Upstreams on which the task failed come last, then those outside the rack with its data, then
+    degraded ones, then cold ones.
 
     :param counts: number of the step's runs on each upstream.
     """
@@ -255,7 +251,8 @@
         rank = (
             float(upstream_id in task.failed_on),
             float(bool(spec.rack) and spec.rack not in slot.entry.labels),
-            *_by_warmth(slot, now_ms),
+            slot.degraded,
+            slot.cold_until_ms > now_ms,
             *ranking(slot, step),
         )
         if best is None or rank < best_rank:
@@ -384,7 +381,7 @@
     allowed = [s for s in slots if not needs_advice or s.entry.upstream_id in step.tickets]
     candidates = sorted(
         (slot for slot in allowed if admits(slot, spec, now_ms)),
-        key=lambda s: (*_by_warmth(s, now_ms), *ranking(s, step)),
+        key=lambda s: (s.degraded, s.cold_until_ms > now_ms, *ranking(s, step)),
     )
     # Bound tasks first, as the others may take any upstream.
     for task in sorted(step.tasks, key=lambda task: not task.bound_to):
