--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from standins import virtual
+from standins import polling, virtual
 from tarragoncart import assignment, defaults, evacuations
 from tarragoncart.assignment import UpstreamSlot, Usage, WaitReason, home_first
 from tarragoncart.entrance import Accepted
@@ -35,7 +35,7 @@
 from tarragoncart.platform import operator
 from tarragoncart.pools import POLICIES, MovePlan
 from tarragoncart.storage import Entry
-from tarragoncart.timer import ManualTimer
+from tarragoncart.timer import LoopTimer, ManualTimer
 from tarragoncart.vmorders import Move
 from tarragoncart.vms import Fleet
 
@@ -884,6 +884,41 @@
     simulate(take_down_evacuated_vms)
 
 
+# With the platform's store and its formats.
+
+
+JOB = {"spec": "", "steps": [{"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}]}
+
+
+async def test_a_record_that_cannot_be_decoded_evacuates(run_node, add_worker, store):
+    """Guards against a key or a value of the platform's format that is not taken as a request."""
+    worker = await add_worker()
+    node = await run_node("node-1", evacuation_ms=BOUND_MS)
+    scheduler = await node.wait_to_lead()
+    store.standin.put_bytes("keyed.op", f"{PREFIX}dc-1", b"\xff{")
+    assert await polling.wait_until(lambda: scheduler._evacuations.data_centres == {"dc-1"}, 4.0)
+    assert await node.caller.submit(f"/q/{1:016x}", JOB) == 200
+    await asyncio.sleep(0.5)
+    assert not worker.starts
+    store.standin.put("keyed.op", f"{PREFIX}dc-1", None)
+    assert await node.caller.phase(f"/q/{1:016x}", "completed") == "completed"
+
+
+@pytest.mark.parametrize("evacuation_ms", [None, BOUND_MS])
+async def test_a_registration_tells_how_long_an_upstream_is_cold(
+    run_node, add_worker, store, evacuation_ms
+):
+    """Guards against a cold upstream that ranks as a warm one, or without the setting behind it."""
+    await add_worker()
+    registration = json.loads(store.standin.newest("keyed.servers")["i-1"])
+    store.standin.put("keyed.servers", "i-1", registration | {"cold-left-ms": 60_000})
+    node = await run_node("node-1", evacuation_ms=evacuation_ms)
+    scheduler = await node.wait_to_lead()
+    assert await polling.wait_until(lambda: "i-1" in scheduler._upstreams, 4.0)
+    cold_until_ms = scheduler._upstreams["i-1"].slot.cold_until_ms
+    assert (cold_until_ms > LoopTimer().now_ms() + 30_000) == (evacuation_ms is not None)
+
+
 # Random faults.
 
 
