--- /dev/null
+++ b/src/tarragoncart/connectionlimits.py
@@ -0,0 +1,342 @@
+"""Decisions of the admission control of connections, without sockets or encoding.
+
+The load that they address: clients that open many connections, send heads and bodies without end or
+stop just short of it, and never read their answers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterable, Iterator
+from typing import Generic, TypeVar
+
+from attrs import Factory, define, field, frozen
+
+from . import defaults
+from .charts import Chart, load_chart
+from .registry import Registry
+
+MEGABYTE = 1024 * 1024
+
+C = TypeVar("C", bound=Hashable)
+
+
+@frozen
+class RefusalKind:
+    """A reason for which a request is refused or a connection is closed.
+
+    :param status: status of the answer; 0 if the connection is closed without one.
+    """
+
+    name: str
+    message: str
+    status: int = 0
+
+
+HEAD_TOO_LARGE = RefusalKind("head_too_large", "head of the request is too large", 431)
+EMPTY_LINES = RefusalKind("empty_lines", "too many empty lines before the request", 400)
+HEAD_TIMEOUT = RefusalKind("head_timeout", "head of a request did not arrive in time")
+BODY_TOO_LARGE = RefusalKind("body_too_large", "body is larger than the limit", 413)
+BODY_INCOMPLETE = RefusalKind("body_incomplete", "request body did not arrive completely", 400)
+BODY_TIMEOUT = RefusalKind("body_timeout", "request body did not arrive in time", 408)
+BODY_STALLED = RefusalKind("body_stalled", "body is late and other requests need its room", 408)
+BODY_MEMORY = RefusalKind("body_memory", "no memory for the request's body", 503)
+CONNECTION_COUNT = RefusalKind("connection_count", "too many connections")
+ADDRESS_COUNT = RefusalKind("address_count", "too many connections from one address")
+EVICTED = RefusalKind("evicted", "connection made room for a new one")
+IDLE_TIMEOUT = RefusalKind("idle_timeout", "connection was not used")
+UNREAD_ANSWER = RefusalKind("unread_answer", "client does not read its answer")
+MALFORMED = RefusalKind("malformed", "request is not valid HTTP", 400)
+
+
+@frozen
+class ConnectionLimits:
+    """Limits of the connections of one listener.
+
+    :param per_address_count: limit for each client address.
+    """
+
+    total_count: int
+    per_address_count: int
+
+
+@frozen
+class MemoryLimits:
+    """Limits of a process that follow from its VM.
+
+    :param callers: connections of the listener for callers.
+    :param large_bytes: memory for bodies of any size.
+    :param small_bytes: memory that only small bodies may use.
+    :param peer_bytes: memory for bodies from other entry VMs, which no other listener may use.
+    """
+
+    callers: ConnectionLimits
+    large_bytes: int
+    small_bytes: int
+    peer_bytes: int
+
+
+def side_limits(count: int) -> ConnectionLimits:
+    """Return the limits of a listener that is not for callers."""
+    return ConnectionLimits(count, count)
+
+
+def derive_limits(
+    memory_mb: int, fd_limit_count: int, largest_body_bytes: int, largest_peer_body_bytes: int
+) -> MemoryLimits:
+    """Derive the limits from a VM's memory and descriptors; 0 means unknown.
+
+    :param largest_body_bytes: largest body of a caller or operator; one always fits.
+    :param largest_peer_body_bytes: largest body from another entry VM; one always fits.
+    """
+    vm_mb = memory_mb or defaults.VM_MEMORY_DEFAULT_MB
+    shared_mb = max(vm_mb - defaults.IDLE_PROCESS_MB, defaults.SHARED_MEMORY_MIN_MB)
+    shared_bytes = shared_mb * MEGABYTE
+    fd_count = (fd_limit_count or defaults.VM_FD_LIMIT_DEFAULT_COUNT) - defaults.FILE_FD_COUNT
+    by_memory = defaults.CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES
+    total = max(1, int(min(by_memory, defaults.CONNECTION_FD_RATIO * fd_count)))
+    per_address = max(1, int(defaults.ADDRESS_CONNECTION_RATIO * total))
+    large_bytes = int(defaults.LARGE_BODY_MEMORY_RATIO * shared_bytes)
+    peer_bytes = int(defaults.PEER_BODY_MEMORY_RATIO * shared_bytes)
+    return MemoryLimits(
+        ConnectionLimits(total, per_address),
+        max(large_bytes, largest_body_bytes * defaults.BODY_COST_RATIO),
+        int(defaults.SMALL_BODY_MEMORY_RATIO * shared_bytes),
+        max(peer_bytes, largest_peer_body_bytes * defaults.BODY_COST_RATIO),
+    )
+
+
+@define
+class BodyBudget(Generic[C]):
+    """Memory reserved for the bodies of requests, before they are read.
+
+    Small bodies use a share of their own first, so that large ones cannot keep them out.
+
+    :param large_bytes: memory for bodies of any size.
+    :param small_bytes: memory for small bodies only.
+    """
+
+    large_bytes: int
+    small_bytes: int
+    _large: dict[C, int] = field(init=False, factory=dict)
+    _small: dict[C, int] = field(init=False, factory=dict)
+    _large_used_bytes: int = field(init=False, default=0)
+    _small_used_bytes: int = field(init=False, default=0)
+
+    @property
+    def used_bytes(self) -> int:
+        """Memory reserved at the moment."""
+        return self._large_used_bytes + self._small_used_bytes
+
+    def reserve(self, holder: C, size_bytes: int) -> bool:
+        """Reserve memory for a body; return whether there is enough."""
+        cost = size_bytes * defaults.BODY_COST_RATIO
+        small = size_bytes <= defaults.SMALL_BODY_LIMIT_BYTES
+        if small and self._small_used_bytes + cost <= self.small_bytes:
+            self._small[holder] = cost
+            self._small_used_bytes += cost
+            return True
+        if self._large_used_bytes + cost <= self.large_bytes:
+            self._large[holder] = cost
+            self._large_used_bytes += cost
+            return True
+        return False
+
+    def release(self, holder: C) -> None:
+        """Release what a holder has reserved, if anything."""
+        self._small_used_bytes -= self._small.pop(holder, 0)
+        self._large_used_bytes -= self._large.pop(holder, 0)
+
+    def find_victims(self, size_bytes: int, stalled: Iterable[C]) -> list[C]:
+        """Return the holders whose release makes room for a body; empty if there is no way.
+
+        :param stalled: holders whose bodies are late, the latest of them first.
+        """
+        cost = size_bytes * defaults.BODY_COST_RATIO
+        small = size_bytes <= defaults.SMALL_BODY_LIMIT_BYTES
+        small_free = self.small_bytes - self._small_used_bytes
+        large_free = self.large_bytes - self._large_used_bytes
+        small_victims: list[C] = []
+        large_victims: list[C] = []
+        for holder in stalled:
+            if small and holder in self._small:
+                small_victims.append(holder)
+                small_free += self._small[holder]
+                if small_free >= cost:
+                    return small_victims
+            elif holder in self._large:
+                large_victims.append(holder)
+                large_free += self._large[holder]
+                if large_free >= cost:
+                    return large_victims
+        return []
+
+
+@frozen
+class Admission(Generic[C]):
+    """Whether a new connection is admitted.
+
+    :param victim: connection to close in favour of the new one.
+    :param refusal: why the new connection is closed, None if it is admitted.
+    """
+
+    victim: C | None = None
+    refusal: RefusalKind | None = None
+
+
+# By state in which a connection waits for its client: the longest time, and what follows.
+StateTimeout = Callable[[], tuple[float, RefusalKind]]
+STATE_TIMEOUTS: Registry[StateTimeout] = Registry("timeout of a connection's state")
+
+
+@STATE_TIMEOUTS.register("idle")
+def idle_timeout() -> tuple[float, RefusalKind]:
+    """Close connections that are not used."""
+    return defaults.IDLE_CONNECTION_TIMEOUT_MS, IDLE_TIMEOUT
+
+
+@STATE_TIMEOUTS.register("head")
+def head_timeout() -> tuple[float, RefusalKind]:
+    """Close connections whose request does not get complete."""
+    return defaults.HEAD_TIMEOUT_MS, HEAD_TIMEOUT
+
+
+@STATE_TIMEOUTS.register("body")
+def body_timeout() -> tuple[float, RefusalKind]:
+    """Give up requests whose body stops short of its end."""
+    return defaults.BODY_TIMEOUT_MS, BODY_TIMEOUT
+
+
+@STATE_TIMEOUTS.register("answer")
+def answer_timeout() -> tuple[float, RefusalKind]:
+    """Close connections whose client does not read."""
+    return defaults.UNREAD_ANSWER_TIMEOUT_MS, UNREAD_ANSWER
+
+
+@define
+class ConnectionTable(Generic[C]):
+    """Connections of one listener, by state and by the time since which they wait for the client.
+
+    A connection in the state ``handling`` waits for this process and is never closed by a limit.
+    """
+
+    limits: ConnectionLimits
+    chart: Chart = Factory(lambda: load_chart("connection"))
+    _states: dict[C, str] = field(init=False, factory=dict)
+    _addresses: dict[C, str] = field(init=False, factory=dict)
+    _address_counts: dict[str, int] = field(init=False, factory=dict)
+    # Ordered by time, because a connection is added when it enters the state.
+    _waiting: dict[str, dict[C, float]] = field(
+        init=False, factory=lambda: {state: {} for state in STATE_TIMEOUTS}
+    )
+
+    @property
+    def count(self) -> int:
+        """Number of open connections."""
+        return len(self._states)
+
+    def open(self, connection: C, address: str, now_ms: float) -> Admission[C]:
+        """Admit a new connection, in place of the one that has waited longest if need be."""
+        address_count = self._address_counts.get(address, 0)
+        victim: C | None = None
+        if address_count >= self.limits.per_address_count:
+            victim = self._find_longest_waiting(address)
+            if victim is None:
+                return Admission(refusal=ADDRESS_COUNT)
+        elif len(self._states) >= self.limits.total_count:
+            victim = self._find_longest_waiting()
+            if victim is None:
+                return Admission(refusal=CONNECTION_COUNT)
+        if victim is not None:
+            self.close(victim)
+        self._addresses[connection] = address
+        self._address_counts[address] = self._address_counts.get(address, 0) + 1
+        self._states[connection] = self.chart.initial
+        self._waiting[self.chart.initial][connection] = now_ms
+        return Admission(victim)
+
+    def _find_longest_waiting(self, address: str | None = None) -> C | None:
+        found: C | None = None
+        found_since_ms = float("inf")
+        for waiting in self._waiting.values():
+            for connection, since_ms in waiting.items():
+                if since_ms >= found_since_ms:
+                    break
+                if address is None or self._addresses[connection] == address:
+                    found, found_since_ms = connection, since_ms
+                    break
+        return found
+
+    def state(self, connection: C) -> str | None:
+        """Return the state of a connection, None if it is not open."""
+        return self._states.get(connection)
+
+    def fire(self, connection: C, event: str, now_ms: float) -> None:
+        """Apply an event; one that the state does not accept changes nothing."""
+        state = self._states.get(connection)
+        transition = self.chart.transitions.get((state, event)) if state else None
+        if transition is None:
+            return
+        waiting = self._waiting.get(state)  # type: ignore[arg-type]
+        if waiting is not None:
+            waiting.pop(connection, None)
+        self._states[connection] = transition.state
+        waiting = self._waiting.get(transition.state)
+        if waiting is not None:
+            waiting[connection] = now_ms
+
+    def renew(self, connection: C, now_ms: float) -> None:
+        """Start the time of a connection's state again, as its client has made progress."""
+        waiting = self._waiting.get(self._states.get(connection, ""))
+        if waiting is not None:
+            del waiting[connection]
+            waiting[connection] = now_ms
+
+    def close(self, connection: C) -> None:
+        """Remove a connection, if it is there."""
+        state = self._states.pop(connection, None)
+        if state is None:
+            return
+        waiting = self._waiting.get(state)
+        if waiting is not None:
+            waiting.pop(connection, None)
+        address = self._addresses.pop(connection)
+        self._address_counts[address] -= 1
+        if not self._address_counts[address]:
+            del self._address_counts[address]
+
+    def expired(self, now_ms: float) -> list[tuple[C, RefusalKind]]:
+        """Return the connections that have waited for their clients for too long, and why."""
+        return [
+            (connection, kind)
+            for state, timeout in STATE_TIMEOUTS.items()
+            for timeout_ms, kind in (timeout(),)
+            for connection in self._older(state, now_ms - timeout_ms)
+        ]
+
+    def stalled_bodies(self, now_ms: float) -> Iterator[C]:
+        """Return the connections whose bodies are late, the latest of them first."""
+        return self._older("body", now_ms - defaults.STALLED_BODY_MS)
+
+    def _older(self, state: str, until_ms: float) -> Iterator[C]:
+        for connection, since_ms in self._waiting[state].items():
+            if since_ms > until_ms:
+                return
+            yield connection
+
+
+@define
+class RefusalLog:
+    """Limits the log lines about each kind of refusal to one a second."""
+
+    _next_ms: dict[str, float] = field(init=False, factory=dict)
+    _counts: dict[str, int] = field(init=False, factory=dict)
+
+    def add(self, kind: RefusalKind, now_ms: float) -> int:
+        """Count a refusal; return how many refusals a line is due for, 0 for none."""
+        count = self._counts.get(kind.name, 0) + 1
+        if now_ms < self._next_ms.get(kind.name, now_ms):
+            self._counts[kind.name] = count
+            return 0
+        self._next_ms[kind.name] = now_ms + 1_000
+        self._counts[kind.name] = 0
+        return count
--- /dev/null
+++ b/src/tarragoncart/connections.py
@@ -0,0 +1,467 @@
+"""Admission control in front of all listeners: applies the limits to connections and requests.
+
+The decisions are in :mod:`tarragoncart.connectionlimits`. Each connection is read in small pieces,
+and memory for a body is reserved before the body is read and before its handler starts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import reactivex.abc
+from aiohttp import web
+from aiohttp.http import HttpProcessingError, HttpRequestParser
+from attrs import define, field, frozen
+
+from . import defaults, metrics
+from .connectionlimits import (
+    BODY_INCOMPLETE,
+    BODY_MEMORY,
+    BODY_STALLED,
+    BODY_TIMEOUT,
+    BODY_TOO_LARGE,
+    EMPTY_LINES,
+    EVICTED,
+    HEAD_TOO_LARGE,
+    MALFORMED,
+    UNREAD_ANSWER,
+    BodyBudget,
+    ConnectionLimits,
+    ConnectionTable,
+    RefusalKind,
+    RefusalLog,
+)
+from .errors import RequestError
+from .timer import Timer
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# All connections of the event loop read into the same buffer, and copy what they have received.
+_receive_buffer = memoryview(bytearray(defaults.READ_SIZE_BYTES))
+
+
+class BodyGivenUpError(TimeoutError):
+    """A body did not arrive in time, or its room is needed.
+
+    As a time-out, it also ends the reading of the rest of the body after the refusal.
+    """
+
+    def __init__(self, kind: RefusalKind) -> None:
+        super().__init__(kind.message)
+        self.kind = kind
+
+
+@frozen
+class Listener:
+    """What the admission control needs to know about a listener.
+
+    :param budget: memory for bodies; listeners may share it.
+    :param body_limit: returns the largest body that a request may have.
+    :param refuse: encodes a refusal in the listener's protocol.
+    """
+
+    name: str
+    limits: ConnectionLimits
+    budget: BodyBudget[Any]
+    body_limit: Callable[[web.BaseRequest], int]
+    refuse: Callable[[web.BaseRequest, RequestError], web.Response]
+
+
+def refuse_plainly(request: web.BaseRequest, error: RequestError) -> web.Response:
+    """Encode a refusal as its status only."""
+    return web.Response(status=error.status)
+
+
+def side_body_limit(request: web.BaseRequest) -> int:
+    """Return the limit of bodies on listeners whose requests have none."""
+    return defaults.SIDE_BODY_LIMIT_BYTES
+
+
+def side_listener(name: str, limits: ConnectionLimits) -> Listener:
+    """Return a listener for small requests whose bodies are not used."""
+    budget: BodyBudget[Any] = BodyBudget(
+        defaults.SIDE_BODY_LIMIT_BYTES * defaults.BODY_COST_RATIO, 0
+    )
+    return Listener(name, limits, budget, side_body_limit, refuse_plainly)
+
+
+@define
+class AdmissionControl:
+    """The admission control of a process: its servers and the sweep over their connections."""
+
+    timer: Timer
+    _servers: list[BoundedServer] = field(init=False, factory=list)
+    _refusals: RefusalLog = field(init=False, factory=RefusalLog)
+    _sweep: reactivex.abc.DisposableBase | None = field(init=False, default=None)
+
+    def add(self, server: BoundedServer) -> None:
+        """Include a server in the sweep."""
+        self._servers.append(server)
+        if self._sweep is None:
+            period = self.timer.every(defaults.CONNECTION_SWEEP_MS)
+            self._sweep = period.subscribe(lambda _: self.sweep())
+
+    def remove(self, server: BoundedServer) -> None:
+        """Take a server out of the sweep, which ends with the last server."""
+        if server in self._servers:
+            self._servers.remove(server)
+        if not self._servers and self._sweep is not None:
+            self._sweep.dispose()
+            self._sweep = None
+
+    def sweep(self) -> None:
+        """Close the connections that have waited for their clients for too long."""
+        now_ms = self.timer.now_ms()
+        for server in self._servers:
+            server.sweep(now_ms)
+
+    def count_refusal(self, kind: RefusalKind, listener: str) -> None:
+        """Count a refusal, and log it if no line about its kind was logged within a second."""
+        metrics.CONNECTION_REFUSALS.add(1, metrics.labels(kind=kind.name, listener=listener))
+        count = self._refusals.add(kind, self.timer.now_ms())
+        if count:
+            logger.warning(
+                "refused by a limit of connections",
+                extra={
+                    "kind": kind.name,
+                    "listener": listener,
+                    "reason": kind.message,
+                    "count": count,
+                },
+            )
+
+
+class Connection(web.RequestHandler, asyncio.BufferedProtocol):
+    """A connection of a bounded server.
+
+    Reads are small, and stop while a request is handled and the next ones wait.
+    """
+
+    __slots__ = (
+        "_blank_bytes",
+        "_bounds",
+        "_head_bytes",
+        "_newest_payload",
+        "_socket_transport",
+        "_unread_bytes",
+    )
+
+    def __init__(self, server: BoundedServer, **kwargs: Any) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(
+            server,
+            loop=loop,
+            read_bufsize=defaults.READ_SIZE_BYTES,
+            lingering_time=defaults.REFUSED_BODY_LINGER_MS / 1_000,
+            **kwargs,
+        )
+        # The number of parsed requests that wait for the handler has no option of its own.
+        self._max_msg_queue_size = defaults.PIPELINED_REQUEST_LIMIT_COUNT
+        self._msg_queue_resume_size = defaults.PIPELINED_REQUEST_LIMIT_COUNT - 1
+        self._parser = HttpRequestParser(
+            self,
+            loop,
+            defaults.READ_SIZE_BYTES,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            max_msg_queue_size=defaults.PIPELINED_REQUEST_LIMIT_COUNT,
+        )
+        self._bounds = server
+        self._socket_transport: asyncio.Transport | None = None
+        self._newest_payload: Any = None
+        self._head_bytes = 0
+        self._blank_bytes = 0
+        self._unread_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Admit the connection, or close it at once."""
+        assert isinstance(transport, asyncio.Transport)
+        if not self._bounds.open(self, transport):
+            # Without a server, the loss of the connection is not handled any further.
+            self._manager = None
+            transport.abort()
+            return
+        self._socket_transport = transport
+        transport.set_write_buffer_limits(defaults.UNREAD_ANSWER_LIMIT_BYTES)
+        super().connection_made(transport)
+
+    async def start(self) -> None:
+        """Handle the requests of the connection, which holds no memory for bodies afterwards."""
+        try:
+            await super().start()
+        finally:
+            self._bounds.budget.release(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self._bounds.table.close(self)
+        self._socket_transport = None
+        super().connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was read."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was read, within the limits of a head and of empty lines before it."""
+        bounds = self._bounds
+        if data:
+            bounds.fire(self, "bytes")
+        in_body = self._newest_payload is not None and not self._newest_payload.is_eof()
+        request_count = self._request_count
+        super().data_received(data)
+        if self._request_count != request_count:
+            self._head_bytes = self._blank_bytes = 0
+            if self._messages:
+                self._newest_payload = self._messages[-1][1]
+            bounds.fire(self, "request")
+        elif data and not in_body:
+            self._add_to_head(data)
+
+    def _add_to_head(self, data: bytes) -> None:
+        if self._head_bytes == self._blank_bytes and not data.strip(b"\r\n"):
+            self._blank_bytes += len(data)
+            if self._blank_bytes > defaults.EMPTY_LINE_LIMIT_BYTES:
+                self._refuse_head(EMPTY_LINES)
+        self._head_bytes += len(data)
+        if self._head_bytes > defaults.HEAD_LIMIT_BYTES:
+            self._refuse_head(HEAD_TOO_LARGE)
+
+    def _refuse_head(self, kind: RefusalKind) -> None:
+        if self._force_close or self._close:
+            return
+        self._bounds.count_refusal(kind)
+        if self._bounds.table.state(self) == "head" and self.transport is not None:
+            # No request is in progress whose answer this could be taken for.
+            self.transport.write(
+                f"HTTP/1.1 {kind.status} {kind.message}\r\n"
+                "Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
+            )
+            self.force_close()
+        else:
+            # The answer of the request in progress is sent before the connection is closed.
+            self.close()
+
+    def pause_writing(self) -> None:
+        """Note that the client does not read its answers."""
+        super().pause_writing()
+        if self._socket_transport is not None:
+            self._unread_bytes = self._socket_transport.get_write_buffer_size()
+        self._bounds.fire(self, "unread")
+
+    def resume_writing(self) -> None:
+        """Note that the client has read its answers."""
+        super().resume_writing()
+        self._bounds.fire(self, "read" if self._request_in_progress else "answered")
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send the response, then wait for the client again."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self._bounds.budget.release(self)
+            transport = self._socket_transport
+            if transport is not None and transport.get_write_buffer_size():
+                self._unread_bytes = transport.get_write_buffer_size()
+                self._bounds.fire(self, "unread")
+            else:
+                self._bounds.fire(self, "answered")
+            if self._messages:
+                self._bounds.fire(self, "bytes")
+                self._bounds.fire(self, "request")
+            elif self._head_bytes:
+                self._bounds.fire(self, "bytes")
+
+    def log_exception(self, *args: Any, **kw: Any) -> None:
+        """Log an error of a handler; invalid requests are counted only."""
+        if isinstance(kw.get("exc_info"), HttpProcessingError | web.RequestPayloadError):
+            self._bounds.count_refusal(MALFORMED)
+        else:
+            super().log_exception(*args, **kw)
+
+    def reads_answer(self) -> bool:
+        """Return whether the client has read from its answers since the last question."""
+        unread_bytes, self._unread_bytes = self._unread_bytes, 0
+        if self._socket_transport is not None:
+            self._unread_bytes = self._socket_transport.get_write_buffer_size()
+        return self._unread_bytes < unread_bytes
+
+    def give_up_body(self, kind: RefusalKind) -> None:
+        """Refuse the request whose body is being read."""
+        if self._current_request is not None:
+            self._current_request.content.set_exception(BodyGivenUpError(kind))
+
+    def abort(self) -> None:
+        """Close the connection without sending what has not been sent."""
+        transport = self._socket_transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+
+class BoundedServer(web.Server):
+    """HTTP server whose connections and requests are within the limits of a listener."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        listener: Listener,
+        control: AdmissionControl,
+        request_factory: Any = None,
+    ) -> None:
+        super().__init__(self._admit, request_factory=request_factory)
+        self._handler = handler
+        self._listener = listener
+        self._control = control
+        self.budget = listener.budget
+        self.table: ConnectionTable[Connection] = ConnectionTable(listener.limits)
+        control.add(self)
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return Connection(self, access_log=None)
+
+    def _make_request(
+        self,
+        message: Any,
+        payload: Any,
+        protocol: web.RequestHandler,
+        writer: Any,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        # Announced bodies are checked before they are read; 0 means that reading has no limit.
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, self._loop, client_max_size=0
+        )
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Answer the requests that have been read, and close all connections."""
+        await super().shutdown(timeout)
+        self._control.remove(self)
+
+    def open(self, connection: Connection, transport: asyncio.Transport) -> bool:
+        """Return whether a new connection is admitted."""
+        peer = transport.get_extra_info("peername")
+        address = str(peer[0]) if peer else ""
+        admission = self.table.open(connection, address, self._control.timer.now_ms())
+        if admission.refusal is not None:
+            self.count_refusal(admission.refusal)
+            return False
+        if admission.victim is not None:
+            self.count_refusal(EVICTED)
+            admission.victim.abort()
+        return True
+
+    def fire(self, connection: Connection, event: str) -> None:
+        """Apply an event to the state of a connection."""
+        self.table.fire(connection, event, self._control.timer.now_ms())
+
+    def count_refusal(self, kind: RefusalKind) -> None:
+        """Count a refusal of this listener."""
+        self._control.count_refusal(kind, self._listener.name)
+
+    def sweep(self, now_ms: float) -> None:
+        """Give up the requests and connections that have waited for their clients for too long."""
+        for connection, kind in self.table.expired(now_ms):
+            if kind is UNREAD_ANSWER and connection.reads_answer():
+                self.table.renew(connection, now_ms)
+                continue
+            self.count_refusal(kind)
+            if kind is BODY_TIMEOUT:
+                connection.give_up_body(kind)
+            else:
+                connection.abort()
+
+    async def _admit(self, request: web.BaseRequest) -> web.StreamResponse:
+        if not request.body_exists:
+            return await self._handler(request)
+        limit_bytes = self._listener.body_limit(request)
+        announced = request.content_length
+        if announced is not None and announced > limit_bytes:
+            return self._refuse(request, BODY_TOO_LARGE)
+        if announced is None or "Content-Encoding" in request.headers:
+            announced = limit_bytes
+            request = request.clone(client_max_size=max(1, limit_bytes))
+        connection = request.protocol
+        assert isinstance(connection, Connection)
+        if not self._reserve(connection, announced):
+            return self._refuse(request, BODY_MEMORY)
+        try:
+            if not request.content.is_eof():
+                self.fire(connection, "body_missing")
+            await request.read()
+        except BodyGivenUpError as error:
+            return self._refuse(request, error.kind, counted=True)
+        except web.HTTPRequestEntityTooLarge:
+            return self._refuse(request, BODY_TOO_LARGE)
+        except (ConnectionError, web.RequestPayloadError):
+            return self._refuse(request, BODY_INCOMPLETE)
+        finally:
+            self.fire(connection, "body_ended")
+        # The request refers to its body until the response has been sent.
+        return await self._handler(request)
+
+    def _reserve(self, connection: Connection, size_bytes: int) -> bool:
+        if self.budget.reserve(connection, size_bytes):
+            return True
+        stalled = self.table.stalled_bodies(self._control.timer.now_ms())
+        for victim in self.budget.find_victims(size_bytes, stalled):
+            self.count_refusal(BODY_STALLED)
+            self.budget.release(victim)
+            victim.give_up_body(BODY_STALLED)
+        return self.budget.reserve(connection, size_bytes)
+
+    def _refuse(
+        self, request: web.BaseRequest, kind: RefusalKind, counted: bool = False
+    ) -> web.StreamResponse:
+        if not counted:
+            self.count_refusal(kind)
+        error = RequestError(kind.message, code=kind.name, status=kind.status, step="admit")
+        response = self._listener.refuse(request, error)
+        # The rest of the body is not kept for a later request.
+        response.force_close()
+        return response
+
+
+class BoundedAppRunner(web.AppRunner):
+    """Runner of an application whose server is within the limits of a listener."""
+
+    def __init__(
+        self, app: web.Application, listener: Listener, control: AdmissionControl, **kwargs: Any
+    ) -> None:
+        super().__init__(app, **kwargs)
+        self._listener = listener
+        self._control = control
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return BoundedServer(
+            server.request_handler,
+            self._listener,
+            self._control,
+            request_factory=server.request_factory,
+        )
+
+
+async def start_server(runner: web.BaseRunner, listener: socket.socket) -> None:
+    """Start the server of a runner on a listening socket.
+
+    The kernel's memory for received data is limited; accepted connections inherit the limit.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, defaults.RECEIVE_BUFFER_BYTES)
+    await runner.setup()
+    await web.SockSite(runner, listener).start()
--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -15,6 +15,8 @@
 from attrs import define
 
 from . import defaults, logs, metrics
+from .connectionlimits import BodyBudget, derive_limits, side_limits
+from .connections import AdmissionControl, BoundedAppRunner, Listener, start_server
 from .dispatch import Dispatch
 from .inventory import Inventory
 from .journal import Journal
@@ -24,7 +26,16 @@
 from .operations import Operations
 from .peers import Peers
 from .registry import Registry
-from .server import CLIENT_ROUTES, PEER_ROUTES, Front, Handler, build_app
+from .server import (
+    CLIENT_ROUTES,
+    PEER_ROUTES,
+    Front,
+    Handler,
+    build_app,
+    client_body_limit,
+    peer_body_limit,
+    refuse,
+)
 from .settings import EntrySettings
 from .timer import LoopTimer
 
@@ -150,9 +161,25 @@
     for actor in actors:
         actor.start()
     front = Front(journal, dispatch, peers, membership, timer)
+    limits = derive_limits(
+        settings.memory_mb,
+        settings.fd_limit_count,
+        defaults.CONFIG_LIMIT_BYTES,
+        defaults.FORWARD_LIMIT_BYTES,
+    )
+    clients = Listener(
+        "client",
+        limits.callers,
+        BodyBudget(limits.large_bytes, limits.small_bytes),
+        client_body_limit,
+        refuse,
+    )
+    peer_limits = side_limits(defaults.PEER_CONNECTION_LIMIT_COUNT)
+    inner = Listener("peer", peer_limits, BodyBudget(limits.peer_bytes, 0), peer_body_limit, refuse)
+    control = AdmissionControl(timer)
     runners = [
-        await _serve(front, CLIENT_ROUTES, client_socket),
-        await _serve(front, PEER_ROUTES, peer_socket),
+        await _serve(front, CLIENT_ROUTES, client_socket, clients, control),
+        await _serve(front, PEER_ROUTES, peer_socket, inner, control),
     ]
     return Entry(member, client_address, peer_address, membership, actors, runners)
 
@@ -165,10 +192,15 @@
     return listener, f"{host}:{port}"
 
 
-async def _serve(front: Front, routes: Registry[Handler], listener: socket.socket) -> web.AppRunner:
-    runner = web.AppRunner(build_app(front, routes), access_log=None)
-    await runner.setup()
-    await web.SockSite(runner, listener).start()
+async def _serve(
+    front: Front,
+    routes: Registry[Handler],
+    sock: socket.socket,
+    listener: Listener,
+    control: AdmissionControl,
+) -> web.AppRunner:
+    runner = BoundedAppRunner(build_app(front, routes), listener, control, access_log=None)
+    await start_server(runner, sock)
     return runner
 
 
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -72,6 +72,8 @@
 BODY_TIMEOUT_MS = 10_000
 # A configuration of 1,292 VMs and 68 pools takes 294,461 bytes.
 CONFIG_LIMIT_BYTES = 4 * 1024 * 1024
+# A forwarded job is encoded once more.
+FORWARD_LIMIT_BYTES = 2 * BODY_LIMIT_BYTES
 REQUEST_ID_BLOCK_COUNT = 1_000
 REQUEST_ID_MAX_CHARS = 128
 # Time for which an issued request ID may be submitted. Entry VMs remember jobs for longer, so a job
@@ -313,3 +315,56 @@
 CONFIRMATION_CALL_RATIO = 2
 # Advice for a step that still needs some is requested again after this time.
 ADVICE_RETRY_MS = 2_000
+
+# Admission control of connections. A VM whose settings do not tell its limits counts as the
+# smallest one in use.
+VM_MEMORY_DEFAULT_MB = 160
+VM_FD_LIMIT_DEFAULT_COUNT = 4_100
+# Descriptors that the platform reserves for files.
+FILE_FD_COUNT = 200
+# Resident memory of a process that serves nobody; measured 50 MB, with a margin for its state.
+IDLE_PROCESS_MB = 60
+# Memory that is shared out at least, also if the settings leave less above an idle process.
+SHARED_MEMORY_MIN_MB = 24
+# Shares of the memory above an idle process; the rest is for jobs and the leader's state.
+CONNECTION_MEMORY_RATIO = 0.4
+LARGE_BODY_MEMORY_RATIO = 0.25
+SMALL_BODY_MEMORY_RATIO = 0.1
+PEER_BODY_MEMORY_RATIO = 0.05
+# Share of the descriptors for the connections of callers; the rest is for calls to others.
+CONNECTION_FD_RATIO = 0.5
+# Objects of a connection and its request, two reads of data, and its unread answer.
+CONNECTION_COST_BYTES = 48 * 1024
+# Bytes of memory for each byte of a body: the body is read into one buffer and copied once, and its
+# text and the decoded values exist at the same time.
+BODY_COST_RATIO = 4
+SMALL_BODY_LIMIT_BYTES = 16 * 1024
+# A query between entry VMs has no body, and a heartbeat is below 16 KiB.
+SIDE_BODY_LIMIT_BYTES = 64 * 1024
+# Connections of a listener that is not for callers. Up to nine entry VMs keep eight connections
+# each, and a survey of the candidates asks each entry VM once a round.
+PEER_CONNECTION_LIMIT_COUNT = 256
+READY_CONNECTION_LIMIT_COUNT = 64
+METRICS_CONNECTION_LIMIT_COUNT = 16
+# A load balancer forwards all callers from few addresses; 600 connections are usual in a burst.
+ADDRESS_CONNECTION_RATIO = 0.9
+# Largest single read of a connection, and the size from which its unread body stops the reading.
+READ_SIZE_BYTES = 16 * 1024
+# Kernel memory of a connection for data that has not been read; the kernel doubles the value.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+# Keys, spans and cookies of a proxy stay far below this.
+HEAD_LIMIT_BYTES = 32 * 1024
+EMPTY_LINE_LIMIT_BYTES = 1_024
+# One more request is parsed while the previous one is handled; the next ones stay unread.
+PIPELINED_REQUEST_LIMIT_COUNT = 2
+UNREAD_ANSWER_LIMIT_BYTES = 16 * 1024
+HEAD_TIMEOUT_MS = 10_000
+# Time without progress after which an answer that is not read is given up.
+UNREAD_ANSWER_TIMEOUT_MS = 20_000
+# Above the time for which load balancers and clients commonly keep unused connections.
+IDLE_CONNECTION_TIMEOUT_MS = 300_000
+# A body that is incomplete after this long may be given up in favour of another one.
+STALLED_BODY_MS = 1_000
+CONNECTION_SWEEP_MS = 1_000
+# Time for which the rest of a refused body is read and dropped, so that the answer arrives.
+REFUSED_BODY_LINGER_MS = 1_000
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -59,6 +59,11 @@
 MALFORMED = _counter("records.malformed", "record", "Records that cannot be decoded, by source.")
 DROPPED_LINES = _counter("log.lines.dropped", "line", "Log lines dropped because output stalls.")
 
+# Connections: attributes kind, listener.
+CONNECTION_REFUSALS = _counter(
+    "connections.refused", "refusal", "Requests refused and connections closed by limits, by kind."
+)
+
 # Other entry VMs and the fleet: attribute result.
 HEARTBEATS = _counter("peer.heartbeats", "heartbeat", "Heartbeats sent, by result.")
 RIGHTS_MOVED = _counter("rights.moved", "right", "Rights taken, passed on or returned.")
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -18,6 +18,17 @@
 from . import defaults, intake, logs, metrics
 from .advisor import AdviceCalls, Advisor
 from .candidates import Candidate
+from .connectionlimits import BodyBudget, derive_limits, side_limits
+from .connections import (
+    AdmissionControl,
+    BoundedServer,
+    Handler,
+    Listener,
+    refuse_plainly,
+    side_body_limit,
+    side_listener,
+    start_server,
+)
 from .decoding import MalformedLog
 from .election import Election
 from .entrance import CurrentLeader, CurrentRules, Finish, RequestHandler
@@ -338,6 +349,11 @@
     def _pool_rules(self) -> dict[str, PoolRule]:
         return self._rules.pools if self._rules else {}
 
+    def body_limit(self, request: web.BaseRequest) -> int:
+        """Return the largest body that the configuration allows."""
+        rules = self._rules
+        return rules.body_size_bytes if rules else defaults.BODY_LIMIT_BYTES
+
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Tell the scheduler until when the leadership is valid."""
@@ -378,17 +394,37 @@
 
 
 async def _listen(
-    listener: socket.socket, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    sock: socket.socket, handler: Handler, listener: Listener, control: AdmissionControl
 ) -> web.ServerRunner:
     """Serve HTTP on a socket with one handler, without an application and its router."""
     runner = web.ServerRunner(
-        web.Server(handler, access_log=None), shutdown_timeout=defaults.CONNECTION_CLOSE_MS / 1_000
+        BoundedServer(handler, listener, control),
+        shutdown_timeout=defaults.CONNECTION_CLOSE_MS / 1_000,
     )
-    await runner.setup()
-    await web.SockSite(runner, listener).start()
+    await start_server(runner, sock)
     return runner
 
 
+def _listeners(settings: NodeSettings, node: Node, caller_server: Any) -> dict[str, Listener]:
+    """Return the limits of each listener of an entry VM."""
+    limits = derive_limits(
+        settings.memory_mb,
+        settings.fd_limit_count,
+        settings.store_record_bytes,
+        defaults.SIDE_BODY_LIMIT_BYTES,
+    )
+    caller_budget: BodyBudget[Any] = BodyBudget(limits.large_bytes, limits.small_bytes)
+    peer_budget: BodyBudget[Any] = BodyBudget(limits.peer_bytes, 0)
+    peer_limits = side_limits(defaults.PEER_CONNECTION_LIMIT_COUNT)
+    listeners = (
+        Listener("caller", limits.callers, caller_budget, node.body_limit, caller_server.refuse),
+        Listener("peer", peer_limits, peer_budget, side_body_limit, refuse_plainly),
+        side_listener("ready", side_limits(defaults.READY_CONNECTION_LIMIT_COUNT)),
+        side_listener("metrics", side_limits(defaults.METRICS_CONNECTION_LIMIT_COUNT)),
+    )
+    return {listener.name: listener for listener in listeners}
+
+
 async def _serve_metrics(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(text=metrics.render_text())
 
@@ -455,11 +491,13 @@
     node = Node(settings, adapter, timer)
     caller_server = adapter.make_caller_server(node.request_handler, timer)
     peers = PeerServer(lambda: node.scheduler, node.is_leader, node.election)
+    control = AdmissionControl(timer)
+    listeners = _listeners(settings, node, caller_server)
     runners = [
-        await _listen(ready, caller_server.handle_ready),
-        await _listen(peer, peers.handle),
-        await _listen(caller, caller_server.handle),
-        await _listen(metrics_listener, _serve_metrics),
+        await _listen(ready, caller_server.handle_ready, listeners["ready"], control),
+        await _listen(peer, peers.handle, listeners["peer"], control),
+        await _listen(caller, caller_server.handle, listeners["caller"], control),
+        await _listen(metrics_listener, _serve_metrics, listeners["metrics"], control),
     ]
     node.start()
     return OpenedNode(settings, node, caller_server, runners)
--- a/src/tarragoncart/platform/callers.py
+++ b/src/tarragoncart/platform/callers.py
@@ -41,6 +41,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Codes of refused requests by status.
+REFUSAL_CODES = {413: "too_large", 503: "busy"}
+
 
 @decoder("job")
 def decode_job(body: bytes) -> JobSpec:
@@ -136,6 +139,11 @@
             )
         return await reply
 
+    def refuse(self, request: web.BaseRequest, error: RequestError) -> web.Response:
+        """Encode a refusal of the admission control, of which nothing was handed on."""
+        code = REFUSAL_CODES.get(error.status, "invalid")
+        return _encode(RequestError(error.message, code=code, status=error.status, step=error.step))
+
     async def handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer the load balancer's readiness check."""
         ready = self._request_handler.ready and not self.draining
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -154,22 +154,58 @@
                 limit="inbox_count",
             ) from None
     except RequestError as error:
-        if request.path.startswith("/v1/requests/"):
-            # The refusal of a query says nothing about the outcome of the job.
-            body = _error_body(error) | {"outcome": Outcome.OUTCOME_UNKNOWN}
-            return web.json_response(body, status=error.status)
-        return error_response(error)
+        return error_response(error, request.path)
     except web.HTTPRequestEntityTooLarge:
-        return error_response(_too_large(defaults.CONFIG_LIMIT_BYTES))
+        return error_response(_too_large(defaults.CONFIG_LIMIT_BYTES), request.path)
     except web.HTTPException as error:
         code = error.reason.lower().replace(" ", "_")
         refused = RequestError(error.reason, code=code, status=error.status, step="route")
         return web.json_response(_error_body(refused), status=error.status)
 
 
-def error_response(error: RequestError) -> web.Response:
-    """Return the response to a refused request, of which nothing has run."""
-    return web.json_response(_error_body(error), status=error.status)
+def error_response(error: RequestError, path: str) -> web.Response:
+    """Return the response to a refused request, of which nothing has run.
+
+    :param path: path of the request.
+    """
+    body = _error_body(error)
+    if path.startswith("/v1/requests/"):
+        # The refusal of a query says nothing about the outcome of the job.
+        body["outcome"] = Outcome.OUTCOME_UNKNOWN
+    return web.json_response(body, status=error.status)
+
+
+# Codes and limits of refused requests by status.
+REFUSAL_CODES = {
+    400: ("body_incomplete", ""),
+    408: ("body_incomplete", "body_timeout_ms"),
+    413: ("body_too_large", "body_size_bytes"),
+    503: ("overloaded", "body_memory_bytes"),
+}
+
+
+def refuse(request: web.BaseRequest, error: RequestError) -> web.Response:
+    """Encode a refusal of the admission control, of which nothing was handed on."""
+    code, limit = REFUSAL_CODES[error.status]
+    refusal = RequestError(
+        error.message, code=code, status=error.status, step="decode", limit=limit
+    )
+    response = error_response(refusal, request.path)
+    if error.status == 503:
+        response.headers["Retry-After"] = str(defaults.RETRY_AFTER_S)
+    return response
+
+
+def client_body_limit(request: web.BaseRequest) -> int:
+    """Return the largest body of a request of a caller or operator."""
+    large = request.path == "/v1/config"
+    return defaults.CONFIG_LIMIT_BYTES if large else defaults.BODY_LIMIT_BYTES
+
+
+def peer_body_limit(request: web.BaseRequest) -> int:
+    """Return the largest body of a request of another entry VM."""
+    forwarded = request.path == "/peer/forward"
+    return defaults.FORWARD_LIMIT_BYTES if forwarded else defaults.BODY_LIMIT_BYTES
 
 
 def _error_body(error: RequestError | Reply) -> dict[str, Any]:
@@ -199,16 +235,8 @@
 ) -> dict[str, Any]:
     if (request.content_length or 0) > limit_bytes:
         raise _too_large(limit_bytes)
-    try:
-        body = await asyncio.wait_for(request.read(), defaults.BODY_TIMEOUT_MS / 1_000)
-    except TimeoutError:
-        raise _bad_request(
-            "request body did not arrive in time", "body_incomplete", 408, "body_timeout_ms"
-        ) from None
-    except ConnectionResetError:
-        raise _bad_request(
-            "connection was lost before the body was complete", "body_incomplete"
-        ) from None
+    # The admission control has read it.
+    body = await request.read()
     if len(body) > limit_bytes:
         raise _too_large(limit_bytes)
     try:
@@ -630,7 +658,7 @@
 @PEER_ROUTES.register("POST /peer/forward")
 async def peer_forward(front: Front, request: web.Request) -> web.Response:
     """Handle a forwarded submission whose request ID this entry VM issued."""
-    data = await _read_json(request, 2 * defaults.BODY_LIMIT_BYTES)
+    data = await _read_json(request, defaults.FORWARD_LIMIT_BYTES)
     submission = _decode_message(data, Submission)
     reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
     return web.json_response(encode(reply))
