--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -352,12 +352,12 @@
 ADDRESS_CONNECTION_RATIO = 0.9
 # Largest single read of a connection, and the size from which its unread body stops the reading.
 READ_SIZE_BYTES = 16 * 1024
-# Kernel memory of a connection for data that has not been read; the kernel doubles the value. A body
-# of 256 KiB takes 2.0 ms with it on a loopback address instead of 1.4 ms with 64 KiB, one of 4 KB the
-# same. At 32 KiB, single bodies took 200 to 360 ms.
+# Kernel memory of a connection for data that has not been read; the kernel doubles the value. On a
+# loopback address, a body of 256 KiB takes 2.0 ms with it and 1.4 ms with 64 KiB, one of 4 KB the
+# same. With 32 KiB, single bodies took 200 to 360 ms.
 RECEIVE_BUFFER_BYTES = 16 * 1024
-# Data that is queued in the kernel beyond what is under way. Without it, a client that does not read
-# fills 4 MB; a smaller send buffer delays an answer of 300 KB by 190 ms on a loopback address.
+# Data that is queued in the kernel beyond what is under way. Without it, a client that does not
+# read fills 4 MB; a smaller send buffer delays an answer of 300 KB by 190 ms on a loopback address.
 UNSENT_LIMIT_BYTES = 16 * 1024
 # Keys, spans and cookies of a proxy stay far below this.
 HEAD_LIMIT_BYTES = 16 * 1024
