--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -218,21 +218,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read, within the limits of a head and of empty lines before it."""
-        bounds = self._bounds
-        # What is sent while a request is handled does not end the wait for its answer to be read.
-        waiting = not self._request_in_progress
-        if data and waiting:
-            bounds.fire(self, "bytes")
-        in_body = self._newest_payload is not None and not self._newest_payload.is_eof()
+        payload = self._newest_payload
+        in_body = payload is not None and not payload.is_eof()
         request_count = self._request_count
         super().data_received(data)
+        # What is sent while a request is handled does not end the wait for its answer to be read.
+        waiting = not self._request_in_progress
         if self._request_count != request_count:
             self._head_bytes = self._blank_bytes = 0
             if self._messages:
                 self._newest_payload = self._messages[-1][1]
             if waiting:
-                bounds.fire(self, "request")
+                self._bounds.fire(self, "request")
         elif data and not in_body:
+            if waiting:
+                self._bounds.fire(self, "bytes")
             self._add_to_head(data)
 
     def _add_to_head(self, data: bytes) -> None:
@@ -259,6 +259,14 @@
             # The answer of the request in progress is sent before the connection is closed.
             self.close()
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading if it is paused.
+
+        A body asks for this with each read; unless reading is paused, nothing is left to parse.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def pause_writing(self) -> None:
         """Note that the client does not read its answers."""
         super().pause_writing()
@@ -288,7 +296,6 @@
             else:
                 self._bounds.fire(self, "answered")
             if self._messages:
-                self._bounds.fire(self, "bytes")
                 self._bounds.fire(self, "request")
             elif self._head_bytes:
                 self._bounds.fire(self, "bytes")
@@ -300,6 +307,11 @@
         else:
             super().log_exception(*args, **kw)
 
+    def send_continue(self) -> None:
+        """Ask the client to send the body that it has announced."""
+        if self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def reads_answer(self) -> bool:
         """Return whether the client has read from its answers since the last question."""
         unread_bytes, self._unread_bytes = self._unread_bytes, 0
@@ -334,6 +346,7 @@
         self._handler = handler
         self._listener = listener
         self._control = control
+        self._now_ms = control.timer.now_ms
         self.budget = listener.budget
         self.table: ConnectionTable[Connection] = ConnectionTable(listener.limits)
         control.add(self)
@@ -375,7 +388,7 @@
 
     def fire(self, connection: Connection, event: str) -> None:
         """Apply an event to the state of a connection."""
-        self.table.fire(connection, event, self._control.timer.now_ms())
+        self.table.fire(connection, event, self._now_ms())
         if event == "unread" and (victim := self.table.excess_unread()) is not None:
             self.count_refusal(UNREAD_COUNT)
             victim.abort()
@@ -410,9 +423,13 @@
         assert isinstance(connection, Connection)
         if not self._reserve(connection, announced):
             return self._refuse(request, BODY_MEMORY)
+        missing = not request.content.is_eof()
         try:
-            if not request.content.is_eof():
+            if missing:
                 self.fire(connection, "body_missing")
+                if request.headers.get("Expect", "").lower() == "100-continue":
+                    # The client sends the body only now that there is room for it.
+                    connection.send_continue()
             await request.read()
         except BodyGivenUpError as error:
             return self._refuse(request, error.kind, counted=True)
@@ -421,7 +438,8 @@
         except (ConnectionError, web.RequestPayloadError):
             return self._refuse(request, BODY_INCOMPLETE)
         finally:
-            self.fire(connection, "body_ended")
+            if missing:
+                self.fire(connection, "body_ended")
         # The request refers to its body until the response has been sent.
         return await self._handler(request)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -409,6 +409,19 @@
     assert bounded.handled == [b"y" * BODY_LIMIT] and bounded.budget.used_bytes == 0
 
 
+async def test_a_client_that_waits_for_permission_gets_it(make_bounded):
+    """Guards against a client and a server that wait for each other before a body is sent."""
+    bounded = await make_bounded()
+    reader, writer = await asyncio.open_connection("127.0.0.1", bounded.port)
+    writer.write(post(b"", announced=5).replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n"))
+    async with asyncio.timeout(10):
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"hello")
+        assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
+    assert bounded.handled == [b"hello"]
+
+
 async def test_a_lost_connection_releases_its_memory(make_bounded):
     """Guards against memory that is held by clients that vanish in the middle of a body."""
     bounded = await make_bounded()
