--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from enum import StrEnum
+from typing import Protocol
 
 from attrs import define, field
 
@@ -17,6 +18,9 @@
 FAILURE_WEIGHT = 0.34
 # Ratio of the duration of a step to the estimate of one task: it ends with its slowest task.
 STEP_DURATION_RATIO = 1.2
+# Weight of the room that a task makes useless against the room that is left, both as shares of the
+# upstream's capacity.
+USABLE_ROOM_IMBALANCE_WEIGHT = 1.0
 
 
 @define(eq=False)
@@ -110,6 +114,22 @@
     BOUND = "the start of an earlier run may still be carried out at its upstream"
 
 
+class Holds(Protocol):
+    """Room that is held for other tasks."""
+
+    def blocks(self, slot: UpstreamSlot, task: Task) -> bool:
+        """Return whether a task may not use an upstream that has room for it."""
+
+    def blocks_account(self, step: StepOccurrence, usage: Usage) -> bool:
+        """Return whether room held for its account keeps a step at the account's limit."""
+
+    def holds(self, step: StepOccurrence) -> bool:
+        """Return whether room is held for a step."""
+
+    def held_back(self, step: StepOccurrence) -> bool:
+        """Return whether a task of the step was kept off an upstream with room for it."""
+
+
 Order = Callable[[StepOccurrence, float], tuple[float, ...]]
 ORDERS: Registry[Order] = Registry("order of steps")
 Ranking = Callable[[UpstreamSlot, StepOccurrence], tuple[float, ...]]
@@ -193,6 +213,29 @@
     return (float(slot.degraded), float(slot.free.cpu_millicores))
 
 
+@RANKINGS.register("usable_room")
+def usable_room(slot: UpstreamSlot, step: StepOccurrence) -> tuple[float, ...]:
+    """Like ``home_first``, but short tasks prefer the upstream that they leave with usable room.
+
+    Free cores without memory and free memory without cores are of use to no task. The upstream
+    comes first where the task adds least to such room; of equal ones, the one with the least room
+    of both, which leaves large room elsewhere.
+    """
+    if step.spec.long_running:
+        return home_first(slot, step)
+    capacity, demand = slot.entry.capacity, step.spec.counted
+    cpu, memory = capacity.cpu_millicores or 1, capacity.memory_mb or 1
+    free_cpu, free_memory = slot.free.cpu_millicores / cpu, slot.free.memory_mb / memory
+    left_cpu = free_cpu - demand.cpu_millicores / cpu
+    left_memory = free_memory - demand.memory_mb / memory
+    added = abs(left_cpu - left_memory) - abs(free_cpu - free_memory)
+    return (
+        float(slot.degraded),
+        -float(slot.long_running_count > 0),
+        USABLE_ROOM_IMBALANCE_WEIGHT * added + min(left_cpu, left_memory),
+    )
+
+
 def admits(slot: UpstreamSlot, spec: StepSpec, now_ms: float) -> bool:
     """Return whether a task of the step can be assigned to an upstream now."""
     if not slot.usable or slot.unknown_run_count or slot.full_until_ms > now_ms:
@@ -215,12 +258,14 @@
     counts: dict[str, int],
     now_ms: float,
     ranking: Ranking,
+    holds: Holds | None = None,
 ) -> UpstreamSlot | None:
     """Return the best upstream for a task, None if none admits it now.
 
     Upstreams on which the task failed come last, then those outside the rack with its data.
 
     :param counts: number of the step's runs on each upstream.
+    :param holds: room that is held for other tasks.
     """
     step = task.step
     spec = step.spec
@@ -242,6 +287,8 @@
         max_count = spec.max_per_upstream_count
         if max_count and counts.get(upstream_id, 0) >= max_count:
             continue
+        if holds is not None and holds.blocks(slot, task):
+            continue
         rank = (
             float(upstream_id in task.failed_on),
             float(bool(spec.rack) and spec.rack not in slot.entry.labels),
@@ -261,6 +308,7 @@
     report_wait: Callable[[StepOccurrence, WaitReason], None],
     ranking: Ranking = home_first,
     limit_count: int | None = None,
+    holds: Holds | None = None,
 ) -> Iterator[Task]:
     """Assign waiting tasks to upstreams in the order of the steps, and yield the assigned tasks.
 
@@ -268,6 +316,7 @@
     :param reserve: reserves the capacity; called for each assignment before the next choice.
     :param report_wait: called with the reason for each step of which a task cannot be assigned.
     :param limit_count: maximum of tasks to assign, which only a gang exceeds; None for no limit.
+    :param holds: room that is held for other tasks; gangs ignore it.
     """
     refused: list[tuple[StepSpec, Demand]] = []
     left_count = float("inf") if limit_count is None else limit_count
@@ -275,7 +324,8 @@
         spec = step.spec
         if left_count <= 0:
             return
-        if any(_needs_at_least(spec, other) for other, _ in refused):
+        has_room_held = holds is not None and holds.holds(step)
+        if not has_room_held and any(_needs_at_least(spec, other) for other, _ in refused):
             report_wait(step, WaitReason.NO_ROOM)
             continue
         if spec.gang:
@@ -291,15 +341,20 @@
                 return
             if task.retry_ms > now_ms:
                 continue
-            if not usage.allows(spec.demand):
+            if not usage.allows(spec.demand) or (
+                holds is not None and holds.blocks_account(step, usage)
+            ):
                 report_wait(step, WaitReason.ACCOUNT_LIMIT)
                 break
-            slot = choose_slot(task, slots, counts, now_ms, ranking)
+            slot = choose_slot(task, slots, counts, now_ms, ranking, holds)
             if slot is None and task.bound_to:
                 bound_count += 1
                 continue
             if slot is None:
                 unconstrained = not spec.max_per_upstream_count and not spec.label
+                if holds is not None and holds.held_back(step):
+                    # Other steps may use the room that was held from this one.
+                    unconstrained = False
                 if unconstrained and not step.job.submission.needs_advice:
                     refused.append((spec, spec.counted))
                 report_wait(step, WaitReason.NO_ROOM)
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -159,6 +159,7 @@
     :param tickets: permissions of the advice service by upstream, if the queue needs advice.
     :param tickets_until_ms: when the tickets expire.
     :param wait_reason: why its tasks waited in the last scheduling pass, empty if none did.
+    :param queued_ms: since when it has had waiting tasks without a pause.
     """
 
     job: Job
@@ -171,6 +172,7 @@
     tickets_until_ms: float = 0.0
     advice_requested_ms: float = float("-inf")
     wait_reason: str = ""
+    queued_ms: float = 0.0
 
     @property
     def name(self) -> str:
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -51,6 +51,11 @@
 STARTS = _counter("starts", "start", "Starts answered by upstreams, by outcome.")
 RUNS = _counter("runs", "run", "Runs ended, by outcome.")
 JOBS = _counter("jobs", "job", "Jobs ended, by phase.")
+RESERVATIONS = _counter("reservations", "reservation", "Changes of reservations, by change.")
+TASK_WAIT = _duration("task.wait", "From a step's readiness to a task's assignment, by size.")
+UNUSABLE_ROOM = _meter.create_gauge(
+    f"{METER_NAME}.room.unusable", "{millicore}", "Free cpu that no waiting task fits, by pool."
+)
 JOB_DURATION = _duration("job.duration", "From a job's acceptance to its end.")
 TAKEOVERS = _counter("takeovers", "epoch", "Epochs claimed by this entry VM.")
 TAKEOVER_DURATION = _duration("takeover.duration", "From a claimed epoch to the restored state.")
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -40,6 +40,7 @@
 from .scheduler import PRODUCER, RulesChanged, Scheduler
 from .storage import Entry
 from .takeover import STATE_TOPIC
+from .taskplacement import make_placement
 from .timer import LoopTimer, Timer
 from .vmorders import FleetCalls, WaveRequested
 from .vms import Fleet
@@ -287,6 +288,7 @@
             link_mbps=settings.link_mbps,
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
+            placement=make_placement(settings.policies),
         )
         self.scheduler.start()
         for wave in self._waves.values():
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -8,6 +8,7 @@
 
 from .. import node
 from ..policies import parse_policies
+from ..taskplacement import make_placement
 from . import operator
 from .advice import AdviceClient
 from .boot import load_settings
@@ -56,5 +57,7 @@
     :param options: command-line options that select policies.
     """
     policies = parse_policies(options)
+    # An unknown name is an error at the start, not at the first take-over.
+    make_placement(policies)
     settings = evolve(load_settings(), policies=policies)
     node.run(settings, make_adapter(settings))
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -378,6 +378,8 @@
             upstream.slot.record_outcome(ended.outcome == "failed")
         metrics.RUNS.add(1, metrics.labels(outcome=ended.outcome))
         event = ended.outcome if ended.outcome in ("done", "failed") else "ended"
+        if event == "done" and task.placed:
+            self._placement.note_done(task, self._timer.now_ms())
         if event != "done":
             logger.info(
                 "run has ended without a result",
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -23,8 +23,10 @@
 from .loads import OfferedLoad, SubmissionShares
 from .mailbox import Actor, Handler, implements_action, receives
 from .progress import ProgressTracker
+from .reservations import is_large
 from .runorders import Acknowledge, PollUpstream, Start, StartOutcome, Stop, StopConfirmed
 from .runs import StartOrder
+from .taskplacement import FirstFit, Placement
 from .timer import Timer
 from .writer import Writer
 
@@ -158,6 +160,7 @@
     :param stop_ms: how long an upstream may take to stop a run.
     :param retention_ms: how long an ended job can be looked up.
     :param link_mbps: capacity of this entry VM's link.
+    :param placement: decides where waiting tasks run; ``first_fit`` if None.
     """
 
     def __init__(
@@ -180,6 +183,7 @@
         link_mbps: float,
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
         make_advisor: Callable[[Actor], Actor] | None = None,
+        placement: Placement | None = None,
     ) -> None:
         super().__init__("scheduler")
         self._epoch = epoch
@@ -202,6 +206,7 @@
         self._fleet: Actor | None = None
         self._make_advisor = make_advisor
         self._advisor: Actor | None = None
+        self._placement = placement or FirstFit()
         self._permitted_until_ms = 0.0
         self._jobs: dict[str, Job | EndedJob] = {}
         # By job ID, cancellations that were read before their jobs, the oldest ones first.
@@ -312,7 +317,10 @@
 
     def _queue_if_ready(self, step: StepOccurrence) -> None:
         if step.ready and any(True for _ in step.waiting()):
-            self._ready_steps.setdefault(step.job.pool, {})[step] = None
+            steps = self._ready_steps.setdefault(step.job.pool, {})
+            if step not in steps:
+                step.queued_ms = self._timer.now_ms()
+                steps[step] = None
 
     def _cancel_job(self, job_id: str, part: int) -> None:
         job = self._jobs.get(job_id)
@@ -390,6 +398,9 @@
 
     def _assign(self, task: Task, slot: UpstreamSlot) -> None:
         """Assign a task to an upstream and reserve the capacity."""
+        size = "large" if is_large(task.step.spec, slot.entry.capacity) else "small"
+        wait_ms = self._timer.now_ms() - task.step.queued_ms
+        metrics.TASK_WAIT.record(wait_ms, metrics.labels(size=size))
         self._apply_event(task, "assign", slot=slot)
 
     @implements_action("reserve")
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -10,22 +10,24 @@
 
 from attrs import frozen
 
-from . import assignment, defaults, intake, jobmodel
+from . import assignment, defaults, intake, jobmodel, metrics
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
 from .candidates import Reach
 from .errors import DecodeError
 from .follower import TopicChanges, TopicSnapshot
-from .graph import Rules
+from .graph import Demand, Rules
 from .intake import IntakeRead
 from .jobmodel import Job, StepOccurrence
 from .leadership import Fenced, LeadershipConfirmed, ReachMeasured
 from .loads import Loads
 from .mailbox import new_reply, receives, resolve
+from .reservations import unusable_room
 from .runorders import ExtendPermission, FencedByUpstream
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
 from .takeover import TakeOver, isolated_record
+from .taskplacement import PlacementRequest
 from .traffic import TRAFFIC
 from .vmorders import WaveRequested
 from .writer import FENCED, Write
@@ -257,14 +259,17 @@
                 continue
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
             self._request_advice(ordered, slots, now_ms)
-            placed = assignment.plan(
-                ordered,
-                slots,
-                self._usage,
-                now_ms,
-                self._assign,
-                self._record_wait,
-                limit_count=limit_count,
+            placed = self._placement.plan(
+                PlacementRequest(
+                    pool,
+                    ordered,
+                    slots,
+                    self._usage,
+                    now_ms,
+                    self._assign,
+                    self._record_wait,
+                    limit_count,
+                )
             )
             for step, count in Counter(task.step for task in placed).items():
                 logger.info(
@@ -278,12 +283,39 @@
                 )
                 if not any(True for _ in step.waiting()):
                     step.wait_reason = ""
+        self._log_reservations(now_ms)
         has_unplaced = (
             self._short_millicores or self._backlog_millicore_ms or self._deferred_millicore_ms
         )
         if has_unplaced and now_ms - self._loads_sent_ms >= defaults.LOADS_MIN_INTERVAL_MS:
             self._send_loads()
 
+    def _log_reservations(self, now_ms: float) -> None:
+        for change in self._placement.take_changes():
+            reservation = change.reservation
+            metrics.RESERVATIONS.add(1, metrics.labels(change=change.change))
+            logger.info(
+                f"reservation {change.change}",
+                extra={
+                    "step": reservation.step.name,
+                    "upstream": reservation.upstream_id,
+                    "account": reservation.account,
+                    "age_ms": round(now_ms - reservation.made_ms),
+                    "room_expected_in_ms": round(reservation.expected_ms - now_ms),
+                    "reason": change.reason,
+                },
+            )
+
+    def _measure_unusable_room(self) -> int:
+        """Return the free cpu of usable upstreams that no task waiting in their pool fits."""
+        total_millicores = 0
+        for pool, steps in self._ready_steps.items():
+            slots = [slot for slot in self._slots_by_pool.get(pool, ()) if slot.usable]
+            room = unusable_room(slots, steps) if steps else Demand()
+            metrics.UNUSABLE_ROOM.set(room.cpu_millicores, metrics.labels(pool=pool))
+            total_millicores += room.cpu_millicores
+        return total_millicores
+
     def _send_loads(self) -> None:
         """Report the load of the upstreams and the unplaced work to the owner of the VMs."""
         if self._fleet is None:
@@ -486,6 +518,7 @@
                 "run_count": sum(len(slot.tasks) for slot in slots),
                 "waiting_steps": len(steps),
                 "unfinished_jobs": len(self._unfinished),
+                "unusable_millicores": self._measure_unusable_room(),
                 "intake_age_ms": round(now_ms - self._intake_as_of_ms),
                 "permitted_for_ms": round(self._permitted_until_ms - now_ms),
                 "traffic": TRAFFIC.take(),
--- a/tests/recorded_demand.py
+++ b/tests/recorded_demand.py
@@ -48,7 +48,13 @@
     slots = [
         UpstreamSlot(
             UpstreamEntry(
-                f"i-{n}", "pool", "x:1", "dc", False, Demand(32_000, 128_000), {"k"} if n % 2 else set()
+                f"i-{n}",
+                "pool",
+                "x:1",
+                "dc",
+                False,
+                Demand(32_000, 128_000),
+                {"k"} if n % 2 else set(),
             ),
             Demand(32_000, 128_000),
             known=True,
