--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 measure: $(STAMP)
 	$(RUN) -m bench.measure --seed $(SEED)
+	$(RUN) -m bench.measure placement --seed $(SEED)
 
 # The scheduler's promises in virtual time with SEEDS seeds.
 SEEDS ?= 100
--- a/src/bench/measure.py
+++ b/src/bench/measure.py
@@ -15,6 +15,7 @@
 from tarragoncart.capacity import SIMULATION_CAPACITY_PERIOD_MS
 
 from .cost import CAPACITY_PASS_MAX_CORE_RATIO, log_growth_ratio, measure_costs, slope
+from .large_tasks import PLACEMENTS, run_placement
 from .simulate import STRATEGIES, Result, Simulation, share_distance
 from .workload import FIRMS, Firm, ordinary_jobs, saturated_jobs
 
@@ -51,6 +52,22 @@
 )
 
 
+# Offered cores as a share of the pool's, for the comparison of placements.
+PLACEMENT_LOAD_RATIOS = (0.7, 0.85)
+PLACEMENT_ROWS = (
+    ("large_wait_ms", "mean wait of a large task, ms", "{:.0f}"),
+    ("large_p95_ms", "the same, p95", "{:.0f}"),
+    ("small_wait_ms", "mean wait of a small task, ms", "{:.0f}"),
+    ("small_p95_ms", "the same, p95", "{:.0f}"),
+    ("on_time_ratio", "share of jobs on time", "{:.3f}"),
+    ("largest_tenth_ratio", "largest tenth on time / kind, worst kind", "{:.2f}"),
+    ("next_fifth_ratio", "next fifth on time / kind, worst kind", "{:.2f}"),
+    ("used_ratio", "cores in use while jobs arrive", "{:.3f}"),
+    ("made_count", "reservations made", "{:.0f}"),
+    ("used_count", "reservations used", "{:.0f}"),
+    ("expired_count", "reservations expired", "{:.0f}"),
+    ("dropped_count", "reservations dropped", "{:.0f}"),
+)
 COST_ROWS = (
     ("placement_us", "placement in its pool, µs"),
     ("full_pool_us", "choice in a full pool, µs"),
@@ -157,6 +174,40 @@
         json_path.write_text(json.dumps(report, indent=1))
 
 
+@app.command()
+def placement(
+    seed: Annotated[int, typer.Option(help="First seed.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Number of consecutive seeds.")] = 10,
+) -> None:
+    """Compare the placements on a seeded demand of large and small tasks.
+
+    The last column is a baseline that knows the duration of each task.
+    """
+    names = list(PLACEMENTS)
+    cases = [
+        (name, number, load_ratio)
+        for load_ratio in PLACEMENT_LOAD_RATIOS
+        for name in names
+        for number in range(seed, seed + seeds)
+    ]
+    with ProcessPoolExecutor(PROCESS_COUNT) as executor:
+        figures = list(executor.map(run_placement, *zip(*cases, strict=True)))
+    runs = dict(zip(cases, figures, strict=True))
+    for load_ratio in PLACEMENT_LOAD_RATIOS:
+        typer.echo(f"\noffered {load_ratio:.0%}: min / median / max over {seeds} seeds\n")
+        typer.echo("| measure | " + " | ".join(names) + " |")
+        typer.echo("| --- |" + " --- |" * len(names))
+        for key, heading, number_format in PLACEMENT_ROWS:
+            cells = (
+                _format_spread(
+                    [runs[name, n, load_ratio][key] for n in range(seed, seed + seeds)],
+                    number_format,
+                )
+                for name in names
+            )
+            typer.echo(f"| {heading} | " + " | ".join(cells) + " |")
+
+
 @app.command()
 def cost(seed: Annotated[int, typer.Option(help="Seed.")] = 1) -> None:
     """Measure one placement and one capacity pass at 10%, 30% and 100% of the projected size."""
--- a/src/bench/placement_pass.py
+++ b/src/bench/placement_pass.py
@@ -13,11 +13,17 @@
 from tarragoncart.assignment import UpstreamSlot, Usage
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission, UpstreamEntry
 from tarragoncart.jobmodel import Job, StepOccurrence, Task
+from tarragoncart.policies import PolicySettings
+from tarragoncart.taskplacement import PLACEMENTS, Placement, PlacementRequest, make_placement
 
 TASKS_PER_STEP_COUNT = 8
 POOL_COUNT = 5
 ACCOUNT_COUNT = 20
 CAPACITY = Demand(16_000, 65_536)
+START_MS = 10_000.0
+PASS_INTERVAL_MS = 20.0
+# Ages of the runs on the full fleet, so that their expected ends differ.
+RUN_AGE_MAX_MS = 800
 
 
 def make_steps(rng: random.Random, task_count: int) -> list[StepOccurrence]:
@@ -44,7 +50,11 @@
 
 
 def run_pass(
-    steps: list[StepOccurrence], slots: dict[str, list[UpstreamSlot]]
+    placement: Placement,
+    steps: list[StepOccurrence],
+    slots: dict[str, list[UpstreamSlot]],
+    now_ms: float,
+    rng: random.Random,
 ) -> tuple[float, int]:
     """Place all tasks that fit and return the time in ms and the number of tasks placed."""
     usages = {f"account-{number}": Usage() for number in range(ACCOUNT_COUNT)}
@@ -52,16 +62,26 @@
 
     def reserve(task: Task, slot: UpstreamSlot) -> None:
         task.state, task.upstream_id = "assigned", slot.entry.upstream_id
+        task.assigned_ms = now_ms - rng.uniform(0, RUN_AGE_MAX_MS)
         slot.free = slot.free.plus(task.step.spec.counted, -1)
+        slot.tasks[task.name] = task
         placed.append(task)
 
     started_s = time.perf_counter()
     for pool, pool_slots in slots.items():
         waiting = [step for step in steps if step.job.pool == pool]
         waiting.sort(key=lambda step: assignment.by_deadline(step, 0.0))
-        for _ in assignment.plan(
-            waiting, pool_slots, usages.__getitem__, 0.0, reserve, lambda step, reason: None
-        ):
+        request = PlacementRequest(
+            pool,
+            waiting,
+            pool_slots,
+            usages.__getitem__,
+            now_ms,
+            0.0,
+            reserve,
+            lambda step, reason: None,
+        )
+        for _ in placement.plan(request):
             pass
     return (time.perf_counter() - started_s) * 1_000, len(placed)
 
@@ -72,18 +92,29 @@
     rounds: Annotated[int, typer.Option(help="Repetitions.")] = 15,
     seed: Annotated[int, typer.Option(help="Seed of the demands.")] = 1,
 ) -> None:
-    """Print the median time of a first pass and of a second one that finds the fleet full."""
-    first_ms, full_ms, counts = [], [], []
-    for number in range(rounds):
-        steps = make_steps(random.Random(seed + number), tasks)
-        slots = make_slots(upstreams)
-        elapsed_ms, count = run_pass(steps, slots)
-        first_ms.append(elapsed_ms)
-        counts.append(count)
-        full_ms.append(run_pass(steps, slots)[0])
+    """Print the median time of a first pass and of two more that find the fleet full.
+
+    With reservations, the second pass makes them and the third one places tasks beside them.
+    """
     print(f"seed {seed}, {tasks} tasks, {upstreams} upstreams, {rounds} rounds")
-    print(f"first pass: {statistics.median(first_ms):.1f} ms, places {statistics.median(counts)}")
-    print(f"pass on a full fleet: {statistics.median(full_ms):.1f} ms")
+    for name in PLACEMENTS:
+        elapsed_ms: list[list[float]] = [[], [], []]
+        counts = []
+        for number in range(rounds):
+            rng = random.Random(seed + number)
+            steps = make_steps(rng, tasks)
+            slots = make_slots(upstreams)
+            placement = make_placement(PolicySettings(placement=name))
+            for index, times in enumerate(elapsed_ms):
+                now_ms = START_MS + PASS_INTERVAL_MS * index
+                pass_ms, count = run_pass(placement, steps, slots, now_ms, rng)
+                times.append(pass_ms)
+                counts.append(count)
+        first, second, third = (statistics.median(times) for times in elapsed_ms)
+        print(
+            f"{name}: first pass {first:.1f} ms, places {statistics.median(counts[::3])}; "
+            f"full fleet {second:.1f} ms, then {third:.1f} ms"
+        )
 
 
 if __name__ == "__main__":
--- a/src/tarragoncart/durations.py
+++ b/src/tarragoncart/durations.py
@@ -122,11 +122,6 @@
         """Return the expected duration of a task of a step: half of them take longer."""
         return math.exp(self.predict(step)[0])
 
-    def cautious_ms(self, step: StepOccurrence) -> float:
-        """Return the duration that about five of six tasks of a step do not exceed."""
-        mean, spread = self.predict(step)
-        return math.exp(mean + spread)
-
     def expected_end_ms(self, task: Task, now_ms: float) -> float:
         """Return when the current run of a task is expected to end; infinite if it never does."""
         if task.step.spec.long_running:
--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field, frozen
 
-from .assignment import UpstreamSlot, Usage, admits
+from .assignment import UpstreamSlot, Usage, admits, deferrable
 from .durations import Durations
 from .graph import Demand, StepSpec
 from .jobmodel import StepOccurrence, Task
@@ -157,6 +157,7 @@
     Expected ends are computed for an upstream only when a decision depends on them.
 
     :param reserved_demand: returns the reserved demand of an account over all pools.
+    :param wall_ms: Unix time, with which deadlines are compared.
     """
 
     reservations: PoolReservations
@@ -166,12 +167,13 @@
     usage_of: Callable[[str], Usage]
     reserved_demand: Callable[[str], Demand]
     now_ms: float
+    wall_ms: float
     changes: list[ReservationChange] = field(factory=list)
     _slots_by_id: dict[str, UpstreamSlot] = field(factory=dict)
     _ends: dict[str, list[tuple[float, Demand]]] = field(factory=dict)
     # By upstream with a reservation: when its room is available, and what is free besides it then.
     _forecasts: dict[str, tuple[float, Demand]] = field(factory=dict)
-    _cautious_ms: dict[StepOccurrence, float] = field(factory=dict)
+    _expected_ms: dict[StepOccurrence, float] = field(factory=dict)
     _held: set[StepOccurrence] = field(factory=set)
     _considered_count: int = 0
     _limits: dict[str, int] | None = None
@@ -192,7 +194,7 @@
         if other.priority < holder.priority or self._held_too_long(step):
             return False
         available_ms, left = self._forecast(slot, reservation)
-        if self.now_ms + self._cautious(step) <= available_ms or step.spec.counted.fits(left):
+        if self.now_ms + self._expected(step) <= available_ms or step.spec.counted.fits(left):
             return False
         self._held.add(step)
         return True
@@ -259,6 +261,8 @@
         limit_count = self.limit_count()
         if (
             not may_reserve(spec)
+            # Room held for jobs that are late anyway makes others late.
+            or deferrable(step, self.wall_ms)
             or len(self.reservations.by_upstream) >= limit_count
             or self._considered_count >= CONSIDERED_STEP_COUNT
             or not is_large(spec, self.slots[0].entry.capacity)
@@ -372,13 +376,13 @@
             self._ends[upstream_id] = ends
         return ends
 
-    def _cautious(self, step: StepOccurrence) -> float:
+    def _expected(self, step: StepOccurrence) -> float:
         if step.spec.long_running:
             return float("inf")
-        cautious_ms = self._cautious_ms.get(step)
-        if cautious_ms is None:
-            cautious_ms = self._cautious_ms[step] = self.durations.cautious_ms(step)
-        return cautious_ms
+        expected_ms = self._expected_ms.get(step)
+        if expected_ms is None:
+            expected_ms = self._expected_ms[step] = self.durations.expected_ms(step)
+        return expected_ms
 
     def _held_too_long(self, step: StepOccurrence) -> bool:
         since_ms = self.reservations.held_since_ms.get(step)
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -266,6 +266,7 @@
                     slots,
                     self._usage,
                     now_ms,
+                    wall_ms,
                     self._assign,
                     self._record_wait,
                     limit_count,
--- a/src/tarragoncart/taskplacement.py
+++ b/src/tarragoncart/taskplacement.py
@@ -22,6 +22,7 @@
     """The waiting tasks of a pool and its upstreams, for one scheduling pass.
 
     :param steps: waiting steps in the order in which they are served.
+    :param wall_ms: Unix time, with which the deadlines of jobs are compared.
     :param usage_of: as for :func:`tarragoncart.assignment.plan`, like the fields below.
     """
 
@@ -30,6 +31,7 @@
     slots: list[UpstreamSlot]
     usage_of: Callable[[str], Usage]
     now_ms: float
+    wall_ms: float
     reserve: Callable[[Task, UpstreamSlot], None]
     report_wait: Callable[[StepOccurrence, WaitReason], None]
     limit_count: int | None = None
@@ -109,6 +111,7 @@
             request.usage_of,
             lambda account: sum_reserved(self.pools.values(), account),
             request.now_ms,
+            request.wall_ms,
             self._changes,
         )
 
