--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -256,6 +256,7 @@
                 del steps[step]
             slots = [slot for slot in self._slots_by_pool.get(pool, ()) if slot.usable]
             if not steps:
+                self._placement.note_idle(pool)
                 continue
             ordered = sorted(steps, key=lambda step: order(step, wall_ms))
             self._request_advice(ordered, slots, now_ms)
--- a/src/tarragoncart/taskplacement.py
+++ b/src/tarragoncart/taskplacement.py
@@ -43,6 +43,9 @@
     def plan(self, request: PlacementRequest) -> Iterator[Task]:
         """Assign waiting tasks to upstreams, and yield the assigned tasks."""
 
+    def note_idle(self, pool: str) -> None:
+        """Process that no task waits in a pool."""
+
     def note_done(self, task: Task, now_ms: float) -> None:
         """Process that the current run of a task is done."""
 
@@ -81,6 +84,9 @@
             limit_count=request.limit_count,
         )
 
+    def note_idle(self, pool: str) -> None:
+        """Do nothing; there are no reservations."""
+
     def note_done(self, task: Task, now_ms: float) -> None:
         """Do nothing; no decision depends on learned durations."""
 
@@ -135,6 +141,12 @@
             current,
         )
 
+    def note_idle(self, pool: str) -> None:
+        """Drop the reservations of a pool without waiting tasks."""
+        reservations = self.pools.pop(pool, None)
+        if reservations is not None:
+            self._changes += reservations.prune((), (), 0.0)
+
     def note_done(self, task: Task, now_ms: float) -> None:
         """Learn from the duration of a run."""
         self.durations.observe(task, now_ms)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -330,6 +330,16 @@
     assert "i-0" not in pool.reserved
 
 
+def test_a_pool_without_waiting_tasks_has_no_reservations(busy_pool):
+    """Guards against reservations that count toward a limit for steps that were cancelled."""
+    pool = busy_pool()
+    pool.submit(LARGE)
+    pool.place()
+    pool.placement.note_idle("pool")
+    assert [str(change.change) for change in pool.placement.take_changes()] == ["dropped"]
+    assert not pool.placement.pools
+
+
 def test_room_elsewhere_ends_a_reservation(busy_pool):
     """Guards against room that is held for a task that has started at another upstream."""
     pool = busy_pool()
