--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -11,6 +11,7 @@
 
 from standins import virtual
 from tarragoncart import assignment, defaults, jobmodel, reports
+from tarragoncart import node as node_module
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
 from tarragoncart.leases import LeaseEstimate
@@ -18,6 +19,7 @@
 from tarragoncart.runorders import Acknowledge
 from tarragoncart.runstate import RunState
 from tarragoncart.stops import PlannedStops
+from tarragoncart.taskplacement import Backfill
 from tarragoncart.vms import Fleet
 
 FAULT_S = 25.0
@@ -646,6 +648,13 @@
     )
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_invariants_hold_under_faults_with_reservations(simulate, monkeypatch, seed):
+    """Guards against reservations that break an invariant or keep a job from its end."""
+    monkeypatch.setattr(node_module, "make_placement", lambda policies: Backfill())
+    test_invariants_hold_under_faults(simulate, seed)
+
+
 def test_all_gangs_complete_without_faults(simulate):
     """Guards against gangs whose tasks wait for each other in vain, with no fault at all."""
     simulation = simulate(1, faults=False, scenario=_simulate_gangs)
