--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -41,6 +41,7 @@
 from .scheduler import PRODUCER, RulesChanged, Scheduler
 from .storage import Entry
 from .takeover import STATE_TOPIC
+from .taskplacement import make_placement
 from .timer import LoopTimer, Timer
 from .vmorders import FleetCalls, WaveRequested
 from .vms import Fleet
@@ -309,6 +310,7 @@
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
             evacuation_ms=settings.evacuation_ms,
+            placement=make_placement(settings.policies),
         )
         self.scheduler.start()
         self._publish_evacuations()
