Admission control: compressed bodies are refused, every listener has a share of descriptors and memory

Cause: 200 compressed bodies of 1 kB brought the node to 132 MB at a bound of 96 MB; with 320 descriptors, 200 idle connections held 154 to 210 sockets at a bound of 120, as the side listeners had fixed numbers and the event loop accepts up to its backlog before the limits apply; 256 connections for entry VMs are fewer than a leader of 45 entry VMs may get. Change: 415 for compressed bodies; shares of descriptors and memory for the listeners of entry VMs, readiness and metrics; connections are accepted in batches of 8.

--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -36,6 +36,7 @@
 EMPTY_LINES = RefusalKind("empty_lines", "too many empty lines before the request", 400)
 HEAD_TIMEOUT = RefusalKind("head_timeout", "head of a request did not arrive in time")
 BODY_TOO_LARGE = RefusalKind("body_too_large", "body is larger than the limit", 413)
+BODY_ENCODING = RefusalKind("body_encoding", "compressed bodies are not accepted", 415)
 BODY_INCOMPLETE = RefusalKind("body_incomplete", "request body did not arrive completely", 400)
 BODY_TIMEOUT = RefusalKind("body_timeout", "request body did not arrive in time", 408)
 BODY_STALLED = RefusalKind("body_stalled", "body is late and other requests need its room", 408)
@@ -65,20 +66,27 @@
     """Limits of a process that follow from its VM.
 
     :param callers: connections of the listener for callers.
+    :param peers: connections of the listener for other entry VMs.
+    :param ready: connections of the listener for readiness checks.
+    :param metrics: connections of the listener for metrics.
     :param large_bytes: memory for bodies of any size.
     :param small_bytes: memory that only small bodies may use.
     :param peer_bytes: memory for bodies from other entry VMs, which no other listener may use.
     """
 
     callers: ConnectionLimits
+    peers: ConnectionLimits
+    ready: ConnectionLimits
+    metrics: ConnectionLimits
     large_bytes: int
     small_bytes: int
     peer_bytes: int
 
 
-def side_limits(count: int) -> ConnectionLimits:
-    """Return the limits of a listener that is not for callers."""
-    return ConnectionLimits(count, count)
+def side_limits(*counts: float) -> ConnectionLimits:
+    """Return the limits of a listener that is not for callers: the lowest of several counts."""
+    limit_count = max(1, int(min(counts)))
+    return ConnectionLimits(limit_count, limit_count)
 
 
 def derive_limits(
@@ -100,6 +108,13 @@
     peer_bytes = int(defaults.PEER_BODY_MEMORY_RATIO * shared_bytes)
     return MemoryLimits(
         ConnectionLimits(total, per_address),
+        side_limits(
+            defaults.PEER_CONNECTION_LIMIT_COUNT,
+            defaults.PEER_FD_RATIO * fd_count,
+            defaults.PEER_CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES,
+        ),
+        side_limits(defaults.READY_CONNECTION_LIMIT_COUNT, defaults.READY_FD_RATIO * fd_count),
+        side_limits(defaults.METRICS_CONNECTION_LIMIT_COUNT, defaults.METRICS_FD_RATIO * fd_count),
         max(large_bytes, largest_body_bytes * defaults.BODY_COST_RATIO),
         int(defaults.SMALL_BODY_MEMORY_RATIO * shared_bytes),
         max(peer_bytes, largest_peer_body_bytes * defaults.BODY_COST_RATIO),
--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -19,6 +19,7 @@
 
 from . import defaults, metrics
 from .connectionlimits import (
+    BODY_ENCODING,
     BODY_INCOMPLETE,
     BODY_MEMORY,
     BODY_STALLED,
@@ -159,6 +160,7 @@
             server,
             loop=loop,
             read_bufsize=defaults.READ_SIZE_BYTES,
+            auto_decompress=False,
             max_headers=defaults.HEADER_LIMIT_COUNT,
             lingering_time=defaults.REFUSED_BODY_LINGER_MS / 1_000,
             **kwargs,
@@ -174,6 +176,7 @@
             max_field_size=self.max_field_size,
             max_headers=self.max_headers,
             payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
             max_msg_queue_size=defaults.PIPELINED_REQUEST_LIMIT_COUNT,
         )
         self._bounds = server
@@ -416,7 +419,10 @@
         announced = request.content_length
         if announced is not None and announced > limit_bytes:
             return self._refuse(request, BODY_TOO_LARGE)
-        if announced is None or "Content-Encoding" in request.headers:
+        if request.headers.get("Content-Encoding", "identity").lower() != "identity":
+            # A kilobyte may expand to a megabyte before its size is known.
+            return self._refuse(request, BODY_ENCODING)
+        if announced is None:
             announced = limit_bytes
             request = request.clone(client_max_size=max(1, limit_bytes))
         connection = request.protocol
@@ -493,4 +499,6 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, defaults.RECEIVE_BUFFER_BYTES)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, defaults.UNSENT_LIMIT_BYTES)
     await runner.setup()
-    await web.SockSite(runner, listener).start()
+    await web.SockSite(runner, listener, backlog=defaults.ACCEPT_BATCH_COUNT).start()
+    # The event loop has set the queue of new connections to the size of a batch.
+    listener.listen(defaults.LISTEN_BACKLOG_COUNT)
--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -15,7 +15,7 @@
 from attrs import define
 
 from . import defaults, logs, metrics
-from .connectionlimits import BodyBudget, derive_limits, side_limits
+from .connectionlimits import BodyBudget, derive_limits
 from .connections import AdmissionControl, BoundedAppRunner, Listener, start_server
 from .dispatch import Dispatch
 from .inventory import Inventory
@@ -174,8 +174,9 @@
         client_body_limit,
         refuse,
     )
-    peer_limits = side_limits(defaults.PEER_CONNECTION_LIMIT_COUNT)
-    inner = Listener("peer", peer_limits, BodyBudget(limits.peer_bytes, 0), peer_body_limit, refuse)
+    inner = Listener(
+        "peer", limits.peers, BodyBudget(limits.peer_bytes, 0), peer_body_limit, refuse
+    )
     control = AdmissionControl(timer)
     runners = [
         await _serve(front, CLIENT_ROUTES, client_socket, clients, control),
@@ -187,7 +188,7 @@
 def _bind(address: str) -> tuple[socket.socket, str]:
     """Return a listening socket and its bound address; port 0 takes a free port."""
     host, _, port = address.rpartition(":")
-    listener = socket.create_server((host, int(port)), backlog=1_024)
+    listener = socket.create_server((host, int(port)), backlog=defaults.LISTEN_BACKLOG_COUNT)
     host, port = listener.getsockname()[:2]
     return listener, f"{host}:{port}"
 
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -328,11 +328,19 @@
 SHARED_MEMORY_MIN_MB = 24
 # Shares of the memory above an idle process; the rest is for jobs and the leader's state.
 CONNECTION_MEMORY_RATIO = 0.5
-LARGE_BODY_MEMORY_RATIO = 0.25
-SMALL_BODY_MEMORY_RATIO = 0.1
+LARGE_BODY_MEMORY_RATIO = 0.2
+SMALL_BODY_MEMORY_RATIO = 0.05
 PEER_BODY_MEMORY_RATIO = 0.05
-# Share of the descriptors for the connections of callers; the rest is for calls to others.
+PEER_CONNECTION_MEMORY_RATIO = 0.15
+# Shares of the descriptors that are not for files, by listener; the rest is for calls to others.
 CONNECTION_FD_RATIO = 0.5
+PEER_FD_RATIO = 0.2
+READY_FD_RATIO = 0.1
+METRICS_FD_RATIO = 0.05
+# Connections that are accepted before the first of them is counted against the limits. Accepting
+# all that wait at once exceeded a limit by as many as had been queued.
+ACCEPT_BATCH_COUNT = 8
+LISTEN_BACKLOG_COUNT = 1_024
 # Memory that a connection takes at most, on average: measured 28 KiB with pipelined requests and
 # 49 KiB with an unfinished head, 32 KiB of received data in the kernel, and for a quarter of the
 # connections 54 KiB of sent data there.
@@ -343,9 +351,9 @@
 SMALL_BODY_LIMIT_BYTES = 16 * 1024
 # A query between entry VMs has no body, and a heartbeat is below 16 KiB.
 SIDE_BODY_LIMIT_BYTES = 64 * 1024
-# Connections of a listener that is not for callers. Up to nine entry VMs keep eight connections
-# each, and a survey of the candidates asks each entry VM once a round.
-PEER_CONNECTION_LIMIT_COUNT = 256
+# Connections of a listener that is not for callers. The leader gets up to eight from each other
+# entry VM; those that are not in use make room for others.
+PEER_CONNECTION_LIMIT_COUNT = 1_024
 READY_CONNECTION_LIMIT_COUNT = 64
 METRICS_CONNECTION_LIMIT_COUNT = 16
 # A load balancer forwards all callers from few addresses; 600 connections are usual in a burst.
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -18,7 +18,7 @@
 from . import defaults, evacuations, intake, logs, metrics
 from .advisor import AdviceCalls, Advisor
 from .candidates import Candidate
-from .connectionlimits import BodyBudget, derive_limits, side_limits
+from .connectionlimits import BodyBudget, derive_limits
 from .connections import (
     AdmissionControl,
     BoundedServer,
@@ -414,7 +414,7 @@
 def _bind(address: str) -> tuple[socket.socket, str]:
     """Bind a listening socket and return it with its address; port 0 selects a free port."""
     host, _, port = address.rpartition(":")
-    listener = socket.create_server((host, int(port)), backlog=1_024)
+    listener = socket.create_server((host, int(port)), backlog=defaults.LISTEN_BACKLOG_COUNT)
     return listener, f"{host}:{listener.getsockname()[1]}"
 
 
@@ -440,12 +440,11 @@
     )
     caller_budget: BodyBudget[Any] = BodyBudget(limits.large_bytes, limits.small_bytes)
     peer_budget: BodyBudget[Any] = BodyBudget(limits.peer_bytes, 0)
-    peer_limits = side_limits(defaults.PEER_CONNECTION_LIMIT_COUNT)
     listeners = (
         Listener("caller", limits.callers, caller_budget, node.body_limit, caller_server.refuse),
-        Listener("peer", peer_limits, peer_budget, side_body_limit, refuse_plainly),
-        side_listener("ready", side_limits(defaults.READY_CONNECTION_LIMIT_COUNT)),
-        side_listener("metrics", side_limits(defaults.METRICS_CONNECTION_LIMIT_COUNT)),
+        Listener("peer", limits.peers, peer_budget, side_body_limit, refuse_plainly),
+        side_listener("ready", limits.ready),
+        side_listener("metrics", limits.metrics),
     )
     return {listener.name: listener for listener in listeners}
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -46,21 +46,26 @@
 def test_limits_fit_into_the_memory_and_descriptors_of_the_vm(memory_mb, fd_limit_count):
     """Guards against limits whose sum is above what a VM has."""
     limits = derive_limits(memory_mb, fd_limit_count, defaults.BODY_LIMIT_BYTES, 65_536)
-    connection_bytes = limits.callers.total_count * defaults.CONNECTION_COST_BYTES
+    connection_count = limits.callers.total_count + limits.peers.total_count
+    connection_bytes = connection_count * defaults.CONNECTION_COST_BYTES
     body_bytes = limits.large_bytes + limits.small_bytes + limits.peer_bytes
     free_bytes = (
         (memory_mb or defaults.VM_MEMORY_DEFAULT_MB) - defaults.IDLE_PROCESS_MB
     ) * MEGABYTE
     assert connection_bytes + body_bytes <= free_bytes
-    side_count = (
-        defaults.PEER_CONNECTION_LIMIT_COUNT
-        + defaults.READY_CONNECTION_LIMIT_COUNT
-        + defaults.METRICS_CONNECTION_LIMIT_COUNT
-    )
+    side_listeners = (limits.peers, limits.ready, limits.metrics)
+    side_count = sum(listener.total_count for listener in side_listeners)
     fd_count = (fd_limit_count or defaults.VM_FD_LIMIT_DEFAULT_COUNT) - defaults.FILE_FD_COUNT
     assert limits.callers.total_count + side_count < fd_count
 
 
+def test_all_listeners_fit_into_few_descriptors():
+    """Guards against listeners that take the descriptors of others or those for files."""
+    limits = derive_limits(96, 320, defaults.BODY_LIMIT_BYTES, 65_536)
+    listeners = (limits.callers, limits.peers, limits.ready, limits.metrics)
+    assert sum(listener.total_count for listener in listeners) < 320 - defaults.FILE_FD_COUNT
+
+
 def test_the_smallest_vm_takes_a_usual_burst_from_one_address():
     """Guards against limits that refuse the callers behind one load balancer."""
     limits = derive_limits(160, 4_100, defaults.BODY_LIMIT_BYTES, 65_536)
@@ -330,6 +335,16 @@
     assert bounded.budget.used_bytes == 0
 
 
+async def test_a_compressed_body_is_refused_and_not_handed_on(make_bounded):
+    """Guards against small bodies that expand beyond the memory reserved for them."""
+    bounded = await make_bounded()
+    encoding = b"\r\nContent-Encoding: deflate\r\n\r\n"
+    answer = await bounded.exchange(post(b"x" * 10).replace(b"\r\n\r\n", encoding, 1))
+    assert answer.startswith(b"HTTP/1.1 415")
+    assert not bounded.handled
+    assert bounded.budget.used_bytes == 0
+
+
 @pytest.mark.parametrize(
     "request_bytes",
     [
