--- a/src/tarragoncart/policies.py
+++ b/src/tarragoncart/policies.py
@@ -13,11 +13,9 @@
     """Names of the policies that a leader uses.
 
     :param placement: how waiting tasks are placed on upstreams.
-    :param pool_policy: how VMs are divided among the pools.
     """
 
     placement: str = "first_fit"
-    pool_policy: str = "share_by_need"
 
 
 def parse_policies(arguments: Sequence[str]) -> PolicySettings:
@@ -28,6 +26,5 @@
     defaults = PolicySettings()
     parser = argparse.ArgumentParser(prog="tarragoncart node")
     parser.add_argument("--placement", default=defaults.placement)
-    parser.add_argument("--pool-policy", default=defaults.pool_policy)
     options = parser.parse_args(arguments)
-    return PolicySettings(options.placement, options.pool_policy)
+    return PolicySettings(options.placement)
