--- a/src/bench/failures.py
+++ b/src/bench/failures.py
@@ -12,17 +12,20 @@
 import aiohttp
 from attrs import define, field, frozen
 
+from standins.crowd import Crowd, behaviours
 from tarragoncart.errors import TarragoncartError
 from tarragoncart.operator_api import Operator
 from tarragoncart.registry import Registry
 
 from .processes import HistoryWriter
 from .relayed import RelayedDeployment
+from .untrusted import entry_caller_endpoint
 
 # Timeout of a control call to a stand-in, which does not answer while paused or rebooting.
 CONTROL_TIMEOUT_S = 4.0
 # Longer than the time without heartbeats after which a member is retired.
 LONG_OUTAGE_MS = 11_500.0
+UNTRUSTED_CLIENT_COUNT = 60
 
 
 @define
@@ -220,6 +223,25 @@
         await context.restore([name])
 
 
+# Callers
+
+
+@FAILURES.register("untrusted_clients")
+async def untrusted_clients(context: FailureContext, rng: FailureRandom) -> None:
+    """Let clients that respect no limit occupy the listener for callers of one entry VM."""
+    name = rng.choice(sorted(context.deployment.entries))
+    behaviour = rng.choice(sorted(behaviours))
+    async with context.lock_targets([name]):
+        context.runner_log.write("untrusted_clients", target=name, behaviour=behaviour)
+        endpoint = entry_caller_endpoint(context.deployment.client_addresses[name])
+        crowd = Crowd(endpoint, behaviours.get(behaviour), UNTRUSTED_CLIENT_COUNT)
+        try:
+            await crowd.gather()
+            await asyncio.sleep(rng.uniform(1, 3))
+        finally:
+            await crowd.close()
+
+
 # Networks
 
 
--- a/src/bench/untrusted.py
+++ b/src/bench/untrusted.py
@@ -219,9 +219,10 @@
         await platform.close()
 
 
-def _entry_endpoints(addresses: Mapping[str, str]) -> dict[str, Endpoint]:
-    callers = Endpoint(
-        addresses["client_address"],
+def entry_caller_endpoint(address: str) -> Endpoint:
+    """Return the listener for callers of an entry process."""
+    return Endpoint(
+        address,
         HOSTNAME,
         "/v1/status",
         "/v1/queues/none/jobs",
@@ -229,6 +230,10 @@
         defaults.BODY_LIMIT_BYTES,
         padding_field="payload",
     )
+
+
+def _entry_endpoints(addresses: Mapping[str, str]) -> dict[str, Endpoint]:
+    callers = entry_caller_endpoint(addresses["client_address"])
     return {
         "callers": callers,
         "operators": evolve(
