--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -113,14 +113,30 @@
             defaults.PEER_FD_RATIO * fd_count,
             defaults.PEER_CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES,
         ),
-        side_limits(defaults.READY_CONNECTION_LIMIT_COUNT, defaults.READY_FD_RATIO * fd_count),
-        side_limits(defaults.METRICS_CONNECTION_LIMIT_COUNT, defaults.METRICS_FD_RATIO * fd_count),
+        side_limits(
+            defaults.READY_CONNECTION_LIMIT_COUNT,
+            defaults.READY_FD_RATIO * fd_count,
+            defaults.READY_CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES,
+        ),
+        side_limits(
+            defaults.METRICS_CONNECTION_LIMIT_COUNT,
+            defaults.METRICS_FD_RATIO * fd_count,
+            defaults.METRICS_CONNECTION_MEMORY_RATIO
+            * shared_bytes
+            / defaults.CONNECTION_COST_BYTES,
+        ),
         max(large_bytes, largest_body_bytes * defaults.BODY_COST_RATIO),
         int(defaults.SMALL_BODY_MEMORY_RATIO * shared_bytes),
         max(peer_bytes, largest_peer_body_bytes * defaults.BODY_COST_RATIO),
     )
 
 
+def decoded_bytes(body: bytes) -> int:
+    """Return the memory that a JSON body takes at most while it is decoded and handled."""
+    container_count = body.count(b"[") + body.count(b"{")
+    return defaults.BODY_COST_RATIO * len(body) + defaults.DECODED_CONTAINER_BYTES * container_count
+
+
 @define
 class BodyBudget(Generic[C]):
     """Memory reserved for the bodies of requests, before they are read.
@@ -157,6 +173,22 @@
             return True
         return False
 
+    def extend(self, holder: C, cost_bytes: int) -> bool:
+        """Raise what a holder has reserved to a cost; return whether there is enough memory."""
+        if holder in self._small:
+            extra = cost_bytes - self._small[holder]
+            if extra > 0 and self._small_used_bytes + extra > self.small_bytes:
+                return False
+            self._small[holder] += max(0, extra)
+            self._small_used_bytes += max(0, extra)
+            return True
+        extra = cost_bytes - self._large.get(holder, 0)
+        if extra > 0 and self._large_used_bytes + extra > self.large_bytes:
+            return False
+        self._large[holder] = self._large.get(holder, 0) + max(0, extra)
+        self._large_used_bytes += max(0, extra)
+        return True
+
     def release(self, holder: C) -> None:
         """Release what a holder has reserved, if anything."""
         self._small_used_bytes -= self._small.pop(holder, 0)
@@ -329,17 +361,33 @@
             for connection in self._older(state, now_ms - timeout_ms)
         ]
 
-    def excess_unread(self) -> C | None:
-        """Return the connection to close if too many clients leave their answers unread.
+    def unread(self) -> list[C]:
+        """Return the connections whose clients have not read their answers, the oldest first."""
+        return list(self._waiting["answer"])
+
+    def pop_excess_unread(self, unread_bytes: Callable[[C], int]) -> list[C]:
+        """Remove the connections to close because clients leave too many answers unread.
+
+        Those whose answers have been unread for longest come first.
 
-        It is the one whose answer has been unread for longest, and is removed from the table.
+        :param unread_bytes: returns the size of what a client has not read.
         """
-        unread = self._waiting["answer"]
-        if len(unread) <= max(1, defaults.UNREAD_CONNECTION_RATIO * self.limits.total_count):
-            return None
-        victim = next(iter(unread))
-        self.close(victim)
-        return victim
+        sizes = {connection: unread_bytes(connection) for connection in self.unread()}
+        count_limit = max(1.0, defaults.UNREAD_CONNECTION_RATIO * self.limits.total_count)
+        left_count, left_bytes = len(sizes), sum(sizes.values())
+        victims = []
+        for connection, size_bytes in sizes.items():
+            # A single large answer is within the limits.
+            too_large = left_count > 1 and left_bytes > (
+                count_limit * defaults.UNREAD_ANSWER_COST_BYTES
+            )
+            if left_count <= count_limit and not too_large:
+                break
+            victims.append(connection)
+            left_count -= 1
+            left_bytes -= size_bytes
+            self.close(connection)
+        return victims
 
     def stalled_bodies(self, now_ms: float) -> Iterator[C]:
         """Return the connections whose bodies are late, the latest of them first."""
--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -36,6 +36,7 @@
     ConnectionTable,
     RefusalKind,
     RefusalLog,
+    decoded_bytes,
 )
 from .errors import RequestError
 from .timer import Timer
@@ -121,7 +122,11 @@
         """Close the connections that have waited for their clients for too long."""
         now_ms = self.timer.now_ms()
         for server in self._servers:
-            server.sweep(now_ms)
+            try:
+                server.sweep(now_ms)
+            except Exception:
+                # An error would end the subscription, and with it all time-outs.
+                logger.exception("connections cannot be checked")
 
     def count_refusal(self, kind: RefusalKind, listener: str) -> None:
         """Count a refusal, and log it if no line about its kind was logged within a second."""
@@ -280,7 +285,17 @@
     def resume_writing(self) -> None:
         """Note that the client has read its answers."""
         super().resume_writing()
-        self._bounds.fire(self, "read" if self._request_in_progress else "answered")
+        self._bounds.fire(self, self.read_event)
+
+    @property
+    def read_event(self) -> str:
+        """Event of the connection's state when the client has read its answers."""
+        return "read" if self._request_in_progress else "answered"
+
+    def unsent_bytes(self) -> int:
+        """Return the size of what waits in this process to be sent."""
+        transport = self._socket_transport
+        return transport.get_write_buffer_size() if transport is not None else 0
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
@@ -392,16 +407,31 @@
     def fire(self, connection: Connection, event: str) -> None:
         """Apply an event to the state of a connection."""
         self.table.fire(connection, event, self._now_ms())
-        if event == "unread" and (victim := self.table.excess_unread()) is not None:
+        if event == "unread":
+            self._close_excess_unread()
+
+    def _close_excess_unread(self) -> None:
+        self._note_read_answers()
+        for victim in self.table.pop_excess_unread(Connection.unsent_bytes):
             self.count_refusal(UNREAD_COUNT)
             victim.abort()
 
+    def _note_read_answers(self) -> None:
+        """Process that clients have read their answers.
+
+        The transport does not tell if the rest of an answer was small when it was written.
+        """
+        for connection in self.table.unread():
+            if not connection.unsent_bytes():
+                self.table.fire(connection, connection.read_event, self._now_ms())
+
     def count_refusal(self, kind: RefusalKind) -> None:
         """Count a refusal of this listener."""
         self._control.count_refusal(kind, self._listener.name)
 
     def sweep(self, now_ms: float) -> None:
         """Give up the requests and connections that have waited for their clients for too long."""
+        self._note_read_answers()
         for connection, kind in self.table.expired(now_ms):
             if kind is UNREAD_ANSWER and connection.reads_answer():
                 self.table.renew(connection, now_ms)
@@ -436,7 +466,7 @@
                 if request.headers.get("Expect", "").lower() == "100-continue":
                     # The client sends the body only now that there is room for it.
                     connection.send_continue()
-            await request.read()
+            body = await request.read()
         except BodyGivenUpError as error:
             return self._refuse(request, error.kind, counted=True)
         except web.HTTPRequestEntityTooLarge:
@@ -446,6 +476,8 @@
         finally:
             if missing:
                 self.fire(connection, "body_ended")
+        if not self.budget.extend(connection, decoded_bytes(body)):
+            return self._refuse(request, BODY_MEMORY)
         # The request refers to its body until the response has been sent.
         return await self._handler(request)
 
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -332,6 +332,8 @@
 SMALL_BODY_MEMORY_RATIO = 0.05
 PEER_BODY_MEMORY_RATIO = 0.05
 PEER_CONNECTION_MEMORY_RATIO = 0.15
+READY_CONNECTION_MEMORY_RATIO = 0.02
+METRICS_CONNECTION_MEMORY_RATIO = 0.01
 # Shares of the descriptors that are not for files, by listener; the rest is for calls to others.
 CONNECTION_FD_RATIO = 0.5
 PEER_FD_RATIO = 0.2
@@ -348,11 +350,14 @@
 # Bytes of memory for each byte of a body: the body is read into one buffer and copied once, and its
 # text and the decoded values exist at the same time.
 BODY_COST_RATIO = 4
+# Memory of a decoded object or list of a body, beyond its text. A body of empty lists takes 23
+# times its size.
+DECODED_CONTAINER_BYTES = 72
 SMALL_BODY_LIMIT_BYTES = 16 * 1024
 # A query between entry VMs has no body, and a heartbeat is below 16 KiB.
 SIDE_BODY_LIMIT_BYTES = 64 * 1024
-# Connections of a listener that is not for callers. The leader gets up to eight from each other
-# entry VM; those that are not in use make room for others.
+# Connections of a listener that is not for callers. On the platform the leader gets up to eight
+# from each other entry VM; those that are not in use make room for others.
 PEER_CONNECTION_LIMIT_COUNT = 1_024
 READY_CONNECTION_LIMIT_COUNT = 64
 METRICS_CONNECTION_LIMIT_COUNT = 16
@@ -374,6 +379,8 @@
 # One more request is parsed while the previous one is handled; the next ones stay unread.
 PIPELINED_REQUEST_LIMIT_COUNT = 2
 UNREAD_ANSWER_LIMIT_BYTES = 16 * 1024
+# Memory of unread answers, on average of the connections that may have some.
+UNREAD_ANSWER_COST_BYTES = 54 * 1024
 # Share of a listener's connections whose clients may leave their answers unread at the same time.
 UNREAD_CONNECTION_RATIO = 0.25
 HEAD_TIMEOUT_MS = 10_000
--- a/src/tarragoncart/platform/callers.py
+++ b/src/tarragoncart/platform/callers.py
@@ -33,7 +33,7 @@
 )
 from ..errors import DecodeError, InboxFullError, RequestError
 from ..graph import JobSpec, StepSpec
-from ..intake import check_job
+from ..intake import TASK_LIMIT_COUNT, check_job
 from ..mailbox import new_reply
 from ..timer import Timer
 from .operator import decode_demand
@@ -52,7 +52,9 @@
     :raises DecodeError: if it is malformed.
     """
     data = parse_object(body)
-    check_list(data.get("steps"), "steps")
+    if len(check_list(data.get("steps"), "steps")) > TASK_LIMIT_COUNT:
+        # Decoding all steps of the largest body would keep the event loop for over a second.
+        raise DecodeError(f"more than {TASK_LIMIT_COUNT}", place="steps")
     spec = JobSpec(
         text=get_str(data, "spec"),
         steps=get_items(data, "steps", _decode_step),
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -175,18 +175,20 @@
     return web.json_response(body, status=error.status)
 
 
-# Codes and limits of refused requests by status.
+# Codes and limits of refused requests by the kind of the refusal.
 REFUSAL_CODES = {
-    400: ("body_incomplete", ""),
-    408: ("body_incomplete", "body_timeout_ms"),
-    413: ("body_too_large", "body_size_bytes"),
-    503: ("overloaded", "body_memory_bytes"),
+    "body_incomplete": ("body_incomplete", ""),
+    "body_timeout": ("body_incomplete", "body_timeout_ms"),
+    "body_stalled": ("body_incomplete", "body_memory_bytes"),
+    "body_encoding": ("body_encoding", ""),
+    "body_too_large": ("body_too_large", "body_size_bytes"),
+    "body_memory": ("overloaded", "body_memory_bytes"),
 }
 
 
 def refuse(request: web.BaseRequest, error: RequestError) -> web.Response:
     """Encode a refusal of the admission control, of which nothing was handed on."""
-    code, limit = REFUSAL_CODES[error.status]
+    code, limit = REFUSAL_CODES[error.code]
     refusal = RequestError(
         error.message, code=code, status=error.status, step="decode", limit=limit
     )
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,9 +11,10 @@
 
 import pytest
 from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
 from attrs import define, field
 
-from tarragoncart import defaults
+from tarragoncart import connectionlimits, defaults, server
 from tarragoncart.connectionlimits import (
     ADDRESS_COUNT,
     BODY_TIMEOUT,
@@ -28,12 +29,14 @@
     ConnectionLimits,
     ConnectionTable,
     RefusalLog,
+    decoded_bytes,
     derive_limits,
     side_limits,
 )
 from tarragoncart.connections import AdmissionControl, BoundedServer, Listener, start_server
 from tarragoncart.errors import RequestError
-from tarragoncart.timer import LoopTimer
+from tarragoncart.platform.callers import CallerServer
+from tarragoncart.timer import LoopTimer, ManualTimer
 
 SMALL = defaults.SMALL_BODY_LIMIT_BYTES
 SMALL_COST = SMALL * defaults.BODY_COST_RATIO
@@ -46,7 +49,8 @@
 def test_limits_fit_into_the_memory_and_descriptors_of_the_vm(memory_mb, fd_limit_count):
     """Guards against limits whose sum is above what a VM has."""
     limits = derive_limits(memory_mb, fd_limit_count, defaults.BODY_LIMIT_BYTES, 65_536)
-    connection_count = limits.callers.total_count + limits.peers.total_count
+    listeners = (limits.callers, limits.peers, limits.ready, limits.metrics)
+    connection_count = sum(listener.total_count for listener in listeners)
     connection_bytes = connection_count * defaults.CONNECTION_COST_BYTES
     body_bytes = limits.large_bytes + limits.small_bytes + limits.peer_bytes
     free_bytes = (
@@ -199,8 +203,86 @@
         table.open(n, "a", n)
         for event in ("bytes", "request", "unread"):
             table.fire(n, event, n)
-        victims.append(table.excess_unread())
-    assert victims == [None, None, 0, 1]
+        victims.append(table.pop_excess_unread(lambda connection: 0))
+    assert victims == [[], [], [0], [1]]
+
+
+def test_unread_answers_are_bounded_in_size():
+    """Guards against large answers that use up the memory though they are few."""
+    table: ConnectionTable[int] = ConnectionTable(ConnectionLimits(16, 16))
+    limit_bytes = 4 * defaults.UNREAD_ANSWER_COST_BYTES
+    victims = []
+    for n in range(4):
+        table.open(n, "a", n)
+        for event in ("bytes", "request", "unread"):
+            table.fire(n, event, n)
+        victims += table.pop_excess_unread(lambda connection: limit_bytes // 2)
+    assert victims == [0, 1]
+
+
+def test_a_single_large_answer_may_stay_unread():
+    """Guards against a limit that closes an ordinary reader of an answer above it."""
+    table: ConnectionTable[int] = ConnectionTable(ConnectionLimits(16, 16))
+    table.open(0, "a", 0)
+    for event in ("bytes", "request", "unread"):
+        table.fire(0, event, 0)
+    assert table.pop_excess_unread(lambda connection: 10 * MEGABYTE) == []
+
+
+@pytest.mark.parametrize("event", ["unread", "read", "bytes", "request"])
+def test_only_the_end_of_a_body_ends_the_wait_for_it(table, event):
+    """Guards against a body that never comes and holds its memory without a time-out."""
+    table.open("a", "a", 0)
+    advance(table, "a", 10, "bytes", "request", "body_missing", event)
+    assert table.expired(defaults.BODY_TIMEOUT_MS + 10) == [("a", BODY_TIMEOUT)]
+
+
+def test_decoded_bodies_count_with_their_containers():
+    """Guards against bodies of empty lists, which take many times their size once decoded."""
+    body = b"[" + b"[]," * 100_000 + b"[]]"
+    budget = BodyBudget[str](4 * MEGABYTE, 0)
+    assert budget.reserve("a", len(body))
+    assert not budget.extend("a", decoded_bytes(body))
+    assert budget.extend("a", decoded_bytes(b"x" * len(body)))
+    budget.release("a")
+    assert budget.used_bytes == 0
+
+
+REFUSED_KINDS = [
+    connectionlimits.BODY_ENCODING,
+    connectionlimits.BODY_INCOMPLETE,
+    connectionlimits.BODY_MEMORY,
+    connectionlimits.BODY_STALLED,
+    connectionlimits.BODY_TIMEOUT,
+    connectionlimits.BODY_TOO_LARGE,
+]
+
+
+@pytest.mark.parametrize("kind", REFUSED_KINDS, ids=lambda kind: kind.name)
+@pytest.mark.parametrize(
+    "refuse", [server.refuse, CallerServer(None, ManualTimer()).refuse], ids=["own", "platform"]
+)
+def test_each_refusal_can_be_encoded(refuse, kind):
+    """Guards against a refusal that becomes an internal error."""
+    request = make_mocked_request("POST", "/v1/queues/q/jobs")
+    error = RequestError(kind.message, code=kind.name, status=kind.status, step="admit")
+    assert refuse(request, error).status == kind.status
+
+
+def test_an_error_in_the_sweep_does_not_end_the_others(monkeypatch):
+    """Guards against connections without time-outs after one unexpected error."""
+    control = AdmissionControl(ManualTimer())
+    swept = []
+
+    class Server:
+        def sweep(self, now_ms):
+            swept.append(now_ms)
+            raise ValueError("test")
+
+    control.add(Server())
+    control.sweep()
+    control.sweep()
+    assert len(swept) == 2
 
 
 def test_closed_connections_leave_nothing_behind(table):
