Explain where a job would be placed: tarragoncart explain place

The leader runs the placement on copies of its state for one scheduling pass, so the answer follows the same rules and changes nothing. The peer listener serves the request; an entry VM that does not lead forwards it once.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -39,6 +39,7 @@
 from tarragoncart.mailbox import new_reply
 from tarragoncart.node import Adapter, Node
 from tarragoncart.platform import operator
+from tarragoncart.platform.callers import decode_job
 from tarragoncart.runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from tarragoncart.scheduler import JobView, Lookup
 from tarragoncart.storage import Appended, Chunk, Entry, Expired, Membership, Producer
@@ -1244,6 +1245,7 @@
             decode_rules=operator.decode_rules,
             decode_wave=operator.decode_wave,
             decode_upstream=_decode_upstream,
+            decode_job=decode_job,
             wave_status_record=operator.wave_status_record,
             make_caller_server=lambda entrance, timer: None,
         )
--- a/src/tarragoncart/cli.py
+++ b/src/tarragoncart/cli.py
@@ -15,8 +15,9 @@
 
 import attrs
 import typer
+from typer.core import TyperGroup
 
-from . import audit, defaults, operator_api, settings
+from . import audit, defaults, operator_api, placequery, settings
 from .errors import RequestError, SettingsError
 from .model import FleetConfig
 from .operator_api import Operator, Withdrawal
@@ -24,6 +25,24 @@
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw keys of teams.")
 wave_app = typer.Typer(no_args_is_help=True, help="Manage maintenance waves.")
+
+
+class ExplainGroup(TyperGroup):
+    """Group whose command ``about`` need not be named: ``explain job ID`` stays valid."""
+
+    def parse_args(self, ctx: Any, args: list[str]) -> list[str]:
+        """Insert the name of the command that is left out."""
+        if args and args[0] not in (*self.commands, *ctx.help_option_names):
+            args = ["about", *args]
+        return super().parse_args(ctx, args)
+
+
+explain_app = typer.Typer(
+    cls=ExplainGroup,
+    no_args_is_help=True,
+    help="Explain what happened (job|vm|team ID), or where a job would be placed (place).",
+)
+app.add_typer(explain_app, name="explain")
 app.add_typer(key_app, name="key")
 app.add_typer(wave_app, name="wave")
 
@@ -227,7 +246,7 @@
         yield [name, *(item[column] for column in columns)]
 
 
-@app.command()
+@explain_app.command("about")
 def explain(
     kind: Annotated[str, typer.Argument(help=" | ".join(audit.EXPLAINED_KINDS))],
     name: Annotated[str, typer.Argument(metavar="ID")],
@@ -249,6 +268,33 @@
         raise typer.Exit(1)
 
 
+@explain_app.command("place")
+def explain_place(
+    peer: Annotated[str, typer.Option(metavar="IP:PORT", help="Peer address of an entry VM.")],
+    job: Annotated[str, typer.Option(help="ID of an accepted job.")] = "",
+    file: Annotated[
+        Path | None, typer.Option(help="Job as callers submit it; it is not submitted.")
+    ] = None,
+    queue: Annotated[str, typer.Option(help="Queue of the job in the file.")] = "",
+    account: Annotated[str, typer.Option(help="Account of the job in the file.")] = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show where the tasks of a job would be placed now, and what each upstream lacks."""
+    if bool(job) == bool(file) or bool(file) != bool(queue):
+        raise typer.BadParameter("either --job, or --file with --queue")
+    with _exit_on_error():
+        if file is not None:
+            params = placequery.query_of_file(file, queue, account)
+        else:
+            params = placequery.query_of_job(job)
+        found = placequery.fetch(peer, params)
+    if as_json:
+        _print_json(found)
+        return
+    for line in placequery.describe(found):
+        typer.echo(line)
+
+
 @wave_app.command("start")
 def start_wave(
     wave: str,
--- a/src/tarragoncart/durations.py
+++ b/src/tarragoncart/durations.py
@@ -88,6 +88,10 @@
     def __len__(self) -> int:
         return len(self._kinds)
 
+    def copy(self) -> Durations:
+        """Return a copy for predictions; observations of either one may change the other."""
+        return Durations(self._kinds.copy())
+
     def observe(self, task: Task, now_ms: float) -> None:
         """Add the duration of a run that is done, from its assignment to now.
 
--- a/src/tarragoncart/leaderapi.py
+++ b/src/tarragoncart/leaderapi.py
@@ -5,12 +5,13 @@
 import asyncio
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 from urllib.parse import quote
 
 import aiohttp
 from aiohttp import web
+from attrs import asdict
 
 from . import defaults
 from .candidates import CandidateStatus, LeaderView
@@ -23,7 +24,9 @@
     parse_decimal,
     parse_object,
 )
-from .errors import DecodeError, PeerError
+from .errors import DecodeError, InboxFullError, PeerError
+from .explaining import ExplainPlace, GivenJob, NoExplanation
+from .graph import JobSpec
 from .leadership import QueryCandidate, QueryReach, RequestClaim
 from .mailbox import Actor, new_reply
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
@@ -32,6 +35,11 @@
 NOT_LEADING_STATUS = 409
 CONNECTION_COUNT = 8
 KEEPALIVE_S = 15
+EXPLANATION_PATH = "/explain/place"
+# An explanation may wait for a scheduling pass and for the restoration of jobs in slices.
+EXPLANATION_TIMEOUT_MS = 2_000
+# Query parameter of a request that another entry VM has forwarded, which is not forwarded again.
+FORWARDED = "forwarded"
 
 T = TypeVar("T")
 
@@ -100,6 +108,15 @@
         status, body = await self._send(address, path, 2 * defaults.PROBE_TIMEOUT_MS)
         return _decode_answer(decode_reached_count, status, body, address)
 
+    async def explain_place(self, address: str, query: str) -> tuple[int, bytes]:
+        """Forward a request for an explanation; return the status and the body of the answer.
+
+        :param query: the query of the request, percent-encoded.
+        :raises PeerError: if the peer does not answer.
+        """
+        path = f"{EXPLANATION_PATH}?{query}&{FORWARDED}=1"
+        return await self._send(address, path, EXPLANATION_TIMEOUT_MS)
+
     async def _get(self, address: str, path: str, decode: Callable[[bytes], T]) -> T:
         status, body = await self._send(address, path, defaults.LOOKUP_TIMEOUT_MS)
         return _decode_answer(decode, status, body, address)
@@ -130,6 +147,9 @@
     :param scheduler: returns the scheduler if this entry VM leads.
     :param is_leader: returns whether the store has recently confirmed that this entry VM leads.
     :param election: answers queries to this entry VM as a candidate.
+    :param find_other_leader: returns the address of the entry VM that leads as far as is known,
+        empty if there is none.
+    :param decode_job: decodes a job in the format of callers; raises DecodeError.
     """
 
     def __init__(
@@ -137,14 +157,25 @@
         scheduler: Callable[[], Scheduler | None],
         is_leader: Callable[[], bool],
         election: Actor,
+        find_other_leader: Callable[[], str],
+        decode_job: Callable[[bytes], JobSpec],
     ) -> None:
         self._scheduler = scheduler
         self._is_leader = is_leader
         self._election = election
+        self._find_other_leader = find_other_leader
+        self._decode_job = decode_job
+        self._client = PeerClient(1)
+
+    async def close(self) -> None:
+        """Close the connections for forwarded requests."""
+        await self._client.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a query."""
         kind, _, name = request.path.lstrip("/").partition("/")
+        if request.path == EXPLANATION_PATH and request.method == "GET":
+            return await self._explain_place(request)
         if kind == "candidate":
             return await self._answer_as_candidate(name)
         if kind == "reach":
@@ -166,6 +197,38 @@
             return web.Response(status=404)
         return await _respond(reply, defaults.LOOKUP_TIMEOUT_MS, _encode_view)
 
+    async def _explain_place(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer as the leader, or forward the request to it once."""
+        scheduler = self._scheduler()
+        if scheduler is None:
+            return await self._forward_explanation(request)
+        try:
+            job = _decode_wanted_job(request.query, self._decode_job)
+        except DecodeError as error:
+            return _refuse_explanation(400, str(error))
+        reply = new_reply()
+        try:
+            scheduler.tell(ExplainPlace(job, reply))
+            answer = await asyncio.wait_for(reply, EXPLANATION_TIMEOUT_MS / 1_000)
+        except InboxFullError:
+            return _refuse_explanation(503, "the leader is overloaded")
+        except TimeoutError:
+            return _refuse_explanation(503, "the leader has not answered in time")
+        if isinstance(answer, NoExplanation):
+            return _refuse_explanation(404 if answer.unknown else 503, answer.reason)
+        return _json_response(asdict(answer))
+
+    async def _forward_explanation(self, request: web.BaseRequest) -> web.StreamResponse:
+        address = self._find_other_leader()
+        if not address or FORWARDED in request.query:
+            return _refuse_explanation(503, "this entry VM knows no leader")
+        try:
+            query = request.rel_url.raw_query_string
+            status, body = await self._client.explain_place(address, query)
+        except PeerError as error:
+            return _refuse_explanation(503, f"the leader does not answer: {error}")
+        return web.Response(status=status, body=body, content_type="application/json")
+
     async def _answer_as_candidate(self, leader_address: str) -> web.StreamResponse:
         reply = new_reply()
         self._election.tell(QueryCandidate(leader_address, reply))
@@ -195,7 +258,31 @@
         answer = await asyncio.wait_for(reply, timeout_ms / 1_000)
     except TimeoutError:
         return web.Response(status=503)
-    return web.Response(body=json.dumps(encode(answer)).encode(), content_type="application/json")
+    return _json_response(encode(answer))
+
+
+def _json_response(data: dict[str, Any], status: int = 200) -> web.Response:
+    body = json.dumps(data).encode()
+    return web.Response(status=status, body=body, content_type="application/json")
+
+
+def _refuse_explanation(status: int, reason: str) -> web.Response:
+    return _json_response({"reason": reason}, status)
+
+
+def _decode_wanted_job(
+    query: Mapping[str, str], decode_job: Callable[[bytes], JobSpec]
+) -> str | GivenJob:
+    """Decode the job of a request for an explanation: an ID, or a job with its queue.
+
+    :raises DecodeError: if it is malformed.
+    """
+    if job_id := query.get("id"):
+        return job_id
+    if "job" not in query or "queue" not in query:
+        raise DecodeError("neither an ID nor a job with its queue", place="query")
+    spec = decode_job(query["job"].encode())
+    return GivenJob(query["queue"], query.get("account", ""), spec)
 
 
 def _encode_status(status: CandidateStatus) -> dict[str, Any]:
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -35,7 +35,7 @@
 from .errors import DecodeError
 from .evacuations import EvacuationsChanged
 from .follower import Follower, TopicChanges, TopicSnapshot
-from .graph import PoolRule, Rules, UpstreamEntry, WaveRequest
+from .graph import JobSpec, PoolRule, Rules, UpstreamEntry, WaveRequest
 from .leaderapi import PeerClient, PeerServer
 from .leadership import (
     Fenced,
@@ -127,6 +127,7 @@
     decode_rules: Callable[[bytes], Rules]
     decode_wave: Callable[[bytes], WaveRequest]
     decode_upstream: Callable[[str, bytes], UpstreamEntry]
+    decode_job: Callable[[bytes], JobSpec]
     wave_status_record: Callable[[int, bool], tuple[str, bytes]]
     make_caller_server: Callable[[RequestHandler, Timer], Any]
 
@@ -367,6 +368,11 @@
 
         return make
 
+    def find_other_leader(self) -> str:
+        """Return the address of another entry VM that leads as far as is known, or nothing."""
+        leader = self._leader
+        return leader.address if leader and leader.name != self.incarnation else ""
+
     def is_leader(self) -> bool:
         """Return whether this entry VM leads and the store has confirmed that recently."""
         return self.scheduler is not None and self._timer.now_ms() < self._recent_until_ms
@@ -463,6 +469,7 @@
     settings: NodeSettings
     node: Node
     caller_server: Any
+    peers: PeerServer
     runners: list[web.ServerRunner]
 
     async def drain(self) -> None:
@@ -491,6 +498,7 @@
 
     async def _close_connections(self) -> None:
         await asyncio.gather(*(runner.cleanup() for runner in self.runners))
+        await self.peers.close()
 
     async def close(self) -> None:
         """Close the listeners and stop all tasks at once."""
@@ -514,7 +522,13 @@
     )
     node = Node(settings, adapter, timer)
     caller_server = adapter.make_caller_server(node.request_handler, timer)
-    peers = PeerServer(lambda: node.scheduler, node.is_leader, node.election)
+    peers = PeerServer(
+        lambda: node.scheduler,
+        node.is_leader,
+        node.election,
+        node.find_other_leader,
+        adapter.decode_job,
+    )
     control = AdmissionControl(timer)
     listeners = _listeners(settings, node, caller_server)
     runners = [
@@ -524,7 +538,7 @@
         await _listen(metrics_listener, _serve_metrics, listeners["metrics"], control),
     ]
     node.start()
-    return OpenedNode(settings, node, caller_server, runners)
+    return OpenedNode(settings, node, caller_server, peers, runners)
 
 
 async def serve(settings: NodeSettings, adapter: Adapter) -> None:
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -12,7 +12,7 @@
 from . import operator
 from .advice import AdviceClient
 from .boot import load_settings
-from .callers import CallerServer
+from .callers import CallerServer, decode_job
 from .store import Store
 from .upstreams import UpstreamClient, reaches_upstream
 from .vms import VmClient
@@ -47,6 +47,7 @@
         decode_rules=operator.decode_rules,
         decode_wave=operator.decode_wave,
         decode_upstream=operator.decode_upstream,
+        decode_job=decode_job,
         wave_status_record=operator.wave_status_record,
         make_caller_server=CallerServer,
     )
--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from .assignment import UpstreamSlot, Usage, admits, deferrable
 from .durations import Durations
@@ -115,6 +115,17 @@
                 total = total.plus(reservation.step.spec.demand)
         return total
 
+    def copy(self, steps: Mapping[StepOccurrence, StepOccurrence]) -> PoolReservations:
+        """Return a copy for copied steps; steps without a copy stay.
+
+        :param steps: copies by original.
+        """
+        return PoolReservations(
+            {key: evolve(r, step=steps.get(r.step, r.step)) for key, r in self.by_upstream.items()},
+            {steps.get(step, step): until_ms for step, until_ms in self.paused_until_ms.items()},
+            {steps.get(step, step): since_ms for step, since_ms in self.held_since_ms.items()},
+        )
+
     def prune(
         self, steps: Iterable[StepOccurrence], slots: Iterable[UpstreamSlot], now_ms: float
     ) -> list[ReservationChange]:
@@ -249,6 +260,18 @@
         if no_room:
             self._reserve(step)
 
+    def room_expected_ms(self, task: Task) -> float | None:
+        """Return when room for a waiting task is expected, None if not within ``RESERVATION_MS``.
+
+        With a reservation of its step, it is the time at which the reserved room is available.
+        """
+        own = [r for r in self.reservations.by_upstream.values() if r.step is task.step]
+        times = [self._forecast(self._slots_by_id[r.upstream_id], r)[0] for r in own]
+        if times:
+            return min(times)
+        choice = self._choose(task, task.step.upstream_counts())
+        return choice[0] if choice is not None else None
+
     def limit_count(self) -> int:
         """Return how many reservations the pool may have."""
         count = len(self.slots) // UPSTREAMS_PER_RESERVATION_COUNT
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -16,6 +16,7 @@
 from .candidates import Reach
 from .errors import DecodeError
 from .evacuations import remaining_slots
+from .explaining import PlaceAnswers
 from .follower import TopicChanges, TopicSnapshot
 from .graph import Demand, Rules
 from .intake import IntakeRead
@@ -27,7 +28,7 @@
 from .runorders import ExtendPermission, FencedByUpstream
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
 from .storage import Entry
-from .takeover import TakeOver, isolated_record
+from .takeover import isolated_record
 from .taskplacement import PlacementRequest
 from .traffic import TRAFFIC
 from .vmorders import WaveRequested
@@ -96,7 +97,7 @@
     effects: DeferredEffects
 
 
-class Scheduler(TakeOver):
+class Scheduler(PlaceAnswers):
     """Schedules all jobs during one epoch of leadership.
 
     :class:`RunState` documents the parameters.
--- a/src/tarragoncart/taskplacement.py
+++ b/src/tarragoncart/taskplacement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
 from attrs import define, field, frozen
@@ -24,6 +24,7 @@
     :param steps: waiting steps in the order in which they are served.
     :param wall_ms: Unix time, with which the deadlines of jobs are compared.
     :param usage_of: as for :func:`tarragoncart.assignment.plan`, like the fields below.
+    :param observe_holds: called with the reservations before tasks are placed, if there are any.
     """
 
     pool: str
@@ -35,6 +36,7 @@
     reserve: Callable[[Task, UpstreamSlot], None]
     report_wait: Callable[[StepOccurrence, WaitReason], None]
     limit_count: int | None = None
+    observe_holds: Callable[[ReservationPass], None] | None = None
 
 
 class Placement(Protocol):
@@ -52,6 +54,12 @@
     def take_changes(self) -> list[ReservationChange]:
         """Return the changes of reservations since the last call."""
 
+    def copy(self, steps: Mapping[StepOccurrence, StepOccurrence]) -> Placement:
+        """Return an independent copy for steps that are copies themselves.
+
+        :param steps: copies by original.
+        """
+
 
 PLACEMENTS: Registry[Callable[[], Placement]] = Registry("placement")
 
@@ -94,6 +102,10 @@
         """Return nothing; there are no reservations."""
         return []
 
+    def copy(self, steps: Mapping[StepOccurrence, StepOccurrence]) -> Placement:
+        """Return another one; there is no state."""
+        return FirstFit()
+
 
 @PLACEMENTS.register("backfill")
 @define(eq=False)
@@ -120,6 +132,8 @@
             request.wall_ms,
             self._changes,
         )
+        if request.observe_holds is not None:
+            request.observe_holds(current)
 
         def reserve(task: Task, slot: UpstreamSlot) -> None:
             request.reserve(task, slot)
@@ -156,3 +170,8 @@
         changes = self._changes[:]
         self._changes.clear()
         return changes
+
+    def copy(self, steps: Mapping[StepOccurrence, StepOccurrence]) -> Placement:
+        """Return an independent copy whose reservations are those of the copied steps."""
+        pools = {pool: reservations.copy(steps) for pool, reservations in self.pools.items()}
+        return Backfill(self.durations.copy(), pools)
