--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -200,6 +200,10 @@
     pool.submit(large(4), queue="r")
     pool.place()
     assert pool.placement.pools["pool"].by_upstream
+    # A prediction for the other kind would make this one the least recently used.
+    ended = make_job("ended", small(), queue="s").steps[0, 0].tasks[0]
+    ended.assigned_ms = NOW_MS - 500
+    pool.placement.note_done(ended, NOW_MS)
     return pool
 
 
