Moves off an evacuated data centre: tasks that cannot start take no room

Cause: a waiting gang, or a waiting task of an account at its limit, took the room that a move needs, so that the move counted as a shortage at every tick and the pool got VM after VM. Change: such tasks are left out; a task that is being stopped still takes room.

--- a/src/tarragoncart/evacuations.py
+++ b/src/tarragoncart/evacuations.py
@@ -142,7 +142,8 @@
     moves = MovesAway()
     try:
         for task in in_transit:
-            room.take(task)
+            if _may_start(task, usage_of):
+                room.take(task)
         moving_by_step: dict[StepOccurrence, list[Task]] = {}
         stuck_steps: set[StepOccurrence] = set()
         for task in tasks:
@@ -175,6 +176,18 @@
     return usage_of(task.step.job.submission.account).allows(Demand())
 
 
+def _may_start(task: Task, usage_of: Callable[[str], Usage]) -> bool:
+    """Return whether a task in transit may use room elsewhere soon.
+
+    A waiting gang starts only as a whole, and a waiting task only within the limit of its account.
+    The demand of a task that is being stopped still counts as running.
+    """
+    if task.state == "stopping":
+        return True
+    spec = task.step.spec
+    return not spec.gang and usage_of(task.step.job.submission.account).allows(spec.demand)
+
+
 class _Room:
     """Free capacity of upstreams while moves are planned."""
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -324,6 +324,33 @@
     assert len(plan_away([evacuated, other], usage=at_limit).moving) == 1
 
 
+@pytest.mark.parametrize("gang", [False, True], ids=["account at its limit", "gang"])
+def test_waiting_tasks_that_cannot_start_take_no_room_of_moves(
+    make_slot, make_job, run_on, plan_away, gang
+):
+    """Guards against a shortage without end: waiting tasks use up the room of each added VM."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    run_on(*make_job().tasks(), evacuated)
+    waiting = make_job("2", task_count=6, gang=gang)
+    usage = None if gang else Usage(running=Demand(1_000), limit=Demand(1_000))
+    moves = plan_away([evacuated, other], list(waiting.tasks()), usage)
+    assert len(moves.moving) == 1 and moves.short_millicores == 0
+
+
+def test_a_task_that_is_being_stopped_takes_room_at_the_limit_of_its_account(
+    make_slot, make_job, run_on, plan_away
+):
+    """Guards against a second move into the room of a task whose demand still counts."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b", cpu=1_000)
+    jobs = [make_job(str(n)) for n in range(2)]
+    for job in jobs:
+        run_on(*job.tasks(), evacuated)
+    (stopping,) = jobs[0].tasks()
+    stopping.state = "stopping"
+    at_limit = Usage(running=Demand(2_000), limit=Demand(2_000))
+    assert not plan_away([evacuated, other], [stopping], at_limit).moving
+
+
 def test_planning_for_a_large_fleet_searches_upstreams_once_a_step(
     make_slot, make_job, run_on, plan_away, monkeypatch
 ):
