Moves off an evacuated data centre: missing tickets are no shortage

Cause: a step that needs advice and has no valid tickets counted as a shortage at every tick and drew VMs. Change: only a step without advice counts, and only if no usable upstream has room for it; a limit per upstream that all others have reached still counts.

--- a/src/tarragoncart/evacuations.py
+++ b/src/tarragoncart/evacuations.py
@@ -113,7 +113,7 @@
 
     :param moving: tasks that leave their upstreams now.
     :param short_millicores: cpu of tasks that find no room elsewhere, one for each step. Another VM
-        helps also where a limit per upstream is the reason.
+        helps also where a limit per upstream is the reason, but not where tickets are missing.
     """
 
     moving: list[Task] = field(factory=list)
@@ -158,7 +158,7 @@
                 moves.moving.append(task)
                 continue
             stuck_steps.add(step)
-            if any(assignment.admits_when_empty(slot, step.spec) for slot in usable):
+            if room.is_short(step):
                 moves.short_millicores += step.spec.counted.cpu_millicores
     finally:
         room.release()
@@ -211,6 +211,21 @@
         self._taken.append((slot, task))
         return True
 
+    def is_short(self, step: StepOccurrence) -> bool:
+        """Return whether an added VM would have room for a step that found none.
+
+        A step that needs advice may lack tickets only, which another VM does not change.
+        """
+        spec, max_count = step.spec, step.spec.max_per_upstream_count
+        if step.job.submission.needs_advice:
+            return False
+        counts = self._counts[step]
+        for slot in self._slots:
+            below_limit = not max_count or counts[slot.entry.upstream_id] < max_count
+            if below_limit and assignment.admits(slot, spec, self._now_ms):
+                return False
+        return any(assignment.admits_when_empty(slot, spec) for slot in self._slots)
+
     def release(self) -> None:
         """Release all reserved capacity."""
         for slot, task in self._taken:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -135,10 +135,10 @@
 def make_job():
     """Return a factory of jobs with one step of long-running tasks."""
 
-    def make(job_id="1", task_count=1, cpu=1_000, long_running=True, **step):
+    def make(job_id="1", task_count=1, cpu=1_000, long_running=True, needs_advice=False, **step):
         spec = StepSpec(task_count, Demand(cpu), 1_000, long_running=long_running, **step)
         submission = Submission(
-            job_id, "q", "pool", "a", 0, 2, 2.0, 500, 0, JobSpec("", (spec,)), step.get("advice", 0)
+            job_id, "q", "pool", "a", 0, 2, 2.0, 500, 0, JobSpec("", (spec,)), needs_advice
         )
         job = Job(submission)
         job.release(0)
@@ -295,6 +295,38 @@
     assert plan_away([evacuated, small]).short_millicores == 0
 
 
+@pytest.mark.parametrize("free_cpu", [CPU, 0])
+def test_a_task_without_tickets_is_no_shortage(make_slot, make_job, run_on, plan_away, free_cpu):
+    """Guards against VM after VM for a step that waits for advice at every tick."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    other.free = Demand(free_cpu, 99)
+    run_on(*make_job(needs_advice=True).tasks(), evacuated)
+    moves = plan_away([evacuated, other])
+    assert not moves.moving and moves.short_millicores == 0
+
+
+def test_a_task_that_may_not_use_free_room_is_no_shortage(
+    make_slot, make_job, run_on, plan_away
+):
+    """Guards against added VMs while an upstream has room that the task may use later."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    job = make_job()
+    (task,) = job.tasks()
+    run_on(task, evacuated)
+    task.copies[1] = "i-2"
+    assert plan_away([evacuated, other]).short_millicores == 0
+
+
+def test_a_limit_per_upstream_is_a_shortage(make_slot, make_job, run_on, plan_away):
+    """Guards against a task that stays for ever as the only other upstream has one of its step."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    job = make_job(task_count=2, max_per_upstream_count=1)
+    for task, slot in zip(job.tasks(), (evacuated, other), strict=True):
+        run_on(task, slot)
+    moves = plan_away([evacuated, other])
+    assert not moves.moving and moves.short_millicores == 1_000
+
+
 def test_a_limit_per_upstream_holds_for_moves(make_slot, make_job, run_on, plan_away):
     """Guards against two tasks of a step that move for one place under the limit per upstream."""
     evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
