Links: a start that was not sent in time has a reason of its own

Cause: a start that the link found too late was refused as 'not permitted', so that its upstream counted as not answering. Change: the reason 'not sent in time', which says nothing about the upstream; Start.until_ms is named send_until_ms, as until_ms is the end of a lease elsewhere. Measured: before, the upstream was marked as not answering after such a start; now it stays in use.

--- a/src/tarragoncart/link.py
+++ b/src/tarragoncart/link.py
@@ -19,6 +19,7 @@
 from .leases import ClockReading, LeaseEstimate
 from .mailbox import Actor, receives
 from .runorders import (
+    NOT_SENT_IN_TIME,
     Acknowledge,
     ExtendPermission,
     FencedByUpstream,
@@ -126,7 +127,7 @@
     @receives(Start)
     def on_start(self, message: Start) -> None:
         """Send a start."""
-        self.spawn(self._start(message.order, message.until_ms))
+        self.spawn(self._start(message.order, message.send_until_ms))
 
     @receives(Stop)
     def on_stop(self, message: Stop) -> None:
@@ -191,11 +192,16 @@
         self._supersede_acknowledgement()
         token, sent_ms = self._token, self._timer.now_ms()
         expected_started_ms = self._started_ms
-        permitted = self._permitted() and self._timer.now_ms() < send_until_ms
-        until_ms = self._renewed_lease_end_ms() if permitted else None
+        until_ms: int | None = None
+        if not self._permitted():
+            reason = "not permitted"
+        elif sent_ms >= send_until_ms:
+            reason = NOT_SENT_IN_TIME
+        else:
+            until_ms = self._renewed_lease_end_ms()
+            reason = "upstream does not answer" if until_ms is None else ""
         if until_ms is None:
             outcome = "refused"
-            reason = "upstream does not answer" if permitted else "not permitted"
         else:
             try:
                 clock_ms = await self._client.start(order, until_ms, token)
--- a/src/tarragoncart/runorders.py
+++ b/src/tarragoncart/runorders.py
@@ -7,16 +7,19 @@
 from .leases import NEVER_MS
 from .runs import StartOrder, UpstreamReport
 
+# Reason of a start that was not sent in time. It says nothing about the upstream.
+NOT_SENT_IN_TIME = "not sent in time"
+
 
 @frozen
 class Start:
     """Start a run.
 
-    :param until_ms: the start is not sent after this time, but counts as refused.
+    :param send_until_ms: the start is not sent after this time, but counts as refused.
     """
 
     order: StartOrder
-    until_ms: float = float("inf")
+    send_until_ms: float = float("inf")
 
 
 @frozen
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -25,7 +25,15 @@
 from .mailbox import Actor, Handler, implements_action, receives
 from .progress import ProgressTracker
 from .reservations import is_large
-from .runorders import Acknowledge, PollUpstream, Start, StartOutcome, Stop, StopConfirmed
+from .runorders import (
+    NOT_SENT_IN_TIME,
+    Acknowledge,
+    PollUpstream,
+    Start,
+    StartOutcome,
+    Stop,
+    StopConfirmed,
+)
 from .runs import StartOrder
 from .taskplacement import FirstFit, Placement
 from .timer import Timer
@@ -693,7 +701,7 @@
         now_ms = self._timer.now_ms()
         if message.reason in ("room", "unhealthy"):
             upstream.slot.full_until_ms = now_ms + defaults.UPSTREAM_FULL_BACKOFF_MS
-        elif message.reason not in ("old", "late", "fence", "ticket"):
+        elif message.reason not in ("old", "late", "fence", "ticket", NOT_SENT_IN_TIME):
             upstream.slot.answering = False
 
     @receives(StopConfirmed)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -305,9 +305,7 @@
     assert not moves.moving and moves.short_millicores == 0
 
 
-def test_a_task_that_may_not_use_free_room_is_no_shortage(
-    make_slot, make_job, run_on, plan_away
-):
+def test_a_task_that_may_not_use_free_room_is_no_shortage(make_slot, make_job, run_on, plan_away):
     """Guards against added VMs while an upstream has room that the task may use later."""
     evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
     job = make_job()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import pytest
 
@@ -28,7 +29,8 @@
     StopConfirmed,
 )
 from tarragoncart.runs import EndedRun, StartOrder, UpstreamReport
-from tarragoncart.timer import LoopTimer
+from tarragoncart.runstate import RunState
+from tarragoncart.timer import LoopTimer, ManualTimer
 
 ENTRY = UpstreamEntry("i-1", "pool", "x:1", "dc", False, Demand(1_000))
 LEASE_MS = 1_000
@@ -102,6 +104,7 @@
         self.lease_ends_ms = []
         self.reported_lease_ends_ms = []
         self.outcomes = []
+        self.reasons = []
         self.told_lease_end_ms = 0.0
         self.fenced_count = 0
 
@@ -125,6 +128,7 @@
         """Record the outcome."""
         self._note_lease_end(message)
         self.outcomes.append(message.outcome)
+        self.reasons.append(message.reason)
 
     @receives(PaceOutcome)
     def on_pace_outcome(self, message):
@@ -236,6 +240,19 @@
     await asyncio.sleep(0.1)
     assert upstream.starts == ["job.0.0.1"]
     assert sorted(listener.outcomes) == ["accepted", "refused"]
+    assert sorted(listener.reasons) == ["", "not sent in time"]
+
+
+@pytest.mark.parametrize(
+    ("reason", "answering"), [("not sent in time", True), ("upstream does not answer", False)]
+)
+def test_a_start_that_was_not_sent_in_time_says_nothing_about_its_upstream(reason, answering):
+    """Guards against an upstream without tasks because a start waited too long in an inbox."""
+    slot = SimpleNamespace(answering=True, full_until_ms=0.0)
+    state = SimpleNamespace(_upstreams={"i-1": SimpleNamespace(slot=slot)}, _timer=ManualTimer())
+    outcome = StartOutcome("i-1", "job.0.0.0", 1, "refused", reason)
+    RunState._record_refusal(state, outcome)
+    assert slot.answering == answering and not slot.full_until_ms
 
 
 async def test_no_start_is_sent_to_an_upstream_that_does_not_answer(linked):
