Reservations: long-running steps ignore them

Cause: a long-running step never ends in time, so each reservation blocked it until it had been held for 1.5 s, also after a planned stop that had checked the room without reservations. Change: neither reserved room nor reserved demand of the account blocks a long-running step.

--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -188,7 +188,8 @@
         """Return whether a reservation keeps a task off an upstream that has room for it."""
         reservation = self.reservations.by_upstream.get(slot.entry.upstream_id)
         step = task.step
-        if reservation is None or reservation.step is step:
+        if reservation is None or reservation.step is step or step.spec.long_running:
+            # A planned stop of a long-running task counts on room elsewhere without reservations.
             return False
         holder, other = reservation.step.job.submission, step.job.submission
         if other.priority < holder.priority or self._held_too_long(step):
@@ -201,6 +202,8 @@
 
     def blocks_account(self, step: StepOccurrence, usage: Usage) -> bool:
         """Return whether only the reservations of its account keep a step at the limit."""
+        if step.spec.long_running:
+            return False
         account = step.job.submission.account
         reserved = self.reserved_demand(account)
         if reserved == Demand() or self.holds(step) or self._held_too_long(step):
@@ -377,8 +380,6 @@
         return ends
 
     def _expected(self, step: StepOccurrence) -> float:
-        if step.spec.long_running:
-            return float("inf")
         expected_ms = self._expected_ms.get(step)
         if expected_ms is None:
             expected_ms = self._expected_ms[step] = self.durations.expected_ms(step)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -217,6 +217,20 @@
     assert {task.step for task in pool.place()} == {gang}
 
 
+@pytest.mark.parametrize("limit", [Demand(), Demand(34_000)], ids=["room", "account limit"])
+def test_long_running_tasks_ignore_reservations(busy_pool, limit):
+    """Guards against a service that a planned stop moves and that then waits for a reservation."""
+    pool = busy_pool()
+    pool.usage("a").limit = limit
+    pool.submit(Demand(32_000, 64_000))
+    pool.place()
+    assert pool.reserved == ["i-0"]
+    for slot in pool.slots[1:]:
+        pool.fill(slot, slot.free, 9_000, account="runs")
+    service = pool.submit(Demand(4_000, 4_000), long_running=True)
+    assert service.tasks[0] in pool.place()
+
+
 def test_a_late_job_gets_no_reservation(busy_pool):
     """Guards against room that is held for jobs that are late anyway, which makes others late."""
     pool = busy_pool()
