Reservations: held steps that need more search no upstreams

Cause: a step that a reservation blocked is not added to the refused steps, as the holder may use the room, so that each later step searched all upstreams. Change: a pass remembers the demand, expected duration and priority of such a step; a later one that needs at least as much is held too without a search. The list is cleared by an assignment to a reserved upstream and by a dropped reservation. Expected durations are computed once for each queue and estimate, holders are a set, and cheap conditions of a reservation come first.

--- a/src/bench/placement_pass.py
+++ b/src/bench/placement_pass.py
@@ -1,4 +1,7 @@
-"""Measures placement passes on an empty and a full fleet: ``python -m bench.placement_pass``."""
+"""Measures placement passes: ``python -m bench.placement_pass``.
+
+Three cases: an empty fleet, a full one, and reserved upstreams with free room that small tasks fit.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +27,11 @@
 PASS_INTERVAL_MS = 20.0
 # Ages of the runs on the full fleet, so that their expected ends differ.
 RUN_AGE_MAX_MS = 800
+# Reserved upstreams have this much free room, the others none.
+RESERVED_GAP = Demand(4_000, 16_000)
+RESERVED_COUNT = 3
+RUNNING = Demand(2_000, 8_000)
+LARGE = Demand(12_000, 40_000)
 
 
 def make_steps(rng: random.Random, task_count: int) -> list[StepOccurrence]:
@@ -86,6 +94,51 @@
     return (time.perf_counter() - started_s) * 1_000, len(placed)
 
 
+def submit(
+    number: int, pool: str, demand: Demand, task_count: int, arrived_ms: int = 0
+) -> StepOccurrence:
+    """Return the step of a job that has time until its deadline."""
+    spec = JobSpec("", (StepSpec(task_count, demand, 1_000),))
+    submission = Submission(
+        str(number), "q", pool, "account-0", 0, 3, 9.0, 60_000, arrived_ms, spec
+    )
+    return Job(submission).release(0)[0]
+
+
+def measure_reserved(
+    placement: Placement, rng: random.Random, task_count: int, upstream_count: int, per_step: int
+) -> float:
+    """Return the time in ms of a pass that finds free room only where it is reserved.
+
+    Each pool has a step of large tasks, which reserves the upstreams with the most free room, and
+    small tasks that wait: they fit that room and would outlast the time until it is needed.
+    """
+    slots = make_slots(upstream_count)
+    steps = [submit(n, pool, LARGE, RESERVED_COUNT) for n, pool in enumerate(slots)]
+    number = len(steps)
+    for pool, pool_slots in slots.items():
+        for index, slot in enumerate(pool_slots):
+            gap = RESERVED_GAP if index < RESERVED_COUNT else Demand()
+            while RUNNING.plus(gap).fits(slot.free):
+                task = submit(number, pool, RUNNING, 1).tasks[0]
+                number += 1
+                task.state, task.upstream_id = "running", slot.entry.upstream_id
+                task.assigned_ms = START_MS - rng.uniform(0, RUN_AGE_MAX_MS / 2)
+                slot.occupy(task)
+                slot.tasks[task.name] = task
+    run_pass(placement, steps, slots, START_MS, rng)
+    for _ in range(task_count // per_step):
+        demand = Demand(rng.randrange(1_100, 2_000), rng.randrange(2_000, 4_500))
+        steps.append(submit(number, f"pool-{number % POOL_COUNT}", demand, per_step, 1))
+        number += 1
+    # The first pass places what fits beside the reservations, the second one finds none.
+    for index in (1, 2):
+        now_ms = START_MS + PASS_INTERVAL_MS * index
+        steps = [step for step in steps if any(True for _ in step.waiting())]
+        pass_ms, _ = run_pass(placement, steps, slots, now_ms, rng)
+    return pass_ms
+
+
 def main(
     tasks: Annotated[int, typer.Option(help="Waiting tasks.")] = 2_000,
     upstreams: Annotated[int, typer.Option(help="Upstreams.")] = 180,
@@ -115,6 +168,21 @@
             f"{name}: first pass {first:.1f} ms, places {statistics.median(counts[::3])}; "
             f"full fleet {second:.1f} ms, then {third:.1f} ms"
         )
+        for per_step in (TASKS_PER_STEP_COUNT, 1):
+            reserved_ms = statistics.median(
+                measure_reserved(
+                    make_placement(PolicySettings(placement=name)),
+                    random.Random(seed + number),
+                    tasks,
+                    upstreams,
+                    per_step,
+                )
+                for number in range(rounds)
+            )
+            print(
+                f"{name}: room only where it is reserved, {per_step} tasks per step "
+                f"{reserved_ms:.1f} ms"
+            )
 
 
 if __name__ == "__main__":
--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -134,6 +134,12 @@
     def held_back(self, step: StepOccurrence) -> bool:
         """Return whether a task of the step was kept off an upstream with room for it."""
 
+    def note_held_back(self, step: StepOccurrence) -> None:
+        """Remember a step that was held back and found no room at any upstream."""
+
+    def blocks_like_another(self, step: StepOccurrence) -> bool:
+        """Return whether a step would find no room either, as a remembered one found none."""
+
 
 Order = Callable[[StepOccurrence, float], tuple[float, ...]]
 ORDERS: Registry[Order] = Registry("order of steps")
@@ -336,6 +342,9 @@
         if not has_room_held and any(_needs_at_least(spec, other) for other, _ in refused):
             report_wait(step, WaitReason.NO_ROOM)
             continue
+        if holds is not None and not has_room_held and holds.blocks_like_another(step):
+            report_wait(step, WaitReason.NO_ROOM)
+            continue
         if spec.gang:
             for task in _plan_gang(step, slots, usage_of, now_ms, reserve, report_wait, ranking):
                 left_count -= 1
@@ -360,10 +369,12 @@
                 continue
             if slot is None:
                 unconstrained = not spec.max_per_upstream_count and not spec.label
+                unconstrained = unconstrained and not step.job.submission.needs_advice
                 if holds is not None and holds.held_back(step):
                     # Other steps may use the room that was held from this one.
-                    unconstrained = False
-                if unconstrained and not step.job.submission.needs_advice:
+                    if unconstrained and not task.copies:
+                        holds.note_held_back(step)
+                elif unconstrained:
                     refused.append((spec, spec.counted))
                 report_wait(step, WaitReason.NO_ROOM)
                 break
--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -150,6 +150,26 @@
         return changes
 
 
+@frozen
+class HeldBack:
+    """What the reserved upstreams kept a step from, which found no room elsewhere.
+
+    :param expected_ms: expected duration of its tasks.
+    """
+
+    demand: Demand
+    expected_ms: float
+    priority: int
+
+    def implies(self, demand: Demand, expected_ms: float, priority: int) -> bool:
+        """Return whether a step that asks for this much finds no room either."""
+        return (
+            self.expected_ms <= expected_ms
+            and self.priority <= priority
+            and self.demand.fits(demand)
+        )
+
+
 @define(eq=False)
 class ReservationPass:
     """Reservations during one scheduling pass of a pool; decides who may use reserved room.
@@ -173,14 +193,20 @@
     _ends: dict[str, list[tuple[float, Demand]]] = field(factory=dict)
     # By upstream with a reservation: when its room is available, and what is free besides it then.
     _forecasts: dict[str, tuple[float, Demand]] = field(factory=dict)
-    _expected_ms: dict[StepOccurrence, float] = field(factory=dict)
+    # Expected durations by queue and estimate.
+    _expected_ms: dict[tuple[str, int], float] = field(factory=dict)
+    # Steps with reservations.
+    _holders: set[StepOccurrence] = field(factory=set)
     _held: set[StepOccurrence] = field(factory=set)
+    # Without this list each waiting step would search all upstreams while reserved ones have room.
+    _held_back: list[HeldBack] = field(factory=list)
     _considered_count: int = 0
     _limits: dict[str, int] | None = None
 
     def __attrs_post_init__(self) -> None:
         self._slots_by_id = {slot.entry.upstream_id: slot for slot in self.slots}
         self.changes += self.reservations.prune(self.steps, self.slots, self.now_ms)
+        self._update_holders()
 
     # Called while tasks are placed.
 
@@ -215,12 +241,37 @@
 
     def holds(self, step: StepOccurrence) -> bool:
         """Return whether a step has a reservation."""
-        return any(r.step is step for r in self.reservations.by_upstream.values())
+        return step in self._holders
 
     def held_back(self, step: StepOccurrence) -> bool:
         """Return whether a reservation has kept a task of the step waiting in this pass."""
         return step in self._held
 
+    def note_held_back(self, step: StepOccurrence) -> None:
+        """Remember a step that was held back and found no room at any upstream."""
+        spec, priority = step.spec, step.job.submission.priority
+        held = HeldBack(spec.counted, self._expected(step), priority)
+        self._held_back = [
+            other
+            for other in self._held_back
+            if not held.implies(other.demand, other.expected_ms, other.priority)
+        ]
+        self._held_back.append(held)
+
+    def blocks_like_another(self, step: StepOccurrence) -> bool:
+        """Return whether a step would find no room either, as a remembered one found none."""
+        if not self._held_back or step.spec.gang or step.spec.long_running:
+            return False
+        if self._held_too_long(step):
+            return False
+        demand, expected_ms = step.spec.counted, self._expected(step)
+        priority = step.job.submission.priority
+        for held in self._held_back:
+            if held.implies(demand, expected_ms, priority):
+                self._held.add(step)
+                return True
+        return False
+
     def note_assigned(self, task: Task, slot: UpstreamSlot) -> None:
         """Process an assignment: it may use a reservation or outlast the time of another one."""
         upstream_id = slot.entry.upstream_id
@@ -228,13 +279,19 @@
         self._forecasts.pop(upstream_id, None)
         by_upstream, step = self.reservations.by_upstream, task.step
         reservation = by_upstream.get(upstream_id)
+        if reservation is not None:
+            # It is used, or its room is expected at another time than before.
+            self._held_back.clear()
         if reservation is not None and reservation.step is step:
             del by_upstream[upstream_id]
+            self._update_holders()
             self.changes.append(ReservationChange(Change.USED, reservation))
             return
         own = [r for r in by_upstream.values() if r.step is step]
         if own and len(own) > sum(1 for _ in step.waiting()):
+            self._held_back.clear()
             del by_upstream[own[-1].upstream_id]
+            self._update_holders()
             self.changes.append(
                 ReservationChange(Change.DROPPED, own[-1], "its task found room elsewhere")
             )
@@ -263,12 +320,12 @@
         spec = step.spec
         limit_count = self.limit_count()
         if (
-            not may_reserve(spec)
-            # Room held for jobs that are late anyway makes others late.
-            or deferrable(step, self.wall_ms)
-            or len(self.reservations.by_upstream) >= limit_count
+            len(self.reservations.by_upstream) >= limit_count
             or self._considered_count >= CONSIDERED_STEP_COUNT
+            or not may_reserve(spec)
             or not is_large(spec, self.slots[0].entry.capacity)
+            # Room held for jobs that are late anyway makes others late.
+            or deferrable(step, self.wall_ms)
             or self.reservations.paused_until_ms.get(step, 0.0) > self.now_ms
         ):
             return
@@ -293,6 +350,7 @@
             expected_ms, slot = choice
             reservation = Reservation(step, slot.entry.upstream_id, self.now_ms, expected_ms)
             self.reservations.by_upstream[reservation.upstream_id] = reservation
+            self._holders.add(step)
             counts[reservation.upstream_id] = counts.get(reservation.upstream_id, 0) + 1
             self.changes.append(ReservationChange(Change.MADE, reservation))
 
@@ -380,11 +438,15 @@
         return ends
 
     def _expected(self, step: StepOccurrence) -> float:
-        expected_ms = self._expected_ms.get(step)
+        kind = step.job.submission.queue, step.spec.estimate_ms
+        expected_ms = self._expected_ms.get(kind)
         if expected_ms is None:
-            expected_ms = self._expected_ms[step] = self.durations.expected_ms(step)
+            expected_ms = self._expected_ms[kind] = self.durations.expected_ms(step)
         return expected_ms
 
+    def _update_holders(self) -> None:
+        self._holders = {r.step for r in self.reservations.by_upstream.values()}
+
     def _held_too_long(self, step: StepOccurrence) -> bool:
         since_ms = self.reservations.held_since_ms.get(step)
         return since_ms is not None and self.now_ms - since_ms >= HOLD_MAX_MS
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -320,6 +320,86 @@
     assert large.tasks[0] in pool.place(400)
 
 
+@pytest.fixture
+def reserved_pool(busy_pool):
+    """A pool whose only free room, eight cores, is reserved for a task of all cores."""
+    pool = busy_pool()
+    pool.submit(Demand(32_000, 64_000), priority=1)
+    pool.place()
+    for slot in pool.slots[1:]:
+        pool.fill(slot, slot.free, 9_000, account="runs")
+    return pool
+
+
+@pytest.fixture
+def searches(monkeypatch):
+    """The steps for whose tasks upstreams were searched."""
+    steps, choose = [], assignment.choose_slot
+
+    def record(task, *args):
+        steps.append(task.step)
+        return choose(task, *args)
+
+    monkeypatch.setattr(assignment, "choose_slot", record)
+    return steps
+
+
+def test_held_steps_that_need_more_search_no_upstreams(reserved_pool, searches):
+    """Guards against passes many times as long as with first_fit while reserved room is free."""
+    pool = reserved_pool
+    steps = [
+        pool.submit(Demand(2_000 + number, 4_000), estimate_ms=5_000 + number, priority=1)
+        for number in range(200)
+    ]
+    assert not pool.place()
+    assert len(searches) == 2
+    # Those that were not searched for are held as well, and only for as long as the others.
+    assert set(steps) <= set(pool.placement.pools["pool"].held_since_ms)
+    assert len(pool.place(HOLD_MAX_MS)) == 3
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"demand": Demand(1_000, 4_000)},
+        {"estimate_ms": 300},
+        {"priority": 0},
+        {"long_running": True},
+    ],
+    ids=["smaller", "shorter", "more urgent", "long-running"],
+)
+def test_a_step_that_is_not_held_like_an_earlier_one_is_searched_for(
+    reserved_pool, searches, other
+):
+    """Guards against the short cut for held steps passing over one that may use the room."""
+    pool = reserved_pool
+    pool.submit(SMALL, estimate_ms=5_000, priority=1)
+    options = {"demand": SMALL, "estimate_ms": 5_000, "priority": 1} | other
+    step = pool.submit(options.pop("demand"), **options)
+    placed = pool.place()
+    assert step in searches
+    assert (step.tasks[0] in placed) == ("demand" not in other)
+
+
+def test_a_dropped_reservation_ends_the_short_cut_for_held_steps(busy_pool):
+    """Guards against a step that waits for a reservation which was dropped earlier in the pass."""
+    pool = busy_pool()
+    large = pool.submit(LARGE)
+    pool.place()
+    for slot in pool.slots[1:]:
+        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.waiting.remove(large)
+    first = pool.submit(Demand(17_000, 4_000), estimate_ms=9_000)
+    pool.waiting.append(large)
+    later = pool.submit(Demand(17_000, 4_000), estimate_ms=9_000)
+    pool.end(next(iter(pool.slots[0].tasks.values())))
+    pool.slots.append(pool._make_slot("i-9"))
+    pool.slots[-1].free = Demand(16_000, 64_000)
+    # The large task prefers the smaller room, so that the room on i-0 is free for the later step.
+    placed = {task.step: task.upstream_id for task in pool.place(400)}
+    assert placed == {large: "i-9", later: "i-0"} and first in pool.waiting
+
+
 @pytest.mark.parametrize(
     "change",
     [
