Moves off an evacuated data centre: fewer searches at each tick

Cause: each waiting long-running task searched all upstreams at every tick, also if nothing could move. Change: once a task of a step found no room, the others are not searched for, and nothing is searched for if no task may leave.

--- a/src/tarragoncart/evacuations.py
+++ b/src/tarragoncart/evacuations.py
@@ -131,7 +131,8 @@
 
     A task moves only within the disruption budget of its step, and only if another upstream has
     room that none of the other moves needs. Addresses 300 upstreams with a few long-running tasks
-    each: upstreams are searched once for each task that moves and once for each step that cannot.
+    each: upstreams are searched once for each task that moves or is in transit to room, and once
+    for each step that finds none.
 
     :param tasks: the pool's long-running tasks at evacuated upstreams.
     :param in_transit: the pool's long-running tasks that are about to be placed.
@@ -140,16 +141,23 @@
     usable = [slot for slot in slots if slot.usable]
     room = _Room(usable, now_ms)
     moves = MovesAway()
+    leaving = [task for task in tasks if _may_leave(task, usage_of)]
+    if not any(assignment.within_disruption_budget([task]) for task in leaving):
+        return moves
     try:
+        full_steps: set[StepOccurrence] = set()
         for task in in_transit:
-            if _may_start(task, usage_of):
-                room.take(task)
+            if task.step in full_steps or not _may_start(task, usage_of):
+                continue
+            # Upstreams that one task may not use, because of its other runs, may suit the others.
+            if not room.take(task) and not (task.bound_to or task.copies):
+                full_steps.add(task.step)
         moving_by_step: dict[StepOccurrence, list[Task]] = {}
         stuck_steps: set[StepOccurrence] = set()
-        for task in tasks:
+        for task in leaving:
             step = task.step
             moving = moving_by_step.setdefault(step, [])
-            if step in stuck_steps or not _may_leave(task, usage_of):
+            if step in stuck_steps:
                 continue
             if not assignment.within_disruption_budget([*moving, task]):
                 continue
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -354,6 +354,53 @@
     assert len(plan_away([evacuated, other], usage=at_limit).moving) == 1
 
 
+@pytest.fixture
+def searched(monkeypatch):
+    """The tasks for which upstreams were searched."""
+    tasks, choose = [], assignment.choose_slot
+
+    def record(task, *args):
+        tasks.append(task)
+        return choose(task, *args)
+
+    monkeypatch.setattr(assignment, "choose_slot", record)
+    return tasks
+
+
+def test_waiting_tasks_of_a_step_without_room_are_not_searched_for(
+    make_slot, make_job, run_on, plan_away, searched
+):
+    """Guards against a tick of seconds: each of 2,000 waiting tasks searches 300 upstreams."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b", cpu=2_500)
+    run_on(*make_job().tasks(), evacuated)
+    jobs = [make_job(str(n), task_count=20) for n in range(2, 12)]
+    bound, *_ = jobs[0].tasks()
+    bound.bound_to = "i-1"
+    moves = plan_away([evacuated, other], [task for job in jobs for task in job.tasks()])
+    assert not moves.moving
+    # The bound task, two tasks that find room, one of each step that finds none, and the move.
+    assert len(searched) == 1 + 2 + len(jobs) + 1
+
+
+@pytest.mark.parametrize("away", [True, False], ids=["budget", "stopping"])
+def test_nothing_is_searched_for_if_no_task_may_leave(
+    make_slot, make_job, run_on, plan_away, searched, away
+):
+    """Guards against ticks that search for all waiting tasks while nothing can move."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    job = make_job(task_count=2, max_away_count=1)
+    task, last = job.tasks()
+    run_on(task, evacuated)
+    run_on(last, other)
+    if away:
+        last.percent = 0
+    else:
+        task.state = "stopping"
+    waiting = make_job("2", task_count=20)
+    assert not plan_away([evacuated, other], list(waiting.tasks())).moving
+    assert not searched
+
+
 @pytest.mark.parametrize("gang", [False, True], ids=["account at its limit", "gang"])
 def test_waiting_tasks_that_cannot_start_take_no_room_of_moves(
     make_slot, make_job, run_on, plan_away, gang
