Reservations: steps with all their reservations are not considered again

Cause: a step that already had a reservation for each task still counted among the four steps that a pass considers, so that the steps after it got none. Change: such a step returns before the count.

--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -26,7 +26,8 @@
 # Reservations of a pool: at most one for this many upstreams, and at most this many.
 UPSTREAMS_PER_RESERVATION_COUNT = 4
 RESERVATION_LIMIT_COUNT = 16
-# Large steps without room that a scheduling pass considers for a reservation, in its order.
+# Large steps without room that a scheduling pass considers for a reservation, in its order. Those
+# that have all their reservations do not count.
 CONSIDERED_STEP_COUNT = 4
 # A step that only reservations have kept waiting for this long ignores them. With the time to start
 # it, this keeps within the 3 s for a waiting job with room twice over.
@@ -329,11 +330,13 @@
             or self.reservations.paused_until_ms.get(step, 0.0) > self.now_ms
         ):
             return
+        own_count = sum(r.step is step for r in self.reservations.by_upstream.values())
+        tasks = [t for t in step.waiting() if not t.bound_to and t.retry_ms <= self.now_ms]
+        if own_count >= len(tasks):
+            return
         self._considered_count += 1
         account = step.job.submission.account
         account_limit_count = self._account_limit(account, limit_count)
-        own_count = sum(r.step is step for r in self.reservations.by_upstream.values())
-        tasks = [t for t in step.waiting() if not t.bound_to and t.retry_ms <= self.now_ms]
         counts = step.upstream_counts() if spec.max_per_upstream_count else {}
         for task in tasks[own_count:]:
             used_count = sum(r.account == account for r in self.reservations.by_upstream.values())
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -249,6 +249,18 @@
         assert len(pool.reserved) == limit_count
 
 
+def test_steps_with_all_their_reservations_do_not_keep_others_from_theirs(busy_pool):
+    """Guards against a pool that uses only four reservations while steps of one task wait."""
+    pool = busy_pool(32)
+    for _ in range(12):
+        pool.submit(LARGE)
+    pool.place()
+    assert len(pool.reserved) == 4
+    pool.place(20)
+    pool.place(20)
+    assert len(pool.reserved) == 8
+
+
 def test_reservations_are_bounded_in_time(busy_pool):
     """Guards against room that is held for longer than a waiting job may have to wait."""
     pool = busy_pool()
