Cold starts count from a new start only; reasons of dropped reservations

Cause: each repeated registration made an upstream cold again for its whole time, and the log said 'lost, draining or cordoned' for an upstream that is evacuated. Change: cold_until_ms is set only for a new started_ms; the reasons name an evacuation and use plain words. Measured: in virtual time a registration written again moved cold_until_ms before and leaves it unchanged now.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -123,7 +123,8 @@
         restarted = entry.started_ms > slot.entry.started_ms
         slot.entry = entry
         self._apply_evacuation(upstream)
-        self._note_cold_start(slot)
+        if restarted:
+            self._note_cold_start(slot)
         if entry.started_ms == upstream.started_ms:
             # The time at which it was read would be too late while the store is slow.
             upstream.registered_ms = max(upstream.registered_ms, written_after_ms)
--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -126,9 +126,9 @@
             slot = slots_by_id.get(upstream_id)
             change, reason = Change.DROPPED, ""
             if reservation.step not in waiting:
-                reason = "its step waits no more"
+                reason = "its step is no longer waiting"
             elif slot is None:
-                reason = "its upstream is lost, draining or cordoned"
+                reason = "its upstream is lost, draining, cordoned or evacuated"
             elif slot.degraded:
                 reason = "its upstream is slow or fails"
             elif not slot.usable or not admits(slot, _ANY_TASK, now_ms):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -846,6 +846,33 @@
     simulate(cut_off_the_leader, 1, by_expiry)
 
 
+async def register_again(simulation, config):
+    worker = simulation.add_worker("i-1", Demand(CPU, 1_000_000), data_centre="a")
+
+    def register(started_ms):
+        data = {"id": "i-1", "cpu": CPU, "pool": worker.pool, "zone": "a", "born": started_ms}
+        value = json.dumps(data | {"cold-left-ms": 10_000}).encode()
+        simulation.store.put(operator.UPSTREAM_TOPIC, "i-1", value)
+
+    register(worker.started_ms)
+    await start(simulation, config, worker_count=0)
+    slot = leader_of(simulation)._upstreams["i-1"].slot
+    cold_until_ms = slot.cold_until_ms
+    assert cold_until_ms > 0
+    register(worker.started_ms)
+    await asyncio.sleep(2.0)
+    assert slot.cold_until_ms == cold_until_ms
+    register(worker.started_ms + 1)
+    await asyncio.sleep(2.0)
+    assert slot.cold_until_ms >= cold_until_ms + 2_000
+    return await stop(simulation)
+
+
+def test_an_upstream_is_cold_only_after_its_start(simulate):
+    """Guards against an upstream that ranks last for ever as it repeats its registration."""
+    simulate(register_again)
+
+
 async def evacuate_the_only_data_centre(simulation, config):
     accepted = []
     simulation.add_worker("i-1", Demand(CPU, 1_000_000), data_centre="a")
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -46,6 +46,7 @@
         self.usages = {}
         self.waiting = []
         self.changes = []
+        self.dropped = []
         self._job_count = 0
 
     @staticmethod
@@ -114,10 +115,9 @@
             lambda step, reason: None,
         )
         placed = list(self.placement.plan(request))
-        self.changes = [
-            (str(change.change), change.reservation.upstream_id)
-            for change in self.placement.take_changes()
-        ]
+        changes = self.placement.take_changes()
+        self.changes = [(str(c.change), c.reservation.upstream_id) for c in changes]
+        self.dropped = [c for c in changes if c.change == "dropped"]
         self.waiting = [step for step in self.waiting if any(True for _ in step.waiting())]
         return placed
 
@@ -436,6 +436,28 @@
     assert "i-0" not in pool.reserved
 
 
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        (
+            lambda pool: setattr(pool.slots[0], "evacuated", True),
+            "its upstream is lost, draining, cordoned or evacuated",
+        ),
+        (lambda pool: pool.waiting.clear(), "its step is no longer waiting"),
+    ],
+    ids=["evacuated", "cancelled"],
+)
+def test_the_log_tells_why_a_reservation_is_dropped(busy_pool, change, reason):
+    """Guards against an operator who looks for a fault of an upstream that is evacuated."""
+    pool = busy_pool()
+    pool.submit(LARGE)
+    pool.place()
+    change(pool)
+    pool.placement.take_changes()
+    pool.place()
+    assert [c.reason for c in pool.dropped] == [reason]
+
+
 def test_a_pool_without_waiting_tasks_has_no_reservations(busy_pool):
     """Guards against reservations that count toward a limit for steps that were cancelled."""
     pool = busy_pool()
