--- a/src/tarragoncart/evacuations.py
+++ b/src/tarragoncart/evacuations.py
@@ -113,7 +113,7 @@
 
     :param moving: tasks that leave their upstreams now.
     :param short_millicores: cpu of tasks that find no room elsewhere, one for each step. Another VM
-        helps also where a limit per upstream is the reason.
+        helps also where a limit per upstream is the reason, but not where tickets are missing.
     """
 
     moving: list[Task] = field(factory=list)
@@ -131,7 +131,8 @@
 
     A task moves only within the disruption budget of its step, and only if another upstream has
     room that none of the other moves needs. Addresses 300 upstreams with a few long-running tasks
-    each: upstreams are searched once for each task that moves and once for each step that cannot.
+    each: upstreams are searched once for each task that moves or is in transit to room, and once
+    for each step that finds none.
 
     :param tasks: the pool's long-running tasks at evacuated upstreams.
     :param in_transit: the pool's long-running tasks that are about to be placed.
@@ -140,15 +141,23 @@
     usable = [slot for slot in slots if slot.usable]
     room = _Room(usable, now_ms)
     moves = MovesAway()
+    leaving = [task for task in tasks if _may_leave(task, usage_of)]
+    if not any(assignment.within_disruption_budget([task]) for task in leaving):
+        return moves
     try:
+        full_steps: set[StepOccurrence] = set()
         for task in in_transit:
-            room.take(task)
+            if task.step in full_steps or not _may_start(task, usage_of):
+                continue
+            # Upstreams that one task may not use, because of its other runs, may suit the others.
+            if not room.take(task) and not (task.bound_to or task.copies):
+                full_steps.add(task.step)
         moving_by_step: dict[StepOccurrence, list[Task]] = {}
         stuck_steps: set[StepOccurrence] = set()
-        for task in tasks:
+        for task in leaving:
             step = task.step
             moving = moving_by_step.setdefault(step, [])
-            if step in stuck_steps or not _may_leave(task, usage_of):
+            if step in stuck_steps:
                 continue
             if not assignment.within_disruption_budget([*moving, task]):
                 continue
@@ -157,7 +166,7 @@
                 moves.moving.append(task)
                 continue
             stuck_steps.add(step)
-            if any(assignment.admits_when_empty(slot, step.spec) for slot in usable):
+            if room.is_short(step):
                 moves.short_millicores += step.spec.counted.cpu_millicores
     finally:
         room.release()
@@ -175,6 +184,18 @@
     return usage_of(task.step.job.submission.account).allows(Demand())
 
 
+def _may_start(task: Task, usage_of: Callable[[str], Usage]) -> bool:
+    """Return whether a task in transit may use room elsewhere soon.
+
+    A waiting gang starts only as a whole, and a waiting task only within the limit of its account.
+    The demand of a task that is being stopped still counts as running.
+    """
+    if task.state == "stopping":
+        return True
+    spec = task.step.spec
+    return not spec.gang and usage_of(task.step.job.submission.account).allows(spec.demand)
+
+
 class _Room:
     """Free capacity of upstreams while moves are planned."""
 
@@ -198,6 +219,21 @@
         self._taken.append((slot, task))
         return True
 
+    def is_short(self, step: StepOccurrence) -> bool:
+        """Return whether an added VM would have room for a step that found none.
+
+        A step that needs advice may lack tickets only, which another VM does not change.
+        """
+        spec, max_count = step.spec, step.spec.max_per_upstream_count
+        if step.job.submission.needs_advice:
+            return False
+        counts = self._counts[step]
+        for slot in self._slots:
+            below_limit = not max_count or counts[slot.entry.upstream_id] < max_count
+            if below_limit and assignment.admits(slot, spec, self._now_ms):
+                return False
+        return any(assignment.admits_when_empty(slot, spec) for slot in self._slots)
+
     def release(self) -> None:
         """Release all reserved capacity."""
         for slot, task in self._taken:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -135,10 +135,10 @@
 def make_job():
     """Return a factory of jobs with one step of long-running tasks."""
 
-    def make(job_id="1", task_count=1, cpu=1_000, long_running=True, **step):
+    def make(job_id="1", task_count=1, cpu=1_000, long_running=True, needs_advice=False, **step):
         spec = StepSpec(task_count, Demand(cpu), 1_000, long_running=long_running, **step)
         submission = Submission(
-            job_id, "q", "pool", "a", 0, 2, 2.0, 500, 0, JobSpec("", (spec,)), step.get("advice", 0)
+            job_id, "q", "pool", "a", 0, 2, 2.0, 500, 0, JobSpec("", (spec,)), needs_advice
         )
         job = Job(submission)
         job.release(0)
@@ -295,6 +295,36 @@
     assert plan_away([evacuated, small]).short_millicores == 0
 
 
+@pytest.mark.parametrize("free_cpu", [CPU, 0])
+def test_a_task_without_tickets_is_no_shortage(make_slot, make_job, run_on, plan_away, free_cpu):
+    """Guards against VM after VM for a step that waits for advice at every tick."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    other.free = Demand(free_cpu, 99)
+    run_on(*make_job(needs_advice=True).tasks(), evacuated)
+    moves = plan_away([evacuated, other])
+    assert not moves.moving and moves.short_millicores == 0
+
+
+def test_a_task_that_may_not_use_free_room_is_no_shortage(make_slot, make_job, run_on, plan_away):
+    """Guards against added VMs while an upstream has room that the task may use later."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    job = make_job()
+    (task,) = job.tasks()
+    run_on(task, evacuated)
+    task.copies[1] = "i-2"
+    assert plan_away([evacuated, other]).short_millicores == 0
+
+
+def test_a_limit_per_upstream_is_a_shortage(make_slot, make_job, run_on, plan_away):
+    """Guards against a task that stays for ever as the only other upstream has one of its step."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    job = make_job(task_count=2, max_per_upstream_count=1)
+    for task, slot in zip(job.tasks(), (evacuated, other), strict=True):
+        run_on(task, slot)
+    moves = plan_away([evacuated, other])
+    assert not moves.moving and moves.short_millicores == 1_000
+
+
 def test_a_limit_per_upstream_holds_for_moves(make_slot, make_job, run_on, plan_away):
     """Guards against two tasks of a step that move for one place under the limit per upstream."""
     evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
@@ -324,6 +354,80 @@
     assert len(plan_away([evacuated, other], usage=at_limit).moving) == 1
 
 
+@pytest.fixture
+def searched(monkeypatch):
+    """The tasks for which upstreams were searched."""
+    tasks, choose = [], assignment.choose_slot
+
+    def record(task, *args):
+        tasks.append(task)
+        return choose(task, *args)
+
+    monkeypatch.setattr(assignment, "choose_slot", record)
+    return tasks
+
+
+def test_waiting_tasks_of_a_step_without_room_are_not_searched_for(
+    make_slot, make_job, run_on, plan_away, searched
+):
+    """Guards against a tick of seconds: each of 2,000 waiting tasks searches 300 upstreams."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b", cpu=2_500)
+    run_on(*make_job().tasks(), evacuated)
+    jobs = [make_job(str(n), task_count=20) for n in range(2, 12)]
+    bound, *_ = jobs[0].tasks()
+    bound.bound_to = "i-1"
+    moves = plan_away([evacuated, other], [task for job in jobs for task in job.tasks()])
+    assert not moves.moving
+    # The bound task, two tasks that find room, one of each step that finds none, and the move.
+    assert len(searched) == 1 + 2 + len(jobs) + 1
+
+
+@pytest.mark.parametrize("away", [True, False], ids=["budget", "stopping"])
+def test_nothing_is_searched_for_if_no_task_may_leave(
+    make_slot, make_job, run_on, plan_away, searched, away
+):
+    """Guards against ticks that search for all waiting tasks while nothing can move."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    job = make_job(task_count=2, max_away_count=1)
+    task, last = job.tasks()
+    run_on(task, evacuated)
+    run_on(last, other)
+    if away:
+        last.percent = 0
+    else:
+        task.state = "stopping"
+    waiting = make_job("2", task_count=20)
+    assert not plan_away([evacuated, other], list(waiting.tasks())).moving
+    assert not searched
+
+
+@pytest.mark.parametrize("gang", [False, True], ids=["account at its limit", "gang"])
+def test_waiting_tasks_that_cannot_start_take_no_room_of_moves(
+    make_slot, make_job, run_on, plan_away, gang
+):
+    """Guards against a shortage without end: waiting tasks use up the room of each added VM."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b")
+    run_on(*make_job().tasks(), evacuated)
+    waiting = make_job("2", task_count=6, gang=gang)
+    usage = None if gang else Usage(running=Demand(1_000), limit=Demand(1_000))
+    moves = plan_away([evacuated, other], list(waiting.tasks()), usage)
+    assert len(moves.moving) == 1 and moves.short_millicores == 0
+
+
+def test_a_task_that_is_being_stopped_takes_room_at_the_limit_of_its_account(
+    make_slot, make_job, run_on, plan_away
+):
+    """Guards against a second move into the room of a task whose demand still counts."""
+    evacuated, other = make_slot("i-1", evacuated=True), make_slot("i-2", "b", cpu=1_000)
+    jobs = [make_job(str(n)) for n in range(2)]
+    for job in jobs:
+        run_on(*job.tasks(), evacuated)
+    (stopping,) = jobs[0].tasks()
+    stopping.state = "stopping"
+    at_limit = Usage(running=Demand(2_000), limit=Demand(2_000))
+    assert not plan_away([evacuated, other], [stopping], at_limit).moving
+
+
 def test_planning_for_a_large_fleet_searches_upstreams_once_a_step(
     make_slot, make_job, run_on, plan_away, monkeypatch
 ):
@@ -742,6 +846,33 @@
     simulate(cut_off_the_leader, 1, by_expiry)
 
 
+async def register_again(simulation, config):
+    worker = simulation.add_worker("i-1", Demand(CPU, 1_000_000), data_centre="a")
+
+    def register(started_ms):
+        data = {"id": "i-1", "cpu": CPU, "pool": worker.pool, "zone": "a", "born": started_ms}
+        value = json.dumps(data | {"cold-left-ms": 10_000}).encode()
+        simulation.store.put(operator.UPSTREAM_TOPIC, "i-1", value)
+
+    register(worker.started_ms)
+    await start(simulation, config, worker_count=0)
+    slot = leader_of(simulation)._upstreams["i-1"].slot
+    cold_until_ms = slot.cold_until_ms
+    assert cold_until_ms > 0
+    register(worker.started_ms)
+    await asyncio.sleep(2.0)
+    assert slot.cold_until_ms == cold_until_ms
+    register(worker.started_ms + 1)
+    await asyncio.sleep(2.0)
+    assert slot.cold_until_ms >= cold_until_ms + 2_000
+    return await stop(simulation)
+
+
+def test_an_upstream_is_cold_only_after_its_start(simulate):
+    """Guards against an upstream that ranks last for ever as it repeats its registration."""
+    simulate(register_again)
+
+
 async def evacuate_the_only_data_centre(simulation, config):
     accepted = []
     simulation.add_worker("i-1", Demand(CPU, 1_000_000), data_centre="a")
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -46,6 +46,7 @@
         self.usages = {}
         self.waiting = []
         self.changes = []
+        self.dropped = []
         self._job_count = 0
 
     @staticmethod
@@ -114,10 +115,9 @@
             lambda step, reason: None,
         )
         placed = list(self.placement.plan(request))
-        self.changes = [
-            (str(change.change), change.reservation.upstream_id)
-            for change in self.placement.take_changes()
-        ]
+        changes = self.placement.take_changes()
+        self.changes = [(str(c.change), c.reservation.upstream_id) for c in changes]
+        self.dropped = [c for c in changes if c.change == "dropped"]
         self.waiting = [step for step in self.waiting if any(True for _ in step.waiting())]
         return placed
 
@@ -217,6 +217,20 @@
     assert {task.step for task in pool.place()} == {gang}
 
 
+@pytest.mark.parametrize("limit", [Demand(), Demand(34_000)], ids=["room", "account limit"])
+def test_long_running_tasks_ignore_reservations(busy_pool, limit):
+    """Guards against a service that a planned stop moves and that then waits for a reservation."""
+    pool = busy_pool()
+    pool.usage("a").limit = limit
+    pool.submit(Demand(32_000, 64_000))
+    pool.place()
+    assert pool.reserved == ["i-0"]
+    for slot in pool.slots[1:]:
+        pool.fill(slot, slot.free, 9_000, account="runs")
+    service = pool.submit(Demand(4_000, 4_000), long_running=True)
+    assert service.tasks[0] in pool.place()
+
+
 def test_a_late_job_gets_no_reservation(busy_pool):
     """Guards against room that is held for jobs that are late anyway, which makes others late."""
     pool = busy_pool()
@@ -235,6 +249,18 @@
         assert len(pool.reserved) == limit_count
 
 
+def test_steps_with_all_their_reservations_do_not_keep_others_from_theirs(busy_pool):
+    """Guards against a pool that uses only four reservations while steps of one task wait."""
+    pool = busy_pool(32)
+    for _ in range(12):
+        pool.submit(LARGE)
+    pool.place()
+    assert len(pool.reserved) == 4
+    pool.place(20)
+    pool.place(20)
+    assert len(pool.reserved) == 8
+
+
 def test_reservations_are_bounded_in_time(busy_pool):
     """Guards against room that is held for longer than a waiting job may have to wait."""
     pool = busy_pool()
@@ -306,6 +332,86 @@
     assert large.tasks[0] in pool.place(400)
 
 
+@pytest.fixture
+def reserved_pool(busy_pool):
+    """A pool whose only free room, eight cores, is reserved for a task of all cores."""
+    pool = busy_pool()
+    pool.submit(Demand(32_000, 64_000), priority=1)
+    pool.place()
+    for slot in pool.slots[1:]:
+        pool.fill(slot, slot.free, 9_000, account="runs")
+    return pool
+
+
+@pytest.fixture
+def searches(monkeypatch):
+    """The steps for whose tasks upstreams were searched."""
+    steps, choose = [], assignment.choose_slot
+
+    def record(task, *args):
+        steps.append(task.step)
+        return choose(task, *args)
+
+    monkeypatch.setattr(assignment, "choose_slot", record)
+    return steps
+
+
+def test_held_steps_that_need_more_search_no_upstreams(reserved_pool, searches):
+    """Guards against passes many times as long as with first_fit while reserved room is free."""
+    pool = reserved_pool
+    steps = [
+        pool.submit(Demand(2_000 + number, 4_000), estimate_ms=5_000 + number, priority=1)
+        for number in range(200)
+    ]
+    assert not pool.place()
+    assert len(searches) == 2
+    # Those that were not searched for are held as well, and only for as long as the others.
+    assert set(steps) <= set(pool.placement.pools["pool"].held_since_ms)
+    assert len(pool.place(HOLD_MAX_MS)) == 3
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"demand": Demand(1_000, 4_000)},
+        {"estimate_ms": 300},
+        {"priority": 0},
+        {"long_running": True},
+    ],
+    ids=["smaller", "shorter", "more urgent", "long-running"],
+)
+def test_a_step_that_is_not_held_like_an_earlier_one_is_searched_for(
+    reserved_pool, searches, other
+):
+    """Guards against the short cut for held steps passing over one that may use the room."""
+    pool = reserved_pool
+    pool.submit(SMALL, estimate_ms=5_000, priority=1)
+    options = {"demand": SMALL, "estimate_ms": 5_000, "priority": 1} | other
+    step = pool.submit(options.pop("demand"), **options)
+    placed = pool.place()
+    assert step in searches
+    assert (step.tasks[0] in placed) == ("demand" not in other)
+
+
+def test_a_dropped_reservation_ends_the_short_cut_for_held_steps(busy_pool):
+    """Guards against a step that waits for a reservation which was dropped earlier in the pass."""
+    pool = busy_pool()
+    large = pool.submit(LARGE)
+    pool.place()
+    for slot in pool.slots[1:]:
+        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.waiting.remove(large)
+    first = pool.submit(Demand(17_000, 4_000), estimate_ms=9_000)
+    pool.waiting.append(large)
+    later = pool.submit(Demand(17_000, 4_000), estimate_ms=9_000)
+    pool.end(next(iter(pool.slots[0].tasks.values())))
+    pool.slots.append(pool._make_slot("i-9"))
+    pool.slots[-1].free = Demand(16_000, 64_000)
+    # The large task prefers the smaller room, so that the room on i-0 is free for the later step.
+    placed = {task.step: task.upstream_id for task in pool.place(400)}
+    assert placed == {large: "i-9", later: "i-0"} and first in pool.waiting
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -330,6 +436,28 @@
     assert "i-0" not in pool.reserved
 
 
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        (
+            lambda pool: setattr(pool.slots[0], "evacuated", True),
+            "its upstream is lost, draining, cordoned or evacuated",
+        ),
+        (lambda pool: pool.waiting.clear(), "its step is no longer waiting"),
+    ],
+    ids=["evacuated", "cancelled"],
+)
+def test_the_log_tells_why_a_reservation_is_dropped(busy_pool, change, reason):
+    """Guards against an operator who looks for a fault of an upstream that is evacuated."""
+    pool = busy_pool()
+    pool.submit(LARGE)
+    pool.place()
+    change(pool)
+    pool.placement.take_changes()
+    pool.place()
+    assert [c.reason for c in pool.dropped] == [reason]
+
+
 def test_a_pool_without_waiting_tasks_has_no_reservations(busy_pool):
     """Guards against reservations that count toward a limit for steps that were cancelled."""
     pool = busy_pool()
