--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -61,7 +61,7 @@
 
 
 @frozen
-class Listener:
+class ListenerSpec:
     """What the admission control needs to know about a listener.
 
     :param budget: memory for bodies; listeners may share it.
@@ -86,12 +86,12 @@
     return defaults.SIDE_BODY_LIMIT_BYTES
 
 
-def side_listener(name: str, limits: ConnectionLimits) -> Listener:
+def side_listener(name: str, limits: ConnectionLimits) -> ListenerSpec:
     """Return a listener for small requests whose bodies are not used."""
     budget: BodyBudget[Any] = BodyBudget(
         defaults.SIDE_BODY_LIMIT_BYTES * defaults.BODY_COST_RATIO, 0
     )
-    return Listener(name, limits, budget, side_body_limit, refuse_plainly)
+    return ListenerSpec(name, limits, budget, side_body_limit, refuse_plainly)
 
 
 @define
@@ -330,7 +330,7 @@
         if self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def reads_answer(self) -> bool:
+    def poll_read_progress(self) -> bool:
         """Return whether the client has read from its answers since the last question."""
         unread_bytes, self._unread_bytes = self._unread_bytes, 0
         if self._socket_transport is not None:
@@ -356,7 +356,7 @@
     def __init__(
         self,
         handler: Handler,
-        listener: Listener,
+        listener: ListenerSpec,
         control: AdmissionControl,
         request_factory: Any = None,
     ) -> None:
@@ -433,7 +433,7 @@
         """Give up the requests and connections that have waited for their clients for too long."""
         self._note_read_answers()
         for connection, kind in self.table.expired(now_ms):
-            if kind is UNREAD_ANSWER and connection.reads_answer():
+            if kind is UNREAD_ANSWER and connection.poll_read_progress():
                 self.table.renew(connection, now_ms)
                 continue
             self.count_refusal(kind)
@@ -507,7 +507,7 @@
     """Runner of an application whose server is within the limits of a listener."""
 
     def __init__(
-        self, app: web.Application, listener: Listener, control: AdmissionControl, **kwargs: Any
+        self, app: web.Application, listener: ListenerSpec, control: AdmissionControl, **kwargs: Any
     ) -> None:
         super().__init__(app, **kwargs)
         self._listener = listener
--- a/src/tarragoncart/daemon.py
+++ b/src/tarragoncart/daemon.py
@@ -16,7 +16,7 @@
 
 from . import defaults, logs, metrics
 from .connectionlimits import BodyBudget, derive_limits
-from .connections import AdmissionControl, BoundedAppRunner, Listener, start_server
+from .connections import AdmissionControl, BoundedAppRunner, ListenerSpec, start_server
 from .dispatch import Dispatch
 from .inventory import Inventory
 from .journal import Journal
@@ -167,14 +167,14 @@
         defaults.CONFIG_LIMIT_BYTES,
         defaults.FORWARD_LIMIT_BYTES,
     )
-    clients = Listener(
+    clients = ListenerSpec(
         "client",
         limits.callers,
         BodyBudget(limits.large_bytes, limits.small_bytes),
         client_body_limit,
         refuse,
     )
-    inner = Listener(
+    inner = ListenerSpec(
         "peer", limits.peers, BodyBudget(limits.peer_bytes, 0), peer_body_limit, refuse
     )
     control = AdmissionControl(timer)
@@ -197,7 +197,7 @@
     front: Front,
     routes: Registry[Handler],
     sock: socket.socket,
-    listener: Listener,
+    listener: ListenerSpec,
     control: AdmissionControl,
 ) -> web.AppRunner:
     runner = BoundedAppRunner(build_app(front, routes), listener, control, access_log=None)
--- a/src/tarragoncart/evacuations.py
+++ b/src/tarragoncart/evacuations.py
@@ -122,7 +122,7 @@
 
 def plan_moves_away(
     tasks: Iterable[Task],
-    in_transit: Iterable[Task],
+    to_be_placed: Iterable[Task],
     slots: Sequence[UpstreamSlot],
     usage_of: Callable[[str], Usage],
     now_ms: float,
@@ -131,11 +131,11 @@
 
     A task moves only within the disruption budget of its step, and only if another upstream has
     room that none of the other moves needs. Addresses 300 upstreams with a few long-running tasks
-    each: upstreams are searched once for each task that moves or is in transit to room, and once
-    for each step that finds none.
+    each: upstreams are searched once for each task that moves or is to be placed, and once for each
+    step that finds no room.
 
     :param tasks: the pool's long-running tasks at evacuated upstreams.
-    :param in_transit: the pool's long-running tasks that are about to be placed.
+    :param to_be_placed: the pool's long-running tasks that are about to be placed.
     :param slots: upstreams of the pool.
     """
     usable = [slot for slot in slots if slot.usable]
@@ -146,18 +146,18 @@
         return moves
     try:
         full_steps: set[StepOccurrence] = set()
-        for task in in_transit:
+        for task in to_be_placed:
             if task.step in full_steps or not _may_start(task, usage_of):
                 continue
             # Upstreams that one task may not use, because of its other runs, may suit the others.
             if not room.take(task) and not (task.bound_to or task.copies):
                 full_steps.add(task.step)
         moving_by_step: dict[StepOccurrence, list[Task]] = {}
-        stuck_steps: set[StepOccurrence] = set()
+        unmovable_steps: set[StepOccurrence] = set()
         for task in leaving:
             step = task.step
             moving = moving_by_step.setdefault(step, [])
-            if step in stuck_steps:
+            if step in unmovable_steps:
                 continue
             if not assignment.within_disruption_budget([*moving, task]):
                 continue
@@ -165,7 +165,7 @@
                 moving.append(task)
                 moves.moving.append(task)
                 continue
-            stuck_steps.add(step)
+            unmovable_steps.add(step)
             if room.is_short(step):
                 moves.short_millicores += step.spec.counted.cpu_millicores
     finally:
@@ -185,7 +185,7 @@
 
 
 def _may_start(task: Task, usage_of: Callable[[str], Usage]) -> bool:
-    """Return whether a task in transit may use room elsewhere soon.
+    """Return whether a task that is to be placed may use room elsewhere soon.
 
     A waiting gang starts only as a whole, and a waiting task only within the limit of its account.
     The demand of a task that is being stopped still counts as running.
--- a/src/tarragoncart/explanation.py
+++ b/src/tarragoncart/explanation.py
@@ -1,6 +1,6 @@
 """Explains where the tasks of a job would be placed now, and what each upstream lacks for them.
 
-Load that this answers: an operator asks why a job waits while the leader schedules thousands of
+Addresses this load: an operator asks why a job waits while the leader schedules thousands of
 tasks. An explanation runs the placement on copies, for at most the assignments of one scheduling
 pass, and describes a bounded number of tasks and upstreams. It changes nothing.
 """
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -23,7 +23,7 @@
     AdmissionControl,
     BoundedServer,
     Handler,
-    Listener,
+    ListenerSpec,
     refuse_plainly,
     side_body_limit,
     side_listener,
@@ -425,7 +425,7 @@
 
 
 async def _listen(
-    sock: socket.socket, handler: Handler, listener: Listener, control: AdmissionControl
+    sock: socket.socket, handler: Handler, listener: ListenerSpec, control: AdmissionControl
 ) -> web.ServerRunner:
     """Serve HTTP on a socket with one handler, without an application and its router."""
     runner = web.ServerRunner(
@@ -436,7 +436,7 @@
     return runner
 
 
-def _listeners(settings: NodeSettings, node: Node, caller_server: Any) -> dict[str, Listener]:
+def _listeners(settings: NodeSettings, node: Node, caller_server: Any) -> dict[str, ListenerSpec]:
     """Return the limits of each listener of an entry VM."""
     limits = derive_limits(
         settings.memory_mb,
@@ -447,8 +447,10 @@
     caller_budget: BodyBudget[Any] = BodyBudget(limits.large_bytes, limits.small_bytes)
     peer_budget: BodyBudget[Any] = BodyBudget(limits.peer_bytes, 0)
     listeners = (
-        Listener("caller", limits.callers, caller_budget, node.body_limit, caller_server.refuse),
-        Listener("peer", limits.peers, peer_budget, side_body_limit, refuse_plainly),
+        ListenerSpec(
+            "caller", limits.callers, caller_budget, node.body_limit, caller_server.refuse
+        ),
+        ListenerSpec("peer", limits.peers, peer_budget, side_body_limit, refuse_plainly),
         side_listener("ready", limits.ready),
         side_listener("metrics", limits.metrics),
     )
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -174,8 +174,8 @@
         free: Counter[str] = Counter()
         total: Counter[str] = Counter()
         long_running: Counter[str] = Counter()
-        # A registration can outlast its VM's move, and a VM that leaves serves its pool no more.
         evacuated = {vm.upstream_id for vm in self._vms.values() if self._is_evacuated(vm)}
+        # A registration can outlast its VM's move, and a VM that leaves serves its pool no more.
         staying = {vm.upstream_id for vm in self._vms.values() if vm.vm_id not in self._moves}
         for load in self._loads.upstreams.values():
             if load.upstream_id in evacuated:
--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -291,21 +291,19 @@
             return
         self._withdraw_assigned(slot)
 
-    def _apply_evacuation(self, upstream: KnownUpstream) -> int:
-        """Place nothing in an evacuated data centre; return how many tasks were withdrawn."""
+    def _apply_evacuation(self, upstream: KnownUpstream) -> None:
+        """Place nothing in an evacuated data centre."""
         slot = upstream.slot
         slot.evacuated = slot.entry.data_centre in self._evacuations.data_centres
-        return self._withdraw_assigned(slot) if slot.evacuated else 0
+        if slot.evacuated:
+            self._withdraw_assigned(slot)
 
-    def _withdraw_assigned(self, slot: UpstreamSlot) -> int:
-        """Withdraw the tasks whose start has not been sent; return how many there were."""
-        count = 0
+    def _withdraw_assigned(self, slot: UpstreamSlot) -> None:
+        """Withdraw the tasks whose start has not been sent."""
         for task in list(slot.tasks.values()):
             # The tasks of a gang are withdrawn together.
             if task.state == "assigned":
                 self._apply_event(task, "withdraw")
-                count += 1
-        return count
 
     def _note_cold_start(self, slot: UpstreamSlot) -> None:
         if self._evacuations.enabled:
--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -1,6 +1,6 @@
 """Reservations for large waiting tasks, and which smaller ones may use the reserved room.
 
-Load that this answers: on a busy pool, small tasks take each gap at once, so that a task of a sixth
+Addresses this load: on a busy pool, small tasks take each gap at once, so that a task of a sixth
 of an upstream or more finds no room for a long time.
 """
 
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -255,7 +255,7 @@
         )
         self._short_millicores: Counter[str] = Counter()
         # By pool, cpu of long-running tasks that cannot leave an evacuated data centre.
-        self._stuck_millicores: Counter[str] = Counter()
+        self._unmovable_millicores: Counter[str] = Counter()
         self._backlog_millicore_ms: Counter[str] = Counter()
         self._deferred_millicore_ms: Counter[str] = Counter()
         self._loads_sent_ms = 0.0
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -327,7 +327,7 @@
             return
         self._loads_sent_ms = self._timer.now_ms()
         short_millicores = self._short_millicores.copy()
-        short_millicores.update(self._stuck_millicores)
+        short_millicores.update(self._unmovable_millicores)
         self._fleet.tell(
             Loads(
                 {load.upstream_id: load for load in self._upstream_loads()},
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -94,7 +94,7 @@
         for data_centre in sorted(ended):
             self._log_evacuation("evacuation ended", data_centre)
         if begun or ended:
-            self._stuck_millicores.clear()
+            self._unmovable_millicores.clear()
             self._forward_evacuations()
         if begun or ended or self._placement_held:
             self._request_pass()
@@ -129,7 +129,7 @@
             text = "placement held: operators' records are too old"
             age_ms = self._evacuations.view_age_ms(now_ms)
             logger.info(
-                text if held else "placement goes on: operators' records are recent",
+                text if held else "placement resumed: operators' records are recent",
                 extra={
                     "epoch": self._epoch,
                     "view_age_ms": round(age_ms) if math.isfinite(age_ms) else None,
@@ -139,7 +139,7 @@
 
     def _move_evacuated_tasks(self, now_ms: float) -> None:
         """Stop the long-running tasks in evacuated data centres that can continue elsewhere."""
-        self._stuck_millicores.clear()
+        self._unmovable_millicores.clear()
         if not self._evacuations.data_centres or not self._may_start_tasks():
             return
         slots_by_pool: dict[str, list[UpstreamSlot]] = {}
@@ -155,13 +155,13 @@
             ]
             if not tasks:
                 continue
-            in_transit = [task for task in tasks if task.state == "stopping"]
+            to_be_placed = [task for task in tasks if task.state == "stopping"]
             for step in self._ready_steps.get(pool, ()):
                 if step.spec.long_running:
-                    in_transit.extend(step.waiting())
-            moves = plan_moves_away(tasks, in_transit, slots, self._usage, now_ms)
+                    to_be_placed.extend(step.waiting())
+            moves = plan_moves_away(tasks, to_be_placed, slots, self._usage, now_ms)
             if moves.short_millicores:
-                self._stuck_millicores[pool] = moves.short_millicores
+                self._unmovable_millicores[pool] = moves.short_millicores
             for task in moves.moving:
                 metrics.EVACUATION_MOVES.add(1)
                 self._move_away(task, "its data centre is evacuated")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -33,7 +33,7 @@
     derive_limits,
     side_limits,
 )
-from tarragoncart.connections import AdmissionControl, BoundedServer, Listener, start_server
+from tarragoncart.connections import AdmissionControl, BoundedServer, ListenerSpec, start_server
 from tarragoncart.errors import RequestError
 from tarragoncart.platform.callers import CallerServer
 from tarragoncart.timer import LoopTimer, ManualTimer
@@ -368,7 +368,7 @@
             return web.Response(body=b"y" * (20_000 if request.path == "/large" else 2))
 
         budget = budget or BodyBudget(4 * BODY_LIMIT * defaults.BODY_COST_RATIO, 4 * SMALL_COST)
-        listener = Listener("test", limits, budget, lambda _: BODY_LIMIT, refuse_as_json)
+        listener = ListenerSpec("test", limits, budget, lambda _: BODY_LIMIT, refuse_as_json)
         sock = socket.create_server(("127.0.0.1", 0), backlog=128)
         port = sock.getsockname()[1]
         server = BoundedServer(handle, listener, AdmissionControl(LoopTimer()))
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -244,10 +244,10 @@
 def plan_away():
     """Return a function that decides which tasks leave the evacuated upstreams."""
 
-    def decide(slots, in_transit=(), usage=None):
+    def decide(slots, to_be_placed=(), usage=None):
         tasks = [task for slot in slots if slot.evacuated for task in slot.tasks.values()]
         free = [slot.free for slot in slots]
-        moves = plan_moves_away(tasks, in_transit, slots, lambda _: usage or Usage(), 0.0)
+        moves = plan_moves_away(tasks, to_be_placed, slots, lambda _: usage or Usage(), 0.0)
         assert [slot.free for slot in slots] == free
         return moves
 
@@ -733,7 +733,7 @@
     simulate(store_starts_slowly)
     texts = Counter(record.message for record in caplog.records)
     assert texts["placement held: operators' records are too old"] == 1
-    assert texts["placement goes on: operators' records are recent"] == 1
+    assert texts["placement resumed: operators' records are recent"] == 1
     assert not texts["start was not accepted"]
 
 
