--- a/src/tarragoncart/placequery.py
+++ b/src/tarragoncart/placequery.py
@@ -12,7 +12,8 @@
 import aiohttp
 
 from . import defaults
-from .errors import RequestError, SettingsError
+from .decoding import parse_object
+from .errors import DecodeError, RequestError, SettingsError
 
 PATH = "/explain/place"
 # The listener refuses request lines above 8,190 bytes.
@@ -34,11 +35,9 @@
     :raises SettingsError: if the file cannot be read, is not a job, or is too large for a query.
     """
     try:
-        data = json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
+        data = parse_object(path.read_bytes())
+    except (OSError, DecodeError) as error:
         raise SettingsError(str(error), step="read job", peer=str(path)) from None
-    if not isinstance(data, dict):
-        raise SettingsError("not a JSON object", step="read job", peer=str(path))
     job = json.dumps({**data, "spec": ""}, separators=(",", ":"))
     query = urlencode({"queue": queue, "account": account, "job": job})
     if len(query) > QUERY_LIMIT_BYTES:
@@ -68,11 +67,10 @@
     except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
         raise _error(repr(error), "unreachable", 503, peer) from error
     try:
-        data = json.loads(body)
-    except ValueError:
-        data = None
-    if not isinstance(data, dict):
-        raise _error(f"status {status} without a JSON object", "invalid_answer", status, peer)
+        data = parse_object(body)
+    except DecodeError:
+        message = f"status {status} without a JSON object"
+        raise _error(message, "invalid_answer", status, peer) from None
     if status != 200:
         code = "not_found" if status == 404 else "unavailable" if status == 503 else "refused"
         raise _error(str(data.get("reason", f"status {status}")), code, status, peer)
