--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -408,6 +408,8 @@
     path.write_text(json.dumps(JOB))
     topics = ("keyed.intake", "keyed.state")
     scheduler = node.scheduler
+    task = scheduler._jobs[JOB_ID].steps[0, 0].tasks[0]
+    assert await wait_until(lambda: task.state == "running")
     # The commit of the assignment may still be under way.
     assert await wait_until(lambda: not scheduler._committing and not scheduler._dirty_steps)
     stored = [dict(store.standin.newest(topic)) for topic in topics]
