Placement: the health of an upstream is ranked in one place

Choosing an upstream ranked degraded ones last, and each ranking began with the same term, so that it was computed twice for each candidate. The order is the same.

--- a/src/tarragoncart/assignment.py
+++ b/src/tarragoncart/assignment.py
@@ -202,26 +202,26 @@
 
 @RANKINGS.register("spread")
 def spread(slot: UpstreamSlot, step: StepOccurrence) -> tuple[float, ...]:
-    """Prefer healthy upstreams, then those with the most free cpu."""
-    return (float(slot.degraded), -slot.free.cpu_millicores)
+    """Prefer upstreams with the most free cpu."""
+    return (-slot.free.cpu_millicores,)
 
 
 @RANKINGS.register("home_first")
 def home_first(slot: UpstreamSlot, step: StepOccurrence) -> tuple[float, ...]:
-    """Prefer healthy upstreams, then those with the most long-running tasks.
+    """Prefer upstreams with the most long-running tasks.
 
     VMs that were added for a burst thus stay free of long-running tasks and can leave the pool
     when it is over. For the same reason short tasks fill one VM after the other.
     """
     if step.spec.long_running:
-        return (float(slot.degraded), -float(slot.long_running_count), -slot.free.cpu_millicores)
-    return (float(slot.degraded), -float(slot.long_running_count > 0), slot.free.cpu_millicores)
+        return (-float(slot.long_running_count), -slot.free.cpu_millicores)
+    return (-float(slot.long_running_count > 0), slot.free.cpu_millicores)
 
 
 @RANKINGS.register("pack")
 def pack(slot: UpstreamSlot, step: StepOccurrence) -> tuple[float, ...]:
-    """Baseline: prefer healthy upstreams, then those with the least free cpu."""
-    return (float(slot.degraded), float(slot.free.cpu_millicores))
+    """Baseline: prefer upstreams with the least free cpu."""
+    return (float(slot.free.cpu_millicores),)
 
 
 @RANKINGS.register("usable_room")
@@ -241,12 +241,16 @@
     left_memory = free_memory - demand.memory_mb / memory
     added = abs(left_cpu - left_memory) - abs(free_cpu - free_memory)
     return (
-        float(slot.degraded),
         -float(slot.long_running_count > 0),
         USABLE_ROOM_IMBALANCE_WEIGHT * added + min(left_cpu, left_memory),
     )
 
 
+def _rank_health(slot: UpstreamSlot, now_ms: float) -> tuple[float, ...]:
+    """Rank degraded upstreams last, and cold ones behind warm ones; each ranking follows this."""
+    return (float(slot.degraded), float(slot.cold_until_ms > now_ms))
+
+
 def admits(slot: UpstreamSlot, spec: StepSpec, now_ms: float) -> bool:
     """Return whether a task of the step can be assigned to an upstream now."""
     if not slot.usable or slot.unknown_run_count or slot.full_until_ms > now_ms:
@@ -304,8 +308,7 @@
         rank = (
             float(upstream_id in task.failed_on),
             float(bool(spec.rack) and spec.rack not in slot.entry.labels),
-            slot.degraded,
-            slot.cold_until_ms > now_ms,
+            *_rank_health(slot, now_ms),
             *ranking(slot, step),
         )
         if best is None or rank < best_rank:
@@ -368,8 +371,8 @@
                 bound_count += 1
                 continue
             if slot is None:
-                unconstrained = not spec.max_per_upstream_count and not spec.label
-                unconstrained = unconstrained and not step.job.submission.needs_advice
+                needs_advice = step.job.submission.needs_advice
+                unconstrained = not (spec.max_per_upstream_count or spec.label or needs_advice)
                 if holds is not None and holds.held_back(step):
                     # Other steps may use the room that was held from this one.
                     if unconstrained and not task.copies:
@@ -447,7 +450,7 @@
     allowed = [s for s in slots if not needs_advice or s.entry.upstream_id in step.tickets]
     candidates = sorted(
         (slot for slot in allowed if admits(slot, spec, now_ms)),
-        key=lambda s: (s.degraded, s.cold_until_ms > now_ms, *ranking(s, step)),
+        key=lambda s: (*_rank_health(s, now_ms), *ranking(s, step)),
     )
     # Bound tasks first, as the others may take any upstream.
     for task in sorted(step.tasks, key=lambda task: not task.bound_to):
