Admission control: shares of memory and of connections have one implementation each

The share for small bodies and the one for all were two copies of the same bookkeeping, the shares of four listeners four copies of one formula. Unsent bytes and the time are read through one function. Two comments told how a value was found. No limit changes.

--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -83,10 +83,9 @@
     peer_bytes: int
 
 
-def side_limits(*counts: float) -> ConnectionLimits:
+def side_limits(*counts: int) -> ConnectionLimits:
     """Return the limits of a listener that is not for callers: the lowest of several counts."""
-    limit_count = max(1, int(min(counts)))
-    return ConnectionLimits(limit_count, limit_count)
+    return ConnectionLimits(min(counts), min(counts))
 
 
 def derive_limits(
@@ -101,8 +100,12 @@
     shared_mb = max(vm_mb - defaults.IDLE_PROCESS_MB, defaults.SHARED_MEMORY_MIN_MB)
     shared_bytes = shared_mb * MEGABYTE
     fd_count = (fd_limit_count or defaults.VM_FD_LIMIT_DEFAULT_COUNT) - defaults.FILE_FD_COUNT
-    by_memory = defaults.CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES
-    total = max(1, int(min(by_memory, defaults.CONNECTION_FD_RATIO * fd_count)))
+
+    def share(memory_ratio: float, fd_ratio: float) -> int:
+        by_memory = memory_ratio * shared_bytes / defaults.CONNECTION_COST_BYTES
+        return max(1, int(min(by_memory, fd_ratio * fd_count)))
+
+    total = share(defaults.CONNECTION_MEMORY_RATIO, defaults.CONNECTION_FD_RATIO)
     per_address = max(1, int(defaults.ADDRESS_CONNECTION_RATIO * total))
     large_bytes = int(defaults.LARGE_BODY_MEMORY_RATIO * shared_bytes)
     peer_bytes = int(defaults.PEER_BODY_MEMORY_RATIO * shared_bytes)
@@ -110,20 +113,15 @@
         ConnectionLimits(total, per_address),
         side_limits(
             defaults.PEER_CONNECTION_LIMIT_COUNT,
-            defaults.PEER_FD_RATIO * fd_count,
-            defaults.PEER_CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES,
+            share(defaults.PEER_CONNECTION_MEMORY_RATIO, defaults.PEER_FD_RATIO),
         ),
         side_limits(
             defaults.READY_CONNECTION_LIMIT_COUNT,
-            defaults.READY_FD_RATIO * fd_count,
-            defaults.READY_CONNECTION_MEMORY_RATIO * shared_bytes / defaults.CONNECTION_COST_BYTES,
+            share(defaults.READY_CONNECTION_MEMORY_RATIO, defaults.READY_FD_RATIO),
         ),
         side_limits(
             defaults.METRICS_CONNECTION_LIMIT_COUNT,
-            defaults.METRICS_FD_RATIO * fd_count,
-            defaults.METRICS_CONNECTION_MEMORY_RATIO
-            * shared_bytes
-            / defaults.CONNECTION_COST_BYTES,
+            share(defaults.METRICS_CONNECTION_MEMORY_RATIO, defaults.METRICS_FD_RATIO),
         ),
         max(large_bytes, largest_body_bytes * defaults.BODY_COST_RATIO),
         int(defaults.SMALL_BODY_MEMORY_RATIO * shared_bytes),
@@ -137,6 +135,40 @@
     return defaults.BODY_COST_RATIO * len(body) + defaults.DECODED_CONTAINER_BYTES * container_count
 
 
+@define(eq=False)
+class MemoryShare(Generic[C]):
+    """Memory for bodies, with what each holder has reserved of it."""
+
+    limit_bytes: int
+    used_bytes: int = field(init=False, default=0)
+    _reserved: dict[C, int] = field(init=False, factory=dict)
+
+    def __contains__(self, holder: C) -> bool:
+        return holder in self._reserved
+
+    @property
+    def free_bytes(self) -> int:
+        """Memory that nobody has reserved."""
+        return self.limit_bytes - self.used_bytes
+
+    def reserved_bytes(self, holder: C) -> int:
+        """Return what a holder has reserved."""
+        return self._reserved.get(holder, 0)
+
+    def raise_to(self, holder: C, cost_bytes: int) -> bool:
+        """Raise what a holder has reserved to a cost; return whether there is enough memory."""
+        extra = max(0, cost_bytes - self.reserved_bytes(holder))
+        if extra > self.free_bytes:
+            return False
+        self._reserved[holder] = self.reserved_bytes(holder) + extra
+        self.used_bytes += extra
+        return True
+
+    def release(self, holder: C) -> None:
+        """Release what a holder has reserved, if anything."""
+        self.used_bytes -= self._reserved.pop(holder, 0)
+
+
 @define
 class BodyBudget(Generic[C]):
     """Memory reserved for the bodies of requests, before they are read.
@@ -149,50 +181,38 @@
 
     large_bytes: int
     small_bytes: int
-    _large: dict[C, int] = field(init=False, factory=dict)
-    _small: dict[C, int] = field(init=False, factory=dict)
-    _large_used_bytes: int = field(init=False, default=0)
-    _small_used_bytes: int = field(init=False, default=0)
+    _large: MemoryShare[C] = field(
+        init=False, default=Factory(lambda self: MemoryShare(self.large_bytes), takes_self=True)
+    )
+    _small: MemoryShare[C] = field(
+        init=False, default=Factory(lambda self: MemoryShare(self.small_bytes), takes_self=True)
+    )
 
     @property
     def used_bytes(self) -> int:
         """Memory reserved at the moment."""
-        return self._large_used_bytes + self._small_used_bytes
+        return self._large.used_bytes + self._small.used_bytes
+
+    def _shares(self, size_bytes: int) -> tuple[MemoryShare[C], ...]:
+        """Return the shares that a body may use, in the order in which it does."""
+        if size_bytes <= defaults.SMALL_BODY_LIMIT_BYTES:
+            return self._small, self._large
+        return (self._large,)
 
     def reserve(self, holder: C, size_bytes: int) -> bool:
         """Reserve memory for a body; return whether there is enough."""
         cost = size_bytes * defaults.BODY_COST_RATIO
-        small = size_bytes <= defaults.SMALL_BODY_LIMIT_BYTES
-        if small and self._small_used_bytes + cost <= self.small_bytes:
-            self._small[holder] = cost
-            self._small_used_bytes += cost
-            return True
-        if self._large_used_bytes + cost <= self.large_bytes:
-            self._large[holder] = cost
-            self._large_used_bytes += cost
-            return True
-        return False
+        return any(share.raise_to(holder, cost) for share in self._shares(size_bytes))
 
     def extend(self, holder: C, cost_bytes: int) -> bool:
         """Raise what a holder has reserved to a cost; return whether there is enough memory."""
-        if holder in self._small:
-            extra = cost_bytes - self._small[holder]
-            if extra > 0 and self._small_used_bytes + extra > self.small_bytes:
-                return False
-            self._small[holder] += max(0, extra)
-            self._small_used_bytes += max(0, extra)
-            return True
-        extra = cost_bytes - self._large.get(holder, 0)
-        if extra > 0 and self._large_used_bytes + extra > self.large_bytes:
-            return False
-        self._large[holder] = self._large.get(holder, 0) + max(0, extra)
-        self._large_used_bytes += max(0, extra)
-        return True
+        share = self._small if holder in self._small else self._large
+        return share.raise_to(holder, cost_bytes)
 
     def release(self, holder: C) -> None:
         """Release what a holder has reserved, if anything."""
-        self._small_used_bytes -= self._small.pop(holder, 0)
-        self._large_used_bytes -= self._large.pop(holder, 0)
+        self._small.release(holder)
+        self._large.release(holder)
 
     def find_victims(self, size_bytes: int, stalled: Iterable[C]) -> list[C]:
         """Return the holders whose release makes room for a body; empty if there is no way.
@@ -200,22 +220,17 @@
         :param stalled: holders whose bodies are late, the latest of them first.
         """
         cost = size_bytes * defaults.BODY_COST_RATIO
-        small = size_bytes <= defaults.SMALL_BODY_LIMIT_BYTES
-        small_free = self.small_bytes - self._small_used_bytes
-        large_free = self.large_bytes - self._large_used_bytes
-        small_victims: list[C] = []
-        large_victims: list[C] = []
+        shares = self._shares(size_bytes)
+        free = {share: share.free_bytes for share in shares}
+        victims: dict[MemoryShare[C], list[C]] = {share: [] for share in shares}
         for holder in stalled:
-            if small and holder in self._small:
-                small_victims.append(holder)
-                small_free += self._small[holder]
-                if small_free >= cost:
-                    return small_victims
-            elif holder in self._large:
-                large_victims.append(holder)
-                large_free += self._large[holder]
-                if large_free >= cost:
-                    return large_victims
+            share = next((share for share in shares if holder in share), None)
+            if share is None:
+                continue
+            victims[share].append(holder)
+            free[share] += share.reserved_bytes(holder)
+            if free[share] >= cost:
+                return victims[share]
         return []
 
 
--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -278,8 +278,7 @@
     def pause_writing(self) -> None:
         """Note that the client does not read its answers."""
         super().pause_writing()
-        if self._socket_transport is not None:
-            self._unread_bytes = self._socket_transport.get_write_buffer_size()
+        self._unread_bytes = self.unsent_bytes()
         self._bounds.fire(self, "unread")
 
     def resume_writing(self) -> None:
@@ -307,9 +306,8 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             self._bounds.budget.release(self)
-            transport = self._socket_transport
-            if transport is not None and transport.get_write_buffer_size():
-                self._unread_bytes = transport.get_write_buffer_size()
+            self._unread_bytes = self.unsent_bytes()
+            if self._unread_bytes:
                 self._bounds.fire(self, "unread")
             else:
                 self._bounds.fire(self, "answered")
@@ -332,9 +330,7 @@
 
     def poll_read_progress(self) -> bool:
         """Return whether the client has read from its answers since the last question."""
-        unread_bytes, self._unread_bytes = self._unread_bytes, 0
-        if self._socket_transport is not None:
-            self._unread_bytes = self._socket_transport.get_write_buffer_size()
+        unread_bytes, self._unread_bytes = self._unread_bytes, self.unsent_bytes()
         return self._unread_bytes < unread_bytes
 
     def give_up_body(self, kind: RefusalKind) -> None:
@@ -395,7 +391,7 @@
         """Return whether a new connection is admitted."""
         peer = transport.get_extra_info("peername")
         address = str(peer[0]) if peer else ""
-        admission = self.table.open(connection, address, self._control.timer.now_ms())
+        admission = self.table.open(connection, address, self._now_ms())
         if admission.refusal is not None:
             self.count_refusal(admission.refusal)
             return False
@@ -484,7 +480,7 @@
     def _reserve(self, connection: Connection, size_bytes: int) -> bool:
         if self.budget.reserve(connection, size_bytes):
             return True
-        stalled = self.table.stalled_bodies(self._control.timer.now_ms())
+        stalled = self.table.stalled_bodies(self._now_ms())
         for victim in self.budget.find_victims(size_bytes, stalled):
             self.count_refusal(BODY_STALLED)
             self.budget.release(victim)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -322,7 +322,7 @@
 VM_FD_LIMIT_DEFAULT_COUNT = 4_100
 # Descriptors that the platform reserves for files.
 FILE_FD_COUNT = 200
-# Resident memory of a process that serves nobody; measured 50 MB, with a margin for its state.
+# Resident memory of a process that serves nobody, 50 MB, with a margin for its state.
 IDLE_PROCESS_MB = 60
 # Memory that is shared out at least, also if the settings leave less above an idle process.
 SHARED_MEMORY_MIN_MB = 24
@@ -343,9 +343,9 @@
 # all that wait at once exceeded a limit by as many as had been queued.
 ACCEPT_BATCH_COUNT = 8
 LISTEN_BACKLOG_COUNT = 1_024
-# Memory that a connection takes at most, on average: measured 28 KiB with pipelined requests and
-# 49 KiB with an unfinished head, 32 KiB of received data in the kernel, and for a quarter of the
-# connections 54 KiB of sent data there.
+# Memory that a connection takes at most, on average: 28 KiB with pipelined requests and 49 KiB with
+# an unfinished head, 32 KiB of received data in the kernel, and for a quarter of the connections
+# 54 KiB of sent data there.
 CONNECTION_COST_BYTES = 75 * 1024
 # Bytes of memory for each byte of a body: the body is read into one buffer and copied once, and its
 # text and the decoded values exist at the same time.
