Own interface: the limit of a body stands once

The admission control refuses a body above the limit of its path before a handler runs; the second check in the handlers, with limits of its own for two routes, could not be reached any more.

--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -232,15 +232,9 @@
     return _bad_request(message, "body_too_large", 413, "body_size_bytes")
 
 
-async def _read_json(
-    request: web.Request, limit_bytes: int = defaults.BODY_LIMIT_BYTES
-) -> dict[str, Any]:
-    if (request.content_length or 0) > limit_bytes:
-        raise _too_large(limit_bytes)
-    # The admission control has read it.
+async def _read_json(request: web.Request) -> dict[str, Any]:
+    # The admission control has read the body, within the limit of the path.
     body = await request.read()
-    if len(body) > limit_bytes:
-        raise _too_large(limit_bytes)
     try:
         return parse_object(body)
     except DecodeError as error:
@@ -431,7 +425,7 @@
 @CLIENT_ROUTES.register("POST /v1/config")
 async def publish(front: Front, request: web.Request) -> web.Response:
     """Publish a configuration."""
-    data = await _read_json(request, defaults.CONFIG_LIMIT_BYTES)
+    data = await _read_json(request)
     base_version = _field(data, "base_version", int, None)
     try:
         config = parse_fleet_config(data.get("config"))
@@ -660,7 +654,7 @@
 @PEER_ROUTES.register("POST /peer/forward")
 async def peer_forward(front: Front, request: web.Request) -> web.Response:
     """Handle a forwarded submission whose request ID this entry VM issued."""
-    data = await _read_json(request, defaults.FORWARD_LIMIT_BYTES)
+    data = await _read_json(request)
     submission = _decode_message(data, Submission)
     reply = await front.ask(front.dispatch, lambda future: Submit(submission, future))
     return web.json_response(encode(reply))
