--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -239,19 +239,8 @@
         except RequestError as error:
             self._refuse(context, error, message.reply)
             return
-        submission = Submission(
-            job_id=job_id,
-            queue=queue.name,
-            pool=queue.pool,
-            account=account,
-            priority=queue.priority,
-            max_attempts=queue.max_attempts,
-            stretch=queue.stretch,
-            target_latency_ms=queue.target_latency_ms,
-            accepted_ms=self._timer.wall_ms(),
-            spec=message.spec,
-            needs_advice=queue.needs_advice,
-        )
+        accepted_ms = self._timer.wall_ms()
+        submission = Submission.to_queue(queue, job_id, account, accepted_ms, message.spec)
         self._run_request(self._store(context, submission, message.reply), context, message.reply)
 
     async def _store(
--- a/src/tarragoncart/explaining.py
+++ b/src/tarragoncart/explaining.py
@@ -99,18 +99,8 @@
         rule = rules.get(given.queue)
         if rule is None:
             return None
-        submission = Submission(
-            job_id=GIVEN_JOB_ID,
-            queue=rule.name,
-            pool=rule.pool,
-            account=given.account,
-            priority=rule.priority,
-            max_attempts=rule.max_attempts,
-            stretch=rule.stretch,
-            target_latency_ms=rule.target_latency_ms,
-            accepted_ms=self._timer.wall_ms(),
-            spec=given.spec,
-            needs_advice=rule.needs_advice,
+        submission = Submission.to_queue(
+            rule, GIVEN_JOB_ID, given.account, self._timer.wall_ms(), given.spec
         )
         job = Job(submission)
         job.release(0)
--- a/src/tarragoncart/graph.py
+++ b/src/tarragoncart/graph.py
@@ -225,6 +225,25 @@
     spec: JobSpec
     needs_advice: bool = False
 
+    @classmethod
+    def to_queue(
+        cls, queue: QueueRule, job_id: str, account: str, accepted_ms: int, spec: JobSpec
+    ) -> Submission:
+        """Return a submission with the configuration that its queue has now."""
+        return cls(
+            job_id=job_id,
+            queue=queue.name,
+            pool=queue.pool,
+            account=account,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            target_latency_ms=queue.target_latency_ms,
+            accepted_ms=accepted_ms,
+            spec=spec,
+            needs_advice=queue.needs_advice,
+        )
+
 
 @frozen
 class UpstreamEntry:
