--- a/src/tarragoncart/reservations.py
+++ b/src/tarragoncart/reservations.py
@@ -142,7 +142,7 @@
                 reason = "its upstream is lost, draining, cordoned or evacuated"
             elif slot.degraded:
                 reason = "its upstream is slow or fails"
-            elif not slot.usable or not admits(slot, _ANY_TASK, now_ms):
+            elif not admits(slot, _ANY_TASK, now_ms):
                 reason = "its upstream takes no tasks"
             elif now_ms >= reservation.made_ms + RESERVATION_MS:
                 change = Change.EXPIRED
@@ -201,7 +201,6 @@
     now_ms: float
     wall_ms: float
     changes: list[ReservationChange] = field(factory=list)
-    _slots_by_id: dict[str, UpstreamSlot] = field(factory=dict)
     _ends: dict[str, list[tuple[float, Demand]]] = field(factory=dict)
     # By upstream with a reservation: when its room is available, and what is free besides it then.
     _forecasts: dict[str, tuple[float, Demand]] = field(factory=dict)
@@ -216,7 +215,6 @@
     _limits: dict[str, int] | None = None
 
     def __attrs_post_init__(self) -> None:
-        self._slots_by_id = {slot.entry.upstream_id: slot for slot in self.slots}
         self.changes += self.reservations.prune(self.steps, self.slots, self.now_ms)
         self._update_holders()
 
@@ -326,8 +324,13 @@
 
         With a reservation of its step, it is the time at which the reserved room is available.
         """
-        own = [r for r in self.reservations.by_upstream.values() if r.step is task.step]
-        times = [self._forecast(self._slots_by_id[r.upstream_id], r)[0] for r in own]
+        by_upstream = self.reservations.by_upstream
+        times = [
+            self._forecast(slot, reservation)[0]
+            for slot in self.slots
+            if (reservation := by_upstream.get(slot.entry.upstream_id)) is not None
+            and reservation.step is task.step
+        ]
         if times:
             return min(times)
         choice = self._choose(task, task.step.upstream_counts())
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -84,6 +84,11 @@
         self._start(task, slot)
         return task
 
+    def fill_others(self):
+        """Fill the upstreams other than the first with a run that outlasts every reservation."""
+        for slot in self.slots[1:]:
+            self.fill(slot, slot.free, 9_000, account="runs")
+
     def _start(self, task, slot):
         task.state, task.upstream_id = "running", slot.entry.upstream_id
         task.run, task.assigned_ms = task.run + 1, self.now_ms
@@ -225,8 +230,7 @@
     pool.submit(Demand(32_000, 64_000))
     pool.place()
     assert pool.reserved == ["i-0"]
-    for slot in pool.slots[1:]:
-        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.fill_others()
     service = pool.submit(Demand(4_000, 4_000), long_running=True)
     assert service.tasks[0] in pool.place()
 
@@ -296,8 +300,7 @@
     pool.submit(Demand(32_000, 64_000), priority=0)
     pool.place()
     assert pool.reserved == ["i-0"]
-    for slot in pool.slots[1:]:
-        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.fill_others()
     pool.submit(SMALL, estimate_ms=5_000)
     assert not pool.place()
     assert not pool.place(HOLD_MAX_MS - 1)
@@ -309,8 +312,7 @@
     pool = busy_pool()
     pool.submit(Demand(32_000, 64_000), priority=1)
     pool.place()
-    for slot in pool.slots[1:]:
-        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.fill_others()
     urgent = pool.submit(SMALL, estimate_ms=5_000)
     same = pool.submit(SMALL, estimate_ms=5_000, priority=1)
     placed = pool.place()
@@ -322,8 +324,7 @@
     pool = busy_pool()
     large = pool.submit(LARGE)
     pool.place()
-    for slot in pool.slots[1:]:
-        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.fill_others()
     pool.waiting.remove(large)
     # Later in the order than a small step that the reservation keeps waiting.
     pool.submit(Demand(9_000, 20_000), estimate_ms=9_000, count=4)
@@ -338,8 +339,7 @@
     pool = busy_pool()
     pool.submit(Demand(32_000, 64_000), priority=1)
     pool.place()
-    for slot in pool.slots[1:]:
-        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.fill_others()
     return pool
 
 
@@ -398,8 +398,7 @@
     pool = busy_pool()
     large = pool.submit(LARGE)
     pool.place()
-    for slot in pool.slots[1:]:
-        pool.fill(slot, slot.free, 9_000, account="runs")
+    pool.fill_others()
     pool.waiting.remove(large)
     first = pool.submit(Demand(17_000, 4_000), estimate_ms=9_000)
     pool.waiting.append(large)
