--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -5,10 +5,11 @@
 import asyncio
 import json
 import math
-import os
 
 import pytest
 
+import model_faults
+from model_faults import FAULT_S, SEEDS
 from standins import virtual
 from tarragoncart import assignment, defaults, jobmodel, reports
 from tarragoncart import node as node_module
@@ -22,7 +23,6 @@
 from tarragoncart.taskplacement import Backfill
 from tarragoncart.vms import Fleet
 
-FAULT_S = 25.0
 # A gang that still ends alone so long after the last fault does so for another reason: a lease, the
 # wait for the others and a start without an answer fit into it.
 CALM_AFTER_S = 12.0
@@ -35,7 +35,6 @@
 LOST_ORDERS_FAULT_S = 5.0
 LOST_ORDERS_SETTLE_S = 20.0
 LOST_ORDERS_CALM_S = virtual.CONTACT_S + virtual.CANCEL_S + virtual.STOP_S + 3.0
-SEEDS = range(int(os.environ.get("MODEL_SEEDS", "4")))
 # Seeds with which the leaders in series have violated an invariant.
 SUCCESSION_SEEDS = sorted({*SEEDS, 33, 36, 77, 88})
 
@@ -84,7 +83,7 @@
     accepted = []
     callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, random_job))
     if faults:
-        injectors = [_inject_faults(simulation, FAULTS) for _ in range(2)]
+        injectors = [model_faults.inject_faults(simulation, FAULTS) for _ in range(2)]
         await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
     return await _settle(simulation, callers, accepted)
 
@@ -125,7 +124,7 @@
     wave = {"wave": 1, "machines": list(simulation.vms), "within-s": 20, "cap": 2}
     simulation.store.put("keyed.op", "wave/1", json.dumps(wave).encode())
     if faults:
-        injectors = [_inject_faults(simulation, SUCCESSION_FAULTS) for _ in range(3)]
+        injectors = [model_faults.inject_faults(simulation, SUCCESSION_FAULTS) for _ in range(3)]
         injectors.append(_change_leaders(simulation))
         await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
     await _settle(simulation, callers, accepted)
@@ -173,7 +172,7 @@
     accepted = []
     callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, _gang_job, 1.5))
     if faults:
-        injectors = [_inject_faults(simulation, GANG_FAULTS) for _ in range(2)]
+        injectors = [model_faults.inject_faults(simulation, GANG_FAULTS) for _ in range(2)]
         await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
     calm_from_s = simulation.now_s() + CALM_AFTER_S
     await _settle(simulation, callers, accepted)
@@ -209,199 +208,34 @@
     await simulation.submit(node, job_id, simulation.jobs[job_id])
 
 
-async def _inject_faults(simulation, faults, duration_s=FAULT_S):
-    """Inject random faults one after the other."""
-    end_s = simulation.now_s() + duration_s
-    while simulation.now_s() < end_s:
-        await asyncio.sleep(simulation.rng.uniform(0.2, 2.0))
-        await simulation.rng.choice(faults)(simulation)
-
-
-async def _kill_a_node(simulation):
-    name = simulation.rng.choice(list(simulation.nodes))
-    if len(simulation.nodes) > 1:
-        await simulation.kill_node(name)
-        await asyncio.sleep(simulation.rng.uniform(0.1, 3.0))
-        await simulation.start_node(name, simulation.rng.choice((0, -2_000, 2_000)))
-
-
-async def _kill_the_leader(simulation):
-    for name, node in list(simulation.nodes.items()):
-        if node.scheduler is not None and len(simulation.nodes) > 1:
-            await simulation.kill_node(name)
-            await asyncio.sleep(simulation.rng.uniform(0.1, 3.0))
-            await simulation.start_node(name)
-            return
-
-
-async def _refuse_store_calls_of_a_node(simulation):
-    await _add_a_node_for_a_while(simulation, simulation.store.refused_entries)
-
-
-async def _add_a_node_for_a_while(simulation, entries):
-    """Add the name of a random entry VM to those with a fault of the store."""
-    name = simulation.rng.choice(list(simulation.nodes))
-    entries.add(name)
-    await asyncio.sleep(simulation.rng.uniform(0.5, 6.0))
-    entries.discard(name)
-
-
-async def _lose_store_answers(simulation):
-    simulation.store.lost_response_ratio = 0.3
-    await asyncio.sleep(simulation.rng.uniform(0.5, 4.0))
-    simulation.store.lost_response_ratio = 0.0
-
-
-async def _disconnect_a_worker(simulation):
-    worker = simulation.rng.choice(list(simulation.workers.values()))
-    worker.unreachable = True
-    await asyncio.sleep(simulation.rng.uniform(0.2, 6.0))
-    worker.unreachable = False
-
-
-async def _crash_a_worker(simulation):
-    worker = simulation.rng.choice(list(simulation.workers.values()))
-    worker.advance()
-    worker.restart()
-    worker.unreachable = True
-    # Longer than the timeout of a call, as a process takes time to start.
-    await asyncio.sleep(simulation.rng.uniform(1.5, 4.0))
-    worker.unreachable = False
-    simulation.register(worker)
-
-
-async def _delay_answers_of_a_worker(simulation):
-    worker = simulation.rng.choice(list(simulation.workers.values()))
-    worker.delayed_call_ratio, worker.lost_response_ratio = 0.2, 0.2
-    await asyncio.sleep(simulation.rng.uniform(0.5, 4.0))
-    worker.delayed_call_ratio = worker.lost_response_ratio = 0.0
-
-
-async def _slow_a_worker_down(simulation):
-    worker = simulation.rng.choice(list(simulation.workers.values()))
-    worker.speed = 0.15
-    await asyncio.sleep(simulation.rng.uniform(0.5, 4.0))
-    worker.speed = 1.0
-
-
-async def _fail_runs(simulation):
-    worker = simulation.rng.choice(list(simulation.workers.values()))
-    worker.fail_ratio = 0.2
-    await asyncio.sleep(simulation.rng.uniform(0.2, 1.0))
-    worker.fail_ratio = 0.0
-
-
 FAULTS = (
-    _kill_a_node,
-    _kill_the_leader,
-    _refuse_store_calls_of_a_node,
-    _lose_store_answers,
-    _disconnect_a_worker,
-    _crash_a_worker,
-    _delay_answers_of_a_worker,
-    _slow_a_worker_down,
-    _fail_runs,
+    model_faults.kill_a_node,
+    model_faults.kill_the_leader,
+    model_faults.refuse_store_calls_of_a_node,
+    model_faults.lose_store_answers,
+    model_faults.disconnect_a_worker,
+    model_faults.crash_a_worker,
+    model_faults.delay_answers_of_a_worker,
+    model_faults.slow_a_worker_down,
+    model_faults.fail_runs,
 )
 
 
-async def _silence_the_store_for_a_node(simulation):
-    await _add_a_node_for_a_while(simulation, simulation.store.silent_entries)
-
-
-async def _slow_the_store_down(simulation):
-    simulation.store.max_append_delay_s = simulation.rng.choice((0.3, 1.0, 5.0))
-    await asyncio.sleep(simulation.rng.uniform(1.0, 6.0))
-    simulation.store.max_append_delay_s = 0.0
-
-
-async def _cut_workers_from_a_node(simulation):
-    rng = simulation.rng
-    name = rng.choice(list(simulation.nodes))
-    workers = [worker for worker in simulation.live_workers() if rng.random() < 0.5]
-    for worker in workers:
-        worker.cut_entries.add(name)
-    await asyncio.sleep(rng.uniform(0.5, 9.0))
-    for worker in workers:
-        worker.cut_entries.discard(name)
-
-
-async def _lose_all_answers_of_a_worker(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    worker.one_way = True
-    await asyncio.sleep(simulation.rng.uniform(0.5, 7.0))
-    worker.one_way = False
-
-
-async def _disconnect_a_live_worker(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    worker.unreachable = True
-    await asyncio.sleep(simulation.rng.uniform(0.2, 7.0))
-    worker.unreachable = worker.gone
-
-
-async def _let_a_worker_flap(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    for _ in range(simulation.rng.randint(2, 5)):
-        worker.unreachable = True
-        await asyncio.sleep(simulation.rng.uniform(0.2, 1.5))
-        worker.unreachable = worker.gone
-        await asyncio.sleep(simulation.rng.uniform(0.05, 1.5))
-
-
-async def _restart_a_worker(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    worker.advance()
-    worker.restart()
-    worker.unreachable = True
-    await asyncio.sleep(simulation.rng.uniform(0.8, 3.0))
-    worker.unreachable = worker.gone
-    if not worker.gone:
-        simulation.register(worker)
-
-
-async def _delay_calls_to_a_worker(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    worker.delayed_call_ratio, worker.delayed_hold_ratio = 0.2, 0.1
-    await asyncio.sleep(simulation.rng.uniform(1.0, 6.0))
-    worker.delayed_call_ratio = worker.delayed_hold_ratio = 0.0
-
-
-async def _remove_a_registration(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    simulation.unregister(worker)
-    await asyncio.sleep(simulation.rng.uniform(0.5, 5.0))
-    if not worker.gone:
-        simulation.register(worker)
-
-
-async def _fail_most_runs_of_a_worker(simulation):
-    worker = simulation.rng.choice(simulation.live_workers())
-    worker.fail_ratio = 0.7
-    await asyncio.sleep(simulation.rng.uniform(1.0, 5.0))
-    worker.fail_ratio = 0.0
-
-
-async def _lose_answers_to_vm_orders(simulation):
-    simulation.lost_vm_response_ratio, simulation.late_vm_order_ratio = 0.3, 0.2
-    await asyncio.sleep(simulation.rng.uniform(1.0, 6.0))
-    simulation.lost_vm_response_ratio = simulation.late_vm_order_ratio = 0.0
-
-
 SUCCESSION_FAULTS = (
-    _kill_the_leader,
-    _refuse_store_calls_of_a_node,
-    _silence_the_store_for_a_node,
-    _slow_the_store_down,
-    _lose_store_answers,
-    _cut_workers_from_a_node,
-    _lose_all_answers_of_a_worker,
-    _disconnect_a_live_worker,
-    _let_a_worker_flap,
-    _restart_a_worker,
-    _delay_calls_to_a_worker,
-    _remove_a_registration,
-    _lose_answers_to_vm_orders,
-    _fail_most_runs_of_a_worker,
+    model_faults.kill_the_leader,
+    model_faults.refuse_store_calls_of_a_node,
+    model_faults.silence_the_store_for_a_node,
+    model_faults.slow_the_store_down,
+    model_faults.lose_store_answers,
+    model_faults.cut_workers_from_a_node,
+    model_faults.lose_all_answers_of_a_worker,
+    model_faults.disconnect_a_live_worker,
+    model_faults.let_a_worker_flap,
+    model_faults.restart_a_worker,
+    model_faults.delay_calls_to_a_worker,
+    model_faults.remove_a_registration,
+    model_faults.lose_answers_to_vm_orders,
+    model_faults.fail_most_runs_of_a_worker,
 )
 
 
@@ -424,16 +258,16 @@
 
 GANG_FAULTS = (
     _lose_an_end_with_its_worker,
-    _kill_the_leader,
-    _refuse_store_calls_of_a_node,
-    _lose_store_answers,
-    _cut_workers_from_a_node,
-    _lose_all_answers_of_a_worker,
-    _disconnect_a_live_worker,
-    _let_a_worker_flap,
-    _restart_a_worker,
-    _delay_calls_to_a_worker,
-    _fail_runs,
+    model_faults.kill_the_leader,
+    model_faults.refuse_store_calls_of_a_node,
+    model_faults.lose_store_answers,
+    model_faults.cut_workers_from_a_node,
+    model_faults.lose_all_answers_of_a_worker,
+    model_faults.disconnect_a_live_worker,
+    model_faults.let_a_worker_flap,
+    model_faults.restart_a_worker,
+    model_faults.delay_calls_to_a_worker,
+    model_faults.fail_runs,
 )
 
 
@@ -451,7 +285,7 @@
     for worker in workers:
         simulation.unregister(worker)
     earlier = {id(node.scheduler) for node in simulation.nodes.values()}
-    change = rng.choice((_kill_the_leader, _replace_the_leader))
+    change = rng.choice((model_faults.kill_the_leader, model_faults.replace_the_leader))
     changes = [asyncio.ensure_future(change(simulation))]
     job_ids = sorted({name.partition(".")[0] for worker in workers for name in worker.runs})
     for job_id in rng.sample(job_ids, min(3, len(job_ids))):
@@ -470,37 +304,20 @@
     await asyncio.gather(*changes)
 
 
-async def _delay_calls_to_half_the_workers(simulation):
-    rng = simulation.rng
-    workers = [worker for worker in simulation.live_workers() if rng.random() < 0.5]
-    for worker in workers:
-        worker.delayed_call_ratio, worker.delayed_hold_ratio = 0.5, 0.1
-    await asyncio.sleep(rng.uniform(0.5, 4.0))
-    for worker in workers:
-        worker.delayed_call_ratio = worker.delayed_hold_ratio = 0.0
-
-
-async def _replace_the_leader(simulation):
-    simulation.probes_lost = True
-    simulation.store.reassign_partitions()
-    await asyncio.sleep(simulation.rng.uniform(1.0, 2.5))
-    simulation.probes_lost = False
-
-
 LOST_ORDER_FAULTS = (
     _change_leaders_while_registrations_are_away,
     _change_leaders_while_registrations_are_away,
     _change_leaders_while_registrations_are_away,
-    _cut_workers_from_a_node,
-    _disconnect_a_live_worker,
-    _lose_all_answers_of_a_worker,
-    _delay_calls_to_half_the_workers,
-    _restart_a_worker,
-    _restart_a_worker,
-    _remove_a_registration,
-    _lose_store_answers,
-    _refuse_store_calls_of_a_node,
-    _lose_answers_to_vm_orders,
+    model_faults.cut_workers_from_a_node,
+    model_faults.disconnect_a_live_worker,
+    model_faults.lose_all_answers_of_a_worker,
+    model_faults.delay_calls_to_half_the_workers,
+    model_faults.restart_a_worker,
+    model_faults.restart_a_worker,
+    model_faults.remove_a_registration,
+    model_faults.lose_store_answers,
+    model_faults.refuse_store_calls_of_a_node,
+    model_faults.lose_answers_to_vm_orders,
 )
 
 
@@ -562,7 +379,8 @@
             simulation.store.put("keyed.op", "wave/1", json.dumps(wave).encode())
         if faults:
             injectors = [
-                _inject_faults(simulation, LOST_ORDER_FAULTS, LOST_ORDERS_FAULT_S) for _ in range(2)
+                model_faults.inject_faults(simulation, LOST_ORDER_FAULTS, LOST_ORDERS_FAULT_S)
+                for _ in range(2)
             ]
             await asyncio.gather(*injectors)
         await _check_cancelled_while_calm(simulation)
@@ -587,7 +405,7 @@
     simulation.register(worker)
     if rng.random() < 0.3:
         await asyncio.sleep(rng.uniform(0.0, 1.0))
-        await _kill_the_leader(simulation)
+        await model_faults.kill_the_leader(simulation)
     if rng.random() < 0.8:
         await asyncio.sleep(rng.uniform(0.0, 3.0))
         worker.unreachable = True
@@ -599,10 +417,10 @@
     _restart_a_worker_within_a_call,
     _restart_a_worker_within_a_call,
     _restart_a_worker_within_a_call,
-    _kill_the_leader,
-    _cut_workers_from_a_node,
-    _delay_calls_to_a_worker,
-    _lose_all_answers_of_a_worker,
+    model_faults.kill_the_leader,
+    model_faults.cut_workers_from_a_node,
+    model_faults.delay_calls_to_a_worker,
+    model_faults.lose_all_answers_of_a_worker,
 )
 
 
@@ -624,7 +442,7 @@
     accepted = []
     callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, _job_of_seconds, 0.8))
     if faults:
-        injectors = [_inject_faults(simulation, RESTART_FAULTS) for _ in range(3)]
+        injectors = [model_faults.inject_faults(simulation, RESTART_FAULTS) for _ in range(3)]
         await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
     return await _settle(simulation, callers, accepted, LONG_SETTLE_S)
 
@@ -743,7 +561,9 @@
     accepted = []
     callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, make_job, 4.0))
     if faults:
-        injectors = [_inject_faults(simulation, (_break_off_a_busy_worker,)) for _ in range(2)]
+        injectors = [
+            model_faults.inject_faults(simulation, (_break_off_a_busy_worker,)) for _ in range(2)
+        ]
         await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
     return await _settle(simulation, callers, accepted, LONG_SETTLE_S)
 
@@ -764,8 +584,12 @@
 
     accepted = []
     callers = asyncio.ensure_future(_submit_jobs(simulation, accepted, make_job, 4.0))
-    faults = (_break_off_a_busy_worker,), (_break_off_a_busy_worker,), (_kill_the_leader,)
-    injectors = [_inject_faults(simulation, kinds) for kinds in faults]
+    faults = (
+        (_break_off_a_busy_worker,),
+        (_break_off_a_busy_worker,),
+        (model_faults.kill_the_leader,),
+    )
+    injectors = [model_faults.inject_faults(simulation, kinds) for kinds in faults]
     await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
     return await _settle(simulation, callers, accepted, LONG_SETTLE_S)
 
