Tests of disruption budgets: orders for VMs whose upstream was replaced

The stand-ins check each stop, move and maintenance against what the workers have seen (rule AVAIL): a task counts as away if an order has ended it, or after notice-ms for any other cause. Services with budgets run under waves, while leaders change and workers crash and come back under another ID.

Three tests of the owner of the VMs show it without a scheduler.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -17,6 +17,7 @@
 from attrs import Factory, define, field
 from reactivex.scheduler.eventloop import AsyncIOScheduler
 
+from standins.availability import AvailabilityCheck
 from standins.gangs import Gangs
 from standins.settings import make_node_settings
 from tarragoncart import intake
@@ -494,7 +495,13 @@
         if self.runs.get(run.task) is run:
             self._end(run, "broken", at_s)
 
+    def is_at_work(self, run: WorkerRun, at_s: float) -> bool:
+        """Return whether a long-running task is at full speed at a time."""
+        endless = run.ends_s == float("inf")
+        return endless and at_s - run.started_s >= RAMP_UP_S and run.stops_s == float("inf")
+
     def _end(self, run: WorkerRun, outcome: str, at_s: float) -> None:
+        self.simulation.note_if_at_work(self, run, at_s)
         del self.runs[run.task]
         self.last_ended_runs[run.task] = max(run.run, self.last_ended_runs.get(run.task, 0))
         self.ended_count += 1
@@ -521,6 +528,7 @@
         lost = list(self.runs.values())
         self.runs.clear()
         for run in lost:
+            self.simulation.note_if_at_work(self, run, self.simulation.now_s())
             if self.simulation.is_gang(run.task):
                 self.simulation.gangs.leave(run, "lost", self.simulation.now_s())
         self.last_ended_runs.clear()
@@ -597,11 +605,15 @@
             self.simulation.join_gang(self, run)
         return self.clock_ms()
 
-    def stop(self, task_name: str, run: int, token: int) -> int:
-        """Stop a run, or prevent it from starting later."""
+    def stop(self, task_name: str, run: int, token: int, late: bool = False) -> int:
+        """Stop a run, or prevent it from starting later.
+
+        :param late: whether the stop is carried out after its caller's timeout.
+        """
         self.check_token(token)
         current = self.runs.get(task_name)
         if current is not None and current.run == run:
+            self.simulation.check_availability(self, [current], late, "stop")
             current.stops_s = min(current.stops_s, self.simulation.now_s() + STOP_DURATION_S)
         else:
             self.last_ended_runs[task_name] = max(run, self.last_ended_runs.get(task_name, 0))
@@ -701,7 +713,7 @@
 
     async def stop(self, task_name: str, run: int, token: int) -> int:
         """Stop a run."""
-        return await self._send(lambda late: self._worker.stop(task_name, run, token))
+        return await self._send(lambda late: self._worker.stop(task_name, run, token, late))
 
     async def pace(self, task_name: str, run: int, percent: int, token: int) -> int:
         """Accept the call without an effect; pace is not simulated."""
@@ -842,12 +854,21 @@
     data_centre: str = DATA_CENTRE
     worker: VirtualWorker | None = None
     is_moving: bool = False
+    is_crashed: bool = False
     incarnation_count: int = 0
     highest_epoch: int = 0
     maintained_waves: set[int] = Factory(set)
     moved: list[str] = Factory(list)
 
 
+def _vm_state(vm: VirtualVm) -> str:
+    if vm.worker:
+        return "up"
+    if vm.is_crashed:
+        return "down"
+    return "moving" if vm.is_moving else "upkeep"
+
+
 class VirtualFleetClient:
     """Client of the platform's VM interface, without a network."""
 
@@ -861,7 +882,7 @@
             VmEntry(
                 vm.vm_id,
                 vm.pool,
-                "up" if vm.worker else "moving" if vm.is_moving else "upkeep",
+                _vm_state(vm),
                 vm.data_centre,
                 "rack",
                 vm.capacity,
@@ -896,7 +917,7 @@
 
 def _maintain_late(simulation: Simulation, vm_id: str, wave: int, epoch: int) -> None:
     try:
-        simulation.maintain(vm_id, wave, epoch)
+        simulation.maintain(vm_id, wave, epoch, late=True)
     except FleetRefusedError:
         # The caller of a delayed order has timed out already.
         return
@@ -923,6 +944,7 @@
     :param violations: descriptions of violated invariants.
     :param fenced_s: time at which a delayed fence was stored.
     :param tasks: the leader's tasks at the end of a scenario.
+    :param availability: check of the disruption budgets.
     :param cut_paths: pairs of entry VMs that do not reach each other.
     :param clock_start_max_s: latest time that the clock of a worker's next incarnation shows at its
         start; with 0 it is behind the one before.
@@ -950,6 +972,7 @@
     fenced_s: float = 0.0
     tasks: list[Any] = Factory(list)
     gangs: Gangs = Factory(Gangs)
+    availability: AvailabilityCheck = Factory(AvailabilityCheck)
     cut_paths: set[tuple[str, str]] = Factory(set)
     clock_start_max_s: float = 0.0
     starting_node: str = ""
@@ -985,6 +1008,39 @@
 
     # Checks of the invariants.
 
+    def note_if_at_work(self, worker: VirtualWorker, run: WorkerRun, at_s: float) -> None:
+        """Note that a long-running task with a disruption budget is at work, if it is."""
+        budget = self._step(run.task).max_away_count
+        if budget is not None and worker.is_at_work(run, at_s):
+            self.availability.note_at_work(run.task, at_s)
+
+    def check_availability(
+        self, worker: VirtualWorker, runs: list[WorkerRun], late: bool, what: str
+    ) -> None:
+        """Check an order that ends runs against the disruption budgets of their steps.
+
+        :param late: the order is carried out after its caller's timeout.
+        """
+        now_s = self.now_s()
+        at_work = [run for run in runs if worker.is_at_work(run, now_s)]
+        for other in self.workers.values():
+            other.advance()
+            for run in other.runs.values():
+                self.note_if_at_work(other, run, now_s)
+        for run in at_work:
+            budget = self._step(run.task).max_away_count
+            job_id, _, _, index = run.task.rsplit(".", 3)
+            if budget is None or job_id in self.cancel_requested:
+                continue
+            step_name = run.task.rpartition(".")[0]
+            count = self._step(run.task).task_count
+            others = [f"{step_name}.{other}" for other in range(count) if other != int(index)]
+            if late:
+                self.availability.note_end_by_order(run.task)
+            else:
+                where = f"{what} at {worker.upstream_id}"
+                self.availability.note_order(run.task, others, budget, now_s, where)
+
     def record_start(self, worker: VirtualWorker, run: WorkerRun, late: bool) -> None:
         """Record the start of a run and check it against the invariants."""
         step = self._step(run.task)
@@ -1141,14 +1197,15 @@
 
     def _start_vm(self, vm: VirtualVm) -> None:
         vm.incarnation_count += 1
-        vm.is_moving = False
+        vm.is_moving = vm.is_crashed = False
         name = f"{vm.vm_id}-{vm.incarnation_count}"
         vm.worker = self.add_worker(name, vm.capacity, vm.pool, vm.data_centre)
         vm.worker.clock_start_s = self.now_s()
 
-    def maintain(self, vm_id: str, wave: int, epoch: int) -> None:
+    def maintain(self, vm_id: str, wave: int, epoch: int, late: bool = False) -> None:
         """Take a VM down for its maintenance, which ends everything that runs on it.
 
+        :param late: whether the order is carried out after its caller's timeout.
         :raises FleetRefusedError: if a higher epoch has ordered before, or the VM is not up.
         """
         vm = self.vms[vm_id]
@@ -1160,6 +1217,7 @@
         if vm.worker is None:
             raise FleetRefusedError("busy", step="maintain VM", peer="platform")
         vm.maintained_waves.add(wave)
+        self._check_vm_order(vm, late, "maintenance")
         self._restart_vm(vm, MAINTENANCE_S)
 
     def move(self, vm_id: str, pool: str, epoch: int) -> None:
@@ -1175,8 +1233,20 @@
             raise FleetRefusedError("busy", step="move VM", peer="platform")
         vm.pool, vm.is_moving = pool, True
         vm.moved.append(pool)
+        self._check_vm_order(vm, False, "move")
         self._restart_vm(vm, MOVE_S)
 
+    def _check_vm_order(self, vm: VirtualVm, late: bool, what: str) -> None:
+        if vm.worker is not None and not vm.worker.down:
+            vm.worker.advance()
+            self.check_availability(vm.worker, list(vm.worker.runs.values()), late, what)
+
+    def replace_worker(self, vm: VirtualVm, after_s: float) -> None:
+        """Let the worker of a VM crash; the next one has another ID."""
+        if vm.worker is not None:
+            vm.is_crashed = True
+            self._restart_vm(vm, after_s)
+
     def _restart_vm(self, vm: VirtualVm, after_s: float) -> None:
         worker, vm.worker = vm.worker, None
         assert worker is not None
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -12,7 +12,7 @@
 
 from standins import polling
 from tarragoncart.defaults import VACATED_MAX_AGE_MS
-from tarragoncart.errors import FleetUnknownError
+from tarragoncart.errors import FleetRefusedError, FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
 from tarragoncart.loads import Loads, UpstreamLoad
 from tarragoncart.mailbox import Actor, receives, resolve
@@ -55,6 +55,7 @@
         self.maintained = []
         self.maintained_before = set()
         self.unanswered_count = 0
+        self.refused_count = 0
         self.moves_allowed = False
         self.moved = []
         self.tokens = {}
@@ -62,13 +63,20 @@
     async def list_vms(self):
         return tuple(self.vms.values())
 
+    def _refuse(self):
+        if self.refused_count:
+            self.refused_count -= 1
+            raise FleetRefusedError("status 503", step="order")
+
     async def move(self, vm_id, pool, epoch):
+        self._refuse()
         if not self.moves_allowed:
             raise AssertionError("unexpected move")
         self.tokens[vm_id] = epoch
         self.moved.append((vm_id, pool))
 
     async def maintain(self, vm_id, wave, epoch):
+        self._refuse()
         self.tokens[vm_id] = epoch
         if vm_id not in self.maintained and vm_id not in self.maintained_before:
             self.vms[vm_id] = with_state(self.vms[vm_id], "upkeep", "")
@@ -97,6 +105,8 @@
         self.readmitted = []
         self.requests = Counter()
         self.withdrawn = False
+        # Upstreams that cannot be vacated.
+        self.occupied = set()
 
     @receives(VacateUpstream)
     def on_vacate(self, message):
@@ -106,7 +116,7 @@
 
     async def _tell_vacated(self, upstream_id):
         for _ in range(40):
-            if not self.withdrawn:
+            if not self.withdrawn and upstream_id not in self.occupied:
                 self.fleet.tell(UpstreamVacated(upstream_id))
             await asyncio.sleep(0.1)
 
@@ -208,6 +218,56 @@
     assert await wait_until(lambda: any(count > 2 for count in fleet.recorder.requests.values()))
 
 
+def put_upstream(fleet, vm_id, upstream_id):
+    """Let another upstream run on a VM, which cannot be vacated for now."""
+    fleet.calls.vms[vm_id] = with_state(fleet.calls.vms[vm_id], "up", upstream_id)
+    fleet.recorder.occupied.add(upstream_id)
+
+
+async def test_an_order_waits_for_the_upstream_that_runs_on_its_vm_now(fleet):
+    """Guards against maintenance that ends tasks of an upstream which was never vacated (AVAIL)."""
+    may_go_down, fleet._may_go_down = fleet._may_go_down, lambda wave, vm: False
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: "i-0" in fleet._vacated_ms)
+    put_upstream(fleet, "m-0", "i-replacement")
+    await asyncio.sleep(0.7)
+    fleet._may_go_down = may_go_down
+    assert await wait_until(lambda: fleet.calls.maintained)
+    await asyncio.sleep(1.0)
+    assert "m-0" not in fleet.calls.maintained
+    fleet.recorder.occupied.clear()
+    assert await wait_until(lambda: "m-0" in fleet.calls.maintained)
+
+
+async def test_a_repeated_order_waits_for_an_upstream_that_has_started_since(make_fleet):
+    """Guards against an order for an empty VM that ends the tasks it got meanwhile (AVAIL)."""
+    fleet = make_fleet()
+    fleet.calls.vms = {"m-0": with_state(fleet.calls.vms["m-0"], "up", "")}
+    fleet.calls.refused_count = 1
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: not fleet.calls.refused_count)
+    put_upstream(fleet, "m-0", "i-started")
+    await asyncio.sleep(2.0)
+    assert fleet.calls.maintained == []
+    fleet.recorder.occupied.clear()
+    assert await wait_until(lambda: fleet.calls.maintained == ["m-0"])
+
+
+async def test_a_repeated_move_waits_for_an_upstream_that_has_started_since(make_fleet):
+    """Guards against a move of an empty VM that ends the tasks it got meanwhile (AVAIL)."""
+    records = restored_order("m-5", {"to_pool": "other"}, age_ms=5_000)
+    fleet = make_fleet(records, with_wave=False)
+    fleet.calls.moves_allowed, fleet.calls.refused_count = True, 1
+    fleet.calls.vms["m-5"] = with_state(fleet.calls.vms["m-5"], "up", "")
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: not fleet.calls.refused_count)
+    put_upstream(fleet, "m-5", "i-started")
+    await asyncio.sleep(2.0)
+    assert fleet.calls.moved == []
+    fleet.recorder.occupied.clear()
+    assert await wait_until(lambda: fleet.calls.moved == [("m-5", "other")])
+
+
 async def test_a_vm_that_moves_is_not_selected_for_a_wave(fleet):
     """Guards against a move and a wave that vacate a VM in turns, with different grace periods."""
     plan = MovePlan("m-0", "pool", "other", "test")
