Logs of orders for VMs: what the VM was known by, and when an upstream may go down

The log could not tell an order for a replaced upstream from one beyond a budget: it named only the upstream that was remembered. An order's line now has the upstream that the list names, the ages of the list and of the scheduler's word; the scheduler logs once which budgeted tasks an upstream that may go down still has, and whether it is known at all.

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -292,12 +292,10 @@
         logger.info(
             "move ordered",
             extra={
-                "vm": message.vm_id,
                 "to_pool": move.plan.to_pool,
                 "outcome": message.event,
                 "reason": message.reason,
-                "after_ms": round(self._timer.now_ms() - move.since_ms),
-                "epoch": self._epoch,
+                **self._describe_order(move),
             },
         )
         if message.reason == "fence":
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -17,6 +17,7 @@
 from .mailbox import receives
 from .reports import Reports
 from .runstate import KnownUpstream, VacatingRequest, needs_jobs
+from .slowness import LOGGED_COUNT
 from .vmorders import ReadmitUpstream, UpstreamEnded, UpstreamVacated, VacateUpstream
 
 logger = logging.getLogger(__name__)
@@ -69,11 +70,14 @@
 
         The request is repeated until the VM is down or moves; each tick vacates further.
         """
+        is_new = message.upstream_id not in self._vacating_requests
         request = self._vacating_requests[message.upstream_id] = VacatingRequest(
             self._timer.now_ms(), message.grace_period_ms, message.order_pending
         )
         upstream = self._upstreams.get(message.upstream_id)
         if upstream is None:
+            if is_new:
+                self._log_vacated(message.upstream_id, [])
             self._send_vacated(message.upstream_id)
             return
         repeated = upstream.vacating_since_ms > 0
@@ -209,6 +213,8 @@
         """Report that the VM may go down now, if the disruption budgets allow it."""
         slot = upstream.slot
         if assignment.within_disruption_budget(slot.tasks.values()):
+            if not upstream.may_go_down:
+                self._log_vacated(slot.entry.upstream_id, list(slot.tasks.values()))
             upstream.may_go_down = True
             for task in slot.tasks.values():
                 task.percent = 0
@@ -217,6 +223,21 @@
             # Its tasks are at work and count again, so that another VM may go down instead.
             upstream.may_go_down = False
 
+    def _log_vacated(self, upstream_id: str, tasks: list[Task]) -> None:
+        """Log that an upstream may go down, and which of its tasks are ended then."""
+        logger.info(
+            "upstream may go down",
+            extra={
+                "upstream": upstream_id,
+                "known": upstream_id in self._upstreams,
+                "epoch": self._epoch,
+                "run_count": len(tasks),
+                "budgeted_tasks": [
+                    task.name for task in tasks if task.step.spec.max_away_count is not None
+                ][:LOGGED_COUNT],
+            },
+        )
+
     def _stop_if_movable(self, task: Task, slots: list[UpstreamSlot], now_ms: float) -> bool:
         """Stop a task that can continue elsewhere; returns whether it was stopped."""
         spec = task.step.spec
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Protocol
+from typing import Any, Protocol
 
 from attrs import define, frozen
 
@@ -172,6 +172,21 @@
     def _is_recent(self, vacated_ms: float) -> bool:
         return self._timer.now_ms() - vacated_ms <= defaults.VACATED_MAX_AGE_MS
 
+    def _describe_order(self, vm: VmUpkeep | Move) -> dict[str, Any]:
+        """Return what the log says of an order: what the VM was known by when it was sent."""
+        now_ms = self._timer.now_ms()
+        entry = self._vms.get(vm.vm_id)
+        vacated_ms = self._vacated_ms.get(vm.upstream_id)
+        return {
+            "vm": vm.vm_id,
+            "upstream": vm.upstream_id,
+            "listed_upstream": entry.upstream_id if entry else None,
+            "list_age_ms": round(now_ms - self._listed_ms),
+            "vacated_age_ms": None if vacated_ms is None else round(now_ms - vacated_ms),
+            "after_ms": round(now_ms - vm.since_ms),
+            "epoch": self._epoch,
+        }
+
     def _request_vacating(self, vm: VmUpkeep | Move) -> None:
         """Request that a VM's upstream is vacated, if there is one."""
         if not vm.upstream_id:
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -339,12 +339,9 @@
             "maintenance ordered",
             extra={
                 "wave": message.wave_number,
-                "vm": message.vm_id,
-                "upstream": vm.upstream_id,
                 "outcome": message.event,
                 "reason": message.reason,
-                "after_ms": round(self._timer.now_ms() - vm.since_ms),
-                "epoch": self._epoch,
+                **self._describe_order(vm),
             },
         )
         if message.reason == "fence":
