Orders for VMs follow the upstream that runs on the VM now

A wave or a move remembered the upstream that the list named when the VM was selected. If its worker came back under another ID while the VM waited for its turn, for a slow store or for another try, the scheduler answered for the old ID, which it did not know any more, that it is vacated, and the order ended the tasks of the new upstream without any check. An order for a VM that was listed without an upstream had no check at all, however long it was repeated.

Each list now shows whether another upstream runs on a VM that is being vacated or ordered; it is vacated in place of the earlier one, which is readmitted and not declared ended, as it may be alive. An order looks up the upstream when it is sent, and is not sent by a list that is older than 1 s: a worker takes longer to start, to be read and to get a task to its full speed.

The fixture of the slow platform waits for the first list, without which no order is sent now.

--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -278,6 +278,9 @@
 # An order for a VM needs word from the scheduler, which repeats it each tick, that is at most this
 # old: disruption budgets that allowed the order may be used up since.
 VACATED_MAX_AGE_MS = 1_000
+# An order for a VM needs a list of the VMs that is at most this old: another upstream may run there
+# since. It takes longer to start, to be read and to get a task to its full speed.
+VM_LIST_MAX_AGE_MS = 1_000
 # Before maintenance, tasks without saved progress are given this long to end.
 VACATE_GRACE_PERIOD_MS = 3_500
 # An upstream counts as slow for this long after its runs were last judged slow.
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -99,6 +99,7 @@
         now_ms = self._timer.now_ms()
         for vm_id, move in list(self._moves.items()):
             entry = self._vms.get(vm_id)
+            self._follow_upstream(move)
             if move.state == "vacating" and now_ms - move.since_ms > defaults.MOVE_TIMEOUT_MS:
                 self._move_event(move, "give_up")
             elif entry is None and move.state in ("ordered", "moving"):
@@ -275,11 +276,10 @@
     async def _send_move_order(self, move: Move, delay_ms: float) -> None:
         plan = move.plan
         event, reason = await self._send_order(
-            plan.vm_id,
+            move,
             VmOrder(to_pool=plan.to_pool),
             lambda: self._calls.move(plan.vm_id, plan.to_pool, self._epoch),
             delay_ms,
-            move.upstream_id,
         )
         self.tell_self(_MoveEnded(plan.vm_id, event, reason))
 
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Protocol
 
@@ -20,6 +21,8 @@
 from .upkeep import VmUpkeep, Wave
 from .writer import FENCED, Write
 
+logger = logging.getLogger(__name__)
+
 # Prefixes of the records that :class:`VmOrders` keeps in the topic of the leader's state.
 FLEET_KEY_PREFIX = "fleet/"
 WAVE_KEY_PREFIX = f"{FLEET_KEY_PREFIX}wave/"
@@ -197,27 +200,46 @@
         pending = vm.state == "ordered" or vm.vm_id in self._orders.unsettled
         self._scheduler.tell(VacateUpstream(vm.upstream_id, grace_period_ms, pending))
 
+    def _follow_upstream(self, vm: VmUpkeep | Move) -> None:
+        """Vacate the upstream that runs on a VM now, if another one ran there before."""
+        entry = self._vms.get(vm.vm_id)
+        if entry is None or entry.state != "up" or vm.state not in ("vacating", "ordered"):
+            return
+        if entry.upstream_id in ("", vm.upstream_id):
+            return
+        logger.info(
+            "another upstream runs on a VM that is being vacated",
+            extra={
+                "vm": vm.vm_id,
+                "upstream": entry.upstream_id,
+                "earlier_upstream": vm.upstream_id,
+                "state": vm.state,
+                "epoch": self._epoch,
+            },
+        )
+        if vm.upstream_id:
+            self._scheduler.tell(ReadmitUpstream(vm.upstream_id))
+        vm.upstream_id = entry.upstream_id
+        self._request_vacating(vm)
+
     async def _send_order(
         self,
-        vm_id: str,
+        vm: VmUpkeep | Move,
         order: VmOrder,
         call: Callable[[], Awaitable[None]],
         delay_ms: float,
-        upstream_id: str = "",
     ) -> tuple[str, str]:
-        """Send an order; return the state chart's event for its outcome, and the reason.
-
-        :param upstream_id: upstream that has to be vacated when the order is sent; empty for none.
-        """
+        """Send an order; return the state chart's event for its outcome, and the reason."""
         if delay_ms:
             await self._sleep(delay_ms)
         # The age of an order and the permission for it must not become old in a queue.
         async with self._order_slots:
-            return await self._send_order_now(vm_id, order, call, upstream_id)
+            return await self._send_order_now(vm, order, call)
 
     async def _send_order_now(
-        self, vm_id: str, order: VmOrder, call: Callable[[], Awaitable[None]], upstream_id: str
+        self, vm: VmUpkeep | Move, order: VmOrder, call: Callable[[], Awaitable[None]]
     ) -> tuple[str, str]:
+        vm_id = vm.vm_id
         stored = new_reply()
         ages = self._orders.add(vm_id, self._timer.now_ms(), order)
         unsettled = self._orders.unsettled_record()
@@ -228,7 +250,9 @@
         if self._timer.now_ms() >= self._permitted_until_ms:
             # A successor may already send orders, and both together could exceed a wave's limit.
             return "unanswered", "leadership is not confirmed"
-        if upstream_id and not self._is_vacated(upstream_id):
+        if self._timer.now_ms() - self._listed_ms > defaults.VM_LIST_MAX_AGE_MS:
+            return "unanswered", "the list of VMs is too old"
+        if vm.upstream_id and not self._is_vacated(vm.upstream_id):
             return "unanswered", "upstream is not confirmed as vacated"
         try:
             await call()
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -139,6 +139,7 @@
         self._settle_listed()
         for wave in self._waves.values():
             for vm in wave.vms.values():
+                self._follow_upstream(vm)
                 self._check_vm(wave, vm)
             self._advance_wave(wave)
         self._advance_moves()
@@ -322,11 +323,10 @@
     ) -> None:
         vm_id = vm.vm_id
         event, reason = await self._send_order(
-            vm_id,
+            vm,
             VmOrder(wave_number),
             lambda: self._calls.maintain(vm_id, wave_number, self._epoch),
             delay_ms,
-            vm.upstream_id,
         )
         self.tell_self(_OrderEnded(wave_number, vm_id, event, reason))
 
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -471,6 +471,7 @@
     fleet = make_fleet()
     fleet.platform = served.standin
     fleet._calls = VmClient(served.address, "holder")
+    assert await wait_until(lambda: fleet._listed_ms)
     return fleet
 
 
@@ -479,7 +480,8 @@
 
     def move(vm_id):
         call = functools.partial(fleet._calls.move, vm_id, "pool", 7)
-        return fleet._send_order(vm_id, VmOrder(to_pool="pool"), call, 0)
+        vm = Move(MovePlan(vm_id, "other", "pool", "test"), "ordered", "", 0.0)
+        return fleet._send_order(vm, VmOrder(to_pool="pool"), call, 0)
 
     return await asyncio.gather(*(move(f"m-{n}") for n in range(count)))
 
