--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -6,13 +6,14 @@
 import json
 
 import pytest
+from attrs import evolve
 
 from standins.polling import wait_until
 from standins.taskworker import TaskWorker
 from standins.vacating import VacatingFleet
 from tarragoncart import intake
 from tarragoncart.graph import Demand
-from tarragoncart.vmorders import VacateUpstream
+from tarragoncart.vmorders import ReadmitUpstream, VacateUpstream
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = {"count": 2, "cpu": 1_000, "mem-mb": 256, "est-ms": 30}
@@ -272,6 +273,43 @@
     assert not fleet.vacated
 
 
+def tasks_at(scheduler, upstream_id):
+    """Return the tasks whose current run is at an upstream."""
+    return scheduler._upstreams[upstream_id].slot.tasks.values()
+
+
+async def test_tasks_count_as_away_from_the_moment_an_order_for_their_vm_is_pending(
+    request_vacating_within_budget,
+):
+    """Guards against a second order until the next report of an upstream that may go down."""
+    _, fleet = await request_vacating_within_budget(nothing)
+    scheduler = fleet.scheduler
+    await fleet.stop()
+    scheduler.handle(ReadmitUpstream("i-1"))
+    assert await wait_until(lambda: all(t.at_full_speed for t in tasks_at(scheduler, "i-1")))
+    scheduler._upstreams["i-1"].vacating_since_ms = scheduler._timer.now_ms()
+    scheduler._upstreams["i-1"].grace_period_ms = None
+    scheduler.handle(VacateUpstream("i-1", None, order_pending=True))
+    assert not any(task.at_full_speed for task in tasks_at(scheduler, "i-1"))
+
+
+async def test_a_leaving_upstream_leaves_the_budget_to_an_order_that_is_pending(
+    request_vacating_within_budget,
+):
+    """Guards against a stop that uses up the budget by which a VM is about to go down (AVAIL)."""
+    worker, fleet = await request_vacating_within_budget(nothing)
+    scheduler = fleet.scheduler
+    await fleet.stop()
+    scheduler.tell(VacateUpstream("i-1", None, order_pending=True))
+    assert await wait_until(lambda: scheduler._upstreams["i-1"].order_pending)
+    slot = scheduler._upstreams["i-2"].slot
+    slot.entry = evolve(slot.entry, draining=True)
+    await asyncio.sleep(1.0)
+    assert len(worker.runs) == 1
+    scheduler.tell(ReadmitUpstream("i-1"))
+    assert await wait_until(lambda: not worker.runs)
+
+
 async def test_an_upstream_registered_again_before_its_order_gets_no_tasks(
     request_vacating, add_worker
 ):
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from standins import polling
-from tarragoncart.defaults import VACATED_MAX_AGE_MS
+from tarragoncart.defaults import MOVE_TIMEOUT_MS, VACATED_MAX_AGE_MS
 from tarragoncart.errors import FleetRefusedError, FleetUnknownError
 from tarragoncart.graph import Demand, PoolRule, VmEntry, WaveRequest
 from tarragoncart.loads import Loads, UpstreamLoad
@@ -56,6 +56,7 @@
         self.maintained_before = set()
         self.unanswered_count = 0
         self.refused_count = 0
+        self.refusal = "status 503"
         self.moves_allowed = False
         self.moved = []
         self.tokens = {}
@@ -66,7 +67,7 @@
     def _refuse(self):
         if self.refused_count:
             self.refused_count -= 1
-            raise FleetRefusedError("status 503", step="order")
+            raise FleetRefusedError(self.refusal, step="order")
 
     async def move(self, vm_id, pool, epoch):
         self._refuse()
@@ -357,6 +358,40 @@
     assert "m-5" not in successor.calls.maintained
 
 
+async def test_a_refusal_readmits_no_upstream_while_an_earlier_order_is_unanswered(successor):
+    """Guards against tasks on a VM that an earlier order may still take down (AVAIL)."""
+    successor.calls.refused_count, successor.calls.refusal = 1_000, "busy"
+    permit(successor, 60_000)
+    assert await wait_until(lambda: successor.calls.refused_count < 1_000)
+    await asyncio.sleep(1.5)
+    assert "i-5" not in successor.recorder.readmitted
+
+
+async def test_a_move_with_an_unanswered_order_is_not_given_up(make_fleet):
+    """Guards against tasks on a VM that an earlier order may still move (AVAIL)."""
+    records = restored_order("m-5", {"to_pool": "other"})
+    fleet = make_fleet(records, handover_pause_ms=100.0, with_wave=False)
+    fleet.recorder.occupied.add("i-5")
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: "m-5" in fleet._moves)
+    fleet._moves["m-5"].since_ms -= MOVE_TIMEOUT_MS
+    await asyncio.sleep(1.0)
+    assert "i-5" not in fleet.recorder.readmitted
+
+
+async def test_two_waves_do_not_work_on_one_vm_at_the_same_time(fleet):
+    """Guards against a wave that readmits the upstream which another one has vacated (AVAIL)."""
+    permit(fleet, 60_000)
+    fleet.tell(WaveRequested(WaveRequest(2, tuple(fleet.calls.vms), 20.0, 2)))
+    assert await wait_until(lambda: len(set(fleet.calls.maintained)) >= 2)
+    await asyncio.sleep(0.5)
+    busy = [
+        {vm.vm_id for vm in wave.vms.values() if vm.state in ("vacating", "ordered", "down")}
+        for wave in fleet._waves.values()
+    ]
+    assert all(busy) and not busy[0] & busy[1]
+
+
 async def test_an_unanswered_order_for_a_vm_that_has_left_does_not_hold_up_a_wave(successor):
     """Guards against a wave that waits for an order whose VM is no longer listed."""
     del successor.calls.vms["m-5"]
