Budgets: tasks count as away as soon as an order for their VM is pending

A task on a VM whose order was pending counted as at work until the next report, up to 1.3 s later, if the scheduler had taken its word back in between: the request set may_go_down, but not the tasks. A second order for another task of the step could be allowed meanwhile (AVAIL). Both now change together.

--- a/src/tarragoncart/reports.py
+++ b/src/tarragoncart/reports.py
@@ -184,7 +184,8 @@
     def _apply_vacating_request(self, upstream: KnownUpstream, request: VacatingRequest) -> None:
         upstream.slot.cordoned = True
         upstream.order_pending = request.order_pending
-        upstream.may_go_down = upstream.may_go_down or request.order_pending
+        if request.order_pending:
+            upstream.let_go_down()
         if not upstream.vacating_since_ms or upstream.grace_period_ms != request.grace_period_ms:
             upstream.vacating_since_ms = self._timer.now_ms()
             upstream.grace_period_ms = request.grace_period_ms
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -158,6 +158,12 @@
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
         self.unanswered_sent_ms = max(self.unanswered_sent_ms, unanswered_sent_ms)
 
+    def let_go_down(self) -> None:
+        """Note that its VM may go down at any moment, and count its tasks as away at once."""
+        self.may_go_down = True
+        for task in self.slot.tasks.values():
+            task.percent = 0
+
 
 class RunState(Actor):
     """Owns the jobs, their runs and the capacity that the runs occupy.
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -215,9 +215,7 @@
         if assignment.within_disruption_budget(slot.tasks.values()):
             if not upstream.may_go_down:
                 self._log_vacated(slot.entry.upstream_id, list(slot.tasks.values()))
-            upstream.may_go_down = True
-            for task in slot.tasks.values():
-                task.percent = 0
+            upstream.let_go_down()
             self._send_vacated(slot.entry.upstream_id)
         elif not upstream.order_pending:
             # Its tasks are at work and count again, so that another VM may go down instead.
