Budgets: a leaving upstream leaves theirs to the orders that are pending

The long-running tasks of an upstream that is leaving are stopped at once, without a check: the stops themselves need none (AVAIL excepts draining workers), but they count as away. An order for the VM of another task of the step, allowed up to a second earlier, still went out and exceeded the budget. Such a stop now waits while an order that ends a task of its step is pending, unless the budget has room for both. In a tick these stops come before upstreams are reported as vacated, so that the report counts them.

--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -493,6 +493,9 @@
         if not self._loaded:
             return
         now_ms = self._timer.now_ms()
+        # These stops come first: they need no budget, and the orders for VMs leave them theirs.
+        for upstream in list(self._upstreams.values()):
+            self._stop_tasks_on_leaving_upstream(upstream)
         for upstream in list(self._upstreams.values()):
             self._check_upstream(upstream, now_ms)
         self._move_evacuated_tasks(now_ms)
@@ -571,7 +574,6 @@
                     },
                 )
                 return
-            self._stop_tasks_on_leaving_upstream(upstream)
             self._vacate(upstream, now_ms)
             return
         if upstream.may_go_down:
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -9,10 +9,10 @@
 from functools import reduce
 
 from . import assignment, metrics
-from .assignment import UpstreamSlot
+from .assignment import UpstreamSlot, within_disruption_budget
 from .evacuations import EvacuationsChanged, plan_moves_away
 from .graph import Demand
-from .jobmodel import Task
+from .jobmodel import StepOccurrence, Task
 from .loads import UpstreamLoad
 from .mailbox import receives
 from .reports import Reports
@@ -29,15 +29,25 @@
     def _stop_tasks_on_leaving_upstream(self, upstream: KnownUpstream) -> None:
         """Stop the long-running and checkpointing tasks on an upstream that is leaving.
 
-        They are placed again on other upstreams.
+        They are placed again on other upstreams. Its stop needs no disruption budget, but counts
+        against that of the step, which a pending order for the VM of another task may need.
         """
-        if not upstream.slot.entry.draining:
+        if not upstream.slot.entry.draining or not upstream.slot.answering:
             return
         for task in list(upstream.slot.tasks.values()):
             spec = task.step.spec
-            if task.state == "running" and (spec.long_running or spec.checkpointing):
+            if task.state != "running" or not (spec.long_running or spec.checkpointing):
+                continue
+            if not self._has_pending_order(task.step) or within_disruption_budget([task]):
                 self._stop_task(task)
 
+    def _has_pending_order(self, step: StepOccurrence) -> bool:
+        """Return whether an order that ends a task of a step with a budget is on its way."""
+        if step.spec.max_away_count is None:
+            return False
+        upstreams = (self._upstreams.get(task.upstream_id) for task in step.tasks if task.placed)
+        return any(upstream is not None and upstream.order_pending for upstream in upstreams)
+
     def _upstream_loads(self) -> Iterator[UpstreamLoad]:
         waiting: Counter[str] = Counter()
         for pool, steps in self._ready_steps.items():
@@ -212,7 +222,7 @@
     def _confirm_vacated(self, upstream: KnownUpstream) -> None:
         """Report that the VM may go down now, if the disruption budgets allow it."""
         slot = upstream.slot
-        if assignment.within_disruption_budget(slot.tasks.values()):
+        if within_disruption_budget(slot.tasks.values()):
             if not upstream.may_go_down:
                 self._log_vacated(slot.entry.upstream_id, list(slot.tasks.values()))
             upstream.let_go_down()
@@ -242,7 +252,7 @@
         movable = spec.long_running or spec.checkpointing
         if task.state != "running" or not movable:
             return False
-        if not assignment.within_disruption_budget([task]):
+        if not within_disruption_budget([task]):
             return False
         counts = task.step.upstream_counts()
         if assignment.choose_slot(task, slots, counts, now_ms, assignment.spread) is None:
