Waves and moves: no readmission while an earlier order has no answer

If a later order for a VM was refused, or its move took too long, the upstream was readmitted although an earlier order without an answer could still be carried out. Until the next list it got tasks, and those it had counted as at work, so that another VM of their step could get its order (AVAIL). The request now stays in force: such a VM is selected again first, until its order is settled.

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -100,7 +100,8 @@
         for vm_id, move in list(self._moves.items()):
             entry = self._vms.get(vm_id)
             self._follow_upstream(move)
-            if move.state == "vacating" and now_ms - move.since_ms > defaults.MOVE_TIMEOUT_MS:
+            late = now_ms - move.since_ms > defaults.MOVE_TIMEOUT_MS
+            if move.state == "vacating" and late and vm_id not in self._orders.unsettled:
                 self._move_event(move, "give_up")
             elif entry is None and move.state in ("ordered", "moving"):
                 self._move_event(move, "gone")
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -286,7 +286,8 @@
 
     @implements_action("readmit")
     def _readmit(self, vm: VmUpkeep | Move, wave: Wave | None = None) -> None:
-        if vm.upstream_id:
+        # An earlier order may still be carried out; the VM is selected again and vacated until then.
+        if vm.upstream_id and vm.vm_id not in self._orders.unsettled:
             self._scheduler.tell(ReadmitUpstream(vm.upstream_id))
 
     @receives(UpstreamVacated)
