Waves: a VM that another wave works on is not selected

Two waves that name the same VM vacated and ordered it side by side, each with the upstream that it remembered. When one of them was done or refused, it readmitted the upstream while the order of the other was on its way, so that its tasks counted as at work (AVAIL).

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from attrs import frozen
 
@@ -17,6 +17,7 @@
 from .mailbox import implements_action, receives
 from .orders import VmOrder
 from .pools import POLICIES, MovePlan, PoolDemand, PoolVm
+from .upkeep import Wave
 from .vmorders import Move, UpstreamEnded, VmOrders
 
 logger = logging.getLogger(__name__)
@@ -147,6 +148,12 @@
             if vm.state != "done"
         }
 
+    @staticmethod
+    def _busy_vms(waves: Iterable[Wave]) -> set[str]:
+        """Return the VMs that a wave vacates or orders, or that are down for it."""
+        states = ("vacating", "ordered", "down")
+        return {vm.vm_id for wave in waves for vm in wave.vms.values() if vm.state in states}
+
     def _plan_moves(self) -> None:
         if not self._may_order():
             return
@@ -236,12 +243,7 @@
     def _pool_vms(self) -> Iterator[PoolVm]:
         now_ms = self._timer.now_ms()
         pending = self._pending_wave_vms() & self._orders.unsettled.keys()
-        in_waves = {
-            vm.vm_id
-            for wave in self._waves.values()
-            for vm in wave.vms.values()
-            if vm.state in ("vacating", "ordered", "down")
-        }
+        in_waves = self._busy_vms(self._waves.values())
         for vm in self._vms.values():
             if self._is_evacuated(vm):
                 continue
--- a/src/tarragoncart/vms.py
+++ b/src/tarragoncart/vms.py
@@ -231,11 +231,15 @@
         sizes = Counter(vm.pool for vm in self._vms.values())
         now_ms = self._timer.now_ms()
         unsettled = self._orders.unsettled.keys() - self._moves.keys()
+        in_other_waves = self._busy_vms(
+            other for other in self._waves.values() if other is not wave
+        )
         # The upstream of a VM that may go down at any time is vacated before the pause has ended.
         free = {
             key: vm
             for key, vm in self._vms.items()
-            if key in unsettled or (self._orders.allows(key, now_ms) and key not in self._moves)
+            if key not in in_other_waves
+            and (key in unsettled or (self._orders.allows(key, now_ms) and key not in self._moves))
         }
         selected = next_vms(wave, free, self._loads.upstreams, sizes, unsettled=unsettled)
         for vm in list(selected):
@@ -286,7 +290,7 @@
 
     @implements_action("readmit")
     def _readmit(self, vm: VmUpkeep | Move, wave: Wave | None = None) -> None:
-        # An earlier order may still be carried out; the VM is selected again and vacated until then.
+        # The VM stays vacated, and is selected again, while an earlier order may be carried out.
         if vm.upstream_id and vm.vm_id not in self._orders.unsettled:
             self._scheduler.tell(ReadmitUpstream(vm.upstream_id))
 
