Timers: periods follow the clock of the loop, not the wall clock

The scheduler of the timer library takes the wall-clock time of an action off the next period. In the product, a step of the wall clock during an action would shift a period.

A scheduler with the clock of its loop serves the product and the simulations. The new test failed before.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -15,7 +15,6 @@
 
 import reactivex
 from attrs import Factory, define, field
-from reactivex.scheduler.eventloop import AsyncIOScheduler
 
 from standins.availability import AvailabilityCheck
 from standins.gangs import Gangs
@@ -44,6 +43,7 @@
 from tarragoncart.runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from tarragoncart.scheduler import JobView, Lookup
 from tarragoncart.storage import Appended, Chunk, Entry, Expired, Membership, Producer
+from tarragoncart.timer import LoopScheduler
 
 STORE_DELAY_S = 0.005
 CALL_DELAY_S = 0.002
@@ -119,7 +119,7 @@
 
     def __init__(self, skew_ms: int = 0) -> None:
         self._loop = asyncio.get_running_loop()
-        self._scheduler = AsyncIOScheduler(self._loop)
+        self._scheduler = LoopScheduler(self._loop)
         self._skew_ms = skew_ms
 
     def now_ms(self) -> float:
--- a/src/tarragoncart/timer.py
+++ b/src/tarragoncart/timer.py
@@ -32,11 +32,24 @@
         ...
 
 
+class LoopScheduler(AsyncIOScheduler):
+    """Scheduler whose clock is that of its event loop.
+
+    Its base class shortens each period by the time that its action took on the wall clock, which
+    can be set, and which goes on while the loop's time is simulated.
+    """
+
+    @property
+    def now(self) -> datetime.datetime:
+        """The time of the loop."""
+        return self.to_datetime(self._loop.time())
+
+
 class LoopTimer:
     """Timer on the running event loop."""
 
     def __init__(self) -> None:
-        self._scheduler = AsyncIOScheduler(asyncio.get_running_loop())
+        self._scheduler = LoopScheduler(asyncio.get_running_loop())
 
     def now_ms(self) -> float:
         """Return the current time, which includes time while the VM is suspended, as leases do."""
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -7,6 +7,7 @@
 import json
 import signal
 import sys
+import time
 
 import aiohttp
 import pytest
@@ -15,6 +16,7 @@
 
 from standins import network as network_module
 from standins import platform as platform_module
+from standins import virtual
 from standins import worker as worker_module
 from standins.guard import RETENTION_MS, Attempt, Guard, Refusal, Result, Start, Work
 from standins.log import RateCap, Stream
@@ -440,3 +442,23 @@
     await wait_until(refused)
     await asyncio.sleep(0.1)
     assert await refused()
+
+
+def test_periods_in_virtual_time_do_not_depend_on_the_processor():
+    """Guards against simulations that differ beside load, as each period was cut by real time."""
+
+    async def record():
+        timer = virtual.VirtualTimer()
+        ticks_ms = []
+
+        def act(_):
+            ticks_ms.append(timer.now_ms())
+            time.sleep(0.005)
+
+        started_ms = timer.now_ms()
+        subscription = timer.every(250.0).subscribe(act)
+        await asyncio.sleep(1.1)
+        subscription.dispose()
+        return [round(at_ms - started_ms, 3) for at_ms in ticks_ms]
+
+    assert virtual.run_in_virtual_time(record()) == [250.0, 500.0, 750.0, 1_000.0]
