--- a/src/bench/untrusted.py
+++ b/src/bench/untrusted.py
@@ -229,6 +229,7 @@
         {},
         defaults.BODY_LIMIT_BYTES,
         padding_field="payload",
+        items_field="payload",
     )
 
 
@@ -315,6 +316,13 @@
     *_cases("entry", "callers", BODY_COUNTS),
     *_cases("entry", "operators", {"whole_body": 12, "unfinished_body": 24}),
 )
+# What a client sends after its body, and what a legal body holds when it is decoded.
+TRAILER_CASES = tuple(
+    Case(front_end, "callers", "endless_trailers", 200) for front_end in ("node", "entry")
+)
+DECODED_CASES = tuple(
+    Case(front_end, "callers", "many_items", 400) for front_end in ("node", "entry")
+)
 UNREAD_CASES = tuple(
     Case(front_end, "callers", "pipelined_unread", 100) for front_end in ("node", "entry")
 )
@@ -335,7 +343,15 @@
         "entry", "peers", {"head_without_end": 100, "unfinished_body": 200, "pipelined_unread": 50}
     ),
 )
-CASES = (*HEAD_CASES, *BODY_CASES, *UNREAD_CASES, *IDLE_CASES, *OTHER_LISTENER_CASES)
+CASES = (
+    *HEAD_CASES,
+    *BODY_CASES,
+    *TRAILER_CASES,
+    *DECODED_CASES,
+    *UNREAD_CASES,
+    *IDLE_CASES,
+    *OTHER_LISTENER_CASES,
+)
 
 
 @frozen
--- a/src/standins/crowd.py
+++ b/src/standins/crowd.py
@@ -50,6 +50,7 @@
     :param body: JSON body of a ``POST`` request without the field that fills it up.
     :param body_bytes: size of the largest legal body.
     :param padding_field: field whose text fills a body up.
+    :param items_field: field that holds a list of items.
     """
 
     address: str
@@ -59,6 +60,7 @@
     body: Mapping[str, Any]
     body_bytes: int
     padding_field: str = "padding"
+    items_field: str = "steps"
 
     def head(self, method: str, path: str, *fields: str) -> bytes:
         """Return the complete head of a request."""
@@ -70,6 +72,17 @@
         content_type = "Content-Type: application/json"
         return self.head("POST", self.post_path.format(number=number), content_type, *fields)
 
+    def encode_body(self, fields: Mapping[str, Any]) -> bytes:
+        """Return a body with some other fields."""
+        return json.dumps({**self.body, **fields}, separators=(",", ":")).encode()
+
+    def body_of_items(self) -> bytes:
+        """Return a body of at most the largest legal size, with as many small items as fit."""
+        item = {"count": 1}
+        item_bytes = len(json.dumps(item, separators=(",", ":"))) + 1
+        left_bytes = self.body_bytes - len(self.encode_body({self.items_field: []}))
+        return self.encode_body({self.items_field: [item] * (left_bytes // item_bytes)})
+
     def padded_body(self) -> bytes:
         """Return a body of the largest legal size."""
         empty = json.dumps({**self.body, self.padding_field: ""})
@@ -139,6 +152,20 @@
         yield f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
 
 
+@behaviours.register("endless_trailers")
+def _endless_trailers(endpoint: Endpoint, number: int) -> Iterator[bytes]:
+    body = endpoint.encode_body({})
+    yield endpoint.post_head(number, "Transfer-Encoding: chunked")
+    yield f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n"
+    yield from _header_fields()
+
+
+@behaviours.register("many_items")
+def _many_items(endpoint: Endpoint, number: int) -> Iterator[bytes]:
+    body = endpoint.body_of_items()
+    yield endpoint.post_head(number, f"Content-Length: {len(body)}") + body
+
+
 @behaviours.register("compressed_body")
 def _compressed_body(endpoint: Endpoint, number: int) -> Iterator[bytes]:
     body = zlib.compress(b"x" * COMPRESSED_BODY_BYTES)
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -12,9 +12,11 @@
 
 from bench.untrusted import (
     BODY_CASES,
+    DECODED_CASES,
     HEAD_CASES,
     IDLE_CASES,
     OTHER_LISTENER_CASES,
+    TRAILER_CASES,
     UNREAD_CASES,
     describe,
     run_case,
@@ -50,6 +52,18 @@
     await check_case(case)
 
 
+@_by_name(TRAILER_CASES)
+async def test_trailer_fields_are_bounded(check_case, case):
+    """Guards against holding all fields that a client sends after its chunked body."""
+    await check_case(case)
+
+
+@_by_name(DECODED_CASES)
+async def test_decoded_bodies_held_at_once_are_bounded(check_case, case):
+    """Guards against legal bodies whose objects take many times the memory of their bytes."""
+    await check_case(case)
+
+
 @_by_name(UNREAD_CASES)
 async def test_unread_answers_are_bounded(check_case, case):
     """Guards against holding pipelined requests and answers of clients that do not read."""
