Connections: fields after a chunked body are bounded

Clients that send trailer fields without end after the last chunk of a body brought a front end to 254 MB of a VM of 96 MB (200 clients). The limit of a head does not apply while a body is read, and the limit of a body does not count them, but the parser keeps up to 64 fields of 8 KB for each connection.

What is read while the body does not grow is counted; beyond 1 KiB the request is refused with 431 and nothing more is parsed. Framing of chunks does not add up, as each chunk makes the body grow. Of trailer fields a connection now holds at most one read of 16 KiB and the limit.

--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -36,6 +36,9 @@
 EMPTY_LINES = RefusalKind("empty_lines", "too many empty lines before the request", 400)
 HEAD_TIMEOUT = RefusalKind("head_timeout", "head of a request did not arrive in time")
 BODY_TOO_LARGE = RefusalKind("body_too_large", "body is larger than the limit", 413)
+TRAILERS_TOO_LARGE = RefusalKind(
+    "trailers_too_large", "fields after the request body are too large", 431
+)
 BODY_ENCODING = RefusalKind("body_encoding", "compressed bodies are not accepted", 415)
 BODY_INCOMPLETE = RefusalKind("body_incomplete", "request body did not arrive completely", 400)
 BODY_TIMEOUT = RefusalKind("body_timeout", "request body did not arrive in time", 408)
--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -29,6 +29,7 @@
     EVICTED,
     HEAD_TOO_LARGE,
     MALFORMED,
+    TRAILERS_TOO_LARGE,
     UNREAD_ANSWER,
     UNREAD_COUNT,
     BodyBudget,
@@ -156,6 +157,7 @@
         "_head_bytes",
         "_newest_payload",
         "_socket_transport",
+        "_trailer_bytes",
         "_unread_bytes",
     )
 
@@ -189,6 +191,7 @@
         self._newest_payload: Any = None
         self._head_bytes = 0
         self._blank_bytes = 0
+        self._trailer_bytes = 0
         self._unread_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -225,24 +228,39 @@
         self.data_received(bytes(_receive_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was read, within the limits of a head and of empty lines before it."""
+        """Parse what was read, within the limits of heads, empty lines and trailer fields."""
         payload = self._newest_payload
         in_body = payload is not None and not payload.is_eof()
+        body_bytes = payload.total_bytes if in_body else 0
         request_count = self._request_count
         super().data_received(data)
         # What is sent while a request is handled does not end the wait for its answer to be read.
         waiting = not self._request_in_progress
         if self._request_count != request_count:
-            self._head_bytes = self._blank_bytes = 0
+            self._head_bytes = self._blank_bytes = self._trailer_bytes = 0
             if self._messages:
                 self._newest_payload = self._messages[-1][1]
             if waiting:
                 self._bounds.fire(self, "request")
-        elif data and not in_body:
+        elif in_body:
+            self._add_to_trailers(payload, len(data), payload.total_bytes - body_bytes)
+        elif data:
             if waiting:
                 self._bounds.fire(self, "bytes")
             self._add_to_head(data)
 
+    def _add_to_trailers(self, payload: Any, read_bytes: int, body_bytes: int) -> None:
+        """Count what was read since the body last grew; the parser keeps all trailer fields."""
+        self._trailer_bytes = 0 if body_bytes else self._trailer_bytes + read_bytes
+        if self._trailer_bytes <= defaults.TRAILER_LIMIT_BYTES or payload.is_eof():
+            return
+        if self._force_close or self._close:
+            return
+        self._bounds.count_refusal(TRAILERS_TOO_LARGE)
+        payload.set_exception(BodyGivenUpError(TRAILERS_TOO_LARGE))
+        # Nothing more is parsed; the answer is sent before the connection is closed.
+        self.close()
+
     def _add_to_head(self, data: bytes) -> None:
         if self._head_bytes == self._blank_bytes and not data.strip(b"\r\n"):
             self._blank_bytes += len(data)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -379,6 +379,8 @@
 HEAD_LIMIT_BYTES = 16 * 1024
 HEADER_LIMIT_COUNT = 64
 EMPTY_LINE_LIMIT_BYTES = 1_024
+# Fields after a chunked body; neither interface describes any.
+TRAILER_LIMIT_BYTES = 1_024
 # One more request is parsed while the previous one is handled; the next ones stay unread.
 PIPELINED_REQUEST_LIMIT_COUNT = 2
 UNREAD_ANSWER_LIMIT_BYTES = 16 * 1024
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -417,6 +417,19 @@
     assert bounded.budget.used_bytes == 0
 
 
+async def test_trailer_fields_over_the_limit_get_431_and_few_are_accepted(make_bounded):
+    """Guards against fields after a body that are kept without end, and a limit that takes all."""
+    bounded = await make_bounded()
+    start = post_chunked(b"x" * 10) + b"0\r\n"
+    assert (await bounded.exchange(start + b"A: b\r\n\r\n")).startswith(b"HTTP/1.1 200")
+    # More than one read, which is what the parser may hold before they are counted.
+    fields = b"".join(b"A%d: " % number + b"a" * 2_000 + b"\r\n" for number in range(40))
+    answer = await bounded.exchange(start + fields)
+    assert answer.startswith(b"HTTP/1.1 431") and json.loads(answer.split(b"\r\n\r\n")[1])
+    assert len(bounded.handled) == 1
+    assert bounded.budget.used_bytes == 0
+
+
 async def test_a_compressed_body_is_refused_and_not_handed_on(make_bounded):
     """Guards against small bodies that expand beyond the memory reserved for them."""
     bounded = await make_bounded()
