Connections: an answered request does not keep its body

400 clients with one legal body each brought the platform's front end to 121 MB of a VM of 96 MB and the own one to 114 MB, and the peak grew by 0.3 MB with each client: the connection refers to its last request and response until the next request comes, and the request to its body. The memory that was reserved for the body had been released with the answer, so idle connections held bodies that no limit counted.

Both bodies are dropped once the response has been sent, before the reservation is released.

--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -323,6 +323,7 @@
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
+            _drop_bodies(request, resp)
             self._bounds.budget.release(self)
             self._unread_bytes = self.unsent_bytes()
             if self._unread_bytes:
@@ -364,6 +365,16 @@
             transport.abort()
 
 
+def _drop_bodies(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Release the bodies of a request that has been answered.
+
+    The connection refers to both objects until its next request, however long it is idle.
+    """
+    request._read_bytes = None
+    if isinstance(response, web.Response):
+        response.body = None
+
+
 class BoundedServer(web.Server):
     """HTTP server whose connections and requests are within the limits of a listener."""
 
