Connections: what is reserved for a body covers the objects made of it

A legal job of 20,000 steps with one field each takes 8.6 MB while it is decoded, but 2.3 MB were reserved: a container counted 72 bytes, and names, values and the types of a job were not counted. So the reservations of concurrent bodies did not bound their memory.

Each container now counts 250 bytes and each comma or colon 100, which covers six shapes of bodies; five of six were above their reservation before, and the sixth with them (the test failed for all). The largest job costs 10 MB and still fits a VM of 96 MB, at the cost of connections there (201 in place of 245); VMs of 112 MB or more are unchanged.

--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -104,13 +104,19 @@
     shared_bytes = shared_mb * MEGABYTE
     fd_count = (fd_limit_count or defaults.VM_FD_LIMIT_DEFAULT_COUNT) - defaults.FILE_FD_COUNT
 
-    def share(memory_ratio: float, fd_ratio: float) -> int:
-        by_memory = memory_ratio * shared_bytes / defaults.CONNECTION_COST_BYTES
+    def share(memory_ratio: float, fd_ratio: float, taken_bytes: int = 0) -> int:
+        by_memory = (memory_ratio * shared_bytes - taken_bytes) / defaults.CONNECTION_COST_BYTES
         return max(1, int(min(by_memory, fd_ratio * fd_count)))
 
-    total = share(defaults.CONNECTION_MEMORY_RATIO, defaults.CONNECTION_FD_RATIO)
+    large_share_bytes = int(defaults.LARGE_BODY_MEMORY_RATIO * shared_bytes)
+    largest_cost_bytes = largest_body_bytes * defaults.BODY_COST_RATIO
+    large_bytes = max(large_share_bytes, largest_cost_bytes, defaults.LARGEST_JOB_COST_BYTES)
+    total = share(
+        defaults.CONNECTION_MEMORY_RATIO,
+        defaults.CONNECTION_FD_RATIO,
+        large_bytes - large_share_bytes,
+    )
     per_address = max(1, int(defaults.ADDRESS_CONNECTION_RATIO * total))
-    large_bytes = int(defaults.LARGE_BODY_MEMORY_RATIO * shared_bytes)
     peer_bytes = int(defaults.PEER_BODY_MEMORY_RATIO * shared_bytes)
     return MemoryLimits(
         ConnectionLimits(total, per_address),
@@ -126,7 +132,7 @@
             defaults.METRICS_CONNECTION_LIMIT_COUNT,
             share(defaults.METRICS_CONNECTION_MEMORY_RATIO, defaults.METRICS_FD_RATIO),
         ),
-        max(large_bytes, largest_body_bytes * defaults.BODY_COST_RATIO),
+        large_bytes,
         int(defaults.SMALL_BODY_MEMORY_RATIO * shared_bytes),
         max(peer_bytes, largest_peer_body_bytes * defaults.BODY_COST_RATIO),
     )
@@ -135,7 +141,12 @@
 def decoded_bytes(body: bytes) -> int:
     """Return the memory that a JSON body takes at most while it is decoded and handled."""
     container_count = body.count(b"[") + body.count(b"{")
-    return defaults.BODY_COST_RATIO * len(body) + defaults.DECODED_CONTAINER_BYTES * container_count
+    value_count = body.count(b",") + body.count(b":")
+    return (
+        defaults.BODY_COST_RATIO * len(body)
+        + defaults.DECODED_CONTAINER_BYTES * container_count
+        + defaults.DECODED_VALUE_BYTES * value_count
+    )
 
 
 @define(eq=False)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -353,9 +353,12 @@
 # Bytes of memory for each byte of a body: the body is read into one buffer and copied once, and its
 # text and the decoded values exist at the same time.
 BODY_COST_RATIO = 4
-# Memory of a decoded object or list of a body, beyond its text. A body of empty lists takes 23
-# times its size.
-DECODED_CONTAINER_BYTES = 72
+# Memory of a decoded object or list of a body, and of each of its values and names, beyond its text
+# and with the types that the values are turned into. A step with one field takes 430 bytes.
+DECODED_CONTAINER_BYTES = 250
+DECODED_VALUE_BYTES = 100
+# A job of the most steps that it may have, with a field each, fits the smallest VM.
+LARGEST_JOB_COST_BYTES = 10 * 1024 * 1024
 SMALL_BODY_LIMIT_BYTES = 16 * 1024
 # A query between entry VMs has no body, and a heartbeat is below 16 KiB.
 SIDE_BODY_LIMIT_BYTES = 64 * 1024
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import socket
+import tracemalloc
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -34,8 +35,8 @@
     side_limits,
 )
 from tarragoncart.connections import AdmissionControl, BoundedServer, ListenerSpec, start_server
-from tarragoncart.errors import RequestError
-from tarragoncart.platform.callers import CallerServer
+from tarragoncart.errors import DecodeError, RequestError
+from tarragoncart.platform.callers import CallerServer, decode_job
 from tarragoncart.timer import LoopTimer, ManualTimer
 
 SMALL = defaults.SMALL_BODY_LIMIT_BYTES
@@ -591,3 +592,39 @@
     assert (await pending).startswith(b"HTTP/1.1 200")
     await stopping
     assert bounded.budget.used_bytes == 0 and bounded.server.table.count == 0
+
+
+def steps_body(item, count):
+    """Return the body of a job with a number of equal steps."""
+    return b'{"spec":"x","steps":[' + b",".join([item] * count) + b"]}"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        steps_body(b'{"count":1}', 20_000),
+        steps_body(b"{}", 20_000),
+        steps_body(b'{"affinity":"abcdefgh"}', 9_000),
+        steps_body(b'{"depends-on":[0]}', 13_000),
+        b'{"spec":"x","steps":[' + b",".join([b"1.5"] * 60_000) + b"]}",
+        b"{" + b",".join(b'"%06d":"%06d"' % (n, n) for n in range(14_000)) + b"}",
+    ],
+    ids=["fields", "empty", "texts", "lists", "numbers", "names"],
+)
+def test_the_memory_reserved_for_a_body_covers_what_is_made_of_it(body):
+    """Guards against legal bodies whose objects take more than was reserved for them."""
+    assert len(body) <= defaults.BODY_LIMIT_BYTES
+    tracemalloc.start()
+    with contextlib.suppress(DecodeError):
+        decode_job(body)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    # The body itself exists twice beside its objects.
+    assert peak_bytes + 2 * len(body) <= decoded_bytes(body)
+
+
+def test_the_largest_job_fits_the_smallest_vm():
+    """Guards against limits that refuse each job of many steps, also in calm."""
+    body = steps_body(b'{"count":1}', 20_000)
+    limits = derive_limits(96, 0, defaults.BODY_LIMIT_BYTES, defaults.FORWARD_LIMIT_BYTES)
+    assert decoded_bytes(body) <= limits.large_bytes
