Requests: a refused job is freed with its answer

The errors by which jobs are refused kept their frames, and with them the decoded body: the answer referred to an error whose traceback referred to the handler's frame, or to the message with the reply that held it. Such cycles wait for the garbage collector, while the memory reserved for the body is released with the answer. An actor also kept its last message until the next one came. The test failed before for both kinds of refusal.

--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -429,7 +429,8 @@
                 "after_ms": round(self._timer.now_ms() - context.received_ms),
             },
         )
-        resolve(reply, error)
+        # Its frames refer to the reply: the job would stay until the garbage collector runs.
+        resolve(reply, error.with_traceback(None))
 
     # Planned stop.
 
--- a/src/tarragoncart/mailbox.py
+++ b/src/tarragoncart/mailbox.py
@@ -177,7 +177,7 @@
                 await asyncio.sleep(0)
                 handled_count = 0
             handled_count += 1
-            message = self._inbox.popleft()
+            message, result = self._inbox.popleft(), None
             try:
                 result = self.handle(message)
                 if result is not None:
@@ -191,6 +191,9 @@
                 reply = getattr(message, "reply", None)
                 if isinstance(reply, asyncio.Future) and not reply.done():
                     reply.set_exception(error)
+                del reply
+            # An idle actor does not keep the last job that it was sent.
+            del message, result
 
     def _put_back(self, messages: Sequence[Any]) -> None:
         """Put messages before all others in the inbox, whose limit does not apply."""
--- a/src/tarragoncart/platform/callers.py
+++ b/src/tarragoncart/platform/callers.py
@@ -101,13 +101,15 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a caller's request."""
         try:
-            answer = await self._dispatch(request)
+            response = _encode(await self._dispatch(request))
         except RequestError as error:
-            answer = error
+            # Encoded here: a variable that outlives the handler would keep the frames of the
+            # error, and with them the decoded body, until the next run of the garbage collector.
+            response = _encode(error)
         except InboxFullError as error:
             logger.warning("request refused: inbox is full", extra={"reason": str(error)})
-            answer = RequestError("busy", code="busy", status=503, step="answer caller")
-        response = _encode(answer)
+            busy = RequestError("busy", code="busy", status=503, step="answer caller")
+            response = _encode(busy)
         if self.draining or response.status == 503:
             # A new connection may reach another entry VM that can serve the caller.
             response.force_close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import time
 from collections import Counter
@@ -17,6 +18,7 @@
 from standins.vacating import VacatingFleet
 from tarragoncart import defaults
 from tarragoncart.entrance import CurrentLeader
+from tarragoncart.errors import DecodeError, RequestError
 from tarragoncart.fencing import epoch_of
 from tarragoncart.intake import partitions_of
 from tarragoncart.leadership import Leader
@@ -908,3 +910,22 @@
     assert len(worker.starts) == started_count
     worker.register()
     assert await wait_until(lambda: len(worker.runs) == 4)
+
+
+@pytest.mark.parametrize(
+    ("path", "job"),
+    [("/q/00000000000000aa", {"spec": "text", "steps": [1]}), ("/q/not-an.ID", TWO_STEP_JOB)],
+    ids=["malformed job", "malformed ID"],
+)
+async def test_a_refused_job_is_freed_with_its_answer(run_node, path, job):
+    """Guards against decoded bodies that wait for the garbage collector, which no limit counts."""
+    node = await run_node()
+    gc.collect()
+    gc.disable()
+    try:
+        assert await node.caller.submit(path, job) == 400
+        await asyncio.sleep(0.1)
+        errors = [e for e in gc.get_objects() if isinstance(e, RequestError | DecodeError)]
+    finally:
+        gc.enable()
+    assert not errors
