--- a/src/tarragoncart/platform/callers.py
+++ b/src/tarragoncart/platform/callers.py
@@ -42,7 +42,7 @@
 logger = logging.getLogger(__name__)
 
 # Codes of refused requests by status.
-REFUSAL_CODES = {413: "too_large", 503: "busy"}
+REFUSAL_CODES = {413: "too_large", 431: "too_large", 503: "busy"}
 
 
 @decoder("job")
--- a/src/tarragoncart/server.py
+++ b/src/tarragoncart/server.py
@@ -183,6 +183,7 @@
     "body_encoding": ("body_encoding", ""),
     "body_too_large": ("body_too_large", "body_size_bytes"),
     "body_memory": ("overloaded", "body_memory_bytes"),
+    "trailers_too_large": ("body_too_large", "trailer_size_bytes"),
 }
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -256,6 +256,7 @@
     connectionlimits.BODY_STALLED,
     connectionlimits.BODY_TIMEOUT,
     connectionlimits.BODY_TOO_LARGE,
+    connectionlimits.TRAILERS_TOO_LARGE,
 ]
 
 
