Test of untrusted clients: small legal jobs of the most tasks

The leader holds every task of every accepted job: 20 jobs of 150 bytes with 20,000 tasks each bring it from 49 to 685 MB of a VM of 96 MB. No reservation covers what is made of a body once its job is accepted. A bound has to release the steps of a job only while the tasks in memory fit, and to drop the tasks of ended jobs before their retention ends.

--- a/src/bench/untrusted.py
+++ b/src/bench/untrusted.py
@@ -94,6 +94,10 @@
 FEW_DESCRIPTORS = VmLimits(memory_mb=96, fd_count=320)
 
 
+# Method, path, headers and body.
+Request = tuple[str, str, Mapping[str, str], Any]
+
+
 @frozen
 class FrontEnd:
     """A started front end.
@@ -106,7 +110,7 @@
 
     process: asyncio.subprocess.Process
     endpoints: Mapping[str, Endpoint]
-    ordinary: tuple[str, str, Mapping[str, str], Any]
+    ordinary: Request
     expected: tuple[int, Mapping[str, Any]]
     error_file: Path
 
@@ -271,13 +275,17 @@
 
 @frozen
 class Case:
-    """Untrusted clients of one behaviour at one listener of a front end."""
+    """Untrusted clients of one behaviour at one listener of a front end.
+
+    :param submits_jobs: whether the outcome is taken once the leader has read the clients' jobs.
+    """
 
     front_end: str
     listener: str
     behaviour: str
     client_count: int
     limits: VmLimits = SMALL_MEMORY
+    submits_jobs: bool = False
 
     @property
     def name(self) -> str:
@@ -323,6 +331,7 @@
 DECODED_CASES = tuple(
     Case(front_end, "callers", "many_items", 400) for front_end in ("node", "entry")
 )
+JOB_CASES = (Case("node", "callers", "jobs_of_most_tasks", 20, submits_jobs=True),)
 UNREAD_CASES = tuple(
     Case(front_end, "callers", "pipelined_unread", 100) for front_end in ("node", "entry")
 )
@@ -456,8 +465,32 @@
     A request that is refused for overload or whose connection is closed is sent again, as callers
     do; the job's ID stays the same.
     """
-    method, path, headers, body = front_end.ordinary
-    status, fields = front_end.expected
+    return await _ask(front_end, front_end.ordinary, *front_end.expected, timeout_s)
+
+
+async def submit_and_find(front_end: FrontEnd) -> bool:
+    """Submit a job and return whether the leader knows it, and so the jobs submitted before it."""
+    _, _, headers, body = front_end.ordinary
+    path = "/q/after-the-crowd"
+    submitted = await _ask(front_end, ("POST", path, headers, body), 200, {})
+    return submitted and await _ask(
+        front_end, ("GET", path, headers, None), 200, {}, retried=(410,)
+    )
+
+
+async def _ask(
+    front_end: FrontEnd,
+    request: Request,
+    status: int,
+    fields: Mapping[str, Any],
+    timeout_s: float = ANSWER_TIMEOUT_S,
+    retried: tuple[int, ...] = (),
+) -> bool:
+    """Send a request until its answer is not one for overload; return whether it is as expected.
+
+    :param retried: further statuses after which the request is sent again.
+    """
+    method, path, headers, body = request
     url = f"http://{front_end.endpoints['callers'].address}{path}"
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(timeout_s):
@@ -468,7 +501,7 @@
                         session.request(method, url, json=body, headers=headers) as response,
                     ):
                         content = await response.read()
-                        if response.status not in OVERLOAD_STATUSES:
+                        if response.status not in (*OVERLOAD_STATUSES, *retried):
                             answered = response.status == status
                             return answered and fields.items() <= json.loads(content).items()
                 await asyncio.sleep(RETRY_S)
@@ -494,6 +527,8 @@
         try:
             await crowd.gather()
             answered = await ask_ordinary(front_end)
+            if case.submits_jobs:
+                answered = answered and await submit_and_find(front_end)
             sampler.take()
             peak_memory_mb = read_peak_memory_mb(pid)
             alive = is_running(pid)
--- a/src/standins/crowd.py
+++ b/src/standins/crowd.py
@@ -31,6 +31,9 @@
 # Compressed, this is about a kilobyte.
 COMPRESSED_BODY_BYTES = 1_000_000
 PIPELINED_COUNT = 2_000
+# A job of the most tasks that it may have.
+STEP_TASK_COUNT = 2_000
+STEP_COUNT = 10
 # With a small receive buffer, answers that are not read soon stay with the server.
 RECEIVE_BUFFER_BYTES = 4_096
 # A server that stops reading, or is busy, keeps a crowd from making progress. A crowd without
@@ -166,6 +169,12 @@
     yield endpoint.post_head(number, f"Content-Length: {len(body)}") + body
 
 
+@behaviours.register("jobs_of_most_tasks")
+def _jobs_of_most_tasks(endpoint: Endpoint, number: int) -> Iterator[bytes]:
+    body = endpoint.encode_body({endpoint.items_field: [{"count": STEP_TASK_COUNT}] * STEP_COUNT})
+    yield endpoint.post_head(number, f"Content-Length: {len(body)}") + body
+
+
 @behaviours.register("compressed_body")
 def _compressed_body(endpoint: Endpoint, number: int) -> Iterator[bytes]:
     body = zlib.compress(b"x" * COMPRESSED_BODY_BYTES)
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -15,6 +15,7 @@
     DECODED_CASES,
     HEAD_CASES,
     IDLE_CASES,
+    JOB_CASES,
     OTHER_LISTENER_CASES,
     TRAILER_CASES,
     UNREAD_CASES,
@@ -64,6 +65,12 @@
     await check_case(case)
 
 
+@_by_name(JOB_CASES)
+async def test_the_jobs_that_a_leader_holds_are_bounded(check_case, case):
+    """Guards against small legal bodies whose jobs have more tasks than the leader can hold."""
+    await check_case(case)
+
+
 @_by_name(UNREAD_CASES)
 async def test_unread_answers_are_bounded(check_case, case):
     """Guards against holding pipelined requests and answers of clients that do not read."""
