--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -9,8 +9,10 @@
 
 import model_faults
 from model_faults import SEEDS
-from tarragoncart.entrance import Accepted
+from standins import virtual
+from tarragoncart.entrance import Accepted, RequestContext, Submit
 from tarragoncart.graph import Demand, JobSpec, StepSpec
+from tarragoncart.mailbox import new_reply
 
 FAULT_S = 40.0
 # Seeds with which orders have ended tasks beyond a budget.
@@ -84,6 +86,74 @@
         await asyncio.sleep(simulation.rng.uniform(8.0, 20.0))
 
 
+OTHER_PREFIX = "/other/"
+
+
+async def simulate_moves(simulation, config, faults):
+    """Simulate services with disruption budgets in two pools that take VMs from each other."""
+    rng = simulation.rng
+    rules = json.loads(config)
+    other = {**rules["routes"][0], "name": "other", "path-prefix": OTHER_PREFIX, "backend": "other"}
+    rules["routes"].append(other)
+    rules["services"] += [{"name": "other", "admission-check": True}, {"name": "s", "spare": True}]
+    simulation.store.put("keyed.op", "config", json.dumps(rules).encode())
+    for number in range(8):
+        simulation.add_vm(f"m-{number}", Demand(4_000, 1_000_000))
+        simulation.add_vm(f"o-{number}", Demand(4_000, 1_000_000), "other")
+    for name in ("n-1", "n-2", "n-3"):
+        await simulation.start_node(name)
+    await asyncio.sleep(2.0)
+    for number in range(6):
+        spec = StepSpec(
+            rng.randint(4, 6),
+            Demand(500, 100),
+            long_running=True,
+            max_away_count=rng.randint(1, 2),
+            max_per_upstream_count=rng.choice((1, 2)),
+        )
+        await _submit(simulation, f"{number:016x}", JobSpec("text", (spec,)), number % 2)
+    await asyncio.sleep(4.0)
+    bursts = asyncio.ensure_future(_submit_bursts(simulation))
+    injectors = [model_faults.inject_faults(simulation, faults, FAULT_S) for _ in range(2)]
+    await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
+    await bursts
+    await asyncio.sleep(10.0)
+    for name in list(simulation.nodes):
+        await simulation.kill_node(name)
+    return simulation
+
+
+async def _submit(simulation, job_id, spec, to_other):
+    """Submit a job to one of the two queues, at any entry VM."""
+    simulation.jobs[job_id] = spec
+    path = (OTHER_PREFIX if to_other else "/q/") + job_id
+    node = simulation.rng.choice(list(simulation.nodes.values()))
+    caller = RequestContext(virtual.QUEUE_HOST, path, "key", simulation.now_s() * 1_000)
+    node.request_handler.tell(Submit(caller, spec, new_reply()))
+
+
+async def _submit_bursts(simulation):
+    """Submit more work to one queue than its pool can do, then to the other one."""
+    rng, end_s = simulation.rng, simulation.now_s() + FAULT_S
+    number = 100
+    while simulation.now_s() < end_s:
+        to_other = rng.random() < 0.5
+        for _ in range(6):
+            spec = StepSpec(rng.randint(4, 10), Demand(2_000, 100), rng.choice((400, 900)))
+            await _submit(simulation, f"{number:016x}", JobSpec("text", (spec,)), to_other)
+            number += 1
+            await asyncio.sleep(rng.uniform(0.1, 0.6))
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+
+
+@pytest.mark.parametrize("seed", AVAILABILITY_SEEDS)
+def test_no_move_ends_a_task_beyond_its_disruption_budget(simulate_scenario, seed):
+    """Guards against stops and moves while too many tasks of a step are away (AVAIL)."""
+    simulation = simulate_scenario(simulate_moves, seed, FAULTS)
+    assert simulation.availability.order_count > 10
+    assert simulation.availability.violations == []
+
+
 @pytest.mark.parametrize("seed", AVAILABILITY_SEEDS)
 def test_no_order_ends_a_task_beyond_its_disruption_budget(simulate_scenario, seed):
     """Guards against stops and maintenance while too many tasks of a step are away (AVAIL)."""
