Moves without an answer: an upstream in its new pool is not taken for the old one

Found while reading again: a move whose answer is lost is sent again after 2.5 s, when the VM may be up in its new pool. The new upstream was taken for one that has to be vacated, and the repeated order, answered as done, declared it ended: its tasks would have run a second time (TWICE).

If the list shows the VM in its new pool, the order was carried out: the move goes on as after its answer, the earlier upstream has ended, and an order that is still to be repeated is dropped. The test failed before.

--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -100,6 +100,10 @@
         now_ms = self._timer.now_ms()
         for vm_id, move in list(self._moves.items()):
             entry = self._vms.get(vm_id)
+            if move.state == "ordered" and entry is not None and entry.pool == move.plan.to_pool:
+                # An order without an answer was carried out.
+                self._note_moved(move)
+                continue
             self._follow_upstream(move)
             late = now_ms - move.since_ms > defaults.MOVE_TIMEOUT_MS
             if move.state == "vacating" and late and vm_id not in self._orders.unsettled:
@@ -304,7 +308,15 @@
         if message.reason == "fence":
             self._election.tell(Fenced(self._epoch))
             return
+        if message.event == "accepted":
+            self._note_moved(move)
+            return
         move.since_ms = self._timer.now_ms()
-        if message.event == "accepted" and move.upstream_id:
-            self._scheduler.tell(UpstreamEnded(move.upstream_id))
         self._move_event(move, message.event)
+
+    def _note_moved(self, move: Move) -> None:
+        """Note that an order was carried out, which has ended everything on the VM."""
+        move.since_ms = self._timer.now_ms()
+        if move.upstream_id:
+            self._scheduler.tell(UpstreamEnded(move.upstream_id))
+        self._move_event(move, "accepted")
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -240,6 +240,8 @@
         self, vm: VmUpkeep | Move, order: VmOrder, call: Callable[[], Awaitable[None]]
     ) -> tuple[str, str]:
         vm_id = vm.vm_id
+        if vm.state != "ordered":
+            return "unanswered", "carried out before"
         stored = new_reply()
         ages = self._orders.add(vm_id, self._timer.now_ms(), order)
         unsettled = self._orders.unsettled_record()
@@ -247,6 +249,10 @@
         self._state_writer.tell(Write(records, stored))
         if await stored == FENCED:
             return "unanswered", "fence"
+        if vm.state != "ordered":
+            if self._orders.unsettled.get(vm_id) == order:
+                self._orders.refuse(vm_id)
+            return "unanswered", "carried out before"
         if self._timer.now_ms() >= self._permitted_until_ms:
             # A successor may already send orders, and both together could exceed a wave's limit.
             return "unanswered", "leadership is not confirmed"
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -9,6 +9,7 @@
 
 import pytest
 from aiohttp import web
+from attrs import evolve
 
 from standins import polling
 from tarragoncart.defaults import MOVE_TIMEOUT_MS, VACATED_MAX_AGE_MS
@@ -75,6 +76,11 @@
             raise AssertionError("unexpected move")
         self.tokens[vm_id] = epoch
         self.moved.append((vm_id, pool))
+        if self.unanswered_count:
+            self.unanswered_count -= 1
+            moved = with_state(self.vms[vm_id], "up", f"new-{vm_id}")
+            self.vms[vm_id] = evolve(moved, pool=pool)
+            raise FleetUnknownError("no answer", step="move VM")
 
     async def maintain(self, vm_id, wave, epoch):
         self._refuse()
@@ -269,6 +275,19 @@
     assert await wait_until(lambda: fleet.calls.moved == [("m-5", "other")])
 
 
+async def test_a_move_that_was_carried_out_without_an_answer_spares_the_new_upstream(make_fleet):
+    """Guards against tasks started twice because an upstream in its new pool counts as ended."""
+    fleet = make_fleet(restored_order("m-5", {"to_pool": "other"}, age_ms=5_000), with_wave=False)
+    fleet.calls.moves_allowed, fleet.calls.unanswered_count = True, 1
+    permit(fleet, 60_000)
+    assert await wait_until(lambda: fleet.calls.moved)
+    await asyncio.sleep(2.0)
+    assert fleet.calls.moved == [("m-5", "other")]
+    assert fleet.recorder.ended == ["i-5"]
+    assert not fleet.recorder.requests["new-m-5"]
+    assert not fleet._moves and not fleet._orders.unsettled
+
+
 async def test_a_vm_that_moves_is_not_selected_for_a_wave(fleet):
     """Guards against a move and a wave that vacate a VM in turns, with different grace periods."""
     plan = MovePlan("m-0", "pool", "other", "test")
