--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -287,6 +287,7 @@
     await fleet.stop()
     scheduler.handle(ReadmitUpstream("i-1"))
     assert await wait_until(lambda: all(t.at_full_speed for t in tasks_at(scheduler, "i-1")))
+    # The request counts as repeated, as after a first one that gave way to the budget.
     scheduler._upstreams["i-1"].vacating_since_ms = scheduler._timer.now_ms()
     scheduler._upstreams["i-1"].grace_period_ms = None
     scheduler.handle(VacateUpstream("i-1", None, order_pending=True))
