--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -139,8 +139,12 @@
 
 
 def decoded_bytes(body: bytes) -> int:
-    """Return the memory that a JSON body takes at most while it is decoded and handled."""
-    container_count = body.count(b"[") + body.count(b"{")
+    """Return the memory that a JSON body takes at most while it is decoded and handled.
+
+    A container that is not closed is not made, and nesting is limited.
+    """
+    container_count = min(body.count(b"["), body.count(b"]"))
+    container_count += min(body.count(b"{"), body.count(b"}"))
     value_count = body.count(b",") + body.count(b":")
     return (
         defaults.BODY_COST_RATIO * len(body)
