Test of deleted records: wait for the answer that follows the deletion

The test looked at the leader as soon as the store no longer had the record, but the leader notes a deletion when its answer arrives (_RecordsDeleted), which is later by the way back. The condition is the same, with the bound that the other waits of the test have.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -463,7 +463,8 @@
     assert await wait_until(lambda: set(store.standin.newest("keyed.state")) == {JOB_ID})
     key = f"{intake.JOB_PREFIX}{JOB_ID}"
     assert await wait_until(lambda: key not in store.standin.newest(intake.TOPIC))
-    assert node.scheduler._jobs[JOB_ID].parts == set()
+    # The leader learns of the deletion by an answer that comes after it.
+    assert await wait_until(lambda: node.scheduler._jobs[JOB_ID].parts == set())
 
 
 async def test_pools_without_waiting_steps_leave_their_assignments_to_others(store_jobs, leader):
