--- a/src/standins/availability.py
+++ b/src/standins/availability.py
@@ -61,6 +61,6 @@
     def _is_away(self, task_name: str, now_s: float) -> bool:
         task = self.tasks.get(task_name)
         if task is None:
-            # It has never been at work, for as long as the step is known or shorter.
+            # It has never been at work, and when its step began is not known here.
             return False
         return task.ended_by_order or now_s - task.at_work_s > NOTICE_S
--- a/src/tarragoncart/relocations.py
+++ b/src/tarragoncart/relocations.py
@@ -155,8 +155,7 @@
     @staticmethod
     def _busy_vms(waves: Iterable[Wave]) -> set[str]:
         """Return the VMs that a wave vacates or orders, or that are down for it."""
-        states = ("vacating", "ordered", "down")
-        return {vm.vm_id for wave in waves for vm in wave.vms.values() if vm.state in states}
+        return {vm.vm_id for wave in waves for vm in wave.vms.values() if vm.in_progress}
 
     def _plan_moves(self) -> None:
         if not self._may_order():
--- a/src/tarragoncart/stops.py
+++ b/src/tarragoncart/stops.py
@@ -29,8 +29,8 @@
     def _stop_tasks_on_leaving_upstream(self, upstream: KnownUpstream) -> None:
         """Stop the long-running and checkpointing tasks on an upstream that is leaving.
 
-        They are placed again on other upstreams. Its stop needs no disruption budget, but counts
-        against that of the step, which a pending order for the VM of another task may need.
+        They are placed again on other upstreams. These stops need no disruption budget, but count
+        against that of their step, which a pending order for the VM of another task may need.
         """
         if not upstream.slot.entry.draining or not upstream.slot.answering:
             return
--- a/src/tarragoncart/upkeep.py
+++ b/src/tarragoncart/upkeep.py
@@ -33,6 +33,11 @@
     upstream_ended: bool = False
     since_ms: float = 0.0
 
+    @property
+    def in_progress(self) -> bool:
+        """Whether its VM is being vacated, has an order or is down."""
+        return self.state in ("vacating", "ordered", "down")
+
 
 @define(eq=False)
 class Wave:
@@ -99,9 +104,7 @@
     :param unsettled: VMs with an order that may still take effect; they come first.
     """
     in_progress = Counter(
-        listed[vm.vm_id].pool
-        for vm in wave.vms.values()
-        if vm.state in ("vacating", "ordered", "down") and vm.vm_id in listed
+        listed[vm.vm_id].pool for vm in wave.vms.values() if vm.in_progress and vm.vm_id in listed
     )
     remaining_count = wave.request.concurrent_count + 1 - sum(in_progress.values())
     candidates = [
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -176,7 +176,7 @@
         return self._timer.now_ms() - vacated_ms <= defaults.VACATED_MAX_AGE_MS
 
     def _describe_order(self, vm: VmUpkeep | Move) -> dict[str, Any]:
-        """Return what the log says of an order: what the VM was known by when it was sent."""
+        """Return what the log says of an order when its outcome is known, and of its VM by then."""
         now_ms = self._timer.now_ms()
         entry = self._vms.get(vm.vm_id)
         vacated_ms = self._vacated_ms.get(vm.upstream_id)
