Test of disruption budgets: one set-up, one end and one submission

The two scenarios repeated their start, their services, the faults and the end, and built a request that Simulation.submit builds; that one takes the prefix of the queue now. The branch for no faults was never taken.

--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -1320,10 +1320,13 @@
             make_caller_server=lambda entrance, timer: None,
         )
 
-    async def submit(self, node: Node, job_id: str, spec: JobSpec) -> Any:
-        """Submit a job and return the reply, which may be an error, or None if none came."""
+    async def submit(self, node: Node, job_id: str, spec: JobSpec, prefix: str = "/q/") -> Any:
+        """Submit a job and return the reply, which may be an error, or None if none came.
+
+        :param prefix: path prefix of the queue.
+        """
         self.jobs[job_id] = spec
-        caller = RequestContext(QUEUE_HOST, f"/q/{job_id}", "key", self.now_s() * 1_000)
+        caller = RequestContext(QUEUE_HOST, prefix + job_id, "key", self.now_s() * 1_000)
         reply = new_reply()
         node.request_handler.tell(Submit(caller, spec, reply))
         try:
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -9,10 +9,8 @@
 
 import model_faults
 from model_faults import SEEDS
-from standins import virtual
-from tarragoncart.entrance import Accepted, RequestContext, Submit
+from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
-from tarragoncart.mailbox import new_reply
 
 FAULT_S = 40.0
 # Seeds with which orders have ended tasks beyond a budget.
@@ -44,36 +42,52 @@
 )
 
 
+async def _start_nodes(simulation):
+    for name in ("n-1", "n-2", "n-3"):
+        await simulation.start_node(name)
+    await asyncio.sleep(2.0)
+
+
+def _service(rng, max_task_count, upstream_limits):
+    """Return a random service with a disruption budget.
+
+    :param upstream_limits: limits of tasks on one upstream, of which one is drawn.
+    """
+    spec = StepSpec(
+        rng.randint(4, max_task_count),
+        Demand(500, 100),
+        long_running=True,
+        max_away_count=rng.randint(1, 2),
+        max_per_upstream_count=rng.choice(upstream_limits),
+    )
+    return JobSpec("text", (spec,))
+
+
+async def _inject_until_over(simulation, faults, load, settle_s):
+    """Inject faults beside a load, let the simulation settle and end it."""
+    injectors = [model_faults.inject_faults(simulation, faults, FAULT_S) for _ in range(2)]
+    await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
+    await load
+    await asyncio.sleep(settle_s)
+    for name in list(simulation.nodes):
+        await simulation.kill_node(name)
+    return simulation
+
+
 async def simulate_waves(simulation, config, faults):
     """Simulate services with disruption budgets while waves follow each other."""
     rng = simulation.rng
     simulation.store.put("keyed.op", "config", config)
     for number in range(10):
         simulation.add_vm(f"m-{number}", Demand(4_000, 1_000_000))
-    for name in ("n-1", "n-2", "n-3"):
-        await simulation.start_node(name)
-    await asyncio.sleep(2.0)
+    await _start_nodes(simulation)
+    node = simulation.nodes["n-1"]
     for number in range(4):
-        spec = StepSpec(
-            rng.randint(4, 8),
-            Demand(500, 100),
-            long_running=True,
-            max_away_count=rng.randint(1, 2),
-            max_per_upstream_count=rng.choice((0, 1, 2)),
-        )
-        node = simulation.nodes["n-1"]
-        answer = await simulation.submit(node, f"{number:016x}", JobSpec("text", (spec,)))
+        answer = await simulation.submit(node, f"{number:016x}", _service(rng, 8, (0, 1, 2)))
         assert isinstance(answer, Accepted)
     await asyncio.sleep(4.0)
     waves = asyncio.ensure_future(_request_waves(simulation))
-    if faults:
-        injectors = [model_faults.inject_faults(simulation, faults, FAULT_S) for _ in range(2)]
-        await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
-    await waves
-    await asyncio.sleep(20.0)
-    for name in list(simulation.nodes):
-        await simulation.kill_node(name)
-    return simulation
+    return await _inject_until_over(simulation, faults, waves, 20.0)
 
 
 async def _request_waves(simulation):
@@ -100,50 +114,35 @@
     for number in range(8):
         simulation.add_vm(f"m-{number}", Demand(4_000, 1_000_000))
         simulation.add_vm(f"o-{number}", Demand(4_000, 1_000_000), "other")
-    for name in ("n-1", "n-2", "n-3"):
-        await simulation.start_node(name)
-    await asyncio.sleep(2.0)
+    await _start_nodes(simulation)
     for number in range(6):
-        spec = StepSpec(
-            rng.randint(4, 6),
-            Demand(500, 100),
-            long_running=True,
-            max_away_count=rng.randint(1, 2),
-            max_per_upstream_count=rng.choice((1, 2)),
-        )
-        await _submit(simulation, f"{number:016x}", JobSpec("text", (spec,)), number % 2)
+        _submit(simulation, f"{number:016x}", _service(rng, 6, (1, 2)), number % 2)
     await asyncio.sleep(4.0)
     bursts = asyncio.ensure_future(_submit_bursts(simulation))
-    injectors = [model_faults.inject_faults(simulation, faults, FAULT_S) for _ in range(2)]
-    await asyncio.wait({asyncio.ensure_future(injector) for injector in injectors})
-    await bursts
-    await asyncio.sleep(10.0)
-    for name in list(simulation.nodes):
-        await simulation.kill_node(name)
-    return simulation
+    return await _inject_until_over(simulation, faults, bursts, 10.0)
 
 
-async def _submit(simulation, job_id, spec, to_other):
-    """Submit a job to one of the two queues, at any entry VM."""
-    simulation.jobs[job_id] = spec
-    path = (OTHER_PREFIX if to_other else "/q/") + job_id
+def _submit(simulation, job_id, spec, to_other):
+    """Submit a job to one of the two queues, at any entry VM, without waiting for the answer."""
     node = simulation.rng.choice(list(simulation.nodes.values()))
-    caller = RequestContext(virtual.QUEUE_HOST, path, "key", simulation.now_s() * 1_000)
-    node.request_handler.tell(Submit(caller, spec, new_reply()))
+    prefix = OTHER_PREFIX if to_other else "/q/"
+    return asyncio.ensure_future(simulation.submit(node, job_id, spec, prefix))
 
 
 async def _submit_bursts(simulation):
     """Submit more work to one queue than its pool can do, then to the other one."""
     rng, end_s = simulation.rng, simulation.now_s() + FAULT_S
-    number = 100
+    number, submitted = 100, []
     while simulation.now_s() < end_s:
         to_other = rng.random() < 0.5
         for _ in range(6):
             spec = StepSpec(rng.randint(4, 10), Demand(2_000, 100), rng.choice((400, 900)))
-            await _submit(simulation, f"{number:016x}", JobSpec("text", (spec,)), to_other)
+            job = JobSpec("text", (spec,))
+            submitted.append(_submit(simulation, f"{number:016x}", job, to_other))
             number += 1
             await asyncio.sleep(rng.uniform(0.1, 0.6))
         await asyncio.sleep(rng.uniform(0.0, 3.0))
+    await asyncio.gather(*submitted)
 
 
 @pytest.mark.parametrize("seed", AVAILABILITY_SEEDS)
