Store: no record or append beyond the limits, and no rejected one repeated

Cause: the record of the step exceeded record-bytes. The writer of the leader's state repeats refused appends, as a refusal usually ends by itself; this one cannot, and while an append is in progress nothing else is stored.

Change, for all paths: - storage.StoreLimits knows the limits. The store's client checks each append, and the writer splits writes beyond a call and leaves out records beyond the limit. - A refusal that cannot change (a limit; 400 to 499 but for 408, 425, 429) is StoreRejectedError and never repeated unchanged. The writer sends the records in halves until the one at fault is found; only that one is left out. It costs its own job, which fails, or its caller, who gets 413; both are logged with key and size and counted (records.rejected). - A record of a step always has the states of all tasks; saved progress fills what is left, the shortest values first, that of a gang once. - Reports are read with a bound and without saved progress beyond it, and time out by progress; before, a report of that size exceeded the call's time limit. Same cause elsewhere: acceptances that exceed the limit only with their key, removal of many expired candidates, orders for VMs that took a rejected write for a stored one.

--- a/src/bench/takeover_cost.py
+++ b/src/bench/takeover_cost.py
@@ -47,7 +47,7 @@
     step = job.release(0)[0]
     for task in step.tasks:
         task.state, task.run, task.upstream_id = "running", 1, f"i-{task.index:010x}"
-    yield step.name, jobmodel.encode_step(step)
+    yield step.name, jobmodel.encode_step(step).value
 
 
 def response_bytes(records: list[tuple[str, bytes]]) -> int:
--- a/src/standins/store.py
+++ b/src/standins/store.py
@@ -71,6 +71,9 @@
         self.owner = ""
         self.generation = 0
         self.append_count = 0
+        # What it accepts, and how many appends it has rejected for that.
+        self.record_bytes, self.call_bytes = 262_144, 2_097_152
+        self.rejected_count = 0
 
     def part(self, topic: str, number: int = 0) -> Part:
         """Return a partition, which is created on first use."""
@@ -135,8 +138,13 @@
             return web.Response(status=503)
         if number in self.faults.unresponsive_parts.get(query["topic"], ()):
             await asyncio.sleep(60)
-        records = list(_decode_records(await request.read()))
+        body = await request.read()
+        records = list(_decode_records(body))
         self.append_count += 1
+        sizes = [1 + len(key.encode()) + len(value) for key, value in records]
+        if len(body) > self.call_bytes or max(sizes, default=0) > self.record_bytes:
+            self.rejected_count += 1
+            return web.Response(status=413)
         if "as-of" in query and int(query["as-of"]) != len(part.records):
             return _json_response({"end": len(part.records)}, 412)
         producer = query.get("producer")
--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -43,7 +43,16 @@
 from tarragoncart.platform.callers import decode_job
 from tarragoncart.runs import EndedRun, LiveRun, StartOrder, UpstreamReport
 from tarragoncart.scheduler import JobView, Lookup
-from tarragoncart.storage import Appended, Chunk, Entry, Expired, Membership, Producer
+from tarragoncart.storage import (
+    DEFAULT_LIMITS,
+    Appended,
+    Chunk,
+    Entry,
+    Expired,
+    Membership,
+    Producer,
+    StoreLimits,
+)
 from tarragoncart.timer import LoopScheduler
 
 STORE_DELAY_S = 0.005
@@ -184,6 +193,7 @@
     :param max_append_delay_s: longest time before an append is applied, which may be after its
         caller's timeout.
     :param links: links of entry VMs that are not unlimited.
+    :param limits: what it accepts.
     """
 
     rng: random.Random
@@ -200,6 +210,7 @@
     call_delay_s: float = STORE_DELAY_S
     max_append_delay_s: float = 0.0
     links: dict[str, VirtualLink] = Factory(dict)
+    limits: StoreLimits = DEFAULT_LIMITS
 
     def part(self, topic: str, number: int) -> _Partition:
         """Return a partition, which is created on first use."""
@@ -261,8 +272,9 @@
         expected_end: int | None = None,
     ) -> Appended:
         """Append records with the checks of the platform's store."""
-        await self._simulate_call("append")
         partition, content = self._state.part(topic, part), list(records)
+        self._state.limits.check(content, "store")
+        await self._simulate_call("append")
 
         def apply() -> Appended:
             if expected_end is not None and expected_end != len(partition.records):
--- a/src/tarragoncart/candidacy.py
+++ b/src/tarragoncart/candidacy.py
@@ -14,6 +14,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Names that are removed in one call of the store; the others follow with the next renewal.
+EXPIRED_LIMIT_COUNT = 1_000
+
 CANDIDATE_TOPIC = "keyed.candidates"
 
 
@@ -66,7 +69,7 @@
             # The condition excludes the removal of a record that is renewed meanwhile.
             await self.store.append(
                 CANDIDATE_TOPIC,
-                [(name, b"") for name in expired],
+                [(name, b"") for name in expired[:EXPIRED_LIMIT_COUNT]],
                 expected_end=newest.end_offset,
             )
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -20,7 +20,7 @@
 from .mailbox import Actor, new_reply, receives, resolve
 from .scheduler import CountPending, JobView, Lookup, PendingView, Scheduler
 from .timer import Timer
-from .writer import STORED, Write, Writer
+from .writer import REJECTED, STORED, Write, Writer
 
 logger = logging.getLogger(__name__)
 
@@ -140,7 +140,6 @@
         the store refused for the first.
     :param key_freshness_ms: longest time for which a withdrawn API key may still be accepted.
     :param config_freshness_ms: time within which a new configuration must be in force.
-    :param record_max_bytes: maximum size of a record in the store.
     """
 
     def __init__(
@@ -152,7 +151,6 @@
         *,
         key_freshness_ms: int,
         config_freshness_ms: int,
-        record_max_bytes: int,
     ) -> None:
         super().__init__("entrance")
         self._writers = writers
@@ -161,7 +159,6 @@
         self._timer = timer
         self._key_freshness_ms = key_freshness_ms * defaults.KEY_FRESHNESS_RATIO
         self._config_freshness_ms = config_freshness_ms
-        self._record_max_bytes = record_max_bytes
         self._rules: Rules | None = None
         self._as_of_ms = 0.0
         self._leadership = CurrentLeader(None, None)
@@ -299,10 +296,7 @@
     async def _store(
         self, context: RequestContext, submission: Submission, reply: asyncio.Future[Any]
     ) -> None:
-        record = intake.submission_record(submission)
-        if len(record[1]) > self._record_max_bytes:
-            raise _refusal("job is too large to be stored", "too_large", 413)
-        await self._write(record)
+        await self._write(intake.submission_record(submission))
         self._record_answer(context, submission.queue, "accepted")
         logger.info(
             "job accepted",
@@ -320,13 +314,17 @@
     async def _write(self, record: tuple[str, bytes]) -> None:
         """Store a record in the first partition whose append is not refused.
 
-        :raises RequestError: 503 if it is not and will not be stored, 504 if that is not known.
+        :raises RequestError: 503 if it is not and will not be stored, 504 if that is not known, 413
+            if the store can never accept the record.
         """
         # A partition may be down while others are up. If a partition does not answer, the next one
         # is not tried: usually the whole store is unreachable then and would not answer either.
         for writer in self._writers:
-            if await self._try_write(writer, record) == STORED:
+            outcome = await self._try_write(writer, record)
+            if outcome == STORED:
                 return
+            if outcome == REJECTED:
+                raise _refusal("record is too large to be stored", "too_large", 413)
         raise _refusal("the store refused the record", "store_unavailable", 503)
 
     async def _try_write(self, writer: Writer, record: tuple[str, bytes]) -> str:
--- a/src/tarragoncart/errors.py
+++ b/src/tarragoncart/errors.py
@@ -96,6 +96,10 @@
     """The store refused a call, which had no effect."""
 
 
+class StoreRejectedError(StoreRefusedError):
+    """The store can never accept a call as it is; to repeat it unchanged is of no use."""
+
+
 class StoreUnknownError(TarragoncartError):
     """The store did not answer; the call may have taken effect or may still do so."""
 
--- a/src/tarragoncart/intake.py
+++ b/src/tarragoncart/intake.py
@@ -32,7 +32,7 @@
 from .follower import BulkReads, Follower, TopicChanges, TopicSnapshot
 from .graph import Demand, JobSpec, StepSpec, Submission
 from .mailbox import Actor, new_reply, receives, resolve
-from .storage import Entry
+from .storage import DEFAULT_LIMITS, Entry, StoreLimits
 from .timer import Timer
 from .writer import STORED, Write, Writer
 
@@ -217,6 +217,7 @@
     :param make_store: returns a new client of the store; each actor needs its own.
     :param listener: actor that receives :class:`IntakeRead`.
     :param bulk_reads: limits how many partitions are read for the first time at once.
+    :param store_limits: what the store accepts of deletions.
     :param memory_bytes: memory for records that have been read and not been handled. Of an accepted
         job beyond it only the key is forwarded, and beyond that nothing.
     """
@@ -230,10 +231,12 @@
         timer: Timer,
         bulk_reads: BulkReads,
         *,
+        store_limits: StoreLimits = DEFAULT_LIMITS,
         memory_bytes: float = float("inf"),
     ) -> None:
         super().__init__("intake reader")
         self._memory_bytes = memory_bytes
+        self._store_limits = store_limits
         self._whole_ids: frozenset[str] = frozenset()
         self._forwarded = False
         self._used_bytes = 0
@@ -402,6 +405,7 @@
                 self._epoch,
                 self._timer,
                 part=part,
+                limits=self._store_limits,
             )
             self._writers[part] = writer
             writer.start()
--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -50,6 +50,7 @@
     :param tickets_until_ms: when the tickets expire.
     :param wait_reason: why its tasks waited in the last scheduling pass, empty if none did.
     :param queued_ms: since when it has had waiting tasks without a pause.
+    :param unstored_count: tasks whose saved progress its record in the store has no room for.
     """
 
     job: Job
@@ -63,6 +64,7 @@
     advice_requested_ms: float = float("-inf")
     wait_reason: str = ""
     queued_ms: float = 0.0
+    unstored_count: int = 0
     _dropped_logged_ms: float = field(default=float("-inf"), init=False)
 
     @property
@@ -424,32 +426,74 @@
 }
 
 
-def _state_code(state: str) -> str:
-    return _PLACED_CODE if state in PLACED else _STATE_CODES.get(state, _WAITING_CODE)
+@frozen
+class EncodedStep:
+    """The record of a step.
+
+    :param left_out_count: values of saved progress for which the record has no room.
+    """
 
+    value: bytes
+    left_out_count: int = 0
 
-def encode_step(step: StepOccurrence) -> bytes:
-    """Encode the state of a step's tasks."""
-    rows: list[list[Any]] = [
-        [index, _state_code("done"), run] for index, run in step.tasks.done_runs()
-    ]
+
+def encode_step(step: StepOccurrence, max_bytes: float = float("inf")) -> EncodedStep:
+    """Encode the state of a step's tasks.
+
+    Saved progress is left out, the longest values first, if the record would be too large; a task
+    then runs without it after a change of the leader. The states of the tasks are always encoded.
+    """
+    rows = [_dump([index, _state_code("done"), run]) for index, run in step.tasks.done_runs()]
+    checkpoints: list[tuple[int, bytes]] = []
+    histories: set[int] = set()
     for task in step.tasks.kept:
-        rows += [[task.index, _PLACED_CODE, run, at] for run, at in sorted(task.copies.items())]
+        rows += [
+            _dump([task.index, _PLACED_CODE, run, at]) for run, at in sorted(task.copies.items())
+        ]
         if not task.run and task.state == TASK_CHART.initial and not task.copies:
             continue
-        code = _state_code(task.state)
-        row: list[Any] = [task.index, code, task.run]
-        if code != "d":
-            failed_runs = sorted(task.history.failed_runs)
-            row += [
-                task.upstream_id if task.placed else task.bound_to,
-                failed_runs,
-                task.history.checkpoint,
-            ]
-            while not row[-1] and len(row) > 3:
-                row.pop()
-        rows.append(row)
-    return json.dumps(rows, separators=(",", ":")).encode()
+        row = _encode_task(task)
+        if task.history.checkpoint and task.state != "done" and id(task.history) not in histories:
+            # The tasks of a gang share one value.
+            histories.add(id(task.history))
+            checkpoints.append(
+                (len(rows), _dump([*row, *_PADDING[len(row) :], task.history.checkpoint]))
+            )
+        rows.append(_dump(row))
+    size_bytes = 1 + sum(len(row) + 1 for row in rows)
+    left_out_count = 0
+    for number, row_bytes in sorted(checkpoints, key=lambda item: len(item[1])):
+        added_bytes = len(row_bytes) - len(rows[number])
+        if size_bytes + added_bytes > max_bytes:
+            left_out_count += 1
+            continue
+        size_bytes += added_bytes
+        rows[number] = row_bytes
+    return EncodedStep(b"[" + b",".join(rows) + b"]", left_out_count)
+
+
+# Values of a row before the saved progress.
+_PADDING: tuple[Any, ...] = (None, None, None, "", [])
+
+
+def _dump(row: list[Any]) -> bytes:
+    return json.dumps(row, separators=(",", ":")).encode()
+
+
+def _state_code(state: str) -> str:
+    return _PLACED_CODE if state in PLACED else _STATE_CODES.get(state, _WAITING_CODE)
+
+
+def _encode_task(task: Task) -> list[Any]:
+    """Return the row of a task without its saved progress."""
+    code = _state_code(task.state)
+    row: list[Any] = [task.index, code, task.run]
+    if code != "d":
+        failed_runs = sorted(task.history.failed_runs)
+        row += [task.upstream_id if task.placed else task.bound_to, failed_runs]
+        while not row[-1] and len(row) > 3:
+            row.pop()
+    return row
 
 
 @frozen
--- a/src/tarragoncart/metrics.py
+++ b/src/tarragoncart/metrics.py
@@ -63,7 +63,10 @@
 EVENT_LOOP_DELAY = _duration("event_loop.delay", "Delay of a periodic timer of the event loop.")
 JOBS_LEFT = _counter("jobs.left", "job", "Accepted jobs left in the store for want of memory.")
 CHECKPOINTS_DROPPED = _counter(
-    "checkpoints.dropped", "checkpoint", "Saved progress that was not kept."
+    "checkpoints.dropped", "checkpoint", "Saved progress that was not kept or not stored."
+)
+RECORDS_REJECTED = _counter(
+    "records.rejected", "record", "Records that the store can never accept, by topic."
 )
 MALFORMED = _counter("records.malformed", "record", "Records that cannot be decoded, by source.")
 DROPPED_LINES = _counter("log.lines.dropped", "line", "Log lines dropped because output stalls.")
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -50,7 +50,7 @@
 from .mailbox import Actor, new_reply, receives
 from .policies import PolicySettings
 from .scheduler import PRODUCER, RulesChanged, Scheduler
-from .storage import Entry
+from .storage import Entry, StoreLimits
 from .takeover import STATE_TOPIC
 from .taskplacement import make_placement
 from .timer import LoopTimer, Timer
@@ -108,6 +108,11 @@
     evacuation_ms: int | None = None
     policies: PolicySettings = PolicySettings()
 
+    @property
+    def store_limits(self) -> StoreLimits:
+        """What the store accepts."""
+        return StoreLimits(self.store_record_bytes, self.store_call_bytes)
+
 
 @frozen
 class Adapter:
@@ -157,7 +162,7 @@
                 1,
                 timer,
                 part=part,
-                max_append_bytes=settings.store_call_bytes // 2,
+                limits=settings.store_limits,
             )
             for part in intake.partitions_of(settings.name, settings.topic_part_count)
         )
@@ -187,7 +192,6 @@
             timer,
             key_freshness_ms=settings.key_freshness_ms,
             config_freshness_ms=settings.config_freshness_ms,
-            record_max_bytes=settings.store_record_bytes,
         )
         self._follower = Follower(
             adapter.make_store(),
@@ -301,7 +305,7 @@
             message.epoch,
             self._timer,
             retry_refused=True,
-            max_append_bytes=settings.store_call_bytes // 2,
+            limits=settings.store_limits,
         )
         self.scheduler = Scheduler(
             message.epoch,
@@ -318,6 +322,7 @@
             stop_ms=settings.stop_ms,
             retention_ms=settings.retention_ms,
             intake_part_count=settings.topic_part_count,
+            store_limits=settings.store_limits,
             link_mbps=settings.link_mbps,
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
@@ -352,6 +357,7 @@
                 epoch,
                 self._timer,
                 retry_refused=True,
+                limits=settings.store_limits,
             )
             return Fleet(
                 epoch,
--- a/src/tarragoncart/platform/main.py
+++ b/src/tarragoncart/platform/main.py
@@ -33,7 +33,7 @@
             return AdviceClient(settings.advice_address)
 
     return node.Adapter(
-        make_store=lambda: Store(settings.store_address),
+        make_store=lambda: Store(settings.store_address, settings.store_limits),
         make_client=UpstreamClient,
         reaches_upstream=reaches_upstream,
         make_fleet=fleet,
--- a/src/tarragoncart/platform/store.py
+++ b/src/tarragoncart/platform/store.py
@@ -23,9 +23,24 @@
     get_str,
     parse_object,
 )
-from ..errors import DecodeError, StoreConflictError, StoreRefusedError, StoreUnknownError
+from ..errors import (
+    DecodeError,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreRejectedError,
+    StoreUnknownError,
+)
 from ..sessions import open_session
-from ..storage import Appended, Chunk, Entry, Expired, Membership, Producer
+from ..storage import (
+    DEFAULT_LIMITS,
+    Appended,
+    Chunk,
+    Entry,
+    Expired,
+    Membership,
+    Producer,
+    StoreLimits,
+)
 from ..traffic import TRAFFIC
 from .wire import dump_json
 
@@ -39,7 +54,8 @@
 READ_MAX_KB = 1_024
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
-KEY_MAX_BYTES = 255
+# Refusals below 500 that may end by themselves: too slow, too early, too many calls.
+TRANSIENT_STATUSES = (408, 425, 429)
 
 T = TypeVar("T")
 
@@ -48,10 +64,12 @@
     """HTTP client of the store; each actor that uses the store creates its own.
 
     :param address: ``IP:PORT`` of the store.
+    :param limits: every append is checked against these before it is sent.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, limits: StoreLimits = DEFAULT_LIMITS) -> None:
         self.address = address
+        self._limits = limits
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self._malformed = MalformedLog("store")
@@ -80,7 +98,8 @@
 
         :param producer: makes repeated calls idempotent and fences lower epochs.
         :param expected_end: append only if this is the partition's end offset.
-        :raises StoreRefusedError: nothing was appended.
+        :raises StoreRejectedError: nothing was appended, nor will it be if the call is repeated.
+        :raises StoreRefusedError: nothing was appended; another attempt may succeed.
         :raises StoreConflictError: another writer was first.
         :raises StoreUnknownError: no answer; the append may take effect later.
         """
@@ -91,15 +110,11 @@
             query["sequence"] = str(producer.sequence)
         if expected_end is not None:
             query["as-of"] = str(expected_end)
-        body = b"".join(self._encode_record(key, value) for key, value in records)
+        records = tuple(records)
+        self._limits.check(records, self.address)
+        body = b"".join(_encode_record(key, value) for key, value in records)
         return await self._call("append", "POST", "/log-append", query, body, decode_appended)
 
-    def _encode_record(self, key: str, value: bytes) -> bytes:
-        name = key.encode()
-        if len(name) > KEY_MAX_BYTES:
-            raise StoreRefusedError("key is too long", step="append", peer=self.address)
-        return _LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
-
     async def read(self, topic: str, offset: int, wait_ms: int, part: int = 0) -> Chunk | Expired:
         """Read keyed records from an offset on.
 
@@ -253,8 +268,16 @@
             raise StoreUnknownError(repr(error), step=step, peer=self.address) from error
 
 
+def _encode_record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    return _LENGTH.pack(1 + len(name) + len(value)) + bytes((len(name),)) + name + value
+
+
 def _refusal(step: str, peer: str, status: int) -> StoreRefusedError:
-    return StoreRefusedError(f"status {status}", step=step, peer=peer)
+    """Return the error of a refusal, which only changes if the store is the reason for it."""
+    rejected = 400 <= status < 500 and status not in TRANSIENT_STATUSES
+    error = StoreRejectedError if rejected else StoreRefusedError
+    return error(f"status {status}", step=step, peer=peer)
 
 
 @decoder("append response")
--- a/src/tarragoncart/platform/upstreams.py
+++ b/src/tarragoncart/platform/upstreams.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import aiohttp
 
-from .. import defaults
+from .. import defaults, metrics
+from ..bodytrim import StringTrimmer
 from ..decoding import (
     UNIX_MS_MAX,
     check_address,
@@ -37,9 +39,20 @@
 REACH_TIMEOUT_MS = 350
 CONNECTION_COUNT = 8
 KEEPALIVE_S = 10
+# A report with much saved progress may take this much longer while it progresses.
+TRANSFER_MAX_MS = 2_000
+# Responses up to this size are kept whole. Of larger ones saved progress is left out: values from
+# the first size on, and what goes beyond the second one in total.
+WHOLE_BODY_BYTES = 256 * 1024
+SAVED_VALUE_MAX_BYTES = 64 * 1024
+SAVED_TOTAL_MAX_BYTES = 1024 * 1024
+# Largest response without saved progress that is left out.
+BODY_MAX_BYTES = 4 * 1024 * 1024
 
 T = TypeVar("T")
 
+logger = logging.getLogger(__name__)
+
 # Maps the platform's codes for the end of a run to the outcomes used in this package.
 _OUTCOMES = {
     "done": "done",
@@ -141,8 +154,11 @@
     ) -> T:
         if self._session is None:
             self._session = open_session(CONNECTION_COUNT, KEEPALIVE_S)
+        silence_ms = defaults.UPSTREAM_CALL_TIMEOUT_MS + wait_ms
+        transfer_ms = TRANSFER_MAX_MS if step == "hold" else 0
         timeout = aiohttp.ClientTimeout(
-            total=(defaults.UPSTREAM_CALL_TIMEOUT_MS + wait_ms) / 1_000,
+            total=(silence_ms + transfer_ms) / 1_000,
+            sock_read=silence_ms / 1_000,
             sock_connect=CONNECT_TIMEOUT_MS / 1_000,
         )
         encoded = dump_json(body)
@@ -150,7 +166,7 @@
             async with self._session.post(
                 self._base + path, data=encoded, headers=self._headers, timeout=timeout
             ) as response:
-                status, content = response.status, await response.read()
+                status, content = response.status, await self._read_body(step, response)
                 TRAFFIC.add(step, len(encoded), len(content))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(str(error), step=step, peer=self.address) from error
@@ -167,6 +183,33 @@
             raise UpstreamUnknownError(f"status {status}", step=step, peer=self.address)
         raise UpstreamRefusedError(reason, step=step, peer=self.address)
 
+    async def _read_body(self, step: str, response: aiohttp.ClientResponse) -> bytes:
+        """Read a response of limited size, without saved progress that goes beyond it.
+
+        :raises UpstreamUnknownError: if it is still too large.
+        """
+        trimmer: StringTrimmer | None = None
+        content = bytearray()
+        async for chunk in response.content.iter_any():
+            content += chunk
+            if trimmer is None and len(content) <= WHOLE_BODY_BYTES:
+                continue
+            if trimmer is None:
+                trimmer = StringTrimmer(SAVED_VALUE_MAX_BYTES, SAVED_TOTAL_MAX_BYTES)
+            trimmer.feed(bytes(content))
+            content.clear()
+            if trimmer.size_bytes > BODY_MAX_BYTES:
+                raise UpstreamUnknownError("response is too large", step=step, peer=self.address)
+        if trimmer is None:
+            return bytes(content)
+        if trimmer.left_out_count:
+            metrics.CHECKPOINTS_DROPPED.add(trimmer.left_out_count, metrics.labels(reason="report"))
+            logger.warning(
+                "saved progress is left out of a report",
+                extra={"upstream": self.upstream_id, "count": trimmer.left_out_count},
+            )
+        return trimmer.body()
+
 
 @decoder("clock of an upstream")
 def decode_clock_ms(body: bytes) -> int:
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -36,6 +36,7 @@
     StopConfirmed,
 )
 from .runs import StartOrder
+from .storage import DEFAULT_LIMITS, StoreLimits
 from .taskplacement import FirstFit, Placement
 from .tasks import TASK_CHART, Task
 from .timer import Timer
@@ -181,6 +182,7 @@
     :param lease_max_ms: longest lease that an upstream grants.
     :param stop_ms: how long an upstream may take to stop a run.
     :param retention_ms: how long an ended job can be looked up.
+    :param store_limits: what the store accepts.
     :param link_mbps: capacity of this entry VM's link.
     :param evacuation_ms: time within which an evacuated data centre gets no more tasks; None if the
         platform has no evacuations.
@@ -205,6 +207,7 @@
         stop_ms: int,
         retention_ms: int,
         intake_part_count: int,
+        store_limits: StoreLimits = DEFAULT_LIMITS,
         link_mbps: float,
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
         make_advisor: Callable[[Actor], Actor] | None = None,
@@ -214,6 +217,7 @@
     ) -> None:
         super().__init__("scheduler")
         self._memory = LeaderMemory.of_vm(memory_mb)
+        self._store_limits = store_limits
         self._epoch = epoch
         self._rules = rules
         self._make_store = make_store
@@ -235,6 +239,7 @@
             self,
             timer,
             self._bulk_reads,
+            store_limits=store_limits,
             memory_bytes=self._memory.intake_bytes,
         )
         self._unloaded = UnloadedJobs(self._memory.unloaded)
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -25,10 +25,11 @@
 from .reservations import unusable_room
 from .runorders import ExtendPermission, FencedByUpstream
 from .runstate import DeferredEffects, KnownUpstream, SchedulingPass, needs_jobs
+from .storage import Record, record_bytes
 from .taskplacement import PlacementRequest
 from .traffic import TRAFFIC
 from .vmorders import WaveRequested
-from .writer import FENCED, Write
+from .writer import FENCED, RecordRejected, Write
 
 logger = logging.getLogger(__name__)
 
@@ -391,26 +392,67 @@
                 None if done.cancelled() else self.tell_self(_Committed(done.result(), effects))
             )
         )
-        self._writer.tell(Write(records, reply))
+        self._writer.tell(Write(records, reply, self))
 
-    def _changed_records(self) -> Iterator[tuple[str, bytes]]:
+    def _changed_records(self) -> Iterator[Record]:
         for job in self._dirty_jobs:
             yield job.job_id, jobmodel.encode_phase(job)
             for step in job.steps.values():
                 if step.has_runs:
-                    yield step.name, jobmodel.encode_step(step)
+                    yield self._step_record(step)
                 elif step.tasks.has_had_runs:
                     yield step.name, b""
             if isinstance(job, Job):
                 yield from ((name, b"") for name in job.closed_step_names())
         for step in self._dirty_steps:
             if not step.job.ended:
-                yield step.name, jobmodel.encode_step(step)
+                yield self._step_record(step)
             elif step.job not in self._dirty_jobs and not step.has_runs:
                 yield step.name, b""
         for key in self._dropped_keys:
             yield key, b""
 
+    def _step_record(self, step: StepOccurrence) -> Record:
+        """Return the record of a step, without saved progress for which it has no room."""
+        key = step.name
+        max_bytes = self._store_limits.record_bytes - record_bytes((key, b""))
+        encoded = jobmodel.encode_step(step, max_bytes)
+        if encoded.left_out_count > step.unstored_count:
+            count = encoded.left_out_count - step.unstored_count
+            metrics.CHECKPOINTS_DROPPED.add(count, metrics.labels(reason="record"))
+            if step.note_dropped_checkpoint(self._timer.now_ms()):
+                logger.warning(
+                    "saved progress is not stored",
+                    extra={
+                        "job": step.job.job_id,
+                        "step": key,
+                        "task_count": encoded.left_out_count,
+                        "size_bytes": len(encoded.value),
+                        "limit_bytes": max_bytes,
+                    },
+                )
+        step.unstored_count = encoded.left_out_count
+        return key, encoded.value
+
+    @receives(RecordRejected)
+    def on_record_rejected(self, message: RecordRejected) -> None:
+        """Fail the job whose state can never be stored; nothing else waits for it.
+
+        Its starts, which wait for the state, are withdrawn.
+        """
+        job = self._jobs.get(message.key.partition(".")[0])
+        logger.error(
+            "state of a job can never be stored",
+            extra={
+                "job": job.job_id if job else "",
+                "key": message.key,
+                "size_bytes": message.size_bytes,
+                "reason": message.reason,
+            },
+        )
+        if isinstance(job, Job) and not job.ended:
+            self._end_job(job, jobmodel.FAILED, f"its state cannot be stored: {message.reason}")
+
     @receives(_Committed)
     def on_committed(self, message: _Committed) -> None:
         """Apply the effects that had to wait until the state changes were stored."""
--- a/src/tarragoncart/vmorders.py
+++ b/src/tarragoncart/vmorders.py
@@ -19,7 +19,7 @@
 from .runorders import ExtendPermission
 from .timer import Timer
 from .upkeep import VmUpkeep, Wave
-from .writer import FENCED, Write
+from .writer import FENCED, STORED, Write
 
 logger = logging.getLogger(__name__)
 
@@ -247,8 +247,9 @@
         unsettled = self._orders.unsettled_record()
         records = (ages,) if unsettled is None else (ages, unsettled)
         self._state_writer.tell(Write(records, stored))
-        if await stored == FENCED:
-            return "unanswered", "fence"
+        outcome = await stored
+        if outcome != STORED:
+            return "unanswered", "fence" if outcome == FENCED else "it cannot be stored"
         if vm.state != "ordered":
             if self._orders.unsettled.get(vm_id) == order:
                 self._orders.refuse(vm_id)
--- a/src/tarragoncart/writer.py
+++ b/src/tarragoncart/writer.py
@@ -4,24 +4,38 @@
 
 import asyncio
 import logging
+from collections import deque
 from typing import Any, Protocol
 
 from attrs import define, evolve, frozen
 
 from . import defaults, metrics
-from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
+from .errors import (
+    StoreConflictError,
+    StoreRefusedError,
+    StoreRejectedError,
+    StoreUnknownError,
+)
 from .mailbox import Actor, receives, resolve
-from .storage import Appended, Producer
+from .storage import (
+    DEFAULT_LIMITS,
+    KEY_MAX_BYTES,
+    LENGTH_BYTES,
+    Appended,
+    Producer,
+    Record,
+    StoreLimits,
+    record_bytes,
+)
 from .timer import Timer
 
 logger = logging.getLogger(__name__)
 
 STORED = "stored"
 REFUSED = "refused"
+REJECTED = "rejected"
 FENCED = "fenced"
 
-Record = tuple[str, bytes]
-
 
 class AppendStore(Protocol):
     """The methods of the store's client that a writer uses."""
@@ -39,15 +53,33 @@
     async def close(self) -> None: ...
 
 
+@frozen
+class RecordRejected:
+    """The store can never accept a record; it was left out of its write.
+
+    :param reason: which limit it exceeds, or the store's answer.
+    """
+
+    key: str
+    size_bytes: int
+    reason: str
+
+
 @frozen
 class Write:
     """Store records in order.
 
-    :param reply: resolved with ``stored``, ``refused`` (nothing was stored) or ``fenced``.
+    A write larger than one call of the store is stored in several appends.
+
+    :param reply: resolved with ``stored``, ``refused`` (the last records were not stored),
+        ``rejected`` (a record can never be stored, all others are) or ``fenced``.
+    :param listener: is sent a :class:`RecordRejected` for each record that can never be stored,
+        before the reply is resolved with ``stored`` for the others.
     """
 
     records: tuple[Record, ...]
     reply: asyncio.Future[str]
+    listener: Actor | None = None
 
 
 @frozen
@@ -57,12 +89,33 @@
     outcome: str
 
 
+@define(eq=False)
+class _Pending:
+    """A write with its records that are not stored yet.
+
+    :param begun: some of its records have been sent.
+    """
+
+    write: Write
+    records: deque[Record]
+    begun: bool = False
+    rejected: bool = False
+
+
 @define
 class _Batch:
-    writes: list[Write]
+    """The records of one append, in order.
+
+    :param counts: writes with the number of their records in the append.
+    :param rejection: why the store can never accept it.
+    """
+
+    records: list[Record]
+    counts: list[tuple[_Pending, int]]
     sequence: int
     sent_ms: float
     answer_lost: bool = False
+    rejection: str = ""
 
 
 class Writer(Actor):
@@ -71,9 +124,14 @@
     An append without an answer is retried with the same sequence number, so that the store applies
     it once. Nothing else is sent until its outcome is known.
 
+    It is the one place that keeps records to the limits of the store. A record that exceeds them is
+    not sent. If the store rejects an append for good, the records are sent in smaller appends until
+    the one at fault is found; only that one is left out.
+
     :param epoch: fences writers of the same producer with a lower epoch.
     :param retry_refused: retry refused appends as well, instead of reporting the refusal.
-    :param max_append_bytes: maximum size of an append; a larger write is appended alone.
+    :param limits: what the store accepts; an append uses half of a call, and one record may use all
+        of it.
     """
 
     def __init__(
@@ -87,7 +145,7 @@
         *,
         part: int = 0,
         retry_refused: bool = False,
-        max_append_bytes: int = defaults.STORE_CALL_BYTES,
+        limits: StoreLimits = DEFAULT_LIMITS,
     ) -> None:
         super().__init__(name)
         self._store = store
@@ -96,9 +154,11 @@
         self._producer = Producer(producer, epoch, 0)
         self._timer = timer
         self._retry_refused = retry_refused
-        self._max_append_bytes = max_append_bytes
-        self._waiting: list[Write] = []
+        self._limits = limits
+        self._waiting: deque[_Pending] = deque()
         self._batch: _Batch | None = None
+        # Maximum number of records of an append while a rejected one is looked for.
+        self._record_limit_count = float("inf")
         self._fenced = False
 
     @property
@@ -112,23 +172,74 @@
         if self._fenced:
             resolve(message.reply, FENCED)
             return
-        self._waiting.append(message)
+        pending = _Pending(message, deque())
+        for record in message.records:
+            if excess := self._limits.excess_of(record):
+                self._reject(pending, record, excess)
+            else:
+                pending.records.append(record)
+        if message.records and not pending.records:
+            self._resolve_stored(pending)
+            return
+        self._waiting.append(pending)
         if self._batch is None:
             self._start_append()
 
+    def _reject(self, pending: _Pending, record: Record, reason: str) -> None:
+        """Leave out a record that the store can never accept, and tell who has written it."""
+        key, size_bytes = record[0], record_bytes(record)
+        metrics.RECORDS_REJECTED.add(1, metrics.labels(topic=self._topic))
+        logger.error(
+            "record can never be stored",
+            extra={
+                "topic": self._topic,
+                "part": self._part,
+                "key": key[:KEY_MAX_BYTES],
+                "size_bytes": size_bytes,
+                "reason": reason,
+            },
+        )
+        if pending.write.listener is None:
+            pending.rejected = True
+        else:
+            pending.write.listener.tell_self(RecordRejected(key, size_bytes, reason))
+
+    @staticmethod
+    def _resolve_stored(pending: _Pending) -> None:
+        resolve(pending.write.reply, REJECTED if pending.rejected else STORED)
+
     def _start_append(self) -> None:
-        size_bytes = 0
-        count = 0
-        for write in self._waiting:
-            # The store's format adds 5 bytes to a record: 4 for its length, 1 for its key's length.
-            size_bytes += sum(len(key) + len(value) + 5 for key, value in write.records)
-            if count and size_bytes > self._max_append_bytes:
-                break
-            count += 1
-        writes, self._waiting = self._waiting[:count], self._waiting[count:]
-        self._batch = _Batch(writes, self._producer.sequence, self._timer.now_ms())
+        records, counts = self._next_records()
+        self._batch = _Batch(records, counts, self._producer.sequence, self._timer.now_ms())
         self.spawn(self._append(self._batch))
 
+    def _next_records(self) -> tuple[list[Record], list[tuple[_Pending, int]]]:
+        """Return the records of the next append, whole writes if the first one fits."""
+        records: list[Record] = []
+        counts: list[tuple[_Pending, int]] = []
+        left_bytes = self._limits.call_bytes // 2
+        for pending in self._waiting:
+            sizes = [LENGTH_BYTES + record_bytes(record) for record in pending.records]
+            if counts and not sizes:
+                break
+            if records and (
+                sum(sizes) > left_bytes or len(records) + len(sizes) > self._record_limit_count
+            ):
+                break
+            count = 0
+            for size_bytes in sizes:
+                full = size_bytes > left_bytes or len(records) >= self._record_limit_count
+                if records and full:
+                    break
+                left_bytes -= size_bytes
+                records.append(pending.records[count])
+                count += 1
+            pending.begun = True
+            counts.append((pending, count))
+            if count < len(sizes) or not sizes:
+                break
+        return records, counts
+
     async def _append(self, batch: _Batch) -> None:
         delay_ms = defaults.STORE_RETRY_MS
         while True:
@@ -140,14 +251,17 @@
             delay_ms = min(2 * delay_ms, defaults.STORE_RETRY_MAX_MS)
 
     async def _try_append(self, batch: _Batch) -> str:
-        records = [record for write in batch.writes for record in write.records]
         producer = evolve(self._producer, sequence=batch.sequence)
         try:
-            await self._store.append(self._topic, records, part=self._part, producer=producer)
+            await self._store.append(self._topic, batch.records, part=self._part, producer=producer)
         except StoreUnknownError as error:
             batch.answer_lost = True
             self._log_failure("append has no answer", error, batch)
             return ""
+        except StoreRejectedError as error:
+            batch.rejection = str(error)
+            self._log_failure("append rejected for good", error, batch)
+            return REJECTED
         except StoreRefusedError as error:
             self._log_failure("append refused", error, batch)
             # After a lost answer, a refusal says nothing about the outcome of the earlier attempt.
@@ -174,7 +288,9 @@
                 "topic": self._topic,
                 "part": self._part,
                 "sequence": batch.sequence,
-                "write_count": len(batch.writes),
+                "write_count": len(batch.counts),
+                "record_count": len(batch.records),
+                "size_bytes": sum(map(record_bytes, batch.records)),
                 "age_ms": round(self._timer.now_ms() - batch.sent_ms),
                 "reason": str(error),
             },
@@ -182,30 +298,60 @@
 
     @receives(AppendEnded)
     def on_append_ended(self, message: AppendEnded) -> None:
-        """Answer the writes of the batch, then append those that have arrived in the meantime."""
+        """Answer the writes that have ended, then append the records that are left."""
         batch, self._batch = self._batch, None
         if batch is None:
             return
-        if message.outcome != REFUSED:
+        if message.outcome in (STORED, FENCED):
             self._producer = evolve(self._producer, sequence=batch.sequence + 1)
-        for write in batch.writes:
-            resolve(write.reply, message.outcome)
-        if message.outcome == FENCED:
+        if message.outcome == STORED:
+            self._record_limit_count *= 2
+            self._remove(batch)
+        elif message.outcome == REFUSED:
+            for pending, _ in batch.counts:
+                self._waiting.remove(pending)
+                resolve(pending.write.reply, REFUSED)
+        elif message.outcome == REJECTED and len(batch.records) > 1:
+            self._record_limit_count = len(batch.records) // 2
+        elif message.outcome == REJECTED:
+            self._reject_single(batch)
+        elif message.outcome == FENCED:
             self._fenced = True
             self._resolve_waiting(FENCED)
-        elif self._waiting:
+        if self._waiting:
             self._start_append()
 
+    def _remove(self, batch: _Batch) -> None:
+        """Remove the records of a batch, and answer the writes of which none is left."""
+        for pending, count in batch.counts:
+            for _ in range(count):
+                pending.records.popleft()
+            if not pending.records:
+                self._waiting.remove(pending)
+                self._resolve_stored(pending)
+
+    def _reject_single(self, batch: _Batch) -> None:
+        ((pending, count),) = batch.counts
+        if not count:
+            # A call without records, which only fences: nothing can be left out.
+            self._waiting.remove(pending)
+            resolve(pending.write.reply, REJECTED)
+            return
+        self._reject(pending, pending.records[0], batch.rejection)
+        self._remove(batch)
+
     def _resolve_waiting(self, outcome: str) -> None:
-        waiting, self._waiting = self._waiting, []
-        for write in waiting:
-            resolve(write.reply, outcome)
+        waiting, self._waiting = self._waiting, deque()
+        for pending in waiting:
+            resolve(pending.write.reply, outcome)
 
     def withdraw(self, reply: asyncio.Future[str]) -> bool:
         """Remove a write that has not been sent; return whether it was still queued."""
-        before_count = len(self._waiting)
-        self._waiting = [write for write in self._waiting if write.reply is not reply]
-        return len(self._waiting) < before_count
+        for pending in self._waiting:
+            if pending.write.reply is reply and not pending.begun:
+                self._waiting.remove(pending)
+                return True
+        return False
 
     async def on_close(self) -> None:
         """Close the connections to the store."""
--- a/tests/test_jobmodel.py
+++ b/tests/test_jobmodel.py
@@ -28,7 +28,7 @@
     """
     step, restored = make_step(), make_step()
     step.tasks[0].run, step.tasks[0].history.failed_runs = 1, {1}
-    decode_step(restored, encode_step(step))
+    decode_step(restored, encode_step(step).value)
     task = restored.tasks[0]
     task.history.failed_runs.add(1)
     assert not task.exhausted and task.startable
@@ -43,7 +43,7 @@
     first.state, first.run, first.upstream_id = "running", 3, "i-1"
     first.history = RunHistory({1, 2}, "saved")
     second.state, second.run = "done", 1
-    decode_step(restored, encode_step(step))
+    decode_step(restored, encode_step(step).value)
     copy = restored.tasks[0]
     assert (copy.state, copy.run, copy.upstream_id) == ("started", 3, "i-1")
     assert (copy.history.failed_runs, copy.history.checkpoint) == ({1, 2}, "saved")
@@ -59,7 +59,7 @@
     placed.state, placed.run, placed.upstream_id = "running", 3, "i-3"
     placed.copies = {1: "i-1", 2: "i-2"}
     done.state, done.run, done.copies = "done", 2, {1: "i-1"}
-    decode_step(restored, encode_step(step))
+    decode_step(restored, encode_step(step).value)
     assert [task.copies for task in restored.tasks] == [task.copies for task in step.tasks]
     assert [(task.state, task.run) for task in restored.tasks] == [
         ("waiting", 1),
@@ -92,6 +92,6 @@
     bound.run, bound.bound_to = 1, "i-1"
     placed.state, placed.run, placed.upstream_id, placed.bound_to = "running", 2, "i-2", "i-2"
     free.run = 1
-    decode_step(restored, encode_step(step))
+    decode_step(restored, encode_step(step).value)
     assert [task.bound_to for task in restored.tasks] == ["i-1", "", ""]
     assert [task.state for task in restored.tasks] == ["waiting", "started", "waiting"]
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -143,7 +143,7 @@
         task.upstream_id = "i-1" if task.state == "started" else ""
         task.history.failed_runs = {1} if task.state != "done" and rng.random() < 0.5 else set()
         step.tasks.condense(task)
-    decode_step(restored, encode_step(step))
+    decode_step(restored, encode_step(step).value)
 
     def states(step):
         found = [step.tasks.find(index) for index in range(50)]
