Scheduling: work per step does not grow with the steps of its job

Cause: objective_ms took the maximum over all steps of the job for each waiting step of a pass. Beside it, each step that found no room looked at all upstreams, and each logged a line in one pass.

Change: the longest path is computed once a job; equal steps ask once a pass whether an empty upstream can run them; a pass logs at most 50 steps that wait.

--- a/src/tarragoncart/jobmodel.py
+++ b/src/tarragoncart/jobmodel.py
@@ -365,11 +365,15 @@
                 paths_ms[earlier] = max(paths_ms[earlier], paths_ms[number])
         return tuple(paths_ms)
 
+    @cached_property
+    def _critical_path_ms(self) -> float:
+        """Estimated duration of the longest chain of steps."""
+        return max(self.path_ms_by_step, default=0.0)
+
     def objective_ms(self) -> float:
         """Return how long the job may take and still be on time."""
         submission = self.submission
-        critical_path_ms = max(self.path_ms_by_step, default=0.0)
-        return submission.stretch * critical_path_ms + submission.target_latency_ms
+        return submission.stretch * self._critical_path_ms + submission.target_latency_ms
 
 
 @define(eq=False)
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -5,7 +5,7 @@
 import logging
 import random
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from attrs import define, field, frozen
@@ -272,6 +272,10 @@
         self._ready_steps: dict[str, dict[StepOccurrence, None]] = {}
         # Upstreams with links at the last scheduling pass.
         self._slots_by_pool: dict[str, list[UpstreamSlot]] = {}
+        # What the waiting steps of a pass have in common, computed once in it.
+        self._remaining_slots: dict[str, Sequence[UpstreamSlot]] = {}
+        self._fits_empty: dict[tuple[str, int], bool] = {}
+        self._logged_wait_count = 0
         self._unfinished: dict[str, Job] = {}
         self._loaded = False
         self._intake_as_of_ms = 0.0
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from attrs import frozen
 
@@ -17,7 +17,7 @@
 from .evacuations import remaining_slots
 from .explaining import PlaceAnswers
 from .follower import TopicChanges, TopicSnapshot
-from .graph import Demand, Rules
+from .graph import Demand, Rules, StepSpec
 from .jobmodel import Job, StepOccurrence
 from .leadership import Fenced, LeadershipConfirmed, ReachMeasured
 from .loads import Loads
@@ -34,6 +34,8 @@
 logger = logging.getLogger(__name__)
 
 PRODUCER = "scheduler"
+# Steps whose new reason to wait is logged in one pass; a job may have thousands of steps.
+LOGGED_WAITS_LIMIT_COUNT = 50
 
 
 @frozen
@@ -198,6 +200,8 @@
             if upstream.link is not None:
                 pool = upstream.slot.entry.pool
                 self._slots_by_pool.setdefault(pool, []).append(upstream.slot)
+        self._remaining_slots, self._fits_empty = {}, {}
+        self._logged_wait_count = 0
         self._short_millicores = Counter()
         self._backlog_millicore_ms = Counter()
         # Each pool has its own limit, so that none waits for the assignments of another one. Pools
@@ -326,6 +330,13 @@
         """Log why a step waits when the reason changes, and count the cpu that found no room."""
         if step.wait_reason != reason:
             step.wait_reason = reason
+            self._log_wait(step, reason)
+        if reason is WaitReason.NO_ROOM:
+            self._count_shortage(step)
+
+    def _log_wait(self, step: StepOccurrence, reason: WaitReason) -> None:
+        self._logged_wait_count += 1
+        if self._logged_wait_count <= LOGGED_WAITS_LIMIT_COUNT:
             account = step.job.submission.account
             usage = self._usage(account)
             logger.info(
@@ -340,8 +351,6 @@
                     "task_millicores": step.spec.demand.cpu_millicores,
                 },
             )
-        if reason is WaitReason.NO_ROOM:
-            self._count_shortage(step)
 
     def _count_shortage(self, step: StepOccurrence) -> None:
         """Count the cpu of tasks that found no upstream, as input to the sizing of the pools.
@@ -350,8 +359,8 @@
         given more and more VMs, none of which could run the step.
         """
         pool, spec = step.job.pool, step.spec
-        slots = remaining_slots(self._slots_by_pool.get(pool, []))
-        if slots and not any(assignment.admits_when_empty(slot, spec) for slot in slots):
+        slots = self._remaining_slots_of(pool)
+        if slots and not self._fits_empty_slot(pool, spec):
             return
         cpu_millicores = spec.counted.cpu_millicores
         if slots:
@@ -368,6 +377,27 @@
         else:
             self._backlog_millicore_ms[pool] += work_millicore_ms
 
+    def _remaining_slots_of(self, pool: str) -> Sequence[UpstreamSlot]:
+        """Return the upstreams of a pool that show what an added VM can run, once in a pass."""
+        slots = self._remaining_slots.get(pool)
+        if slots is None:
+            slots = remaining_slots(self._slots_by_pool.get(pool, []))
+            self._remaining_slots[pool] = slots
+        return slots
+
+    def _fits_empty_slot(self, pool: str, spec: StepSpec) -> bool:
+        """Return whether an empty upstream of a pool can run a step, once in a pass for equal ones.
+
+        A job may have thousands of equal steps, which are one object.
+        """
+        key = pool, id(spec)
+        fits = self._fits_empty.get(key)
+        if fits is None:
+            slots = self._remaining_slots_of(pool)
+            fits = any(assignment.admits_when_empty(slot, spec) for slot in slots)
+            self._fits_empty[key] = fits
+        return fits
+
     def _commit(self) -> None:
         effects = self._effects
         if self._committing:
