Take-over: load jobs with stored state before others

Found in the read-through of the bound on the leader's memory: a take-over loaded accepted jobs in the order of their keys. Jobs without runs were admitted while there was memory, and those at work, which are loaded in any case, came on top; so were the ends of jobs. A new leader could thus use up to twice the memory for jobs.

Records are now restored in the order: jobs with records of steps or an end, ends without an acceptance record, all others. The test of the take-over failed before (eight jobs at work instead of four).

The records of the leader's state move from jobmodel to staterecords, without a change of logic, as jobmodel had grown and decisions stay apart from encoding.

--- a/src/bench/takeover_cost.py
+++ b/src/bench/takeover_cost.py
@@ -12,7 +12,7 @@
 
 import typer
 
-from tarragoncart import defaults, intake, jobmodel
+from tarragoncart import defaults, intake, jobmodel, staterecords
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.jobmodel import Job
 from tarragoncart.restoration import restore
@@ -42,12 +42,12 @@
     """Yield the records of the state of a job that has ended, or whose first step runs."""
     if ended:
         job.phase, job.ended_ms = jobmodel.COMPLETED, NOW_MS
-        yield job.job_id, jobmodel.encode_phase(job)
+        yield job.job_id, staterecords.encode_phase(job)
         return
     step = job.release(0)[0]
     for task in step.tasks:
         task.state, task.run, task.upstream_id = "running", 1, f"i-{task.index:010x}"
-    yield step.name, jobmodel.encode_step(step).value
+    yield step.name, staterecords.encode_step(step).value
 
 
 def response_bytes(records: list[tuple[str, bytes]]) -> int:
--- a/src/tarragoncart/jobmemory.py
+++ b/src/tarragoncart/jobmemory.py
@@ -57,7 +57,7 @@
     An account may use as much as is left free beside it (a dynamic threshold, as switches use it
     for their buffers), so that one account alone uses half of the memory, two use a third each, and
     there is always room for another one. An account that uses nothing may have more at once, as
-    the largest job needs it, but leaves ``RESERVED_RATIO`` of the memory free.
+    the largest job needs it, but leaves ``RESERVED_MEMORY_RATIO`` of it free.
 
     :param limit_bytes: infinite for no limit.
     """
--- a/src/tarragoncart/restoration.py
+++ b/src/tarragoncart/restoration.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Generator, Iterable, Iterator
 
 from attrs import Factory, define, frozen
 
-from . import intake, jobmodel
+from . import intake, staterecords
 from .errors import DecodeError
 from .jobmemory import LeaderMemory
 from .jobmodel import EndedJob, Job
@@ -83,6 +84,9 @@
 ) -> Iterator[Restored | None]:
     """Yield what the records contain, one record after the other; None for nothing new.
 
+    Jobs of which the leader's state has records come first, as they are loaded in any case: after
+    others, which are loaded while there is memory, they would exceed it.
+
     The work between two values is at most that of one job, so that a caller can pause anywhere. The
     submissions of ended jobs without runs are not decoded, as their number grows with the time of
     operation.
@@ -97,20 +101,44 @@
     for key, value in stored:
         state.add(key, value)
         yield None
-    job_ids: set[str] = set()
+    known_ids = state.ends.keys() | state.steps.keys()
+    known: deque[tuple[int, Entry]] = deque()
+    others: deque[tuple[int, Entry]] = deque()
     for part, entry in accepted:
-        if entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
-            yield Cancellation(entry.key.removeprefix(intake.CANCEL_PREFIX), part)
-        elif entry.key.startswith(intake.JOB_PREFIX) and (entry.value or entry.omitted):
-            yield from _restore_job(job_ids, part, entry, state, wall_ms, memory)
+        is_known = entry.key.removeprefix(intake.JOB_PREFIX) in known_ids
+        (known if is_known else others).append((part, entry))
+        yield None
+    job_ids: set[str] = set()
+    yield from _restore_accepted(known, job_ids, state, wall_ms, memory)
     for job_id in state.ends.keys() - job_ids:
         # The acceptance record is deleted first, so that only the end is left.
         try:
-            yield jobmodel.decode_end(job_id, state.ends[job_id])
+            yield staterecords.decode_end(job_id, state.ends[job_id])
         except DecodeError as error:
             yield MalformedRecord(job_id, error)
     for job_id in state.steps.keys() - job_ids - state.ends.keys():
         yield from (UnknownKey(key) for key, _ in state.steps[job_id])
+    yield from _restore_accepted(others, job_ids, state, wall_ms, memory)
+
+
+def consume(entries: deque[tuple[int, Entry]]) -> Iterator[tuple[int, Entry]]:
+    """Yield entries and drop them, so that their memory is free for the jobs made of them."""
+    while entries:
+        yield entries.popleft()
+
+
+def _restore_accepted(
+    entries: deque[tuple[int, Entry]],
+    job_ids: set[str],
+    state: StoredState,
+    wall_ms: int,
+    memory: LeaderMemory,
+) -> Iterator[Restored | None]:
+    for part, entry in consume(entries):
+        if entry.key.startswith(intake.CANCEL_PREFIX) and entry.value:
+            yield Cancellation(entry.key.removeprefix(intake.CANCEL_PREFIX), part)
+        elif entry.key.startswith(intake.JOB_PREFIX) and (entry.value or entry.omitted):
+            yield from _restore_job(job_ids, part, entry, state, wall_ms, memory)
 
 
 def _restore_job(
@@ -129,7 +157,7 @@
     ended: EndedJob | None = None
     if job_id in state.ends:
         try:
-            ended = jobmodel.decode_end(job_id, state.ends[job_id])
+            ended = staterecords.decode_end(job_id, state.ends[job_id])
         except DecodeError as error:
             yield MalformedRecord(job_id, error)
     job: Job | EndedJob | None = ended
@@ -172,13 +200,13 @@
     by_occurrence: dict[int, list[tuple[str, bytes]]] = {}
     for key, value in records:
         try:
-            by_occurrence.setdefault(jobmodel.parse_step_key(key)[0], []).append((key, value))
+            by_occurrence.setdefault(staterecords.parse_step_key(key)[0], []).append((key, value))
         except DecodeError as error:
             yield MalformedRecord(key, error)
     for occurrence in sorted(by_occurrence):
         for key, value in by_occurrence.pop(occurrence):
             try:
-                jobmodel.restore_step(job, key, value)
+                staterecords.restore_step(job, key, value)
             except DecodeError as error:
                 yield MalformedRecord(key, error)
         if job.is_open(occurrence):
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -10,7 +10,7 @@
 
 from attrs import frozen
 
-from . import assignment, defaults, jobmodel, metrics
+from . import assignment, defaults, jobmodel, metrics, staterecords
 from .advisor import ADVICE_UPSTREAM_COUNT, AdviceReceived, RequestAdvice
 from .assignment import UpstreamSlot, WaitReason
 from .candidates import Reach
@@ -426,7 +426,7 @@
 
     def _changed_records(self) -> Iterator[Record]:
         for job in self._dirty_jobs:
-            yield job.job_id, jobmodel.encode_phase(job)
+            yield job.job_id, staterecords.encode_phase(job)
             for step in job.steps.values():
                 if step.has_runs:
                     yield self._step_record(step)
@@ -446,7 +446,7 @@
         """Return the record of a step, without saved progress for which it has no room."""
         key = step.name
         max_bytes = self._store_limits.record_bytes - record_bytes((key, b""))
-        encoded = jobmodel.encode_step(step, max_bytes)
+        encoded = staterecords.encode_step(step, max_bytes)
         if encoded.left_out_count > step.unstored_count:
             count = encoded.left_out_count - step.unstored_count
             metrics.CHECKPOINTS_DROPPED.add(count, metrics.labels(reason="record"))
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -10,7 +10,7 @@
 
 from attrs import evolve, frozen
 
-from . import defaults, jobmodel, metrics
+from . import defaults, jobmodel, metrics, staterecords
 from .errors import StoreRefusedError, StoreUnknownError
 from .follower import read_newest
 from .intake import JOB_PREFIX, IntakeHandled, IntakeRead, ReadIntakeAgain
@@ -26,6 +26,7 @@
     OmittedJob,
     Restored,
     UnknownKey,
+    consume,
     restore,
 )
 from .runorders import ExtendPermission, PollFailed, ReportReceived
@@ -173,9 +174,7 @@
         accepted = deque(self._accepted.entries)
         # Records are dropped one by one as their jobs are restored.
         self._stored_state, self._accepted = (), evolve(self._accepted, entries=())
-        self._restoration = restore(
-            _consume(accepted), records, self._timer.wall_ms(), self._memory
-        )
+        self._restoration = restore(consume(accepted), records, self._timer.wall_ms(), self._memory)
         self.tell_self(_RestoreSlice())
 
     def _read_intake_again(self, needed_ids: set[str]) -> None:
@@ -321,7 +320,7 @@
     needed_ids = set()
     for key, value in records:
         job_id, _, step = key.partition(".")
-        if step or not jobmodel.is_end_readable(job_id, value):
+        if step or not staterecords.is_end_readable(job_id, value):
             needed_ids.add(job_id)
     return needed_ids
 
@@ -343,12 +342,6 @@
     return bool(needed_ids - whole_ids)
 
 
-def _consume(entries: deque[tuple[int, Entry]]) -> Iterator[tuple[int, Entry]]:
-    """Yield entries and drop them."""
-    while entries:
-        yield entries.popleft()
-
-
 def _job_records(entries: Iterable[Entry]) -> Iterator[tuple[str, bytes]]:
     """Yield the records of the leader's state that belong to jobs."""
     for entry in entries:
--- a/tests/test_jobmodel.py
+++ b/tests/test_jobmodel.py
@@ -5,7 +5,8 @@
 import pytest
 
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
-from tarragoncart.jobmodel import Job, decode_step, encode_step
+from tarragoncart.jobmodel import Job
+from tarragoncart.staterecords import decode_step, encode_step
 from tarragoncart.tasks import RunHistory
 
 
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -13,10 +13,11 @@
 from tarragoncart.errors import RequestError
 from tarragoncart.graph import Demand, JobSpec, StepSpec
 from tarragoncart.jobmemory import SharedMemory
-from tarragoncart.jobmodel import CANCELLED, COMPLETED, QUEUED, EndedJob, encode_phase
+from tarragoncart.jobmodel import CANCELLED, COMPLETED, QUEUED, EndedJob
 from tarragoncart.loading import _key_before
 from tarragoncart.mailbox import new_reply
 from tarragoncart.scheduler import CountPending, Lookup
+from tarragoncart.staterecords import encode_phase
 from tarragoncart.takeover import find_needed_ids
 from tarragoncart.unloaded import UNLOADED_JOB_BYTES, UnloadedJob, UnloadedJobs
 
@@ -232,6 +233,38 @@
     assert isinstance(answers[-1], RequestError)
 
 
+async def _take_over_started_jobs_beside_others(simulation, config, used):
+    """Take over jobs at work, whose records come after those of jobs that are left in the store."""
+    node = await start(simulation, config)
+    spec = JobSpec("text", (StepSpec(1, Demand(100), 20_000, long_running=True),))
+    for number in (*range(900, 904), *range(6)):
+        assert isinstance(await simulation.submit(node, f"{number:016x}", spec), Accepted)
+        await asyncio.sleep(1.0)
+    assert len(simulation.starts) == 4
+    await simulation.kill_node("n-1")
+    for (topic, _), part in simulation.store.parts.items():
+        if topic == intake.TOPIC:
+            # The store lists the newest records in the order of their keys.
+            part.records.sort()
+    node = await simulation.start_node("n-2")
+    await asyncio.sleep(5.0)
+    memory = node.scheduler._memory.jobs
+    used.append(memory.used_by("") / memory.limit_bytes)
+    await simulation.kill_node("n-2")
+    return simulation
+
+
+def test_a_take_over_keeps_to_the_memory_whatever_the_order_of_the_records(
+    simulate_scenario, limit_memory
+):
+    """Guards against jobs at work that are loaded after others have used up the memory (LOST)."""
+    limit_memory(36_000)
+    used = []
+    simulation = simulate_scenario(_take_over_started_jobs_beside_others, 1, used)
+    assert len(simulation.starts) == 4, "jobs beyond the memory are at work"
+    assert 0.4 < used[0] <= 0.5
+
+
 async def _take_over_many_ends(simulation, config):
     """Run many jobs without an account, and another one under a leader with less memory."""
     node = await start(simulation, config)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -11,7 +11,7 @@
 import model_faults
 from model_faults import FAULT_S, SEEDS
 from standins import virtual
-from tarragoncart import assignment, defaults, jobmodel, reports
+from tarragoncart import assignment, defaults, jobmodel, reports, staterecords
 from tarragoncart import node as node_module
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, StepSpec
@@ -632,7 +632,7 @@
 
 
 def _lose_recorded_ends(patch):
-    patch.setattr(jobmodel, "_STATE_CODES", {})
+    patch.setattr(staterecords, "_STATE_CODES", {})
 
 
 @pytest.mark.parametrize(
--- a/tests/test_store_limits.py
+++ b/tests/test_store_limits.py
@@ -15,10 +15,11 @@
 from tarragoncart.errors import StoreConflictError, StoreRefusedError, StoreRejectedError
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.jobmemory import LeaderMemory, SharedMemory
-from tarragoncart.jobmodel import Job, decode_step, encode_step
+from tarragoncart.jobmodel import Job
 from tarragoncart.mailbox import Actor, new_reply, receives
 from tarragoncart.platform.store import Store
 from tarragoncart.platform.upstreams import UpstreamClient
+from tarragoncart.staterecords import decode_step, encode_step
 from tarragoncart.storage import Appended, StoreLimits, record_bytes
 from tarragoncart.tasks import CHECKPOINT_LIMIT_CHARS
 from tarragoncart.timer import LoopTimer
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -15,9 +15,10 @@
 from tarragoncart.entrance import Accepted
 from tarragoncart.graph import Demand, JobSpec, QueueRule, StepSpec, Submission
 from tarragoncart.jobmemory import ENDED_JOB_BYTES, OPEN_STEP_LIMIT_COUNT, job_bytes
-from tarragoncart.jobmodel import COMPLETED, Job, decode_step, encode_step
+from tarragoncart.jobmodel import COMPLETED, Job
 from tarragoncart.platform.callers import decode_job
 from tarragoncart.restoration import restore
+from tarragoncart.staterecords import decode_step, encode_step
 from tarragoncart.storage import Entry
 from tarragoncart.tasks import TASK_BYTES
 
@@ -188,6 +189,22 @@
     assert {occurrence for occurrence, _ in job.steps} == set(range(1, 2_000, 2))
 
 
+def test_jobs_with_state_are_restored_before_others():
+    """Guards against a take-over that exceeds its memory because of the order of the records."""
+    keys_and_values = [
+        intake.submission_record(
+            Submission.to_queue(
+                QUEUE, name, "shop", 1, JobSpec("text", (StepSpec(1, Demand(1), 1),))
+            )
+        )
+        for name in ("not-started", "started")
+    ]
+    accepted = [(0, Entry(key, value, n)) for n, (key, value) in enumerate(keys_and_values)]
+    stored = [("started.0.0", b'[[0,"p",1,"i-0"]]'), ("ended", b'{"phase":"completed","at":1}')]
+    restored = [item.job_id for item in restore(accepted, stored, 1) if item is not None]
+    assert restored == ["started", "ended", "not-started"]
+
+
 async def _run_a_wide_job(simulation, config):
     """Run a job of many tasks and occurrences, with a change of the leader in the middle."""
     simulation.store.put("keyed.op", "config", config)
