Jobs: bound the ends of cancelled jobs that are left in the store

Found in the read-through: a cancelled job that the leader had left in the store became an end in memory whether or not there was room, so that a client that submits and cancels jobs one after the other grew the leader by 700 bytes each until their retention ended. Such a job now stays on the list, marked as cancelled, until there is memory for its end; its phase is cancelled at once, as its cancellation is stored and no run starts.

--- a/src/tarragoncart/loading.py
+++ b/src/tarragoncart/loading.py
@@ -164,20 +164,29 @@
                 self._cancel_job(job_id, early_part)
 
     def _cancel_job(self, job_id: str, part: int) -> None:
-        left = self._unloaded.remove(job_id)
-        if left is None:
+        if not self._unloaded.cancel(job_id, part):
             super()._cancel_job(job_id, part)
             return
-        # It has no runs and needs no record but that of its end.
-        account, parts = left.account or "", {*left.parts, part}
-        job = EndedJob(
-            job_id, jobmodel.CANCELLED, self._timer.wall_ms(), parts, account, stored=False
-        )
-        self._memory.jobs.take(account, ENDED_JOB_BYTES)
-        self._jobs[job_id] = job
-        self._dirty_jobs[job] = None
         logger.info("job left in the store is cancelled", extra={"job": job_id})
-        self._request_pass()
+        self._end_cancelled()
+
+    def _end_cancelled(self) -> None:
+        """End cancelled jobs that are left in the store, while there is memory for their ends.
+
+        They have no runs and need no record but that of their end.
+        """
+        for left in self._unloaded.cancelled():
+            account = left.account or ""
+            if not self._memory.jobs.admits(account, ENDED_JOB_BYTES):
+                continue
+            self._unloaded.remove(left.job_id)
+            ended_ms = self._timer.wall_ms()
+            parts = set(left.parts)
+            job = EndedJob(left.job_id, jobmodel.CANCELLED, ended_ms, parts, account, stored=False)
+            self._memory.jobs.take(account, ENDED_JOB_BYTES)
+            self._jobs[left.job_id] = job
+            self._dirty_jobs[job] = None
+            self._request_pass()
 
     @receives(QueryBacklog)
     def on_query_backlog(self, message: QueryBacklog) -> None:
@@ -188,6 +197,7 @@
 
     def _read_unloaded(self) -> None:
         """Request a page of the store that holds a job for which there is memory now."""
+        self._end_cancelled()
         if self._page_requested:
             return
         job = self._unloaded.next_loadable(self._memory.jobs.admits)
@@ -218,7 +228,7 @@
         if message.entries is None:
             return
         left_ids = {
-            job_id for job_id in map(_job_id_of, message.entries) if job_id in self._unloaded
+            job_id for job_id in map(_job_id_of, message.entries) if self._unloaded.waits(job_id)
         }
         for entry in message.entries:
             if _job_id_of(entry) in left_ids:
@@ -228,8 +238,9 @@
             others = (entry for entry in message.entries if _job_id_of(entry) not in left_ids)
             self._process_records(tuple((message.part, entry) for entry in others))
             self._advance_reading(message.part, message.entries)
-        elif self._wanted_id not in left_ids and self._unloaded.remove(self._wanted_id):
+        elif self._wanted_id not in left_ids and self._unloaded.waits(self._wanted_id):
             # Its record is not where it was; it is looked for everywhere.
+            self._unloaded.remove(self._wanted_id)
             self._unloaded.note_left_out()
         self._request_pass()
 
--- a/src/tarragoncart/scheduler.py
+++ b/src/tarragoncart/scheduler.py
@@ -661,6 +661,9 @@
         if job is not None:
             # An end that is not stored yet could still be lost with this leader.
             phase = job.phase if not job.ended or job.stored else jobmodel.RUNNING
+        elif self._unloaded.is_cancelled(message.job_id):
+            # Its cancellation is in the store, and no run of it will start.
+            phase = jobmodel.CANCELLED
         elif message.job_id in self._unloaded:
             phase = jobmodel.QUEUED
         complete = self._unloaded.complete or bool(phase)
--- a/src/tarragoncart/unloaded.py
+++ b/src/tarragoncart/unloaded.py
@@ -26,6 +26,7 @@
     :param queue: name of its queue; None if its record has not been decoded.
     :param size_bytes: memory that it needs; 0 if its record has not been decoded.
     :param parts: partitions that hold its record.
+    :param cancelled: it ends without being loaded once there is memory for its end.
     """
 
     job_id: str
@@ -33,6 +34,7 @@
     queue: str | None
     size_bytes: int
     parts: frozenset[int]
+    cancelled: bool = False
 
 
 @define(eq=False)
@@ -49,7 +51,10 @@
     # Whether jobs were left out again since the store is being read once more.
     _left_out: bool = field(default=False, init=False)
     _by_id: dict[str, UnloadedJob] = field(factory=dict, init=False)
+    # Jobs that wait to be loaded, and cancelled ones.
     _ids_by_account: dict[str | None, dict[str, None]] = field(factory=dict, init=False)
+    _cancelled_ids: dict[str, None] = field(factory=dict, init=False)
+    _count_by_account: Counter[str | None] = field(factory=Counter, init=False)
     _count_by_queue: Counter[str | None] = field(factory=Counter, init=False)
     # By account, times of the latest loads.
     _loads_ms: dict[str, deque[float]] = field(factory=dict, init=False)
@@ -67,10 +72,37 @@
             return False
         self.memory.take(job.account or "", UNLOADED_JOB_BYTES)
         self._by_id[job.job_id] = job
+        self._count_by_account[job.account] += 1
         self._ids_by_account.setdefault(job.account, {})[job.job_id] = None
         self._count_by_queue[job.queue] += 1
         return True
 
+    def waits(self, job_id: str) -> bool:
+        """Return whether a job waits to be loaded."""
+        return job_id in self._by_id and job_id not in self._cancelled_ids
+
+    def is_cancelled(self, job_id: str) -> bool:
+        """Return whether a job is cancelled and has not ended."""
+        return job_id in self._cancelled_ids
+
+    def cancel(self, job_id: str, part: int) -> bool:
+        """Cancel a job; return whether it is known here.
+
+        :param part: partition that holds the record of its cancellation.
+        """
+        job = self._by_id.get(job_id)
+        if job is None:
+            return False
+        self._by_id[job_id] = evolve(job, parts=job.parts | {part}, cancelled=True)
+        if job_id not in self._cancelled_ids:
+            self._cancelled_ids[job_id] = None
+            self._stop_waiting(job)
+        return True
+
+    def cancelled(self) -> list[UnloadedJob]:
+        """Return the cancelled jobs that have not ended."""
+        return [self._by_id[job_id] for job_id in self._cancelled_ids]
+
     def note_left_out(self) -> None:
         """Note that an accepted job is not known, as there was no memory for it."""
         self.complete, self._left_out = False, True
@@ -102,12 +134,21 @@
         if job is None:
             return None
         self.memory.give_back(job.account or "", UNLOADED_JOB_BYTES)
+        self._count_by_account[job.account] -= 1
+        if not self._count_by_account[job.account]:
+            del self._count_by_account[job.account]
+        if job.cancelled:
+            del self._cancelled_ids[job_id]
+        else:
+            self._stop_waiting(job)
+        return job
+
+    def _stop_waiting(self, job: UnloadedJob) -> None:
         ids = self._ids_by_account[job.account]
-        del ids[job_id]
+        del ids[job.job_id]
         if not ids:
             del self._ids_by_account[job.account]
         self._count_by_queue[job.queue] -= 1
-        return job
 
     def delays(self, account: str) -> bool:
         """Return whether jobs of an account are left in the store, which come first."""
@@ -143,7 +184,7 @@
         The time is the pause in ms between two of its jobs that were loaded lately; infinite if
         there were none.
         """
-        for account in self._ids_by_account:
+        for account in self._count_by_account:
             if account is None or self.memory.admits(account, UNLOADED_JOB_BYTES):
                 continue
             loads_ms = [
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -207,6 +207,37 @@
     assert pending_count == queued_count > 0
 
 
+async def _submit_and_cancel(simulation, config, peaks, phases):
+    """Cancel jobs that are left in the store, one after the other."""
+    node = await start(simulation, config)
+    watch = asyncio.create_task(watch_memory(simulation, peaks))
+    spec = JobSpec("text", (StepSpec(3, Demand(500), 1_000, long_running=True),))
+    for number in range(60):
+        await simulation.submit(node, job_id(number), spec)
+        await asyncio.sleep(0.1)
+        if number >= 5:
+            assert await simulation.cancel(node, job_id(number))
+        await asyncio.sleep(0.1)
+    for number in range(60):
+        reply = new_reply()
+        node.scheduler.tell(Lookup(job_id(number), reply))
+        phases.append((await reply).phase)
+    watch.cancel()
+    await simulation.kill_node("n-1")
+    return simulation
+
+
+def test_cancelled_jobs_do_not_exceed_the_memory(simulate_scenario, limit_memory):
+    """Guards against a leader that keeps the end of each job that was cancelled (LOST)."""
+    limit_memory(36_000, unloaded_ratio=4.0)
+    peaks, phases = Counter(), []
+    simulation = simulate_scenario(_submit_and_cancel, 1, peaks, phases)
+    assert peaks["jobs"] <= 1.0
+    assert phases[5:] == [CANCELLED] * 55
+    started = {task.partition(".")[0] for task in simulation.starts}
+    assert len(started) == 4
+
+
 async def _fill_the_backlog(simulation, config, answers):
     node = await start(simulation, config)
     spec = JobSpec("text", (StepSpec(2_000, Demand(2_000), 1_000),))
