Loading: end only the cancelled job, not all of them again

A cancellation now ends its own job if there is memory; the others are tried where jobs left in the store are loaded, once a pass.

Whether a job is cancelled was kept twice, in the job and in a list of UnloadedJobs; only the list is left. The requests for the leader's backlog and for phases share _query_once.

The test counts the walks: the version before walked once more for each cancellation.

--- a/src/tarragoncart/entrance.py
+++ b/src/tarragoncart/entrance.py
@@ -277,21 +277,17 @@
         )
 
     async def _read_backlog(self) -> None:
-        leader, scheduler = self._leadership.leader, self._leadership.scheduler
         sent_ms = self._timer.now_ms()
         try:
-            if scheduler is not None:
-                reply = new_reply()
-                scheduler.tell(QueryBacklog(reply))
-                self._backlog = await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
-            elif leader is not None:
-                self._backlog = await self._peers.read_backlog(leader.address)
-            else:
-                return
+            backlog = await self._query_once(
+                lambda scheduler, reply: scheduler.tell(QueryBacklog(reply)),
+                self._peers.read_backlog,
+            )
         except (TarragoncartError, TimeoutError) as error:
             logger.info("backlog of the leader is not known", extra={"reason": str(error)})
             return
-        self._backlog_read_ms = sent_ms
+        if backlog is not None:
+            self._backlog, self._backlog_read_ms = backlog, sent_ms
 
     async def _store(
         self, context: RequestContext, submission: Submission, reply: asyncio.Future[Any]
@@ -394,15 +390,12 @@
 
     async def _query_leader(self, query_local: Any, query_remote: Any) -> Any:
         for _ in range(defaults.LOOKUP_TRY_COUNT):
-            leader, scheduler = self._leadership.leader, self._leadership.scheduler
+            leader = self._leadership.leader
             reason = "no leader is known"
             try:
-                if scheduler is not None:
-                    reply = new_reply()
-                    query_local(scheduler, reply)
-                    return await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
-                if leader is not None:
-                    return await query_remote(leader.address)
+                answer = await self._query_once(query_local, query_remote)
+                if answer is not None:
+                    return answer
             except (TarragoncartError, TimeoutError) as error:
                 reason = str(error)
             logger.info(
@@ -413,6 +406,17 @@
             await asyncio.sleep(defaults.LOOKUP_RETRY_MS / 1_000)
         raise _refusal("the leader cannot be reached", "leader_unavailable", 503)
 
+    async def _query_once(self, query_local: Any, query_remote: Any) -> Any:
+        """Query the leader here or at its address; return None if no leader is known."""
+        leader, scheduler = self._leadership.leader, self._leadership.scheduler
+        if scheduler is not None:
+            reply = new_reply()
+            query_local(scheduler, reply)
+            return await asyncio.wait_for(reply, defaults.LOOKUP_TIMEOUT_MS / 1_000)
+        if leader is not None:
+            return await query_remote(leader.address)
+        return None
+
     @receives(Cancel)
     def on_cancel(self, message: Cancel) -> None:
         """Store a cancellation."""
--- a/src/tarragoncart/loading.py
+++ b/src/tarragoncart/loading.py
@@ -168,25 +168,23 @@
             super()._cancel_job(job_id, part)
             return
         logger.info("job left in the store is cancelled", extra={"job": job_id})
-        self._end_cancelled()
+        self._end_cancelled(job_id)
 
-    def _end_cancelled(self) -> None:
-        """End cancelled jobs that are left in the store, while there is memory for their ends.
+    def _end_cancelled(self, job_id: str) -> None:
+        """End a cancelled job that is left in the store, if there is memory for its end.
 
-        They have no runs and need no record but that of their end.
+        It has no runs and needs no record but that of its end.
         """
-        for left in self._unloaded.cancelled():
-            account = left.account or ""
-            if not self._memory.jobs.admits(account, ENDED_JOB_BYTES):
-                continue
-            self._unloaded.remove(left.job_id)
-            ended_ms = self._timer.wall_ms()
-            parts = set(left.parts)
-            job = EndedJob(left.job_id, jobmodel.CANCELLED, ended_ms, parts, account, stored=False)
-            self._memory.jobs.take(account, ENDED_JOB_BYTES)
-            self._jobs[left.job_id] = job
-            self._dirty_jobs[job] = None
-            self._request_pass()
+        left = self._unloaded.find(job_id)
+        if left is None or not self._memory.jobs.admits(left.account or "", ENDED_JOB_BYTES):
+            return
+        self._unloaded.remove(job_id)
+        account, ended_ms, parts = left.account or "", self._timer.wall_ms(), set(left.parts)
+        job = EndedJob(job_id, jobmodel.CANCELLED, ended_ms, parts, account, stored=False)
+        self._memory.jobs.take(account, ENDED_JOB_BYTES)
+        self._jobs[job_id] = job
+        self._dirty_jobs[job] = None
+        self._request_pass()
 
     @receives(QueryBacklog)
     def on_query_backlog(self, message: QueryBacklog) -> None:
@@ -197,7 +195,8 @@
 
     def _read_unloaded(self) -> None:
         """Request a page of the store that holds a job for which there is memory now."""
-        self._end_cancelled()
+        for job_id in self._unloaded.cancelled_ids():
+            self._end_cancelled(job_id)
         if self._page_requested:
             return
         job = self._unloaded.next_loadable(self._memory.jobs.admits)
--- a/src/tarragoncart/unloaded.py
+++ b/src/tarragoncart/unloaded.py
@@ -26,7 +26,6 @@
     :param queue: name of its queue; None if its record has not been decoded.
     :param size_bytes: memory that it needs; 0 if its record has not been decoded.
     :param parts: partitions that hold its record.
-    :param cancelled: it ends without being loaded once there is memory for its end.
     """
 
     job_id: str
@@ -34,7 +33,6 @@
     queue: str | None
     size_bytes: int
     parts: frozenset[int]
-    cancelled: bool = False
 
 
 @define(eq=False)
@@ -51,7 +49,7 @@
     # Whether jobs were left out again since the store is being read once more.
     _left_out: bool = field(default=False, init=False)
     _by_id: dict[str, UnloadedJob] = field(factory=dict, init=False)
-    # Jobs that wait to be loaded, and cancelled ones.
+    # Jobs that wait to be loaded, and cancelled ones, which end when there is memory for that.
     _ids_by_account: dict[str | None, dict[str, None]] = field(factory=dict, init=False)
     _cancelled_ids: dict[str, None] = field(factory=dict, init=False)
     _count_by_account: Counter[str | None] = field(factory=Counter, init=False)
@@ -77,6 +75,10 @@
         self._count_by_queue[job.queue] += 1
         return True
 
+    def find(self, job_id: str) -> UnloadedJob | None:
+        """Return a job, None if it is not known here."""
+        return self._by_id.get(job_id)
+
     def waits(self, job_id: str) -> bool:
         """Return whether a job waits to be loaded."""
         return job_id in self._by_id and job_id not in self._cancelled_ids
@@ -90,18 +92,17 @@
 
         :param part: partition that holds the record of its cancellation.
         """
-        job = self._by_id.get(job_id)
-        if job is None:
+        if job_id not in self._by_id:
             return False
-        self._by_id[job_id] = evolve(job, parts=job.parts | {part}, cancelled=True)
+        self.add_part(job_id, part)
         if job_id not in self._cancelled_ids:
             self._cancelled_ids[job_id] = None
-            self._stop_waiting(job)
+            self._stop_waiting(self._by_id[job_id])
         return True
 
-    def cancelled(self) -> list[UnloadedJob]:
+    def cancelled_ids(self) -> tuple[str, ...]:
         """Return the cancelled jobs that have not ended."""
-        return [self._by_id[job_id] for job_id in self._cancelled_ids]
+        return tuple(self._cancelled_ids)
 
     def note_left_out(self) -> None:
         """Note that an accepted job is not known, as there was no memory for it."""
@@ -137,7 +138,7 @@
         self._count_by_account[job.account] -= 1
         if not self._count_by_account[job.account]:
             del self._count_by_account[job.account]
-        if job.cancelled:
+        if job_id in self._cancelled_ids:
             del self._cancelled_ids[job_id]
         else:
             self._stop_waiting(job)
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -16,7 +16,7 @@
 from tarragoncart.jobmodel import CANCELLED, COMPLETED, QUEUED, EndedJob
 from tarragoncart.loading import _key_before
 from tarragoncart.mailbox import new_reply
-from tarragoncart.scheduler import CountPending, Lookup
+from tarragoncart.scheduler import CountPending, Lookup, Scheduler
 from tarragoncart.staterecords import encode_phase
 from tarragoncart.takeover import find_needed_ids
 from tarragoncart.unloaded import UNLOADED_JOB_BYTES, UnloadedJob, UnloadedJobs
@@ -227,11 +227,28 @@
     return simulation
 
 
-def test_cancelled_jobs_do_not_exceed_the_memory(simulate_scenario, limit_memory):
-    """Guards against a leader that keeps the end of each job that was cancelled (LOST)."""
+def test_cancelled_jobs_do_not_exceed_the_memory(simulate_scenario, limit_memory, monkeypatch):
+    """Guards against a leader that keeps the end of each job that was cancelled (LOST).
+
+    It also guards against a walk over all cancelled jobs at each cancellation.
+    """
+    calls = Counter()
+
+    def count(owner, name):
+        method = getattr(owner, name)
+
+        def counted(*args):
+            calls[name] += 1
+            return method(*args)
+
+        monkeypatch.setattr(owner, name, counted)
+
+    count(Scheduler, "_read_unloaded")
+    count(UnloadedJobs, "cancelled_ids")
     limit_memory(36_000, unloaded_ratio=4.0)
     peaks, phases = Counter(), []
     simulation = simulate_scenario(_submit_and_cancel, 1, peaks, phases)
+    assert calls["cancelled_ids"] == calls["_read_unloaded"] > 0
     assert peaks["jobs"] <= 1.0
     assert phases[5:] == [CANCELLED] * 55
     started = {task.partition(".")[0] for task in simulation.starts}
