Jobs: keep what the smallest candidate can take over

A leader sized its memory for jobs by its own VM.

Candidates record their memory beside their processor and link. The leader reads these records when it begins to lead, when the members of the group change (an entry VM is recorded before it joins) and with each renewal, and limits jobs, tasks and saved progress to what the smallest of them has. Until it has read them, the limits are those of the smallest VM. What each leader reads anew keeps the limits of its own VM.

--- a/src/tarragoncart/candidacy.py
+++ b/src/tarragoncart/candidacy.py
@@ -10,7 +10,7 @@
 from .candidates import Candidate, RecordWatch
 from .errors import StoreConflictError, StoreRefusedError, StoreUnknownError
 from .follower import ReadStore, read_newest
-from .storage import Appended
+from .storage import Appended, Entry
 
 logger = logging.getLogger(__name__)
 
@@ -56,16 +56,18 @@
         """Forget which records were unchanged, as another entry VM leads."""
         self._watch = RecordWatch()
 
-    async def remove_expired(self) -> None:
-        """Remove the records that are no longer renewed.
+    async def remove_expired(self) -> tuple[Entry, ...]:
+        """Remove the records that are no longer renewed; return all that were read.
 
         To be called once a renewal period, after this entry VM's own record was renewed.
         """
+        entries: tuple[Entry, ...] = ()
         try:
             newest = await read_newest(self.store, CANDIDATE_TOPIC)
-            expired = self._watch.observe({entry.key: entry.offset for entry in newest.entries})
+            entries = newest.entries
+            expired = self._watch.observe({entry.key: entry.offset for entry in entries})
             if not expired:
-                return
+                return entries
             # The condition excludes the removal of a record that is renewed meanwhile.
             await self.store.append(
                 CANDIDATE_TOPIC,
@@ -74,5 +76,6 @@
             )
         except (StoreUnknownError, StoreRefusedError, StoreConflictError) as error:
             logger.info("expired candidates stay recorded", extra={"reason": str(error)})
-            return
+            return entries
         logger.info("expired candidates removed", extra={"candidates": expired})
+        return entries
--- a/src/tarragoncart/candidates.py
+++ b/src/tarragoncart/candidates.py
@@ -18,12 +18,14 @@
 
     :param name: name of the entry VM, which stays the same across its restarts.
     :param address: address at which other entry VMs reach it.
+    :param memory_mb: memory that its process may use; 0 if it is not known.
     """
 
     name: str
     address: str
     cpu_millicores: int
     link_mbps: float
+    memory_mb: int = 0
 
     @property
     def ability(self) -> float:
@@ -38,6 +40,7 @@
             "address": self.address,
             "cpu_millicores": self.cpu_millicores,
             "link_mbps": self.link_mbps,
+            "memory_mb": self.memory_mb,
         }
         return json.dumps(data).encode()
 
@@ -54,9 +57,16 @@
         check_address(data.get("address"), "address"),
         check_int(data.get("cpu_millicores"), "cpu_millicores"),
         float(check_float(data.get("link_mbps"), "link_mbps")),
+        # Versions that do not bound what a leader keeps do not record it.
+        check_int(data.get("memory_mb", 0), "memory_mb"),
     )
 
 
+def least_memory_mb(candidates: Iterable[Candidate]) -> int:
+    """Return the memory of the smallest of some candidates."""
+    return min(c.memory_mb or defaults.VM_MEMORY_DEFAULT_MB for c in candidates)
+
+
 class LeaderView(enum.Enum):
     """What an entry VM has found out about the leader recorded in the store."""
 
--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -28,6 +28,7 @@
     Survey,
     decide,
     is_settled,
+    least_memory_mb,
 )
 from .charts import load_chart
 from .decoding import MalformedLog
@@ -46,6 +47,7 @@
     QueryReach,
     ReachMeasured,
     RequestClaim,
+    SmallestCandidateKnown,
     decode_leader,
 )
 from .mailbox import Actor, implements_action, receives, resolve
@@ -188,6 +190,7 @@
         self._next_transfer_ms = 0.0
         self._next_record_check_ms = 0.0
         self._pending_check_count = 0
+        self._measuring: asyncio.Task[None] | None = None
 
     async def on_open(self) -> None:
         """Start to join the group and to check the confirmation."""
@@ -206,7 +209,8 @@
             if self._role.state != "leader":
                 self._candidacy.stop_watching()
             elif recorded:
-                await self._candidacy.remove_expired()
+                entries = await self._candidacy.remove_expired()
+                self._tell_smallest(self._surveyor.decode(entries))
             jitter = defaults.CANDIDATE_RENEWAL_JITTER_RATIO * rng.uniform(-1.0, 1.0)
             renewal_ms = defaults.CANDIDATE_RENEWAL_MS * (1.0 + jitter)
             delay_ms = renewal_ms if recorded else defaults.CANDIDATE_RETRY_MS
@@ -254,6 +258,8 @@
             )
             self._generation = membership.generation
             self._start_leader_lookup()
+            if self._role.state == "leader":
+                self._start_measuring()
         self._note_confirmation(message.sent_ms, message.answered_ms)
         self._owned_count = len(membership.parts)
         owned = LEADER_PART in membership.parts
@@ -481,8 +487,29 @@
         self._poor_reach_since_ms = None
         self._listener.tell(LeaderFound(Leader(self._member, self._candidate.address, self._epoch)))
         self._listener.tell(LeadershipGained(self._epoch))
+        self._start_measuring()
         self._confirm(role)
 
+    def _start_measuring(self) -> None:
+        """Find out which candidate has the least memory; the members of the group have changed.
+
+        An entry VM is recorded before it joins the group.
+        """
+        if self._measuring is not None:
+            self._measuring.cancel()
+        self._measuring = self.spawn(self._measure_candidates())
+
+    async def _measure_candidates(self) -> None:
+        while not self._tell_smallest(await self._surveyor.read_candidates()):
+            await asyncio.sleep(defaults.CANDIDATE_RETRY_MS / 1_000)
+
+    def _tell_smallest(self, recorded: tuple[Candidate, ...]) -> bool:
+        """Tell what the smallest candidate can take over; return whether some were read."""
+        if recorded:
+            memory_mb = least_memory_mb((self._candidate, *recorded))
+            self._listener.tell(SmallestCandidateKnown(memory_mb))
+        return bool(recorded)
+
     @implements_action("confirm")
     def _confirm(self, role: _Role) -> None:
         valid_until_ms = self._confirmed_ms + defaults.LEADERSHIP_VALID_MS
--- a/src/tarragoncart/jobmemory.py
+++ b/src/tarragoncart/jobmemory.py
@@ -131,6 +131,18 @@
             defaults.INTAKE_MEMORY_RATIO * jobs_bytes,
         )
 
+    def limit_to(self, memory_mb: int) -> bool:
+        """Limit what a successor restores to what a VM has for it; return whether that is new.
+
+        What is read anew by each leader keeps its limits.
+        """
+        limits = LeaderMemory.of_vm(memory_mb)
+        changed = self.jobs.limit_bytes != limits.jobs.limit_bytes
+        self.jobs.limit_bytes = limits.jobs.limit_bytes
+        self.tasks.limit_bytes = limits.tasks.limit_bytes
+        self.checkpoints.limit_bytes = limits.checkpoints.limit_bytes
+        return changed
+
 
 def _bytes(min_mb: float, ratio: float, extra_mb: int) -> int:
     return int((min_mb + ratio * extra_mb) * MEGABYTE)
--- a/src/tarragoncart/leadership.py
+++ b/src/tarragoncart/leadership.py
@@ -63,6 +63,13 @@
     reason: str
 
 
+@frozen
+class SmallestCandidateKnown:
+    """Memory of the smallest entry VM that may lead after this one."""
+
+    memory_mb: int
+
+
 @frozen
 class LeaderFound:
     """The leader recorded in the store."""
--- a/src/tarragoncart/loading.py
+++ b/src/tarragoncart/loading.py
@@ -15,6 +15,7 @@
 from .intake import IntakeHandled, IntakeRead, PageRead, ReadPage
 from .jobmemory import ENDED_JOB_BYTES, job_bytes
 from .jobmodel import EndedJob, Job
+from .leadership import SmallestCandidateKnown
 from .mailbox import receives, resolve
 from .retention import Retention
 from .runstate import needs_jobs
@@ -186,6 +187,23 @@
         self._dirty_jobs[job] = None
         self._request_pass()
 
+    @receives(SmallestCandidateKnown)
+    def on_smallest_candidate(self, message: SmallestCandidateKnown) -> None:
+        """Keep no more of jobs than the smallest VM that may lead next can take over.
+
+        A successor has to load all jobs with runs, whatever its memory.
+        """
+        if self._memory.limit_to(message.memory_mb):
+            logger.info(
+                "memory for jobs has changed",
+                extra={
+                    "smallest_vm_mb": message.memory_mb,
+                    "job_limit_bytes": self._memory.jobs.limit_bytes,
+                    "task_limit_bytes": self._memory.tasks.limit_bytes,
+                },
+            )
+            self._request_pass()
+
     @receives(QueryBacklog)
     def on_query_backlog(self, message: QueryBacklog) -> None:
         """Tell for which accounts no more jobs should be accepted."""
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -45,6 +45,7 @@
     LeadershipGained,
     LeadershipLost,
     Leave,
+    SmallestCandidateKnown,
 )
 from .link import ClientFactory
 from .mailbox import Actor, new_reply, receives
@@ -176,6 +177,7 @@
                 settings.peer_address,
                 settings.cpu_millicores,
                 settings.link_mbps,
+                settings.memory_mb,
             ),
             adapter.make_store(),
             self,
@@ -327,6 +329,8 @@
             make_fleet=self._fleet_factory(message.epoch, writer),
             make_advisor=self._make_advisor if adapter.make_advice else None,
             memory_mb=settings.memory_mb,
+            # Until the recorded candidates have been read.
+            successor_memory_mb=defaults.SMALLEST_VM_MB,
             evacuation_ms=settings.evacuation_ms,
             placement=make_placement(settings.policies),
         )
@@ -399,6 +403,12 @@
         if self.scheduler is not None:
             self.scheduler.tell(message)
 
+    @receives(SmallestCandidateKnown)
+    def on_smallest_candidate(self, message: SmallestCandidateKnown) -> None:
+        """Tell the scheduler what its successor can take over."""
+        if self.scheduler is not None:
+            self.scheduler.tell(message)
+
     @receives(LeadershipLost)
     def on_lost(self, message: LeadershipLost) -> None:
         """Stop the scheduler."""
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -187,6 +187,8 @@
     :param evacuation_ms: time within which an evacuated data centre gets no more tasks; None if the
         platform has no evacuations.
     :param memory_mb: memory of this entry VM; 0 if it is not known.
+    :param successor_memory_mb: memory of the smallest entry VM that may lead next; 0 for that of
+        this one.
     :param placement: decides where waiting tasks run; ``first_fit`` if None.
     """
 
@@ -212,11 +214,14 @@
         make_fleet: Callable[[Actor, dict[str, bytes]], Actor] | None = None,
         make_advisor: Callable[[Actor], Actor] | None = None,
         memory_mb: int = 0,
+        successor_memory_mb: int = 0,
         evacuation_ms: int | None = None,
         placement: Placement | None = None,
     ) -> None:
         super().__init__("scheduler")
         self._memory = LeaderMemory.of_vm(memory_mb)
+        if successor_memory_mb:
+            self._memory.limit_to(successor_memory_mb)
         self._store_limits = store_limits
         self._epoch = epoch
         self._rules = rules
--- a/src/tarragoncart/survey.py
+++ b/src/tarragoncart/survey.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import Protocol, TypeVar
 
 from attrs import define, field, frozen
@@ -23,6 +23,7 @@
 from .decoding import MalformedLog
 from .errors import DecodeError, PeerError, StoreRefusedError, StoreUnknownError
 from .follower import ReadStore, read_newest
+from .storage import Entry
 
 logger = logging.getLogger(__name__)
 
@@ -105,7 +106,7 @@
         :param is_settled: tells from the answers so far, the respondents and the names of those
             that have answered or failed, whether the remaining ones can be ignored.
         """
-        recorded = await self._read_candidates()
+        recorded = await self.read_candidates()
         others = tuple(candidate for candidate in recorded if candidate.name != self.own.name)
         survey = _Answers()
         for respondents in survey_rounds(others):
@@ -182,7 +183,7 @@
         )
         return successor, bool(statuses)
 
-    async def _read_candidates(self) -> tuple[Candidate, ...]:
+    async def read_candidates(self) -> tuple[Candidate, ...]:
         """Return the candidates recorded in the store, the oldest record first.
 
         Returns none if they cannot be read.
@@ -192,8 +193,12 @@
         except (StoreUnknownError, StoreRefusedError) as error:
             logger.warning("cannot read the candidates", extra={"reason": str(error)})
             return ()
+        return self.decode(newest.entries)
+
+    def decode(self, entries: Iterable[Entry]) -> tuple[Candidate, ...]:
+        """Return the candidates of some records, the oldest record first."""
         candidates = []
-        for entry in sorted(newest.entries, key=lambda entry: entry.offset):
+        for entry in sorted(entries, key=lambda entry: entry.offset):
             try:
                 candidates.append(decode_candidate(entry.key, entry.value))
             except DecodeError as error:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -34,6 +34,7 @@
 )
 from tarragoncart.graph import Demand, JobSpec, StepSpec, Submission
 from tarragoncart.intake import submission_record
+from tarragoncart.jobmemory import LeaderMemory
 from tarragoncart.leaderapi import PeerClient
 from tarragoncart.leadership import Fenced, FindLeader, Leave
 from tarragoncart.mailbox import new_reply
@@ -441,6 +442,39 @@
     assert simulate(scenario) == (True, True)
 
 
+def test_a_leader_learns_the_least_memory_of_the_candidates(simulate):
+    """Guards against a leader that keeps more than a VM that has joined later can take over."""
+
+    def limits(simulation):
+        memory = simulation.nodes["n-0"].scheduler._memory
+        return memory.jobs.limit_bytes, memory.tasks.limit_bytes, memory.checkpoints.limit_bytes
+
+    def limits_of_vm(memory_mb):
+        memory = LeaderMemory.of_vm(memory_mb)
+        return memory.jobs.limit_bytes, memory.tasks.limit_bytes, memory.checkpoints.limit_bytes
+
+    async def scenario(simulation):
+        await simulation.start_node("n-0", memory_mb=552)
+        await asyncio.sleep(3.0)
+        alone = limits(simulation)
+        await simulation.start_node("n-1", memory_mb=200)
+        await asyncio.sleep(3.0)
+        joined = limits(simulation)
+        # Recorded by a version that does not tell its memory.
+        record = {"address": "n-2:7000", "cpu_millicores": 516, "link_mbps": 10.0}
+        simulation.store.put("keyed.candidates", "n-2", json.dumps(record).encode())
+        await asyncio.sleep(2 * defaults.CANDIDATE_RENEWAL_MS / 1_000)
+        unknown = limits(simulation)
+        await stop_all(simulation)
+        return alone, joined, unknown
+
+    assert simulate(scenario) == (
+        limits_of_vm(552),
+        limits_of_vm(200),
+        limits_of_vm(defaults.VM_MEMORY_DEFAULT_MB),
+    )
+
+
 def test_a_renewed_record_does_not_expire():
     """Guards against the removal of a candidate that renews its record less often than planned."""
     watch = RecordWatch()
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -12,7 +12,7 @@
 from tarragoncart.entrance import Accepted
 from tarragoncart.errors import RequestError
 from tarragoncart.graph import Demand, JobSpec, StepSpec
-from tarragoncart.jobmemory import SharedMemory
+from tarragoncart.jobmemory import LeaderMemory, SharedMemory
 from tarragoncart.jobmodel import CANCELLED, COMPLETED, QUEUED, EndedJob
 from tarragoncart.loading import _key_before
 from tarragoncart.mailbox import new_reply
@@ -313,6 +313,49 @@
     assert 0.4 < used[0] <= 0.5
 
 
+async def _take_over_on_a_smaller_vm(simulation, config, used):
+    """Fill the memory of a large VM with jobs at work, then let a small one lead."""
+    simulation.store.put("keyed.op", "config", config)
+    for number in range(4):
+        simulation.add_worker(f"i-{number}", Demand(2_000, 1_000_000))
+    large = await simulation.start_node("large", memory_mb=1_096)
+    await simulation.start_node("small", memory_mb=96)
+    await asyncio.sleep(2.0)
+    spec = JobSpec("text", (StepSpec(1, Demand(10), 20_000, long_running=True),))
+    for number in range(20):
+        assert isinstance(await simulation.submit(large, job_id(number), spec), Accepted)
+    await asyncio.sleep(3.0)
+    assert large.scheduler is not None
+    await simulation.kill_node("large")
+    await asyncio.sleep(5.0)
+    small = simulation.nodes["small"]
+    memory = small.scheduler._memory.jobs
+    used.append(memory.used_bytes / memory.limit_bytes)
+    started_count = len(simulation.starts)
+    await simulation.start_node("large", memory_mb=1_096)
+    await asyncio.sleep(3.0)
+    assert len(simulation.starts) == started_count
+    await simulation.kill_node("small")
+    await asyncio.sleep(5.0)
+    memory = simulation.nodes["large"].scheduler._memory
+    used.append(memory.jobs.limit_bytes / LeaderMemory.of_vm(1_096).jobs.limit_bytes)
+    await simulation.kill_node("large")
+    return simulation
+
+
+def test_a_leader_keeps_what_the_smallest_candidate_can_take_over(
+    simulate_scenario, limit_memory, monkeypatch
+):
+    """Guards against a take-over by a VM that ends by the jobs at work of a larger one (LOST)."""
+    limit_memory(36_000)
+    monkeypatch.setattr(defaults, "JOB_MEMORY_RATIO", 0.001)
+    used = []
+    simulation = simulate_scenario(_take_over_on_a_smaller_vm, 1, used)
+    assert not simulation.violations
+    assert 0.3 < used[0] <= 0.5
+    assert used[1] < 0.1
+
+
 async def _take_over_many_ends(simulation, config):
     """Run many jobs without an account, and another one under a leader with less memory."""
     node = await start(simulation, config)
