Retention: bound the cancellations that wait for their deletion

Cancellations of jobs that are not known have a share of the leader's memory until their retention ends. They then moved to a list of records to delete, which had no bound: while the store took cancellations and refused the leader's deletions, it grew by each one that clients handed in (LOST). The next ones now expire when those before them are deleted, so that the list has the bound of that share.

The test failed before: all 40 cancellations were in the list after 2 s.

--- a/src/tarragoncart/retention.py
+++ b/src/tarragoncart/retention.py
@@ -122,6 +122,9 @@
         if not self._unloaded.complete:
             # Some may be of jobs that are left in the store.
             return
+        if any(self._expired_cancels.values()):
+            # Otherwise the list would have no bound while the store does not delete them.
+            return
         horizon_ms = now_ms - self._retention_ms - defaults.RETENTION_MARGIN_MS
         while self._early_cancels:
             job_id, cancel = next(iter(self._early_cancels.items()))
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -350,6 +350,25 @@
     assert await wait_until(lambda: fleet.vacated)
 
 
+async def test_cancellations_of_unknown_jobs_do_not_add_up_while_they_cannot_be_deleted(
+    run_node, store
+):
+    """Guards against a leader whose list of records to delete grows until it ends (LOST)."""
+    node = await run_node()
+    scheduler = await node.wait_to_lead()
+    scheduler._retention_ms = -1_000_000
+    store.standin.faults.refused_parts = {"keyed.intake": {1}}
+    for number in range(40):
+        store.standin.put("keyed.intake", f"c/{number:016x}", 1, 1)
+        if number % 10 == 9:
+            await asyncio.sleep(0.5)
+    assert await wait_until(lambda: len(scheduler._early_cancels) >= 10)
+    assert len(scheduler._expired_cancels[1]) <= 20
+    store.standin.faults.refused_parts = {}
+    assert await wait_until(lambda: not store.standin.newest("keyed.intake"))
+    assert not scheduler._early_cancels
+
+
 async def test_a_job_submitted_while_its_old_cancellation_expires_keeps_its_record(
     run_node, add_worker, store
 ):
