Connections: jobs of a leader use the memory of its callers' connections

Connections, bodies and jobs each kept to limits of their own, which together exceeded the VM: 101 of 96 MB, 183 of 160, 361 of 300, 555 of 552 (worked out from the limits).

While nothing is lent, and on entry VMs that do not lead, the limits are as before. In a take-over the stored state counts as well until the jobs are restored from it.

--- a/src/tarragoncart/connectionlimits.py
+++ b/src/tarragoncart/connectionlimits.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Hashable, Iterable, Iterator
 from typing import Generic, TypeVar
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from . import defaults
 from .charts import Chart, load_chart
@@ -46,6 +47,7 @@
 BODY_MEMORY = RefusalKind("body_memory", "no memory for the request's body", 503)
 CONNECTION_COUNT = RefusalKind("connection_count", "too many connections")
 ADDRESS_COUNT = RefusalKind("address_count", "too many connections from one address")
+JOB_MEMORY = RefusalKind("job_memory", "the leader's jobs use the memory of the connection")
 EVICTED = RefusalKind("evicted", "connection made room for a new one")
 IDLE_TIMEOUT = RefusalKind("idle_timeout", "connection was not used")
 UNREAD_ANSWER = RefusalKind("unread_answer", "client does not read its answer")
@@ -63,6 +65,17 @@
     total_count: int
     per_address_count: int
 
+    def lend(self, lent_bytes: int) -> ConnectionLimits:
+        """Return the limits while other data uses some of the memory of the connections.
+
+        Some connections remain, so that callers are served whatever the other data.
+        """
+        if not lent_bytes:
+            return self
+        lent_count = math.ceil(lent_bytes / defaults.CONNECTION_COST_BYTES)
+        kept_count = math.ceil(defaults.CONNECTION_KEPT_RATIO * self.total_count)
+        return evolve(self, total_count=max(kept_count, self.total_count - lent_count))
+
 
 @frozen
 class MemoryLimits:
@@ -347,6 +360,20 @@
                     break
         return found
 
+    def pop_excess(self) -> list[C]:
+        """Remove the connections to close because the limit has become lower.
+
+        Those that have waited longest come first.
+        """
+        victims = []
+        while len(self._states) > self.limits.total_count:
+            victim = self._find_longest_waiting()
+            if victim is None:
+                break
+            victims.append(victim)
+            self.close(victim)
+        return victims
+
     def state(self, connection: C) -> str | None:
         """Return the state of a connection, None if it is not open."""
         return self._states.get(connection)
--- a/src/tarragoncart/connections.py
+++ b/src/tarragoncart/connections.py
@@ -28,6 +28,7 @@
     EMPTY_LINES,
     EVICTED,
     HEAD_TOO_LARGE,
+    JOB_MEMORY,
     MALFORMED,
     TRAILERS_TOO_LARGE,
     UNREAD_ANSWER,
@@ -61,6 +62,11 @@
         self.kind = kind
 
 
+def lend_nothing() -> int:
+    """Lend no memory of connections to other data."""
+    return 0
+
+
 @frozen
 class ListenerSpec:
     """What the admission control needs to know about a listener.
@@ -68,6 +74,7 @@
     :param budget: memory for bodies; listeners may share it.
     :param body_limit: returns the largest body that a request may have.
     :param refuse: encodes a refusal in the listener's protocol.
+    :param lent_bytes: returns how much of the memory of its connections other data uses.
     """
 
     name: str
@@ -75,6 +82,7 @@
     budget: BodyBudget[Any]
     body_limit: Callable[[web.BaseRequest], int]
     refuse: Callable[[web.BaseRequest, RequestError], web.Response]
+    lent_bytes: Callable[[], int] = lend_nothing
 
 
 def refuse_plainly(request: web.BaseRequest, error: RequestError) -> web.Response:
@@ -420,6 +428,7 @@
         """Return whether a new connection is admitted."""
         peer = transport.get_extra_info("peername")
         address = str(peer[0]) if peer else ""
+        self._update_limits()
         admission = self.table.open(connection, address, self._now_ms())
         if admission.refusal is not None:
             self.count_refusal(admission.refusal)
@@ -429,6 +438,9 @@
             admission.victim.abort()
         return True
 
+    def _update_limits(self) -> None:
+        self.table.limits = self._listener.limits.lend(self._listener.lent_bytes())
+
     def fire(self, connection: Connection, event: str) -> None:
         """Apply an event to the state of a connection."""
         self.table.fire(connection, event, self._now_ms())
@@ -457,6 +469,10 @@
     def sweep(self, now_ms: float) -> None:
         """Give up the requests and connections that have waited for their clients for too long."""
         self._note_read_answers()
+        self._update_limits()
+        for connection in self.table.pop_excess():
+            self.count_refusal(JOB_MEMORY)
+            connection.abort()
         for connection, kind in self.table.expired(now_ms):
             if kind is UNREAD_ANSWER and connection.poll_read_progress():
                 self.table.renew(connection, now_ms)
--- a/src/tarragoncart/defaults.py
+++ b/src/tarragoncart/defaults.py
@@ -354,7 +354,7 @@
 INTAKE_MEMORY_RATIO = 0.2
 # Share of that memory that a single account without jobs leaves free.
 RESERVED_MEMORY_RATIO = 0.25
-# Shares of the memory above an idle process; the rest is for jobs and the leader's state.
+# Shares of the memory above an idle process; the rest is for the leader's state.
 CONNECTION_MEMORY_RATIO = 0.5
 LARGE_BODY_MEMORY_RATIO = 0.2
 SMALL_BODY_MEMORY_RATIO = 0.05
@@ -362,6 +362,8 @@
 PEER_CONNECTION_MEMORY_RATIO = 0.15
 READY_CONNECTION_MEMORY_RATIO = 0.02
 METRICS_CONNECTION_MEMORY_RATIO = 0.01
+# Share of its callers' connections that a leader keeps while its jobs use their memory.
+CONNECTION_KEPT_RATIO = 0.25
 # Shares of the descriptors that are not for files, by listener; the rest is for calls to others.
 CONNECTION_FD_RATIO = 0.5
 PEER_FD_RATIO = 0.2
--- a/src/tarragoncart/jobmemory.py
+++ b/src/tarragoncart/jobmemory.py
@@ -131,6 +131,12 @@
             defaults.INTAKE_MEMORY_RATIO * jobs_bytes,
         )
 
+    @property
+    def used_bytes(self) -> int:
+        """Memory in use; that for records counts as a whole, as they may arrive at any time."""
+        shares = (self.jobs, self.tasks, self.checkpoints, self.unloaded)
+        return sum(share.used_bytes for share in shares) + int(self.intake_bytes)
+
     def limit_to(self, memory_mb: int) -> bool:
         """Limit what a successor restores to what a VM has for it; return whether that is new.
 
--- a/src/tarragoncart/node.py
+++ b/src/tarragoncart/node.py
@@ -396,6 +396,10 @@
         rules = self._rules
         return rules.body_size_bytes if rules else defaults.BODY_LIMIT_BYTES
 
+    def job_memory_bytes(self) -> int:
+        """Return the memory that jobs use while this entry VM leads."""
+        return self.scheduler.memory_bytes if self.scheduler else 0
+
     @receives(LeadershipConfirmed)
     def on_confirmed(self, message: LeadershipConfirmed) -> None:
         """Tell the scheduler until when the leadership is valid."""
@@ -465,7 +469,12 @@
     peer_budget: BodyBudget[Any] = BodyBudget(limits.peer_bytes, 0)
     listeners = (
         ListenerSpec(
-            "caller", limits.callers, caller_budget, node.body_limit, caller_server.refuse
+            "caller",
+            limits.callers,
+            caller_budget,
+            node.body_limit,
+            caller_server.refuse,
+            node.job_memory_bytes,
         ),
         ListenerSpec("peer", limits.peers, peer_budget, side_body_limit, refuse_plainly),
         side_listener("ready", limits.ready),
--- a/src/tarragoncart/runstate.py
+++ b/src/tarragoncart/runstate.py
@@ -338,6 +338,11 @@
         """The epoch of leadership for which it schedules."""
         return self._epoch
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that its jobs use."""
+        return self._memory.used_bytes
+
     def _usage(self, account: str) -> Usage:
         usage = self._usages.get(account)
         if usage is None:
--- a/src/tarragoncart/takeover.py
+++ b/src/tarragoncart/takeover.py
@@ -13,7 +13,7 @@
 from . import defaults, jobmodel, metrics, staterecords
 from .errors import StoreRefusedError, StoreUnknownError
 from .follower import read_newest
-from .intake import JOB_PREFIX, IntakeHandled, IntakeRead, ReadIntakeAgain
+from .intake import ENTRY_BYTES, JOB_PREFIX, IntakeHandled, IntakeRead, ReadIntakeAgain
 from .jobmemory import ENDED_JOB_BYTES, job_bytes
 from .jobmodel import EndedJob, Job
 from .leadership import Fenced
@@ -65,6 +65,8 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self._stored_state: tuple[Entry, ...] | None = None
+        # Memory of the stored state until all jobs are restored.
+        self._stored_bytes = 0
         self._accepted: IntakeRead | None = None
         self._reads_intake_again = False
         self._restoration: Iterator[Restored | None] = iter(())
@@ -127,6 +129,11 @@
         finally:
             await store.close()
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that its jobs use, with the records that they are restored from."""
+        return super().memory_bytes + self._stored_bytes
+
     def handle(self, message: Any) -> Any:
         """Handle a message, or hold it until all jobs are restored if its handler needs them."""
         handler = self._handlers[type(message)]
@@ -153,6 +160,7 @@
         """Create the owner of the VMs, and restore the jobs if they have been read as well."""
         self._log_takeover_step("state is read", message.entries)
         self._stored_state = message.entries
+        self._stored_bytes = sum(ENTRY_BYTES + len(entry.value) for entry in message.entries)
         if self._make_fleet is not None:
             fleet_records = {
                 e.key: e.value for e in message.entries if e.key.startswith(FLEET_KEY_PREFIX)
@@ -292,7 +300,7 @@
             },
         )
         self._start_fleet_if_ready()
-        self._stored_state, self._accepted = None, None
+        self._stored_state, self._accepted, self._stored_bytes = None, None, 0
         self._cancellations, self._restoration = [], iter(())
         self._put_back([*self._held, *self._held_by_upstream.values()])
         self._held, self._held_by_upstream = [], {}
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -34,8 +34,15 @@
     derive_limits,
     side_limits,
 )
-from tarragoncart.connections import AdmissionControl, BoundedServer, ListenerSpec, start_server
+from tarragoncart.connections import (
+    AdmissionControl,
+    BoundedServer,
+    ListenerSpec,
+    lend_nothing,
+    start_server,
+)
 from tarragoncart.errors import DecodeError, RequestError
+from tarragoncart.jobmemory import LeaderMemory
 from tarragoncart.platform.callers import CallerServer, decode_job
 from tarragoncart.timer import LoopTimer, ManualTimer
 
@@ -346,6 +353,35 @@
             writer.close()
 
 
+# Resident memory of a process that serves nobody.
+IDLE_PROCESS_BYTES = 50 * MEGABYTE
+
+
+@pytest.mark.parametrize("memory_mb", [96, 128, 160, 200, 300, 552, 4_000])
+@pytest.mark.parametrize("fd_limit_count", [320, 4_100, 65_536])
+def test_all_limits_together_fit_the_memory_of_a_leader(memory_mb, fd_limit_count):
+    """Guards against connections and bodies at their limits beside as many jobs as fit (LOST)."""
+    limits = derive_limits(
+        memory_mb, fd_limit_count, defaults.BODY_LIMIT_BYTES, defaults.SIDE_BODY_LIMIT_BYTES
+    )
+    jobs = LeaderMemory.of_vm(memory_mb)
+    shares = (jobs.jobs, jobs.tasks, jobs.checkpoints, jobs.unloaded)
+    for share in shares:
+        share.take("", int(share.limit_bytes))
+    assert (
+        jobs.used_bytes >= sum(int(share.limit_bytes) for share in shares) + jobs.intake_bytes - 1
+    )
+    callers = limits.callers.lend(jobs.used_bytes)
+    assert callers.total_count >= defaults.CONNECTION_KEPT_RATIO * limits.callers.total_count
+    listeners = (callers, limits.peers, limits.ready, limits.metrics)
+    connections_bytes = defaults.CONNECTION_COST_BYTES * sum(
+        listener.total_count for listener in listeners
+    )
+    bodies_bytes = limits.large_bytes + limits.small_bytes + limits.peer_bytes
+    total_bytes = IDLE_PROCESS_BYTES + connections_bytes + bodies_bytes + jobs.used_bytes
+    assert total_bytes <= memory_mb * MEGABYTE
+
+
 def refuse_as_json(request: web.BaseRequest, error: RequestError) -> web.Response:
     """Encode a refusal with its code."""
     return web.json_response({"error": error.code}, status=error.status)
@@ -357,7 +393,9 @@
     opened: list[Bounded] = []
 
     async def make(
-        limits: ConnectionLimits = ROOMY, budget: BodyBudget[Any] | None = None
+        limits: ConnectionLimits = ROOMY,
+        budget: BodyBudget[Any] | None = None,
+        lent_bytes: Callable[[], int] = lend_nothing,
     ) -> Bounded:
         handled: list[bytes] = []
         release = asyncio.Event()
@@ -370,7 +408,9 @@
             return web.Response(body=b"y" * (20_000 if request.path == "/large" else 2))
 
         budget = budget or BodyBudget(4 * BODY_LIMIT * defaults.BODY_COST_RATIO, 4 * SMALL_COST)
-        listener = ListenerSpec("test", limits, budget, lambda _: BODY_LIMIT, refuse_as_json)
+        listener = ListenerSpec(
+            "test", limits, budget, lambda _: BODY_LIMIT, refuse_as_json, lent_bytes
+        )
         sock = socket.create_server(("127.0.0.1", 0), backlog=128)
         port = sock.getsockname()[1]
         server = BoundedServer(handle, listener, AdmissionControl(LoopTimer()))
@@ -432,6 +472,29 @@
     assert bounded.budget.used_bytes == 0
 
 
+async def test_connections_make_room_for_jobs(make_bounded):
+    """Guards against a leader that ends by the connections it had when its jobs came (LOST)."""
+    lent = [0]
+    bounded = await make_bounded(ConnectionLimits(8, 8), lent_bytes=lambda: lent[0])
+    connections = [await asyncio.open_connection("127.0.0.1", bounded.port) for _ in range(8)]
+    connections[0][1].write(post(b"x", "/wait"))
+    await wait_until(lambda: bounded.server.table.count == 8 and bool(bounded.handled))
+    lent[0] = 3 * defaults.CONNECTION_COST_BYTES
+    await wait_until(lambda: bounded.server.table.count == 5)
+    lent[0] = 100 * defaults.CONNECTION_COST_BYTES
+    await wait_until(lambda: bounded.server.table.count == 2)
+    # A new one takes the place of the one that waits.
+    assert (await bounded.exchange(post(b"y"))).startswith(b"HTTP/1.1 200")
+    bounded.release.set()
+    assert (await connections[0][0].read()).startswith(b"HTTP/1.1 200")
+    lent[0] = 0
+    for _ in range(8):
+        connections.append(await asyncio.open_connection("127.0.0.1", bounded.port))
+    await wait_until(lambda: bounded.server.table.count == 8)
+    for _, writer in connections:
+        writer.close()
+
+
 async def test_a_compressed_body_is_refused_and_not_handed_on(make_bounded):
     """Guards against small bodies that expand beyond the memory reserved for them."""
     bounded = await make_bounded()
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -12,7 +12,8 @@
 from tarragoncart.entrance import Accepted
 from tarragoncart.errors import RequestError
 from tarragoncart.graph import Demand, JobSpec, StepSpec
-from tarragoncart.jobmemory import LeaderMemory, SharedMemory
+from tarragoncart.intake import ENTRY_BYTES
+from tarragoncart.jobmemory import JOB_BYTES, LeaderMemory, SharedMemory
 from tarragoncart.jobmodel import CANCELLED, COMPLETED, QUEUED, EndedJob
 from tarragoncart.loading import _key_before
 from tarragoncart.mailbox import new_reply
@@ -325,7 +326,7 @@
     for number in range(20):
         assert isinstance(await simulation.submit(large, job_id(number), spec), Accepted)
     await asyncio.sleep(3.0)
-    assert large.scheduler is not None
+    assert large.job_memory_bytes() > 20 * JOB_BYTES and not simulation.nodes["small"].scheduler
     await simulation.kill_node("large")
     await asyncio.sleep(5.0)
     small = simulation.nodes["small"]
@@ -367,6 +368,7 @@
     defaults.JOB_MEMORY_MIN_MB = 40_000 / MEGABYTE
     node = await simulation.start_node("n-2")
     await asyncio.sleep(3.0)
+    assert node.job_memory_bytes() == node.scheduler._memory.used_bytes
     ended = [job for job in node.scheduler._jobs.values() if job.ended]
     assert len(ended) == 30
     assert isinstance(await simulation.submit(node, job_id(30), spec), Accepted)
@@ -385,6 +387,24 @@
     assert simulation.phases == {job_id(30): COMPLETED}
 
 
+def test_the_stored_state_counts_as_memory_while_jobs_are_restored_from_it(
+    simulate_scenario, limit_memory, monkeypatch
+):
+    """Guards against a take-over that ends by the state beside its jobs and connections (LOST)."""
+    limit_memory(MEGABYTE)
+    seen = []
+    complete = Scheduler._complete_restoring
+
+    def note(scheduler):
+        seen.append(scheduler.memory_bytes - scheduler._memory.used_bytes)
+        complete(scheduler)
+
+    monkeypatch.setattr(Scheduler, "_complete_restoring", note)
+    simulate_scenario(_take_over_many_ends, 1)
+    assert seen[0] == 0
+    assert seen[1] >= 30 * ENTRY_BYTES
+
+
 def test_a_full_list_of_one_account_does_not_have_the_store_read_again_and_again():
     """Guards against a leader that reads all accepted jobs without a pause (link, LOST)."""
     left = UnloadedJobs(SharedMemory(40 * UNLOADED_JOB_BYTES))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 from standins.taskworker import TaskWorker, WorkerFaults
 from standins.vacating import VacatingFleet
 from tarragoncart import defaults
+from tarragoncart.connectionlimits import derive_limits
 from tarragoncart.entrance import CurrentLeader
 from tarragoncart.errors import DecodeError, RequestError
 from tarragoncart.fencing import epoch_of
@@ -70,6 +71,22 @@
     assert f"j/{JOB_ID}" in store.standin.newest("keyed.intake")
 
 
+async def test_jobs_of_the_leader_use_the_memory_of_its_callers_connections(run_node):
+    """Guards against a leader that ends by its jobs and connections together (LOST)."""
+    node = await run_node(memory_mb=300)
+    scheduler = await node.wait_to_lead()
+    tables = [runner.server.table for runner in node.opened.runners]
+    limits = derive_limits(300, 0, defaults.BODY_LIMIT_BYTES, defaults.SIDE_BODY_LIMIT_BYTES)
+    counts = [limits.ready, limits.peers, limits.callers, limits.metrics]
+    scheduler._memory.jobs.take("", 100 * defaults.CONNECTION_COST_BYTES)
+    assert await wait_until(
+        lambda: tables[2].limits.total_count <= counts[2].total_count - 100, 3.0
+    )
+    assert [table.limits for table in tables if table is not tables[2]] == [
+        count for count in counts if count is not counts[2]
+    ]
+
+
 async def test_a_job_of_an_entry_vm_whose_clock_is_ahead_starts_at_once(
     run_node, add_worker, store
 ):
