--- a/src/tarragoncart/election.py
+++ b/src/tarragoncart/election.py
@@ -500,7 +500,9 @@
         self._measuring = self.spawn(self._measure_candidates())
 
     async def _measure_candidates(self) -> None:
-        while not self._tell_smallest(await self._surveyor.read_candidates()):
+        while self._role.state == "leader":
+            if self._tell_smallest(await self._surveyor.read_candidates()):
+                return
             await asyncio.sleep(defaults.CANDIDATE_RETRY_MS / 1_000)
 
     def _tell_smallest(self, recorded: tuple[Candidate, ...]) -> bool:
