--- a/src/standins/virtual.py
+++ b/src/standins/virtual.py
@@ -216,6 +216,14 @@
         """Return a partition, which is created on first use."""
         return self.parts.setdefault((topic, number), _Partition())
 
+    def newest_values(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key of all partitions that is not deleted."""
+        newest: dict[str, bytes] = {}
+        for (name, _), part in self.parts.items():
+            if name == topic:
+                newest |= dict(part.records)
+        return {key: value for key, value in newest.items() if value}
+
     def put(self, topic: str, key: str, value: bytes, number: int = 0) -> None:
         """Append a record directly, as the operator or a worker."""
         part = self.part(topic, number)
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -58,23 +58,15 @@
         await asyncio.sleep(0.01)
 
 
-async def start(simulation, config):
+async def start(simulation, config, name="n-1", **settings):
     simulation.store.put("keyed.op", "config", config)
     for number in range(4):
         simulation.add_worker(f"i-{number}", Demand(2_000, 1_000_000))
-    node = await simulation.start_node("n-1")
+    node = await simulation.start_node(name, **settings)
     await asyncio.sleep(2.0)
     return node
 
 
-def newest(simulation, topic):
-    values = {}
-    for (name, _), part in simulation.store.parts.items():
-        if name == topic:
-            values |= dict(part.records)
-    return {key: value for key, value in values.items() if value}
-
-
 async def _accept_more_than_fits(simulation, config, peaks):
     """Accept many jobs, change the leader twice, and wait until all have ended."""
     node = await start(simulation, config)
@@ -98,7 +90,7 @@
     assert not node.scheduler._unloaded._by_id and node.scheduler._unloaded.complete
     assert all(isinstance(job, EndedJob) for job in jobs.values())
     await asyncio.sleep(5.0)
-    assert not newest(simulation, intake.TOPIC), "records of ended jobs are left"
+    assert not simulation.store.newest_values(intake.TOPIC), "records of ended jobs are left"
     await simulation.kill_node(node._settings.name)
     return simulation
 
@@ -316,10 +308,7 @@
 
 async def _take_over_on_a_smaller_vm(simulation, config, used):
     """Fill the memory of a large VM with jobs at work, then let a small one lead."""
-    simulation.store.put("keyed.op", "config", config)
-    for number in range(4):
-        simulation.add_worker(f"i-{number}", Demand(2_000, 1_000_000))
-    large = await simulation.start_node("large", memory_mb=1_096)
+    large = await start(simulation, config, "large", memory_mb=1_096)
     await simulation.start_node("small", memory_mb=96)
     await asyncio.sleep(2.0)
     spec = JobSpec("text", (StepSpec(1, Demand(10), 20_000, long_running=True),))
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -221,20 +221,13 @@
     await asyncio.sleep(40.0)
     simulation.phases[JOB_ID] = node.scheduler._jobs[JOB_ID].phase
     simulation.check_at_rest(node.scheduler, [JOB_ID])
-    left = {key for key in _newest(simulation, "keyed.state") if key.startswith(f"{JOB_ID}.")}
+    keys = simulation.store.newest_values("keyed.state")
+    left = {key for key in keys if key.startswith(f"{JOB_ID}.")}
     assert not left, "records of steps are left"
     await simulation.kill_node("n-2")
     return simulation
 
 
-def _newest(simulation, topic):
-    newest = {}
-    for (name, _), part in simulation.store.parts.items():
-        if name == topic:
-            newest |= dict(part.records)
-    return {key: value for key, value in newest.items() if value}
-
-
 @pytest.mark.parametrize("open_count", [OPEN_STEP_LIMIT_COUNT, 4])
 def test_a_job_of_many_occurrences_and_tasks_runs_each_task(
     simulate_scenario, monkeypatch, open_count
